--- /dev/null
+++ b/bundle/bundle.go
@@ -0,0 +1,211 @@
+// Package bundle holds what operators write: services, the places and
+// upstreams behind them, the rules for who may reach what, and who signs off.
+//
+// A bundle is authored in YAML, checked, frozen into sections with a manifest
+// of their hashes, and signed. Start with Bundle and Check.
+package bundle
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// ServiceID names a service on the wire. No two services of a bundle share one.
+type ServiceID uint32
+
+// UpstreamID names an upstream on the wire. No two upstreams of a bundle share one.
+type UpstreamID uint32
+
+// ServiceIDOf returns the identity that follows from a service's name.
+func ServiceIDOf(name string) ServiceID {
+	return ServiceID(xxhash.Sum64String("service/" + name))
+}
+
+// UpstreamIDOf returns the identity that follows from an upstream's name.
+func UpstreamIDOf(name string) UpstreamID {
+	return UpstreamID(xxhash.Sum64String("upstream/" + name))
+}
+
+// Bundle is one version of all that operators decide. It is immutable once checked.
+type Bundle struct {
+	// Sequence orders versions; the higher one wins. It is at least 1.
+	Sequence uint64 `yaml:"sequence" msgpack:"sequence"`
+	// SignOff says who must sign the next bundle.
+	SignOff SignOff `yaml:"signoff" msgpack:"signoff"`
+	// DataCentres are unique by name.
+	DataCentres []DataCentre `yaml:"datacentres" msgpack:"datacentres"`
+	// Services are unique by name, and no two share an address and port,
+	// but for one that names the other as former.
+	Services []Service `yaml:"services" msgpack:"services"`
+}
+
+// SignOff is the policy for accepting the next bundle.
+type SignOff struct {
+	// Need is how many approvers must sign, from 1 to the number of approvers.
+	Need int `yaml:"need" msgpack:"need"`
+	// Approvers are unique by name and by key.
+	Approvers []Approver `yaml:"approvers" msgpack:"approvers"`
+}
+
+// Approver is one who may sign bundles.
+type Approver struct {
+	Name string `yaml:"name" msgpack:"name"`
+	// Key is an ed25519 public key in standard base64.
+	Key string `yaml:"key" msgpack:"key"`
+}
+
+// DataCentre is where processes run.
+type DataCentre struct {
+	Name string `yaml:"name" msgpack:"name"`
+	// Region groups data centres; empty is a region of its own.
+	Region string `yaml:"region" msgpack:"region"`
+	// Callers are the prefixes that are nearest to this data centre. No prefix
+	// stands in two data centres.
+	Callers []netip.Prefix `yaml:"callers" msgpack:"callers"`
+	// Near lists the other data centres, nearest first. The ones left out follow in name order.
+	Near []string `yaml:"near" msgpack:"near"`
+}
+
+// Service is what callers reach at one or more addresses.
+type Service struct {
+	Name      string    `yaml:"name" msgpack:"name"`
+	Addresses []Address `yaml:"addresses" msgpack:"addresses"`
+	// Idempotent is true when a request may run more than once without harm.
+	Idempotent bool `yaml:"idempotent" msgpack:"idempotent"`
+	// Repeat is how long after its first transmission a caller may still repeat a
+	// request, from 0 s to 5 min. Zero selects 10 s.
+	Repeat time.Duration `yaml:"repeat" msgpack:"repeat"`
+	// Idle is how long a flow without packets is kept, from 1 s to 24 h. Zero selects 5 min.
+	Idle time.Duration `yaml:"idle" msgpack:"idle"`
+	// Rules say which callers may reach the service; the longest matching prefix wins.
+	// A caller that no rule matches is denied.
+	Rules []Rule `yaml:"rules" msgpack:"rules"`
+	// Limit bounds new flows; the zero value sets no limit.
+	Limit Limit `yaml:"limit" msgpack:"limit"`
+	// Objectives are unique by name.
+	Objectives []Objective `yaml:"objectives" msgpack:"objectives"`
+	// Places are unique by data centre.
+	Places []Place `yaml:"places" msgpack:"places"`
+}
+
+// ID returns the identity of the service on the wire.
+func (s Service) ID() ServiceID {
+	return ServiceIDOf(s.Name)
+}
+
+// Address is where callers reach a service.
+type Address struct {
+	IP netip.Addr `yaml:"ip" msgpack:"ip"`
+	// Port is from 1 to 65535.
+	Port uint16 `yaml:"port" msgpack:"port"`
+	// Protocol is "tcp" or "udp".
+	Protocol string `yaml:"protocol" msgpack:"protocol"`
+	// Former names the service that held the address before; its flows stay
+	// findable until they end. Empty when the address never moved.
+	Former string `yaml:"former" msgpack:"former"`
+}
+
+// Rule says whether callers of a prefix may reach a service.
+type Rule struct {
+	Callers netip.Prefix `yaml:"callers" msgpack:"callers"`
+	Allow   bool         `yaml:"allow" msgpack:"allow"`
+}
+
+// Limit bounds the new flows of one service.
+type Limit struct {
+	// Rate is new flows a second over the whole fleet, from 0 (none set) to 1,000,000.
+	Rate float64 `yaml:"rate" msgpack:"rate"`
+	// Prefix is new flows a second for each caller prefix of Bits length, from 0 (none set) to 1,000,000.
+	Prefix float64 `yaml:"prefix" msgpack:"prefix"`
+	// Bits is the length of an IPv4 caller prefix that shares one limit, from 0 to 32. Zero selects 24.
+	Bits int `yaml:"bits" msgpack:"bits"`
+}
+
+// Objective is a service-level objective.
+type Objective struct {
+	Name string `yaml:"name" msgpack:"name"`
+	// Measure is "flows" (flows not broken), "answers" (whole answers) or "latency" (answers within Within).
+	Measure string `yaml:"measure" msgpack:"measure"`
+	// Target is the share that must be good, above 0 and below 1.
+	Target float64 `yaml:"target" msgpack:"target"`
+	// Within is the bound of a latency objective, from 1 ms to 1 h; zero for the others.
+	Within time.Duration `yaml:"within" msgpack:"within"`
+}
+
+// Place is a service's pool of upstreams in one data centre.
+type Place struct {
+	// DataCentre names a data centre of the bundle.
+	DataCentre string `yaml:"datacentre" msgpack:"datacentre"`
+	// Upstreams are unique by name over the whole bundle.
+	Upstreams []Upstream `yaml:"upstreams" msgpack:"upstreams"`
+}
+
+// Upstream is one back end with a sidecar beside it.
+type Upstream struct {
+	Name string `yaml:"name" msgpack:"name"`
+	// Sidecar is where the sidecar beside the upstream receives forwarded packets.
+	Sidecar netip.AddrPort `yaml:"sidecar" msgpack:"sidecar"`
+	// Weight is the share of new flows, from 1 to 1000. Zero selects 100.
+	Weight int `yaml:"weight" msgpack:"weight"`
+	// Slots is how many requests the upstream runs at once, from 1 to 100,000. Zero selects 2.
+	Slots int `yaml:"slots" msgpack:"slots"`
+	// Connections is how many flows the upstream holds at most, from 1 to 10,000,000. Zero selects 2,500.
+	Connections int `yaml:"connections" msgpack:"connections"`
+	// Leaving is true for an upstream that keeps its flows and gets no new ones.
+	Leaving bool `yaml:"leaving" msgpack:"leaving"`
+}
+
+// ID returns the identity of the upstream on the wire.
+func (u Upstream) ID() UpstreamID {
+	return UpstreamIDOf(u.Name)
+}
+
+// EffectiveWeight returns the weight with the default filled in.
+func (u Upstream) EffectiveWeight() int {
+	if u.Weight == 0 {
+		return defaultWeight
+	}
+	return u.Weight
+}
+
+// EffectiveSlots returns the slots with the default filled in.
+func (u Upstream) EffectiveSlots() int {
+	if u.Slots == 0 {
+		return defaultSlots
+	}
+	return u.Slots
+}
+
+// EffectiveConnections returns the connection limit with the default filled in.
+func (u Upstream) EffectiveConnections() int {
+	if u.Connections == 0 {
+		return defaultConnections
+	}
+	return u.Connections
+}
+
+// EffectiveRepeat returns the repeat time with the default filled in.
+func (s Service) EffectiveRepeat() time.Duration {
+	if s.Repeat == 0 {
+		return defaultRepeat
+	}
+	return s.Repeat
+}
+
+// EffectiveIdle returns the idle time with the default filled in.
+func (s Service) EffectiveIdle() time.Duration {
+	if s.Idle == 0 {
+		return defaultIdle
+	}
+	return s.Idle
+}
+
+const (
+	defaultWeight      = 100
+	defaultSlots       = 2
+	defaultConnections = 2500
+	defaultRepeat      = 10 * time.Second
+	defaultIdle        = 5 * time.Minute
+)
--- /dev/null
+++ b/cmd/corianderctl/main.go
@@ -0,0 +1,4 @@
+// Command corianderctl is the operators' command line.
+package main
+
+func main() {}
--- /dev/null
+++ b/event/logger.go
@@ -0,0 +1,68 @@
+// Package event holds the numbered events that every process logs, and the
+// logger that writes them through zap. docs/EVENTS.md lists the same catalogue
+// for the people on call; a test keeps the two equal.
+//
+// Start with Logger.Emit and Catalogue.
+package event
+
+import (
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Config holds the settings of a Logger. The zero value discards every event.
+type Config struct {
+	// Core receives the entries. Nil discards them.
+	Core zapcore.Core
+	// Process names the process in every entry.
+	Process string
+}
+
+// Logger writes numbered events. It is safe for concurrent use.
+type Logger struct {
+	zap     *zap.Logger
+	entries map[Number]Entry // never changes after New
+}
+
+// New returns a Logger that writes to cfg.Core.
+func New(cfg Config) *Logger {
+	core := cfg.Core
+	if core == nil {
+		core = zapcore.NewNopCore()
+	}
+	entries := make(map[Number]Entry)
+	for _, e := range Catalogue() {
+		entries[e.Number] = e
+	}
+	return &Logger{
+		zap:     zap.New(core).With(zap.String("process", cfg.Process)),
+		entries: entries,
+	}
+}
+
+// NewJSON returns a Logger that writes one JSON object a line to w, from level up.
+func NewJSON(w zapcore.WriteSyncer, level zapcore.Level, process string) *Logger {
+	enc := zap.NewProductionEncoderConfig()
+	enc.EncodeTime = zapcore.ISO8601TimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(w), level)
+	return New(Config{Core: core, Process: process})
+}
+
+// Emit writes the event with its number, its name and the fields.
+// An event that the catalogue lacks is written at error level.
+func (l *Logger) Emit(n Number, fields ...zap.Field) {
+	e, ok := l.entries[n]
+	if !ok {
+		e = Entry{Number: n, Name: "unknown-event", Level: zapcore.ErrorLevel}
+	}
+	ce := l.zap.Check(e.Level, e.Name)
+	if ce == nil {
+		return
+	}
+	ce.Write(append([]zap.Field{zap.Int("event", int(n))}, fields...)...)
+}
+
+// Sync flushes what is buffered.
+func (l *Logger) Sync() error {
+	return l.zap.Sync()
+}
--- /dev/null
+++ b/flow/packet.go
@@ -0,0 +1,20 @@
+package flow
+
+// Packet is what the decisions need to know of one packet of a caller.
+type Packet struct {
+	Key Key
+	// Opening is true for a TCP segment with SYN and without ACK. A UDP packet
+	// never says whether it opens a flow.
+	Opening bool
+	// Closing is true for a TCP segment with RST or FIN.
+	Closing bool
+	// Reset is true for a TCP segment with RST.
+	Reset bool
+	// Sequence is the TCP sequence number; in an opening it names the incarnation of the flow.
+	Sequence uint32
+	// Acknowledged is the TCP acknowledgement number, valid when HasAck is true.
+	Acknowledged uint32
+	HasAck       bool
+	// Size is the length of the whole IP packet in bytes.
+	Size int
+}
--- /dev/null
+++ b/timer/service.go
@@ -0,0 +1,92 @@
+// Package timer is the one place that reads the clock. Parts of the system
+// subscribe to a Service instead of calling the time package, so that a test
+// in a testing/synctest bubble controls every wait.
+//
+// Start with Service.Every and Service.After.
+package timer
+
+import (
+	"context"
+	"time"
+)
+
+// Config holds the settings of a Service. The zero value selects the defaults.
+type Config struct {
+	// PauseAfter is the gap between two expected ticks from which the process
+	// counts as having been paused. Zero selects defaultPauseAfter.
+	PauseAfter time.Duration
+}
+
+const defaultPauseAfter = time.Second
+
+// Service tells the time and wakes subscribers. It is safe for concurrent use.
+type Service struct {
+	cfg   Config
+	start time.Time // fixed after New
+}
+
+// New returns a Service that runs on the process clock.
+func New(cfg Config) *Service {
+	if cfg.PauseAfter == 0 {
+		cfg.PauseAfter = defaultPauseAfter
+	}
+	return &Service{cfg: cfg, start: time.Now()}
+}
+
+// Now returns the present time with its monotonic reading.
+func (s *Service) Now() time.Time {
+	return time.Now()
+}
+
+// Since returns the time that has passed since t.
+func (s *Service) Since(t time.Time) time.Duration {
+	return time.Since(t)
+}
+
+// Uptime returns the time since the service was made.
+func (s *Service) Uptime() time.Duration {
+	return time.Since(s.start)
+}
+
+// PauseAfter returns the gap from which a process counts as having been paused.
+func (s *Service) PauseAfter() time.Duration {
+	return s.cfg.PauseAfter
+}
+
+// Every subscribes to a tick each period. The caller stops the subscription.
+// It panics when period is not positive.
+func (s *Service) Every(period time.Duration) *Subscription {
+	t := time.NewTicker(period)
+	return &Subscription{C: t.C, stop: t.Stop}
+}
+
+// After subscribes to one tick after d. The caller stops the subscription.
+func (s *Service) After(d time.Duration) *Subscription {
+	t := time.NewTimer(d)
+	return &Subscription{C: t.C, stop: func() { t.Stop() }}
+}
+
+// Sleep waits for d or until ctx is done, and then returns the error of ctx.
+func (s *Service) Sleep(ctx context.Context, d time.Duration) error {
+	sub := s.After(d)
+	defer sub.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-sub.C:
+		return nil
+	}
+}
+
+// Subscription delivers ticks on C until it is stopped.
+type Subscription struct {
+	// C receives a tick when it is due. Ticks are dropped for slow receivers.
+	C <-chan time.Time
+
+	stop func() // never nil
+}
+
+// Stop ends the subscription. It may be called more than once.
+func (s *Subscription) Stop() {
+	s.stop()
+}
