Rank candidates by weighted rendezvous; authenticate forwarded datagrams

Cause: balancers must agree on the order of candidates without talking to each other, and a sidecar must tell a balancer's datagram from a stranger's. Ruled out: a shared nonce under one cluster key (a repeated nonce gives the GMAC key away); each sender derives its own key by HKDF and counts.

--- a/forward/header.go
+++ b/forward/header.go
@@ -58,3 +58,25 @@
 	// Candidates is the order in which sidecars are asked: at least 1 and at most MaxCandidates entries.
 	Candidates []Candidate
 }
+
+// Check reports *HeaderError when a field is out of range.
+func (h *Header) Check() error {
+	if h.Phase != PhaseAccept && h.Phase != PhaseFind {
+		return &HeaderError{Field: "phase"}
+	}
+	if len(h.Candidates) == 0 || len(h.Candidates) > MaxCandidates {
+		return &HeaderError{Field: "candidates"}
+	}
+	if int(h.At) >= len(h.Candidates) {
+		return &HeaderError{Field: "at"}
+	}
+	if int(h.Asker) >= len(h.Candidates) {
+		return &HeaderError{Field: "asker"}
+	}
+	for i := range h.Candidates {
+		if !h.Candidates[i].Sidecar.IsValid() {
+			return &HeaderError{Field: "sidecar"}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/forward/opener.go
@@ -0,0 +1,185 @@
+package forward
+
+import (
+	"crypto/cipher"
+	"encoding/binary"
+	"sync"
+)
+
+const maxSessions = 16384
+
+// OpenerConfig holds the settings of an Opener.
+type OpenerConfig struct {
+	// Key is the cluster key of KeySize bytes that all processes share.
+	Key []byte
+}
+
+// Opener checks the datagrams that a process receives: each must be authentic
+// and new. It is safe for concurrent use.
+type Opener struct {
+	key []byte
+
+	mu       sync.RWMutex
+	sessions map[uint64]*session // by sender; at most maxSessions entries, each made by an authentic datagram
+}
+
+// Datagram is an opened datagram. Its slices point into the received bytes.
+type Datagram struct {
+	Kind   Kind
+	Sender uint64
+	// Body is the encoded header, or the encoded message.
+	Body []byte
+	// Packet is the caller's packet, untouched; it is empty for messages.
+	Packet []byte
+}
+
+// NewOpener returns an Opener. It reports *KeyError when the key has the wrong length.
+func NewOpener(cfg OpenerConfig) (*Opener, error) {
+	if len(cfg.Key) != KeySize {
+		return nil, &KeyError{Size: len(cfg.Key)}
+	}
+	return &Opener{key: cfg.Key, sessions: make(map[uint64]*session)}, nil
+}
+
+// Open checks b and splits it. It reports *TruncatedError, *VersionError,
+// *ForgedError or *ReplayError; b is then to be dropped.
+func (o *Opener) Open(b []byte) (Datagram, error) {
+	if len(b) < prefixSize+tagSize {
+		return Datagram{}, &TruncatedError{Size: len(b)}
+	}
+	if b[0] != protocolVersion {
+		return Datagram{}, &VersionError{Got: b[0]}
+	}
+	sender := binary.BigEndian.Uint64(b[senderOffset:])
+	counter := binary.BigEndian.Uint64(b[counterOffset:])
+	s, known := o.session(sender)
+	if s == nil {
+		return Datagram{}, &ForgedError{Sender: sender}
+	}
+	signed := b[:len(b)-tagSize]
+	tag := b[len(b)-tagSize:]
+	nonce := b[nonceOffset : nonceOffset+nonceSize]
+	if _, err := s.aead.Open(nil, nonce, tag, signed); err != nil {
+		return Datagram{}, &ForgedError{Sender: sender}
+	}
+	if !known {
+		s = o.admit(sender, s)
+	}
+	if !s.fresh(counter) {
+		return Datagram{}, &ReplayError{Sender: sender, Counter: counter}
+	}
+	size := int(binary.BigEndian.Uint16(b[lengthOffset:]))
+	if prefixSize+size > len(signed) {
+		return Datagram{}, &TruncatedError{Size: len(b)}
+	}
+	return Datagram{
+		Kind:   Kind(b[1]),
+		Sender: sender,
+		Body:   signed[prefixSize : prefixSize+size],
+		Packet: signed[prefixSize+size:],
+	}, nil
+}
+
+func (o *Opener) session(sender uint64) (s *session, known bool) {
+	o.mu.RLock()
+	s, known = o.sessions[sender]
+	o.mu.RUnlock()
+	if known {
+		return s, true
+	}
+	aead, err := deriveAEAD(o.key, sender)
+	if err != nil {
+		return nil, false
+	}
+	return &session{aead: aead}, false
+}
+
+// admit keeps the session of a sender whose first datagram was authentic.
+func (o *Opener) admit(sender uint64, s *session) *session {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if known, ok := o.sessions[sender]; ok {
+		return known
+	}
+	if len(o.sessions) >= maxSessions {
+		o.evictQuietest()
+	}
+	o.sessions[sender] = s
+	return s
+}
+
+// evictQuietest removes the session with the lowest counter.
+func (o *Opener) evictQuietest() {
+	var quietest uint64
+	lowest := ^uint64(0)
+	for sender, s := range o.sessions {
+		if top := s.highest(); top < lowest {
+			lowest = top
+			quietest = sender
+		}
+	}
+	delete(o.sessions, quietest)
+}
+
+const (
+	windowWords = 64 // a window of 4096 datagrams
+	windowBits  = windowWords * 64
+)
+
+// session is what an Opener knows of one sender.
+type session struct {
+	aead cipher.AEAD
+
+	mu     sync.Mutex
+	top    uint64              // the highest counter that was accepted
+	window [windowWords]uint64 // bit c mod windowBits is set when counter c was accepted, for c in (top-windowBits, top]
+}
+
+// fresh marks counter as received and reports whether it is the first time.
+func (s *session) fresh(counter uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if counter == 0 {
+		return false
+	}
+	if counter > s.top {
+		s.advance(counter)
+		s.set(counter)
+		return true
+	}
+	if s.top-counter >= windowBits {
+		return false
+	}
+	if s.isSet(counter) {
+		return false
+	}
+	s.set(counter)
+	return true
+}
+
+func (s *session) highest() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.top
+}
+
+// advance moves the window up to counter and clears what enters it.
+func (s *session) advance(counter uint64) {
+	if counter-s.top >= windowBits {
+		s.window = [windowWords]uint64{}
+		s.top = counter
+		return
+	}
+	for c := s.top + 1; c <= counter; c++ {
+		s.window[c%windowBits/64] &^= 1 << (c % 64)
+	}
+	s.top = counter
+}
+
+func (s *session) set(c uint64) {
+	s.window[c%windowBits/64] |= 1 << (c % 64)
+}
+
+func (s *session) isSet(c uint64) bool {
+	return s.window[c%windowBits/64]&(1<<(c%64)) != 0
+}
--- /dev/null
+++ b/forward/sealer.go
@@ -0,0 +1,121 @@
+package forward
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/hkdf"
+	"crypto/sha256"
+	"encoding/binary"
+	"sync"
+	"sync/atomic"
+)
+
+// KeySize is the length of the cluster key in bytes.
+const KeySize = 32
+
+// Overhead is what sealing adds to a header and a packet, in bytes.
+const Overhead = prefixSize + tagSize
+
+const (
+	protocolVersion = 1
+	prefixSize      = 20 // version 1, kind 1, sender 8, counter 8, header length 2
+	senderOffset    = 2
+	counterOffset   = 10
+	lengthOffset    = 18
+	nonceOffset     = 6 // the last 4 bytes of the sender and the counter
+	nonceSize       = 12
+	tagSize         = 16
+	derivedKeySize  = 16
+	derivationLabel = "corianderbay forward 1"
+)
+
+// Kind says what a datagram carries.
+type Kind uint8
+
+// The kinds of datagrams.
+const (
+	KindPacket Kind = 1
+	KindHints  Kind = 2
+	KindReport Kind = 3
+)
+
+// SealerConfig holds the settings of a Sealer.
+type SealerConfig struct {
+	// Key is the cluster key of KeySize bytes that all processes share.
+	Key []byte
+	// Sender is a number that no other process uses, now or earlier; draw it at random at each start.
+	Sender uint64
+}
+
+// Sealer authenticates the datagrams that one process sends. It is safe for concurrent use.
+type Sealer struct {
+	sender  uint64
+	aead    cipher.AEAD
+	counter atomic.Uint64 // the counter of the last datagram; it never repeats
+	scratch sync.Pool     // holds *headerEncoder
+}
+
+// NewSealer returns a Sealer. It reports *KeyError when the key has the wrong length.
+func NewSealer(cfg SealerConfig) (*Sealer, error) {
+	aead, err := deriveAEAD(cfg.Key, cfg.Sender)
+	if err != nil {
+		return nil, err
+	}
+	s := &Sealer{sender: cfg.Sender, aead: aead}
+	s.scratch.New = func() any { return newHeaderEncoder() }
+	return s, nil
+}
+
+// AppendPacket appends a sealed datagram with the header and the caller's packet to dst[:0]
+// and returns it. It does not allocate when dst has room.
+func (s *Sealer) AppendPacket(dst []byte, h *Header, packet []byte) ([]byte, error) {
+	b := s.begin(dst, KindPacket)
+	e := s.scratch.Get().(*headerEncoder)
+	b, err := e.append(b, h)
+	s.scratch.Put(e)
+	if err != nil {
+		return nil, err
+	}
+	binary.BigEndian.PutUint16(b[lengthOffset:], uint16(len(b)-prefixSize))
+	b = append(b, packet...)
+	return s.finish(b), nil
+}
+
+// AppendMessage appends a sealed datagram with an encoded control message to dst[:0] and returns it.
+func (s *Sealer) AppendMessage(dst []byte, kind Kind, body []byte) []byte {
+	b := s.begin(dst, kind)
+	binary.BigEndian.PutUint16(b[lengthOffset:], uint16(len(body)))
+	b = append(b, body...)
+	return s.finish(b)
+}
+
+func (s *Sealer) begin(dst []byte, kind Kind) []byte {
+	var prefix [prefixSize]byte
+	prefix[0] = protocolVersion
+	prefix[1] = byte(kind)
+	binary.BigEndian.PutUint64(prefix[senderOffset:], s.sender)
+	binary.BigEndian.PutUint64(prefix[counterOffset:], s.counter.Add(1))
+	return append(dst[:0], prefix[:]...)
+}
+
+func (s *Sealer) finish(b []byte) []byte {
+	nonce := b[nonceOffset : nonceOffset+nonceSize]
+	return s.aead.Seal(b, nonce, nil, b)
+}
+
+func deriveAEAD(key []byte, sender uint64) (cipher.AEAD, error) {
+	if len(key) != KeySize {
+		return nil, &KeyError{Size: len(key)}
+	}
+	var salt [8]byte
+	binary.BigEndian.PutUint64(salt[:], sender)
+	derived, err := hkdf.Key(sha256.New, key, salt[:], derivationLabel, derivedKeySize)
+	if err != nil {
+		return nil, &HeaderError{Field: "key", Cause: err}
+	}
+	block, err := aes.NewCipher(derived)
+	if err != nil {
+		return nil, &HeaderError{Field: "key", Cause: err}
+	}
+	return cipher.NewGCM(block)
+}
--- /dev/null
+++ b/route/view.go
@@ -0,0 +1,220 @@
+// Package route answers, from one bundle, which service a packet is for,
+// whether its caller may reach it, and in which order the service's upstreams
+// are asked for its flow. Two processes with the same bundle give the same
+// answers.
+//
+// It imports no sockets, no clock and no global randomness. Start with
+// NewView, View.Classify and View.Candidates.
+package route
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/flow"
+	"github.com/corianderbay/corianderbay/forward"
+	"github.com/gaissmai/bart"
+)
+
+// View is what one bundle says about routing. It is immutable and safe for concurrent use.
+type View struct {
+	version  uint64
+	services []*Service // in the order of the bundle
+	byName   map[string]*Service
+	byID     map[bundle.ServiceID]*Service
+	byAddr   map[address]*Service
+	former   map[address]*Service // the service that held the address before
+	callers  *bart.Table[int]     // caller prefix to index of the nearest data centre
+	near     [][]int              // near[a][b] is the rank of data centre b for callers of data centre a
+	centres  []string             // names by index
+}
+
+// address is where callers reach a service.
+type address struct {
+	ip       netip.Addr
+	port     uint16
+	protocol flow.Protocol
+}
+
+// NewView returns the view of a checked bundle.
+func NewView(b *bundle.Bundle) *View {
+	v := &View{
+		version: b.Sequence,
+		byName:  make(map[string]*Service),
+		byID:    make(map[bundle.ServiceID]*Service),
+		byAddr:  make(map[address]*Service),
+		former:  make(map[address]*Service),
+		callers: new(bart.Table[int]),
+	}
+	v.addDataCentres(b.DataCentres)
+	for i := range b.Services {
+		v.addService(&b.Services[i])
+	}
+	for i := range b.Services {
+		v.addFormer(&b.Services[i])
+	}
+	return v
+}
+
+// Version returns the sequence of the bundle.
+func (v *View) Version() uint64 {
+	return v.version
+}
+
+// Services returns the services in the order of the bundle. The caller must not change the slice.
+func (v *View) Services() []*Service {
+	return v.services
+}
+
+// Service returns the service with the identity, or nil.
+func (v *View) Service(id bundle.ServiceID) *Service {
+	return v.byID[id]
+}
+
+// Upstream returns the upstream with the identity and its service; found is false when the bundle has no such upstream.
+func (v *View) Upstream(id bundle.UpstreamID) (up bundle.Upstream, svc *Service, found bool) {
+	for _, s := range v.services {
+		for i := range s.pool {
+			if s.pool[i].candidate.Upstream == id {
+				return s.pool[i].upstream, s, true
+			}
+		}
+	}
+	return bundle.Upstream{}, nil, false
+}
+
+// Match is the outcome of Classify.
+type Match struct {
+	// Service is never nil.
+	Service *Service
+	// Former is the service that held the address before, or nil.
+	Former *Service
+	// DataCentre is the index of the data centre nearest to the caller, or -1 when no prefix matches.
+	DataCentre int
+}
+
+// Classify returns the service that holds the address of the key. It reports
+// *UnknownAddressError or *DeniedError; both mean that the packet is dropped.
+func (v *View) Classify(k flow.Key) (Match, error) {
+	at := address{ip: k.Address().Addr(), port: k.Address().Port(), protocol: k.Protocol()}
+	s, ok := v.byAddr[at]
+	if !ok {
+		return Match{}, &UnknownAddressError{Key: k}
+	}
+	caller := k.Caller().Addr()
+	if allowed, ok := s.rules.Lookup(caller); !ok || !allowed {
+		return Match{}, &DeniedError{Key: k, Service: s.name}
+	}
+	return Match{Service: s, Former: v.former[at], DataCentre: v.dataCentreOf(caller)}, nil
+}
+
+// Candidates appends the order in which sidecars are asked for the flow of
+// key: the upstreams of the service, leaving ones at their rank, then those of
+// the former service as leaving. At most forward.MaxCandidates are returned.
+// It allocates only when dst lacks room.
+func (v *View) Candidates(dst []forward.Candidate, m Match, key flow.Key) []forward.Candidate {
+	hash := key.Hash()
+	dst = m.Service.appendRanked(dst, hash, v.nearOf(m.DataCentre))
+	if m.Former == nil {
+		return dst
+	}
+	own := len(dst)
+	dst = m.Former.appendRanked(dst, hash, v.nearOf(m.DataCentre))
+	for i := own; i < len(dst); i++ {
+		dst[i].Leaving = true
+	}
+	return dst
+}
+
+// Rank appends the candidates of a key as Classify and Candidates do, for a
+// process that is not the one which admits packets. It appends nothing for a
+// key that no service of the bundle serves.
+func (v *View) Rank(dst []forward.Candidate, key flow.Key) []forward.Candidate {
+	m, err := v.Classify(key)
+	if err != nil {
+		return dst
+	}
+	return v.Candidates(dst, m, key)
+}
+
+func (v *View) dataCentreOf(caller netip.Addr) int {
+	i, ok := v.callers.Lookup(caller)
+	if !ok {
+		return -1
+	}
+	return i
+}
+
+// nearOf returns the ranks of the data centres, or nil when all are equal.
+func (v *View) nearOf(dataCentre int) []int {
+	if dataCentre < 0 {
+		return nil
+	}
+	return v.near[dataCentre]
+}
+
+func (v *View) addDataCentres(dcs []bundle.DataCentre) {
+	for i, dc := range dcs {
+		v.centres = append(v.centres, dc.Name)
+		for _, p := range dc.Callers {
+			v.callers.Insert(p, i)
+		}
+	}
+	for i := range dcs {
+		v.near = append(v.near, v.ranksFrom(i, dcs))
+	}
+}
+
+// ranksFrom returns the rank of each data centre as seen from the one at index
+// from: itself, then its near list, then its region, then the others, by name.
+func (v *View) ranksFrom(from int, dcs []bundle.DataCentre) []int {
+	order := []string{dcs[from].Name}
+	order = append(order, dcs[from].Near...)
+	order = append(order, namesBesides(dcs, from, true)...)
+	order = append(order, namesBesides(dcs, from, false)...)
+	ranks := make([]int, len(dcs))
+	for i, dc := range dcs {
+		ranks[i] = slices.Index(order, dc.Name)
+	}
+	return ranks
+}
+
+// namesBesides returns the names of the other data centres in name order, those of the same region or those outside it.
+func namesBesides(dcs []bundle.DataCentre, from int, sameRegion bool) []string {
+	var names []string
+	for i, dc := range dcs {
+		same := dc.Region != "" && dc.Region == dcs[from].Region
+		if i != from && same == sameRegion {
+			names = append(names, dc.Name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+func (v *View) addService(b *bundle.Service) {
+	s := newService(b, v.centres)
+	v.services = append(v.services, s)
+	v.byName[s.name] = s
+	v.byID[s.id] = s
+	for _, a := range b.Addresses {
+		v.byAddr[addressOf(a)] = s
+	}
+}
+
+func (v *View) addFormer(b *bundle.Service) {
+	for _, a := range b.Addresses {
+		if s, ok := v.byName[a.Former]; ok {
+			v.former[addressOf(a)] = s
+		}
+	}
+}
+
+func addressOf(a bundle.Address) address {
+	p := flow.TCP
+	if a.Protocol == "udp" {
+		p = flow.UDP
+	}
+	return address{ip: a.IP.Unmap(), port: a.Port, protocol: p}
+}
--- /dev/null
+++ b/route/view_test.go
@@ -0,0 +1,149 @@
+package route_test
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"testing"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/flow"
+	"github.com/corianderbay/corianderbay/forward"
+	"github.com/corianderbay/corianderbay/route"
+	"github.com/shoenig/test/must"
+)
+
+const upstreamsPerService = 7
+
+// exampleBundle has two services, "fitting" and "report", over three data centres.
+func exampleBundle() *bundle.Bundle {
+	b := &bundle.Bundle{Sequence: 3}
+	for i, name := range []string{"semarang", "solo", "tegal"} {
+		b.DataCentres = append(b.DataCentres, bundle.DataCentre{
+			Name:    name,
+			Callers: []netip.Prefix{netip.MustParsePrefix(fmt.Sprintf("10.%d.0.0/16", i))},
+		})
+	}
+	b.Services = append(b.Services, exampleService("fitting", 1), exampleService("report", 2))
+	return b
+}
+
+func exampleService(name string, n byte) bundle.Service {
+	s := bundle.Service{
+		Name: name,
+		Addresses: []bundle.Address{
+			{IP: netip.AddrFrom4([4]byte{198, 51, 100, n}), Port: 7000, Protocol: "tcp"},
+		},
+		Rules: []bundle.Rule{
+			{Callers: netip.MustParsePrefix("10.0.0.0/8"), Allow: true},
+			{Callers: netip.MustParsePrefix("10.9.0.0/16"), Allow: false},
+		},
+		Places: []bundle.Place{{DataCentre: "semarang"}, {DataCentre: "solo"}, {DataCentre: "tegal"}},
+	}
+	for i := range upstreamsPerService {
+		p := &s.Places[i%3]
+		p.Upstreams = append(p.Upstreams, bundle.Upstream{
+			Name:    fmt.Sprintf("%s-%d", name, i),
+			Sidecar: netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(n)*1000+uint16(i)),
+		})
+	}
+	return s
+}
+
+func keyFrom(caller string, port int) flow.Key {
+	return flow.NewKey(flow.TCP,
+		netip.AddrPortFrom(netip.MustParseAddr(caller), uint16(port)),
+		netip.MustParseAddrPort("198.51.100.1:7000"))
+}
+
+func TestClassify(t *testing.T) {
+	v := route.NewView(exampleBundle())
+	m, err := v.Classify(keyFrom("10.1.2.3", 1))
+	must.NoError(t, err)
+	must.Eq(t, "fitting", m.Service.Name())
+	must.Eq(t, 1, m.DataCentre)
+
+	_, err = v.Classify(keyFrom("10.9.2.3", 1))
+	must.ErrorAs[*route.DeniedError](t, err, new(*route.DeniedError))
+	_, err = v.Classify(keyFrom("192.0.2.1", 1))
+	must.ErrorAs[*route.DeniedError](t, err, new(*route.DeniedError))
+	other := flow.NewKey(flow.UDP, netip.MustParseAddrPort("10.0.0.1:1"), netip.MustParseAddrPort("198.51.100.1:7000"))
+	_, err = v.Classify(other)
+	must.ErrorAs[*route.UnknownAddressError](t, err, new(*route.UnknownAddressError))
+}
+
+func TestCandidatesNearPlaceFirst(t *testing.T) {
+	v := route.NewView(exampleBundle())
+	for port := range 100 {
+		got := v.Rank(nil, keyFrom("10.1.0.1", port+1))
+		must.Len(t, upstreamsPerService, got)
+		near := map[bundle.UpstreamID]bool{
+			bundle.UpstreamIDOf("fitting-1"): true,
+			bundle.UpstreamIDOf("fitting-4"): true,
+		}
+		must.True(t, near[got[0].Upstream])
+		must.True(t, near[got[1].Upstream])
+	}
+}
+
+// TestCandidatesKeepTheirOrder checks that a removed upstream leaves the order of the others as it was.
+func TestCandidatesKeepTheirOrder(t *testing.T) {
+	before := route.NewView(exampleBundle())
+	smaller := exampleBundle()
+	place := &smaller.Services[0].Places[2]
+	gone := place.Upstreams[0].ID()
+	place.Upstreams = place.Upstreams[1:]
+	after := route.NewView(smaller)
+	for port := range 500 {
+		key := keyFrom("10.2.0.1", port+1)
+		var want []forward.Candidate
+		for _, c := range before.Rank(nil, key) {
+			if c.Upstream != gone {
+				want = append(want, c)
+			}
+		}
+		must.Eq(t, want, after.Rank(nil, key))
+	}
+}
+
+func TestWeightsShareNewFlows(t *testing.T) {
+	b := exampleBundle()
+	b.DataCentres = nil
+	b.Services[0].Places[0].Upstreams[0].Weight = 300
+	v := route.NewView(b)
+	const flows = 90_000
+	counts := make(map[bundle.UpstreamID]int)
+	for i := range flows {
+		counts[v.Rank(nil, keyFrom(fmt.Sprintf("10.0.%d.1", i/60_000), i%60_000+1))[0].Upstream]++
+	}
+	heavy := float64(counts[bundle.UpstreamIDOf("fitting-0")])
+	want := flows * 3.0 / 9
+	must.Less(t, 5*math.Sqrt(want), math.Abs(heavy-want))
+}
+
+func TestFormerServiceIsAskedLast(t *testing.T) {
+	b := exampleBundle()
+	b.Services[1].Addresses = append(b.Services[1].Addresses, bundle.Address{
+		IP: netip.MustParseAddr("198.51.100.1"), Port: 7000, Protocol: "tcp", Former: "fitting",
+	})
+	b.Services[0].Addresses = nil
+	v := route.NewView(b)
+	got := v.Rank(nil, keyFrom("10.0.0.1", 5))
+	must.Len(t, 2*upstreamsPerService, got)
+	must.Eq(t, bundle.ServiceIDOf("report"), got[0].Service)
+	must.False(t, got[0].Leaving)
+	must.Eq(t, bundle.ServiceIDOf("fitting"), got[upstreamsPerService].Service)
+	must.True(t, got[upstreamsPerService].Leaving)
+}
+
+func BenchmarkDecision(b *testing.B) {
+	v := route.NewView(exampleBundle())
+	dst := make([]forward.Candidate, 0, forward.MaxCandidates)
+	key := keyFrom("10.1.0.1", 77)
+	b.ReportAllocs()
+	for b.Loop() {
+		m, err := v.Classify(key)
+		must.NoError(b, err)
+		dst = v.Candidates(dst[:0], m, key)
+	}
+}
