Read the platform over HTTP, with a stand-in that counts calls and misbehaves

Ruled out: one value for a whole bundle, since a value holds at most 1 MB; a watch on each part, since a half-written set could then be taken. A publication is a watched head that names its parts by content.

--- /dev/null
+++ b/standin/platform.go
@@ -0,0 +1,260 @@
+package standin
+
+import (
+	"encoding/json"
+	"maps"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/corianderbay/corianderbay/platform"
+	"github.com/corianderbay/corianderbay/timer"
+)
+
+const (
+	platformMaxWait = time.Minute
+	agentPrefix     = "corianderbay/"
+)
+
+// PlatformConfig holds the settings of a Platform. The zero value works.
+type PlatformConfig struct {
+	// Timer is the timer service. Nil selects one on the process clock.
+	Timer *timer.Service
+}
+
+// PlatformFault is how the platform misbehaves towards a reader. The zero value is none.
+type PlatformFault struct {
+	// Down ends each call without an answer.
+	Down bool `json:"down"`
+	// Stale answers with what was held when the fault was set.
+	Stale bool `json:"stale"`
+	// Delay is added to each answer, in nanoseconds on the admin address.
+	Delay time.Duration `json:"delay"`
+}
+
+// PlatformCounts holds the calls that a Platform was asked. A waiting watch is one call.
+type PlatformCounts struct {
+	// Calls is the sum of all calls, also of refused ones.
+	Calls     uint64 `json:"calls"`
+	Reads     uint64 `json:"reads"`
+	Watches   uint64 `json:"watches"`
+	Instances uint64 `json:"instances"`
+	Refused   uint64 `json:"refused"`
+	// Waiting is the number of watches that wait now.
+	Waiting int `json:"waiting"`
+	// Readers holds the calls by the name of the reader.
+	Readers map[string]uint64 `json:"readers"`
+}
+
+// platformState is one version of all that the platform holds. It never changes.
+type platformState struct {
+	index     uint64
+	values    map[string]platform.Value
+	instances platform.InstanceList
+}
+
+// pinnedFault is a fault with the state that a stale reader is answered from.
+type pinnedFault struct {
+	PlatformFault
+	state *platformState
+}
+
+// Platform is a stand-in of the configuration service and the instance list.
+// It is safe for concurrent use.
+type Platform struct {
+	timer *timer.Service
+
+	mu      sync.Mutex
+	state   *platformState         // never nil
+	faults  map[string]pinnedFault // by reader; "" holds for readers without their own
+	changed chan struct{}          // closed at each change
+	counts  PlatformCounts
+}
+
+// NewPlatform returns a Platform that holds no value and an empty list.
+func NewPlatform(cfg PlatformConfig) *Platform {
+	if cfg.Timer == nil {
+		cfg.Timer = timer.New(timer.Config{})
+	}
+	return &Platform{
+		timer:   cfg.Timer,
+		state:   &platformState{},
+		faults:  make(map[string]pinnedFault),
+		changed: make(chan struct{}),
+		counts:  PlatformCounts{Readers: make(map[string]uint64)},
+	}
+}
+
+// SetValue publishes one value.
+func (p *Platform) SetValue(name string, body []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := *p.state
+	next.index++
+	next.values = maps.Clone(next.values)
+	if next.values == nil {
+		next.values = make(map[string]platform.Value)
+	}
+	next.values[name] = platform.Value{Name: name, Index: next.index, Body: body}
+	p.state = &next
+	p.notify()
+}
+
+// Publish publishes the parts of a publication and then its head.
+func (p *Platform) Publish(pub platform.Publication) {
+	for _, v := range pub.Parts {
+		p.SetValue(v.Name, v.Body)
+	}
+	p.SetValue(pub.Head.Name, pub.Head.Body)
+}
+
+// SetInstances publishes the instance list.
+func (p *Platform) SetInstances(instances []platform.Instance) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	next := *p.state
+	next.index++
+	next.instances = platform.InstanceList{Index: next.index, Instances: instances}
+	p.state = &next
+	p.notify()
+}
+
+// SetFault misbehaves towards the named reader from now on, or towards every
+// reader without its own fault when reader is empty. The zero fault ends it.
+func (p *Platform) SetFault(reader string, f PlatformFault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if f == (PlatformFault{}) {
+		delete(p.faults, reader)
+	} else {
+		p.faults[reader] = pinnedFault{PlatformFault: f, state: p.state}
+	}
+	p.notify()
+}
+
+// Counts returns the calls so far.
+func (p *Platform) Counts() PlatformCounts {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.counts
+	c.Readers = maps.Clone(c.Readers)
+	return c
+}
+
+// Handler returns the side that processes of the system read.
+func (p *Platform) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/values/{name}", p.serveValue)
+	mux.HandleFunc("GET /v1/instances", p.serveInstances)
+	return mux
+}
+
+func (p *Platform) notify() {
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// view returns what the reader is shown, how it is treated and the channel that closes at the next change.
+func (p *Platform) view(reader string) (*platformState, PlatformFault, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	f, ok := p.faults[reader]
+	if !ok {
+		f = p.faults[""]
+	}
+	if f.Stale {
+		return f.state, f.PlatformFault, p.changed
+	}
+	return p.state, f.PlatformFault, p.changed
+}
+
+func (p *Platform) count(change func(c *PlatformCounts)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change(&p.counts)
+}
+
+func (p *Platform) serveValue(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("name")
+	st := p.await(r, func(st *platformState) uint64 { return st.values[name].Index })
+	v, ok := st.values[name]
+	switch {
+	case !ok:
+		w.WriteHeader(http.StatusNotFound)
+	case unchanged(r, v.Index):
+		w.WriteHeader(http.StatusNotModified)
+	default:
+		w.Header().Set(platform.IndexHeader, strconv.FormatUint(v.Index, 10))
+		_, _ = w.Write(v.Body)
+	}
+}
+
+func (p *Platform) serveInstances(w http.ResponseWriter, r *http.Request) {
+	p.count(func(c *PlatformCounts) { c.Instances++ })
+	st := p.await(r, func(st *platformState) uint64 { return st.instances.Index })
+	if unchanged(r, st.instances.Index) {
+		w.WriteHeader(http.StatusNotModified)
+		return
+	}
+	w.Header().Set(platform.IndexHeader, strconv.FormatUint(st.instances.Index, 10))
+	_ = json.NewEncoder(w).Encode(st.instances)
+}
+
+// await returns the state to answer from: at once for a read, and for a watch
+// when index differs from the one that the reader knows or its wait is over.
+func (p *Platform) await(r *http.Request, index func(*platformState) uint64) *platformState {
+	reader := strings.TrimPrefix(r.UserAgent(), agentPrefix)
+	known, wait := watchOf(r)
+	p.countCall(reader, wait > 0)
+	defer p.count(func(c *PlatformCounts) { c.Waiting-- })
+	sub := p.timer.After(wait)
+	defer sub.Stop()
+	for over := wait == 0; ; {
+		st, f, changed := p.view(reader)
+		if f.Down {
+			p.count(func(c *PlatformCounts) { c.Refused++ })
+			panic(http.ErrAbortHandler)
+		}
+		if over || index(st) != known {
+			_ = p.timer.Sleep(r.Context(), f.Delay)
+			return st
+		}
+		select {
+		case <-changed:
+		case <-sub.C:
+			over = true
+		case <-r.Context().Done():
+			over = true
+		}
+	}
+}
+
+func (p *Platform) countCall(reader string, watch bool) {
+	p.count(func(c *PlatformCounts) {
+		c.Calls++
+		c.Waiting++
+		c.Readers[reader]++
+		if watch {
+			c.Watches++
+		} else {
+			c.Reads++
+		}
+	})
+}
+
+func watchOf(r *http.Request) (index uint64, wait time.Duration) {
+	q := r.URL.Query()
+	wait, err := time.ParseDuration(q.Get("wait"))
+	if err != nil || wait < 0 {
+		return 0, 0
+	}
+	index, _ = strconv.ParseUint(q.Get("index"), 10, 64)
+	return index, min(wait, platformMaxWait)
+}
+
+func unchanged(r *http.Request, index uint64) bool {
+	known, wait := watchOf(r)
+	return wait > 0 && known == index
+}
--- /dev/null
+++ b/standin/platform_admin.go
@@ -0,0 +1,95 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/corianderbay/corianderbay/platform"
+)
+
+// AdminHandler returns the side that operators and trials write:
+//
+//	PUT  /admin/values/NAME        the body becomes the value
+//	PUT  /admin/publications/NAME?sequence=N  the body is laid over values and its head becomes NAME
+//	PUT  /admin/instances          a JSON array of instances becomes the list
+//	POST /admin/fault?reader=NAME  a JSON PlatformFault; no reader means every reader
+//	GET  /admin/counts             PlatformCounts as JSON
+func (p *Platform) AdminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("PUT /admin/values/{name}", p.putValue)
+	mux.HandleFunc("PUT /admin/publications/{name}", p.putPublication)
+	mux.HandleFunc("PUT /admin/instances", p.putInstances)
+	mux.HandleFunc("POST /admin/fault", p.postFault)
+	mux.HandleFunc("GET /admin/counts", p.getCounts)
+	return mux
+}
+
+func (p *Platform) putValue(w http.ResponseWriter, r *http.Request) {
+	body, ok := readBody(w, r, platform.ValueLimit)
+	if !ok {
+		return
+	}
+	p.SetValue(r.PathValue("name"), body)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) putPublication(w http.ResponseWriter, r *http.Request) {
+	sequence, err := strconv.ParseUint(r.URL.Query().Get("sequence"), 10, 64)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	body, ok := readBody(w, r, platform.PublicationLimit)
+	if !ok {
+		return
+	}
+	pub, err := platform.NewPublication(r.PathValue("name"), sequence, body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.Publish(pub)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) putInstances(w http.ResponseWriter, r *http.Request) {
+	var list []platform.Instance
+	if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	for _, i := range list {
+		if err := i.Check(); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+	}
+	p.SetInstances(list)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) postFault(w http.ResponseWriter, r *http.Request) {
+	var f PlatformFault
+	if err := json.NewDecoder(r.Body).Decode(&f); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.SetFault(r.URL.Query().Get("reader"), f)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (p *Platform) getCounts(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(p.Counts())
+}
+
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
+		return nil, false
+	}
+	return body, true
+}
