Add package fabric: Geneve frames, caller packets, refusals, packet builders

Cause: balancer, sidecar and stand-ins need one codec for the edge to the fabric, with no sockets in it and no allocation on the balancer's path.

Ruled out: gopacket's DecodingLayerParser. It picks the next layer by port and protocol, so a caller's UDP datagram to port 6081, or IP in IP, would go on into the caller's own tunnel and replace the outer packet's fields; the layers are called one by one instead. Serializing Geneve through the layer on the hot path: it needs the packet copied into its buffer first; a test holds that Append gives the same bytes. Accepting IPv4-mapped IPv6 addresses: flow.Key holds IPv4 addresses in that form, so two callers could share a key.

Change: Decoder (Decode, DecodeAnswerFrame, DecodePacket, DecodeAnswer, Flags) with a type for each failure, Append, Refusal as a critical Geneve option, Segment, Datagram, DatagramAnswer, Reset (RFC 9293 3.10.7.1), Refuse. Option areas above 240 bytes are refused: the layer's 8-bit offset wraps there.

Checksums of received packets are not verified; that is for the flow's ends.

--- /dev/null
+++ b/fabric/decode.go
@@ -0,0 +1,339 @@
+package fabric
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/corianderbay/corianderbay/flow"
+	"github.com/gopacket/gopacket/layers"
+)
+
+// The names of layers in errors.
+const (
+	layerGeneve = "geneve"
+	layerIPv4   = "ipv4"
+	layerIPv6   = "ipv6"
+	layerTCP    = "tcp"
+	layerUDP    = "udp"
+)
+
+// maxOptions is the longest option area in bytes that is decoded. The Geneve
+// layer counts its offset in 8 bits.
+const maxOptions = 240
+
+const (
+	defaultMaxPacket = 9000 // bytes
+	ipv6Header       = 40   // bytes
+)
+
+// Frame is one decoded Geneve datagram.
+type Frame struct {
+	// VNI is the virtual network identifier.
+	VNI uint32
+	// IP is the inner packet, untouched: a part of the decoded datagram without
+	// bytes beyond the length in its IP header.
+	IP []byte
+	// Packet describes IP.
+	Packet flow.Packet
+	// Payload is the part of IP after the TCP or UDP header.
+	Payload []byte
+	// Refusal is nil when the datagram carries none.
+	Refusal *Refusal
+}
+
+// DecoderConfig holds the limits of a Decoder. The zero value selects the defaults.
+type DecoderConfig struct {
+	// MaxPacket is the longest IP packet in bytes that is decoded, from 20 to
+	// MaxPacket. Zero selects 9,000.
+	MaxPacket int
+}
+
+// Decoder decodes what comes from the fabric. It allocates nothing for valid
+// packets without options. It is not safe for concurrent use. It verifies no
+// checksums: that is for the two ends of the flow.
+//
+// It calls the layers itself instead of through gopacket's parser, which would
+// go on into a tunnel that a caller's packet carries and replace the outer
+// packet's fields by the inner ones.
+type Decoder struct {
+	cfg DecoderConfig
+
+	geneve    layers.Geneve
+	ip4       layers.IPv4
+	ip6       layers.IPv6
+	tcp       layers.TCP
+	udp       layers.UDP
+	truncated bool   // set by a layer's codec during a decode
+	layer     string // the layer whose codec runs
+}
+
+// NewDecoder returns a decoder.
+func NewDecoder(cfg DecoderConfig) *Decoder {
+	if cfg.MaxPacket == 0 {
+		cfg.MaxPacket = defaultMaxPacket
+	}
+	return &Decoder{cfg: cfg}
+}
+
+// SetTruncated implements gopacket.DecodeFeedback for the layers.
+func (d *Decoder) SetTruncated() {
+	d.truncated = true
+}
+
+// Decode returns the frame in a Geneve datagram with a packet from a caller.
+// The frame refers to the datagram's bytes. The error is one of this package's
+// types.
+func (d *Decoder) Decode(datagram []byte) (Frame, error) {
+	return d.decodeFrame(datagram, false)
+}
+
+// DecodeAnswerFrame is Decode for a datagram whose packet goes to the caller:
+// the key of the frame names the destination as the caller.
+func (d *Decoder) DecodeAnswerFrame(datagram []byte) (Frame, error) {
+	return d.decodeFrame(datagram, true)
+}
+
+// DecodePacket returns what the decisions need to know of a caller's IP packet,
+// and its TCP or UDP payload.
+func (d *Decoder) DecodePacket(ip []byte) (flow.Packet, []byte, error) {
+	f := Frame{IP: ip}
+	err := d.decodePacket(&f, false)
+	return f.Packet, f.Payload, err
+}
+
+// DecodeAnswer is DecodePacket for a packet from an upstream: the key names the
+// destination as the caller.
+func (d *Decoder) DecodeAnswer(ip []byte) (flow.Packet, []byte, error) {
+	f := Frame{IP: ip}
+	err := d.decodePacket(&f, true)
+	return f.Packet, f.Payload, err
+}
+
+func (d *Decoder) decodeFrame(datagram []byte, answer bool) (Frame, error) {
+	var f Frame
+	if err := d.decodeGeneve(datagram, &f); err != nil {
+		return Frame{}, err
+	}
+	if err := d.decodePacket(&f, answer); err != nil {
+		return Frame{}, err
+	}
+	return f, nil
+}
+
+func (d *Decoder) decodeGeneve(datagram []byte, f *Frame) (err error) {
+	if len(datagram) < geneveHeader {
+		return &TruncatedError{Layer: layerGeneve}
+	}
+	if version := datagram[0] >> 6; version != 0 {
+		return &VersionError{Layer: layerGeneve, Got: version}
+	}
+	if size := int(datagram[0]&0x3f) * 4; size > maxOptions {
+		return &SizeError{Size: size, Max: maxOptions}
+	}
+	defer d.recover(&err)
+	d.begin(layerGeneve)
+	if err := d.end(d.geneve.DecodeFromBytes(datagram, d)); err != nil {
+		return err
+	}
+	f.VNI = d.geneve.VNI
+	f.IP = d.geneve.Payload
+	if len(d.geneve.Options) != 0 {
+		if err := d.options(f); err != nil {
+			return err
+		}
+	}
+	return checkType(uint16(d.geneve.Protocol), f.IP)
+}
+
+func (d *Decoder) options(f *Frame) error {
+	size := 0
+	for _, o := range d.geneve.Options {
+		size += int(o.Length)
+		if o.Class == optionClass && o.Type == refusalType {
+			r, err := decodeRefusal(o.Data)
+			if err != nil {
+				return err
+			}
+			if f.Refusal != nil {
+				return &MalformedError{Layer: layerGeneve, Field: "second refusal"}
+			}
+			f.Refusal = &r
+			continue
+		}
+		if o.Type&criticalType != 0 {
+			return &OptionError{Class: o.Class, Type: o.Type}
+		}
+	}
+	if size != int(d.geneve.OptionsLength) {
+		return &MalformedError{Layer: layerGeneve, Field: "option length"}
+	}
+	return nil
+}
+
+// checkType compares the Geneve protocol type with the version of the packet.
+func checkType(got uint16, ip []byte) error {
+	if got != typeIPv4 && got != typeIPv6 {
+		return &ProtocolTypeError{Got: got}
+	}
+	want, err := protocolType(ip)
+	if err != nil {
+		return err
+	}
+	if got == want {
+		return nil
+	}
+	layer := layerIPv4
+	if got == typeIPv6 {
+		layer = layerIPv6
+	}
+	return &VersionError{Layer: layer, Got: ip[0] >> 4}
+}
+
+// decodePacket decodes f.IP, trims it to its own length and fills in the rest.
+func (d *Decoder) decodePacket(f *Frame, answer bool) (err error) {
+	if len(f.IP) > d.cfg.MaxPacket {
+		return &SizeError{Size: len(f.IP), Max: d.cfg.MaxPacket}
+	}
+	protocol, err := protocolType(f.IP)
+	if err != nil {
+		return err
+	}
+	defer d.recover(&err)
+	if protocol == typeIPv4 {
+		return d.decodeIPv4(f, answer)
+	}
+	return d.decodeIPv6(f, answer)
+}
+
+func (d *Decoder) decodeIPv4(f *Frame, answer bool) error {
+	d.begin(layerIPv4)
+	if err := d.end(d.ip4.DecodeFromBytes(f.IP, d)); err != nil {
+		return err
+	}
+	size := int(binary.BigEndian.Uint16(f.IP[2:]))
+	if size == 0 {
+		return &MalformedError{Layer: layerIPv4, Field: "length"}
+	}
+	if d.ip4.Flags&layers.IPv4MoreFragments != 0 || d.ip4.FragOffset != 0 {
+		return &FragmentError{}
+	}
+	f.IP = f.IP[:size]
+	src := netip.AddrFrom4([4]byte(d.ip4.SrcIP))
+	dst := netip.AddrFrom4([4]byte(d.ip4.DstIP))
+	return d.decodeTransport(f, answer, src, dst, d.ip4.Protocol, d.ip4.Payload)
+}
+
+func (d *Decoder) decodeIPv6(f *Frame, answer bool) error {
+	d.begin(layerIPv6)
+	if err := d.end(d.ip6.DecodeFromBytes(f.IP, d)); err != nil {
+		return err
+	}
+	if d.ip6.Length == 0 {
+		return &MalformedError{Layer: layerIPv6, Field: "length"}
+	}
+	next := d.ip6.NextHeader
+	if d.ip6.HopByHop != nil {
+		next = d.ip6.HopByHop.NextHeader
+	}
+	if next == layers.IPProtocolIPv6Fragment {
+		return &FragmentError{}
+	}
+	src := netip.AddrFrom16([16]byte(d.ip6.SrcIP))
+	dst := netip.AddrFrom16([16]byte(d.ip6.DstIP))
+	// A key holds IPv4 addresses in this form, so such a packet would take the
+	// key of an IPv4 flow.
+	if src.Is4In6() || dst.Is4In6() {
+		return &MalformedError{Layer: layerIPv6, Field: "IPv4-mapped address"}
+	}
+	f.IP = f.IP[:ipv6Header+int(d.ip6.Length)]
+	return d.decodeTransport(f, answer, src, dst, next, d.ip6.Payload)
+}
+
+func (d *Decoder) decodeTransport(f *Frame, answer bool, src, dst netip.Addr, p layers.IPProtocol, segment []byte) error {
+	var from, to uint16
+	switch p {
+	case layers.IPProtocolTCP:
+		d.begin(layerTCP)
+		if err := d.end(d.tcp.DecodeFromBytes(segment, d)); err != nil {
+			return err
+		}
+		from, to = uint16(d.tcp.SrcPort), uint16(d.tcp.DstPort)
+		f.Packet = d.tcpPacket()
+		f.Payload = d.tcp.Payload
+	case layers.IPProtocolUDP:
+		d.begin(layerUDP)
+		if err := d.end(d.udp.DecodeFromBytes(segment, d)); err != nil {
+			return err
+		}
+		if d.udp.Length == 0 {
+			return &MalformedError{Layer: layerUDP, Field: "length"}
+		}
+		from, to = uint16(d.udp.SrcPort), uint16(d.udp.DstPort)
+		f.Packet = flow.Packet{}
+		f.Payload = d.udp.Payload
+	default:
+		return &ProtocolError{Got: uint8(p)}
+	}
+	caller, address := netip.AddrPortFrom(src, from), netip.AddrPortFrom(dst, to)
+	if answer {
+		caller, address = address, caller
+	}
+	f.Packet.Key = flow.NewKey(flow.Protocol(p), caller, address)
+	f.Packet.Size = len(f.IP)
+	return nil
+}
+
+func (d *Decoder) tcpPacket() flow.Packet {
+	return flow.Packet{
+		Opening:      d.tcp.SYN && !d.tcp.ACK,
+		Closing:      d.tcp.RST || d.tcp.FIN,
+		Reset:        d.tcp.RST,
+		Sequence:     d.tcp.Seq,
+		HasAck:       d.tcp.ACK,
+		Acknowledged: d.tcp.Ack,
+	}
+}
+
+// Flags returns the flags of the TCP segment that was decoded last.
+func (d *Decoder) Flags() Flags {
+	var f Flags
+	if d.tcp.FIN {
+		f |= FIN
+	}
+	if d.tcp.SYN {
+		f |= SYN
+	}
+	if d.tcp.RST {
+		f |= RST
+	}
+	if d.tcp.PSH {
+		f |= PSH
+	}
+	if d.tcp.ACK {
+		f |= ACK
+	}
+	return f
+}
+
+func (d *Decoder) begin(layer string) {
+	d.layer = layer
+	d.truncated = false
+}
+
+// end returns the typed error for what the codec of the present layer reported.
+func (d *Decoder) end(err error) error {
+	if d.truncated {
+		return &TruncatedError{Layer: d.layer}
+	}
+	if err != nil {
+		return &MalformedError{Layer: d.layer, Cause: err}
+	}
+	return nil
+}
+
+// recover turns a panic of a layer's codec into *MalformedError.
+func (d *Decoder) recover(err *error) {
+	if v := recover(); v != nil {
+		*err = &MalformedError{Layer: d.layer, Cause: &PanicError{Value: v}}
+	}
+}
--- /dev/null
+++ b/fabric/encode.go
@@ -0,0 +1,69 @@
+package fabric
+
+import "encoding/binary"
+
+// Lengths in bytes.
+const (
+	// Overhead is what Append adds to a packet at most.
+	Overhead = geneveHeader + refusalOption
+	// MaxPacket is the longest IP packet that fits one UDP datagram with Overhead.
+	MaxPacket = maxDatagram - Overhead
+
+	geneveHeader = 8
+	maxDatagram  = 65507
+)
+
+const (
+	typeIPv4 = 0x0800
+	typeIPv6 = 0x86dd
+
+	flagCritical = 0x40
+	maxVNI       = 1<<24 - 1
+)
+
+// Append appends the Geneve datagram that carries the IP packet ip, and the
+// refusal when it is not nil, to dst. It allocates nothing when dst has
+// room. The packet itself is not decoded beyond its version. It reports
+// *TruncatedError, *VersionError, *SizeError, *VNIError or *RefusalError and
+// then returns dst unchanged.
+func Append(dst []byte, vni uint32, ip []byte, refusal *Refusal) ([]byte, error) {
+	protocol, err := protocolType(ip)
+	if err != nil {
+		return dst, err
+	}
+	if len(ip) > MaxPacket {
+		return dst, &SizeError{Size: len(ip), Max: MaxPacket}
+	}
+	if vni > maxVNI {
+		return dst, &VNIError{Got: vni}
+	}
+	var words, flags byte
+	if refusal != nil {
+		if err := refusal.Check(); err != nil {
+			return dst, err
+		}
+		words = refusalOption / 4
+		flags = flagCritical
+	}
+	dst = append(dst, words, flags)
+	dst = binary.BigEndian.AppendUint16(dst, protocol)
+	dst = binary.BigEndian.AppendUint32(dst, vni<<8)
+	if refusal != nil {
+		dst = refusal.appendOption(dst)
+	}
+	return append(dst, ip...), nil
+}
+
+func protocolType(ip []byte) (uint16, error) {
+	if len(ip) == 0 {
+		return 0, &TruncatedError{Layer: layerIPv4}
+	}
+	switch version := ip[0] >> 4; version {
+	case 4:
+		return typeIPv4, nil
+	case 6:
+		return typeIPv6, nil
+	default:
+		return 0, &VersionError{Layer: layerIPv4, Got: version}
+	}
+}
