Forward packets from the fabric to sidecars and to upstreams

Cause: the path needs the two processes between fabric and upstream. Ruled out: a bare read loop, since a process that wakes from a pause would act on what waited in its socket; the socket drops what came before the wake-up.

--- /dev/null
+++ b/balancer/balancer.go
@@ -0,0 +1,135 @@
+// Package balancer is the process on an entry instance: it takes callers'
+// packets from the fabric, finds service, flow and candidates, and forwards to
+// a sidecar. Its state is soft: any other balancer continues its flows.
+//
+// The pipe is receive, decode, classify, admit, find or rank, forward, send.
+// Start with New and Balancer.Run.
+package balancer
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/forward"
+	"github.com/corianderbay/corianderbay/route"
+	"github.com/corianderbay/corianderbay/timer"
+	"github.com/corianderbay/corianderbay/udp"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+)
+
+const (
+	defaultDrain = 3 * time.Second
+	defaultMTU   = 9000 // bytes
+)
+
+// Config holds the settings of a Balancer. All fields without a default are required.
+type Config struct {
+	// Name is the instance name.
+	Name string
+	// Fabric is where the fabric's Geneve datagrams arrive.
+	Fabric netip.AddrPort
+	// Forward is where packets are forwarded from and hints arrive.
+	Forward netip.AddrPort
+	// Gateway is where refusals go back to the fabric.
+	Gateway netip.AddrPort
+	// Key is the cluster key, see package forward.
+	Key []byte
+	// Sender is a random number that no other process uses.
+	Sender uint64
+	// Workers is how many goroutines receive from the fabric. Zero selects the default of package udp.
+	Workers int
+	// MTU is the largest datagram in bytes that is forwarded. Zero selects 9,000.
+	MTU int
+	// Drain is how long a stopping balancer goes on forwarding. Zero selects 3 s.
+	Drain time.Duration
+
+	Timer     *timer.Service
+	Heartbeat *timer.Heartbeat
+	Log       *event.Logger
+}
+
+// Balancer forwards callers' packets. It is safe for concurrent use.
+type Balancer struct {
+	cfg      Config
+	sealer   *forward.Sealer
+	opener   *forward.Opener
+	fabric   *udp.Socket
+	forward  *udp.Socket
+	view     atomic.Pointer[route.View] // nil until the first bundle is in force
+	counters counters
+}
+
+// New binds the sockets of a balancer. It reports *udp.ListenError or *forward.KeyError.
+func New(cfg Config) (*Balancer, error) {
+	if cfg.Drain == 0 {
+		cfg.Drain = defaultDrain
+	}
+	if cfg.MTU == 0 {
+		cfg.MTU = defaultMTU
+	}
+	sealer, err := forward.NewSealer(forward.SealerConfig{Key: cfg.Key, Sender: cfg.Sender})
+	if err != nil {
+		return nil, err
+	}
+	opener, err := forward.NewOpener(forward.OpenerConfig{Key: cfg.Key})
+	if err != nil {
+		return nil, err
+	}
+	in, err := udp.Open(udp.Config{Listen: cfg.Fabric, Workers: cfg.Workers, Heartbeat: cfg.Heartbeat})
+	if err != nil {
+		return nil, err
+	}
+	out, err := udp.Open(udp.Config{Listen: cfg.Forward, Workers: 1, Heartbeat: cfg.Heartbeat})
+	if err != nil {
+		in.Close()
+		return nil, err
+	}
+	return &Balancer{cfg: cfg, sealer: sealer, opener: opener, fabric: in, forward: out}, nil
+}
+
+// FabricAddress returns the address that the fabric sends to.
+func (b *Balancer) FabricAddress() netip.AddrPort {
+	return b.fabric.Address()
+}
+
+// ForwardAddress returns the address that hints are sent to.
+func (b *Balancer) ForwardAddress() netip.AddrPort {
+	return b.forward.Address()
+}
+
+// Accept puts a bundle in force.
+func (b *Balancer) Accept(next *bundle.Bundle) {
+	b.view.Store(route.NewView(next))
+}
+
+// Version returns the sequence of the bundle in force, or 0 before the first.
+func (b *Balancer) Version() uint64 {
+	v := b.view.Load()
+	if v == nil {
+		return 0
+	}
+	return v.Version()
+}
+
+// Run forwards packets until ctx is done and for the drain time after that.
+func (b *Balancer) Run(ctx context.Context) {
+	sockets, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var wg conc.WaitGroup
+	wg.Go(func() { b.fabric.Run(sockets, b.newFabricHandler) })
+	wg.Go(func() { b.forward.Run(sockets, b.newForwardHandler) })
+	<-ctx.Done()
+	// The fabric learns late that this balancer leaves and sprays packets at it until then.
+	_ = b.cfg.Timer.Sleep(sockets, b.cfg.Drain)
+	stop()
+	wg.Wait()
+	c := b.Counts()
+	b.cfg.Log.Emit(event.BalancerStopped,
+		zap.Uint64("forwarded", c.Forwarded),
+		zap.Any("dropped", c.Dropped))
+}
--- /dev/null
+++ b/balancer/balancer_test.go
@@ -0,0 +1,158 @@
+package balancer_test
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/corianderbay/corianderbay/balancer"
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/fabric"
+	"github.com/corianderbay/corianderbay/forward"
+	"github.com/corianderbay/corianderbay/timer"
+	"github.com/shoenig/test/must"
+	"github.com/sourcegraph/conc"
+)
+
+func clusterKey() []byte {
+	return bytes.Repeat([]byte{7}, forward.KeySize)
+}
+
+// listen returns a socket that stands for a sidecar or a caller.
+func listen(t testing.TB) *net.UDPConn {
+	t.Helper()
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	must.NoError(t, err)
+	must.NoError(t, conn.SetReadBuffer(4<<20))
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+func addressOf(c *net.UDPConn) netip.AddrPort {
+	return c.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// bundleWith has one service with n upstreams whose sidecar is at sink.
+func bundleWith(sink netip.AddrPort, n int) *bundle.Bundle {
+	s := bundle.Service{
+		Name:      "fitting",
+		Addresses: []bundle.Address{{IP: netip.MustParseAddr("198.51.100.1"), Port: 7000, Protocol: "tcp"}},
+		Rules:     []bundle.Rule{{Callers: netip.MustParsePrefix("10.0.0.0/8"), Allow: true}},
+		Places:    []bundle.Place{{DataCentre: "semarang"}},
+	}
+	for i := range n {
+		s.Places[0].Upstreams = append(s.Places[0].Upstreams, bundle.Upstream{
+			Name:    string(rune('a' + i)),
+			Sidecar: sink,
+		})
+	}
+	return &bundle.Bundle{
+		Sequence:    4,
+		DataCentres: []bundle.DataCentre{{Name: "semarang"}},
+		Services:    []bundle.Service{s},
+	}
+}
+
+// startBalancer runs a balancer until the test ends.
+func startBalancer(t testing.TB, b *bundle.Bundle) *balancer.Balancer {
+	t.Helper()
+	service := timer.New(timer.Config{PauseAfter: time.Hour})
+	lb, err := balancer.New(balancer.Config{
+		Name:      "entry-1",
+		Fabric:    netip.MustParseAddrPort("127.0.0.1:0"),
+		Forward:   netip.MustParseAddrPort("127.0.0.1:0"),
+		Key:       clusterKey(),
+		Sender:    1,
+		Drain:     time.Nanosecond,
+		Timer:     service,
+		Heartbeat: timer.NewHeartbeat(service),
+		Log:       event.New(event.Config{}),
+	})
+	must.NoError(t, err)
+	if b != nil {
+		lb.Accept(b)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	wg.Go(func() { lb.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	return lb
+}
+
+// segmentFrom returns the IP packet of a TCP opening with the caller's port.
+func segmentFrom(t testing.TB, caller string) []byte {
+	t.Helper()
+	ip, err := fabric.Segment{
+		Source:      netip.MustParseAddrPort(caller),
+		Destination: netip.MustParseAddrPort("198.51.100.1:7000"),
+		Flags:       fabric.SYN,
+		Sequence:    99,
+		Payload:     make([]byte, 200),
+	}.Encode()
+	must.NoError(t, err)
+	return ip
+}
+
+func geneve(t testing.TB, ip []byte) []byte {
+	t.Helper()
+	b, err := fabric.Append(nil, 0, ip, nil)
+	must.NoError(t, err)
+	return b
+}
+
+func TestBalancerForwardsThePacketUntouched(t *testing.T) {
+	sink := listen(t)
+	lb := startBalancer(t, bundleWith(addressOf(sink), 7))
+	caller := listen(t)
+	ip := segmentFrom(t, "10.0.0.9:4000")
+	_, err := caller.WriteToUDPAddrPort(geneve(t, ip), lb.FabricAddress())
+	must.NoError(t, err)
+
+	buf := make([]byte, 65535)
+	n, _, err := sink.ReadFromUDPAddrPort(buf)
+	must.NoError(t, err)
+	opener, err := forward.NewOpener(forward.OpenerConfig{Key: clusterKey()})
+	must.NoError(t, err)
+	d, err := opener.Open(buf[:n])
+	must.NoError(t, err)
+	must.Eq(t, ip, d.Packet)
+	var h forward.Header
+	must.NoError(t, forward.NewHeaderDecoder().Decode(d.Body, &h))
+	must.Eq(t, bundle.ServiceIDOf("fitting"), h.Service)
+	must.Eq(t, uint64(4), h.Version)
+	must.Len(t, 7, h.Candidates)
+	must.Eq(t, lb.ForwardAddress(), h.Balancer)
+}
+
+// TestBalancerCountsWhatItDrops sends bad input and then a good packet, which
+// shows that all before it was handled and ended nothing.
+func TestBalancerCountsWhatItDrops(t *testing.T) {
+	sink := listen(t)
+	lb := startBalancer(t, bundleWith(addressOf(sink), 2))
+	caller := listen(t)
+	good := geneve(t, segmentFrom(t, "10.0.0.9:4000"))
+	denied := geneve(t, segmentFrom(t, "192.0.2.9:4000"))
+	bad := [][]byte{{}, {1, 2, 3}, good[:20], denied, make([]byte, 2000)}
+	for _, b := range append(bad, good) {
+		_, err := caller.WriteToUDPAddrPort(b, lb.FabricAddress())
+		must.NoError(t, err)
+	}
+	_, err := caller.WriteToUDPAddrPort([]byte("stranger"), lb.ForwardAddress())
+	must.NoError(t, err)
+	_, _, err = sink.ReadFromUDPAddrPort(make([]byte, 65535))
+	must.NoError(t, err)
+	for lb.Counts().Fabric.Received < uint64(len(bad)+1) || lb.Counts().Dropped["forged"] < 1 {
+		must.NoError(t, timer.New(timer.Config{}).Sleep(t.Context(), time.Millisecond))
+	}
+	got := lb.Counts()
+	must.Eq(t, uint64(1), got.Dropped["denied"])
+	must.Eq(t, uint64(4), got.Dropped["malformed"])
+	must.Eq(t, uint64(1), got.Forwarded)
+}
--- /dev/null
+++ b/balancer/counts.go
@@ -0,0 +1,75 @@
+package balancer
+
+import (
+	"sync/atomic"
+
+	"github.com/corianderbay/corianderbay/udp"
+)
+
+// dropReason says why a balancer dropped a packet.
+type dropReason int
+
+const (
+	dropMalformed dropReason = iota
+	dropNoBundle
+	dropUnknownAddress
+	dropDenied
+	dropOversized
+	dropForged
+	dropReasons // how many there are
+)
+
+func (r dropReason) String() string {
+	switch r {
+	case dropMalformed:
+		return "malformed"
+	case dropNoBundle:
+		return "nobundle"
+	case dropUnknownAddress:
+		return "address"
+	case dropDenied:
+		return "denied"
+	case dropOversized:
+		return "oversized"
+	case dropForged:
+		return "forged"
+	}
+	return "other"
+}
+
+// counters are the running totals of a balancer.
+type counters struct {
+	forwarded atomic.Uint64
+	refused   atomic.Uint64
+	hinted    atomic.Uint64
+	dropped   [dropReasons]atomic.Uint64
+}
+
+// Counts are the totals of a balancer since its start.
+type Counts struct {
+	Forwarded uint64 `json:"forwarded"`
+	Refused   uint64 `json:"refused"`
+	// Hinted counts packets that a hint sent straight to their owner.
+	Hinted  uint64            `json:"hinted"`
+	Dropped map[string]uint64 `json:"dropped"`
+	Fabric  udp.Counts        `json:"fabric"`
+	Forward udp.Counts        `json:"forward"`
+}
+
+// Counts returns the totals so far.
+func (b *Balancer) Counts() Counts {
+	c := Counts{
+		Forwarded: b.counters.forwarded.Load(),
+		Refused:   b.counters.refused.Load(),
+		Hinted:    b.counters.hinted.Load(),
+		Dropped:   make(map[string]uint64),
+		Fabric:    b.fabric.Counts(),
+		Forward:   b.forward.Counts(),
+	}
+	for r := range dropReasons {
+		if n := b.counters.dropped[r].Load(); n > 0 {
+			c.Dropped[r.String()] = n
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/balancer/pipe.go
@@ -0,0 +1,116 @@
+package balancer
+
+import (
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+	"github.com/corianderbay/corianderbay/fabric"
+	"github.com/corianderbay/corianderbay/forward"
+	"github.com/corianderbay/corianderbay/route"
+	"github.com/corianderbay/corianderbay/udp"
+)
+
+// pipe takes one datagram from the fabric to a sidecar. Each worker has its own.
+type pipe struct {
+	b       *Balancer
+	decoder *fabric.Decoder
+	header  forward.Header // Candidates keeps its room from packet to packet
+	out     []byte
+}
+
+func (b *Balancer) newFabricHandler() udp.Handler {
+	p := &pipe{
+		b:       b,
+		decoder: fabric.NewDecoder(fabric.DecoderConfig{}),
+		out:     make([]byte, 0, b.cfg.MTU),
+	}
+	p.header.Candidates = make([]forward.Candidate, 0, forward.MaxCandidates)
+	return p.receive
+}
+
+// receive runs the stages for one datagram.
+func (p *pipe) receive(b []byte, _ netip.AddrPort) {
+	frame, err := p.decoder.Decode(b)
+	if err != nil {
+		p.drop(dropMalformed)
+		return
+	}
+	view := p.b.view.Load()
+	if view == nil {
+		p.drop(dropNoBundle)
+		return
+	}
+	match, err := view.Classify(frame.Packet.Key)
+	if err != nil {
+		p.drop(reasonOf(err))
+		return
+	}
+	p.rank(view, match, frame)
+	p.forward(frame)
+}
+
+// rank fills the header with the candidates of the packet's flow.
+func (p *pipe) rank(view *route.View, m route.Match, f fabric.Frame) {
+	h := &p.header
+	*h = forward.Header{
+		Service:    m.Service.ID(),
+		Version:    view.Version(),
+		Phase:      forward.PhaseAccept,
+		Balancer:   p.b.forward.Address(),
+		Candidates: view.Candidates(h.Candidates[:0], m, f.Packet.Key),
+	}
+	if f.Packet.Opening {
+		h.At = firstNotLeaving(h.Candidates)
+	}
+}
+
+// firstNotLeaving returns the index of the first candidate that may accept a flow, or 0.
+func firstNotLeaving(cs []forward.Candidate) uint8 {
+	for i := range cs {
+		if !cs[i].Leaving {
+			return uint8(i)
+		}
+	}
+	return 0
+}
+
+func (p *pipe) forward(f fabric.Frame) {
+	h := &p.header
+	if len(h.Candidates) == 0 {
+		p.drop(dropUnknownAddress)
+		return
+	}
+	out, err := p.b.sealer.AppendPacket(p.out, h, f.IP)
+	if err != nil {
+		p.drop(dropMalformed)
+		return
+	}
+	p.out = out
+	if len(out) > p.b.cfg.MTU {
+		p.drop(dropOversized)
+		return
+	}
+	p.b.forward.Send(out, h.Candidates[h.At].Sidecar)
+	p.b.counters.forwarded.Add(1)
+}
+
+func (p *pipe) drop(r dropReason) {
+	p.b.counters.dropped[r].Add(1)
+}
+
+func reasonOf(err error) dropReason {
+	var denied *route.DeniedError
+	if errors.As(err, &denied) {
+		return dropDenied
+	}
+	return dropUnknownAddress
+}
+
+// newForwardHandler handles the control messages that sidecars send to this balancer.
+func (b *Balancer) newForwardHandler() udp.Handler {
+	return func(raw []byte, _ netip.AddrPort) {
+		if _, err := b.opener.Open(raw); err != nil {
+			b.counters.dropped[dropForged].Add(1)
+		}
+	}
+}
--- /dev/null
+++ b/balancer/throughput_test.go
@@ -0,0 +1,83 @@
+package balancer_test
+
+import (
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	outstanding = 128  // packets between sender and sink
+	turn        = 2000 // packets that one side relays before the other has its turn
+)
+
+// BenchmarkThroughput sends packets in turns through a bare UDP relay and
+// through a balancer and reports the packets a second of both and their ratio.
+func BenchmarkThroughput(b *testing.B) {
+	sink := listen(b)
+	relay := startRelay(b, addressOf(sink))
+	lb := startBalancer(b, bundleWith(addressOf(sink), 7))
+	packet := geneve(b, segmentFrom(b, "10.0.0.9:4000"))
+	sender := listen(b)
+	var relayed, balanced time.Duration
+	for b.Loop() {
+		relayed += timeTurn(b, sender, sink, packet, relay)
+		balanced += timeTurn(b, sender, sink, packet, lb.FabricAddress())
+	}
+	packets := float64(turn) * float64(b.N)
+	b.ReportMetric(packets/relayed.Seconds(), "relay-packets/s")
+	b.ReportMetric(packets/balanced.Seconds(), "balancer-packets/s")
+	b.ReportMetric(relayed.Seconds()/balanced.Seconds(), "ratio")
+}
+
+// timeTurn returns how long it takes until turn packets have come out at the sink.
+func timeTurn(b *testing.B, sender, sink *net.UDPConn, packet []byte, to netip.AddrPort) time.Duration {
+	b.Helper()
+	room := make(chan struct{}, outstanding)
+	begin := time.Now()
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		for range turn {
+			room <- struct{}{}
+			_, err := sender.WriteToUDPAddrPort(packet, to)
+			must.NoError(b, err)
+		}
+	})
+	buf := make([]byte, 65535)
+	for range turn {
+		_, _, err := sink.ReadFromUDPAddrPort(buf)
+		must.NoError(b, err)
+		<-room
+	}
+	wg.Wait()
+	return time.Since(begin)
+}
+
+// startRelay sends each datagram on unchanged, with as many workers as a balancer has.
+func startRelay(b *testing.B, to netip.AddrPort) netip.AddrPort {
+	b.Helper()
+	conn := listen(b)
+	out := listen(b)
+	for range 2 {
+		var wg conc.WaitGroup
+		wg.Go(func() {
+			buf := make([]byte, 65535)
+			for {
+				n, _, err := conn.ReadFromUDPAddrPort(buf)
+				if err != nil {
+					return
+				}
+				_, _ = out.WriteToUDPAddrPort(buf[:n], to)
+			}
+		})
+		b.Cleanup(func() {
+			conn.Close()
+			wg.Wait()
+		})
+	}
+	return addressOf(conn)
+}
--- /dev/null
+++ b/operator/errors.go
@@ -0,0 +1,22 @@
+package operator
+
+import (
+	"fmt"
+	"net/netip"
+)
+
+// ListenError reports an operator address that could not be bound.
+type ListenError struct {
+	Address netip.AddrPort
+	Cause   error
+}
+
+// Error returns the address and the cause.
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("operator: cannot listen on %s: %v", e.Address, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error {
+	return e.Cause
+}
--- /dev/null
+++ b/sidecar/sidecar.go
@@ -0,0 +1,168 @@
+// Package sidecar is the process beside an upstream: it owns the flows of its
+// upstream, accepts, passes on, refuses and delivers packets, and sends the
+// answers back through the fabric.
+//
+// The pipe is receive, authenticate, find flow, decide, deliver. Start with
+// New and Sidecar.Run.
+package sidecar
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/fabric"
+	"github.com/corianderbay/corianderbay/forward"
+	"github.com/corianderbay/corianderbay/route"
+	"github.com/corianderbay/corianderbay/timer"
+	"github.com/corianderbay/corianderbay/udp"
+	"github.com/corianderbay/corianderbay/upstream"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+)
+
+const (
+	defaultDrain = time.Minute
+	drainCheck   = 100 * time.Millisecond
+)
+
+// Config holds the settings of a Sidecar. All fields without a default are required.
+type Config struct {
+	// Name is the name of the upstream in the bundle.
+	Name string
+	// Forward is where forwarded packets arrive.
+	Forward netip.AddrPort
+	// Gateway is where answers go to the fabric.
+	Gateway netip.AddrPort
+	// Key is the cluster key, see package forward.
+	Key []byte
+	// Sender is a random number that no other process uses.
+	Sender uint64
+	// Workers is how many goroutines receive. Zero selects the default of package udp.
+	Workers int
+	// Drain is how long a stopping sidecar waits for its flows to end. Zero selects 1 min.
+	Drain time.Duration
+	// Upstream is the edge to the upstream; Answer, Timer and Heartbeat are filled in.
+	Upstream upstream.Config
+
+	Timer     *timer.Service
+	Heartbeat *timer.Heartbeat
+	Log       *event.Logger
+}
+
+// Sidecar serves one upstream. It is safe for concurrent use.
+type Sidecar struct {
+	cfg      Config
+	self     bundle.UpstreamID
+	sealer   *forward.Sealer
+	opener   *forward.Opener
+	forward  *udp.Socket
+	edge     upstream.Edge
+	view     atomic.Pointer[route.View] // nil until the first bundle is in force
+	flows    *owned
+	answers  answerDecoders
+	counters counters
+}
+
+// New binds the sockets of a sidecar. It reports *udp.ListenError,
+// *forward.KeyError or *upstream.ModeError.
+func New(cfg Config) (*Sidecar, error) {
+	if cfg.Drain == 0 {
+		cfg.Drain = defaultDrain
+	}
+	sealer, err := forward.NewSealer(forward.SealerConfig{Key: cfg.Key, Sender: cfg.Sender})
+	if err != nil {
+		return nil, err
+	}
+	opener, err := forward.NewOpener(forward.OpenerConfig{Key: cfg.Key})
+	if err != nil {
+		return nil, err
+	}
+	s := &Sidecar{
+		cfg:    cfg,
+		self:   bundle.UpstreamIDOf(cfg.Name),
+		sealer: sealer,
+		opener: opener,
+		flows:  newOwned(),
+	}
+	s.answers.pool.New = func() any { return fabric.NewDecoder(fabric.DecoderConfig{}) }
+	if err := s.open(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Sidecar) open() error {
+	socket, err := udp.Open(udp.Config{
+		Listen:    s.cfg.Forward,
+		Workers:   s.cfg.Workers,
+		Heartbeat: s.cfg.Heartbeat,
+	})
+	if err != nil {
+		return err
+	}
+	up := s.cfg.Upstream
+	up.Answer = s.answer
+	up.Timer = s.cfg.Timer
+	up.Heartbeat = s.cfg.Heartbeat
+	edge, err := upstream.Open(up)
+	if err != nil {
+		socket.Close()
+		return err
+	}
+	s.forward = socket
+	s.edge = edge
+	return nil
+}
+
+// ForwardAddress returns the address that receives forwarded packets.
+func (s *Sidecar) ForwardAddress() netip.AddrPort {
+	return s.forward.Address()
+}
+
+// Accept puts a bundle in force.
+func (s *Sidecar) Accept(next *bundle.Bundle) {
+	s.view.Store(route.NewView(next))
+}
+
+// Version returns the sequence of the bundle in force, or 0 before the first.
+func (s *Sidecar) Version() uint64 {
+	v := s.view.Load()
+	if v == nil {
+		return 0
+	}
+	return v.Version()
+}
+
+// Run serves until ctx is done, and then until its flows have ended or the drain time is over.
+func (s *Sidecar) Run(ctx context.Context) {
+	sockets, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var wg conc.WaitGroup
+	wg.Go(func() { s.forward.Run(sockets, s.newHandler) })
+	wg.Go(func() { upstream.Run(sockets, s.edge) })
+	<-ctx.Done()
+	s.flows.drain()
+	s.awaitFlows(sockets)
+	cut := s.flows.open()
+	stop()
+	wg.Wait()
+	c := s.Counts()
+	s.cfg.Log.Emit(event.SidecarStopped,
+		zap.Int("cut", cut),
+		zap.Uint64("delivered", c.Delivered),
+		zap.Any("dropped", c.Dropped))
+}
+
+// awaitFlows returns when no flow is left or the drain time is over.
+func (s *Sidecar) awaitFlows(ctx context.Context) {
+	begin := s.cfg.Timer.Now()
+	for s.flows.open() > 0 && s.cfg.Timer.Since(begin) < s.cfg.Drain {
+		if err := s.cfg.Timer.Sleep(ctx, drainCheck); err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/udp/socket.go
@@ -0,0 +1,161 @@
+// Package udp receives and sends datagrams by IP number for the processes of
+// the system: several workers on one socket, and none of what waited in the
+// socket while the process was paused.
+//
+// Start with Open and Socket.Run.
+package udp
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/cockroachdb/errors"
+	"github.com/corianderbay/corianderbay/timer"
+	"github.com/sourcegraph/conc"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	defaultWorkers = 2
+	defaultBuffer  = 4 << 20 // bytes
+	maxDatagram    = 65535   // bytes
+)
+
+// Config holds the settings of a Socket. Listen and Heartbeat are required.
+type Config struct {
+	// Listen is the address to bind; port 0 takes a free one.
+	Listen netip.AddrPort
+	// Workers is how many goroutines receive. Zero selects 2.
+	Workers int
+	// Buffer is the size of the socket's receive and send buffers in bytes. Zero selects 4 MiB;
+	// the system may give less.
+	Buffer int
+	// Heartbeat tells when the process was paused.
+	Heartbeat *timer.Heartbeat
+}
+
+// Handler handles one datagram; b is valid until it returns.
+type Handler func(b []byte, from netip.AddrPort)
+
+// Counts are the totals of a socket since it was opened.
+type Counts struct {
+	Received uint64 `json:"received"`
+	Sent     uint64 `json:"sent"`
+	// Stale counts datagrams dropped since they had waited through a pause.
+	Stale uint64 `json:"stale"`
+	// Unsent counts datagrams that the system did not take.
+	Unsent uint64 `json:"unsent"`
+}
+
+// Socket is a bound UDP socket. It is safe for concurrent use.
+type Socket struct {
+	cfg  Config
+	conn *net.UDPConn
+
+	received atomic.Uint64
+	sent     atomic.Uint64
+	stale    atomic.Uint64
+	unsent   atomic.Uint64
+}
+
+// Open binds a socket. It reports *ListenError when the address cannot be bound.
+func Open(cfg Config) (*Socket, error) {
+	if cfg.Workers == 0 {
+		cfg.Workers = defaultWorkers
+	}
+	if cfg.Buffer == 0 {
+		cfg.Buffer = defaultBuffer
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(cfg.Listen))
+	if err != nil {
+		return nil, &ListenError{Address: cfg.Listen, Cause: err}
+	}
+	// A system that caps the buffers still works, with less room for bursts.
+	_ = conn.SetReadBuffer(cfg.Buffer)
+	_ = conn.SetWriteBuffer(cfg.Buffer)
+	return &Socket{cfg: cfg, conn: conn}, nil
+}
+
+// Address returns the address that the socket is bound to.
+func (s *Socket) Address() netip.AddrPort {
+	return s.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// Counts returns the totals so far.
+func (s *Socket) Counts() Counts {
+	return Counts{
+		Received: s.received.Load(),
+		Sent:     s.sent.Load(),
+		Stale:    s.stale.Load(),
+		Unsent:   s.unsent.Load(),
+	}
+}
+
+// Send sends one datagram. What the system does not take is counted and lost, as on any network.
+func (s *Socket) Send(b []byte, to netip.AddrPort) {
+	if _, err := s.conn.WriteToUDPAddrPort(b, to); err != nil {
+		s.unsent.Add(1)
+		return
+	}
+	s.sent.Add(1)
+}
+
+// Run receives until ctx is done and then closes the socket. Each worker calls
+// the handler that newHandler gave it, so a handler needs no locks of its own.
+func (s *Socket) Run(ctx context.Context, newHandler func() Handler) {
+	var wg conc.WaitGroup
+	for range s.cfg.Workers {
+		h := newHandler()
+		wg.Go(func() { s.receive(ctx, h) })
+	}
+	<-ctx.Done()
+	s.conn.Close()
+	wg.Wait()
+}
+
+// Close closes a socket that is not run.
+func (s *Socket) Close() {
+	s.conn.Close()
+}
+
+func (s *Socket) receive(ctx context.Context, h Handler) {
+	buf := make([]byte, maxDatagram)
+	epoch := s.cfg.Heartbeat.Epoch()
+	for {
+		n, from, err := s.conn.ReadFromUDPAddrPort(buf)
+		if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // an ICMP error about an earlier datagram
+		}
+		s.received.Add(1)
+		if now := s.cfg.Heartbeat.Epoch(); now != epoch {
+			epoch = now
+			s.stale.Add(1)
+			s.discardBacklog()
+			continue
+		}
+		h(buf[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+	}
+}
+
+// discardBacklog drops what waits in the socket.
+func (s *Socket) discardBacklog() {
+	raw, err := s.conn.SyscallConn()
+	if err != nil {
+		return
+	}
+	var scratch [1]byte
+	// Returning true at once keeps the runtime from waiting for the socket.
+	_ = raw.Read(func(fd uintptr) bool {
+		for {
+			if _, _, err := unix.Recvfrom(int(fd), scratch[:], unix.MSG_DONTWAIT); err != nil {
+				return true
+			}
+			s.stale.Add(1)
+		}
+	})
+}
--- /dev/null
+++ b/udp/socket_test.go
@@ -0,0 +1,111 @@
+package udp_test
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/corianderbay/corianderbay/timer"
+	"github.com/corianderbay/corianderbay/udp"
+	"github.com/shoenig/test/must"
+	"github.com/sourcegraph/conc"
+)
+
+func openLocal(t *testing.T, h *timer.Heartbeat) *udp.Socket {
+	t.Helper()
+	s, err := udp.Open(udp.Config{
+		Listen:    netip.MustParseAddrPort("127.0.0.1:0"),
+		Workers:   1,
+		Heartbeat: h,
+	})
+	must.NoError(t, err)
+	return s
+}
+
+func TestSocketHandsOnDatagrams(t *testing.T) {
+	h := timer.NewHeartbeat(timer.New(timer.Config{PauseAfter: time.Hour}))
+	receiver := openLocal(t, h)
+	sender := openLocal(t, h)
+	defer sender.Close()
+	got := make(chan string, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		receiver.Run(ctx, func() udp.Handler {
+			return func(b []byte, from netip.AddrPort) { got <- string(b) + " " + from.String() }
+		})
+	})
+	sender.Send([]byte("hello"), receiver.Address())
+	must.Eq(t, "hello "+sender.Address().String(), <-got)
+	cancel()
+	wg.Wait()
+	must.Eq(t, uint64(1), receiver.Counts().Received)
+}
+
+// TestBacklogOfAPauseIsDropped holds the only worker for longer than a process
+// may be silent and checks that nothing that came meanwhile is handled.
+func TestBacklogOfAPauseIsDropped(t *testing.T) {
+	const pause = 200 * time.Millisecond
+	service := timer.New(timer.Config{PauseAfter: pause})
+	h := timer.NewHeartbeat(service)
+	receiver := openLocal(t, h)
+	sender := openLocal(t, h)
+	defer sender.Close()
+	handled := make(chan string)
+	release := make(chan struct{})
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		receiver.Run(ctx, func() udp.Handler {
+			return func(b []byte, _ netip.AddrPort) {
+				select {
+				case handled <- string(b):
+					<-release
+				case <-ctx.Done():
+				}
+			}
+		})
+	})
+	must.Eq(t, "held", sendUntilHandled(t, service, sender, receiver, "held", handled))
+	for range 10 {
+		sender.Send([]byte("stale"), receiver.Address())
+	}
+	must.NoError(t, service.Sleep(t.Context(), 2*pause))
+	close(release)
+	wg.Go(func() { h.Run(ctx) })
+	must.Eq(t, "fresh", sendUntilHandled(t, service, sender, receiver, "fresh", handled))
+	must.GreaterEq(t, uint64(10), receiver.Counts().Stale)
+	cancel()
+	wg.Wait()
+}
+
+// sendUntilHandled repeats a datagram until one is handled and returns it.
+func sendUntilHandled(t *testing.T, service *timer.Service, from, to *udp.Socket, text string, handled <-chan string) string {
+	t.Helper()
+	sub := service.Every(5 * time.Millisecond)
+	defer sub.Stop()
+	for {
+		select {
+		case got := <-handled:
+			return got
+		case <-sub.C:
+			from.Send([]byte(text), to.Address())
+		}
+	}
+}
+
+func TestHeartbeatNoticesAPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := timer.New(timer.Config{})
+		h := timer.NewHeartbeat(service)
+		var gap time.Duration
+		h.OnWake(func(d time.Duration) { gap = d })
+		must.Eq(t, uint64(0), h.Epoch())
+		time.Sleep(5 * time.Second)
+		must.Eq(t, uint64(1), h.Epoch())
+		must.Eq(t, 5*time.Second, gap)
+		must.Eq(t, uint64(1), h.Epoch())
+	})
+}
--- /dev/null
+++ b/upstream/datagram.go
@@ -0,0 +1,143 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/corianderbay/corianderbay/fabric"
+	"github.com/corianderbay/corianderbay/flow"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	defaultMaxFlows = 10_000
+	datagramIdle    = 5 * time.Minute
+	datagramSweep   = 10 * time.Second
+	maxPayload      = 65507 // bytes
+)
+
+// Datagram gives a stock UDP server one connected socket a flow. It is safe for concurrent use.
+type Datagram struct {
+	cfg Config
+	wg  conc.WaitGroup // the readers of the open sockets
+
+	mu     sync.Mutex
+	flows  map[flow.Key]*datagramFlow // at most cfg.MaxFlows
+	closed bool                       // set once, by run; no socket is opened after that
+}
+
+// datagramFlow is the socket of one flow.
+type datagramFlow struct {
+	conn *net.UDPConn
+	last time.Time // guarded by Datagram.mu
+}
+
+func newDatagram(cfg Config) *Datagram {
+	if cfg.MaxFlows == 0 {
+		cfg.MaxFlows = defaultMaxFlows
+	}
+	return &Datagram{cfg: cfg, flows: make(map[flow.Key]*datagramFlow)}
+}
+
+func (d *Datagram) edge() {}
+
+func (d *Datagram) deliver(p Packet) error {
+	if p.Key.Protocol() != flow.UDP {
+		return &ProtocolError{Protocol: p.Key.Protocol()}
+	}
+	f, err := d.flow(p.Key)
+	if err != nil {
+		return err
+	}
+	if _, err := f.conn.Write(p.Payload); err != nil {
+		return &SendError{Cause: err}
+	}
+	return nil
+}
+
+// flow returns the socket of a flow and opens it for a new one.
+func (d *Datagram) flow(k flow.Key) (*datagramFlow, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.cfg.Timer.Now()
+	if f, ok := d.flows[k]; ok {
+		f.last = now
+		return f, nil
+	}
+	if d.closed || len(d.flows) >= d.cfg.MaxFlows {
+		return nil, &FlowsError{Max: d.cfg.MaxFlows}
+	}
+	conn, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(d.cfg.Address))
+	if err != nil {
+		return nil, &SendError{Cause: err}
+	}
+	f := &datagramFlow{conn: conn, last: now}
+	d.flows[k] = f
+	d.wg.Go(func() { d.receive(k, conn) })
+	return f, nil
+}
+
+// receive hands on the answers of one flow until its socket is closed.
+func (d *Datagram) receive(k flow.Key, conn *net.UDPConn) {
+	buf := make([]byte, maxPayload)
+	for {
+		n, err := conn.Read(buf)
+		if err != nil {
+			if d.isOpen(k, conn) {
+				continue // an ICMP error about an earlier datagram
+			}
+			return
+		}
+		ip, err := fabric.DatagramAnswer(k, buf[:n])
+		if err != nil {
+			continue
+		}
+		d.cfg.Answer(ip)
+	}
+}
+
+func (d *Datagram) isOpen(k flow.Key, conn *net.UDPConn) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	f, ok := d.flows[k]
+	return ok && f.conn == conn
+}
+
+func (d *Datagram) run(ctx context.Context) {
+	sub := d.cfg.Timer.Every(datagramSweep)
+	defer sub.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			d.close()
+			d.wg.Wait()
+			return
+		case <-sub.C:
+			d.closeIdle()
+		}
+	}
+}
+
+func (d *Datagram) closeIdle() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.cfg.Timer.Now()
+	for k, f := range d.flows {
+		if now.Sub(f.last) >= datagramIdle {
+			delete(d.flows, k)
+			f.conn.Close()
+		}
+	}
+}
+
+func (d *Datagram) close() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closed = true
+	for k, f := range d.flows {
+		delete(d.flows, k)
+		f.conn.Close()
+	}
+}
