Read, check, freeze, sign and accept bundles

Cause: the parts that roll out and act on bundles need one way to read, compare and trust them. Ruled out: the YAML library's own strict decoder, as it stops at the first fault and names no path; a walk over its syntax tree finds all of them. Change: Parse and Check report every fault at once, each with a type, file, line and path. An address stands in one service only; Former names where it was before.

--- /dev/null
+++ b/bundle/accept.go
@@ -0,0 +1,205 @@
+package bundle
+
+import (
+	"crypto/ed25519"
+	"fmt"
+	"slices"
+)
+
+// Trust is what a process judges the next bundle by: the bundle in force, or
+// only the policy from its settings.
+type Trust struct {
+	// Sequence is that of the bundle in force, 0 when there is none.
+	Sequence uint64
+	// Hash is that of the bundle in force, zero when there is none.
+	Hash Hash
+	// Policy is the sign-off policy for the next bundle.
+	Policy SignOff
+}
+
+// Anchor returns the trust of a process that starts empty, from the policy in its settings.
+func Anchor(policy SignOff) Trust {
+	return Trust{Policy: policy}
+}
+
+// Trust returns the trust of a process in which the bundle is in force.
+func (f *Frozen) Trust() Trust {
+	return Trust{Sequence: f.Sequence(), Hash: f.hash, Policy: f.manifest.SignOff}
+}
+
+// Accept returns the content of next when it may replace what t stands for.
+// It fails with what Verify and Frozen.Thaw report.
+func Accept(t Trust, next *Frozen) (*Bundle, error) {
+	if err := Verify(t, next.manifest); err != nil {
+		return nil, err
+	}
+	return next.Thaw()
+}
+
+// Verify returns nil when the bundle of the manifest is newer than t and
+// signed under its policy, or under one that followed from it. It fails with
+// *StaleError, *ConflictError, *AnchorError, *UnknownSignerError,
+// *SignatureError, *ApproversError or *ManifestError. A process calls it
+// before it fetches sections.
+func Verify(t Trust, m *Manifest) error {
+	if err := m.check(); err != nil {
+		return err
+	}
+	if err := t.newer(m); err != nil {
+		return err
+	}
+	start, err := t.position(m)
+	if err != nil {
+		return err
+	}
+	policy := t.Policy
+	for _, r := range m.Rotations[start:] {
+		if err := verifySignatures(policy, r.Head, r.Signatures); err != nil {
+			return err
+		}
+		policy = r.SignOff
+	}
+	return verifySignatures(policy, m.Head, m.Signatures)
+}
+
+// newer reports *StaleError or *ConflictError unless the manifest is above t.
+func (t Trust) newer(m *Manifest) error {
+	if m.Head.Sequence > t.Sequence {
+		return nil
+	}
+	h, err := m.Head.Hash()
+	if err != nil {
+		return err
+	}
+	if m.Head.Sequence == t.Sequence && h != t.Hash {
+		return &ConflictError{Sequence: t.Sequence, Running: t.Hash, Next: h}
+	}
+	return &StaleError{Running: t.Sequence, Next: m.Head.Sequence, RunningHash: t.Hash, NextHash: h}
+}
+
+// position returns the index of the first rotation that followed t.
+func (t Trust) position(m *Manifest) (int, error) {
+	policy, err := hashEncoded("signoff", t.Policy)
+	if err != nil {
+		return 0, err
+	}
+	if t.Sequence > 0 {
+		return t.positionAfter(m, policy)
+	}
+	// A policy may come back later, so the last place at which it was in force needs the fewest steps.
+	for i := len(m.Rotations); i >= 0; i-- {
+		if m.policyBefore(i) == policy {
+			return i, nil
+		}
+	}
+	return 0, &AnchorError{Policy: policy, Signed: m.Head.Policy}
+}
+
+// positionAfter returns the index of the first rotation above t.Sequence.
+func (t Trust) positionAfter(m *Manifest, policy Hash) (int, error) {
+	start := slices.IndexFunc(m.Rotations, func(r Rotation) bool { return r.Head.Sequence > t.Sequence })
+	if start < 0 {
+		start = len(m.Rotations)
+	}
+	if m.policyBefore(start) != policy {
+		return 0, &AnchorError{Policy: policy, Signed: m.policyBefore(start)}
+	}
+	return start, nil
+}
+
+// policyBefore returns the hash of the policy in force before rotation i, or
+// under which the bundle is signed when i is the number of rotations.
+func (m *Manifest) policyBefore(i int) Hash {
+	if i < len(m.Rotations) {
+		return m.Rotations[i].Head.Policy
+	}
+	return m.Head.Policy
+}
+
+// verifySignatures reports unless enough approvers of the policy signed the head, and nobody else did.
+func verifySignatures(policy SignOff, h Head, signatures []Signature) error {
+	message, err := signedMessage(h)
+	if err != nil {
+		return err
+	}
+	for _, s := range signatures {
+		i := slices.IndexFunc(policy.Approvers, func(a Approver) bool { return a.Name == s.Approver })
+		if i < 0 {
+			return &UnknownSignerError{Approver: s.Approver, Sequence: h.Sequence}
+		}
+		key, err := policy.Approvers[i].publicKey()
+		if err != nil {
+			return err
+		}
+		if !ed25519.Verify(key, message, s.Bytes) {
+			return &SignatureError{Approver: s.Approver, Sequence: h.Sequence}
+		}
+	}
+	if len(signatures) < policy.Need || policy.Need < 1 {
+		return &ApproversError{Have: len(signatures), Need: policy.Need, Sequence: h.Sequence}
+	}
+	return nil
+}
+
+// StaleError reports a bundle that is not above the one in force.
+type StaleError struct {
+	Running, Next         uint64
+	RunningHash, NextHash Hash
+}
+
+func (e *StaleError) Error() string {
+	return fmt.Sprintf("bundle %d (%s) is not above bundle %d (%s)", e.Next, e.NextHash, e.Running, e.RunningHash)
+}
+
+// ConflictError reports a bundle with the number of the one in force and other content.
+type ConflictError struct {
+	Sequence uint64
+	Running  Hash
+	Next     Hash
+}
+
+func (e *ConflictError) Error() string {
+	return fmt.Sprintf("bundle %d is in force with hash %s, and another one has hash %s", e.Sequence, e.Running, e.Next)
+}
+
+// AnchorError reports a bundle that no chain of policies joins to the one that a process trusts.
+type AnchorError struct {
+	// Policy is the hash of the trusted policy.
+	Policy Hash
+	// Signed is the hash of the policy under which the bundle claims to be signed.
+	Signed Hash
+}
+
+func (e *AnchorError) Error() string {
+	return fmt.Sprintf("no rotations lead from the trusted sign-off policy %s to policy %s", e.Policy, e.Signed)
+}
+
+// UnknownSignerError reports a signature by someone whom the policy does not list.
+type UnknownSignerError struct {
+	Approver string
+	Sequence uint64
+}
+
+func (e *UnknownSignerError) Error() string {
+	return fmt.Sprintf("bundle %d is signed by %q, who is no approver", e.Sequence, e.Approver)
+}
+
+// SignatureError reports a signature that does not fit the bundle and the approver's key.
+type SignatureError struct {
+	Approver string
+	Sequence uint64
+}
+
+func (e *SignatureError) Error() string {
+	return fmt.Sprintf("the signature of %q under bundle %d is wrong", e.Approver, e.Sequence)
+}
+
+// ApproversError reports a bundle that too few approvers signed.
+type ApproversError struct {
+	Have, Need int
+	Sequence   uint64
+}
+
+func (e *ApproversError) Error() string {
+	return fmt.Sprintf("bundle %d is signed by %d approvers and needs %d", e.Sequence, e.Have, e.Need)
+}
--- /dev/null
+++ b/bundle/accept_test.go
@@ -0,0 +1,112 @@
+package bundle_test
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func TestAcceptFromAnchorAndRunning(t *testing.T) {
+	first := frozen(t, sample(1, 2), nil, 1)
+	got, err := bundle.Accept(bundle.Anchor(policy(1, 1, 2)), first)
+	must.NoError(t, err)
+	must.Eq(t, sample(1, 2), got)
+	_, err = bundle.Accept(first.Trust(), frozen(t, sample(2, 3), first, 2))
+	must.NoError(t, err)
+}
+
+// as fails the test unless err holds an error of type E, which it returns.
+func as[E error](t *testing.T, err error) E {
+	t.Helper()
+	var e E
+	must.True(t, errors.As(err, &e), must.Sprintf("got %T: %v", err, err))
+	return e
+}
+
+func TestAcceptRejects(t *testing.T) {
+	running := frozen(t, sample(5, 2), nil, 1)
+	trust := running.Trust()
+
+	_, err := bundle.Accept(trust, frozen(t, sample(4, 2), nil, 1))
+	must.Eq(t, 4, as[*bundle.StaleError](t, err).Next)
+
+	_, err = bundle.Accept(trust, running)
+	as[*bundle.StaleError](t, err)
+
+	other := frozen(t, sample(5, 3), nil, 1)
+	_, err = bundle.Accept(trust, other)
+	conflict := as[*bundle.ConflictError](t, err)
+	must.Eq(t, running.Hash(), conflict.Running)
+	must.Eq(t, other.Hash(), conflict.Next)
+
+	_, err = bundle.Accept(trust, frozen(t, sample(6, 2), running))
+	must.Eq(t, 1, as[*bundle.ApproversError](t, err).Need)
+
+	forged := frozen(t, sample(6, 2), running).WithSignature(bundle.Signature{Approver: "a1", Bytes: make([]byte, 64)})
+	_, err = bundle.Accept(trust, forged)
+	must.Eq(t, "a1", as[*bundle.SignatureError](t, err).Approver)
+
+	stranger := sample(6, 2)
+	stranger.SignOff = policy(1, 9)
+	_, err = bundle.Accept(trust, frozen(t, stranger, running, 9))
+	must.Eq(t, "a9", as[*bundle.UnknownSignerError](t, err).Approver)
+
+	_, err = bundle.Accept(trust, frozen(t, stranger, nil, 9))
+	as[*bundle.AnchorError](t, err)
+}
+
+// TestAcceptFollowsRotations changes the approvers from 1 and 2 to 3, and then to 4 and 5.
+func TestAcceptFollowsRotations(t *testing.T) {
+	with := func(sequence uint64, s bundle.SignOff) *bundle.Bundle {
+		b := sample(sequence, 1)
+		b.SignOff = s
+		return b
+	}
+	first := frozen(t, sample(1, 1), nil, 1)
+	second := frozen(t, with(2, policy(1, 3)), first, 2)
+	third := frozen(t, with(3, policy(2, 4, 5)), second, 3)
+	fourth := frozen(t, with(4, policy(2, 4, 5)), third, 4, 5)
+	must.Len(t, 2, fourth.Manifest().Rotations)
+
+	for _, trust := range []bundle.Trust{
+		bundle.Anchor(policy(1, 1, 2)), bundle.Anchor(policy(1, 3)), bundle.Anchor(policy(2, 4, 5)),
+		first.Trust(), second.Trust(), third.Trust(),
+	} {
+		_, err := bundle.Accept(trust, fourth)
+		must.NoError(t, err)
+	}
+	_, err := bundle.Accept(bundle.Anchor(policy(1, 7)), fourth)
+	as[*bundle.AnchorError](t, err)
+
+	// Former approvers cannot take the fleet back with a higher number.
+	_, err = bundle.Accept(second.Trust(), frozen(t, with(9, policy(1, 1)), first, 1))
+	as[*bundle.AnchorError](t, err)
+}
+
+func TestAcceptNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		trust := bundle.Anchor(policy(1, 1, 2))
+		for range rapid.IntRange(1, 8).Draw(t, "steps") {
+			sequence := rapid.Uint64Range(1, 6).Draw(t, "sequence")
+			f := frozen(t, sample(sequence, rapid.IntRange(0, 2).Draw(t, "services")), nil, 1)
+			_, err := bundle.Accept(trust, f)
+			must.Eq(t, sequence > trust.Sequence, err == nil)
+			if err == nil {
+				trust = f.Trust()
+			}
+		}
+	})
+}
+
+func TestSignRefusesWrongKey(t *testing.T) {
+	f := frozen(t, sample(1, 1), nil)
+	_, err := bundle.Sign(f, "a1", keyOf(2))
+	as[*bundle.SignatureError](t, err)
+	_, err = bundle.Sign(f, "nobody", keyOf(1))
+	as[*bundle.UnknownSignerError](t, err)
+	_, err = bundle.Sign(f, "a1", nil)
+	as[*bundle.KeyError](t, err)
+}
--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -6,6 +6,8 @@
 package bundle
 
 import (
+	"crypto/ed25519"
+	"encoding/base64"
 	"net/netip"
 	"time"
 
@@ -35,10 +37,10 @@
 	// SignOff says who must sign the next bundle.
 	SignOff SignOff `yaml:"signoff" msgpack:"signoff"`
 	// DataCentres are unique by name.
-	DataCentres []DataCentre `yaml:"datacentres" msgpack:"datacentres"`
-	// Services are unique by name, and no two share an address and port,
-	// but for one that names the other as former.
-	Services []Service `yaml:"services" msgpack:"services"`
+	DataCentres []DataCentre `yaml:"datacentres" msgpack:"datacentres,omitempty"`
+	// Services are unique by name, and no two share an address, port and
+	// protocol: an address that moves leaves its former service at once.
+	Services []Service `yaml:"services" msgpack:"services,omitempty"`
 }
 
 // SignOff is the policy for accepting the next bundle.
@@ -46,7 +48,7 @@
 	// Need is how many approvers must sign, from 1 to the number of approvers.
 	Need int `yaml:"need" msgpack:"need"`
 	// Approvers are unique by name and by key.
-	Approvers []Approver `yaml:"approvers" msgpack:"approvers"`
+	Approvers []Approver `yaml:"approvers" msgpack:"approvers,omitempty"`
 }
 
 // Approver is one who may sign bundles.
@@ -56,38 +58,47 @@
 	Key string `yaml:"key" msgpack:"key"`
 }
 
+// publicKey returns the decoded key, or *KeyError.
+func (a Approver) publicKey() (ed25519.PublicKey, error) {
+	b, err := base64.StdEncoding.Strict().DecodeString(a.Key)
+	if err != nil || len(b) != ed25519.PublicKeySize {
+		return nil, &KeyError{Key: a.Key}
+	}
+	return b, nil
+}
+
 // DataCentre is where processes run.
 type DataCentre struct {
 	Name string `yaml:"name" msgpack:"name"`
 	// Region groups data centres; empty is a region of its own.
-	Region string `yaml:"region" msgpack:"region"`
+	Region string `yaml:"region" msgpack:"region,omitempty"`
 	// Callers are the prefixes that are nearest to this data centre. No prefix
 	// stands in two data centres.
-	Callers []netip.Prefix `yaml:"callers" msgpack:"callers"`
+	Callers []netip.Prefix `yaml:"callers" msgpack:"callers,omitempty"`
 	// Near lists the other data centres, nearest first. The ones left out follow in name order.
-	Near []string `yaml:"near" msgpack:"near"`
+	Near []string `yaml:"near" msgpack:"near,omitempty"`
 }
 
 // Service is what callers reach at one or more addresses.
 type Service struct {
 	Name      string    `yaml:"name" msgpack:"name"`
-	Addresses []Address `yaml:"addresses" msgpack:"addresses"`
+	Addresses []Address `yaml:"addresses" msgpack:"addresses,omitempty"`
 	// Idempotent is true when a request may run more than once without harm.
-	Idempotent bool `yaml:"idempotent" msgpack:"idempotent"`
+	Idempotent bool `yaml:"idempotent" msgpack:"idempotent,omitempty"`
 	// Repeat is how long after its first transmission a caller may still repeat a
 	// request, from 0 s to 5 min. Zero selects 10 s.
-	Repeat time.Duration `yaml:"repeat" msgpack:"repeat"`
+	Repeat time.Duration `yaml:"repeat" msgpack:"repeat,omitempty"`
 	// Idle is how long a flow without packets is kept, from 1 s to 24 h. Zero selects 5 min.
-	Idle time.Duration `yaml:"idle" msgpack:"idle"`
+	Idle time.Duration `yaml:"idle" msgpack:"idle,omitempty"`
 	// Rules say which callers may reach the service; the longest matching prefix wins.
 	// A caller that no rule matches is denied.
-	Rules []Rule `yaml:"rules" msgpack:"rules"`
+	Rules []Rule `yaml:"rules" msgpack:"rules,omitempty"`
 	// Limit bounds new flows; the zero value sets no limit.
-	Limit Limit `yaml:"limit" msgpack:"limit"`
+	Limit Limit `yaml:"limit" msgpack:"limit,omitempty"`
 	// Objectives are unique by name.
-	Objectives []Objective `yaml:"objectives" msgpack:"objectives"`
+	Objectives []Objective `yaml:"objectives" msgpack:"objectives,omitempty"`
 	// Places are unique by data centre.
-	Places []Place `yaml:"places" msgpack:"places"`
+	Places []Place `yaml:"places" msgpack:"places,omitempty"`
 }
 
 // ID returns the identity of the service on the wire.
@@ -104,23 +115,28 @@
 	Protocol string `yaml:"protocol" msgpack:"protocol"`
 	// Former names the service that held the address before; its flows stay
 	// findable until they end. Empty when the address never moved.
-	Former string `yaml:"former" msgpack:"former"`
+	Former string `yaml:"former" msgpack:"former,omitempty"`
+}
+
+// String returns the address as "tcp 198.51.100.1:80".
+func (a Address) String() string {
+	return a.Protocol + " " + netip.AddrPortFrom(a.IP, a.Port).String()
 }
 
 // Rule says whether callers of a prefix may reach a service.
 type Rule struct {
 	Callers netip.Prefix `yaml:"callers" msgpack:"callers"`
-	Allow   bool         `yaml:"allow" msgpack:"allow"`
+	Allow   bool         `yaml:"allow" msgpack:"allow,omitempty"`
 }
 
 // Limit bounds the new flows of one service.
 type Limit struct {
 	// Rate is new flows a second over the whole fleet, from 0 (none set) to 1,000,000.
-	Rate float64 `yaml:"rate" msgpack:"rate"`
+	Rate float64 `yaml:"rate" msgpack:"rate,omitempty"`
 	// Prefix is new flows a second for each caller prefix of Bits length, from 0 (none set) to 1,000,000.
-	Prefix float64 `yaml:"prefix" msgpack:"prefix"`
+	Prefix float64 `yaml:"prefix" msgpack:"prefix,omitempty"`
 	// Bits is the length of an IPv4 caller prefix that shares one limit, from 0 to 32. Zero selects 24.
-	Bits int `yaml:"bits" msgpack:"bits"`
+	Bits int `yaml:"bits" msgpack:"bits,omitempty"`
 }
 
 // Objective is a service-level objective.
@@ -131,7 +147,7 @@
 	// Target is the share that must be good, above 0 and below 1.
 	Target float64 `yaml:"target" msgpack:"target"`
 	// Within is the bound of a latency objective, from 1 ms to 1 h; zero for the others.
-	Within time.Duration `yaml:"within" msgpack:"within"`
+	Within time.Duration `yaml:"within" msgpack:"within,omitempty"`
 }
 
 // Place is a service's pool of upstreams in one data centre.
@@ -139,7 +155,7 @@
 	// DataCentre names a data centre of the bundle.
 	DataCentre string `yaml:"datacentre" msgpack:"datacentre"`
 	// Upstreams are unique by name over the whole bundle.
-	Upstreams []Upstream `yaml:"upstreams" msgpack:"upstreams"`
+	Upstreams []Upstream `yaml:"upstreams" msgpack:"upstreams,omitempty"`
 }
 
 // Upstream is one back end with a sidecar beside it.
@@ -148,13 +164,13 @@
 	// Sidecar is where the sidecar beside the upstream receives forwarded packets.
 	Sidecar netip.AddrPort `yaml:"sidecar" msgpack:"sidecar"`
 	// Weight is the share of new flows, from 1 to 1000. Zero selects 100.
-	Weight int `yaml:"weight" msgpack:"weight"`
+	Weight int `yaml:"weight" msgpack:"weight,omitempty"`
 	// Slots is how many requests the upstream runs at once, from 1 to 100,000. Zero selects 2.
-	Slots int `yaml:"slots" msgpack:"slots"`
+	Slots int `yaml:"slots" msgpack:"slots,omitempty"`
 	// Connections is how many flows the upstream holds at most, from 1 to 10,000,000. Zero selects 2,500.
-	Connections int `yaml:"connections" msgpack:"connections"`
+	Connections int `yaml:"connections" msgpack:"connections,omitempty"`
 	// Leaving is true for an upstream that keeps its flows and gets no new ones.
-	Leaving bool `yaml:"leaving" msgpack:"leaving"`
+	Leaving bool `yaml:"leaving" msgpack:"leaving,omitempty"`
 }
 
 // ID returns the identity of the upstream on the wire.
@@ -202,10 +218,24 @@
 	return s.Idle
 }
 
+// The protocols of addresses.
+const (
+	ProtocolTCP = "tcp"
+	ProtocolUDP = "udp"
+)
+
+// The measures of objectives.
+const (
+	MeasureFlows   = "flows"
+	MeasureAnswers = "answers"
+	MeasureLatency = "latency"
+)
+
 const (
 	defaultWeight      = 100
 	defaultSlots       = 2
 	defaultConnections = 2500
+	defaultBits        = 24
 	defaultRepeat      = 10 * time.Second
 	defaultIdle        = 5 * time.Minute
 )
--- /dev/null
+++ b/bundle/check.go
@@ -0,0 +1,252 @@
+package bundle
+
+import (
+	"fmt"
+	"net/netip"
+	"reflect"
+	"strconv"
+	"time"
+)
+
+const (
+	// MaxName is the length of a name, in bytes.
+	MaxName = 63
+	// MaxApprovers is how many approvers a sign-off policy lists.
+	MaxApprovers = 32
+	// MaxDataCentres is how many data centres a bundle lists.
+	MaxDataCentres = 256
+	// MaxServices is how many services a bundle lists.
+	MaxServices = 16384
+	// MaxUpstreams is how many upstreams a service lists over its places, those
+	// of the former service of one of its addresses included: a packet carries
+	// them all as candidates.
+	MaxUpstreams = 32
+	// MaxEntries is how many addresses, rules, objectives or prefixes one list holds.
+	MaxEntries = 4096
+)
+
+// Check returns *FaultsError with every fault of the bundle, or nil. Parse
+// calls it, and so does the decoding of frozen bundles.
+func Check(b *Bundle) error {
+	faults := checkFaults(b)
+	if len(faults) == 0 {
+		return nil
+	}
+	return &FaultsError{Faults: faults}
+}
+
+func checkFaults(b *Bundle) []Fault {
+	c := &checker{
+		bundle:       b,
+		declarations: declarations(),
+		names:        make(map[string]string),
+		prefixes:     make(map[netip.Prefix]string),
+		addresses:    make(map[Address]string),
+		sidecars:     make(map[netip.AddrPort]string),
+		services:     make(map[string]int),
+		serviceIDs:   make(map[ServiceID]string),
+		upstreamIDs:  make(map[UpstreamID]string),
+	}
+	c.ranges("", reflect.ValueOf(*b))
+	c.signOff("signoff", b.SignOff)
+	c.dataCentres("datacentres", b.DataCentres)
+	c.serviceList("services", b.Services)
+	return c.faults
+}
+
+func declarations() map[string]Field {
+	byPath := make(map[string]Field)
+	for _, f := range Fields() {
+		byPath[f.Path] = f
+	}
+	return byPath
+}
+
+// checker gathers the faults of one bundle. Its maps hold the path at which a value was first seen.
+type checker struct {
+	bundle       *Bundle
+	declarations map[string]Field
+	faults       []Fault
+	names        map[string]string // keys carry the path of the list before the name
+	prefixes     map[netip.Prefix]string
+	addresses    map[Address]string // keys carry no former service
+	sidecars     map[netip.AddrPort]string
+	services     map[string]int // indices in bundle.Services
+	serviceIDs   map[ServiceID]string
+	upstreamIDs  map[UpstreamID]string
+}
+
+func (c *checker) add(f Fault) {
+	c.faults = append(c.faults, f)
+}
+
+// ranges checks every number and duration against the declaration of its field.
+func (c *checker) ranges(path string, v reflect.Value) {
+	switch v.Kind() {
+	case reflect.Struct:
+		for i := range v.NumField() {
+			if name := v.Type().Field(i).Tag.Get("yaml"); name != "" {
+				c.ranges(joinPath(path, name), v.Field(i))
+			}
+		}
+	case reflect.Slice:
+		for i := range v.Len() {
+			c.ranges(indexPath(path, i), v.Index(i))
+		}
+	case reflect.Float64:
+		c.inRange(path, v.Float(), strconv.FormatFloat(v.Float(), 'g', -1, 64))
+	case reflect.Int, reflect.Int64:
+		c.inRange(path, float64(v.Int()), fmt.Sprint(v.Interface()))
+	case reflect.Uint16, reflect.Uint64:
+		c.inRange(path, float64(v.Uint()), strconv.FormatUint(v.Uint(), 10))
+	}
+}
+
+func (c *checker) inRange(path string, v float64, text string) {
+	f := c.declarations[pattern(path)]
+	if f.Bounded() && !f.Contains(v) {
+		c.add(&RangeError{Where: Where{Path: path}, Value: text, Range: f.Range()})
+	}
+}
+
+func (c *checker) count(path string, n, limit int) {
+	if n > limit {
+		c.add(&CountError{Where: Where{Path: path}, Count: n, Max: limit})
+	}
+}
+
+// name checks that the name is well formed and new in its list.
+func (c *checker) name(list, path, name string) {
+	if !validName(name) {
+		c.add(&NameError{Where: Where{Path: path}, Name: name})
+		return
+	}
+	c.unique(list, path, name)
+}
+
+func (c *checker) unique(list, path, value string) {
+	key := list + "\n" + value
+	if first, ok := c.names[key]; ok {
+		c.add(&DuplicateError{Where: Where{Path: path}, Value: value, First: first})
+		return
+	}
+	c.names[key] = path
+}
+
+func (c *checker) choice(path, value string, choices ...string) {
+	for _, allowed := range choices {
+		if value == allowed {
+			return
+		}
+	}
+	c.add(&ChoiceError{Where: Where{Path: path}, Value: value, Choices: choices})
+}
+
+func (c *checker) prefix(path string, p netip.Prefix) bool {
+	if !p.IsValid() {
+		c.add(&MissingError{Where: Where{Path: path}})
+		return false
+	}
+	if p != p.Masked() {
+		c.add(&HostBitsError{Where: Where{Path: path}, Prefix: p.String(), Masked: p.Masked().String()})
+		return false
+	}
+	return true
+}
+
+func (c *checker) signOff(path string, s SignOff) {
+	approvers := joinPath(path, "approvers")
+	c.count(approvers, len(s.Approvers), MaxApprovers)
+	if len(s.Approvers) == 0 {
+		c.add(&MissingError{Where: Where{Path: approvers}})
+	}
+	need := s.Need > len(s.Approvers) && s.Need <= MaxApprovers
+	if need && len(s.Approvers) > 0 {
+		c.add(&RangeError{
+			Where: Where{Path: joinPath(path, "need")},
+			Value: strconv.Itoa(s.Need),
+			Range: "1 to " + strconv.Itoa(len(s.Approvers)),
+		})
+	}
+	for i, a := range s.Approvers {
+		at := indexPath(approvers, i)
+		c.name(approvers, joinPath(at, "name"), a.Name)
+		if _, err := a.publicKey(); err != nil {
+			c.add(&KeyError{Where: Where{Path: joinPath(at, "key")}, Key: a.Key})
+			continue
+		}
+		c.unique(approvers+".key", joinPath(at, "key"), a.Key)
+	}
+}
+
+func (c *checker) dataCentres(path string, list []DataCentre) {
+	c.count(path, len(list), MaxDataCentres)
+	known := make(map[string]bool, len(list))
+	for _, d := range list {
+		known[d.Name] = true
+	}
+	for i, d := range list {
+		c.dataCentre(path, indexPath(path, i), d, known)
+	}
+}
+
+func (c *checker) dataCentre(list, path string, d DataCentre, known map[string]bool) {
+	c.name(list, joinPath(path, "name"), d.Name)
+	if d.Region != "" && !validName(d.Region) {
+		c.add(&NameError{Where: Where{Path: joinPath(path, "region")}, Name: d.Region})
+	}
+	callers := joinPath(path, "callers")
+	c.count(callers, len(d.Callers), MaxEntries)
+	for i, p := range d.Callers {
+		c.nearest(indexPath(callers, i), p)
+	}
+	near := joinPath(path, "near")
+	for i, name := range d.Near {
+		at := indexPath(near, i)
+		switch {
+		case name == d.Name:
+			c.add(&SelfError{Where: Where{Path: at}, Name: name})
+		case !known[name]:
+			c.add(&UnknownDataCentreError{Where: Where{Path: at}, Name: name})
+		default:
+			c.unique(near, at, name)
+		}
+	}
+}
+
+// nearest checks a prefix of callers that are nearest to a data centre.
+func (c *checker) nearest(path string, p netip.Prefix) {
+	if !c.prefix(path, p) {
+		return
+	}
+	if first, ok := c.prefixes[p]; ok {
+		c.add(&PrefixError{Where: Where{Path: path}, Prefix: p.String(), First: first})
+		return
+	}
+	c.prefixes[p] = path
+}
+
+func validName(name string) bool {
+	if name == "" || len(name) > MaxName {
+		return false
+	}
+	for _, r := range name {
+		letter := r >= 'a' && r <= 'z' || r >= 'A' && r <= 'Z'
+		digit := r >= '0' && r <= '9'
+		if !letter && !digit && r != '-' && r != '.' && r != '_' {
+			return false
+		}
+	}
+	return true
+}
+
+// within checks the bound of an objective against its measure.
+func (c *checker) within(path string, measure string, d time.Duration) {
+	latency := measure == MeasureLatency
+	if latency && d == 0 {
+		c.add(&MissingError{Where: Where{Path: path}})
+	}
+	if !latency && d != 0 {
+		c.add(&RangeError{Where: Where{Path: path}, Value: d.String(), Range: "0s, as only latency objectives have a bound"})
+	}
+}
--- /dev/null
+++ b/bundle/checkservice.go
@@ -0,0 +1,137 @@
+package bundle
+
+func (c *checker) serviceList(path string, list []Service) {
+	c.count(path, len(list), MaxServices)
+	for i, s := range list {
+		c.services[s.Name] = i
+	}
+	for i, s := range list {
+		c.service(path, indexPath(path, i), s)
+	}
+}
+
+func (c *checker) service(list, path string, s Service) {
+	c.name(list, joinPath(path, "name"), s.Name)
+	c.serviceID(joinPath(path, "name"), s)
+	c.addressList(joinPath(path, "addresses"), s)
+	c.rules(joinPath(path, "rules"), s.Rules)
+	c.objectives(joinPath(path, "objectives"), s.Objectives)
+	c.places(joinPath(path, "places"), s)
+}
+
+func (c *checker) serviceID(path string, s Service) {
+	first, ok := c.serviceIDs[s.ID()]
+	if ok && first != s.Name {
+		c.add(&CollisionError{Where: Where{Path: path}, ID: uint32(s.ID()), Name: s.Name, First: first})
+	}
+	c.serviceIDs[s.ID()] = s.Name
+}
+
+func (c *checker) addressList(path string, s Service) {
+	c.count(path, len(s.Addresses), MaxEntries)
+	for i, a := range s.Addresses {
+		at := indexPath(path, i)
+		c.address(at, a)
+		if a.Former != "" {
+			c.former(joinPath(at, "former"), s, a.Former)
+		}
+	}
+}
+
+func (c *checker) address(path string, a Address) {
+	c.choice(joinPath(path, "protocol"), a.Protocol, ProtocolTCP, ProtocolUDP)
+	if !a.IP.IsValid() {
+		c.add(&MissingError{Where: Where{Path: joinPath(path, "ip")}})
+		return
+	}
+	a.Former = ""
+	a.IP = a.IP.Unmap()
+	if first, ok := c.addresses[a]; ok {
+		c.add(&OverlapError{Where: Where{Path: path}, Address: a.String(), First: first})
+		return
+	}
+	c.addresses[a] = path
+}
+
+// former checks the service that held an address before.
+func (c *checker) former(path string, s Service, former string) {
+	if former == s.Name {
+		c.add(&SelfError{Where: Where{Path: path}, Name: former})
+		return
+	}
+	i, ok := c.services[former]
+	if !ok {
+		c.add(&UnknownServiceError{Where: Where{Path: path}, Name: former})
+		return
+	}
+	c.count(path, countUpstreams(s)+countUpstreams(c.bundle.Services[i]), MaxUpstreams)
+}
+
+func (c *checker) rules(path string, list []Rule) {
+	c.count(path, len(list), MaxEntries)
+	for i, r := range list {
+		at := joinPath(indexPath(path, i), "callers")
+		if c.prefix(at, r.Callers) {
+			c.unique(path, at, r.Callers.String())
+		}
+	}
+}
+
+func (c *checker) objectives(path string, list []Objective) {
+	c.count(path, len(list), MaxEntries)
+	for i, o := range list {
+		at := indexPath(path, i)
+		c.name(path, joinPath(at, "name"), o.Name)
+		c.choice(joinPath(at, "measure"), o.Measure, MeasureFlows, MeasureAnswers, MeasureLatency)
+		c.within(joinPath(at, "within"), o.Measure, o.Within)
+	}
+}
+
+func (c *checker) places(path string, s Service) {
+	c.count(path, countUpstreams(s), MaxUpstreams)
+	for i, p := range s.Places {
+		at := indexPath(path, i)
+		centre := joinPath(at, "datacentre")
+		if c.knownDataCentre(p.DataCentre) {
+			c.unique(path, centre, p.DataCentre)
+		} else {
+			c.add(&UnknownDataCentreError{Where: Where{Path: centre}, Name: p.DataCentre})
+		}
+		for j, u := range p.Upstreams {
+			c.upstream(indexPath(joinPath(at, "upstreams"), j), u)
+		}
+	}
+}
+
+func (c *checker) knownDataCentre(name string) bool {
+	_, ok := c.names["datacentres\n"+name]
+	return ok
+}
+
+func (c *checker) upstream(path string, u Upstream) {
+	name := joinPath(path, "name")
+	c.name("upstreams", name, u.Name)
+	first, ok := c.upstreamIDs[u.ID()]
+	if ok && first != u.Name {
+		c.add(&CollisionError{Where: Where{Path: name}, ID: uint32(u.ID()), Name: u.Name, First: first})
+	}
+	c.upstreamIDs[u.ID()] = u.Name
+	sidecar := joinPath(path, "sidecar")
+	if !u.Sidecar.IsValid() || u.Sidecar.Port() == 0 {
+		c.add(&MissingError{Where: Where{Path: sidecar}})
+		return
+	}
+	if at, ok := c.sidecars[u.Sidecar]; ok {
+		c.add(&SidecarError{Where: Where{Path: sidecar}, Sidecar: u.Sidecar.String(), First: at})
+		return
+	}
+	c.sidecars[u.Sidecar] = sidecar
+}
+
+func countUpstreams(s Service) int {
+	n := 0
+	for _, p := range s.Places {
+		n += len(p.Upstreams)
+	}
+	return n
+}
--- /dev/null
+++ b/bundle/fault.go
@@ -0,0 +1,280 @@
+package bundle
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Where says where in an authored bundle something stands.
+type Where struct {
+	// File is empty for a bundle that was not read from YAML.
+	File string
+	// Line counts from 1. It is 0 for a bundle that was not read from YAML.
+	Line int
+	// Path is the place in the document, as in services[0].places[1].datacentre.
+	Path string
+}
+
+// String returns the file, line and path that are known, each followed by a colon.
+func (w Where) String() string {
+	var b strings.Builder
+	if w.File != "" {
+		b.WriteString(w.File)
+		b.WriteByte(':')
+	}
+	if w.Line != 0 {
+		b.WriteString(strconv.Itoa(w.Line))
+		b.WriteByte(':')
+	}
+	if b.Len() != 0 {
+		b.WriteByte(' ')
+	}
+	if w.Path != "" {
+		b.WriteString(w.Path)
+		b.WriteString(": ")
+	}
+	return b.String()
+}
+
+// where lets Parse fill in the file and the line of a fault.
+func (w *Where) where() *Where {
+	return w
+}
+
+// A Fault is one thing that is wrong in a bundle. Every fault is a pointer to
+// one of the error types of this file and embeds Where.
+type Fault interface {
+	error
+	where() *Where
+}
+
+// FaultsError holds every fault that was found in one bundle.
+type FaultsError struct {
+	// Faults has at least one entry, in the order of the document where it is known.
+	Faults []Fault
+}
+
+// Error returns one line a fault.
+func (e *FaultsError) Error() string {
+	lines := make([]string, len(e.Faults))
+	for i, f := range e.Faults {
+		lines[i] = f.Error()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Unwrap returns the faults, so that errors.As finds each kind.
+func (e *FaultsError) Unwrap() []error {
+	errs := make([]error, len(e.Faults))
+	for i, f := range e.Faults {
+		errs[i] = f
+	}
+	return errs
+}
+
+// SyntaxError reports text that is not YAML, or a part of YAML that bundles do not use.
+type SyntaxError struct {
+	Where
+	Text string
+}
+
+func (e *SyntaxError) Error() string {
+	return e.Where.String() + e.Text
+}
+
+// UnknownFieldError reports a field that bundles do not have.
+type UnknownFieldError struct {
+	Where
+}
+
+func (e *UnknownFieldError) Error() string {
+	return e.Where.String() + "unknown field"
+}
+
+// RepeatedFieldError reports a field that stands twice in one mapping.
+type RepeatedFieldError struct {
+	Where
+}
+
+func (e *RepeatedFieldError) Error() string {
+	return e.Where.String() + "the field stands twice"
+}
+
+// TypeError reports a value that cannot be read as its field's kind.
+type TypeError struct {
+	Where
+	Got string
+	// Want names the kind, as in "a duration like 10s".
+	Want string
+}
+
+func (e *TypeError) Error() string {
+	return fmt.Sprintf("%s%q is not %s", e.Where, e.Got, e.Want)
+}
+
+// MissingError reports a field that must be set and is not.
+type MissingError struct {
+	Where
+}
+
+func (e *MissingError) Error() string {
+	return e.Where.String() + "must be set"
+}
+
+// NameError reports a name that is not 1 to MaxName letters, digits, hyphens, dots or underscores.
+type NameError struct {
+	Where
+	Name string
+}
+
+func (e *NameError) Error() string {
+	return fmt.Sprintf("%s%q is not a name of 1 to %d letters, digits, hyphens, dots or underscores",
+		e.Where, e.Name, MaxName)
+}
+
+// DuplicateError reports a name, key or prefix that stands twice where it must be unique.
+type DuplicateError struct {
+	Where
+	Value string
+	// First is the path of the earlier one.
+	First string
+}
+
+func (e *DuplicateError) Error() string {
+	return fmt.Sprintf("%s%q already stands at %s", e.Where, e.Value, e.First)
+}
+
+// OverlapError reports an address that two services hold.
+type OverlapError struct {
+	Where
+	Address string
+	// First is the path of the earlier one.
+	First string
+}
+
+func (e *OverlapError) Error() string {
+	return fmt.Sprintf("%saddress %s is already held at %s", e.Where, e.Address, e.First)
+}
+
+// PrefixError reports a caller prefix that stands in two data centres.
+type PrefixError struct {
+	Where
+	Prefix string
+	// First is the path of the earlier one.
+	First string
+}
+
+func (e *PrefixError) Error() string {
+	return fmt.Sprintf("%sprefix %s already stands at %s", e.Where, e.Prefix, e.First)
+}
+
+// HostBitsError reports a prefix with bits set past its length.
+type HostBitsError struct {
+	Where
+	Prefix string
+	// Masked is the prefix without those bits.
+	Masked string
+}
+
+func (e *HostBitsError) Error() string {
+	return fmt.Sprintf("%sprefix %s has bits set past its length; %s has none", e.Where, e.Prefix, e.Masked)
+}
+
+// RangeError reports a number or a duration outside its range.
+type RangeError struct {
+	Where
+	Value string
+	// Range is the allowed range, as in "1 to 1000".
+	Range string
+}
+
+func (e *RangeError) Error() string {
+	return fmt.Sprintf("%s%s is out of range %s", e.Where, e.Value, e.Range)
+}
+
+// CountError reports a list with too many entries.
+type CountError struct {
+	Where
+	Count int
+	Max   int
+}
+
+func (e *CountError) Error() string {
+	return fmt.Sprintf("%s%d entries are more than %d", e.Where, e.Count, e.Max)
+}
+
+// ChoiceError reports a word that is none of the allowed ones.
+type ChoiceError struct {
+	Where
+	Value   string
+	Choices []string
+}
+
+func (e *ChoiceError) Error() string {
+	return fmt.Sprintf("%s%q is none of %s", e.Where, e.Value, strings.Join(e.Choices, ", "))
+}
+
+// KeyError reports an approver's key that is not 32 bytes in standard base64.
+type KeyError struct {
+	Where
+	Key string
+}
+
+func (e *KeyError) Error() string {
+	return fmt.Sprintf("%s%q is not an ed25519 public key of 32 bytes in standard base64", e.Where, e.Key)
+}
+
+// UnknownDataCentreError reports a data centre that the bundle lacks.
+type UnknownDataCentreError struct {
+	Where
+	Name string
+}
+
+func (e *UnknownDataCentreError) Error() string {
+	return fmt.Sprintf("%sthe bundle has no data centre %q", e.Where, e.Name)
+}
+
+// UnknownServiceError reports a former service that the bundle lacks.
+type UnknownServiceError struct {
+	Where
+	Name string
+}
+
+func (e *UnknownServiceError) Error() string {
+	return fmt.Sprintf("%sthe bundle has no service %q", e.Where, e.Name)
+}
+
+// SelfError reports a service or a data centre that names itself.
+type SelfError struct {
+	Where
+	Name string
+}
+
+func (e *SelfError) Error() string {
+	return fmt.Sprintf("%s%q names itself", e.Where, e.Name)
+}
+
+// CollisionError reports two names with one identity on the wire.
+type CollisionError struct {
+	Where
+	ID    uint32
+	Name  string
+	First string
+}
+
+func (e *CollisionError) Error() string {
+	return fmt.Sprintf("%s%q has the same identity %#x as %q; choose another name", e.Where, e.Name, e.ID, e.First)
+}
+
+// SidecarError reports a sidecar address that two upstreams share.
+type SidecarError struct {
+	Where
+	Sidecar string
+	// First is the path of the earlier one.
+	First string
+}
+
+func (e *SidecarError) Error() string {
+	return fmt.Sprintf("%ssidecar %s already stands at %s", e.Where, e.Sidecar, e.First)
+}
--- /dev/null
+++ b/bundle/parse.go
@@ -0,0 +1,95 @@
+package bundle
+
+import (
+	"cmp"
+	"reflect"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/lexer"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+)
+
+const (
+	// MaxText is the size of an authored bundle, in bytes.
+	MaxText = 8 << 20
+	// maxColumn bounds how deep blocks nest, as each level moves to the right.
+	maxColumn = 1024
+	// maxFlowDepth bounds how deep brackets nest.
+	maxFlowDepth = 16
+)
+
+// Parse reads an authored bundle from YAML and checks it. File is named in
+// errors. Parse fails with *TooLargeError, or with *FaultsError that holds
+// every fault with its file, line and path.
+func Parse(file string, b []byte) (*Bundle, error) {
+	if len(b) > MaxText {
+		return nil, &TooLargeError{What: "authored bundle", Size: len(b), Max: MaxText}
+	}
+	r := &yamlReader{file: file, lines: make(map[string]int)}
+	decoded := r.document(b)
+	if decoded == nil {
+		return nil, &FaultsError{Faults: r.faults}
+	}
+	faults := slices.Concat(r.faults, r.locate(checkFaults(decoded)))
+	if len(faults) == 0 {
+		return decoded, nil
+	}
+	slices.SortStableFunc(faults, func(a, b Fault) int {
+		return cmp.Compare(a.where().Line, b.where().Line)
+	})
+	return nil, &FaultsError{Faults: faults}
+}
+
+// document returns nil when the text cannot be read at all.
+func (r *yamlReader) document(b []byte) *Bundle {
+	tokens := lexer.Tokenize(string(b))
+	if tk := tooDeep(tokens); tk != nil {
+		r.faults = append(r.faults, &SyntaxError{Where: r.at("", tk), Text: "nested too deep"})
+		return nil
+	}
+	f, err := parser.Parse(tokens, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		r.faults = append(r.faults, r.syntaxFault(err))
+		return nil
+	}
+	if len(f.Docs) != 1 || f.Docs[0].Body == nil {
+		r.faults = append(r.faults, &SyntaxError{Where: Where{File: r.file, Line: 1}, Text: "a bundle is one YAML document"})
+		return nil
+	}
+	decoded := new(Bundle)
+	r.read(f.Docs[0].Body, "", reflect.ValueOf(decoded).Elem())
+	return decoded
+}
+
+// syntaxFault returns the fault for an error of the YAML parser.
+func (r *yamlReader) syntaxFault(err error) Fault {
+	var located yaml.Error
+	if errors.As(err, &located) {
+		return &SyntaxError{Where: r.at("", located.GetToken()), Text: located.GetMessage()}
+	}
+	return &SyntaxError{Where: Where{File: r.file, Line: 1}, Text: err.Error()}
+}
+
+// tooDeep returns the first token that nests deeper than bundles need.
+func tooDeep(tokens token.Tokens) *token.Token {
+	depth := 0
+	for _, tk := range tokens {
+		switch tk.Type {
+		case token.SequenceStartType, token.MappingStartType:
+			depth++
+		case token.SequenceEndType, token.MappingEndType:
+			depth--
+		case token.SequenceEntryType, token.MappingValueType, token.MappingKeyType:
+			if tk.Position.Column > maxColumn {
+				return tk
+			}
+		}
+		if depth > maxFlowDepth {
+			return tk
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/bundle/yamlreader.go
@@ -0,0 +1,286 @@
+package bundle
+
+import (
+	"encoding"
+	"net/netip"
+	"reflect"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/token"
+)
+
+// yamlReader fills Go values from YAML nodes, notes the line of each path and
+// goes on after a fault, so that one run finds all of them.
+type yamlReader struct {
+	file   string
+	faults []Fault
+	lines  map[string]int
+}
+
+// at returns where the token stands. A nil token stands at line 1.
+func (r *yamlReader) at(path string, tk *token.Token) Where {
+	w := Where{File: r.file, Line: 1, Path: path}
+	if tk != nil && tk.Position != nil {
+		w.Line = tk.Position.Line
+	}
+	return w
+}
+
+// locate fills in the file and the line of faults that know their path only.
+// It drops those about values that could not be read.
+func (r *yamlReader) locate(faults []Fault) []Fault {
+	unread := make(map[string]bool)
+	for _, f := range r.faults {
+		unread[f.where().Path] = true
+	}
+	located := faults[:0]
+	for _, f := range faults {
+		w := f.where()
+		if unread[w.Path] {
+			continue
+		}
+		w.File = r.file
+		w.Line = r.line(w.Path)
+		located = append(located, f)
+	}
+	return located
+}
+
+// line returns the line of the path, or of the nearest part of it that stands in the document.
+func (r *yamlReader) line(path string) int {
+	for path != "" {
+		if n, ok := r.lines[path]; ok {
+			return n
+		}
+		path = path[:max(strings.LastIndexAny(path, ".["), 0)]
+	}
+	return 1
+}
+
+func (r *yamlReader) read(n ast.Node, path string, v reflect.Value) {
+	tk := n.GetToken()
+	r.lines[path] = r.at(path, tk).Line
+	if _, ok := n.(*ast.NullNode); ok {
+		return
+	}
+	if u, ok := v.Addr().Interface().(encoding.TextUnmarshaler); ok {
+		r.readText(n, path, u)
+		return
+	}
+	if d, ok := v.Addr().Interface().(*time.Duration); ok {
+		r.readDuration(n, path, d)
+		return
+	}
+	switch v.Kind() {
+	case reflect.Struct:
+		r.readStruct(n, path, v)
+	case reflect.Slice:
+		r.readSlice(n, path, v)
+	default:
+		r.readScalar(n, path, v)
+	}
+}
+
+func (r *yamlReader) readStruct(n ast.Node, path string, v reflect.Value) {
+	m, ok := n.(ast.MapNode)
+	if !ok {
+		r.mismatch(n, path, mappingValue)
+		return
+	}
+	fields := fieldsByName(v)
+	seen := make(map[string]bool)
+	for it := m.MapRange(); it.Next(); {
+		name := it.Key().GetToken().Value
+		at := joinPath(path, name)
+		field, known := fields[name]
+		switch {
+		case !known:
+			r.faults = append(r.faults, &UnknownFieldError{Where: r.at(at, it.Key().GetToken())})
+		case seen[name]:
+			r.faults = append(r.faults, &RepeatedFieldError{Where: r.at(at, it.Key().GetToken())})
+		default:
+			r.read(it.Value(), at, field)
+			r.lines[at] = r.at(at, it.Key().GetToken()).Line
+		}
+		seen[name] = true
+	}
+}
+
+func (r *yamlReader) readSlice(n ast.Node, path string, v reflect.Value) {
+	s, ok := n.(*ast.SequenceNode)
+	if !ok {
+		r.mismatch(n, path, listValue)
+		return
+	}
+	if len(s.Values) == 0 {
+		return
+	}
+	list := reflect.MakeSlice(v.Type(), len(s.Values), len(s.Values))
+	for i, e := range s.Values {
+		r.read(e, indexPath(path, i), list.Index(i))
+	}
+	v.Set(list)
+}
+
+func (r *yamlReader) readText(n ast.Node, path string, u encoding.TextUnmarshaler) {
+	want := textKind(u)
+	text, ok := scalarText(n)
+	if !ok {
+		r.mismatch(n, path, want)
+		return
+	}
+	if u.UnmarshalText([]byte(text)) != nil {
+		r.mismatch(n, path, want)
+	}
+}
+
+func (r *yamlReader) readDuration(n ast.Node, path string, d *time.Duration) {
+	text, ok := scalarText(n)
+	if !ok {
+		r.mismatch(n, path, durationValue)
+		return
+	}
+	parsed, err := time.ParseDuration(text)
+	if err != nil {
+		r.mismatch(n, path, durationValue)
+		return
+	}
+	*d = parsed
+}
+
+func (r *yamlReader) readScalar(n ast.Node, path string, v reflect.Value) {
+	switch v.Kind() {
+	case reflect.String:
+		s, ok := n.(*ast.StringNode)
+		if !ok {
+			r.mismatch(n, path, textValue)
+			return
+		}
+		v.SetString(s.Value)
+	case reflect.Bool:
+		b, ok := n.(*ast.BoolNode)
+		if !ok {
+			r.mismatch(n, path, truthValue)
+			return
+		}
+		v.SetBool(b.Value)
+	case reflect.Float64:
+		r.readFloat(n, path, v)
+	default:
+		r.readWhole(n, path, v)
+	}
+}
+
+func (r *yamlReader) readFloat(n ast.Node, path string, v reflect.Value) {
+	text, _ := scalarText(n)
+	f, err := strconv.ParseFloat(text, 64)
+	if err != nil || !isNumber(n) {
+		r.mismatch(n, path, decimalNumber)
+		return
+	}
+	v.SetFloat(f)
+}
+
+func (r *yamlReader) readWhole(n ast.Node, path string, v reflect.Value) {
+	text, _ := scalarText(n)
+	if _, ok := n.(*ast.IntegerNode); !ok {
+		r.mismatch(n, path, wholeNumber)
+		return
+	}
+	if v.CanUint() {
+		u, err := strconv.ParseUint(text, 10, v.Type().Bits())
+		if err != nil {
+			r.outside(n, path, text)
+			return
+		}
+		v.SetUint(u)
+		return
+	}
+	i, err := strconv.ParseInt(text, 10, v.Type().Bits())
+	if err != nil {
+		r.outside(n, path, text)
+		return
+	}
+	v.SetInt(i)
+}
+
+// outside notes a whole number that the Go type of its field cannot hold.
+func (r *yamlReader) outside(n ast.Node, path, text string) {
+	f, ok := declarations()[pattern(path)]
+	if !ok {
+		r.mismatch(n, path, wholeNumber)
+		return
+	}
+	r.faults = append(r.faults, &RangeError{Where: r.at(path, n.GetToken()), Value: text, Range: f.Range()})
+}
+
+func (r *yamlReader) mismatch(n ast.Node, path, want string) {
+	got, ok := scalarText(n)
+	if !ok {
+		got = n.Type().YAMLName()
+	}
+	r.faults = append(r.faults, &TypeError{Where: r.at(path, n.GetToken()), Got: got, Want: want})
+}
+
+func fieldsByName(v reflect.Value) map[string]reflect.Value {
+	fields := make(map[string]reflect.Value, v.NumField())
+	for i := range v.NumField() {
+		fields[v.Type().Field(i).Tag.Get("yaml")] = v.Field(i)
+	}
+	return fields
+}
+
+// scalarText returns the text of a plain or quoted scalar.
+func scalarText(n ast.Node) (string, bool) {
+	switch n := n.(type) {
+	case *ast.StringNode:
+		return n.Value, true
+	case *ast.IntegerNode, *ast.FloatNode, *ast.BoolNode:
+		return n.GetToken().Value, true
+	}
+	return "", false
+}
+
+func isNumber(n ast.Node) bool {
+	switch n.(type) {
+	case *ast.IntegerNode, *ast.FloatNode:
+		return true
+	}
+	return false
+}
+
+func textKind(u encoding.TextUnmarshaler) string {
+	switch u.(type) {
+	case *netip.Prefix:
+		return prefixValue
+	case *netip.AddrPort:
+		return endpointValue
+	case *netip.Addr:
+		return addressValue
+	}
+	return textValue
+}
+
+func joinPath(path, name string) string {
+	if path == "" {
+		return name
+	}
+	return path + "." + name
+}
+
+func indexPath(path string, i int) string {
+	return path + "[" + strconv.Itoa(i) + "]"
+}
+
+// pattern returns the path without the numbers in brackets, as Field has it.
+func pattern(path string) string {
+	return strings.Map(func(c rune) rune {
+		if c >= '0' && c <= '9' {
+			return -1
+		}
+		return c
+	}, path)
+}
