Declare settings once for flags and environment variables

Cause: each command needs flags and variables that agree, and an operator needs to see all faults of a start at once. Ruled out: typed pflag flags, as pflag stops at the first bad value before the variables are read.

--- /dev/null
+++ b/setting/target.go
@@ -0,0 +1,125 @@
+package setting
+
+import (
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// target is where the value of a setting goes: one of the types of this file.
+type target interface {
+	// kind returns the word that stands after the flag in a command's help. It is none
+	// of the words for which viper converts the text.
+	kind() string
+}
+
+type (
+	stringTarget  struct{ v *string }
+	stringsTarget struct{ v *[]string }
+	choiceTarget  struct {
+		v       *string
+		choices []string
+	}
+	addressTarget   struct{ v *netip.AddrPort }
+	addressesTarget struct{ v *[]netip.AddrPort }
+	durationTarget  struct {
+		v         *time.Duration
+		low, high time.Duration
+	}
+	intTarget struct {
+		v         *int
+		low, high int
+	}
+	floatTarget struct {
+		v         *float64
+		low, high float64
+	}
+	boolTarget struct{ v *bool }
+	fileTarget struct{ v *string }
+)
+
+func (stringTarget) kind() string    { return "string" }
+func (stringsTarget) kind() string   { return "list" }
+func (choiceTarget) kind() string    { return "word" }
+func (addressTarget) kind() string   { return "address" }
+func (addressesTarget) kind() string { return "addresses" }
+func (durationTarget) kind() string  { return "duration" }
+func (intTarget) kind() string       { return "number" }
+func (floatTarget) kind() string     { return "number" }
+func (boolTarget) kind() string      { return "boolean" }
+func (fileTarget) kind() string      { return "file" }
+
+// assign reads the text into the target. It returns false for text that is not of its kind or out of range.
+func assign(t target, text string) bool {
+	switch t := t.(type) {
+	case stringTarget:
+		*t.v = text
+		return true
+	case stringsTarget:
+		*t.v = split(text)
+		return true
+	case choiceTarget:
+		*t.v = text
+		return slices.Contains(t.choices, text)
+	case addressTarget:
+		return assignAddress(t.v, text)
+	case addressesTarget:
+		return assignAddresses(t.v, text)
+	case durationTarget:
+		v, err := time.ParseDuration(text)
+		*t.v = v
+		return err == nil && v >= t.low && v <= t.high
+	case intTarget:
+		v, err := strconv.Atoi(text)
+		*t.v = v
+		return err == nil && v >= t.low && v <= t.high
+	case floatTarget:
+		v, err := strconv.ParseFloat(text, 64)
+		*t.v = v
+		return err == nil && v >= t.low && v <= t.high
+	case boolTarget:
+		v, err := strconv.ParseBool(text)
+		*t.v = v
+		return err == nil
+	case fileTarget:
+		*t.v = text
+		return text == "" || readable(text)
+	}
+	return false
+}
+
+func assignAddress(v *netip.AddrPort, text string) bool {
+	if text == "" {
+		*v = netip.AddrPort{}
+		return true
+	}
+	parsed, err := netip.ParseAddrPort(text)
+	*v = parsed
+	return err == nil
+}
+
+func assignAddresses(v *[]netip.AddrPort, text string) bool {
+	*v = nil
+	for _, part := range split(text) {
+		parsed, err := netip.ParseAddrPort(part)
+		if err != nil {
+			return false
+		}
+		*v = append(*v, parsed)
+	}
+	return true
+}
+
+// split returns the parts between commas without the space around them.
+func split(text string) []string {
+	if strings.TrimSpace(text) == "" {
+		return nil
+	}
+	parts := strings.Split(text, ",")
+	for i, p := range parts {
+		parts[i] = strings.TrimSpace(p)
+	}
+	return parts
+}
