--- /dev/null
+++ b/standin/caller.go
@@ -0,0 +1,314 @@
+package standin
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/corianderbay/corianderbay/fabric"
+	"github.com/corianderbay/corianderbay/flow"
+	"github.com/corianderbay/corianderbay/timer"
+	"github.com/sourcegraph/conc"
+	"github.com/sourcegraph/conc/pool"
+)
+
+// CallerTarget is where flows go.
+type CallerTarget struct {
+	// Address is an address and port of a service.
+	Address  netip.AddrPort
+	Protocol flow.Protocol
+	// Service is the name that answers must carry. Empty accepts any.
+	Service string
+	// Idempotent marks the requests.
+	Idempotent bool
+}
+
+// CallerConfig holds the settings of a Caller. The zero value selects the
+// defaults, but for the targets and the fabric.
+type CallerConfig struct {
+	// Timers is the clock. Nil selects a new service.
+	Timers *timer.Service
+	// Attach is a fabric in this process. It goes before Fabric.
+	Attach *Fabric
+	// Fabric is where a fabric in another process receives from callers.
+	Fabric netip.AddrPort
+	// Targets has at least one entry; flows take them in turn.
+	Targets []CallerTarget
+	// Sources are the prefixes that flows come from; a flow takes the first of
+	// its target's family. None selects 10.0.0.0/24 and 2001:db8::/64.
+	Sources []netip.Prefix
+	// Flows is how many flows run in all, from 1 to 1,000,000, and Requests how many
+	// requests each sends one after the other, from 1 to 1,000,000. Zero selects 1.
+	Flows    int
+	Requests int
+	// Parallel is how many flows run at once, from 1 to 100,000. Zero selects 256.
+	Parallel int
+	// Size is the body of a TCP answer in bytes, from 0 to 1,000,000, and
+	// DatagramSize that of a UDP answer, from 0 to 8,000. Zero selects 3,000 and 1,000.
+	Size         int
+	DatagramSize int
+	// Think is the pause of a flow between two requests, from 0 to 1 min.
+	Think time.Duration
+	// Duration bounds the whole run, from 0 (no bound) to 24 h.
+	Duration time.Duration
+	// Timeout is how long a flow waits to be opened and for an answer, from 0 to 10 min. Zero selects 10 s.
+	Timeout time.Duration
+	// Attempts is how often a request is sent in all when it is refused or shed
+	// without having run, from 1 to 1,000. Zero selects 5.
+	Attempts int
+	// ID is the identity of the first flow; the others count up from it. Callers
+	// of one trial must not overlap.
+	ID uint64
+	// Seed starts the choice of initial sequence numbers.
+	Seed uint64
+	// VNI is the virtual network identifier of packets to a fabric in another process.
+	VNI uint32
+}
+
+const (
+	defaultParallel     = 256
+	defaultSize         = 3000 // bytes
+	defaultDatagramSize = 1000 // bytes
+	defaultTimeout      = 10 * time.Second
+	defaultAttempts     = 5
+
+	maxFlows        = 1_000_000
+	maxParallel     = 100_000
+	maxSize         = 1_000_000 // bytes
+	maxDatagramSize = 8000      // bytes
+	maxDuration     = 24 * time.Hour
+	maxTimeout      = 10 * time.Minute
+	maxAttempts     = 1000
+)
+
+// withDefaults returns the settings with defaults in place of zeros.
+func (c CallerConfig) withDefaults() CallerConfig {
+	if c.Timers == nil {
+		c.Timers = timer.New(timer.Config{})
+	}
+	if len(c.Sources) == 0 {
+		c.Sources = []netip.Prefix{netip.MustParsePrefix("10.0.0.0/24"), netip.MustParsePrefix("2001:db8::/64")}
+	}
+	orInt(&c.Flows, 1)
+	orInt(&c.Requests, 1)
+	orInt(&c.Parallel, defaultParallel)
+	orInt(&c.Size, defaultSize)
+	orInt(&c.DatagramSize, defaultDatagramSize)
+	orInt(&c.Attempts, defaultAttempts)
+	if c.Timeout == 0 {
+		c.Timeout = defaultTimeout
+	}
+	return c
+}
+
+func orInt(n *int, otherwise int) {
+	if *n == 0 {
+		*n = otherwise
+	}
+}
+
+// Check returns a *ValueError for each setting out of range, joined.
+func (c CallerConfig) Check() error {
+	c = c.withDefaults()
+	var v valueErrors
+	if c.Attach == nil && !c.Fabric.IsValid() {
+		v = append(v, &ValueError{Field: "fabric", Value: c.Fabric, Range: "a loopback address and port"})
+	}
+	v.loopback("fabric", c.Fabric)
+	if len(c.Targets) == 0 {
+		v = append(v, &ValueError{Field: "target", Value: "empty", Range: "at least one address and port"})
+	}
+	for _, t := range c.Targets {
+		if _, ok := c.source(t.Address.Addr()); !ok {
+			v = append(v, &ValueError{Field: "target", Value: t.Address, Range: "of the family of a source prefix"})
+		}
+	}
+	v.between("flows", float64(c.Flows), 1, maxFlows)
+	v.between("requests", float64(c.Requests), 1, maxFlows)
+	v.between("parallel", float64(c.Parallel), 1, maxParallel)
+	v.between("size", float64(c.Size), 0, maxSize)
+	v.between("datagram-size", float64(c.DatagramSize), 0, maxDatagramSize)
+	v.between("think", c.Think.Seconds(), 0, maxDelay.Seconds())
+	v.between("duration", c.Duration.Seconds(), 0, maxDuration.Seconds())
+	v.between("timeout", c.Timeout.Seconds(), 0, maxTimeout.Seconds())
+	v.between("attempts", float64(c.Attempts), 1, maxAttempts)
+	return v.join()
+}
+
+// source returns the prefix that flows to an address come from.
+func (c CallerConfig) source(to netip.Addr) (netip.Prefix, bool) {
+	for _, p := range c.Sources {
+		if to.IsValid() && p.Addr().Is4() == to.Is4() {
+			return p.Masked(), true
+		}
+	}
+	return netip.Prefix{}, false
+}
+
+// Caller runs many flows with requests over a fabric and tells what came of
+// them. It is safe for concurrent use; Run is called once.
+type Caller struct {
+	cfg   CallerConfig
+	conn  *net.UDPConn // nil with a fabric in this process
+	tally *callerTally
+
+	decodeMu sync.Mutex // guards decoder
+	decoder  *fabric.Decoder
+
+	mu    sync.Mutex // guards rand, flows and ports
+	rand  *rand.Rand
+	flows map[flow.Key]*callerFlow
+	ports uint32 // sources handed out so far
+}
+
+// NewCaller returns a caller. It reports joined *ValueErrors or *ListenError.
+func NewCaller(cfg CallerConfig) (*Caller, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	cfg = cfg.withDefaults()
+	c := &Caller{
+		cfg:     cfg,
+		tally:   newCallerTally(cfg),
+		decoder: fabric.NewDecoder(fabric.DecoderConfig{MaxPacket: fabric.MaxPacket}),
+		rand:    rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+		flows:   make(map[flow.Key]*callerFlow),
+	}
+	if cfg.Attach != nil {
+		return c, nil
+	}
+	conn, err := listenUDP(netip.AddrPort{})
+	if err != nil {
+		return nil, err
+	}
+	c.conn = conn
+	return c, nil
+}
+
+// Result returns what came of the requests so far.
+func (c *Caller) Result() Result {
+	return c.tally.snapshot()
+}
+
+// Run runs all flows and returns nil when they have ended, ctx is done or the
+// duration is over. It waits for all that it started.
+func (c *Caller) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	if c.conn != nil {
+		wg.Go(func() { receiveUDP(c.conn, func(b []byte, _ netip.AddrPort) { c.receive(b) }) })
+		defer func() { _ = c.conn.Close() }()
+	}
+	if c.cfg.Duration > 0 {
+		wg.Go(func() {
+			_ = c.cfg.Timers.Sleep(ctx, c.cfg.Duration)
+			cancel()
+		})
+		defer cancel()
+	}
+	begin := c.cfg.Timers.Now()
+	flows := pool.New().WithMaxGoroutines(c.cfg.Parallel)
+	for i := range c.cfg.Flows {
+		if ctx.Err() != nil {
+			break
+		}
+		flows.Go(func() { c.runFlow(ctx, i) })
+	}
+	flows.Wait()
+	c.tally.end(c.cfg.Timers.Since(begin))
+	return nil
+}
+
+// runFlow runs the i-th flow.
+func (c *Caller) runFlow(ctx context.Context, i int) {
+	target := c.cfg.Targets[i%len(c.cfg.Targets)]
+	s := &callerSession{caller: c, id: c.cfg.ID + uint64(i), target: target}
+	c.tally.flow()
+	if target.Protocol == flow.UDP {
+		s.runDatagrams(ctx)
+		return
+	}
+	s.runStream(ctx)
+}
+
+// newFlow returns a flow from a source that was not used before.
+func (c *Caller) newFlow(t CallerTarget) *callerFlow {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	prefix, _ := c.cfg.source(t.Address.Addr())
+	source := sourceAt(prefix, c.ports)
+	c.ports++
+	k := flow.NewKey(t.Protocol, source, t.Address)
+	f := &callerFlow{caller: c, key: k, first: c.rand.Uint32(), inbox: make(chan callerEvent, callerInbox)}
+	c.flows[k] = f
+	if c.cfg.Attach != nil {
+		c.cfg.Attach.Attach(source, c.receive)
+	}
+	return f
+}
+
+func (c *Caller) drop(f *callerFlow) {
+	c.mu.Lock()
+	delete(c.flows, f.key)
+	c.mu.Unlock()
+	if c.cfg.Attach != nil {
+		c.cfg.Attach.Detach(f.key.Caller())
+	}
+}
+
+const (
+	firstPort = 1024
+	lastPort  = 65535
+	maxHosts  = 254
+)
+
+// sourceAt returns the n-th address and port of a prefix, addresses first.
+func sourceAt(p netip.Prefix, n uint32) netip.AddrPort {
+	hosts := uint32(maxHosts)
+	if bits := p.Addr().BitLen() - p.Bits(); bits < 8 {
+		hosts = 1 << bits
+	}
+	addr := p.Addr()
+	for range n % hosts {
+		addr = addr.Next()
+	}
+	port := firstPort + n/hosts%(lastPort-firstPort+1)
+	return netip.AddrPortFrom(addr, uint16(port))
+}
+
+// receive takes a Geneve datagram from the fabric.
+func (c *Caller) receive(datagram []byte) {
+	c.decodeMu.Lock()
+	frame, err := c.decoder.DecodeAnswerFrame(datagram)
+	flags := c.decoder.Flags()
+	c.decodeMu.Unlock()
+	if err != nil {
+		c.tally.stray()
+		return
+	}
+	c.mu.Lock()
+	f := c.flows[frame.Packet.Key]
+	c.mu.Unlock()
+	if f == nil {
+		c.tally.stray()
+		return
+	}
+	f.receive(frame, flags)
+}
+
+// transmit hands an IP packet to the fabric.
+func (c *Caller) transmit(ip []byte) {
+	if c.cfg.Attach != nil {
+		_ = c.cfg.Attach.Send(ip)
+		return
+	}
+	b, err := fabric.Append(make([]byte, 0, len(ip)+fabric.Overhead), c.cfg.VNI, ip, nil)
+	if err == nil {
+		_, _ = c.conn.WriteToUDPAddrPort(b, c.cfg.Fabric)
+	}
+}
--- /dev/null
+++ b/standin/message.go
@@ -0,0 +1,138 @@
+package standin
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Lengths in bytes of a message's frame: a length, a msgpack body and a checksum over both.
+const (
+	messageHeader  = 4
+	messageTrailer = 8
+	maxMessage     = 1 << 20
+)
+
+// Request is what a Caller asks of an Upstream.
+type Request struct {
+	// Caller is unique among all flows of a trial.
+	Caller uint64 `msgpack:"caller"`
+	// ID is unique among the requests of one caller. Retransmissions and later attempts repeat it.
+	ID uint64 `msgpack:"id"`
+	// Attempt counts from 0 and grows when a caller asks again after a refusal.
+	Attempt    uint32 `msgpack:"attempt"`
+	Idempotent bool   `msgpack:"idempotent"`
+	// Size is the length in bytes of the wanted answer's body, from 0 to maxBody.
+	Size int `msgpack:"size"`
+}
+
+const maxBody = maxMessage - 1024 // bytes
+
+// Encode returns the framed request.
+func (r Request) Encode() ([]byte, error) {
+	return encodeMessage(&r)
+}
+
+// DecodeRequest returns the request in one whole frame, or *MessageError.
+func DecodeRequest(frame []byte) (Request, error) {
+	var r Request
+	if err := decodeMessage(frame, &r); err != nil {
+		return Request{}, err
+	}
+	if r.Size < 0 || r.Size > maxBody {
+		return Request{}, &MessageError{Part: "fields"}
+	}
+	return r, nil
+}
+
+// Status says what an Upstream did with a request.
+type Status uint8
+
+// The states of an answer.
+const (
+	// StatusDone means that the request ran.
+	StatusDone Status = 1
+	// StatusShed means that the request did not run since the queue was full.
+	StatusShed Status = 2
+)
+
+// Answer is what an Upstream sends back.
+type Answer struct {
+	// Caller, ID and Attempt are those of the request.
+	Caller  uint64 `msgpack:"caller"`
+	ID      uint64 `msgpack:"id"`
+	Attempt uint32 `msgpack:"attempt"`
+	// Service and Upstream are the names in the upstream's settings.
+	Service  string `msgpack:"service"`
+	Upstream string `msgpack:"upstream"`
+	Status   Status `msgpack:"status"`
+	Body     []byte `msgpack:"body"`
+}
+
+// Encode returns the framed answer.
+func (a Answer) Encode() ([]byte, error) {
+	return encodeMessage(&a)
+}
+
+// DecodeAnswer returns the answer in one whole frame, or *MessageError.
+func DecodeAnswer(frame []byte) (Answer, error) {
+	var a Answer
+	if err := decodeMessage(frame, &a); err != nil {
+		return Answer{}, err
+	}
+	if a.Status != StatusDone && a.Status != StatusShed {
+		return Answer{}, &MessageError{Part: "fields"}
+	}
+	return a, nil
+}
+
+func encodeMessage(v any) ([]byte, error) {
+	body, err := msgpack.Marshal(v)
+	if err != nil {
+		return nil, &MessageError{Part: "body", Cause: err}
+	}
+	size := messageHeader + len(body) + messageTrailer
+	frame := binary.BigEndian.AppendUint32(make([]byte, 0, size), uint32(size))
+	frame = append(frame, body...)
+	return binary.BigEndian.AppendUint64(frame, xxhash.Sum64(frame)), nil
+}
+
+func decodeMessage(frame []byte, v any) error {
+	size, err := messageSize(frame)
+	if err != nil {
+		return err
+	}
+	if size == 0 || size != len(frame) {
+		return &MessageError{Part: "length"}
+	}
+	sum := size - messageTrailer
+	if xxhash.Sum64(frame[:sum]) != binary.BigEndian.Uint64(frame[sum:]) {
+		return &MessageError{Part: "checksum"}
+	}
+	if err := msgpack.Unmarshal(frame[messageHeader:sum], v); err != nil {
+		return &MessageError{Part: "body", Cause: err}
+	}
+	return nil
+}
+
+// messageSize returns the length of the frame that b starts with, or 0 when b is too short to say.
+func messageSize(b []byte) (int, error) {
+	if len(b) < messageHeader {
+		return 0, nil
+	}
+	size := int(binary.BigEndian.Uint32(b))
+	if size < messageHeader+messageTrailer || size > maxMessage {
+		return 0, &MessageError{Part: "length"}
+	}
+	return size, nil
+}
+
+// cutMessage splits the first whole frame off a stream. The frame is nil while it is incomplete.
+func cutMessage(stream []byte) (frame, rest []byte, err error) {
+	size, err := messageSize(stream)
+	if err != nil || size == 0 || size > len(stream) {
+		return nil, stream, err
+	}
+	return stream[:size], stream[size:], nil
+}
--- /dev/null
+++ b/standin/socket.go
@@ -0,0 +1,52 @@
+package standin
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+)
+
+const (
+	socketBuffer = 4 << 20 // bytes
+	maxDatagram  = 65535   // bytes
+)
+
+// listenUDP opens a socket with large buffers. The zero address selects a free port on 127.0.0.1.
+func listenUDP(addr netip.AddrPort) (*net.UDPConn, error) {
+	addr = orLoopback(addr)
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, &ListenError{Address: addr, Cause: err}
+	}
+	// The kernel may grant less; packets lost for it are retransmitted.
+	_ = conn.SetReadBuffer(socketBuffer)
+	_ = conn.SetWriteBuffer(socketBuffer)
+	return conn, nil
+}
+
+func orLoopback(addr netip.AddrPort) netip.AddrPort {
+	if addr.IsValid() {
+		return addr
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
+}
+
+func localAddr(conn *net.UDPConn) netip.AddrPort {
+	addr := conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	return netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())
+}
+
+// receiveUDP calls handle for each datagram until the socket is closed. The datagram is valid during the call.
+func receiveUDP(conn *net.UDPConn, handle func(datagram []byte, from netip.AddrPort)) {
+	b := make([]byte, maxDatagram)
+	for {
+		n, from, err := conn.ReadFromUDPAddrPort(b)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		handle(b[:n], netip.AddrPortFrom(from.Addr().Unmap(), from.Port()))
+	}
+}
--- /dev/null
+++ b/standin/upstream.go
@@ -0,0 +1,307 @@
+package standin
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/corianderbay/corianderbay/flow"
+	"github.com/corianderbay/corianderbay/timer"
+	"github.com/sourcegraph/conc"
+)
+
+// UpstreamConfig holds the settings of an Upstream. The zero value selects the defaults.
+type UpstreamConfig struct {
+	// Timers is the clock. Nil selects a new service.
+	Timers *timer.Service
+	// Name and Service stand in every answer.
+	Name    string
+	Service string
+	// Tunnel receives callers' packets in Geneve, and Datagram plain UDP
+	// requests. Status serves HTTP. The zero value selects a free port on 127.0.0.1.
+	Tunnel   netip.AddrPort
+	Datagram netip.AddrPort
+	Status   netip.AddrPort
+	// Slots is how many requests run at once, from 1 to 1,000. Zero selects 2.
+	Slots int
+	// Queue is how many requests wait for a slot, from 1 to 1,000,000; further
+	// ones are shed. Zero selects 1,024.
+	Queue int
+	// Connections is how many TCP connections are held, from 1 to 1,000,000;
+	// further ones are reset. Zero selects 4,096.
+	Connections int
+	// ServiceTime is how long a request holds its slot, from 0 to 1 min.
+	ServiceTime time.Duration
+	// ColdStart is how long after the start requests take longer, from 0 to 1 h,
+	// and ColdFactor by how much at first, from 1 to 1,000; zero selects 10. The
+	// factor falls to 1 in a straight line.
+	ColdStart  time.Duration
+	ColdFactor float64
+	// Repeats makes a request that arrives again run again.
+	Repeats bool
+	// LoadLag is the age of what the load endpoint reports, from 0 to 1 min.
+	LoadLag time.Duration
+	// Lie is what the health and load endpoints say at first.
+	Lie UpstreamLie
+	// Seed starts the choice of initial sequence numbers.
+	Seed uint64
+}
+
+const (
+	defaultSlots       = 2
+	defaultQueue       = 1024
+	defaultConnections = 4096
+	defaultColdFactor  = 10
+
+	maxSlots       = 1000
+	maxQueue       = 1_000_000
+	maxConnections = 1_000_000
+	maxColdStart   = time.Hour
+	maxColdFactor  = 1000
+)
+
+// withDefaults returns the settings with defaults in place of zeros.
+func (c UpstreamConfig) withDefaults() UpstreamConfig {
+	if c.Timers == nil {
+		c.Timers = timer.New(timer.Config{})
+	}
+	if c.Slots == 0 {
+		c.Slots = defaultSlots
+	}
+	if c.Queue == 0 {
+		c.Queue = defaultQueue
+	}
+	if c.Connections == 0 {
+		c.Connections = defaultConnections
+	}
+	if c.ColdFactor == 0 {
+		c.ColdFactor = defaultColdFactor
+	}
+	return c
+}
+
+// Check returns a *ValueError for each setting out of range, joined.
+func (c UpstreamConfig) Check() error {
+	c = c.withDefaults()
+	var v valueErrors
+	v.loopback("tunnel", c.Tunnel)
+	v.loopback("datagram", c.Datagram)
+	v.loopback("status", c.Status)
+	v.between("slots", float64(c.Slots), 1, maxSlots)
+	v.between("queue", float64(c.Queue), 1, maxQueue)
+	v.between("connections", float64(c.Connections), 1, maxConnections)
+	v.between("service-time", c.ServiceTime.Seconds(), 0, maxDelay.Seconds())
+	v.between("cold-start", c.ColdStart.Seconds(), 0, maxColdStart.Seconds())
+	v.between("cold-factor", c.ColdFactor, 1, maxColdFactor)
+	v.between("load-lag", c.LoadLag.Seconds(), 0, maxDelay.Seconds())
+	return v.join()
+}
+
+// Upstream answers requests over TCP and UDP inside Geneve, and over plain UDP.
+// It runs a request once unless Repeats is set, and says which ones ran. It is
+// safe for concurrent use.
+type Upstream struct {
+	cfg      UpstreamConfig
+	tunnel   *net.UDPConn
+	datagram *net.UDPConn
+	status   net.Listener
+	server   *http.Server
+	jobs     chan Request // has room for cfg.Queue
+	inUse    atomic.Int64
+	begin    time.Time // fixed after NewUpstream
+
+	mu    sync.Mutex // guards conns, rand and what conns hold
+	conns map[flow.Key]*upstreamConn
+	rand  *rand.Rand
+
+	ledger upstreamLedger
+	report upstreamReport
+
+	malformed, resets, shed atomic.Uint64
+}
+
+// NewUpstream returns an upstream whose sockets are open. It reports joined
+// *ValueErrors or *ListenError. Run closes the sockets.
+func NewUpstream(cfg UpstreamConfig) (*Upstream, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, err
+	}
+	cfg = cfg.withDefaults()
+	u := &Upstream{
+		cfg:   cfg,
+		jobs:  make(chan Request, cfg.Queue),
+		begin: cfg.Timers.Now(),
+		conns: make(map[flow.Key]*upstreamConn),
+		rand:  rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
+	}
+	u.ledger.runs = make(map[ledgerKey]*ledgerEntry)
+	u.report.lie = cfg.Lie
+	if err := u.listen(); err != nil {
+		u.closeSockets()
+		return nil, err
+	}
+	u.server = u.newServer()
+	return u, nil
+}
+
+func (u *Upstream) listen() error {
+	var err error
+	if u.tunnel, err = listenUDP(u.cfg.Tunnel); err != nil {
+		return err
+	}
+	if u.datagram, err = listenUDP(u.cfg.Datagram); err != nil {
+		return err
+	}
+	addr := orLoopback(u.cfg.Status)
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
+	if err != nil {
+		return &ListenError{Address: addr, Cause: err}
+	}
+	u.status = listener
+	return nil
+}
+
+func (u *Upstream) closeSockets() {
+	if u.tunnel != nil {
+		_ = u.tunnel.Close()
+	}
+	if u.datagram != nil {
+		_ = u.datagram.Close()
+	}
+	if u.status != nil {
+		_ = u.status.Close()
+	}
+}
+
+// Tunnel returns where Geneve is received.
+func (u *Upstream) Tunnel() netip.AddrPort {
+	return localAddr(u.tunnel)
+}
+
+// Datagram returns where plain UDP requests are received.
+func (u *Upstream) Datagram() netip.AddrPort {
+	return localAddr(u.datagram)
+}
+
+// Status returns where health and load are served.
+func (u *Upstream) Status() netip.AddrPort {
+	return u.status.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Name returns the name in the settings.
+func (u *Upstream) Name() string {
+	return u.cfg.Name
+}
+
+// Run serves until ctx is done, and then closes the sockets and returns nil.
+// What waits in the queue then is dropped.
+func (u *Upstream) Run(ctx context.Context) error {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for range u.cfg.Slots {
+		wg.Go(func() { u.work(ctx) })
+	}
+	wg.Go(u.receiveTunnel)
+	wg.Go(u.receiveDatagrams)
+	wg.Go(func() { u.retransmit(ctx) })
+	wg.Go(func() { u.sampleLoad(ctx) })
+	wg.Go(func() { _ = u.server.Serve(u.status) })
+	<-ctx.Done()
+	_ = u.server.Close()
+	u.closeSockets()
+	return nil
+}
+
+// receiveDatagrams serves plain UDP: one request a datagram.
+func (u *Upstream) receiveDatagrams() {
+	receiveUDP(u.datagram, func(datagram []byte, from netip.AddrPort) {
+		r, err := DecodeRequest(datagram)
+		if err != nil {
+			u.malformed.Add(1)
+			return
+		}
+		u.submit(r, func(a Answer) {
+			if b, err := a.Encode(); err == nil {
+				_, _ = u.datagram.WriteToUDPAddrPort(b, from)
+			}
+		})
+	})
+}
+
+// submit queues a request that has not run, and answers one that has. While it
+// runs, the answer goes where it was asked for last.
+func (u *Upstream) submit(r Request, reply func(Answer)) {
+	switch u.ledger.begin(r, reply, u.cfg.Repeats) {
+	case ledgerRunning:
+		return
+	case ledgerDone:
+		reply(u.answer(r, StatusDone))
+		return
+	}
+	select {
+	case u.jobs <- r:
+	default:
+		u.ledger.forget(r)
+		u.shed.Add(1)
+		reply(u.answer(r, StatusShed))
+	}
+}
+
+func (u *Upstream) work(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case r := <-u.jobs:
+			u.run(ctx, r)
+		}
+	}
+}
+
+func (u *Upstream) run(ctx context.Context, r Request) {
+	u.inUse.Add(1)
+	defer u.inUse.Add(-1)
+	u.ledger.run(r)
+	if d := u.serviceTime(); d > 0 && u.cfg.Timers.Sleep(ctx, d) != nil {
+		return
+	}
+	reply := u.ledger.finish(r)
+	reply(u.answer(r, StatusDone))
+}
+
+// serviceTime returns how long a request that begins now takes.
+func (u *Upstream) serviceTime() time.Duration {
+	d := u.cfg.ServiceTime
+	left := u.cfg.ColdStart - u.cfg.Timers.Since(u.begin)
+	if left <= 0 {
+		return d
+	}
+	share := float64(left) / float64(u.cfg.ColdStart)
+	return time.Duration(float64(d) * (1 + share*(u.cfg.ColdFactor-1)))
+}
+
+// answer returns the answer to a request; equal requests get equal bodies.
+func (u *Upstream) answer(r Request, s Status) Answer {
+	a := Answer{
+		Caller: r.Caller, ID: r.ID, Attempt: r.Attempt,
+		Service: u.cfg.Service, Upstream: u.cfg.Name, Status: s,
+	}
+	if s == StatusDone {
+		a.Body = body(r)
+	}
+	return a
+}
+
+// body returns the body of the answer to r.
+func body(r Request) []byte {
+	b := make([]byte, r.Size)
+	for i := range b {
+		b[i] = byte(r.Caller + r.ID + uint64(i))
+	}
+	return b
+}
