Serve a request from one end to the other: processes, commands, demo

Cause: the whole path comes first, each role a process of its own, from a signed bundle that a platform publishes. Ruled out: commands in package main, since the page of settings is to be held equal to their declarations; they stand in package daemon. Change: packages instance, daemon and demo; the sidecar still has its first owner table; callers of each data centre take part in the demo, so that no upstream stays without flows.

--- a/cmd/corianderbay/main.go
+++ b/cmd/corianderbay/main.go
@@ -1,4 +1,19 @@
 // Command corianderbay runs the processes of the load balancer and the stand-ins for trials.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/corianderbay/corianderbay/daemon"
+	"github.com/corianderbay/corianderbay/setting"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := setting.Execute(ctx, daemon.NewCommand())
+	stop()
+	os.Exit(code)
+}
--- /dev/null
+++ b/daemon/common.go
@@ -0,0 +1,100 @@
+package daemon
+
+import (
+	"encoding/hex"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/forward"
+	"github.com/corianderbay/corianderbay/instance"
+	"github.com/corianderbay/corianderbay/setting"
+)
+
+const (
+	maxDrain   = 24 * time.Hour
+	maxWorkers = 64
+)
+
+// common is what every process of the system is given.
+type common struct {
+	name       *string
+	dataCentre *string
+	platform   *string
+	operator   *netip.AddrPort
+	keyFile    *string
+	approvers  *[]string
+	need       *int
+	level      *string
+}
+
+// declareCommon declares the settings that balancers and sidecars share.
+func declareCommon(s *setting.Set) common {
+	c := common{
+		name:       s.String("name", "", "name of the instance; for a sidecar, of its upstream in the bundle"),
+		dataCentre: s.String("datacentre", "", "data centre that the process runs in"),
+		platform:   s.String("platform", "", "base URL of the platform, like http://127.0.0.1:8500"),
+		operator:   s.Address("operator-address", "127.0.0.1:0", "where /health, /status and /debug/vars answer"),
+		keyFile:    s.File("key-file", "", "file with the cluster key, 64 hexadecimal digits"),
+		approvers:  s.Strings("approvers", "", "first approvers of bundles, each as name:public-key"),
+		need:       s.Int("approvals", 1, 1, 100, "signatures", "how many of the first approvers must sign"),
+		level:      s.Choice("log-level", "info", logLevels(), "least level of the events that are logged"),
+	}
+	s.Require("name", "datacentre", "platform", "key-file", "approvers")
+	return c
+}
+
+// config returns the settings of a process. It reports *KeyFileError or *ApproverError.
+func (c common) config() (instance.Config, error) {
+	key, err := readKey(*c.keyFile)
+	if err != nil {
+		return instance.Config{}, err
+	}
+	anchor, err := parseAnchor(*c.approvers, *c.need)
+	if err != nil {
+		return instance.Config{}, err
+	}
+	return instance.Config{
+		Name:       *c.name,
+		DataCentre: *c.dataCentre,
+		Platform:   *c.platform,
+		Operator:   *c.operator,
+		Key:        key,
+		Anchor:     anchor,
+		Log:        newLog(*c.level, *c.name),
+	}, nil
+}
+
+// readKey reads a cluster key.
+func readKey(path string) ([]byte, error) {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return nil, &KeyFileError{Path: path, Cause: err}
+	}
+	key, err := hex.DecodeString(strings.TrimSpace(string(raw)))
+	if err != nil {
+		return nil, &KeyFileError{Path: path, Cause: err}
+	}
+	if len(key) != forward.KeySize {
+		return nil, &KeyFileError{Path: path, Cause: &forward.KeyError{Size: len(key)}}
+	}
+	return key, nil
+}
+
+// parseAnchor returns the sign-off policy that entries like "name:key" describe.
+func parseAnchor(entries []string, need int) (bundle.SignOff, error) {
+	policy := bundle.SignOff{Need: need}
+	for _, entry := range entries {
+		name, key, ok := strings.Cut(entry, ":")
+		if !ok || name == "" || key == "" {
+			return bundle.SignOff{}, &ApproverError{Entry: entry}
+		}
+		policy.Approvers = append(policy.Approvers, bundle.Approver{Name: name, Key: key})
+	}
+	if need > len(policy.Approvers) {
+		return bundle.SignOff{}, &ApproverError{Entry: "approvals"}
+	}
+	return policy, nil
+}
--- /dev/null
+++ b/demo/demo.go
@@ -0,0 +1,213 @@
+// Package demo runs every role and stand-in of the load balancer in one
+// process over loopback sockets, with an example bundle and a short load.
+//
+// Start with Run.
+package demo
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/flow"
+	"github.com/corianderbay/corianderbay/standin"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	defaultFlows    = 2000
+	defaultRequests = 10
+	defaultParallel = 200
+	defaultSlots    = 8
+	startTimeout    = 30 * time.Second
+	demoPause       = 5 * time.Second
+	progressEvery   = 500 * time.Millisecond
+	idsOfACaller    = 1_000_000
+)
+
+// Config holds the settings of a demo. The zero value selects the defaults.
+type Config struct {
+	// Seed starts every choice that the stand-ins make.
+	Seed uint64
+	// Flows is how many flows run in all, from 6 to 1,000,000. Zero selects 2,000.
+	Flows int
+	// Requests is how many requests each flow sends. Zero selects 10.
+	Requests int
+	// Parallel is how many flows run at once. Zero selects 200.
+	Parallel int
+	// Slots is how many requests each upstream runs at once. Zero selects 8.
+	Slots int
+	// Log receives the events of the processes. Nil discards them.
+	Log *event.Logger
+	// Progress is called now and then with what has come of the load so far. Nil calls nothing.
+	Progress func(standin.Result)
+}
+
+func (c Config) withDefaults() Config {
+	if c.Flows == 0 {
+		c.Flows = defaultFlows
+	}
+	if c.Requests == 0 {
+		c.Requests = defaultRequests
+	}
+	if c.Parallel == 0 {
+		c.Parallel = defaultParallel
+	}
+	if c.Slots == 0 {
+		c.Slots = defaultSlots
+	}
+	return c
+}
+
+// Run starts the deployment, runs the load and returns what came of it. It
+// reports *StartError when a part does not start, and the error of ctx.
+func Run(ctx context.Context, cfg Config) (Report, error) {
+	cfg = cfg.withDefaults()
+	d, err := newDeployment(cfg)
+	if err != nil {
+		return Report{}, err
+	}
+	running, stop := context.WithCancel(ctx)
+	d.start(running)
+	report, err := d.load(ctx)
+	stop()
+	d.wait()
+	if err != nil {
+		return Report{}, err
+	}
+	return d.complete(report), ctx.Err()
+}
+
+// load runs the callers of both services and returns what they saw.
+func (d *deployment) load(ctx context.Context) (Report, error) {
+	begin := d.timer.Now()
+	ready, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := d.awaitReady(ready); err != nil {
+		return Report{}, err
+	}
+	report := Report{StartSeconds: d.timer.Since(begin).Seconds()}
+	sources, err := d.sources()
+	if err != nil {
+		return Report{}, err
+	}
+	var wg conc.WaitGroup
+	for _, s := range sources {
+		wg.Go(func() { _ = s.caller.Run(ctx) })
+	}
+	stop := d.showProgress(ctx, sources)
+	wg.Wait()
+	stop()
+	for _, name := range serviceNames() {
+		r := resultOf(name, sources)
+		report.Services = append(report.Services, ServiceReport{Service: name, Result: r})
+		report.Total = report.Total.Merge(r)
+	}
+	return report, nil
+}
+
+// resultOf returns what the callers of a service saw.
+func resultOf(service string, sources []source) standin.Result {
+	var sum standin.Result
+	for _, s := range sources {
+		if s.service == service {
+			sum = sum.Merge(s.caller.Result())
+		}
+	}
+	return sum
+}
+
+// source is one caller of the load: it stands for the callers of one service near one data centre.
+type source struct {
+	service string
+	caller  *standin.Caller
+}
+
+// sources returns a caller for each service and data centre.
+func (d *deployment) sources() ([]source, error) {
+	var list []source
+	for i, name := range serviceNames() {
+		for j := range dataCentres() {
+			c, err := standin.NewCaller(d.callerConfig(i, j))
+			if err != nil {
+				return nil, &StartError{Part: "caller", Cause: err}
+			}
+			list = append(list, source{service: name, caller: c})
+		}
+	}
+	return list, nil
+}
+
+// callerConfig returns the settings of the callers of a service near a data centre, both by index.
+func (d *deployment) callerConfig(service, centre int) standin.CallerConfig {
+	groups := len(serviceNames()) * len(dataCentres())
+	group := service*len(dataCentres()) + centre
+	at := serviceAddress(service)
+	name := serviceNames()[service]
+	return standin.CallerConfig{
+		Timers: d.timer,
+		Attach: d.fabric,
+		Targets: []standin.CallerTarget{
+			{Address: at, Protocol: flow.TCP, Service: name},
+			{Address: at, Protocol: flow.UDP, Service: name},
+		},
+		Sources:  []netip.Prefix{sourcePrefix(service, centre)},
+		Flows:    share(d.cfg.Flows, groups, group),
+		Requests: d.cfg.Requests,
+		Parallel: max(1, d.cfg.Parallel/groups),
+		ID:       uint64(group) * idsOfACaller,
+		Seed:     d.cfg.Seed + uint64(group),
+	}
+}
+
+// share returns the part of total that falls to one of n groups, so that the parts sum up.
+func share(total, n, i int) int {
+	return total*(i+1)/n - total*i/n
+}
+
+func serviceNames() []string {
+	return []string{firstService, secondService}
+}
+
+// showProgress reports now and then until the returned function is called.
+func (d *deployment) showProgress(ctx context.Context, sources []source) func() {
+	if d.cfg.Progress == nil {
+		return func() {}
+	}
+	watching, stop := context.WithCancel(ctx)
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		for d.timer.Sleep(watching, progressEvery) == nil {
+			var sum standin.Result
+			for _, s := range sources {
+				sum = sum.Merge(s.caller.Result())
+			}
+			d.cfg.Progress(sum)
+		}
+	})
+	return func() {
+		stop()
+		wg.Wait()
+	}
+}
+
+// complete adds what the processes counted.
+func (d *deployment) complete(r Report) Report {
+	var runs []standin.Run
+	for _, p := range d.pairs {
+		runs = append(runs, p.upstream.Runs()...)
+		r.Sidecars = append(r.Sidecars, SidecarReport{
+			Name:   p.upstream.Name(),
+			Whole:  r.Total.Upstreams[p.upstream.Name()],
+			Counts: p.sidecar.Counts(),
+		})
+	}
+	for _, b := range d.balancers {
+		r.Balancers = append(r.Balancers, b.Counts())
+	}
+	r.Audit = standin.NewAudit(runs, r.Total.Records)
+	slices.SortFunc(r.Sidecars, compareSidecars)
+	return r
+}
--- /dev/null
+++ b/demo/deployment.go
@@ -0,0 +1,270 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"crypto/ed25519"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/corianderbay/corianderbay/balancer"
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/forward"
+	"github.com/corianderbay/corianderbay/instance"
+	"github.com/corianderbay/corianderbay/platform"
+	"github.com/corianderbay/corianderbay/sidecar"
+	"github.com/corianderbay/corianderbay/standin"
+	"github.com/corianderbay/corianderbay/timer"
+	"github.com/corianderbay/corianderbay/upstream"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	balancers      = 3
+	firstService   = "fitting"
+	secondService  = "report"
+	approver       = "demo"
+	headerTimeout  = 5 * time.Second
+	readyInterval  = 10 * time.Millisecond
+	balancerDrain  = 200 * time.Millisecond
+	sidecarDrain   = time.Second
+	upstreamsFirst = 7
+	upstreamsOther = 3
+)
+
+// loopback returns an address with a free port.
+func loopback() netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
+}
+
+// pair is an upstream with the sidecar beside it.
+type pair struct {
+	service  string
+	upstream *standin.Upstream
+	sidecar  *instance.Sidecar
+	stop     context.CancelFunc // stops the sidecar
+}
+
+// deployment is every process of an example deployment, in this process.
+type deployment struct {
+	cfg       Config
+	timer     *timer.Service
+	key       ed25519.PrivateKey
+	cluster   []byte
+	platform  *standin.Platform
+	listener  net.Listener // of the platform
+	fabric    *standin.Fabric
+	balancers []*instance.Balancer
+	pairs     []*pair
+	sequence  uint64
+	wg        conc.WaitGroup
+}
+
+// newDeployment binds every address and publishes the first bundle. Run starts the processes.
+func newDeployment(cfg Config) (*deployment, error) {
+	// A fixed seed makes the same keys; they protect nothing outside the demo.
+	seed := bytes.Repeat([]byte{byte(cfg.Seed)}, ed25519.SeedSize)
+	d := &deployment{
+		cfg:     cfg,
+		timer:   timer.New(timer.Config{PauseAfter: demoPause}),
+		key:     ed25519.NewKeyFromSeed(seed),
+		cluster: bytes.Repeat([]byte{byte(cfg.Seed)}, forward.KeySize),
+	}
+	steps := []func() error{d.openPlatform, d.openFabric, d.openBalancers, d.openPairs}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return nil, err
+		}
+	}
+	return d, d.publish(d.bundle())
+}
+
+func (d *deployment) openPlatform() error {
+	d.platform = standin.NewPlatform(standin.PlatformConfig{Timer: d.timer})
+	l, err := net.Listen("tcp", loopback().String())
+	if err != nil {
+		return &StartError{Part: "platform", Cause: err}
+	}
+	d.listener = l
+	return nil
+}
+
+func (d *deployment) openFabric() error {
+	f, err := standin.NewFabric(standin.FabricConfig{Timers: d.timer, Seed: d.cfg.Seed})
+	if err != nil {
+		return &StartError{Part: "fabric", Cause: err}
+	}
+	d.fabric = f
+	return nil
+}
+
+func (d *deployment) openBalancers() error {
+	var addresses []netip.AddrPort
+	for i := range balancers {
+		b, err := instance.NewBalancer(instance.BalancerConfig{
+			Config: d.common(fmt.Sprintf("entry-%d", i+1)),
+			Role: balancer.Config{
+				Fabric:  loopback(),
+				Forward: loopback(),
+				Gateway: d.fabric.Answers(),
+				Drain:   balancerDrain,
+			},
+		})
+		if err != nil {
+			return &StartError{Part: "balancer", Cause: err}
+		}
+		d.balancers = append(d.balancers, b)
+		addresses = append(addresses, b.FabricAddress())
+	}
+	d.fabric.SetBalancers(addresses)
+	return nil
+}
+
+func (d *deployment) openPairs() error {
+	for i := range upstreamsFirst {
+		if err := d.openPair(firstService, i); err != nil {
+			return err
+		}
+	}
+	for i := range upstreamsOther {
+		if err := d.openPair(secondService, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *deployment) openPair(service string, i int) error {
+	name := fmt.Sprintf("%s-%d", service, i+1)
+	up, err := standin.NewUpstream(standin.UpstreamConfig{
+		Timers:  d.timer,
+		Name:    name,
+		Service: service,
+		Slots:   d.cfg.Slots,
+		Seed:    d.cfg.Seed + uint64(i),
+	})
+	if err != nil {
+		return &StartError{Part: name, Cause: err}
+	}
+	sc, err := instance.NewSidecar(instance.SidecarConfig{
+		Config: d.common(name),
+		Role: sidecar.Config{
+			Forward:  loopback(),
+			Gateway:  d.fabric.Answers(),
+			Drain:    sidecarDrain,
+			Upstream: upstream.Config{Address: up.Tunnel()},
+		},
+	})
+	if err != nil {
+		return &StartError{Part: name, Cause: err}
+	}
+	d.pairs = append(d.pairs, &pair{service: service, upstream: up, sidecar: sc})
+	return nil
+}
+
+func (d *deployment) common(name string) instance.Config {
+	return instance.Config{
+		Name:       name,
+		DataCentre: dataCentres()[0],
+		Platform:   "http://" + d.listener.Addr().String(),
+		Operator:   loopback(),
+		Key:        d.cluster,
+		Anchor:     d.signOff(),
+		Log:        d.log(),
+		Timer:      d.timer,
+	}
+}
+
+func (d *deployment) log() *event.Logger {
+	if d.cfg.Log == nil {
+		return event.New(event.Config{})
+	}
+	return d.cfg.Log
+}
+
+func (d *deployment) signOff() bundle.SignOff {
+	return bundle.SignOff{
+		Need:      1,
+		Approvers: []bundle.Approver{{Name: approver, Key: bundle.PublicKey(d.key)}},
+	}
+}
+
+// publish signs a bundle and puts it on the platform.
+func (d *deployment) publish(b *bundle.Bundle) error {
+	frozen, err := bundle.Freeze(b)
+	if err != nil {
+		return err
+	}
+	signed, err := bundle.Sign(frozen, approver, d.key)
+	if err != nil {
+		return err
+	}
+	body, err := signed.Marshal()
+	if err != nil {
+		return err
+	}
+	pub, err := platform.NewPublication(instance.BundleValue, b.Sequence, body)
+	if err != nil {
+		return err
+	}
+	d.sequence = b.Sequence
+	d.platform.Publish(pub)
+	return nil
+}
+
+// start runs every process until ctx is done. wait returns when all have ended.
+func (d *deployment) start(ctx context.Context) {
+	server := &http.Server{Handler: d.platform.Handler(), ReadHeaderTimeout: headerTimeout}
+	// The processes stop before what they stand on.
+	base, stop := context.WithCancel(context.WithoutCancel(ctx))
+	var processes conc.WaitGroup
+	for _, b := range d.balancers {
+		processes.Go(func() { b.Run(ctx) })
+	}
+	for _, p := range d.pairs {
+		one, cancel := context.WithCancel(ctx)
+		p.stop = cancel
+		processes.Go(func() { p.sidecar.Run(one) })
+		d.wg.Go(func() { _ = p.upstream.Run(base) })
+	}
+	d.wg.Go(func() { _ = d.fabric.Run(base) })
+	d.wg.Go(func() { _ = server.Serve(d.listener) })
+	d.wg.Go(func() {
+		processes.Wait()
+		stop()
+		server.Close()
+	})
+}
+
+// wait returns when every process has ended.
+func (d *deployment) wait() {
+	d.wg.Wait()
+}
+
+// awaitReady returns when the published bundle is in force in every process.
+func (d *deployment) awaitReady(ctx context.Context) error {
+	for !d.ready() {
+		if err := d.timer.Sleep(ctx, readyInterval); err != nil {
+			return &StartError{Part: "bundle", Cause: err}
+		}
+	}
+	return nil
+}
+
+func (d *deployment) ready() bool {
+	for _, b := range d.balancers {
+		if b.Version() < d.sequence {
+			return false
+		}
+	}
+	for _, p := range d.pairs {
+		if p.sidecar.Version() < d.sequence {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/demo/errors.go
@@ -0,0 +1,34 @@
+package demo
+
+import "fmt"
+
+// StartError reports a part of the demo that did not start.
+type StartError struct {
+	Part  string
+	Cause error
+}
+
+// Error returns the part and the cause.
+func (e *StartError) Error() string {
+	return fmt.Sprintf("demo: %s does not start: %v", e.Part, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *StartError) Unwrap() error {
+	return e.Cause
+}
+
+// WriteError reports output that could not be written.
+type WriteError struct {
+	Cause error
+}
+
+// Error returns the cause.
+func (e *WriteError) Error() string {
+	return fmt.Sprintf("demo: cannot write the report: %v", e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *WriteError) Unwrap() error {
+	return e.Cause
+}
--- a/route/service.go
+++ b/route/service.go
@@ -31,18 +31,19 @@
 	seeds      [2]uint64 // follow from the identity of the upstream
 }
 
-func newService(b *bundle.Service, centres []string) *Service {
+func newService(b *bundle.Service, dcs []bundle.DataCentre) *Service {
 	s := &Service{id: b.ID(), name: b.Name, config: *b, rules: new(bart.Table[bool])}
 	for _, r := range b.Rules {
 		s.rules.Insert(r.Callers, r.Allow)
 	}
 	for _, p := range b.Places {
-		dc := slices.Index(centres, p.DataCentre)
+		dc := slices.IndexFunc(dcs, func(d bundle.DataCentre) bool { return d.Name == p.DataCentre })
 		for _, u := range p.Upstreams {
 			s.pool = append(s.pool, newMember(s.id, u, dc))
 		}
 	}
 	s.equal = allWeighTheSame(s.pool)
+
 	return s
 }
 
--- a/route/view.go
+++ b/route/view.go
@@ -26,7 +26,6 @@
 	byAddr   map[address]holders
 	callers  *bart.Table[int] // caller prefix to index of the nearest data centre
 	near     [][]int          // near[a][b] is the rank of data centre b for callers of data centre a
-	centres  []string         // names by index
 }
 
 // address is where callers reach a service.
@@ -53,7 +52,7 @@
 	}
 	v.addDataCentres(b.DataCentres)
 	for i := range b.Services {
-		v.addService(&b.Services[i])
+		v.addService(&b.Services[i], b.DataCentres)
 	}
 	for i := range b.Services {
 		v.addAddresses(&b.Services[i])
@@ -160,7 +159,6 @@
 
 func (v *View) addDataCentres(dcs []bundle.DataCentre) {
 	for i, dc := range dcs {
-		v.centres = append(v.centres, dc.Name)
 		for _, p := range dc.Callers {
 			v.callers.Insert(p, i)
 		}
@@ -197,8 +195,8 @@
 	return names
 }
 
-func (v *View) addService(b *bundle.Service) {
-	s := newService(b, v.centres)
+func (v *View) addService(b *bundle.Service, dcs []bundle.DataCentre) {
+	s := newService(b, dcs)
 	v.services = append(v.services, s)
 	v.byName[s.name] = s
 	v.byID[s.id] = s
