--- /dev/null
+++ b/flow/caller_test.go
@@ -0,0 +1,229 @@
+package flow_test
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/flow"
+)
+
+// A body is what a packet of the fake carries besides its decision fields.
+type body struct {
+	flow   *callerFlow
+	id     int // request; 0 is none
+	part   int // of an answer
+	close  bool
+	reset  bool
+	synAck bool
+	refuse *flow.Refuse
+}
+
+// A callerFlow is one incarnation of a 5-tuple at its caller.
+type callerFlow struct {
+	w       *world
+	key     flow.Key
+	service bundle.ServiceID // that held the address when the flow was opened
+	isn     uint32
+
+	upstreamISN uint32
+	established bool
+	openedAt    time.Time
+	closed      bool
+	broken      bool
+	sent        uint32 // requests
+	received    uint32 // parts of answers
+	requests    []*request
+	lastSent    time.Time
+}
+
+// A request is one piece of work that a caller asks for.
+type request struct {
+	id       int
+	sequence uint32
+	first    time.Time
+	last     time.Time
+	parts    map[int]bool
+	done     bool // answered whole, refused or cancelled
+	refused  bool
+}
+
+// open opens a flow; reuse names an earlier flow whose 5-tuple is used again.
+func (w *world) open(p flow.Protocol, s bundle.ServiceID, reuse *callerFlow) *callerFlow {
+	w.nextPort++
+	f := &callerFlow{w: w, key: testKey(p, w.nextPort, s), service: s, isn: w.rng.Uint32(), openedAt: w.now}
+	if reuse != nil {
+		f.key = reuse.key
+		reuse.closed = true
+	}
+	w.flows = append(w.flows, f)
+	if p == flow.UDP {
+		f.established = true
+		return f
+	}
+	f.syn()
+	return f
+}
+
+// packet sends a packet through any running balancer.
+func (f *callerFlow) packet(p flow.Packet, bd body) {
+	p.Key, bd.flow = f.key, f
+	f.lastSent = f.w.now
+	var running []*balancer
+	for _, b := range f.w.balancers {
+		if !b.dead {
+			running = append(running, b)
+		}
+	}
+	if len(running) == 0 {
+		return
+	}
+	b := running[f.w.rng.IntN(len(running))]
+	f.w.send(fabric, b.id, func() { b.receive(p, bd) })
+}
+
+func (f *callerFlow) syn() {
+	f.packet(flow.Packet{Opening: true, Sequence: f.isn}, body{})
+}
+
+// request asks for a new piece of work.
+func (f *callerFlow) request() *request {
+	f.w.nextID++
+	r := &request{id: f.w.nextID, sequence: f.isn + 1 + f.sent*segment, first: f.w.now, parts: map[int]bool{}}
+	f.sent++
+	f.requests = append(f.requests, r)
+	f.transmit(r)
+	return r
+}
+
+func (f *callerFlow) transmit(r *request) {
+	r.last = f.w.now
+	f.packet(flow.Packet{Sequence: r.sequence, Acknowledged: f.upstreamISN + 1 + f.received*segment, HasAck: f.key.Protocol() == flow.TCP}, body{id: r.id})
+}
+
+func (f *callerFlow) close() {
+	f.closed = true
+	if f.key.Protocol() == flow.TCP && f.established {
+		f.packet(flow.Packet{Sequence: f.isn + 1 + f.sent*segment, Acknowledged: f.upstreamISN + 1 + f.received*segment, HasAck: true, Closing: true}, body{close: true})
+	}
+}
+
+const (
+	retransmitAfter = 700 * time.Millisecond
+	connectTimeout  = 8 * time.Second
+	keepAlive       = 2 * time.Second
+)
+
+// tick repeats what was not answered: a datagram for as long as callers may
+// repeat it, a segment until the flow is closed.
+func (f *callerFlow) tick() {
+	if f.closed || f.broken {
+		return
+	}
+	if !f.established {
+		f.connect()
+		return
+	}
+	if f.key.Protocol() == flow.TCP && f.w.now.Sub(f.lastSent) > keepAlive {
+		f.packet(flow.Packet{Sequence: f.isn + 1 + f.sent*segment, Acknowledged: f.upstreamISN + 1 + f.received*segment, HasAck: true}, body{})
+	}
+	for _, r := range f.requests {
+		if r.done || f.w.now.Sub(r.last) < retransmitAfter {
+			continue
+		}
+		if f.key.Protocol() == flow.UDP && f.w.now.Sub(r.first) >= testRepeat {
+			r.done = true
+			continue
+		}
+		f.transmit(r)
+	}
+}
+
+func (f *callerFlow) connect() {
+	if f.w.now.Sub(f.openedAt) > connectTimeout {
+		f.closed = true
+		return
+	}
+	if f.w.now.Sub(f.lastSent) >= retransmitAfter {
+		f.syn()
+	}
+}
+
+// later calls fn at a time, in no process.
+func (w *world) later(at time.Time, fn func()) {
+	w.sent++
+	heap.Push(&w.queue, message{at: at, sequence: w.sent, from: fabric, to: fabric, arrive: fn})
+}
+
+// toCaller sends an answer or a refusal.
+func (w *world) toCaller(h *host, p flow.Packet, bd body) {
+	w.send(h.node(), fabric, func() { bd.flow.receive(p, bd) })
+}
+
+// receive takes in an answer as a TCP stack or a UDP caller does. An answer
+// meant for another incarnation of the 5-tuple is recognised by its numbers.
+func (f *callerFlow) receive(p flow.Packet, bd body) {
+	if f.closed || f.broken {
+		return
+	}
+	switch {
+	case bd.refuse != nil:
+		f.receiveRefusal(p, bd)
+	case bd.reset:
+		f.lost("reset by the upstream")
+	case bd.synAck:
+		f.receiveSynAck(p)
+	default:
+		f.receiveAnswer(p, bd)
+	}
+}
+
+func (f *callerFlow) receiveRefusal(p flow.Packet, bd body) {
+	if f.key.Protocol() == flow.TCP {
+		switch {
+		case p.Opening && !f.established:
+			f.closed = true
+		case !p.Opening && f.established:
+			f.lost(bd.refuse.Reason.String())
+		}
+		return
+	}
+	for _, r := range f.requests {
+		if r.id == bd.id && !r.done {
+			r.done, r.refused = true, true
+		}
+	}
+}
+
+func (f *callerFlow) receiveSynAck(p flow.Packet) {
+	if f.established || p.Acknowledged != f.isn+1 {
+		return
+	}
+	f.established = true
+	f.upstreamISN = p.Sequence
+	f.request()
+}
+
+func (f *callerFlow) receiveAnswer(p flow.Packet, bd body) {
+	if f.key.Protocol() == flow.TCP && p.Sequence-f.upstreamISN-1 > 1<<20 {
+		return
+	}
+	for _, r := range f.requests {
+		if r.id != bd.id {
+			continue
+		}
+		r.parts[bd.part] = true
+		if len(r.parts) == 2 && !r.done {
+			r.done = true
+			f.received += 2
+		}
+		return
+	}
+	f.w.oracle.fail("an answer to request %d reached a caller that did not ask", bd.id)
+}
+
+// lost notes that an established flow was cut.
+func (f *callerFlow) lost(why string) {
+	f.broken = true
+	f.w.oracle.broken(f, why)
+}
--- /dev/null
+++ b/flow/changes_test.go
@@ -0,0 +1,148 @@
+package flow_test
+
+import (
+	"slices"
+	"time"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/flow"
+)
+
+// addUpstream starts an instance, and lists it in the service once callers can
+// no longer repeat what an earlier instance in its place may have run.
+func (w *world) addUpstream(s bundle.ServiceID, u bundle.UpstreamID) {
+	w.publish(func(p *plan) { p.set(s, member{upstream: u, weight: 1}) })
+	if h := w.hosts[u]; h == nil {
+		w.startHost(u)
+	} else if h.dead {
+		h.restart()
+	}
+}
+
+// leave marks an upstream as leaving.
+func (w *world) leave(s bundle.ServiceID, u bundle.UpstreamID) {
+	w.publish(func(p *plan) {
+		m, ok := p.find(s, u)
+		m.leaving = true
+		if ok {
+			p.set(s, m)
+		}
+	})
+}
+
+// moveUpstream gives an upstream to another service; it stays findable in the former one.
+func (w *world) moveUpstream(from, to bundle.ServiceID, u bundle.UpstreamID) {
+	w.leave(from, u)
+	w.publish(func(p *plan) { p.set(to, member{upstream: u, weight: 1}) })
+}
+
+// moveAddress gives the address that a service held at first to the other service.
+func (w *world) moveAddress(s bundle.ServiceID) {
+	a := serviceAddr(s)
+	w.publish(func(p *plan) {
+		p.addresses[a] = owner{service: 3 - p.addresses[a].service, former: p.addresses[a].service}
+	})
+}
+
+// active returns the upstreams of a service that take new flows.
+func (w *world) active(s bundle.ServiceID) []bundle.UpstreamID {
+	var us []bundle.UpstreamID
+	for _, m := range w.latest().members[s] {
+		if !m.leaving {
+			us = append(us, m.upstream)
+		}
+	}
+	return us
+}
+
+// removeEmpty removes the leaving upstreams that own no flow and stops them, as
+// operators do once a sidecar reports that it is empty.
+func (w *world) removeEmpty() {
+	for _, s := range []bundle.ServiceID{fitting, report} {
+		for _, m := range slices.Clone(w.latest().members[s]) {
+			h := w.hosts[m.upstream]
+			known := h.plan.version == w.latest().version
+			if !m.leaving || !h.running() || !known || h.sidecar.Flows() > 0 || w.now.Sub(h.sign) < 2*flow.ReportInterval {
+				continue
+			}
+			w.publish(func(p *plan) { p.drop(s, m.upstream) })
+			if h.service == s && w.now.Sub(h.sign) > 5*time.Second {
+				w.oracle.stopped(h)
+			}
+		}
+	}
+}
+
+// unplanned notes that something happened that operators did not plan.
+func (w *world) unplanned() {
+	w.oracle.planned = false
+}
+
+func (w *world) kill(u bundle.UpstreamID) {
+	w.unplanned()
+	w.hosts[u].kill()
+}
+
+func (w *world) pause(u bundle.UpstreamID) {
+	w.unplanned()
+	h := w.hosts[u]
+	if h.running() {
+		h.paused, h.pausedAt = true, w.now
+	}
+}
+
+// resume brings back a host that is dead or paused.
+func (w *world) resume(u bundle.UpstreamID) {
+	switch h := w.hosts[u]; {
+	case h.dead:
+		h.restart()
+	case h.paused:
+		h.wake()
+	}
+}
+
+// restartUpstream restarts the upstream beside a running sidecar.
+func (w *world) restartUpstream(u bundle.UpstreamID) {
+	w.unplanned()
+	h := w.hosts[u]
+	if h.running() {
+		h.empty()
+		h.sidecar.UpstreamRestarted(w.now)
+	}
+}
+
+// heal ends partitions, pauses and outages of the platform.
+func (w *world) heal() {
+	w.sides = map[node]int{}
+	w.stale = false
+	w.loss = 0
+	for _, u := range w.upstreams() {
+		if w.hosts[u].paused {
+			w.hosts[u].wake()
+		}
+	}
+	for _, b := range w.balancers {
+		if b.paused {
+			b.wake()
+		}
+	}
+}
+
+// rest lets a long time pass while each flow stays in use.
+func (w *world) rest(d time.Duration) {
+	const ping = 8 * time.Second
+	for ; d > 0; d -= ping {
+		for _, f := range w.flows {
+			if f.established && !f.closed && !f.broken {
+				f.request()
+			}
+		}
+		w.run(min(d, ping))
+	}
+}
+
+// elsewhere reports whether the newest plan names the upstream in the other service, too.
+func (w *world) elsewhere(s bundle.ServiceID, u bundle.UpstreamID) bool {
+	_, ok := w.latest().find(3-s, u)
+	return ok
+}
--- /dev/null
+++ b/flow/events.go
@@ -0,0 +1,232 @@
+package flow
+
+import (
+	"time"
+
+	"github.com/corianderbay/corianderbay/bundle"
+)
+
+// BundleAccepted puts a bundle in force. An older one than the one in force is
+// ignored. An upstream that serves a service keeps it until a Tick says that it switched.
+func (s *Sidecar) BundleAccepted(now time.Time, v View) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.state.Load()
+	if old != nil && v.Version() <= old.view.Version() {
+		return
+	}
+	self := v.Self()
+	service := self.Service
+	if old == nil {
+		s.oldest = v.Version()
+	}
+	if old != nil && old.service != 0 {
+		service = old.service
+	}
+	s.hear(v.Version())
+	s.replace(now, old, v, service)
+}
+
+// replace puts a new state in force. The caller holds s.mu.
+func (s *Sidecar) replace(now time.Time, old *state, v View, service bundle.ServiceID) {
+	self := v.Self()
+	n := &state{view: v, service: service}
+	n.leaving = s.draining || !self.Listed || self.Leaving || self.Service != service
+	settings, ok := v.Settings(service)
+	if !ok && old != nil {
+		settings = old.settings
+	}
+	n.settings = settings
+	if old != nil && old.service != service {
+		s.peers.reset()
+		old = nil
+	}
+	n.joined = v.Version()
+	if old != nil {
+		n.generation, n.changed, n.joined = old.generation, old.changed, old.joined
+	}
+	if old == nil || old.view.Fingerprint(service) != v.Fingerprint(service) {
+		n.generation++
+		n.changed = s.stamp(now)
+		if s.peers.reordered(now, v.Version(), v.Members(service), service) {
+			n.joined = v.Version()
+		}
+		s.lastReport = time.Time{}
+	}
+	s.state.Store(n)
+}
+
+// PeerReported takes in a report of another sidecar of the same service.
+func (s *Sidecar) PeerReported(now time.Time, r PeerReport) {
+	s.hear(r.Version)
+	s.peers.reported(now, r)
+}
+
+// Listed takes in the platform's list of instances: gone holds the upstreams
+// of the bundle that are missing from it.
+func (s *Sidecar) Listed(now time.Time, gone []bundle.UpstreamID) {
+	s.peers.listed(now, gone)
+	s.regenerate()
+}
+
+// regenerate makes each UDP flow compute again whether this sidecar is its first candidate.
+func (s *Sidecar) regenerate() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.state.Load()
+	if old == nil {
+		return
+	}
+	n := *old
+	n.generation++
+	s.state.Store(&n)
+}
+
+// Woke says that the process did not run for the gap that ended now. Packets
+// are dropped until Drained, which the caller must call once every socket has
+// been read empty.
+func (s *Sidecar) Woke(now time.Time, gap time.Duration) {
+	if gap < MaxPacketLife {
+		return
+	}
+	s.backlog.Store(true)
+	s.peers.unsettle(now)
+	if st := s.state.Load(); st != nil && !st.settings.Idempotent && gap >= FenceTime {
+		s.doubtOwned(s.stamp(now))
+	}
+}
+
+// Drained ends the dropping of packets that Woke began.
+func (s *Sidecar) Drained() {
+	s.backlog.Store(false)
+}
+
+// doubtOwned turns owned UDP flows into memories: another sidecar may have taken them over.
+func (s *Sidecar) doubtOwned(at stamp) {
+	for i := range s.table.shards {
+		sh := &s.table.shards[i]
+		sh.mu.Lock()
+		for k, e := range sh.entries {
+			if k.Protocol() == UDP && e.kind == kindOwner {
+				s.table.put(sh, k, entry{kind: kindPassed, flags: promised, version: e.version, last: at, seen: at - min(at, ticks(searchLife)+1)})
+			}
+		}
+		sh.mu.Unlock()
+	}
+}
+
+// Drain stops the acceptance of new flows at once.
+func (s *Sidecar) Drain(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.draining = true
+	old := s.state.Load()
+	if old == nil {
+		return
+	}
+	n := *old
+	n.leaving = true
+	s.state.Store(&n)
+}
+
+// UpstreamRestarted says that the upstream started empty: its flows are gone.
+func (s *Sidecar) UpstreamRestarted(now time.Time) {
+	s.born.Store(now.UnixNano())
+	for i := range s.table.shards {
+		sh := &s.table.shards[i]
+		sh.mu.Lock()
+		for k, e := range sh.entries {
+			if e.kind.owned() {
+				s.table.remove(sh, k)
+			}
+		}
+		sh.mu.Unlock()
+	}
+}
+
+// Loaded sets the upstream's load in thousandths of a slot.
+func (s *Sidecar) Loaded(load uint32) {
+	s.load.Store(load)
+}
+
+// Found takes in a hint of another sidecar that owns a flow this one searched for.
+func (s *Sidecar) Found(now time.Time, k Key, owner bundle.UpstreamID) {
+	sh := s.table.shard(k)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	e, ok := sh.entries[k]
+	if !ok || e.kind != kindPassed || e.flags&asking == 0 || owner == s.cfg.Upstream {
+		return
+	}
+	e.target = owner
+	e.flags &^= asking
+	sh.entries[k] = e
+}
+
+// A Due is what a Tick asks the edges to send.
+type Due struct {
+	// Hints are at most HintBudget bytes a second, those of the heaviest flows first.
+	Hints []Hint
+	// Report goes to the other sidecars of the service; nil when none is due.
+	Report *PeerReport
+	// Switched is true when the upstream serves another service from now on.
+	Switched bool
+}
+
+// Tick does the work that waits for time. It is to be called every 100 ms or so.
+func (s *Sidecar) Tick(now time.Time) Due {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	st := s.state.Load()
+	if st == nil {
+		return Due{}
+	}
+	s.sweep(s.stamp(now), st)
+	d := Due{Switched: s.switchService(now, st), Hints: s.outbox.due(now)}
+	if now.Sub(s.lastReport) >= ReportInterval {
+		s.lastReport = now
+		d.Report = s.report(now)
+	}
+	return d
+}
+
+// switchService lets the upstream serve the service that the bundle names once
+// it owns no flow of the former one. The caller holds s.mu.
+func (s *Sidecar) switchService(now time.Time, st *state) bool {
+	self := st.view.Self()
+	if !self.Listed || self.Service == st.service || s.Flows() > 0 {
+		return false
+	}
+	s.replace(now, st, st.view, self.Service)
+	return true
+}
+
+// report returns what the sidecar tells its peers.
+func (s *Sidecar) report(now time.Time) *PeerReport {
+	st := s.state.Load()
+	return &PeerReport{
+		Upstream:    s.cfg.Upstream,
+		Service:     st.service,
+		Incarnation: s.cfg.Incarnation,
+		Version:     st.view.Version(),
+		Highest:     s.Heard(),
+		Oldest:      s.oldest,
+		Flows:       s.Flows(),
+		Load:        s.load.Load(),
+		Leaving:     st.leaving,
+		Heard:       s.peers.recent(now),
+	}
+}
+
+// sweep forgets the expired entries of one shard. The caller holds s.mu.
+func (s *Sidecar) sweep(at stamp, st *state) {
+	sh := &s.table.shards[s.swept]
+	s.swept = (s.swept + 1) % len(s.table.shards)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	for k, e := range sh.entries {
+		if at > e.last && at-e.last > st.life(k.Protocol(), e) {
+			s.table.remove(sh, k)
+		}
+	}
+}
--- /dev/null
+++ b/flow/host_test.go
@@ -0,0 +1,271 @@
+package flow_test
+
+import (
+	"time"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/flow"
+	"github.com/corianderbay/corianderbay/forward"
+)
+
+// hostNode is added to an upstream's number to name its node.
+const hostNode node = 1000
+
+// A host is the fake of an upstream instance with its sidecar.
+type host struct {
+	process
+	w       *world
+	id      bundle.UpstreamID
+	plan    *plan
+	sidecar *flow.Sidecar
+	// service is what the upstream really serves.
+	service bundle.ServiceID
+	// incarnation differs each time the upstream starts empty.
+	incarnation uint64
+	conns       map[flow.Key]*conn
+	// known are the UDP flows that the upstream remembers, with the requests it ran.
+	known map[flow.Key]map[int]bool
+	// sign is when the upstream first heard that it leaves; zero if it does not.
+	sign    time.Time
+	pending int // requests that run now
+}
+
+// A conn is a TCP connection at an upstream.
+type conn struct {
+	callerISN, upstreamISN uint32
+	established            bool
+	ran                    map[int]bool
+	sent                   uint32 // bytes
+}
+
+// segment is how many bytes each request and each part of an answer takes.
+const segment = 100
+
+func (w *world) startHost(u bundle.UpstreamID) *host {
+	h := &host{w: w, id: u}
+	h.restart()
+	w.hosts[u] = h
+	return h
+}
+
+func (h *host) node() node {
+	return hostNode + node(h.id)
+}
+
+// restart starts the sidecar and the upstream empty.
+func (h *host) restart() {
+	h.process = process{}
+	h.plan = h.w.newest(h.node())
+	cfg := h.w.config
+	h.w.births++
+	cfg.Upstream, cfg.Incarnation, cfg.Shards = h.id, h.w.births, 1
+	h.sidecar = flow.NewSidecar(cfg, h.w.now)
+	if h.w.disable != nil {
+		h.w.disable(h.sidecar)
+	}
+	h.sign = time.Time{}
+	h.empty()
+	h.accept(h.plan)
+}
+
+// empty forgets all that the upstream holds.
+func (h *host) empty() {
+	h.w.births++
+	h.incarnation = h.w.births
+	h.conns = map[flow.Key]*conn{}
+	h.known = map[flow.Key]map[int]bool{}
+	h.pending = 0
+}
+
+func (h *host) kill() {
+	h.process = process{dead: true, deadAt: h.w.now}
+	h.empty()
+}
+
+func (h *host) accept(p *plan) {
+	h.plan = p
+	h.w.log("upstream %d takes bundle %d", h.id, p.version)
+	v := view{plan: p, self: h.id}
+	h.sidecar.BundleAccepted(h.w.now, v)
+	h.service, _ = h.sidecar.Service()
+	self := v.Self()
+	leaving := !self.Listed || self.Leaving || self.Service != h.service
+	switch {
+	case !leaving:
+		h.sign = time.Time{}
+	case h.sign.IsZero():
+		h.sign = h.w.now
+	}
+}
+
+func (h *host) drain() {
+	h.sidecar.Drain(h.w.now)
+	if h.sign.IsZero() {
+		h.sign = h.w.now
+	}
+}
+
+// wake ends a pause: the upstream's sidecar learns of the gap, reads what
+// waited in its sockets, and says so.
+func (h *host) wake() {
+	waiting := h.waiting
+	h.paused, h.waiting = false, nil
+	h.sidecar.Woke(h.w.now, h.w.now.Sub(h.pausedAt))
+	for _, f := range waiting {
+		f()
+	}
+	h.sidecar.Drained()
+}
+
+func (h *host) tick() {
+	if !h.running() {
+		return
+	}
+	if n := h.w.newest(h.node()); h.w.takes(h.plan, n) {
+		h.accept(n)
+	}
+	if !h.w.stale && h.w.chance(0.1) == 1 {
+		h.sidecar.Listed(h.w.now, h.w.listedGone())
+	}
+	due := h.sidecar.Tick(h.w.now)
+	if due.Switched {
+		h.service, _ = h.sidecar.Service()
+		h.empty()
+		h.sign = time.Time{}
+	}
+	for _, hint := range due.Hints {
+		h.w.sendHint(h, hint)
+	}
+	if due.Report != nil {
+		h.report(*due.Report)
+	}
+}
+
+func (h *host) report(r flow.PeerReport) {
+	const reportBytes = 100
+	for _, c := range (view{plan: h.plan, self: h.id}).Members(h.service) {
+		peer := h.w.hosts[c.Upstream]
+		if peer == h || peer == nil {
+			continue
+		}
+		h.w.control += reportBytes
+		h.w.send(h.node(), peer.node(), func() { peer.sidecar.PeerReported(h.w.now, r) })
+	}
+}
+
+// receive acts on the decision for a forwarded packet.
+func (h *host) receive(hd forward.Header, p flow.Packet, bd body) {
+	before := hd
+	action := h.sidecar.Packet(h.w.now, &hd, p)
+	h.log(before, hd, p, bd, action)
+	switch a := action.(type) {
+	case flow.Deliver:
+		h.w.oracle.visited(p.Key, int(hd.Hops))
+		h.deliver(p, bd)
+	case flow.Forward:
+		h.w.sendForward(h.node(), hd, p, bd)
+	case flow.Refuse:
+		h.w.oracle.refused(h, bd, a)
+		h.w.toCaller(h, p, body{id: bd.id, refuse: &a, flow: bd.flow})
+	case flow.Drop:
+	}
+}
+
+// log traces a decision.
+func (h *host) log(before, after forward.Header, p flow.Packet, bd body, a flow.Action) {
+	h.w.log("upstream %d: %v request %d opening %v ack %v v%d phase %d at %d passed %b doubt %v -> %T%+v v%d phase %d at %d passed %b doubt %v",
+		h.id, p.Key, bd.id, p.Opening, p.Acknowledged, before.Version, before.Phase, before.At, before.Passed, before.Doubt,
+		a, a, after.Version, after.Phase, after.At, after.Passed, after.Doubt)
+}
+
+// deliver hands a packet to the upstream.
+func (h *host) deliver(p flow.Packet, bd body) {
+	h.w.oracle.delivered(h, p, bd)
+	if p.Key.Protocol() == flow.UDP {
+		h.datagram(p, bd)
+		return
+	}
+	c := h.conns[p.Key]
+	if p.Opening {
+		h.open(c, p, bd)
+		return
+	}
+	if c == nil || p.Sequence-c.callerISN-1 > 1<<20 || p.Acknowledged-c.upstreamISN-1 > 1<<20 {
+		h.answer(p, body{flow: bd.flow, reset: true})
+		return
+	}
+	c.established = true
+	if bd.close {
+		delete(h.conns, p.Key)
+		return
+	}
+	if bd.id != 0 {
+		h.run(p, bd, c.ran)
+	}
+}
+
+// open answers a SYN as a TCP stack does; one of another incarnation replaces
+// the connection only when the caller still wants it, which a challenge ACK finds out.
+func (h *host) open(c *conn, p flow.Packet, bd body) {
+	if c != nil && c.callerISN != p.Sequence && bd.flow.isn != p.Sequence {
+		return
+	}
+	if c == nil || c.callerISN != p.Sequence {
+		h.w.oracle.opened(h, bd)
+		c = &conn{callerISN: p.Sequence, upstreamISN: h.w.rng.Uint32(), ran: map[int]bool{}}
+		h.conns[p.Key] = c
+	}
+	h.answer(p, body{flow: bd.flow, synAck: true})
+}
+
+func (h *host) datagram(p flow.Packet, bd body) {
+	ran := h.known[p.Key]
+	if ran == nil {
+		h.w.oracle.opened(h, bd)
+		ran = map[int]bool{}
+		h.known[p.Key] = ran
+	}
+	h.run(p, bd, ran)
+}
+
+// run runs a request unless the upstream's own flow memory has it, and answers in two parts.
+func (h *host) run(p flow.Packet, bd body, ran map[int]bool) {
+	if !ran[bd.id] {
+		ran[bd.id] = true
+		h.w.oracle.ran(h, bd)
+	}
+	h.pending++
+	incarnation := h.incarnation
+	work := time.Duration(h.w.rng.Int64N(int64(300 * time.Millisecond)))
+	at := h.w.now.Add(work)
+	h.w.later(at, func() {
+		if h.incarnation != incarnation || h.dead {
+			return
+		}
+		h.pending--
+		h.answer(p, body{flow: bd.flow, id: bd.id, part: 1})
+		h.answer(p, body{flow: bd.flow, id: bd.id, part: 2})
+	})
+}
+
+// answer sends a packet of the upstream through the sidecar to the caller.
+func (h *host) answer(p flow.Packet, bd body) {
+	a := flow.Packet{Key: p.Key, Size: segment}
+	if c := h.conns[p.Key]; c != nil {
+		a.HasAck = true
+		a.Acknowledged = p.Sequence + 1
+		a.Sequence = c.upstreamISN + 1 + c.sent
+		if bd.synAck {
+			a.Opening = true
+			a.Acknowledged, a.Sequence = c.callerISN+1, c.upstreamISN
+		} else {
+			c.sent += segment
+		}
+	}
+	if !h.running() {
+		return
+	}
+	if _, ok := h.sidecar.Answer(h.w.now, a).(flow.Deliver); ok {
+		h.w.toCaller(h, a, bd)
+	}
+}
--- /dev/null
+++ b/flow/limits.go
@@ -0,0 +1,45 @@
+package flow
+
+import "time"
+
+// The times that all sidecars share.
+const (
+	// MaxPacketLife is how long a packet may be on its way between two processes.
+	MaxPacketLife = 2 * time.Second
+	// ReportInterval is the time between two reports of a sidecar to its peers.
+	ReportInterval = time.Second
+	// SuspectTime is how long a peer may be silent before it is asked last.
+	SuspectTime = 3 * time.Second
+	// FenceTime is how long a sidecar that no peer hears keeps delivering non-idempotent requests.
+	FenceTime = 5 * time.Second
+	// DetourInterval is how often a UDP flow away from its first candidate is seen there.
+	DetourInterval = time.Minute
+	// DetourGrace is how much longer it may take while the first candidate is silent.
+	DetourGrace = time.Minute
+	// RetryAfter is what a refused caller is told to wait; a refusal is remembered as long.
+	RetryAfter = 2 * MaxPacketLife
+)
+
+const (
+	// takeoverFences is how many fence times must pass before another sidecar takes over.
+	takeoverFences = 3
+	// searchLife is how long a search for the owner of a flow may be on its way.
+	searchLife = 2 * MaxPacketLife
+	// searchSlack bounds how long after the first candidate the owner sees a packet.
+	searchSlack = 20 * time.Second
+	// halfOpenLife is how long an opening that the caller does not complete is kept.
+	halfOpenLife = 75 * time.Second
+	// closingLife is how long a flow is kept after a FIN or RST.
+	closingLife = time.Minute
+	// touchInterval is the resolution of the time of a flow's last packet.
+	touchInterval = time.Second
+	// maxHops bounds the sidecars that one packet visits.
+	maxHops = 40
+	// maxWindow bounds the bytes that an upstream has sent and the caller has not acknowledged.
+	maxWindow = 1 << 24
+)
+
+// ticks returns the duration as a difference of stamps.
+func ticks(d time.Duration) stamp {
+	return stamp(d / tickLength)
+}
--- /dev/null
+++ b/flow/oracle_test.go
@@ -0,0 +1,126 @@
+package flow_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/flow"
+)
+
+// leavingGrace is how long after the first sign a leaving upstream may still get new flows.
+const leavingGrace = 2 * time.Second
+
+// An oracle knows what ran where and what each caller was told. It shares no
+// code with the decisions that it judges.
+type oracle struct {
+	w *world
+	// failures are the broken promises, in order.
+	failures []string
+	// planned is true while nothing but planned changes and losses of balancers happened.
+	planned bool
+	// runs holds the incarnation of the upstream that ran a request first.
+	runs map[int]uint64
+	// notRun holds the requests that a refusal declared as not run.
+	notRun map[int]bool
+	// homes is where the last request of a UDP flow ran.
+	homes map[*callerFlow]home
+	// held are the services that an address belonged to in any plan.
+	brokenFlows int
+	visits      int
+	packets     int
+}
+
+type home struct {
+	incarnation uint64
+	host        *host
+	at          time.Time
+}
+
+func newOracle(w *world) *oracle {
+	return &oracle{w: w, planned: true, runs: map[int]uint64{}, notRun: map[int]bool{}, homes: map[*callerFlow]home{}}
+}
+
+func (o *oracle) fail(format string, args ...any) {
+	o.failures = append(o.failures, fmt.Sprintf(format, args...))
+}
+
+// visited counts the sidecars that a delivered packet visited.
+func (o *oracle) visited(k flow.Key, hops int) {
+	o.visits += hops
+	o.packets++
+}
+
+// delivered checks that the upstream serves a service that held the packet's address.
+func (o *oracle) delivered(h *host, p flow.Packet, bd body) {
+	for _, plan := range o.w.plans {
+		if plan.addresses[p.Key.Address()].service == h.service {
+			return
+		}
+	}
+	o.fail("a packet of request %d for %v reached upstream %d of service %d", bd.id, p.Key, h.id, h.service)
+}
+
+// opened checks that a leaving upstream gets no new flow.
+func (o *oracle) opened(h *host, bd body) {
+	if !h.sign.IsZero() && o.w.now.Sub(h.sign) > leavingGrace {
+		o.fail("upstream %d got a new flow %v %v after the first sign that it leaves", h.id, bd.flow.key, o.w.now.Sub(h.sign))
+	}
+}
+
+// ran checks that a request runs at most once, and not after a refusal denied it.
+func (o *oracle) ran(h *host, bd body) {
+	if o.notRun[bd.id] {
+		o.fail("request %d ran at upstream %d after a refusal said that it did not", bd.id, h.id)
+	}
+	first, again := o.runs[bd.id]
+	if again && first != h.incarnation && !o.idempotent(h.service) {
+		o.fail("request %d of %v ran again at upstream %d", bd.id, bd.flow.key, h.id)
+	}
+	if !again {
+		o.runs[bd.id] = h.incarnation
+	}
+	o.stays(h, bd)
+}
+
+// stays checks that planned changes do not move an established UDP flow.
+func (o *oracle) stays(h *host, bd body) {
+	if bd.flow.key.Protocol() != flow.UDP {
+		return
+	}
+	old, ok := o.homes[bd.flow]
+	o.homes[bd.flow] = home{incarnation: h.incarnation, host: h, at: o.w.now}
+	if ok && o.planned && old.incarnation != h.incarnation && o.w.now.Sub(old.at) < testIdle {
+		o.fail("flow %v moved from upstream %d to %d during planned changes", bd.flow.key, old.host.id, h.id)
+	}
+}
+
+func (o *oracle) idempotent(s bundle.ServiceID) bool {
+	return o.w.plans[0].settings[s].Idempotent
+}
+
+// refused checks that a request declared as not run has not run.
+func (o *oracle) refused(h *host, bd body, r flow.Refuse) {
+	if !r.NotRun || bd.id == 0 {
+		return
+	}
+	if _, ok := o.runs[bd.id]; ok {
+		o.fail("upstream %d refused request %d as not run, but it ran", h.id, bd.id)
+	}
+	o.notRun[bd.id] = true
+}
+
+// broken counts an established flow that was cut.
+func (o *oracle) broken(f *callerFlow, why string) {
+	o.brokenFlows++
+	if o.planned {
+		o.fail("flow %v broke during planned changes: %s", f.key, why)
+	}
+}
+
+// stopped checks that a planned stop cuts no request.
+func (o *oracle) stopped(h *host) {
+	if h.pending > 0 && o.planned {
+		o.fail("the stop of upstream %d cut %d requests", h.id, h.pending)
+	}
+}
--- /dev/null
+++ b/flow/plan_test.go
@@ -0,0 +1,226 @@
+package flow_test
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/flow"
+	"github.com/corianderbay/corianderbay/forward"
+)
+
+// A member is one upstream of a service in a plan.
+type member struct {
+	upstream bundle.UpstreamID
+	leaving  bool
+	weight   uint64
+}
+
+// An owner says which service holds an address, and which held it before.
+type owner struct {
+	service, former bundle.ServiceID
+}
+
+// A plan is a small bundle. It is immutable once published.
+type plan struct {
+	version   uint64
+	settings  map[bundle.ServiceID]flow.Settings
+	members   map[bundle.ServiceID][]member
+	addresses map[netip.AddrPort]owner
+}
+
+// with returns the next version of the plan after change.
+func (p *plan) with(change func(*plan)) *plan {
+	n := &plan{
+		version:   p.version + 1,
+		settings:  maps.Clone(p.settings),
+		members:   make(map[bundle.ServiceID][]member),
+		addresses: maps.Clone(p.addresses),
+	}
+	for s, ms := range p.members {
+		n.members[s] = slices.Clone(ms)
+	}
+	change(n)
+	return n
+}
+
+// set replaces or adds a member.
+func (p *plan) set(s bundle.ServiceID, m member) {
+	p.drop(s, m.upstream)
+	p.members[s] = append(p.members[s], m)
+	slices.SortFunc(p.members[s], func(a, b member) int { return cmp.Compare(a.upstream, b.upstream) })
+}
+
+func (p *plan) drop(s bundle.ServiceID, u bundle.UpstreamID) {
+	p.members[s] = slices.DeleteFunc(p.members[s], func(m member) bool { return m.upstream == u })
+}
+
+func (p *plan) find(s bundle.ServiceID, u bundle.UpstreamID) (member, bool) {
+	i := slices.IndexFunc(p.members[s], func(m member) bool { return m.upstream == u })
+	if i < 0 {
+		return member{}, false
+	}
+	return p.members[s][i], true
+}
+
+// A view is the plan as one sidecar reads it.
+type view struct {
+	*plan
+	self bundle.UpstreamID
+}
+
+func (v view) Version() uint64 { return v.version }
+
+func (v view) Self() flow.Self {
+	var self flow.Self
+	for s, ms := range v.members {
+		for _, m := range ms {
+			if m.upstream != v.self || self.Listed && m.leaving {
+				continue
+			}
+			self = flow.Self{Listed: true, Service: s, Leaving: m.leaving}
+		}
+	}
+	return self
+}
+
+func (v view) Settings(s bundle.ServiceID) (flow.Settings, bool) {
+	settings, ok := v.settings[s]
+	return settings, ok
+}
+
+func (v view) Members(s bundle.ServiceID) []forward.Candidate {
+	var cs []forward.Candidate
+	for _, other := range []bundle.ServiceID{fitting, report} {
+		for _, m := range v.members[other] {
+			if other == s || v.linked() {
+				cs = append(cs, candidate(other, m))
+			}
+		}
+	}
+	return cs
+}
+
+// linked reports whether an address moved between the services.
+func (v view) linked() bool {
+	for _, o := range v.addresses {
+		if o.former != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+func (v view) Fingerprint(s bundle.ServiceID) uint64 {
+	var b []byte
+	for _, m := range v.members[s] {
+		b = binary.BigEndian.AppendUint32(b, uint32(m.upstream))
+		b = binary.BigEndian.AppendUint64(b, m.weight)
+		if m.leaving {
+			b = append(b, 1)
+		}
+	}
+	for _, a := range slices.SortedFunc(maps.Keys(v.addresses), netip.AddrPort.Compare) {
+		o := v.addresses[a]
+		if o.service == s || o.former == s {
+			b = a.AppendTo(b)
+			b = binary.BigEndian.AppendUint32(b, uint32(o.service))
+			b = binary.BigEndian.AppendUint32(b, uint32(o.former))
+		}
+	}
+	return xxhash.Sum64(b)
+}
+
+func (v view) Candidates(dst []forward.Candidate, k flow.Key) (bundle.ServiceID, []forward.Candidate) {
+	o, ok := v.addresses[k.Address()]
+	if !ok {
+		return 0, dst
+	}
+	dst = v.rank(dst, o.service, k)
+	if o.former != 0 {
+		n := len(dst)
+		dst = v.rank(dst, o.former, k)
+		for i := n; i < len(dst); i++ {
+			dst[i].Leaving = true
+		}
+	}
+	return o.service, dst
+}
+
+// rank appends the members of the service by rendezvous hashing.
+func (v view) rank(dst []forward.Candidate, s bundle.ServiceID, k flow.Key) []forward.Candidate {
+	n := len(dst)
+	for _, m := range v.members[s] {
+		dst = append(dst, candidate(s, m))
+	}
+	slices.SortFunc(dst[n:], func(a, b forward.Candidate) int {
+		return cmp.Compare(v.score(s, b.Upstream, k), v.score(s, a.Upstream, k))
+	})
+	return dst
+}
+
+func (v view) score(s bundle.ServiceID, u bundle.UpstreamID, k flow.Key) uint64 {
+	var b [12]byte
+	binary.BigEndian.PutUint64(b[:], k.Hash())
+	binary.BigEndian.PutUint32(b[8:], uint32(u))
+	m, _ := v.find(s, u)
+	return xxhash.Sum64(b[:]) >> 12 * max(1, m.weight)
+}
+
+func candidate(s bundle.ServiceID, m member) forward.Candidate {
+	return forward.Candidate{Upstream: m.upstream, Service: s, Leaving: m.leaving, Sidecar: sidecarAddr(m.upstream)}
+}
+
+// sidecarAddr is where the sidecar of an upstream receives.
+func sidecarAddr(u bundle.UpstreamID) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(u)}), 7000)
+}
+
+// The services of the tests: fitting must not run a request twice, report may.
+const (
+	fitting bundle.ServiceID = 1
+	report  bundle.ServiceID = 2
+)
+
+const (
+	testIdle   = 20 * time.Second
+	testRepeat = 3 * time.Second
+)
+
+// newPlan returns version 1 with n upstreams for fitting and m for report.
+func newPlan(n, m int) *plan {
+	p := &plan{
+		version: 1,
+		settings: map[bundle.ServiceID]flow.Settings{
+			fitting: {Repeat: testRepeat, Idle: testIdle},
+			report:  {Idempotent: true, Repeat: testRepeat, Idle: testIdle},
+		},
+		members:   map[bundle.ServiceID][]member{},
+		addresses: map[netip.AddrPort]owner{serviceAddr(fitting): {service: fitting}, serviceAddr(report): {service: report}},
+	}
+	for i := range n + m {
+		s := fitting
+		if i >= n {
+			s = report
+		}
+		p.set(s, member{upstream: bundle.UpstreamID(i + 1), weight: 1})
+	}
+	return p
+}
+
+// serviceAddr is where callers reach a service at first.
+func serviceAddr(s bundle.ServiceID) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 51, 100, byte(s)}), 80)
+}
+
+// testKey returns the key of caller n's flow to a service.
+func testKey(p flow.Protocol, n int, s bundle.ServiceID) flow.Key {
+	caller := netip.AddrPortFrom(netip.AddrFrom4([4]byte{192, 0, 2, byte(n >> 16)}), uint16(n))
+	return flow.NewKey(p, caller, serviceAddr(s))
+}
--- /dev/null
+++ b/flow/stateful_test.go
@@ -0,0 +1,281 @@
+package flow_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/flow"
+)
+
+// TestStatefulPlanned makes planned changes, loses balancers and packets, and
+// lets callers do what they like: nothing may break.
+func TestStatefulPlanned(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		t.Repeat(m.actions(false))
+		m.finish()
+	})
+}
+
+// TestStatefulFaults adds unplanned faults: flows may break, but no promise
+// about requests, services and refusals.
+func TestStatefulFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		t.Repeat(m.actions(true))
+		m.finish()
+	})
+}
+
+// A machine draws the steps of one case.
+type machine struct {
+	t *rapid.T
+	w *world
+}
+
+func newMachine(t *rapid.T) *machine {
+	n := rapid.IntRange(1, 5).Draw(t, "fitting")
+	w := newWorld(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 4).Draw(t, "balancers"), n, rapid.IntRange(1, min(2, 7-n)).Draw(t, "report"))
+	w.repeat = rapid.SampledFrom([]float64{0, 0.05, 0.2}).Draw(t, "repeat")
+	w.loss = rapid.SampledFrom([]float64{0, 0.02, 0.05}).Draw(t, "loss")
+	w.maxDelay = rapid.SampledFrom([]time.Duration{10 * time.Millisecond, 300 * time.Millisecond}).Draw(t, "delay")
+	if rapid.Bool().Draw(t, "pass") {
+		w.config.Admitter = flow.Threshold{Flows: 2}
+	}
+	w.start()
+	m := &machine{t: t, w: w}
+	if rapid.Bool().Draw(t, "settled") {
+		w.run(200 * time.Second)
+	}
+	return m
+}
+
+func (m *machine) actions(faults bool) map[string]func(*rapid.T) {
+	as := map[string]func(*rapid.T){
+		"":         m.check,
+		"open":     m.open,
+		"open2":    m.open,
+		"request":  m.request,
+		"request2": m.request,
+		"cancel":   m.cancel,
+		"close":    m.close,
+		"reopen":   m.reopen,
+		"wait":     m.wait,
+		"long":     m.long,
+		"rest":     m.rest,
+		"add":      m.add,
+		"leave":    m.leave,
+		"weight":   m.weight,
+		"rollback": m.rollback,
+		"remove":   m.remove,
+		"drain":    m.drain,
+		"address":  m.address,
+		"upstream": m.upstream,
+		"balancer": m.balancer,
+		"platform": m.platform,
+	}
+	if faults {
+		as["kill"] = m.kill
+		as["pause"] = m.pause
+		as["resume"] = m.resume
+		as["restart"] = m.restart
+		as["partition"] = m.partition
+		as["heal"] = m.heal
+	}
+	return as
+}
+
+// check fails the case at the first broken promise.
+func (m *machine) check(t *rapid.T) {
+	if len(m.w.oracle.failures) > 0 {
+		const lines = 2000
+		for _, line := range m.w.trace[max(0, len(m.w.trace)-lines):] {
+			t.Log(line)
+		}
+		t.Fatalf("%s", m.w.oracle.failures[0])
+	}
+}
+
+// finish heals the world and lets what is on its way arrive.
+func (m *machine) finish() {
+	m.w.heal()
+	m.w.run(10 * time.Second)
+	m.check(m.t)
+}
+
+func (m *machine) service(t *rapid.T) bundle.ServiceID {
+	return rapid.SampledFrom([]bundle.ServiceID{fitting, report}).Draw(t, "service")
+}
+
+// flow returns a flow that is open.
+func (m *machine) flow(t *rapid.T) *callerFlow {
+	var open []*callerFlow
+	for _, f := range m.w.flows {
+		if f.established && !f.closed && !f.broken {
+			open = append(open, f)
+		}
+	}
+	if len(open) == 0 {
+		t.Skip("no open flow")
+	}
+	return open[rapid.IntRange(0, len(open)-1).Draw(t, "flow")]
+}
+
+func (m *machine) host(t *rapid.T) bundle.UpstreamID {
+	return rapid.SampledFrom(m.w.upstreams()).Draw(t, "upstream")
+}
+
+func (m *machine) open(t *rapid.T) {
+	p := rapid.SampledFrom([]flow.Protocol{flow.TCP, flow.UDP}).Draw(t, "protocol")
+	f := m.w.open(p, m.service(t), nil)
+	if p == flow.UDP {
+		f.request()
+	}
+	m.w.run(200 * time.Millisecond)
+}
+
+func (m *machine) request(t *rapid.T) {
+	m.flow(t).request()
+	m.w.run(50 * time.Millisecond)
+}
+
+func (m *machine) cancel(t *rapid.T) {
+	f := m.flow(t)
+	for _, r := range f.requests {
+		r.done = true
+	}
+}
+
+func (m *machine) close(t *rapid.T) {
+	m.flow(t).close()
+}
+
+// reopen uses the 5-tuple of an earlier flow again.
+func (m *machine) reopen(t *rapid.T) {
+	f := m.flow(t)
+	n := m.w.open(f.key.Protocol(), f.service, f)
+	if f.key.Protocol() == flow.UDP {
+		n.request()
+	}
+	m.w.run(100 * time.Millisecond)
+}
+
+func (m *machine) wait(t *rapid.T) {
+	m.w.run(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+}
+
+func (m *machine) long(t *rapid.T) {
+	m.w.run(time.Duration(rapid.IntRange(3, 40).Draw(t, "s")) * time.Second)
+}
+
+func (m *machine) rest(t *rapid.T) {
+	m.w.rest(170 * time.Second)
+}
+
+func (m *machine) add(t *rapid.T) {
+	u := bundle.UpstreamID(rapid.IntRange(1, 7).Draw(t, "upstream"))
+	for _, s := range []bundle.ServiceID{fitting, report} {
+		if _, ok := m.w.latest().find(s, u); ok {
+			t.Skip("listed")
+		}
+	}
+	if h := m.w.hosts[u]; h != nil && h.sidecar.Flows() > 0 {
+		t.Skip("still in use")
+	}
+	m.w.addUpstream(m.service(t), u)
+}
+
+func (m *machine) leave(t *rapid.T) {
+	s := m.service(t)
+	us := m.w.active(s)
+	if len(us) == 0 {
+		t.Skip("none left")
+	}
+	m.w.leave(s, rapid.SampledFrom(us).Draw(t, "upstream"))
+}
+
+func (m *machine) weight(t *rapid.T) {
+	s := m.service(t)
+	us := m.w.active(s)
+	if len(us) == 0 {
+		t.Skip("none left")
+	}
+	u := rapid.SampledFrom(us).Draw(t, "upstream")
+	weight := rapid.Uint64Range(1, 4).Draw(t, "weight")
+	m.w.publish(func(p *plan) { p.set(s, member{upstream: u, weight: weight}) })
+}
+
+// rollback publishes a higher version in which nobody leaves.
+func (m *machine) rollback(t *rapid.T) {
+	m.w.publish(func(p *plan) {
+		for _, s := range []bundle.ServiceID{fitting, report} {
+			for _, member := range p.members[s] {
+				if m.w.elsewhere(s, member.upstream) {
+					continue
+				}
+				member.leaving = false
+				p.set(s, member)
+			}
+		}
+	})
+}
+
+func (m *machine) remove(t *rapid.T) {
+	m.w.removeEmpty()
+	m.w.run(100 * time.Millisecond)
+}
+
+func (m *machine) drain(t *rapid.T) {
+	if h := m.w.hosts[m.host(t)]; h.running() {
+		h.drain()
+	}
+}
+
+func (m *machine) address(t *rapid.T) {
+	m.w.moveAddress(m.service(t))
+}
+
+func (m *machine) upstream(t *rapid.T) {
+	s := m.service(t)
+	us := m.w.active(s)
+	if len(us) < 2 {
+		t.Skip("none to spare")
+	}
+	u := rapid.SampledFrom(us).Draw(t, "upstream")
+	if m.w.elsewhere(s, u) {
+		t.Skip("moves already")
+	}
+	m.w.moveUpstream(s, 3-s, u)
+}
+
+// balancer kills a balancer and lets another join.
+func (m *machine) balancer(t *rapid.T) {
+	m.w.balancers[rapid.IntRange(0, len(m.w.balancers)-1).Draw(t, "balancer")].dead = true
+	m.w.joinBalancer()
+}
+
+func (m *machine) platform(t *rapid.T) {
+	m.w.stale = !m.w.stale
+}
+
+func (m *machine) kill(t *rapid.T)   { m.w.kill(m.host(t)) }
+func (m *machine) pause(t *rapid.T)  { m.w.pause(m.host(t)) }
+func (m *machine) resume(t *rapid.T) { m.w.resume(m.host(t)) }
+func (m *machine) heal(t *rapid.T)   { m.w.heal() }
+
+func (m *machine) restart(t *rapid.T) { m.w.restartUpstream(m.host(t)) }
+
+// partition puts each process on one of two sides.
+func (m *machine) partition(t *rapid.T) {
+	m.w.unplanned()
+	bits := rapid.Uint64().Draw(t, "sides")
+	for _, u := range m.w.upstreams() {
+		m.w.sides[m.w.hosts[u].node()] = int(bits>>u) & 1
+	}
+	for i, b := range m.w.balancers {
+		m.w.sides[b.id] = int(bits>>(i%16+16)) & 1
+	}
+}
--- /dev/null
+++ b/flow/table.go
@@ -0,0 +1,115 @@
+package flow
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/corianderbay/corianderbay/bundle"
+)
+
+// A stamp counts ticks of tickLength since the sidecar started.
+type stamp uint32
+
+// tickLength is the resolution of stamps; they last for 497 days.
+const tickLength = 10 * time.Millisecond
+
+// A kind says what an entry of the table stands for.
+type kind uint8
+
+const (
+	// kindHalfOpen is an accepted TCP flow whose caller has not acknowledged the upstream.
+	kindHalfOpen kind = 1 + iota
+	// kindOwner is a flow that the upstream owns.
+	kindOwner
+	// kindPassed remembers that another sidecar may own the flow.
+	kindPassed
+	// kindRefused remembers that the flow was refused.
+	kindRefused
+)
+
+// owned reports whether the upstream has the flow.
+func (k kind) owned() bool {
+	return k == kindHalfOpen || k == kindOwner
+}
+
+// An entry is what the table holds of one flow. It stays small: sidecars hold hundreds of thousands.
+type entry struct {
+	// version is the highest bundle that ordered the candidates when the entry was made.
+	version uint64
+	// target is the sidecar to ask first; zero when it is not known. Only for kindPassed.
+	target bundle.UpstreamID
+	// last is when a packet was last delivered, or when the memory was last used.
+	last stamp
+	// seen is when a UDP packet of the flow last came through the first candidate,
+	// or, for kindPassed, when the sidecar last promised not to accept the flow.
+	seen stamp
+	// callerISN is the caller's initial sequence number. Only for TCP.
+	callerISN uint32
+	// nextISN is that of a further incarnation that the upstream has not confirmed; valid with reopening.
+	nextISN uint32
+	// upstreamNext is past the highest sequence number that the upstream has sent; valid with answered.
+	upstreamNext uint32
+	// generation is the sidecar's generation when first was computed.
+	generation uint32
+	kind       kind
+	flags      flags
+}
+
+// flags are the marks of an entry.
+type flags uint8
+
+const (
+	answered  flags = 1 << iota // the upstream has answered the opening
+	reopening                   // nextISN is valid
+	closing                     // a FIN or RST was seen
+	first                       // the sidecar is the flow's first candidate; valid for its generation
+	asking                      // the sidecar itself searches for the owner; only for kindPassed
+	promised                    // target searches for the owner; only for kindPassed
+)
+
+// A table maps flows to entries. Each shard has its own lock.
+type table struct {
+	shards []shard // length is a power of two, fixed
+	mask   uint64
+	owned  atomic.Int64 // entries whose kind is owned
+}
+
+// A shard is one part of a table.
+type shard struct {
+	mu      sync.Mutex
+	entries map[Key]entry
+	_       [48]byte // keeps the locks of two shards off one cache line
+}
+
+func newTable(shards int) *table {
+	t := &table{shards: make([]shard, shards), mask: uint64(shards - 1)}
+	for i := range t.shards {
+		t.shards[i].entries = make(map[Key]entry)
+	}
+	return t
+}
+
+// shard returns the shard of the key.
+func (t *table) shard(k Key) *shard {
+	return &t.shards[k.Hash()&t.mask]
+}
+
+// put stores the entry. The caller holds the shard's lock.
+func (t *table) put(sh *shard, k Key, e entry) {
+	t.count(sh.entries[k].kind, -1)
+	t.count(e.kind, 1)
+	sh.entries[k] = e
+}
+
+// remove forgets the entry. The caller holds the shard's lock.
+func (t *table) remove(sh *shard, k Key) {
+	t.count(sh.entries[k].kind, -1)
+	delete(sh.entries, k)
+}
+
+func (t *table) count(k kind, n int64) {
+	if k.owned() {
+		t.owned.Add(n)
+	}
+}
--- /dev/null
+++ b/flow/world_test.go
@@ -0,0 +1,278 @@
+package flow_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/flow"
+)
+
+// A node is a process of the fake: the fabric with its callers, a balancer or a sidecar.
+type node int
+
+// fabric is the node of all callers and of the platform; no partition cuts it off.
+const fabric node = 0
+
+// A message is on its way between two nodes.
+type message struct {
+	at       time.Time
+	sequence int // breaks ties in the order of sending
+	from, to node
+	arrive   func()
+}
+
+type messages []message
+
+func (ms messages) Len() int      { return len(ms) }
+func (ms messages) Swap(i, j int) { ms[i], ms[j] = ms[j], ms[i] }
+func (ms messages) Less(i, j int) bool {
+	if !ms[i].at.Equal(ms[j].at) {
+		return ms[i].at.Before(ms[j].at)
+	}
+	return ms[i].sequence < ms[j].sequence
+}
+func (ms *messages) Push(x any) { *ms = append(*ms, x.(message)) }
+func (ms *messages) Pop() any {
+	old := *ms
+	m := old[len(old)-1]
+	*ms = old[:len(old)-1]
+	return m
+}
+
+// A world is a fake network with balancers, sidecars, upstreams and callers.
+type world struct {
+	now      time.Time
+	rng      *rand.Rand
+	queue    messages
+	sent     int
+	loss     float64 // share of messages lost
+	repeat   float64 // share of messages repeated
+	maxDelay time.Duration
+	sides    map[node]int // processes on different sides of a partition do not hear each other
+	stale    bool         // the platform answers nobody
+
+	plans     []*plan // published, oldest first
+	balancers []*balancer
+	hosts     map[bundle.UpstreamID]*host
+	flows     []*callerFlow
+	oracle    *oracle
+	nextPort  int
+	nextID    int
+	births    uint64
+	nextTick  time.Time
+	control   int // bytes of control messages sent
+	config    flow.SidecarConfig
+	disable   func(*flow.Sidecar)
+	trace     []string // what was decided, oldest first
+}
+
+// log adds a line to the trace.
+func (w *world) log(format string, args ...any) {
+	at := w.now.Sub(time.Unix(worldStart, 0))
+	w.trace = append(w.trace, fmt.Sprintf("%8.3f ", at.Seconds())+fmt.Sprintf(format, args...))
+}
+
+// worldStart is the Unix time at which worlds start.
+const worldStart = 1_000_000
+
+const tickInterval = 250 * time.Millisecond
+
+// newWorld returns a world with the processes of newPlan(n, m).
+func newWorld(seed uint64, balancers, n, m int) *world {
+	w := &world{
+		now:      time.Unix(worldStart, 0),
+		rng:      rand.New(rand.NewPCG(seed, 1)),
+		maxDelay: 20 * time.Millisecond,
+		sides:    map[node]int{},
+		hosts:    map[bundle.UpstreamID]*host{},
+	}
+	w.oracle = newOracle(w)
+	w.plans = []*plan{newPlan(n, m)}
+	for range balancers {
+		w.joinBalancer()
+	}
+	return w
+}
+
+// start starts a host for each upstream of the newest plan.
+func (w *world) start() {
+	for _, s := range []bundle.ServiceID{fitting, report} {
+		for _, m := range w.latest().members[s] {
+			w.startHost(m.upstream)
+		}
+	}
+}
+
+func (w *world) latest() *plan {
+	return w.plans[len(w.plans)-1]
+}
+
+// publish makes the next plan available; processes take it at their own times.
+func (w *world) publish(change func(*plan)) {
+	w.plans = append(w.plans, w.latest().with(change))
+	w.log("publish %d: %v %v", w.latest().version, w.latest().members, w.latest().addresses)
+}
+
+// send puts a message on its way, unless it is lost.
+func (w *world) send(from, to node, arrive func()) {
+	for range 1 + w.chance(w.repeat) {
+		if w.chance(w.loss) == 1 {
+			continue
+		}
+		w.sent++
+		d := time.Duration(w.rng.Int64N(int64(w.maxDelay))) + time.Millisecond
+		heap.Push(&w.queue, message{at: w.now.Add(d), sequence: w.sent, from: from, to: to, arrive: arrive})
+	}
+}
+
+// chance returns 1 with probability p, else 0.
+func (w *world) chance(p float64) int {
+	if w.rng.Float64() < p {
+		return 1
+	}
+	return 0
+}
+
+// cut reports whether a partition stands between two nodes.
+func (w *world) cut(a, b node) bool {
+	return a != fabric && b != fabric && w.sides[a] != w.sides[b]
+}
+
+// run lets time pass.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for {
+		next := w.nextTick
+		arrival := len(w.queue) > 0 && w.queue[0].at.Before(next)
+		if arrival {
+			next = w.queue[0].at
+		}
+		if next.After(end) {
+			break
+		}
+		w.now = maxTime(w.now, next)
+		if arrival {
+			w.arrive(heap.Pop(&w.queue).(message))
+			continue
+		}
+		w.tick()
+		w.nextTick = w.now.Add(tickInterval)
+	}
+	w.now = end
+}
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (w *world) arrive(m message) {
+	if w.cut(m.from, m.to) {
+		return
+	}
+	if m.to == fabric {
+		m.arrive()
+		return
+	}
+	if h := w.hosts[bundle.UpstreamID(m.to-hostNode)]; m.to > hostNode && h != nil {
+		h.process.arrive(m.arrive)
+		return
+	}
+	if i := int(m.to) - 1; i < len(w.balancers) {
+		w.balancers[i].process.arrive(m.arrive)
+	}
+}
+
+// A process can be dead or paused.
+type process struct {
+	dead     bool
+	paused   bool
+	pausedAt time.Time
+	deadAt   time.Time
+	waiting  []func() // what arrived while it was paused
+}
+
+func (p *process) arrive(f func()) {
+	switch {
+	case p.dead:
+	case p.paused:
+		p.waiting = append(p.waiting, f)
+	default:
+		f()
+	}
+}
+
+func (p *process) running() bool {
+	return !p.dead && !p.paused
+}
+
+// tick does what processes and callers do from time to time.
+func (w *world) tick() {
+	for _, b := range w.balancers {
+		if n := w.newest(b.id); b.running() && w.takes(b.plan, n) {
+			b.plan = n
+		}
+		if b.running() && !w.stale && w.chance(0.1) == 1 {
+			b.list(w.listedGone())
+		}
+	}
+	for _, u := range w.upstreams() {
+		w.hosts[u].tick()
+	}
+	for _, f := range w.flows {
+		f.tick()
+	}
+}
+
+// takes reports whether a process that acts on old hears of the newer plan now.
+func (w *world) takes(old, newer *plan) bool {
+	return old.version < newer.version && w.chance(0.1) == 1
+}
+
+// upstreams returns the hosts in order.
+func (w *world) upstreams() []bundle.UpstreamID {
+	us := make([]bundle.UpstreamID, 0, len(w.hosts))
+	for u := bundle.UpstreamID(1); len(us) < len(w.hosts); u++ {
+		if w.hosts[u] != nil {
+			us = append(us, u)
+		}
+	}
+	return us
+}
+
+// newest returns the newest plan that a process can learn from the platform or from others.
+func (w *world) newest(n node) *plan {
+	if !w.stale {
+		return w.latest()
+	}
+	p := w.plans[0]
+	for _, b := range w.balancers {
+		if b.running() && !w.cut(n, b.id) && b.plan.version > p.version {
+			p = b.plan
+		}
+	}
+	for _, u := range w.upstreams() {
+		if h := w.hosts[u]; h.running() && !w.cut(n, h.node()) && h.plan.version > p.version {
+			p = h.plan
+		}
+	}
+	return p
+}
+
+// listedGone returns the upstreams that the platform's lagging list lacks.
+func (w *world) listedGone() []bundle.UpstreamID {
+	const lag = 5 * time.Second
+	var gone []bundle.UpstreamID
+	for _, u := range w.upstreams() {
+		h := w.hosts[u]
+		if h.dead && w.now.Sub(h.deadAt) > lag || h.paused && w.now.Sub(h.pausedAt) > 2*lag {
+			gone = append(gone, u)
+		}
+	}
+	return gone
+}
--- a/forward/header.go
+++ b/forward/header.go
@@ -51,6 +51,8 @@
 	Asker uint8
 	// Passed has bit i set when Candidates[i] said that it neither owns nor takes the flow.
 	Passed uint32
+	// Doubt is true when a candidate with its Passed bit set could not say that it never owned the flow.
+	Doubt bool
 	// Loads holds the load in thousandths of a slot that passing candidates reported, by index; 0 is unknown.
 	Loads [4]uint32
 	// Balancer is where the balancer that forwarded the packet receives hints.
