Run the flow decisions in the real sidecar; keep flows when clocks are read out of order

Cause: the sidecar still had its first owner table. Found: two workers may take a shard's lock in the other order than they read the clock; the age of an entry, an unsigned difference, then wrapped around and the flow was forgotten. Ruled out: the caller's incarnation check (no new sequence numbers in the run), idle expiry. Second cause: answers with SYN and ACK were not marked as opening, so no flow left half open; fabric.DecodeAnswer now marks them. Third: a started sidecar drops unknown datagrams of a non-idempotent service for the service's repeat time (10 s, the callers' timeout); the demo's bundle says 1 s, and its second service is idempotent. Change: flow.Sidecar in package sidecar with hints, reports and ticks; route.SidecarView; hints at the balancer; ages saturate at 0.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -14,6 +14,7 @@
 
 	"github.com/corianderbay/corianderbay/bundle"
 	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/forward"
 	"github.com/corianderbay/corianderbay/route"
 	"github.com/corianderbay/corianderbay/timer"
@@ -61,6 +62,7 @@
 	fabric   *udp.Socket
 	forward  *udp.Socket
 	view     atomic.Pointer[route.View] // nil until the first bundle is in force
+	hints    *flow.Hints
 	counters counters
 }
 
@@ -89,7 +91,14 @@
 		in.Close()
 		return nil, err
 	}
-	return &Balancer{cfg: cfg, sealer: sealer, opener: opener, fabric: in, forward: out}, nil
+	return &Balancer{
+		cfg:     cfg,
+		sealer:  sealer,
+		opener:  opener,
+		fabric:  in,
+		forward: out,
+		hints:   flow.NewHints(flow.HintsConfig{}),
+	}, nil
 }
 
 // FabricAddress returns the address that the fabric sends to.
--- a/balancer/counts.go
+++ b/balancer/counts.go
@@ -49,7 +49,7 @@
 type Counts struct {
 	Forwarded uint64 `json:"forwarded"`
 	Refused   uint64 `json:"refused"`
-	// Hinted counts packets that a hint sent straight to their owner.
+	// Hinted counts the flows that hints named.
 	Hinted  uint64            `json:"hinted"`
 	Dropped map[string]uint64 `json:"dropped"`
 	Fabric  udp.Counts        `json:"fabric"`
--- a/balancer/pipe.go
+++ b/balancer/pipe.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/corianderbay/corianderbay/fabric"
+	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/forward"
 	"github.com/corianderbay/corianderbay/route"
 	"github.com/corianderbay/corianderbay/udp"
@@ -59,19 +60,6 @@
 		Balancer:   p.b.forward.Address(),
 		Candidates: view.Candidates(h.Candidates[:0], m, f.Packet.Key),
 	}
-	if f.Packet.Opening {
-		h.At = firstNotLeaving(h.Candidates)
-	}
-}
-
-// firstNotLeaving returns the index of the first candidate that may accept a flow, or 0.
-func firstNotLeaving(cs []forward.Candidate) uint8 {
-	for i := range cs {
-		if !cs[i].Leaving {
-			return uint8(i)
-		}
-	}
-	return 0
 }
 
 func (p *pipe) forward(f fabric.Frame) {
@@ -80,6 +68,7 @@
 		p.drop(dropUnknownAddress)
 		return
 	}
+	p.b.hints.Aim(p.b.cfg.Timer.Now(), h, f.Packet, flow.Health{})
 	out, err := p.b.sealer.AppendPacket(p.out, h, f.IP)
 	if err != nil {
 		p.drop(dropMalformed)
@@ -106,11 +95,23 @@
 	return dropUnknownAddress
 }
 
-// newForwardHandler handles the control messages that sidecars send to this balancer.
+// newForwardHandler handles the hints that sidecars send to this balancer.
 func (b *Balancer) newForwardHandler() udp.Handler {
 	return func(raw []byte, _ netip.AddrPort) {
-		if _, err := b.opener.Open(raw); err != nil {
+		d, err := b.opener.Open(raw)
+		if err != nil {
 			b.counters.dropped[dropForged].Add(1)
+			return
+		}
+		var m flow.OwnerHints
+		if d.Kind != forward.KindHints || forward.DecodeMessage(d.Body, &m) != nil {
+			b.counters.dropped[dropMalformed].Add(1)
+			return
+		}
+		now := b.cfg.Timer.Now()
+		for _, k := range m.Flows {
+			b.hints.Add(now, k.Hash(), m.Owner)
 		}
+		b.counters.hinted.Add(uint64(len(m.Flows)))
 	}
 }
--- a/demo/bundle.go
+++ b/demo/bundle.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/corianderbay/corianderbay/bundle"
 )
@@ -54,6 +55,9 @@
 			{IP: at.Addr(), Port: at.Port(), Protocol: "tcp"},
 			{IP: at.Addr(), Port: at.Port(), Protocol: "udp"},
 		},
+		// A sidecar that has just started drops unknown datagrams that way long.
+		Repeat:     time.Second,
+		Idempotent: name == secondService,
 		Rules: []bundle.Rule{{Callers: netip.MustParsePrefix("10.0.0.0/8"), Allow: true}},
 		Objectives: []bundle.Objective{
 			{Name: fmt.Sprintf("%s-whole", name), Measure: "answers", Target: 0.999},
--- a/fabric/decode.go
+++ b/fabric/decode.go
@@ -258,7 +258,7 @@
 			return err
 		}
 		from, to = uint16(d.tcp.SrcPort), uint16(d.tcp.DstPort)
-		f.Packet = d.tcpPacket()
+		f.Packet = d.tcpPacket(answer)
 		f.Payload = d.tcp.Payload
 	case layers.IPProtocolUDP:
 		d.begin(layerUDP)
@@ -283,9 +283,9 @@
 	return nil
 }
 
-func (d *Decoder) tcpPacket() flow.Packet {
+func (d *Decoder) tcpPacket(answer bool) flow.Packet {
 	return flow.Packet{
-		Opening:      d.tcp.SYN && !d.tcp.ACK,
+		Opening:      d.tcp.SYN && d.tcp.ACK == answer,
 		Closing:      d.tcp.RST || d.tcp.FIN,
 		Reset:        d.tcp.RST,
 		Sequence:     d.tcp.Seq,
--- a/flow/answer.go
+++ b/flow/answer.go
@@ -66,7 +66,7 @@
 	if e.generation != c.st.generation {
 		c.udpRegenerate(&e)
 	}
-	if e.flags&first != 0 || c.at-e.seen <= ticks(DetourInterval+DetourGrace) {
+	if e.flags&first != 0 || c.at.since(e.seen) <= ticks(DetourInterval+DetourGrace) {
 		c.touch(e)
 	}
 	return Deliver{}
--- a/flow/call.go
+++ b/flow/call.go
@@ -23,7 +23,7 @@
 // entry returns the flow's entry, forgetting an expired one.
 func (c *call) entry() entry {
 	e, ok := c.shard.entries[c.p.Key]
-	if !ok || c.at-e.last <= c.st.life(c.p.Key.Protocol(), e) {
+	if !ok || c.at.since(e.last) <= c.st.life(c.p.Key.Protocol(), e) {
 		return e
 	}
 	c.s.table.remove(c.shard, c.p.Key)
@@ -37,7 +37,7 @@
 
 // touch keeps an entry alive.
 func (c *call) touch(e entry) {
-	if c.at-e.last < ticks(touchInterval) {
+	if c.at.since(e.last) < ticks(touchInterval) {
 		return
 	}
 	e.last = c.at
--- a/flow/events.go
+++ b/flow/events.go
@@ -225,7 +225,7 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	for k, e := range sh.entries {
-		if at > e.last && at-e.last > st.life(k.Protocol(), e) {
+		if at.since(e.last) > st.life(k.Protocol(), e) {
 			s.table.remove(sh, k)
 		}
 	}
--- a/flow/key.go
+++ b/flow/key.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"net/netip"
 
 	"github.com/cespare/xxhash/v2"
@@ -63,18 +64,56 @@
 	return k.protocol
 }
 
+// keySize is the length of an encoded key in bytes.
+const keySize = 37
+
 // Hash returns the same number for the key in every process.
 func (k Key) Hash() uint64 {
-	var b [37]byte
+	b := k.encode()
+	return xxhash.Sum64(b[:])
+}
+
+// MarshalBinary returns the encoded key: caller, address, their ports, protocol.
+func (k Key) MarshalBinary() ([]byte, error) {
+	b := k.encode()
+	return b[:], nil
+}
+
+// UnmarshalBinary decodes a key. It reports *KeySizeError for another length.
+func (k *Key) UnmarshalBinary(b []byte) error {
+	if len(b) != keySize {
+		return &KeySizeError{Size: len(b)}
+	}
+	copy(k.caller[:], b[0:16])
+	copy(k.address[:], b[16:32])
+	k.callerPort = binary.BigEndian.Uint16(b[32:])
+	k.addressPort = binary.BigEndian.Uint16(b[34:])
+	k.protocol = Protocol(b[36])
+	return nil
+}
+
+func (k Key) encode() [keySize]byte {
+	var b [keySize]byte
 	copy(b[0:16], k.caller[:])
 	copy(b[16:32], k.address[:])
 	binary.BigEndian.PutUint16(b[32:], k.callerPort)
 	binary.BigEndian.PutUint16(b[34:], k.addressPort)
 	b[36] = byte(k.protocol)
-	return xxhash.Sum64(b[:])
+	return b
 }
 
 // String returns the key as "tcp 10.0.0.1:4000 > 198.51.100.1:80".
 func (k Key) String() string {
 	return k.protocol.String() + " " + k.Caller().String() + " > " + k.Address().String()
 }
+
+// KeySizeError reports an encoded key of the wrong length.
+type KeySizeError struct {
+	// Size is the length in bytes.
+	Size int
+}
+
+// Error returns the length and the one that is wanted.
+func (e *KeySizeError) Error() string {
+	return fmt.Sprintf("flow: encoded key has %d bytes, want %d", e.Size, keySize)
+}
--- /dev/null
+++ b/flow/message.go
@@ -0,0 +1,57 @@
+package flow
+
+import (
+	"fmt"
+
+	"github.com/corianderbay/corianderbay/bundle"
+)
+
+const (
+	// MaxHints bounds the flows that one OwnerHints names.
+	MaxHints = 64
+	// maxHeard bounds the peers that one report names.
+	maxHeard = 64
+)
+
+// OwnerHints tells a balancer, or a sidecar that searches, who owns some flows.
+type OwnerHints struct {
+	Owner bundle.UpstreamID `msgpack:"owner"`
+	// Flows has 1 to MaxHints entries.
+	Flows []Key `msgpack:"flows"`
+}
+
+// Check reports *MessageError when a field is out of range.
+func (h *OwnerHints) Check() error {
+	if len(h.Flows) == 0 || len(h.Flows) > MaxHints {
+		return &MessageError{Field: "flows"}
+	}
+	return nil
+}
+
+// Check reports *MessageError when a field is out of range.
+func (r *PeerReport) Check() error {
+	switch {
+	case r.Upstream == 0:
+		return &MessageError{Field: "u"}
+	case r.Oldest > r.Version:
+		return &MessageError{Field: "o"}
+	case r.Version > r.Highest:
+		return &MessageError{Field: "n"}
+	case r.Flows < 0:
+		return &MessageError{Field: "f"}
+	case len(r.Heard) > maxHeard:
+		return &MessageError{Field: "h"}
+	}
+	return nil
+}
+
+// MessageError reports a field of a message that is out of range.
+type MessageError struct {
+	// Field is the name of the field on the wire.
+	Field string
+}
+
+// Error returns the field.
+func (e *MessageError) Error() string {
+	return fmt.Sprintf("flow: field %s of a message is out of range", e.Field)
+}
--- a/flow/packet.go
+++ b/flow/packet.go
@@ -1,10 +1,12 @@
 package flow
 
-// Packet is what the decisions need to know of one packet of a caller.
+// Packet is what the decisions need to know of one packet of a caller, or of
+// one answer to it.
 type Packet struct {
 	Key Key
-	// Opening is true for a TCP segment with SYN and without ACK. A UDP packet
-	// never says whether it opens a flow.
+	// Opening is true for a caller's TCP segment with SYN and without ACK, and
+	// for an answer with SYN and ACK. A UDP packet never says whether it opens a
+	// flow.
 	Opening bool
 	// Closing is true for a TCP segment with RST or FIN.
 	Closing bool
--- a/flow/table.go
+++ b/flow/table.go
@@ -14,6 +14,15 @@
 // tickLength is the resolution of stamps; they last for 497 days.
 const tickLength = 10 * time.Millisecond
 
+// since returns the ticks from o to s, and 0 when o is later: workers may take
+// the lock of a shard in another order than they read the clock.
+func (s stamp) since(o stamp) stamp {
+	if s < o {
+		return 0
+	}
+	return s - o
+}
+
 // A kind says what an entry of the table stands for.
 type kind uint8
 
--- a/flow/udp.go
+++ b/flow/udp.go
@@ -101,7 +101,7 @@
 	if e.generation != c.st.generation {
 		c.udpRegenerate(&e)
 	}
-	if e.flags&first != 0 || c.at-e.seen <= ticks(DetourInterval) {
+	if e.flags&first != 0 || c.at.since(e.seen) <= ticks(DetourInterval) {
 		c.touch(e)
 		c.hint()
 		return Deliver{}
@@ -159,7 +159,7 @@
 		return Deliver{}
 	}
 	silent := c.s.peers.suspected(c.now, c.upstream(i))
-	if silent && c.at-e.seen <= ticks(DetourInterval+DetourGrace) {
+	if silent && c.at.since(e.seen) <= ticks(DetourInterval+DetourGrace) {
 		c.touch(e)
 		return Deliver{}
 	}
@@ -239,7 +239,7 @@
 	if e.flags&asking == 0 && e.target == c.upstream(int(c.h.Asker)) {
 		return false
 	}
-	return e.version > c.h.Version || c.at-e.seen <= ticks(searchLife)
+	return e.version > c.h.Version || c.at.since(e.seen) <= ticks(searchLife)
 }
 
 // udpReturned ends a search that found no owner.
@@ -281,7 +281,7 @@
 				return aim(c.h, j)
 			}
 		}
-		if e.version > c.h.Version || e.flags&asking != 0 && c.at-e.seen <= ticks(searchLife) {
+		if e.version > c.h.Version || e.flags&asking != 0 && c.at.since(e.seen) <= ticks(searchLife) {
 			return c.drop(ReasonUnsure)
 		}
 	}
--- a/forward/codec.go
+++ b/forward/codec.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	headerFields    = 10
+	headerFields    = 11
 	candidateFields = 4
 	addressSize4    = 6  // IPv4 address and port
 	addressSize6    = 18 // IPv6 address and port
@@ -69,6 +69,7 @@
 	e.uint(uint64(h.At))
 	e.uint(uint64(h.Asker))
 	e.uint(uint64(h.Passed))
+	e.bool(h.Doubt)
 	e.array(len(h.Loads))
 	for _, l := range h.Loads {
 		e.uint(uint64(l))
@@ -168,6 +169,7 @@
 	h.At = d.uint8("at")
 	h.Asker = d.uint8("asker")
 	h.Passed = d.uint32("passed")
+	h.Doubt = d.bool("doubt")
 	d.array("loads", len(h.Loads))
 	for i := range h.Loads {
 		h.Loads[i] = d.uint32("loads")
--- /dev/null
+++ b/forward/message.go
@@ -0,0 +1,32 @@
+package forward
+
+import (
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Message is what a control datagram carries. It checks itself.
+type Message interface {
+	Check() error
+}
+
+// EncodeMessage returns the body of a control datagram. It reports
+// *HeaderError when the message does not check or encode.
+func EncodeMessage(m Message) ([]byte, error) {
+	if err := m.Check(); err != nil {
+		return nil, err
+	}
+	b, err := msgpack.Marshal(m)
+	if err != nil {
+		return nil, &HeaderError{Field: "message", Cause: err}
+	}
+	return b, nil
+}
+
+// DecodeMessage fills m from the body of a control datagram and checks it. It
+// reports *HeaderError, or what m's Check reports.
+func DecodeMessage(body []byte, m Message) error {
+	if err := msgpack.Unmarshal(body, m); err != nil {
+		return &HeaderError{Field: "message", Cause: err}
+	}
+	return m.Check()
+}
--- a/route/service.go
+++ b/route/service.go
@@ -20,6 +20,8 @@
 	rules  *bart.Table[bool]
 	pool   []member // in the order of the bundle
 	equal  bool     // whether all members weigh the same
+	// fingerprint differs whenever the order of candidates may differ.
+	fingerprint uint64
 }
 
 // member is one upstream of a service's pool.
@@ -43,6 +45,7 @@
 		}
 	}
 	s.equal = allWeighTheSame(s.pool)
+	s.fingerprint = fingerprintOf(s, dcs)
 
 	return s
 }
--- /dev/null
+++ b/route/sidecarview.go
@@ -0,0 +1,123 @@
+package route
+
+import (
+	"encoding/binary"
+	"math"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/flow"
+	"github.com/corianderbay/corianderbay/forward"
+)
+
+// SidecarView is what one bundle says to the sidecar of one upstream. It is
+// immutable, safe for concurrent use, and implements flow.View.
+type SidecarView struct {
+	view *View
+	self flow.Self
+}
+
+// NewSidecarView returns the view of the sidecar beside the upstream.
+func NewSidecarView(v *View, self bundle.UpstreamID) *SidecarView {
+	s := &SidecarView{view: v}
+	if up, svc, ok := v.Upstream(self); ok {
+		s.self = flow.Self{Listed: true, Service: svc.id, Leaving: up.Leaving}
+	}
+	return s
+}
+
+// Version returns the sequence of the bundle.
+func (s *SidecarView) Version() uint64 {
+	return s.view.version
+}
+
+// Self returns what the bundle says of the upstream.
+func (s *SidecarView) Self() flow.Self {
+	return s.self
+}
+
+// Candidates appends the order of candidates for the key and returns the
+// service that its address belongs to. It appends nothing for a key that the
+// bundle does not let through.
+func (s *SidecarView) Candidates(dst []forward.Candidate, k flow.Key) (bundle.ServiceID, []forward.Candidate) {
+	m, err := s.view.Classify(k)
+	if err != nil {
+		return 0, dst
+	}
+	return m.Service.id, s.view.Candidates(dst, m, k)
+}
+
+// Members returns the upstreams of the service, leaving ones included; nil for an unknown service.
+func (s *SidecarView) Members(id bundle.ServiceID) []forward.Candidate {
+	svc := s.view.Service(id)
+	if svc == nil {
+		return nil
+	}
+	return svc.Members()
+}
+
+// Fingerprint differs whenever the order of candidates of the service may differ; 0 for an unknown service.
+func (s *SidecarView) Fingerprint(id bundle.ServiceID) uint64 {
+	svc := s.view.Service(id)
+	if svc == nil {
+		return 0
+	}
+	return svc.fingerprint
+}
+
+// Settings returns how flows of the service are kept, and false for an unknown service.
+func (s *SidecarView) Settings(id bundle.ServiceID) (flow.Settings, bool) {
+	svc := s.view.Service(id)
+	if svc == nil {
+		return flow.Settings{}, false
+	}
+	return flow.Settings{
+		Idempotent: svc.config.Idempotent,
+		Repeat:     svc.config.EffectiveRepeat(),
+		Idle:       svc.config.EffectiveIdle(),
+	}, true
+}
+
+// fingerprintOf hashes all that the order of a service's candidates depends on.
+func fingerprintOf(s *Service, dcs []bundle.DataCentre) uint64 {
+	h := xxhash.New()
+	for i := range s.pool {
+		m := &s.pool[i]
+		writeUint(h, uint64(m.candidate.Upstream))
+		writeUint(h, math.Float64bits(m.weight))
+		writeUint(h, uint64(m.dataCentre))
+		writeString(h, m.candidate.Sidecar.String())
+		if m.candidate.Leaving {
+			writeString(h, "leaving")
+		}
+	}
+	for _, a := range s.config.Addresses {
+		writeString(h, a.IP.String())
+		writeString(h, a.Protocol)
+		writeUint(h, uint64(a.Port))
+		writeString(h, a.Former)
+	}
+	for _, dc := range dcs {
+		writeString(h, dc.Name)
+		writeString(h, dc.Region)
+		for _, p := range dc.Near {
+			writeString(h, p)
+		}
+		for _, p := range dc.Callers {
+			writeString(h, p.String())
+		}
+	}
+	return h.Sum64()
+}
+
+func writeUint(h *xxhash.Digest, v uint64) {
+	var b [8]byte
+	binary.LittleEndian.PutUint64(b[:], v)
+	_, _ = h.Write(b[:])
+}
+
+// writeString writes s with its length, so that no two lists of strings look alike.
+func writeString(h *xxhash.Digest, s string) {
+	writeUint(h, uint64(len(s)))
+	_, _ = h.WriteString(s)
+}
--- /dev/null
+++ b/sidecar/control.go
@@ -0,0 +1,102 @@
+package sidecar
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/corianderbay/corianderbay/flow"
+	"github.com/corianderbay/corianderbay/forward"
+)
+
+const tickInterval = 100 * time.Millisecond
+
+// control sends what the decisions ask for as time goes by.
+func (s *Sidecar) control(ctx context.Context) {
+	sub := s.cfg.Timer.Every(tickInterval)
+	defer sub.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-sub.C:
+			s.tick(s.cfg.Timer.Now())
+		}
+	}
+}
+
+func (s *Sidecar) tick(now time.Time) {
+	if at := s.woke.Load(); at != 0 && now.UnixNano()-at > int64(tickInterval) {
+		s.woke.Store(0)
+		// Each worker has discarded its backlog before it handles anything else.
+		s.flows.Drained()
+	}
+	due := s.flows.Tick(now)
+	s.sendHints(due.Hints)
+	if due.Report != nil {
+		s.sendReport(due.Report)
+	}
+}
+
+// sendHints sends the hints for each address in as few datagrams as they fit.
+func (s *Sidecar) sendHints(hints []flow.Hint) {
+	byAddress := make(map[netip.AddrPort][]flow.Key)
+	for _, h := range hints {
+		byAddress[h.To] = append(byAddress[h.To], h.Key)
+	}
+	for to, keys := range byAddress {
+		for len(keys) > 0 {
+			n := min(len(keys), flow.MaxHints)
+			s.send(forward.KindHints, &flow.OwnerHints{Owner: s.self, Flows: keys[:n]}, to)
+			keys = keys[n:]
+		}
+	}
+}
+
+// sendReport sends the report to each other sidecar of the service.
+func (s *Sidecar) sendReport(r *flow.PeerReport) {
+	view := s.view.Load()
+	if view == nil {
+		return
+	}
+	for _, c := range view.Members(r.Service) {
+		if c.Upstream != s.self {
+			s.send(forward.KindReport, r, c.Sidecar)
+		}
+	}
+}
+
+// send sends one control datagram and counts its bytes.
+func (s *Sidecar) send(kind forward.Kind, m forward.Message, to netip.AddrPort) {
+	body, err := forward.EncodeMessage(m)
+	if err != nil {
+		s.counters.drop(dropMalformed)
+		return
+	}
+	b := s.sealer.AppendMessage(nil, kind, body)
+	s.counters.control.Add(uint64(len(b)))
+	s.forward.Send(b, to)
+}
+
+// receiveHints takes in who owns the flows that this sidecar searched for.
+func (s *Sidecar) receiveHints(body []byte) {
+	var m flow.OwnerHints
+	if err := forward.DecodeMessage(body, &m); err != nil {
+		s.counters.drop(dropMalformed)
+		return
+	}
+	now := s.cfg.Timer.Now()
+	for _, k := range m.Flows {
+		s.flows.Found(now, k, m.Owner)
+	}
+}
+
+// receiveReport takes in the report of another sidecar.
+func (s *Sidecar) receiveReport(body []byte) {
+	var r flow.PeerReport
+	if err := forward.DecodeMessage(body, &r); err != nil {
+		s.counters.drop(dropMalformed)
+		return
+	}
+	s.flows.PeerReported(s.cfg.Timer.Now(), r)
+}
--- a/sidecar/counts.go
+++ b/sidecar/counts.go
@@ -3,6 +3,7 @@
 import (
 	"sync/atomic"
 
+	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/udp"
 )
 
@@ -13,7 +14,6 @@
 	dropForged dropReason = iota
 	dropMalformed
 	dropUpstream
-	dropUnowned
 	dropReasons // how many there are
 )
 
@@ -25,18 +25,27 @@
 		return "malformed"
 	case dropUpstream:
 		return "upstream"
-	case dropUnowned:
-		return "unowned"
 	}
 	return "other"
 }
 
+const maxReasons = 32 // above every flow.Reason
+
 // counters are the running totals of a sidecar.
 type counters struct {
 	delivered atomic.Uint64
 	passed    atomic.Uint64
 	answered  atomic.Uint64
+	refused   atomic.Uint64
+	hops      atomic.Uint64 // sidecars visited by delivered packets
+	control   atomic.Uint64 // bytes of hints and reports
 	dropped   [dropReasons]atomic.Uint64
+	reasons   [maxReasons]atomic.Uint64 // by flow.Reason
+}
+
+// reason counts a packet that the decisions dropped or refused.
+func (c *counters) reason(r flow.Reason) {
+	c.reasons[int(r)%maxReasons].Add(1)
 }
 
 func (c *counters) drop(r dropReason) {
@@ -45,12 +54,24 @@
 
 // Counts are the totals of a sidecar since its start.
 type Counts struct {
-	Delivered uint64            `json:"delivered"`
-	Passed    uint64            `json:"passed"`
-	Answered  uint64            `json:"answered"`
-	Dropped   map[string]uint64 `json:"dropped"`
-	Open      int               `json:"open"`
-	Forward   udp.Counts        `json:"forward"`
+	Delivered uint64 `json:"delivered"`
+	Passed    uint64 `json:"passed"`
+	Answered  uint64 `json:"answered"`
+	Refused   uint64 `json:"refused"`
+	// Hops is how many sidecars the delivered packets have visited in all.
+	Hops uint64 `json:"hops"`
+	// Control is how many bytes of hints and reports were sent.
+	Control uint64 `json:"control"`
+	// Dropped holds packets that were dropped or refused, by reason.
+	Dropped map[string]uint64 `json:"dropped"`
+	// Flows is how many flows the upstream owns, Open how many of them are not closing.
+	Flows int `json:"flows"`
+	Open  int `json:"open"`
+	// Accepted, Broken and Searches are decisions, see flow.Counters.
+	Accepted uint64     `json:"accepted"`
+	Broken   uint64     `json:"broken"`
+	Searches uint64     `json:"searches"`
+	Forward  udp.Counts `json:"forward"`
 }
 
 // Counts returns the totals so far.
@@ -59,10 +80,22 @@
 		Delivered: s.counters.delivered.Load(),
 		Passed:    s.counters.passed.Load(),
 		Answered:  s.counters.answered.Load(),
+		Refused:   s.counters.refused.Load(),
+		Hops:      s.counters.hops.Load(),
+		Control:   s.counters.control.Load(),
 		Dropped:   make(map[string]uint64),
-		Open:      s.flows.open(),
+		Flows:     s.flows.Flows(),
+		Open:      s.flows.Flows(),
+		Accepted:  s.flows.Counters().Accepted.Load(),
+		Broken:    s.flows.Counters().Broken.Load(),
+		Searches:  s.flows.Counters().Searches.Load(),
 		Forward:   s.forward.Counts(),
 	}
+	for i := range maxReasons {
+		if n := s.counters.reasons[i].Load(); n > 0 {
+			c.Dropped[flow.Reason(i).String()] = n
+		}
+	}
 	for r := range dropReasons {
 		if n := s.counters.dropped[r].Load(); n > 0 {
 			c.Dropped[r.String()] = n
--- a/sidecar/pipe.go
+++ b/sidecar/pipe.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/corianderbay/corianderbay/fabric"
+	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/forward"
 	"github.com/corianderbay/corianderbay/udp"
 	"github.com/corianderbay/corianderbay/upstream"
@@ -40,9 +41,20 @@
 		p.s.counters.drop(dropForged)
 		return
 	}
-	if d.Kind != forward.KindPacket {
-		return
+	switch d.Kind {
+	case forward.KindPacket:
+		p.packet(d)
+	case forward.KindHints:
+		p.s.receiveHints(d.Body)
+	case forward.KindReport:
+		p.s.receiveReport(d.Body)
+	default:
+		p.s.counters.drop(dropMalformed)
 	}
+}
+
+// packet decides on one caller's packet and acts on the decision.
+func (p *pipe) packet(d forward.Datagram) {
 	if err := p.headers.Decode(d.Body, &p.header); err != nil {
 		p.s.counters.drop(dropMalformed)
 		return
@@ -52,40 +64,81 @@
 		p.s.counters.drop(dropMalformed)
 		return
 	}
-	mayAccept := !p.header.Candidates[p.header.At].Leaving
-	if !p.s.flows.deliver(packet, mayAccept) {
-		p.pass(d.Packet)
-		return
+	switch a := p.s.flows.Packet(p.s.cfg.Timer.Now(), &p.header, packet).(type) {
+	case flow.Deliver:
+		p.deliver(upstream.Packet{Key: packet.Key, IP: d.Packet, Payload: payload})
+	case flow.Forward:
+		p.forward(d.Packet)
+	case flow.Refuse:
+		p.refuse(a, d.Packet)
+	case flow.Drop:
+		p.s.counters.reason(a.Reason)
 	}
-	err = upstream.Deliver(p.s.edge, upstream.Packet{Key: packet.Key, IP: d.Packet, Payload: payload})
-	if err != nil {
+}
+
+func (p *pipe) deliver(packet upstream.Packet) {
+	if err := upstream.Deliver(p.s.edge, packet); err != nil {
 		p.s.counters.drop(dropUpstream)
 		return
 	}
 	p.s.counters.delivered.Add(1)
+	p.s.counters.hops.Add(uint64(p.header.Hops))
 }
 
-// pass hands the packet to the next candidate.
-func (p *pipe) pass(packet []byte) {
-	h := &p.header
-	if int(h.At)+1 >= len(h.Candidates) {
-		p.s.counters.drop(dropUnowned)
+// forward sends the packet to the candidate that the decision chose.
+func (p *pipe) forward(packet []byte) {
+	out, err := p.s.sealer.AppendPacket(p.out, &p.header, packet)
+	if err != nil {
+		p.s.counters.drop(dropMalformed)
 		return
 	}
-	h.At++
-	h.Hops++
-	out, err := p.s.sealer.AppendPacket(p.out, h, packet)
+	p.out = out
+	p.s.forward.Send(out, p.header.Candidates[p.header.At].Sidecar)
+	p.s.counters.passed.Add(1)
+}
+
+// refuse answers the caller at once.
+func (p *pipe) refuse(r flow.Refuse, packet []byte) {
+	p.s.counters.reason(r.Reason)
+	ip, err := fabric.Refuse(packet)
+	if err != nil {
+		return // a reset is not answered
+	}
+	out, err := fabric.Append(p.out[:0], 0, ip, &fabric.Refusal{
+		Reason:     refusalReason(r.Reason),
+		NotRun:     r.NotRun,
+		RetryAfter: r.RetryAfter,
+	})
 	if err != nil {
 		p.s.counters.drop(dropMalformed)
 		return
 	}
 	p.out = out
-	p.s.forward.Send(out, h.Candidates[h.At].Sidecar)
-	p.s.counters.passed.Add(1)
+	p.s.forward.Send(out, p.s.cfg.Gateway)
+	p.s.counters.refused.Add(1)
+}
+
+// refusalReason returns what a caller is told of a reason.
+func refusalReason(r flow.Reason) fabric.Reason {
+	if r == flow.ReasonFull {
+		return fabric.ReasonOverloaded
+	}
+	return fabric.ReasonUnavailable
 }
 
-// answer sends an upstream's packet to the fabric.
+// answer sends an upstream's packet to the fabric when its flow is owned.
 func (s *Sidecar) answer(ip []byte) {
+	dec := s.answers.pool.Get().(*fabric.Decoder)
+	packet, _, err := dec.DecodeAnswer(ip)
+	s.answers.pool.Put(dec)
+	if err != nil {
+		s.counters.drop(dropMalformed)
+		return
+	}
+	if drop, ok := s.flows.Answer(s.cfg.Timer.Now(), packet).(flow.Drop); ok {
+		s.counters.reason(drop.Reason)
+		return
+	}
 	out, err := fabric.Append(make([]byte, 0, len(ip)+fabric.Overhead), 0, ip, nil)
 	if err != nil {
 		s.counters.drop(dropMalformed)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -15,6 +15,7 @@
 	"github.com/corianderbay/corianderbay/bundle"
 	"github.com/corianderbay/corianderbay/event"
 	"github.com/corianderbay/corianderbay/fabric"
+	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/forward"
 	"github.com/corianderbay/corianderbay/route"
 	"github.com/corianderbay/corianderbay/timer"
@@ -45,6 +46,8 @@
 	Workers int
 	// Drain is how long a stopping sidecar waits for its flows to end. Zero selects 1 min.
 	Drain time.Duration
+	// Admitter is the policy that accepts new flows. Nil selects the default of package flow.
+	Admitter flow.Admitter
 	// Upstream is the edge to the upstream; Answer, Timer and Heartbeat are filled in.
 	Upstream upstream.Config
 
@@ -61,8 +64,9 @@
 	opener   *forward.Opener
 	forward  *udp.Socket
 	edge     upstream.Edge
-	view     atomic.Pointer[route.View] // nil until the first bundle is in force
-	flows    *owned
+	view     atomic.Pointer[route.SidecarView] // nil until the first bundle is in force
+	flows    *flow.Sidecar
+	woke     atomic.Int64 // Unix time in nanoseconds of a wake-up whose backlog is being discarded, or 0
 	answers  answerDecoders
 	counters counters
 }
@@ -86,8 +90,13 @@
 		self:   bundle.UpstreamIDOf(cfg.Name),
 		sealer: sealer,
 		opener: opener,
-		flows:  newOwned(),
+		flows: flow.NewSidecar(flow.SidecarConfig{
+			Upstream:    bundle.UpstreamIDOf(cfg.Name),
+			Incarnation: cfg.Sender,
+			Admitter:    cfg.Admitter,
+		}, cfg.Timer.Now()),
 	}
+	cfg.Heartbeat.OnWake(s.wake)
 	s.answers.pool.New = func() any { return fabric.NewDecoder(fabric.DecoderConfig{}) }
 	if err := s.open(); err != nil {
 		return nil, err
@@ -125,7 +134,17 @@
 
 // Accept puts a bundle in force.
 func (s *Sidecar) Accept(next *bundle.Bundle) {
-	s.view.Store(route.NewView(next))
+	view := route.NewSidecarView(route.NewView(next), s.self)
+	s.view.Store(view)
+	s.flows.BundleAccepted(s.cfg.Timer.Now(), view)
+}
+
+// wake tells the decisions that the process was paused.
+func (s *Sidecar) wake(gap time.Duration) {
+	now := s.cfg.Timer.Now()
+	s.woke.Store(now.UnixNano())
+	s.flows.Woke(now, gap)
+	s.cfg.Log.Emit(event.SidecarWoke, zap.Duration("gap", gap))
 }
 
 // Version returns the sequence of the bundle in force, or 0 before the first.
@@ -144,10 +163,11 @@
 	var wg conc.WaitGroup
 	wg.Go(func() { s.forward.Run(sockets, s.newHandler) })
 	wg.Go(func() { upstream.Run(sockets, s.edge) })
+	wg.Go(func() { s.control(sockets) })
 	<-ctx.Done()
-	s.flows.drain()
+	s.flows.Drain(s.cfg.Timer.Now())
 	s.awaitFlows(sockets)
-	cut := s.flows.open()
+	cut := s.flows.Flows()
 	stop()
 	wg.Wait()
 	c := s.Counts()
@@ -160,7 +180,7 @@
 // awaitFlows returns when no flow is left or the drain time is over.
 func (s *Sidecar) awaitFlows(ctx context.Context) {
 	begin := s.cfg.Timer.Now()
-	for s.flows.open() > 0 && s.cfg.Timer.Since(begin) < s.cfg.Drain {
+	for s.flows.Flows() > 0 && s.cfg.Timer.Since(begin) < s.cfg.Drain {
 		if err := s.cfg.Timer.Sleep(ctx, drainCheck); err != nil {
 			return
 		}
