--- a/standin/caller.go
+++ b/standin/caller.go
@@ -56,6 +56,8 @@
 	Duration time.Duration
 	// Timeout is how long a flow waits to be opened and for an answer, from 0 to 10 min. Zero selects 10 s.
 	Timeout time.Duration
+	// Within is how long a request may wait at its upstream, from 0 (no bound) to 10 min.
+	Within time.Duration
 	// Attempts is how often a request is sent in all when it is refused or shed
 	// without having run, from 1 to 1,000. Zero selects 5.
 	Attempts int
@@ -134,6 +136,7 @@
 	v.between("think", c.Think.Seconds(), 0, maxDelay.Seconds())
 	v.between("duration", c.Duration.Seconds(), 0, maxDuration.Seconds())
 	v.between("timeout", c.Timeout.Seconds(), 0, maxTimeout.Seconds())
+	v.between("within", c.Within.Seconds(), 0, maxTimeout.Seconds())
 	v.between("attempts", float64(c.Attempts), 1, maxAttempts)
 	return v.join()
 }
--- a/standin/caller_flow.go
+++ b/standin/caller_flow.go
@@ -81,7 +81,7 @@
 	if s.target.Protocol == flow.UDP {
 		size = s.caller.cfg.DatagramSize
 	}
-	return Request{Caller: s.id, ID: id, Attempt: attempt, Idempotent: s.target.Idempotent, Size: size}
+	return Request{Caller: s.id, ID: id, Attempt: attempt, Idempotent: s.target.Idempotent, Size: size, Within: s.caller.cfg.Within}
 }
 
 // refused records a refusal and returns how long to wait before another attempt.
@@ -117,7 +117,7 @@
 		t.late()
 		return 0, false
 	}
-	if a.Status == StatusShed {
+	if a.Status != StatusDone {
 		t.shed()
 		return outcomeShed, true
 	}
--- /dev/null
+++ b/standin/caller_test.go
@@ -0,0 +1,160 @@
+package standin_test
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/corianderbay/corianderbay/fabric"
+	"github.com/corianderbay/corianderbay/standin"
+	"github.com/shoenig/test/must"
+	"github.com/sourcegraph/conc"
+)
+
+// gate is a balancer that asks judge about each packet of a caller, and passes
+// on the packets for which it returns true.
+type gate struct {
+	t     *testing.T
+	conn  *net.UDPConn
+	relay netip.AddrPort
+	back  netip.AddrPort
+	judge func(g *gate, f fabric.Frame, n int) bool
+}
+
+// Run implements the interface that start wants.
+func (g *gate) Run(ctx context.Context) error {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() {
+		d := fabric.NewDecoder(fabric.DecoderConfig{})
+		b := make([]byte, 65535)
+		for n := 0; ; n++ {
+			size, err := g.conn.Read(b)
+			if err != nil {
+				return
+			}
+			f, err := d.Decode(b[:size])
+			if err == nil && g.judge(g, f, n) {
+				_, _ = g.conn.WriteToUDPAddrPort(b[:size], g.relay)
+			}
+		}
+	})
+	<-ctx.Done()
+	return g.conn.Close()
+}
+
+func (g *gate) refuse(f fabric.Frame, r fabric.Refusal) {
+	ip, err := fabric.Refuse(f.IP)
+	must.NoError(g.t, err)
+	b, err := fabric.Append(nil, f.VNI, ip, &r)
+	must.NoError(g.t, err)
+	_, _ = g.conn.WriteToUDPAddrPort(b, g.back)
+}
+
+// gated starts a path with a gate before the relay.
+func gated(t *testing.T, uc standin.UpstreamConfig, judge func(*gate, fabric.Frame, int) bool) (*standin.Fabric, *standin.Upstream) {
+	t.Helper()
+	f, u := path(t, standin.FabricConfig{}, uc)
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.MustParseAddrPort("127.0.0.1:0")))
+	must.NoError(t, err)
+	g := &gate{t: t, conn: conn, relay: f.Balancers()[0], back: f.Answers(), judge: judge}
+	f.SetBalancers([]netip.AddrPort{conn.LocalAddr().(*net.UDPAddr).AddrPort()})
+	start(t, g)
+	return f, u
+}
+
+func TestCallerTriesAgainAfterRefusal(t *testing.T) {
+	notRun := fabric.Refusal{Reason: fabric.ReasonLimited, NotRun: true, RetryAfter: time.Millisecond}
+	for _, target := range targets() {
+		f, u := gated(t, standin.UpstreamConfig{Name: "r1", Service: "report"}, func(g *gate, f fabric.Frame, n int) bool {
+			if n < 2 {
+				g.refuse(f, notRun)
+			}
+			return n >= 2
+		})
+		r := run(t, standin.CallerConfig{Attach: f, Targets: []standin.CallerTarget{target}, Requests: 3})
+		must.True(t, r.Clean())
+		must.Eq(t, 3, r.Whole)
+		must.Eq(t, map[string]int{"limited": 2}, r.Refusals)
+		must.Eq(t, standin.Audit{Runs: 3}, standin.NewAudit(u.Runs(), r.Records))
+	}
+}
+
+func TestCallerKeepsToUnclaimedRefusal(t *testing.T) {
+	target := targets()[1]
+	for _, idempotent := range []bool{false, true} {
+		target.Idempotent = idempotent
+		f, u := gated(t, standin.UpstreamConfig{Service: "report"}, func(g *gate, f fabric.Frame, n int) bool {
+			if n == 0 {
+				g.refuse(f, fabric.Refusal{Reason: fabric.ReasonUnavailable})
+			}
+			return n > 0
+		})
+		r := run(t, standin.CallerConfig{Attach: f, Targets: []standin.CallerTarget{target}})
+		must.Eq(t, idempotent, r.Clean())
+		must.Eq(t, idempotent, r.Refused == 0)
+		must.Eq(t, r.Whole, len(u.Runs()))
+	}
+}
+
+func TestAuditFindsFalseRefusalAndDouble(t *testing.T) {
+	for _, repeats := range []bool{false, true} {
+		f, u := gated(t, standin.UpstreamConfig{Service: "report", Repeats: repeats}, func(g *gate, f fabric.Frame, n int) bool {
+			if n == 0 {
+				g.refuse(f, fabric.Refusal{Reason: fabric.ReasonOverloaded, NotRun: true, RetryAfter: 50 * time.Millisecond})
+			}
+			return true
+		})
+		r := run(t, standin.CallerConfig{Attach: f, Targets: targets()[1:2]})
+		must.Eq(t, 1, r.Whole)
+		must.SliceLen(t, 1, r.Records)
+		audit := standin.NewAudit(u.Runs(), r.Records)
+		must.Eq(t, 1, audit.FalseRefusals)
+		must.Eq(t, repeats, audit.Doubled == 1)
+		must.False(t, audit.Clean())
+	}
+}
+
+func TestCallerSeesBrokenFlow(t *testing.T) {
+	f, _ := gated(t, standin.UpstreamConfig{Service: "report"}, func(g *gate, f fabric.Frame, n int) bool {
+		if len(f.Payload) > 0 {
+			g.refuse(f, fabric.Refusal{Reason: fabric.ReasonLeaving})
+			return false
+		}
+		return true
+	})
+	r := run(t, standin.CallerConfig{Attach: f, Targets: targets()[:1], Requests: 3})
+	must.Eq(t, 1, r.Broken)
+	must.Eq(t, 1, r.Failed)
+	must.Eq(t, 1, r.Requests)
+	must.Eq(t, map[string]int{"leaving": 1}, r.Refusals)
+	must.False(t, r.Clean())
+}
+
+func TestCallerSeesForeignAnswer(t *testing.T) {
+	f, _ := path(t, standin.FabricConfig{}, standin.UpstreamConfig{Service: "fitting"})
+	r := run(t, standin.CallerConfig{Attach: f, Targets: targets()[:2], Flows: 2, Timeout: 300 * time.Millisecond})
+	must.Positive(t, r.Foreign)
+	must.Eq(t, 2, r.Lost)
+	must.False(t, r.Clean())
+}
+
+func TestCallerStopsWithContext(t *testing.T) {
+	f, _ := path(t, standin.FabricConfig{}, standin.UpstreamConfig{ServiceTime: time.Minute})
+	r := run(t, standin.CallerConfig{Attach: f, Targets: targets(), Flows: 4, Duration: 200 * time.Millisecond, Timeout: time.Minute})
+	must.Eq(t, 4, r.Stopped)
+}
+
+func TestChecksNameEachFault(t *testing.T) {
+	err := standin.CallerConfig{Flows: -1, Attempts: 2000}.Check()
+	must.ErrorContains(t, err, "fabric is")
+	must.ErrorContains(t, err, "target is empty")
+	must.ErrorContains(t, err, "flows is -1, must be from 1 to 1e+06")
+	must.ErrorContains(t, err, "attempts is 2000")
+	var one *standin.ValueError
+	must.ErrorAs[*standin.ValueError](t, err, &one)
+	must.ErrorContains(t, standin.UpstreamConfig{Tunnel: netip.MustParseAddrPort("192.0.2.1:1")}.Check(), "tunnel")
+	must.ErrorContains(t, standin.FabricConfig{Faults: standin.FabricFaults{Loss: 2}}.Check(), "loss")
+}
--- a/standin/fabric.go
+++ b/standin/fabric.go
@@ -10,6 +10,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -43,6 +44,9 @@
 	// where packets to balancers come from. The zero value selects a free port on
 	// 127.0.0.1.
 	Answers netip.AddrPort
+	// Status serves HTTP: counts and the list of balancers. The zero value
+	// selects a free port on 127.0.0.1.
+	Status netip.AddrPort
 	// Balancers are where packets of callers go. It may be empty at first, see SetBalancers.
 	Balancers []netip.AddrPort
 	// Seed starts the choice of balancers and faults.
@@ -57,6 +61,7 @@
 	var v valueErrors
 	v.loopback("callers", c.Callers)
 	v.loopback("answers", c.Answers)
+	v.loopback("status", c.Status)
 	v.between("loss", c.Faults.Loss, 0, 1)
 	v.between("duplicate", c.Faults.Duplicate, 0, 1)
 	v.between("delay", c.Faults.Delay.Seconds(), 0, maxDelay.Seconds())
@@ -94,6 +99,8 @@
 	cfg     FabricConfig
 	callers *net.UDPConn
 	answers *net.UDPConn
+	status  net.Listener
+	server  *http.Server
 	queue   *fabricQueue
 
 	mu        sync.Mutex // guards rand and balancers
@@ -115,24 +122,43 @@
 	if cfg.Timers == nil {
 		cfg.Timers = timer.New(timer.Config{})
 	}
-	callers, err := listenUDP(cfg.Callers)
-	if err != nil {
-		return nil, err
-	}
-	answers, err := listenUDP(cfg.Answers)
-	if err != nil {
-		_ = callers.Close()
-		return nil, err
-	}
-	return &Fabric{
+	f := &Fabric{
 		cfg:       cfg,
-		callers:   callers,
-		answers:   answers,
 		queue:     newFabricQueue(cfg.Timers),
 		rand:      rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 		balancers: cfg.Balancers,
 		ports:     make(map[netip.AddrPort]fabricPort),
-	}, nil
+	}
+	if err := f.listen(); err != nil {
+		f.closeSockets()
+		return nil, err
+	}
+	f.server = f.newServer()
+	return f, nil
+}
+
+func (f *Fabric) listen() error {
+	var err error
+	if f.callers, err = listenUDP(f.cfg.Callers); err != nil {
+		return err
+	}
+	if f.answers, err = listenUDP(f.cfg.Answers); err != nil {
+		return err
+	}
+	f.status, err = listenTCP(f.cfg.Status)
+	return err
+}
+
+func (f *Fabric) closeSockets() {
+	if f.callers != nil {
+		_ = f.callers.Close()
+	}
+	if f.answers != nil {
+		_ = f.answers.Close()
+	}
+	if f.status != nil {
+		_ = f.status.Close()
+	}
 }
 
 // Callers returns where callers in other processes send their packets.
@@ -145,6 +171,18 @@
 	return localAddr(f.answers)
 }
 
+// Status returns where counts and the list of balancers are served.
+func (f *Fabric) Status() netip.AddrPort {
+	return f.status.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Balancers returns the balancers that packets are sprayed over.
+func (f *Fabric) Balancers() []netip.AddrPort {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.balancers
+}
+
 // SetBalancers replaces the balancers that packets are sprayed over.
 func (f *Fabric) SetBalancers(balancers []netip.AddrPort) {
 	balancers = append([]netip.AddrPort(nil), balancers...)
@@ -209,12 +247,14 @@
 	wg.Go(func() { f.queue.run(ctx) })
 	wg.Go(func() { f.receiveCallers() })
 	wg.Go(func() { f.receiveAnswers() })
+	wg.Go(func() { _ = f.server.Serve(f.status) })
 	<-ctx.Done()
-	_ = f.callers.Close()
-	_ = f.answers.Close()
+	_ = f.server.Close()
+	f.closeSockets()
 	return nil
 }
 
+// receiveCallers sprays the packets of callers in other processes and learns where those are.
 func (f *Fabric) receiveCallers() {
 	d := fabric.NewDecoder(fabric.DecoderConfig{MaxPacket: fabric.MaxPacket})
 	receiveUDP(f.callers, func(datagram []byte, from netip.AddrPort) {
--- a/standin/message.go
+++ b/standin/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
@@ -25,6 +26,8 @@
 	Idempotent bool   `msgpack:"idempotent"`
 	// Size is the length in bytes of the wanted answer's body, from 0 to maxBody.
 	Size int `msgpack:"size"`
+	// Within is how long the request may wait for a slot. Zero sets no bound.
+	Within time.Duration `msgpack:"within"`
 }
 
 const maxBody = maxMessage - 1024 // bytes
@@ -40,7 +43,7 @@
 	if err := decodeMessage(frame, &r); err != nil {
 		return Request{}, err
 	}
-	if r.Size < 0 || r.Size > maxBody {
+	if r.Size < 0 || r.Size > maxBody || r.Within < 0 {
 		return Request{}, &MessageError{Part: "fields"}
 	}
 	return r, nil
@@ -55,6 +58,8 @@
 	StatusDone Status = 1
 	// StatusShed means that the request did not run since the queue was full.
 	StatusShed Status = 2
+	// StatusExpired means that the request did not run since it waited too long.
+	StatusExpired Status = 3
 )
 
 // Answer is what an Upstream sends back.
@@ -81,7 +86,7 @@
 	if err := decodeMessage(frame, &a); err != nil {
 		return Answer{}, err
 	}
-	if a.Status != StatusDone && a.Status != StatusShed {
+	if a.Status < StatusDone || a.Status > StatusExpired {
 		return Answer{}, &MessageError{Part: "fields"}
 	}
 	return a, nil
--- a/standin/result.go
+++ b/standin/result.go
@@ -71,8 +71,8 @@
 	Latency *hdrhistogram.Histogram `json:"-"`
 }
 
-// Clean reports whether each request that was planned got its own whole answer
-// and no flow was broken.
+// Clean reports whether each request that was sent got its own whole answer,
+// each flow that was begun was opened and none was broken.
 func (r Result) Clean() bool {
 	return r.Whole == r.Requests && r.Broken+r.Unopened+r.Foreign+r.Damaged == 0
 }
--- a/standin/socket.go
+++ b/standin/socket.go
@@ -24,6 +24,16 @@
 	return conn, nil
 }
 
+// listenTCP opens a listener. The zero address selects a free port on 127.0.0.1.
+func listenTCP(addr netip.AddrPort) (net.Listener, error) {
+	addr = orLoopback(addr)
+	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, &ListenError{Address: addr, Cause: err}
+	}
+	return listener, nil
+}
+
 func orLoopback(addr netip.AddrPort) netip.AddrPort {
 	if addr.IsValid() {
 		return addr
--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -102,6 +102,12 @@
 	return v.join()
 }
 
+// upstreamJob is a request that waits for a slot.
+type upstreamJob struct {
+	request Request
+	queued  time.Time
+}
+
 // Upstream answers requests over TCP and UDP inside Geneve, and over plain UDP.
 // It runs a request once unless Repeats is set, and says which ones ran. It is
 // safe for concurrent use.
@@ -111,7 +117,7 @@
 	datagram *net.UDPConn
 	status   net.Listener
 	server   *http.Server
-	jobs     chan Request // has room for cfg.Queue
+	jobs     chan upstreamJob // has room for cfg.Queue
 	inUse    atomic.Int64
 	begin    time.Time // fixed after NewUpstream
 
@@ -134,7 +140,7 @@
 	cfg = cfg.withDefaults()
 	u := &Upstream{
 		cfg:   cfg,
-		jobs:  make(chan Request, cfg.Queue),
+		jobs:  make(chan upstreamJob, cfg.Queue),
 		begin: cfg.Timers.Now(),
 		conns: make(map[flow.Key]*upstreamConn),
 		rand:  rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
@@ -157,13 +163,8 @@
 	if u.datagram, err = listenUDP(u.cfg.Datagram); err != nil {
 		return err
 	}
-	addr := orLoopback(u.cfg.Status)
-	listener, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
-	if err != nil {
-		return &ListenError{Address: addr, Cause: err}
-	}
-	u.status = listener
-	return nil
+	u.status, err = listenTCP(u.cfg.Status)
+	return err
 }
 
 func (u *Upstream) closeSockets() {
@@ -244,9 +245,9 @@
 		return
 	}
 	select {
-	case u.jobs <- r:
+	case u.jobs <- upstreamJob{request: r, queued: u.cfg.Timers.Now()}:
 	default:
-		u.ledger.forget(r)
+		u.ledger.cancel(r)
 		u.shed.Add(1)
 		reply(u.answer(r, StatusShed))
 	}
@@ -257,16 +258,27 @@
 		select {
 		case <-ctx.Done():
 			return
-		case r := <-u.jobs:
-			u.run(ctx, r)
+		case j := <-u.jobs:
+			u.run(ctx, j)
 		}
 	}
 }
 
-func (u *Upstream) run(ctx context.Context, r Request) {
+// run runs a request, unless it was cancelled or waited too long.
+func (u *Upstream) run(ctx context.Context, j upstreamJob) {
 	u.inUse.Add(1)
 	defer u.inUse.Add(-1)
-	u.ledger.run(r)
+	r := j.request
+	if r.Within > 0 && u.cfg.Timers.Since(j.queued) > r.Within {
+		u.shed.Add(1)
+		if reply, ok := u.ledger.cancel(r); ok {
+			reply(u.answer(r, StatusExpired))
+		}
+		return
+	}
+	if !u.ledger.run(r) {
+		return
+	}
 	if d := u.serviceTime(); d > 0 && u.cfg.Timers.Sleep(ctx, d) != nil {
 		return
 	}
--- a/standin/upstream_ledger.go
+++ b/standin/upstream_ledger.go
@@ -60,23 +60,30 @@
 	return ledgerRunning
 }
 
-// forget removes a request that begin entered and that did not run.
-func (l *upstreamLedger) forget(r Request) {
+// cancel removes a request that has not started, and returns where its answer
+// was wanted. It returns false for one that has started or is not known.
+func (l *upstreamLedger) cancel(r Request) (func(Answer), bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	k := ledgerKey{r.Caller, r.ID}
-	if e := l.runs[k]; e != nil && len(e.attempts) == 0 {
-		delete(l.runs, k)
+	e := l.runs[k]
+	if e == nil || len(e.attempts) > 0 {
+		return nil, false
 	}
+	delete(l.runs, k)
+	return e.reply, true
 }
 
-// run records that a request starts.
-func (l *upstreamLedger) run(r Request) {
+// run records that a request starts. It returns false when it was cancelled.
+func (l *upstreamLedger) run(r Request) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if e := l.runs[ledgerKey{r.Caller, r.ID}]; e != nil {
-		e.attempts = append(e.attempts, r.Attempt)
+	e := l.runs[ledgerKey{r.Caller, r.ID}]
+	if e == nil {
+		return false
 	}
+	e.attempts = append(e.attempts, r.Attempt)
+	return true
 }
 
 // finish records that a request has run, and returns where its answer goes.
--- a/standin/upstream_status.go
+++ b/standin/upstream_status.go
@@ -42,6 +42,7 @@
 	mux.HandleFunc("GET /health", u.serveHealth)
 	mux.HandleFunc("GET /load", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, u.ReportedLoad()) })
 	mux.HandleFunc("GET /runs", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, u.Runs()) })
+	mux.HandleFunc("POST /leave", func(http.ResponseWriter, *http.Request) { u.Leave() })
 	return &http.Server{Handler: mux, ReadHeaderTimeout: statusTimeout}
 }
 
--- a/standin/upstream_tunnel.go
+++ b/standin/upstream_tunnel.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/corianderbay/corianderbay/fabric"
@@ -22,7 +23,7 @@
 	via    netip.AddrPort // where the last packet came from
 	vni    uint32         // of the last packet
 	stream []byte         // received data that is no whole request yet
-	open   int            // requests that are not answered yet
+	open   []Request      // requests that are not answered yet
 	retry  retransmission
 }
 
@@ -102,7 +103,7 @@
 	switch {
 	case f.Packet.Reset:
 		if c != nil && c.tcp.acceptsReset(in) {
-			delete(u.conns, k)
+			u.cancel(k, c)
 		}
 		u.mu.Unlock()
 		return
@@ -123,6 +124,14 @@
 	}
 }
 
+// cancel forgets a connection and its requests that have not started. The caller holds u.mu.
+func (u *Upstream) cancel(k flow.Key, c *upstreamConn) {
+	delete(u.conns, k)
+	for _, r := range c.open {
+		u.ledger.cancel(r)
+	}
+}
+
 // accept opens a connection, in place of an earlier one between the same ports. The caller holds u.mu.
 func (u *Upstream) accept(f fabric.Frame, in tcpInput, from netip.AddrPort) {
 	k := f.Packet.Key
@@ -169,7 +178,7 @@
 			u.malformed.Add(1)
 			continue
 		}
-		c.open++
+		c.open = append(c.open, r)
 		requests = append(requests, r)
 	}
 	u.finish(k, c)
@@ -179,7 +188,7 @@
 // finish closes a connection that the caller has closed once all is answered,
 // and forgets it when both ends are closed. The caller holds u.mu.
 func (u *Upstream) finish(k flow.Key, c *upstreamConn) {
-	if c.tcp.peerClosed && c.open == 0 && !c.tcp.closing {
+	if c.tcp.peerClosed && len(c.open) == 0 && !c.tcp.closing {
 		u.send(c, c.tcp.close())
 	}
 	if c.tcp.done() && u.conns[k] == c {
@@ -198,7 +207,7 @@
 	if u.conns[k] != c {
 		return
 	}
-	c.open--
+	c.open = slices.DeleteFunc(c.open, func(r Request) bool { return r.ID == a.ID && r.Caller == a.Caller })
 	u.send(c, c.tcp.send(b))
 	u.finish(k, c)
 }
@@ -244,7 +253,7 @@
 			continue
 		}
 		if !c.retry.expire(now, maxRetransmits) {
-			delete(u.conns, k)
+			u.cancel(k, c)
 			continue
 		}
 		u.send(c, c.tcp.retransmit())
