--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -35,6 +35,8 @@
 	// Connections is how many TCP connections are held, from 1 to 1,000,000;
 	// further ones are reset. Zero selects 4,096.
 	Connections int
+	// Idle is how long a TCP connection without packets is held, from 1 s to 24 h. Zero selects 1 h.
+	Idle time.Duration
 	// ServiceTime is how long a request holds its slot, from 0 to 1 min.
 	ServiceTime time.Duration
 	// ColdStart is how long after the start requests take longer, from 0 to 1 h,
@@ -57,6 +59,7 @@
 	defaultQueue       = 1024
 	defaultConnections = 4096
 	defaultColdFactor  = 10
+	defaultIdle        = time.Hour
 
 	maxSlots       = 1000
 	maxQueue       = 1_000_000
@@ -79,6 +82,9 @@
 	if c.Connections == 0 {
 		c.Connections = defaultConnections
 	}
+	if c.Idle == 0 {
+		c.Idle = defaultIdle
+	}
 	if c.ColdFactor == 0 {
 		c.ColdFactor = defaultColdFactor
 	}
@@ -95,6 +101,7 @@
 	v.between("slots", float64(c.Slots), 1, maxSlots)
 	v.between("queue", float64(c.Queue), 1, maxQueue)
 	v.between("connections", float64(c.Connections), 1, maxConnections)
+	v.between("idle", c.Idle.Seconds(), 1, maxDuration.Seconds())
 	v.between("service-time", c.ServiceTime.Seconds(), 0, maxDelay.Seconds())
 	v.between("cold-start", c.ColdStart.Seconds(), 0, maxColdStart.Seconds())
 	v.between("cold-factor", c.ColdFactor, 1, maxColdFactor)
--- a/standin/upstream_tunnel.go
+++ b/standin/upstream_tunnel.go
@@ -25,6 +25,7 @@
 	stream []byte         // received data that is no whole request yet
 	open   []Request      // requests that are not answered yet
 	retry  retransmission
+	seen   time.Time // when the last packet came
 }
 
 // retransmission is the timer of one sender. The zero value is at rest.
@@ -116,7 +117,7 @@
 		u.reset(f, from)
 		return
 	}
-	c.via, c.vni = from, f.VNI
+	c.via, c.vni, c.seen = from, f.VNI, u.cfg.Timers.Now()
 	requests := u.receiveData(k, c, in)
 	u.mu.Unlock()
 	for _, r := range requests {
@@ -140,7 +141,7 @@
 		return
 	}
 	tcp, opening := acceptTCP(k.Address(), k.Caller(), u.rand.Uint32(), in.seq)
-	c := &upstreamConn{tcp: tcp, via: from, vni: f.VNI}
+	c := &upstreamConn{tcp: tcp, via: from, vni: f.VNI, seen: u.cfg.Timers.Now()}
 	u.conns[k] = c
 	u.send(c, []fabric.Segment{opening})
 }
@@ -231,7 +232,7 @@
 	}
 }
 
-// retransmit sends again what is not acknowledged, until ctx is done.
+// retransmit sends again what is not acknowledged and forgets idle connections, until ctx is done.
 func (u *Upstream) retransmit(ctx context.Context) {
 	sub := u.cfg.Timers.Every(retransmitTick)
 	defer sub.Stop()
@@ -249,6 +250,10 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for k, c := range u.conns {
+		if now.Sub(c.seen) > u.cfg.Idle {
+			u.cancel(k, c)
+			continue
+		}
 		if !c.tcp.waiting() || now.Before(c.retry.due) {
 			continue
 		}
