fabric: let a decoder in use build refusals

Cause: Refuse makes a decoder for each refused packet, and a process that refuses thousands a second already has one.

Ruled out: patching the refused packet's bytes in place, which must keep the caller's packet untouched and would need a second checksum code.

Change: Decoder.Refuse; the function Refuse calls it. BenchmarkRefuse.

--- a/fabric/build.go
+++ b/fabric/build.go
@@ -136,7 +136,11 @@
 // option to be understood; the datagram must be sent with one, see Append. It
 // reports *NoResetError and the errors of Decoder.DecodePacket.
 func Refuse(ip []byte) ([]byte, error) {
-	d := NewDecoder(DecoderConfig{MaxPacket: MaxPacket})
+	return NewDecoder(DecoderConfig{MaxPacket: MaxPacket}).Refuse(ip)
+}
+
+// Refuse is the function Refuse without a decoder of its own.
+func (d *Decoder) Refuse(ip []byte) ([]byte, error) {
 	p, payload, err := d.DecodePacket(ip)
 	if err != nil {
 		return nil, err
--- a/fabric/encode_test.go
+++ b/fabric/encode_test.go
@@ -33,7 +33,7 @@
 	d := fabric.NewDecoder(fabric.DecoderConfig{})
 	for _, f := range families() {
 		for _, tc := range tests {
-			back, err := fabric.Refuse(f.datagram(t, "question"))
+			back, err := d.Refuse(f.datagram(t, "question"))
 			must.NoError(t, err)
 			got, err := d.DecodeAnswerFrame(wrap(t, back, &tc.sent))
 			must.NoError(t, err)
@@ -134,3 +134,14 @@
 		}
 	}
 }
+
+func BenchmarkRefuse(b *testing.B) {
+	ip := families()[0].segment(b, fabric.SYN, "")
+	d := fabric.NewDecoder(fabric.DecoderConfig{})
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := d.Refuse(ip); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
