--- a/standin/upstream_tunnel.go
+++ b/standin/upstream_tunnel.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/corianderbay/corianderbay/fabric"
@@ -22,8 +23,9 @@
 	via    netip.AddrPort // where the last packet came from
 	vni    uint32         // of the last packet
 	stream []byte         // received data that is no whole request yet
-	open   int            // requests that are not answered yet
+	open   []Request      // requests that are not answered yet
 	retry  retransmission
+	seen   time.Time // when the last packet came
 }
 
 // retransmission is the timer of one sender. The zero value is at rest.
@@ -102,7 +104,7 @@
 	switch {
 	case f.Packet.Reset:
 		if c != nil && c.tcp.acceptsReset(in) {
-			delete(u.conns, k)
+			u.cancel(k, c)
 		}
 		u.mu.Unlock()
 		return
@@ -115,7 +117,7 @@
 		u.reset(f, from)
 		return
 	}
-	c.via, c.vni = from, f.VNI
+	c.via, c.vni, c.seen = from, f.VNI, u.cfg.Timers.Now()
 	requests := u.receiveData(k, c, in)
 	u.mu.Unlock()
 	for _, r := range requests {
@@ -123,6 +125,14 @@
 	}
 }
 
+// cancel forgets a connection and its requests that have not started. The caller holds u.mu.
+func (u *Upstream) cancel(k flow.Key, c *upstreamConn) {
+	delete(u.conns, k)
+	for _, r := range c.open {
+		u.ledger.cancel(r)
+	}
+}
+
 // accept opens a connection, in place of an earlier one between the same ports. The caller holds u.mu.
 func (u *Upstream) accept(f fabric.Frame, in tcpInput, from netip.AddrPort) {
 	k := f.Packet.Key
@@ -131,7 +141,7 @@
 		return
 	}
 	tcp, opening := acceptTCP(k.Address(), k.Caller(), u.rand.Uint32(), in.seq)
-	c := &upstreamConn{tcp: tcp, via: from, vni: f.VNI}
+	c := &upstreamConn{tcp: tcp, via: from, vni: f.VNI, seen: u.cfg.Timers.Now()}
 	u.conns[k] = c
 	u.send(c, []fabric.Segment{opening})
 }
@@ -169,7 +179,7 @@
 			u.malformed.Add(1)
 			continue
 		}
-		c.open++
+		c.open = append(c.open, r)
 		requests = append(requests, r)
 	}
 	u.finish(k, c)
@@ -179,7 +189,7 @@
 // finish closes a connection that the caller has closed once all is answered,
 // and forgets it when both ends are closed. The caller holds u.mu.
 func (u *Upstream) finish(k flow.Key, c *upstreamConn) {
-	if c.tcp.peerClosed && c.open == 0 && !c.tcp.closing {
+	if c.tcp.peerClosed && len(c.open) == 0 && !c.tcp.closing {
 		u.send(c, c.tcp.close())
 	}
 	if c.tcp.done() && u.conns[k] == c {
@@ -198,7 +208,7 @@
 	if u.conns[k] != c {
 		return
 	}
-	c.open--
+	c.open = slices.DeleteFunc(c.open, func(r Request) bool { return r.ID == a.ID && r.Caller == a.Caller })
 	u.send(c, c.tcp.send(b))
 	u.finish(k, c)
 }
@@ -222,7 +232,7 @@
 	}
 }
 
-// retransmit sends again what is not acknowledged, until ctx is done.
+// retransmit sends again what is not acknowledged and forgets idle connections, until ctx is done.
 func (u *Upstream) retransmit(ctx context.Context) {
 	sub := u.cfg.Timers.Every(retransmitTick)
 	defer sub.Stop()
@@ -240,11 +250,15 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	for k, c := range u.conns {
+		if now.Sub(c.seen) > u.cfg.Idle {
+			u.cancel(k, c)
+			continue
+		}
 		if !c.tcp.waiting() || now.Before(c.retry.due) {
 			continue
 		}
 		if !c.retry.expire(now, maxRetransmits) {
-			delete(u.conns, k)
+			u.cancel(k, c)
 			continue
 		}
 		u.send(c, c.tcp.retransmit())
