--- a/demo/bundle.go
+++ b/demo/bundle.go
@@ -58,7 +58,7 @@
 		// A sidecar that has just started drops unknown datagrams that way long.
 		Repeat:     time.Second,
 		Idempotent: name == secondService,
-		Rules: []bundle.Rule{{Callers: netip.MustParsePrefix("10.0.0.0/8"), Allow: true}},
+		Rules:      []bundle.Rule{{Callers: netip.MustParsePrefix("10.0.0.0/8"), Allow: true}},
 		Objectives: []bundle.Objective{
 			{Name: fmt.Sprintf("%s-whole", name), Measure: "answers", Target: 0.999},
 		},
