Carry forward, roll back, compare, publish and patch bundles

Cause: flows outlive the upstreams and addresses that a new bundle drops, and the largest bundle needs more than a small value at the platform. Ruled out: carrying an upstream that moves between services as leaving in the old one and refused in the new: one name would stand for two sidecars' flows, so a move is an error and the new upstream takes another name. Parts cut by size in name order: one new service would shift all later parts; sections are dealt out by the hash of their names. Change: Carry, Rollback (a higher number, the running sign-off policy), Diff with a ranking function, Publish and Index (parts named by hash, never half accepted), Patch between any two bundles. FuzzUnmarshal reads indexes and patches too.

--- a/bundle/bundle.go
+++ b/bundle/bundle.go
@@ -9,6 +9,7 @@
 	"crypto/ed25519"
 	"encoding/base64"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -43,6 +44,29 @@
 	Services []Service `yaml:"services" msgpack:"services,omitempty"`
 }
 
+// WithSequence returns the bundle with another number.
+func (b *Bundle) WithSequence(n uint64) *Bundle {
+	c := *b
+	c.Sequence = n
+	return &c
+}
+
+// clone returns a copy whose lists down to the upstreams and addresses may be changed.
+func (b *Bundle) clone() *Bundle {
+	c := *b
+	c.DataCentres = slices.Clone(b.DataCentres)
+	c.Services = slices.Clone(b.Services)
+	for i := range c.Services {
+		s := &c.Services[i]
+		s.Addresses = slices.Clone(s.Addresses)
+		s.Places = slices.Clone(s.Places)
+		for j := range s.Places {
+			s.Places[j].Upstreams = slices.Clone(s.Places[j].Upstreams)
+		}
+	}
+	return &c
+}
+
 // SignOff is the policy for accepting the next bundle.
 type SignOff struct {
 	// Need is how many approvers must sign, from 1 to the number of approvers.
@@ -123,6 +147,11 @@
 	return a.Protocol + " " + netip.AddrPortFrom(a.IP, a.Port).String()
 }
 
+// bare returns the address without its former service, for use as a key.
+func (a Address) bare() Address {
+	return Address{IP: a.IP.Unmap(), Port: a.Port, Protocol: a.Protocol}
+}
+
 // Rule says whether callers of a prefix may reach a service.
 type Rule struct {
 	Callers netip.Prefix `yaml:"callers" msgpack:"callers"`
--- a/bundle/checkservice.go
+++ b/bundle/checkservice.go
@@ -44,13 +44,11 @@
 		c.add(&MissingError{Where: Where{Path: joinPath(path, "ip")}})
 		return
 	}
-	a.Former = ""
-	a.IP = a.IP.Unmap()
-	if first, ok := c.addresses[a]; ok {
+	if first, ok := c.addresses[a.bare()]; ok {
 		c.add(&OverlapError{Where: Where{Path: path}, Address: a.String(), First: first})
 		return
 	}
-	c.addresses[a] = path
+	c.addresses[a.bare()] = path
 }
 
 // former checks the service that held an address before.
--- /dev/null
+++ b/bundle/diff.go
@@ -0,0 +1,226 @@
+package bundle
+
+import (
+	"maps"
+	"reflect"
+	"slices"
+)
+
+// defaultSamples is how many keys a service is ranked for.
+const defaultSamples = 1000
+
+// Rank returns the upstreams of a service in the order in which they are asked
+// for a flow. Equal samples stand for equal flows in every bundle.
+type Rank func(service string, sample int) []UpstreamID
+
+// DiffConfig says how Diff ranks flows. The zero value ranks none.
+type DiffConfig struct {
+	// Old and New rank the flows of the two bundles. Nil ranks none.
+	Old, New Rank
+	// Samples is how many flows are ranked a service. Zero selects 1000.
+	Samples int
+}
+
+// Change is the difference between two bundles.
+type Change struct {
+	// From and To are the sequences.
+	From uint64 `json:"from"`
+	To   uint64 `json:"to"`
+	// SignOff is true when the sign-off policy differs.
+	SignOff bool `json:"signoff"`
+	// DataCentres names those that were added, removed or changed.
+	DataCentres []string `json:"datacentres"`
+	// Added and Removed name services.
+	Added   []string `json:"added"`
+	Removed []string `json:"removed"`
+	// Services has one entry a service that was added, removed or changed, in the order of the names.
+	Services []ServiceChange `json:"services"`
+}
+
+// Empty returns true when nothing but the sequence differs.
+func (c Change) Empty() bool {
+	return !c.SignOff && len(c.DataCentres) == 0 && len(c.Services) == 0
+}
+
+// ServiceChange is the difference of one service. Upstreams are given by name.
+type ServiceChange struct {
+	Name    string   `json:"name"`
+	Added   []string `json:"added"`
+	Removed []string `json:"removed"`
+	// Leaving are those that get no new flows any more, and Returned those that get them again.
+	Leaving  []string       `json:"leaving"`
+	Returned []string       `json:"returned"`
+	Weights  []WeightChange `json:"weights"`
+	// Gained and Lost are addresses.
+	Gained []string `json:"gained"`
+	Lost   []string `json:"lost"`
+	// Settings is true when anything else differs, as rules or limits.
+	Settings bool `json:"settings"`
+	// Moved is how many of Sampled flows are asked for at another upstream first.
+	Moved   int `json:"moved"`
+	Sampled int `json:"sampled"`
+}
+
+// WeightChange is a new weight of an upstream.
+type WeightChange struct {
+	Upstream string `json:"upstream"`
+	Old      int    `json:"old"`
+	New      int    `json:"new"`
+}
+
+// Diff returns what changes from one bundle to the next.
+func Diff(from, to *Bundle, cfg DiffConfig) Change {
+	c := Change{
+		From:        from.Sequence,
+		To:          to.Sequence,
+		SignOff:     !equalEncoded(from.SignOff, to.SignOff),
+		DataCentres: changedDataCentres(from.DataCentres, to.DataCentres),
+	}
+	before := servicesByName(from)
+	after := servicesByName(to)
+	c.Added = onlyIn(after, before)
+	c.Removed = onlyIn(before, after)
+	names := make(map[string]bool)
+	for name := range before {
+		names[name] = true
+	}
+	for name := range after {
+		names[name] = true
+	}
+	for _, name := range slices.Sorted(maps.Keys(names)) {
+		if equalEncoded(before[name], after[name]) {
+			continue
+		}
+		s := diffService(name, before[name], after[name])
+		s.Moved, s.Sampled = cfg.moved(name)
+		c.Services = append(c.Services, s)
+	}
+	return c
+}
+
+// moved returns for how many sampled flows another upstream is asked first.
+func (cfg DiffConfig) moved(service string) (moved, sampled int) {
+	if cfg.Old == nil || cfg.New == nil {
+		return 0, 0
+	}
+	samples := cfg.Samples
+	if samples == 0 {
+		samples = defaultSamples
+	}
+	for i := range samples {
+		before, after := cfg.Old(service, i), cfg.New(service, i)
+		if len(before) == 0 || len(after) == 0 {
+			continue
+		}
+		sampled++
+		if before[0] != after[0] {
+			moved++
+		}
+	}
+	return moved, sampled
+}
+
+func diffService(name string, before, after Service) ServiceChange {
+	c := ServiceChange{Name: name}
+	old, now := upstreamsByName(before), upstreamsByName(after)
+	c.Added = onlyIn(now, old)
+	c.Removed = onlyIn(old, now)
+	for _, upstream := range slices.Sorted(maps.Keys(now)) {
+		u, ok := old[upstream]
+		if ok {
+			c.addUpstream(u, now[upstream])
+		}
+	}
+	held, holds := addressSet(before), addressSet(after)
+	c.Gained = onlyIn(holds, held)
+	c.Lost = onlyIn(held, holds)
+	before.Addresses, after.Addresses = nil, nil
+	before.Places, after.Places = nil, nil
+	before.Name, after.Name = name, name
+	c.Settings = !equalEncoded(before, after)
+	return c
+}
+
+func (c *ServiceChange) addUpstream(before, after Upstream) {
+	if after.Leaving && !before.Leaving {
+		c.Leaving = append(c.Leaving, after.Name)
+	}
+	if before.Leaving && !after.Leaving {
+		c.Returned = append(c.Returned, after.Name)
+	}
+	if before.EffectiveWeight() != after.EffectiveWeight() {
+		c.Weights = append(c.Weights, WeightChange{after.Name, before.EffectiveWeight(), after.EffectiveWeight()})
+	}
+	before.Leaving, before.Weight = after.Leaving, after.Weight
+	if before != after {
+		c.Settings = true
+	}
+}
+
+func changedDataCentres(before, after []DataCentre) []string {
+	old, now := dataCentresByName(before), dataCentresByName(after)
+	changed := slices.Concat(onlyIn(old, now), onlyIn(now, old))
+	for name, d := range now {
+		if o, ok := old[name]; ok && !equalEncoded(o, d) {
+			changed = append(changed, name)
+		}
+	}
+	slices.Sort(changed)
+	return changed
+}
+
+func dataCentresByName(list []DataCentre) map[string]DataCentre {
+	byName := make(map[string]DataCentre, len(list))
+	for _, d := range list {
+		byName[d.Name] = d
+	}
+	return byName
+}
+
+func servicesByName(b *Bundle) map[string]Service {
+	byName := make(map[string]Service, len(b.Services))
+	for _, s := range b.Services {
+		byName[s.Name] = s
+	}
+	return byName
+}
+
+func upstreamsByName(s Service) map[string]Upstream {
+	byName := make(map[string]Upstream)
+	for _, p := range s.Places {
+		for _, u := range p.Upstreams {
+			byName[u.Name] = u
+		}
+	}
+	return byName
+}
+
+func addressSet(s Service) map[string]bool {
+	set := make(map[string]bool)
+	for _, a := range s.Addresses {
+		set[a.String()] = true
+	}
+	return set
+}
+
+// onlyIn returns the sorted keys of a that b lacks.
+func onlyIn[V any](a, b map[string]V) []string {
+	var keys []string
+	for k := range a {
+		if _, ok := b[k]; !ok {
+			keys = append(keys, k)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// equalEncoded compares two values of one type by their encodings, in which an empty list equals an absent one.
+func equalEncoded(a, b any) bool {
+	x, errX := hashEncoded("value", a)
+	y, errY := hashEncoded("value", b)
+	if errX != nil || errY != nil {
+		return reflect.DeepEqual(a, b)
+	}
+	return x == y
+}
--- a/bundle/fuzz_test.go
+++ b/bundle/fuzz_test.go
@@ -23,19 +23,33 @@
 	})
 }
 
-// FuzzUnmarshal looks for bytes that end the process, and for accepted bytes with a second encoding.
+// FuzzUnmarshal looks for bytes that end the process, and for accepted bytes
+// with a second encoding. It reads the same bytes as each kind of wire value.
 func FuzzUnmarshal(f *testing.F) {
-	valid, err := frozen(f, sample(1, 2), nil, 1).Marshal()
+	base := frozen(f, sample(1, 2), nil, 1)
+	next := frozen(f, sample(2, 3), base, 1)
+	whole, err := base.Marshal()
 	must.NoError(f, err)
-	f.Add(valid)
+	f.Add(whole)
+	patch, err := bundle.NewPatch(base, next).Marshal()
+	must.NoError(f, err)
+	f.Add(patch)
+	published, err := bundle.Publish(next, bundle.PublishConfig{})
+	must.NoError(f, err)
+	f.Add(published.Index)
+	trust := bundle.Anchor(policy(1, 1, 2))
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		got, err := bundle.Unmarshal(raw)
-		if err != nil {
-			return
+		if got, err := bundle.Unmarshal(raw); err == nil {
+			again, err := got.Marshal()
+			must.NoError(t, err)
+			must.Eq(t, raw, again)
+			_, _ = bundle.Accept(trust, got)
+		}
+		if x, err := bundle.UnmarshalIndex(raw); err == nil {
+			_, _ = x.Assemble(base.Section, nil)
+		}
+		if p, err := bundle.UnmarshalPatch(raw); err == nil {
+			_, _ = p.Apply(base)
 		}
-		again, err := got.Marshal()
-		must.NoError(t, err)
-		must.Eq(t, raw, again)
-		_, _ = bundle.Accept(bundle.Anchor(policy(1, 1, 2)), got)
 	})
 }
