Give operators a command line, and a page of all settings

Cause: bundles, keys and processes need a tool that names every fault and can be scripted. Ruled out: commands that keep state between runs: each one reads files and writes a file, so that approvers pass bundles on by any means. Conclusion: an operator can make, sign, compare and roll bundles without other tools.

--- /dev/null
+++ b/ctl/bundle.go
@@ -0,0 +1,212 @@
+package ctl
+
+import (
+	"context"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/setting"
+	"github.com/spf13/cobra"
+)
+
+const bundleGroup = "bundle"
+
+// summary is what check, freeze, sign and verify say of a bundle.
+type summary struct {
+	File      string `json:"file"`
+	Sequence  uint64 `json:"sequence"`
+	Hash      string `json:"hash,omitempty"`
+	Services  int    `json:"services"`
+	Upstreams int    `json:"upstreams"`
+	// Signers names those who signed.
+	Signers []string `json:"signers,omitempty"`
+	// Need is how many approvers must sign the next bundle.
+	Need int `json:"need"`
+}
+
+func newSummary(file string, b *bundle.Bundle, f *bundle.Frozen) summary {
+	sum := summary{File: file, Sequence: b.Sequence, Services: len(b.Services), Need: b.SignOff.Need}
+	for _, s := range b.Services {
+		for _, p := range s.Places {
+			sum.Upstreams += len(p.Upstreams)
+		}
+	}
+	if f == nil {
+		return sum
+	}
+	sum.Hash = f.Hash().String()
+	for _, signature := range f.Manifest().Signatures {
+		sum.Signers = append(sum.Signers, signature.Approver)
+	}
+	return sum
+}
+
+func (s stream) printSummary(sum summary, asJSON bool) error {
+	if asJSON {
+		return s.printJSON(sum)
+	}
+	if sum.Hash == "" {
+		return s.printf("%s: bundle %d, %d services, %d upstreams\n", sum.File, sum.Sequence, sum.Services, sum.Upstreams)
+	}
+	return s.printf("%s: bundle %d, %d services, %d upstreams, signed by %d, hash %s\n",
+		sum.File, sum.Sequence, sum.Services, sum.Upstreams, len(sum.Signers), sum.Hash)
+}
+
+func newCheckProgram() program {
+	set := setting.NewSet()
+	asJSON := set.Bool("json", false, "Print JSON.")
+	return program{
+		group:   bundleGroup,
+		use:     "check FILE",
+		short:   "Check an authored or frozen bundle and name all faults",
+		example: "bundle check bundle.yaml",
+		args:    cobra.ExactArgs(1),
+		set:     set,
+		run: func(_ context.Context, s stream, args []string) error {
+			b, err := s.loadBundle(args[0])
+			if err != nil {
+				return err
+			}
+			return s.printSummary(newSummary(args[0], b, nil), *asJSON)
+		},
+	}
+}
+
+func newFreezeProgram() program {
+	set := setting.NewSet()
+	previous := set.File("previous", "", "The frozen bundle that this one follows; none for the first one.")
+	out := set.String("out", standard, "Where to write the frozen bundle.")
+	return program{
+		group:   bundleGroup,
+		use:     "freeze FILE",
+		short:   "Turn a bundle into the form that approvers sign",
+		example: "bundle freeze bundle.yaml --previous running.frozen --out next.frozen",
+		args:    cobra.ExactArgs(1),
+		set:     set,
+		run: func(_ context.Context, s stream, args []string) error {
+			b, err := s.loadBundle(args[0])
+			if err != nil {
+				return err
+			}
+			f, err := bundle.Freeze(b)
+			if err != nil {
+				return err
+			}
+			if f, err = s.follow(f, *previous); err != nil {
+				return err
+			}
+			return s.writeFrozen(*out, f)
+		},
+	}
+}
+
+// follow returns f as the bundle after the one in the file previous, or f itself when previous is empty.
+func (s stream) follow(f *bundle.Frozen, previous string) (*bundle.Frozen, error) {
+	if previous == "" {
+		return f, nil
+	}
+	prev, err := s.loadFrozen(previous)
+	if err != nil {
+		return nil, err
+	}
+	next, err := f.WithPrevious(prev)
+	return next, inputFault(previous, err)
+}
+
+func newSignProgram() program {
+	set := setting.NewSet()
+	approver := set.String("approver", "", "The name of the approver in the sign-off policy.")
+	key := set.File("key", "", "The file with the approver's private key.")
+	out := set.String("out", standard, "Where to write the signed bundle.")
+	set.Require("approver", "key")
+	return program{
+		group:   bundleGroup,
+		use:     "sign FILE",
+		short:   "Add an approver's signature to a frozen bundle",
+		example: "bundle sign next.frozen --approver sari --key sari.key --out next.frozen",
+		args:    cobra.ExactArgs(1),
+		set:     set,
+		run: func(_ context.Context, s stream, args []string) error {
+			f, err := s.loadFrozen(args[0])
+			if err != nil {
+				return err
+			}
+			private, err := s.loadKey(*key)
+			if err != nil {
+				return err
+			}
+			if f, err = bundle.Sign(f, *approver, private); err != nil {
+				return err
+			}
+			return s.writeFrozen(*out, f)
+		},
+	}
+}
+
+func newVerifyProgram() program {
+	set := setting.NewSet()
+	running := set.File("running", "", "The frozen bundle that is in force.")
+	anchor := set.File("anchor", "", "A bundle whose sign-off policy processes have as their trust anchor.")
+	asJSON := set.Bool("json", false, "Print JSON.")
+	return program{
+		group:   bundleGroup,
+		use:     "verify FILE",
+		short:   "Say whether processes accept a signed bundle",
+		example: "bundle verify next.frozen --running running.frozen",
+		args:    cobra.ExactArgs(1),
+		set:     set,
+		run: func(_ context.Context, s stream, args []string) error {
+			trust, err := s.loadTrust(*running, *anchor)
+			if err != nil {
+				return err
+			}
+			f, err := s.loadFrozen(args[0])
+			if err != nil {
+				return err
+			}
+			b, err := bundle.Accept(trust, f)
+			if err != nil {
+				return err
+			}
+			return s.printSummary(newSummary(args[0], b, f), *asJSON)
+		},
+	}
+}
+
+// loadTrust returns what processes judge the next bundle by.
+func (s stream) loadTrust(running, anchor string) (bundle.Trust, error) {
+	if (running == "") == (anchor == "") {
+		return bundle.Trust{}, &TrustError{}
+	}
+	if anchor != "" {
+		b, err := s.loadBundle(anchor)
+		if err != nil {
+			return bundle.Trust{}, err
+		}
+		return bundle.Anchor(b.SignOff), nil
+	}
+	f, err := s.loadFrozen(running)
+	if err != nil {
+		return bundle.Trust{}, err
+	}
+	return f.Trust(), nil
+}
+
+func newShowProgram() program {
+	set := setting.NewSet()
+	out := set.String("out", standard, "Where to write the authored bundle.")
+	return program{
+		group:   bundleGroup,
+		use:     "show FILE",
+		short:   "Write a frozen bundle in the form that operators edit",
+		example: "bundle show running.frozen",
+		args:    cobra.ExactArgs(1),
+		set:     set,
+		run: func(_ context.Context, s stream, args []string) error {
+			b, err := s.loadBundle(args[0])
+			if err != nil {
+				return err
+			}
+			return s.writeText(*out, b)
+		},
+	}
+}
--- /dev/null
+++ b/ctl/command.go
@@ -0,0 +1,144 @@
+package ctl
+
+import (
+	"context"
+	"crypto/rand"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/corianderbay/corianderbay/setting"
+	"github.com/corianderbay/corianderbay/timer"
+	"github.com/spf13/cobra"
+)
+
+// statusTimeout bounds one question to a process.
+const statusTimeout = 3 * time.Second
+
+// Config holds what the commands use. The zero value selects the defaults.
+type Config struct {
+	// Version is the release that the program belongs to. Empty selects "unknown".
+	Version string
+	// Timer tells the time for certificates. Nil selects the process clock.
+	Timer *timer.Service
+	// Random is where keys come from. Nil selects the random source of the system.
+	Random io.Reader
+	// Client asks processes for their status. Nil selects one that waits 3 s.
+	Client *http.Client
+}
+
+func (cfg Config) withDefaults() Config {
+	if cfg.Version == "" {
+		cfg.Version = "unknown"
+	}
+	if cfg.Timer == nil {
+		cfg.Timer = timer.New(timer.Config{})
+	}
+	if cfg.Random == nil {
+		cfg.Random = rand.Reader
+	}
+	if cfg.Client == nil {
+		cfg.Client = &http.Client{Timeout: statusTimeout}
+	}
+	return cfg
+}
+
+// NewCommand returns the root command of corianderctl.
+func NewCommand(cfg Config) *cobra.Command {
+	cfg = cfg.withDefaults()
+	root := &cobra.Command{
+		Use:     "corianderctl",
+		Short:   "Check, sign and roll bundles of the corianderbay load balancer",
+		Example: "  corianderctl bundle check bundle.yaml\n  corianderctl status 10.0.0.1:9100",
+	}
+	groups := map[string]*cobra.Command{
+		"":       root,
+		"key":    {Use: "key", Short: "Make keys", Example: "  corianderctl key new sari"},
+		"bundle": {Use: "bundle", Short: "Check, sign, compare and roll bundles", Example: "  corianderctl bundle check bundle.yaml"},
+	}
+	root.AddCommand(groups["key"], groups["bundle"])
+	for _, p := range programs(cfg) {
+		groups[p.group].AddCommand(p.command())
+	}
+	return root
+}
+
+// Settings returns the declarations of each command by its name.
+func Settings() map[string][]setting.Declaration {
+	all := make(map[string][]setting.Declaration)
+	for _, p := range programs(Config{}.withDefaults()) {
+		all[p.path()] = p.set.Declarations()
+	}
+	return all
+}
+
+// program is one command with its settings.
+type program struct {
+	// group is the command above, empty for the root.
+	group string
+	// use is the name with the arguments.
+	use     string
+	short   string
+	example string
+	args    cobra.PositionalArgs
+	set     *setting.Set
+	run     func(ctx context.Context, s stream, args []string) error
+}
+
+func programs(cfg Config) []program {
+	return []program{
+		newKeyProgram(cfg),
+		newCheckProgram(),
+		newFreezeProgram(),
+		newSignProgram(),
+		newVerifyProgram(),
+		newShowProgram(),
+		newDiffProgram(),
+		newCarryProgram(),
+		newRollbackProgram(),
+		newPublishProgram(),
+		newStatusProgram(cfg),
+		newVersionProgram(cfg),
+	}
+}
+
+// path returns the name of the program with its group.
+func (p program) path() string {
+	name := (&cobra.Command{Use: p.use}).Name()
+	if p.group == "" {
+		return name
+	}
+	return p.group + " " + name
+}
+
+func (p program) command() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:     p.use,
+		Short:   p.short,
+		Example: "  corianderctl " + p.example,
+		Args:    p.args,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			if err := p.set.Check(); err != nil {
+				return err
+			}
+			return p.run(cmd.Context(), stream{in: cmd.InOrStdin(), out: cmd.OutOrStdout()}, args)
+		},
+	}
+	if err := p.set.Bind(cmd); err != nil {
+		cmd.RunE = func(*cobra.Command, []string) error { return err }
+	}
+	return cmd
+}
+
+func newVersionProgram(cfg Config) program {
+	return program{
+		use:     "version",
+		short:   "Print the release",
+		example: "version",
+		args:    cobra.NoArgs,
+		set:     setting.NewSet(),
+		run: func(_ context.Context, s stream, _ []string) error {
+			return s.printf("corianderctl %s\n", cfg.Version)
+		},
+	}
+}
--- /dev/null
+++ b/ctl/error.go
@@ -0,0 +1,140 @@
+package ctl
+
+import (
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/setting"
+)
+
+// ReadError reports a file that cannot be read.
+type ReadError struct {
+	File  string
+	Cause error
+}
+
+func (e *ReadError) Error() string { return "cannot read " + e.File + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *ReadError) Unwrap() error { return e.Cause }
+
+// ExitCode returns the code for bad input.
+func (e *ReadError) ExitCode() int { return setting.ExitUsage }
+
+// WriteError reports a file that cannot be written.
+type WriteError struct {
+	File  string
+	Cause error
+}
+
+func (e *WriteError) Error() string { return "cannot write " + e.File + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *WriteError) Unwrap() error { return e.Cause }
+
+// InputError reports a file whose content is wrong.
+type InputError struct {
+	File  string
+	Cause error
+}
+
+// Error returns the cause with the file before it, unless the cause names files itself.
+func (e *InputError) Error() string {
+	var faults *bundle.FaultsError
+	if errors.As(e.Cause, &faults) && strings.HasPrefix(faults.Error(), e.File+":") {
+		return faults.Error()
+	}
+	return e.File + ": " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *InputError) Unwrap() error { return e.Cause }
+
+// ExitCode returns the code for bad input.
+func (e *InputError) ExitCode() int { return setting.ExitUsage }
+
+func inputFault(file string, err error) error {
+	if err == nil {
+		return nil
+	}
+	return &InputError{File: file, Cause: err}
+}
+
+// FormError reports an authored bundle where a frozen one is needed.
+type FormError struct {
+	File string
+}
+
+func (e *FormError) Error() string {
+	return e.File + " is not a frozen bundle; make one with corianderctl bundle freeze"
+}
+
+// ExitCode returns the code for bad input.
+func (e *FormError) ExitCode() int { return setting.ExitUsage }
+
+// PrivateKeyError reports a file that holds no private key of the kind that key new writes.
+type PrivateKeyError struct {
+	File string
+}
+
+func (e *PrivateKeyError) Error() string {
+	return e.File + " holds no ed25519 private key in PEM form; make one with corianderctl key new"
+}
+
+// ExitCode returns the code for bad input.
+func (e *PrivateKeyError) ExitCode() int { return setting.ExitUsage }
+
+// ExistsError reports a key that is not written, as it would replace another one.
+type ExistsError struct {
+	File string
+}
+
+func (e *ExistsError) Error() string {
+	return e.File + " exists already; a key is never replaced"
+}
+
+// ExitCode returns the code for bad input.
+func (e *ExistsError) ExitCode() int { return setting.ExitUsage }
+
+// TrustError reports a verification that has neither a running bundle nor an anchor, or both.
+type TrustError struct{}
+
+func (e *TrustError) Error() string {
+	return "give one of --running (CORIANDERBAY_RUNNING) and --anchor (CORIANDERBAY_ANCHOR)"
+}
+
+// ExitCode returns the code for bad usage.
+func (e *TrustError) ExitCode() int { return setting.ExitUsage }
+
+// EncodingError reports a key or certificate that cannot be made.
+type EncodingError struct {
+	What  string
+	Cause error
+}
+
+func (e *EncodingError) Error() string { return "cannot make " + e.What + ": " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *EncodingError) Unwrap() error { return e.Cause }
+
+// StatusError reports processes that did not answer.
+type StatusError struct {
+	// Addresses has at least one entry.
+	Addresses []string
+}
+
+func (e *StatusError) Error() string {
+	return "no status from " + strings.Join(e.Addresses, ", ")
+}
+
+// AnswerError reports an answer that is not a status.
+type AnswerError struct {
+	Address string
+	// Status is the HTTP status line, as in "404 Not Found".
+	Status string
+}
+
+func (e *AnswerError) Error() string {
+	return e.Address + " answered " + e.Status
+}
--- /dev/null
+++ b/ctl/key.go
@@ -0,0 +1,171 @@
+package ctl
+
+import (
+	"context"
+	"crypto/ed25519"
+	"crypto/x509"
+	"encoding/hex"
+	"encoding/pem"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/setting"
+	"github.com/spf13/cobra"
+)
+
+const (
+	privateKeyType = "PRIVATE KEY"
+	// clusterKeySize is the length of the key of the forward protocol, in bytes.
+	clusterKeySize = 32
+	clusterKeyFile = "cluster.key"
+	maxDays        = 825
+)
+
+func newKeyProgram(cfg Config) program {
+	set := setting.NewSet()
+	out := set.String("out", ".", "The folder to write to.")
+	peer := set.Bool("peer", false, "Make certificates for processes, with a CA and a cluster key unless the folder has them.")
+	days := set.Int("days", 90, 1, maxDays, "days", "How long certificates are valid.")
+	ips := set.Strings("ip", "", "IP numbers that each certificate names besides the name, with commas.")
+	asJSON := set.Bool("json", false, "Print JSON.")
+	return program{
+		group:   "key",
+		use:     "new NAME...",
+		short:   "Make approvers' keys, or certificates for processes",
+		example: "key new sari --out keys",
+		args:    cobra.MinimumNArgs(1),
+		set:     set,
+		run: func(_ context.Context, s stream, args []string) error {
+			if err := makeFolder(*out); err != nil {
+				return err
+			}
+			k := &keyMaker{cfg: cfg, stream: s, folder: *out}
+			if !*peer {
+				return k.approvers(args, *asJSON)
+			}
+			addresses, err := parseIPs(*ips)
+			if err != nil {
+				return err
+			}
+			return k.peers(args, addresses, *days)
+		},
+	}
+}
+
+// publicKey is the public half of an approver's key.
+type publicKey struct {
+	Name string `json:"name"`
+	Key  string `json:"key"`
+}
+
+// keyMaker writes keys and certificates to a folder.
+type keyMaker struct {
+	cfg    Config
+	stream stream
+	folder string
+}
+
+// approvers makes a key pair for each name and prints the public halves as a
+// sign-off policy lists them, indented as they stand there.
+func (k *keyMaker) approvers(names []string, asJSON bool) error {
+	list := make([]publicKey, 0, len(names))
+	for _, name := range names {
+		private, err := k.newKey(name + ".key")
+		if err != nil {
+			return err
+		}
+		list = append(list, publicKey{Name: name, Key: bundle.PublicKey(private)})
+	}
+	if asJSON {
+		return k.stream.printJSON(list)
+	}
+	for _, a := range list {
+		if err := k.stream.printf("    - {name: %s, key: %q}\n", a.Name, a.Key); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// newKey makes a private key and writes it to a new file.
+func (k *keyMaker) newKey(file string) (ed25519.PrivateKey, error) {
+	seed, err := k.random(ed25519.SeedSize)
+	if err != nil {
+		return nil, err
+	}
+	private := ed25519.NewKeyFromSeed(seed)
+	der, err := x509.MarshalPKCS8PrivateKey(private)
+	if err != nil {
+		return nil, &EncodingError{What: file, Cause: err}
+	}
+	return private, k.writeNew(file, pem.EncodeToMemory(&pem.Block{Type: privateKeyType, Bytes: der}))
+}
+
+// clusterKey writes the key of the forward protocol in hexadecimal digits, unless the folder has one.
+func (k *keyMaker) clusterKey() error {
+	if exists(filepath.Join(k.folder, clusterKeyFile)) {
+		return nil
+	}
+	key, err := k.random(clusterKeySize)
+	if err != nil {
+		return err
+	}
+	return k.writeNew(clusterKeyFile, []byte(hex.EncodeToString(key)+"\n"))
+}
+
+func (k *keyMaker) random(n int) ([]byte, error) {
+	b := make([]byte, n)
+	if _, err := io.ReadFull(k.cfg.Random, b); err != nil {
+		return nil, &EncodingError{What: "random bytes", Cause: err}
+	}
+	return b, nil
+}
+
+// writeNew writes a secret to a file that does not exist.
+func (k *keyMaker) writeNew(name string, b []byte) error {
+	file := filepath.Join(k.folder, name)
+	f, err := os.OpenFile(file, os.O_WRONLY|os.O_CREATE|os.O_EXCL, privateMode)
+	if os.IsExist(err) {
+		return &ExistsError{File: file}
+	}
+	if err != nil {
+		return writeFault(file, err)
+	}
+	_, err = f.Write(b)
+	if closed := f.Close(); err == nil {
+		err = closed
+	}
+	return writeFault(file, err)
+}
+
+// loadKey reads a private key that newKey wrote.
+func (s stream) loadKey(file string) (ed25519.PrivateKey, error) {
+	raw, err := s.read(file)
+	if err != nil {
+		return nil, err
+	}
+	block, _ := pem.Decode(raw)
+	if block == nil || block.Type != privateKeyType {
+		return nil, &PrivateKeyError{File: file}
+	}
+	parsed, err := x509.ParsePKCS8PrivateKey(block.Bytes)
+	if err != nil {
+		return nil, &PrivateKeyError{File: file}
+	}
+	private, ok := parsed.(ed25519.PrivateKey)
+	if !ok {
+		return nil, &PrivateKeyError{File: file}
+	}
+	return private, nil
+}
+
+func makeFolder(folder string) error {
+	return writeFault(folder, os.MkdirAll(folder, folderMode))
+}
+
+func exists(file string) bool {
+	_, err := os.Stat(file)
+	return err == nil
+}
--- a/setting/error.go
+++ b/setting/error.go
@@ -80,6 +80,16 @@
 // ExitCode returns ExitUsage.
 func (e *UsageError) ExitCode() int { return ExitUsage }
 
+// CommandError reports a word that names no command of a group.
+type CommandError struct {
+	Group string
+	Word  string
+}
+
+func (e *CommandError) Error() string {
+	return fmt.Sprintf("%s has no command %q", e.Group, e.Word)
+}
+
 // ExitCode returns 0 for nil, the code of an error that has a method ExitCode, and ExitFailure for others.
 func ExitCode(err error) int {
 	if err == nil {
--- a/setting/execute.go
+++ b/setting/execute.go
@@ -12,6 +12,7 @@
 // unknown command or a wrong number of arguments, have the code ExitUsage.
 // Execute sets root's PersistentPreRun, which no command below may replace.
 func Execute(ctx context.Context, root *cobra.Command) int {
+	refuseUnknown(root)
 	started := false
 	root.SilenceErrors = true
 	root.SilenceUsage = true
@@ -29,3 +30,20 @@
 	}
 	return ExitCode(err)
 }
+
+// refuseUnknown makes every command that only groups others report a word that names none of them.
+func refuseUnknown(cmd *cobra.Command) {
+	for _, sub := range cmd.Commands() {
+		refuseUnknown(sub)
+	}
+	if cmd.Runnable() || !cmd.HasSubCommands() || !cmd.HasParent() {
+		return
+	}
+	cmd.Args = func(cmd *cobra.Command, args []string) error {
+		if len(args) == 0 {
+			return nil
+		}
+		return &CommandError{Group: cmd.CommandPath(), Word: args[0]}
+	}
+	cmd.RunE = func(cmd *cobra.Command, _ []string) error { return cmd.Help() }
+}
