--- /dev/null
+++ b/examples/bundle_test.go
@@ -0,0 +1,40 @@
+package examples_test
+
+import (
+	"os"
+	"testing"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/shoenig/test/must"
+)
+
+// TestBundlesHaveTheSizesOfToday parses and freezes each example.
+func TestBundlesHaveTheSizesOfToday(t *testing.T) {
+	for _, name := range []string{"wiryawan", "rotulos"} {
+		t.Run(name, func(t *testing.T) {
+			file := name + "/bundle.yaml"
+			text, err := os.ReadFile(file)
+			must.NoError(t, err)
+			b, err := bundle.Parse(file, text)
+			must.NoError(t, err)
+			_, err = bundle.Freeze(b)
+			must.NoError(t, err)
+			must.Len(t, 3, b.DataCentres)
+			must.Len(t, 2, b.Services)
+			must.Eq(t, []int{7, 3}, []int{sizeOf(t, b.Services[0]), sizeOf(t, b.Services[1])})
+		})
+	}
+}
+
+// sizeOf returns the number of upstreams, which have 2 slots each.
+func sizeOf(t *testing.T, s bundle.Service) int {
+	t.Helper()
+	n := 0
+	for _, p := range s.Places {
+		for _, u := range p.Upstreams {
+			must.Eq(t, 2, u.EffectiveSlots())
+			n++
+		}
+	}
+	return n
+}
