--- a/daemon/errors.go
+++ b/daemon/errors.go
@@ -81,3 +81,18 @@
 func (e *ListenError) Unwrap() error {
 	return e.Cause
 }
+
+// SourceError reports a text for --source that is no prefix.
+type SourceError struct {
+	Text string
+}
+
+// Error returns the flag and the text.
+func (e *SourceError) Error() string {
+	return fmt.Sprintf("--source: %q is not a prefix like 10.0.0.0/24", e.Text)
+}
+
+// ExitCode returns the code for bad settings.
+func (e *SourceError) ExitCode() int {
+	return setting.ExitUsage
+}
--- a/daemon/standins.go
+++ b/daemon/standins.go
@@ -66,6 +66,7 @@
 	s := setting.NewSet()
 	callers := s.Address("callers-address", "127.0.0.1:6080", "where callers send their packets")
 	answers := s.Address("answers-address", "127.0.0.1:6082", "where sidecars and balancers send answers")
+	status := s.Address("status-address", "127.0.0.1:0", "where /stats and /balancers answer")
 	balancers := s.Addresses("balancers", "", "fabric addresses of the balancers")
 	loss := s.Float("loss", 0, 0, 1, "", "share of packets that are lost")
 	duplicate := s.Float("duplicate", 0, 0, 1, "", "share of packets that arrive twice")
@@ -83,6 +84,7 @@
 			f, err := standin.NewFabric(standin.FabricConfig{
 				Callers:   *callers,
 				Answers:   *answers,
+				Status:    *status,
 				Balancers: *balancers,
 				Seed:      uint64(*seed),
 				Faults: standin.FabricFaults{
@@ -140,6 +142,7 @@
 	s := setting.NewSet()
 	fabric := s.Address("fabric", "127.0.0.1:6080", "where the fabric receives from callers")
 	targets := s.Strings("targets", "", "service addresses, each as service=protocol:address:port")
+	source := s.String("source", "10.0.0.0/24", "prefix that flows come from; callers of one trial must not share one")
 	flows := s.Int("flows", 100, 1, maxLoad, "flows", "how many flows run in all")
 	requests := s.Int("requests", 10, 1, maxLoad, "requests", "how many requests each flow sends")
 	parallel := s.Int("parallel", 50, 1, maxLoad/10, "flows", "how many flows run at once")
@@ -158,9 +161,14 @@
 			if err != nil {
 				return err
 			}
+			from, err := netip.ParsePrefix(*source)
+			if err != nil {
+				return &SourceError{Text: *source}
+			}
 			c, err := standin.NewCaller(standin.CallerConfig{
 				Fabric:   *fabric,
 				Targets:  list,
+				Sources:  []netip.Prefix{from},
 				Flows:    *flows,
 				Requests: *requests,
 				Parallel: *parallel,
--- a/flow/answer.go
+++ b/flow/answer.go
@@ -35,7 +35,10 @@
 		e.flags |= answered
 	}
 	if c.p.Closing {
-		e.flags |= closing
+		e.flags |= closing | upstreamDone
+	}
+	if c.p.Reset {
+		e.flags |= callerDone
 	}
 	e.last = c.at
 	c.shard.entries[c.p.Key] = e
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -151,6 +151,12 @@
 	return int(s.table.owned.Load())
 }
 
+// Open returns how many flows the upstream owns that have not ended. It reads
+// the whole table.
+func (s *Sidecar) Open() int {
+	return s.table.open()
+}
+
 // Owns reports whether the upstream owns the flow.
 func (s *Sidecar) Owns(k Key) bool {
 	sh := s.table.shard(k)
--- a/flow/table.go
+++ b/flow/table.go
@@ -75,8 +75,15 @@
 	first                       // the sidecar is the flow's first candidate; valid for its generation
 	asking                      // the sidecar itself searches for the owner; only for kindPassed
 	promised                    // target searches for the owner; only for kindPassed
+	callerDone                  // the caller has sent FIN, or either side RST
+	upstreamDone                // the upstream has sent FIN, or either side RST
 )
 
+// ended reports whether nothing more is to come in either direction.
+func (f flags) ended() bool {
+	return f&(callerDone|upstreamDone) == callerDone|upstreamDone
+}
+
 // A table maps flows to entries. Each shard has its own lock.
 type table struct {
 	shards []shard // length is a power of two, fixed
@@ -111,6 +118,28 @@
 	sh.entries[k] = e
 }
 
+// open returns how many owned flows have not ended.
+func (t *table) open() int {
+	n := 0
+	for i := range t.shards {
+		n += t.shards[i].open()
+	}
+	return n
+}
+
+// open returns how many owned flows of the shard have not ended.
+func (sh *shard) open() int {
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	n := 0
+	for _, e := range sh.entries {
+		if e.kind.owned() && !e.flags.ended() {
+			n++
+		}
+	}
+	return n
+}
+
 // remove forgets the entry. The caller holds the shard's lock.
 func (t *table) remove(sh *shard, k Key) {
 	t.count(sh.entries[k].kind, -1)
--- a/flow/tcp.go
+++ b/flow/tcp.go
@@ -65,7 +65,7 @@
 	if c.p.HasAck && e.upstreamNext-c.p.Acknowledged > maxWindow {
 		return false
 	}
-	if c.p.Closing && e.flags&closing == 0 {
+	if c.p.Closing && e.flags&callerDone == 0 {
 		c.tcpClosing(e)
 		e.last = c.at
 		c.put(*e)
@@ -76,7 +76,10 @@
 
 func (c *call) tcpClosing(e *entry) {
 	if c.p.Closing {
-		e.flags |= closing
+		e.flags |= closing | callerDone
+	}
+	if c.p.Reset {
+		e.flags |= upstreamDone
 	}
 }
 
--- a/sidecar/counts.go
+++ b/sidecar/counts.go
@@ -64,7 +64,7 @@
 	Control uint64 `json:"control"`
 	// Dropped holds packets that were dropped or refused, by reason.
 	Dropped map[string]uint64 `json:"dropped"`
-	// Flows is how many flows the upstream owns, Open how many of them are not closing.
+	// Flows is how many flows the upstream owns, Open how many of them have not ended.
 	Flows int `json:"flows"`
 	Open  int `json:"open"`
 	// Accepted, Broken and Searches are decisions, see flow.Counters.
@@ -85,7 +85,7 @@
 		Control:   s.counters.control.Load(),
 		Dropped:   make(map[string]uint64),
 		Flows:     s.flows.Flows(),
-		Open:      s.flows.Flows(),
+		Open:      s.flows.Open(),
 		Accepted:  s.flows.Counters().Accepted.Load(),
 		Broken:    s.flows.Counters().Broken.Load(),
 		Searches:  s.flows.Counters().Searches.Load(),
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -167,7 +167,7 @@
 	<-ctx.Done()
 	s.flows.Drain(s.cfg.Timer.Now())
 	s.awaitFlows(sockets)
-	cut := s.flows.Flows()
+	cut := s.flows.Open()
 	stop()
 	wg.Wait()
 	c := s.Counts()
@@ -180,7 +180,7 @@
 // awaitFlows returns when no flow is left or the drain time is over.
 func (s *Sidecar) awaitFlows(ctx context.Context) {
 	begin := s.cfg.Timer.Now()
-	for s.flows.Flows() > 0 && s.cfg.Timer.Since(begin) < s.cfg.Drain {
+	for s.flows.Open() > 0 && s.cfg.Timer.Since(begin) < s.cfg.Drain {
 		if err := s.cfg.Timer.Sleep(ctx, drainCheck); err != nil {
 			return
 		}
