--- a/flow/table.go
+++ b/flow/table.go
@@ -69,14 +69,14 @@
 type flags uint8
 
 const (
-	answered  flags = 1 << iota // the upstream has answered the opening
-	reopening                   // nextISN is valid
-	closing                     // a FIN or RST was seen
-	first                       // the sidecar is the flow's first candidate; valid for its generation
-	asking                      // the sidecar itself searches for the owner; only for kindPassed
-	promised                    // target searches for the owner; only for kindPassed
-	callerDone                  // the caller has sent FIN, or either side RST
-	upstreamDone                // the upstream has sent FIN, or either side RST
+	answered     flags = 1 << iota // the upstream has answered the opening
+	reopening                      // nextISN is valid
+	closing                        // a FIN or RST was seen
+	first                          // the sidecar is the flow's first candidate; valid for its generation
+	asking                         // the sidecar itself searches for the owner; only for kindPassed
+	promised                       // target searches for the owner; only for kindPassed
+	callerDone                     // the caller has sent FIN, or either side RST
+	upstreamDone                   // the upstream has sent FIN, or either side RST
 )
 
 // ended reports whether nothing more is to come in either direction.
