Refuse addresses that processes would compare wrongly; note weak policies

Cause: an IPv4 address written as IPv6, a zone, an unspecified or a multicast address passed the check, and a flow's key, which holds plain IPv4, would never match the first. A policy of no more than half of the approvers lets two bundles be signed under one number without anyone signing both. Ruled out: rewriting such addresses, as the reviewer would sign other text than what is in force. Change: AddressError; a note in bundle check, verify and their JSON; empty lists are left out of the JSON of bundle diff; a policy outside a bundle is checked without the other declarations. Conclusion: what passes the check is comparable byte for byte in every process.

--- a/bundle/check.go
+++ b/bundle/check.go
@@ -36,7 +36,7 @@
 
 func checkFaults(b *Bundle) []Fault {
 	c := newChecker(b)
-	c.ranges(nil, newPlan(reflect.TypeFor[Bundle](), "", c.declarations), reflect.ValueOf(b).Elem())
+	c.ranges(nil, newPlan(reflect.TypeFor[Bundle](), "", declarations()), reflect.ValueOf(b).Elem())
 	c.signOff("signoff", b.SignOff)
 	c.dataCentres("datacentres", b.DataCentres)
 	c.serviceList("services", b.Services)
@@ -46,8 +46,8 @@
 // checkSignOff checks a policy that stands outside a bundle.
 func checkSignOff(s SignOff) error {
 	c := newChecker(&Bundle{})
-	const need = "signoff.need"
-	c.inRange(c.declarations[need], reflect.ValueOf(s.Need), func() string { return need })
+	need := needField()
+	c.inRange(need, reflect.ValueOf(s.Need), func() string { return need.Path })
 	c.signOff("signoff", s)
 	if len(c.faults) == 0 {
 		return nil
@@ -66,29 +66,27 @@
 
 // checker gathers the faults of one bundle. Its maps hold the path at which a value was first seen.
 type checker struct {
-	bundle       *Bundle
-	declarations map[string]Field
-	faults       []Fault
-	names        map[string]string // keys carry the path of the list before the name
-	prefixes     map[netip.Prefix]string
-	addresses    map[Address]string // keys carry no former service
-	sidecars     map[netip.AddrPort]string
-	services     map[string]int // indices in bundle.Services
-	serviceIDs   map[ServiceID]string
-	upstreamIDs  map[UpstreamID]string
+	bundle      *Bundle
+	faults      []Fault
+	names       map[string]string // keys carry the path of the list before the name
+	prefixes    map[netip.Prefix]string
+	addresses   map[Address]string // keys carry no former service
+	sidecars    map[netip.AddrPort]string
+	services    map[string]int // indices in bundle.Services
+	serviceIDs  map[ServiceID]string
+	upstreamIDs map[UpstreamID]string
 }
 
 func newChecker(b *Bundle) *checker {
 	return &checker{
-		bundle:       b,
-		declarations: declarations(),
-		names:        make(map[string]string),
-		prefixes:     make(map[netip.Prefix]string),
-		addresses:    make(map[Address]string),
-		sidecars:     make(map[netip.AddrPort]string),
-		services:     make(map[string]int),
-		serviceIDs:   make(map[ServiceID]string),
-		upstreamIDs:  make(map[UpstreamID]string),
+		bundle:      b,
+		names:       make(map[string]string),
+		prefixes:    make(map[netip.Prefix]string),
+		addresses:   make(map[Address]string),
+		sidecars:    make(map[netip.AddrPort]string),
+		services:    make(map[string]int),
+		serviceIDs:  make(map[ServiceID]string),
+		upstreamIDs: make(map[UpstreamID]string),
 	}
 }
 
@@ -134,6 +132,10 @@
 		c.add(&MissingError{Where: Where{Path: path}})
 		return false
 	}
+	if p.Addr().Is4In6() {
+		c.add(&AddressError{Where: Where{Path: path}, Address: p.String(), Reason: reasonMapped})
+		return false
+	}
 	if p != p.Masked() {
 		c.add(&HostBitsError{Where: Where{Path: path}, Prefix: p.String(), Masked: p.Masked().String()})
 		return false
--- a/bundle/checkservice.go
+++ b/bundle/checkservice.go
@@ -1,5 +1,15 @@
 package bundle
 
+import "net/netip"
+
+// The reasons for which an address cannot be used.
+const (
+	reasonZone        = "it has a zone"
+	reasonMapped      = "it is an IPv4 address written as IPv6"
+	reasonUnspecified = "it is unspecified"
+	reasonMulticast   = "it is a multicast address"
+)
+
 func (c *checker) serviceList(path string, list []Service) {
 	c.count(path, len(list), MaxServices)
 	for i, s := range list {
@@ -44,6 +54,7 @@
 		c.add(&MissingError{Where: Where{Path: joinPath(path, "ip")}})
 		return
 	}
+	c.usable(joinPath(path, "ip"), a.IP)
 	if first, ok := c.addresses[a.bare()]; ok {
 		c.add(&OverlapError{Where: Where{Path: path}, Address: a.String(), First: first})
 		return
@@ -51,6 +62,25 @@
 	c.addresses[a.bare()] = path
 }
 
+// usable notes an address that no packet can be sent to, or that other
+// processes would compare wrongly.
+func (c *checker) usable(path string, ip netip.Addr) {
+	reason := ""
+	switch {
+	case ip.Zone() != "":
+		reason = reasonZone
+	case ip.Is4In6():
+		reason = reasonMapped
+	case ip.IsUnspecified():
+		reason = reasonUnspecified
+	case ip.IsMulticast():
+		reason = reasonMulticast
+	default:
+		return
+	}
+	c.add(&AddressError{Where: Where{Path: path}, Address: ip.String(), Reason: reason})
+}
+
 // former checks the service that held an address before.
 func (c *checker) former(path string, s Service, former string) {
 	if former == s.Name {
@@ -119,6 +149,7 @@
 		c.add(&MissingError{Where: Where{Path: sidecar}})
 		return
 	}
+	c.usable(sidecar, u.Sidecar.Addr())
 	if at, ok := c.sidecars[u.Sidecar]; ok {
 		c.add(&SidecarError{Where: Where{Path: sidecar}, Sidecar: u.Sidecar.String(), First: at})
 		return
--- a/bundle/diff.go
+++ b/bundle/diff.go
@@ -29,12 +29,12 @@
 	// SignOff is true when the sign-off policy differs.
 	SignOff bool `json:"signoff"`
 	// DataCentres names those that were added, removed or changed.
-	DataCentres []string `json:"datacentres"`
+	DataCentres []string `json:"datacentres,omitempty"`
 	// Added and Removed name services.
-	Added   []string `json:"added"`
-	Removed []string `json:"removed"`
+	Added   []string `json:"added,omitempty"`
+	Removed []string `json:"removed,omitempty"`
 	// Services has one entry a service that was added, removed or changed, in the order of the names.
-	Services []ServiceChange `json:"services"`
+	Services []ServiceChange `json:"services,omitempty"`
 }
 
 // Empty returns true when nothing but the sequence differs.
@@ -45,15 +45,15 @@
 // ServiceChange is the difference of one service. Upstreams are given by name.
 type ServiceChange struct {
 	Name    string   `json:"name"`
-	Added   []string `json:"added"`
-	Removed []string `json:"removed"`
+	Added   []string `json:"added,omitempty"`
+	Removed []string `json:"removed,omitempty"`
 	// Leaving are those that get no new flows any more, and Returned those that get them again.
-	Leaving  []string       `json:"leaving"`
-	Returned []string       `json:"returned"`
-	Weights  []WeightChange `json:"weights"`
+	Leaving  []string       `json:"leaving,omitempty"`
+	Returned []string       `json:"returned,omitempty"`
+	Weights  []WeightChange `json:"weights,omitempty"`
 	// Gained and Lost are addresses.
-	Gained []string `json:"gained"`
-	Lost   []string `json:"lost"`
+	Gained []string `json:"gained,omitempty"`
+	Lost   []string `json:"lost,omitempty"`
 	// Settings is true when anything else differs, as rules or limits.
 	Settings bool `json:"settings"`
 	// Moved is how many of Sampled flows are asked for at another upstream first.
--- a/bundle/fault.go
+++ b/bundle/fault.go
@@ -157,6 +157,17 @@
 	return fmt.Sprintf("%saddress %s is already held at %s", e.Where, e.Address, e.First)
 }
 
+// AddressError reports an address that cannot be used.
+type AddressError struct {
+	Where
+	Address string
+	Reason  string
+}
+
+func (e *AddressError) Error() string {
+	return fmt.Sprintf("%saddress %s cannot be used: %s", e.Where, e.Address, e.Reason)
+}
+
 // PrefixError reports a caller prefix that stands in two data centres.
 type PrefixError struct {
 	Where
--- a/bundle/field.go
+++ b/bundle/field.go
@@ -49,7 +49,7 @@
 func Fields() []Field {
 	return []Field{
 		{Path: "sequence", Kind: wholeNumber, Min: 1, Max: math.MaxInt64, Help: "Orders versions; the higher one wins."},
-		{Path: "signoff.need", Kind: wholeNumber, Unit: "approvers", Min: 1, Max: MaxApprovers, Help: "How many approvers must sign the next bundle, at most as many as there are."},
+		needField(),
 		{Path: "signoff.approvers[].name", Kind: nameValue, Help: "Unique among approvers."},
 		{Path: "signoff.approvers[].key", Kind: textValue, Help: "The ed25519 public key in standard base64, as corianderctl key new prints it."},
 		{Path: "datacentres[].name", Kind: nameValue, Help: "Unique among data centres."},
@@ -83,6 +83,10 @@
 	}
 }
 
+func needField() Field {
+	return Field{Path: "signoff.need", Kind: wholeNumber, Unit: "approvers", Min: 1, Max: MaxApprovers, Help: "How many approvers must sign the next bundle, at most as many as there are."}
+}
+
 // Bounded returns true when the field has a range.
 func (f Field) Bounded() bool {
 	return f.Min != 0 || f.Max != 0
--- a/ctl/bundle.go
+++ b/ctl/bundle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"github.com/corianderbay/corianderbay/bundle"
 	"github.com/corianderbay/corianderbay/setting"
@@ -21,6 +22,8 @@
 	Signers []string `json:"signers,omitempty"`
 	// Need is how many approvers must sign the next bundle.
 	Need int `json:"need"`
+	// Notes say what is allowed and worth a second look.
+	Notes []string `json:"notes,omitempty"`
 }
 
 func newSummary(file string, b *bundle.Bundle, f *bundle.Frozen) summary {
@@ -30,6 +33,9 @@
 			sum.Upstreams += len(p.Upstreams)
 		}
 	}
+	if 2*b.SignOff.Need <= len(b.SignOff.Approvers) {
+		sum.Notes = append(sum.Notes, "no more than half of the approvers must sign, so two bundles could be signed under one number")
+	}
 	if f == nil {
 		return sum
 	}
@@ -44,11 +50,14 @@
 	if asJSON {
 		return s.printJSON(sum)
 	}
-	if sum.Hash == "" {
-		return s.printf("%s: bundle %d, %d services, %d upstreams\n", sum.File, sum.Sequence, sum.Services, sum.Upstreams)
+	line := fmt.Sprintf("%s: bundle %d, %d services, %d upstreams", sum.File, sum.Sequence, sum.Services, sum.Upstreams)
+	if sum.Hash != "" {
+		line += fmt.Sprintf(", signed by %d, hash %s", len(sum.Signers), sum.Hash)
+	}
+	for _, note := range sum.Notes {
+		line += "\nnote: " + note
 	}
-	return s.printf("%s: bundle %d, %d services, %d upstreams, signed by %d, hash %s\n",
-		sum.File, sum.Sequence, sum.Services, sum.Upstreams, len(sum.Signers), sum.Hash)
+	return s.printf("%s\n", line)
 }
 
 func newCheckProgram() program {
--- a/ctl/command_test.go
+++ b/ctl/command_test.go
@@ -76,7 +76,9 @@
 	must.StrContains(t, diff, "new flows that start elsewhere: ")
 
 	succeed(t, "bundle", "rollback", "8.frozen", "7.frozen", "--out", "9.yaml")
-	must.StrContains(t, succeed(t, "bundle", "check", "9.yaml"), "bundle 9, 2 services, 3 upstreams")
+	check := succeed(t, "bundle", "check", "9.yaml")
+	must.StrContains(t, check, "bundle 9, 2 services, 3 upstreams")
+	must.StrContains(t, check, "note: no more than half of the approvers must sign")
 	must.StrContains(t, succeed(t, "bundle", "diff", "7.frozen", "9.yaml"), "no difference")
 	must.StrContains(t, succeed(t, "bundle", "show", "8.frozen"), "leaving: true")
 
