Test that signed content is checked as well

Cause: a faulty tool can sign a section that no check has seen; Accept must refuse it. Change: a test forges signed bundles with a wrong name, an unknown data centre, text and a bad name.

--- a/bundle/accept_test.go
+++ b/bundle/accept_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/wire"
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 )
@@ -140,3 +141,47 @@
 	must.NoError(t, err)
 	t.Logf("%d bytes a rotation", (len(with)-len(without))/bundle.MaxRotations)
 }
+
+// forge returns a signed bundle with one section that Freeze would not write.
+func forge(t *testing.T, name string, section any) *bundle.Frozen {
+	t.Helper()
+	hashed := func(v any) bundle.Hash {
+		raw, err := wire.Encode(v)
+		must.NoError(t, err)
+		return bundle.HashOf(raw)
+	}
+	raw, err := wire.Encode(section)
+	must.NoError(t, err)
+	m := &bundle.Manifest{
+		SignOff: policy(1, 1),
+		Entries: []bundle.Entry{{Name: name, Hash: bundle.HashOf(raw), Size: len(raw)}},
+	}
+	m.Head = bundle.Head{
+		Sequence:  1,
+		Policy:    hashed(m.SignOff),
+		SignOff:   hashed(m.SignOff),
+		Entries:   hashed(m.Entries),
+		Rotations: hashed(m.Rotations),
+	}
+	f, err := bundle.Assemble(m, func(bundle.Hash) ([]byte, bool) { return raw, true })
+	must.NoError(t, err)
+	f, err = bundle.Sign(f, "a1", keyOf(1))
+	must.NoError(t, err)
+	return f
+}
+
+func TestAcceptChecksSignedContent(t *testing.T) {
+	anchor := bundle.Anchor(policy(1, 1))
+	_, err := bundle.Accept(anchor, forge(t, "service/shop", sampleService(1)))
+	must.Eq(t, "service-00001", as[*bundle.SectionError](t, err).Holds)
+
+	s := sampleService(1)
+	_, err = bundle.Accept(anchor, forge(t, "service/"+s.Name, s))
+	as[*bundle.UnknownDataCentreError](t, err)
+
+	_, err = bundle.Accept(anchor, forge(t, "service/"+s.Name, "text"))
+	as[*bundle.DecodeError](t, err)
+
+	_, err = bundle.Accept(anchor, forge(t, "datacentres", []bundle.DataCentre{{Name: "no name"}}))
+	as[*bundle.NameError](t, err)
+}
