--- a/ctl/bundle.go
+++ b/ctl/bundle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 
 	"github.com/corianderbay/corianderbay/bundle"
 	"github.com/corianderbay/corianderbay/setting"
@@ -219,3 +220,38 @@
 		},
 	}
 }
+
+// anchorSettings is the sign-off policy in the form that the settings of processes have it.
+type anchorSettings struct {
+	// Approvers has an entry for each, as name:key.
+	Approvers []string `json:"approvers"`
+	Approvals int      `json:"approvals"`
+}
+
+func newAnchorProgram() program {
+	set := setting.NewSet()
+	asJSON := set.Bool("json", false, "Print JSON.")
+	return program{
+		group:   bundleGroup,
+		use:     "anchor FILE",
+		short:   "Print a bundle's sign-off policy as settings of processes that start empty",
+		example: "bundle anchor bundle.yaml",
+		args:    cobra.ExactArgs(1),
+		set:     set,
+		run: func(_ context.Context, s stream, args []string) error {
+			b, err := s.loadBundle(args[0])
+			if err != nil {
+				return err
+			}
+			anchor := anchorSettings{Approvals: b.SignOff.Need}
+			for _, a := range b.SignOff.Approvers {
+				anchor.Approvers = append(anchor.Approvers, a.Name+":"+a.Key)
+			}
+			if *asJSON {
+				return s.printJSON(anchor)
+			}
+			return s.printf("%[1]s_APPROVERS=%[2]s\n%[1]s_APPROVALS=%[3]d\n",
+				setting.Prefix, strings.Join(anchor.Approvers, ","), anchor.Approvals)
+		},
+	}
+}
--- a/ctl/command.go
+++ b/ctl/command.go
@@ -93,6 +93,7 @@
 		newSignProgram(),
 		newVerifyProgram(),
 		newShowProgram(),
+		newAnchorProgram(),
 		newDiffProgram(),
 		newCarryProgram(),
 		newRollbackProgram(),
--- a/ctl/command_test.go
+++ b/ctl/command_test.go
@@ -55,6 +55,7 @@
 func TestRollForwardAndBack(t *testing.T) {
 	deploy(t)
 	must.StrContains(t, succeed(t, "bundle", "verify", "7.frozen", "--anchor", "bundle.yaml"), "signed by 1")
+	must.StrHasPrefix(t, "CORIANDERBAY_APPROVERS=sari:", succeed(t, "bundle", "anchor", "7.frozen"))
 
 	authored, err := os.ReadFile("bundle.yaml")
 	must.NoError(t, err)
