Name what stands in the place of a value, without follow-up faults

Cause: a list where a mapping belongs was reported as \"sequence\" in quotes, together with every field that was therefore missing. Change: faults say a list, a mapping or the quoted text; faults inside a value that could not be read are left out, and only those. Conclusion: a wrong file is told in as many lines as it has mistakes.

--- a/bundle/fault.go
+++ b/bundle/fault.go
@@ -104,13 +104,14 @@
 // TypeError reports a value that cannot be read as its field's kind.
 type TypeError struct {
 	Where
+	// Got is the text in quotes, or a kind as in "a list".
 	Got string
 	// Want names the kind, as in "a duration like 10s".
 	Want string
 }
 
 func (e *TypeError) Error() string {
-	return fmt.Sprintf("%s%q is not %s", e.Where, e.Got, e.Want)
+	return fmt.Sprintf("%s%s is not %s", e.Where, e.Got, e.Want)
 }
 
 // MissingError reports a field that must be set and is not.
--- a/bundle/parse_test.go
+++ b/bundle/parse_test.go
@@ -86,6 +86,14 @@
 	}
 }
 
+func TestParseSaysWhatItGot(t *testing.T) {
+	_, err := bundle.Parse("b.yaml", []byte("- 1\n"))
+	must.EqError(t, err, "b.yaml:1: a list is not a mapping")
+	text := strings.Replace(validText(t), "near: [solo]", "near: {solo: 1}", 1)
+	_, err = bundle.Parse("b.yaml", []byte(text))
+	must.EqError(t, err, "b.yaml:10: datacentres[0].near: a mapping is not a list")
+}
+
 func TestParseNamesAllFaults(t *testing.T) {
 	text := strings.NewReplacer("weight: 100", "weight: 0x", "port: 443", "port: 0", "need: 1", "needs: 1").Replace(validText(t))
 	_, err := bundle.Parse("b.yaml", []byte(text))
--- a/bundle/yamlreader.go
+++ b/bundle/yamlreader.go
@@ -31,16 +31,19 @@
 }
 
 // locate fills in the file and the line of faults that know their path only.
-// It drops those about values that could not be read.
+// It drops those about values that could not be read, or that stand in one that could not.
 func (r *yamlReader) locate(faults []Fault) []Fault {
 	unread := make(map[string]bool)
 	for _, f := range r.faults {
-		unread[f.where().Path] = true
+		switch f.(type) {
+		case *TypeError, *RangeError:
+			unread[f.where().Path] = true
+		}
 	}
 	located := faults[:0]
 	for _, f := range faults {
 		w := f.where()
-		if unread[w.Path] {
+		if underAny(unread, w.Path) {
 			continue
 		}
 		w.File = r.file
@@ -52,15 +55,24 @@
 
 // line returns the line of the path, or of the nearest part of it that stands in the document.
 func (r *yamlReader) line(path string) int {
-	for path != "" {
+	for ; path != ""; path = parentPath(path) {
 		if n, ok := r.lines[path]; ok {
 			return n
 		}
-		path = path[:max(strings.LastIndexAny(path, ".["), 0)]
 	}
 	return 1
 }
 
+// underAny returns true when the path, or a part of the document around it, is one of paths.
+func underAny(paths map[string]bool, path string) bool {
+	for ; path != ""; path = parentPath(path) {
+		if paths[path] {
+			return true
+		}
+	}
+	return paths[""]
+}
+
 func (r *yamlReader) read(n ast.Node, path string, v reflect.Value) {
 	tk := n.GetToken()
 	r.lines[path] = r.at(path, tk).Line
@@ -219,11 +231,21 @@
 }
 
 func (r *yamlReader) mismatch(n ast.Node, path, want string) {
-	got, ok := scalarText(n)
-	if !ok {
-		got = n.Type().YAMLName()
+	r.faults = append(r.faults, &TypeError{Where: r.at(path, n.GetToken()), Got: describe(n), Want: want})
+}
+
+// describe returns the text of a scalar in quotes, or the kind of any other node.
+func describe(n ast.Node) string {
+	if text, ok := scalarText(n); ok {
+		return strconv.Quote(text)
+	}
+	switch n.(type) {
+	case *ast.SequenceNode:
+		return listValue
+	case ast.MapNode:
+		return mappingValue
 	}
-	r.faults = append(r.faults, &TypeError{Where: r.at(path, n.GetToken()), Got: got, Want: want})
+	return "a YAML " + n.Type().YAMLName()
 }
 
 func fieldsByName(v reflect.Value) map[string]reflect.Value {
@@ -286,6 +308,11 @@
 	return path + "[" + strconv.Itoa(i) + "]"
 }
 
+// parentPath returns the path of the mapping or list around the one at path, empty at the top.
+func parentPath(path string) string {
+	return path[:max(strings.LastIndexAny(path, ".["), 0)]
+}
+
 // pattern returns the path without the numbers in brackets, as Field has it.
 func pattern(path string) string {
 	return strings.Map(func(c rune) rune {
