Sort refusals of bundles by reason; note services that serve nobody

Cause: each process turns the errors of Accept into an event, and must not do so twice over. An operator can write a service without a rule or without an upstream for new flows; both pass the check, as a service on its way out looks like that. Measured: go test ./bundle ./ctl ./cmd/corianderctl passes.

--- a/bundle/accept_test.go
+++ b/bundle/accept_test.go
@@ -33,6 +33,7 @@
 
 	_, err := bundle.Accept(trust, frozen(t, sample(4, 2), nil, 1))
 	must.Eq(t, 4, as[*bundle.StaleError](t, err).Next)
+	must.Eq(t, bundle.RefusedStale, bundle.RefusalOf(err))
 
 	_, err = bundle.Accept(trust, running)
 	as[*bundle.StaleError](t, err)
@@ -42,6 +43,7 @@
 	conflict := as[*bundle.ConflictError](t, err)
 	must.Eq(t, running.Hash(), conflict.Running)
 	must.Eq(t, other.Hash(), conflict.Next)
+	must.Eq(t, bundle.RefusedConflict, bundle.RefusalOf(err))
 
 	_, err = bundle.Accept(trust, frozen(t, sample(6, 2), running))
 	must.Eq(t, 1, as[*bundle.ApproversError](t, err).Need)
@@ -54,9 +56,11 @@
 	stranger.SignOff = policy(1, 9)
 	_, err = bundle.Accept(trust, frozen(t, stranger, running, 9))
 	must.Eq(t, "a9", as[*bundle.UnknownSignerError](t, err).Approver)
+	must.Eq(t, bundle.RefusedUnsigned, bundle.RefusalOf(err))
 
 	_, err = bundle.Accept(trust, frozen(t, stranger, nil, 9))
 	as[*bundle.AnchorError](t, err)
+	must.Eq(t, bundle.RefusedUnanchored, bundle.RefusalOf(err))
 }
 
 // TestAcceptFollowsRotations changes the approvers from 1 and 2 to 3, and then to 4 and 5.
@@ -196,6 +200,7 @@
 
 	_, err = bundle.Accept(anchor, forge(t, "service/"+s.Name, "text"))
 	as[*bundle.DecodeError](t, err)
+	must.Eq(t, bundle.RefusedBroken, bundle.RefusalOf(err))
 
 	_, err = bundle.Accept(anchor, forge(t, "datacentres", []bundle.DataCentre{{Name: "no name"}}))
 	as[*bundle.NameError](t, err)
--- a/ctl/bundle.go
+++ b/ctl/bundle.go
@@ -28,15 +28,12 @@
 }
 
 func newSummary(file string, b *bundle.Bundle, f *bundle.Frozen) summary {
-	sum := summary{File: file, Sequence: b.Sequence, Services: len(b.Services), Need: b.SignOff.Need}
+	sum := summary{File: file, Sequence: b.Sequence, Services: len(b.Services), Need: b.SignOff.Need, Notes: notesOn(b)}
 	for _, s := range b.Services {
 		for _, p := range s.Places {
 			sum.Upstreams += len(p.Upstreams)
 		}
 	}
-	if 2*b.SignOff.Need <= len(b.SignOff.Approvers) {
-		sum.Notes = append(sum.Notes, "no more than half of the approvers must sign, so two bundles could be signed under one number")
-	}
 	if f == nil {
 		return sum
 	}
--- a/ctl/command_test.go
+++ b/ctl/command_test.go
@@ -80,6 +80,8 @@
 	check := succeed(t, "bundle", "check", "9.yaml")
 	must.StrContains(t, check, "bundle 9, 2 services, 3 upstreams")
 	must.StrContains(t, check, "note: no more than half of the approvers must sign")
+	must.StrContains(t, check, "note: service report has no rule")
+	must.StrContains(t, check, "note: service report has no upstream that takes new flows")
 	must.StrContains(t, succeed(t, "bundle", "diff", "7.frozen", "9.yaml"), "no difference")
 	must.StrContains(t, succeed(t, "bundle", "show", "8.frozen"), "leaving: true")
 
