--- a/ctl/bundle.go
+++ b/ctl/bundle.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 
 	"github.com/corianderbay/corianderbay/bundle"
 	"github.com/corianderbay/corianderbay/setting"
@@ -21,10 +23,12 @@
 	Signers []string `json:"signers,omitempty"`
 	// Need is how many approvers must sign the next bundle.
 	Need int `json:"need"`
+	// Notes say what is allowed and worth a second look.
+	Notes []string `json:"notes,omitempty"`
 }
 
 func newSummary(file string, b *bundle.Bundle, f *bundle.Frozen) summary {
-	sum := summary{File: file, Sequence: b.Sequence, Services: len(b.Services), Need: b.SignOff.Need}
+	sum := summary{File: file, Sequence: b.Sequence, Services: len(b.Services), Need: b.SignOff.Need, Notes: notesOn(b)}
 	for _, s := range b.Services {
 		for _, p := range s.Places {
 			sum.Upstreams += len(p.Upstreams)
@@ -44,11 +48,14 @@
 	if asJSON {
 		return s.printJSON(sum)
 	}
-	if sum.Hash == "" {
-		return s.printf("%s: bundle %d, %d services, %d upstreams\n", sum.File, sum.Sequence, sum.Services, sum.Upstreams)
+	line := fmt.Sprintf("%s: bundle %d, %d services, %d upstreams", sum.File, sum.Sequence, sum.Services, sum.Upstreams)
+	if sum.Hash != "" {
+		line += fmt.Sprintf(", signed by %d, hash %s", len(sum.Signers), sum.Hash)
 	}
-	return s.printf("%s: bundle %d, %d services, %d upstreams, signed by %d, hash %s\n",
-		sum.File, sum.Sequence, sum.Services, sum.Upstreams, len(sum.Signers), sum.Hash)
+	for _, note := range sum.Notes {
+		line += "\nnote: " + note
+	}
+	return s.printf("%s\n", line)
 }
 
 func newCheckProgram() program {
@@ -210,3 +217,38 @@
 		},
 	}
 }
+
+// anchorSettings is the sign-off policy in the form that the settings of processes have it.
+type anchorSettings struct {
+	// Approvers has an entry for each, as name:key.
+	Approvers []string `json:"approvers"`
+	Approvals int      `json:"approvals"`
+}
+
+func newAnchorProgram() program {
+	set := setting.NewSet()
+	asJSON := set.Bool("json", false, "Print JSON.")
+	return program{
+		group:   bundleGroup,
+		use:     "anchor FILE",
+		short:   "Print a bundle's sign-off policy as settings of processes that start empty",
+		example: "bundle anchor bundle.yaml",
+		args:    cobra.ExactArgs(1),
+		set:     set,
+		run: func(_ context.Context, s stream, args []string) error {
+			b, err := s.loadBundle(args[0])
+			if err != nil {
+				return err
+			}
+			anchor := anchorSettings{Approvals: b.SignOff.Need}
+			for _, a := range b.SignOff.Approvers {
+				anchor.Approvers = append(anchor.Approvers, a.Name+":"+a.Key)
+			}
+			if *asJSON {
+				return s.printJSON(anchor)
+			}
+			return s.printf("%[1]s_APPROVERS=%[2]s\n%[1]s_APPROVALS=%[3]d\n",
+				setting.Prefix, strings.Join(anchor.Approvers, ","), anchor.Approvals)
+		},
+	}
+}
--- a/ctl/command_test.go
+++ b/ctl/command_test.go
@@ -55,6 +55,7 @@
 func TestRollForwardAndBack(t *testing.T) {
 	deploy(t)
 	must.StrContains(t, succeed(t, "bundle", "verify", "7.frozen", "--anchor", "bundle.yaml"), "signed by 1")
+	must.StrHasPrefix(t, "CORIANDERBAY_APPROVERS=sari:", succeed(t, "bundle", "anchor", "7.frozen"))
 
 	authored, err := os.ReadFile("bundle.yaml")
 	must.NoError(t, err)
@@ -76,7 +77,11 @@
 	must.StrContains(t, diff, "new flows that start elsewhere: ")
 
 	succeed(t, "bundle", "rollback", "8.frozen", "7.frozen", "--out", "9.yaml")
-	must.StrContains(t, succeed(t, "bundle", "check", "9.yaml"), "bundle 9, 2 services, 3 upstreams")
+	check := succeed(t, "bundle", "check", "9.yaml")
+	must.StrContains(t, check, "bundle 9, 2 services, 3 upstreams")
+	must.StrContains(t, check, "note: no more than half of the approvers must sign")
+	must.StrContains(t, check, "note: service report has no rule")
+	must.StrContains(t, check, "note: service report has no upstream that takes new flows")
 	must.StrContains(t, succeed(t, "bundle", "diff", "7.frozen", "9.yaml"), "no difference")
 	must.StrContains(t, succeed(t, "bundle", "show", "8.frozen"), "leaving: true")
 
