flow: fence by majority, refuse only what is certain, follow fresh memories

Cause: the stateful tests with requests sent several times at once, isolated and paused owners, stuck balancers and late openings found cases where a request of a non-idempotent service ran twice or was refused as not run although it ran.

Ruled out: fencing by hearing any one peer (a partition of four into two pairs leaves both sides unfenced), and lifting the fence when the list says that the others are gone (a list that answers each side differently does so in turn).

Change: a sidecar is fenced unless a majority of its service's upstreams hears it; a search that passes by gone upstreams needs answers of a majority; an upstream counts as gone for good only when it was known to act on the order in force; after a long fence owned UDP flows are searched for before they are used again; a memory of an earlier order is not followed; a refusal claims "not run" only where no upstream can have run it; a repeated refusal makes no claim.

Conclusion: the fence costs a minority its non-idempotent UDP flows until it is heard again; a service of two upstreams needs both.

--- a/flow/call.go
+++ b/flow/call.go
@@ -164,7 +164,8 @@
 	if c.s.mutations.has(mutateAcceptLeaving) {
 		return c.mine
 	}
-	return c.listed() && c.mine && c.h.Service == c.st.service && !c.st.leaving && takes(c.h, int(c.h.At))
+	served := c.mine && c.h.Service == c.st.service || c.s.mutations.has(mutateAnyService)
+	return c.listed() && served && !c.st.leaving && takes(c.h, int(c.h.At))
 }
 
 // admit asks the policy.
--- a/flow/changes_test.go
+++ b/flow/changes_test.go
@@ -122,19 +122,60 @@
 		}
 	}
 	for _, b := range w.balancers {
+		b.stuck = false
 		if b.paused {
 			b.wake()
 		}
 	}
 }
 
+// storm makes each open flow send a request several times at once, as callers
+// do that do not wait, through whatever balancers.
+func (w *world) storm() {
+	const copies = 3
+	for _, f := range w.flows {
+		if !f.established || f.closed || f.broken {
+			continue
+		}
+		r := f.request()
+		for range copies - 1 {
+			f.transmit(r)
+		}
+	}
+}
+
+// spread lets some processes hear of the newest plan at once.
+func (w *world) spread(share float64) {
+	for _, b := range w.balancers {
+		if b.running() && !b.stuck && w.chance(share) == 1 {
+			b.plan = w.latest()
+		}
+	}
+	for _, u := range w.upstreams() {
+		h := w.hosts[u]
+		if h.running() && h.plan.version < w.latest().version && w.chance(share) == 1 {
+			h.accept(w.latest())
+		}
+	}
+}
+
+// isolate puts the nodes on the other side of a partition from all others.
+func (w *world) isolate(ns ...node) {
+	w.unplanned()
+	w.sides = map[node]int{}
+	for _, n := range ns {
+		w.sides[n] = 1
+	}
+	w.parted = w.now
+}
+
 // rest lets a long time pass while each flow stays in use.
 func (w *world) rest(d time.Duration) {
 	const ping = 8 * time.Second
 	for ; d > 0; d -= ping {
 		for _, f := range w.flows {
 			if f.established && !f.closed && !f.broken {
-				f.request()
+				f.transmit(f.request())
 			}
 		}
 		w.run(min(d, ping))
--- a/flow/events.go
+++ b/flow/events.go
@@ -31,6 +31,7 @@
 func (s *Sidecar) replace(now time.Time, old *state, v View, service bundle.ServiceID) {
 	self := v.Self()
 	n := &state{view: v, service: service}
+	n.listed = self.Listed
 	n.leaving = s.draining || !self.Listed || self.Leaving || self.Service != service
 	settings, ok := v.Settings(service)
 	if !ok && old != nil {
@@ -43,11 +44,13 @@
 	}
 	n.joined = v.Version()
 	if old != nil {
-		n.generation, n.changed, n.joined = old.generation, old.changed, old.joined
+		n.generation, n.changed = old.generation, old.changed
+		n.joined, n.ordered = old.joined, old.ordered
 	}
 	if old == nil || old.view.Fingerprint(service) != v.Fingerprint(service) {
 		n.generation++
 		n.changed = s.stamp(now)
+		n.ordered = v.Version()
 		if s.peers.reordered(now, v.Version(), v.Members(service), service) {
 			n.joined = v.Version()
 		}
@@ -58,7 +61,13 @@
 
 // PeerReported takes in a report of another sidecar of the same service.
 func (s *Sidecar) PeerReported(now time.Time, r PeerReport) {
-	s.hear(r.Version)
+	if s.backlog.Load() {
+		return
+	}
+	s.hear(max(r.Version, r.Highest))
+	if st := s.state.Load(); st != nil && !st.settings.Idempotent && s.peers.absent(now) {
+		s.doubtOwned(s.stamp(now))
+	}
 	s.peers.reported(now, r)
 }
 
--- a/flow/host_test.go
+++ b/flow/host_test.go
@@ -60,9 +60,7 @@
 	h.w.births++
 	cfg.Upstream, cfg.Incarnation, cfg.Shards = h.id, h.w.births, 1
 	h.sidecar = flow.NewSidecar(cfg, h.w.now)
-	if h.w.disable != nil {
-		h.w.disable(h.sidecar)
-	}
+	h.sidecar.Disable(h.w.without)
 	h.sign = time.Time{}
 	h.empty()
 	h.accept(h.plan)
@@ -125,7 +123,7 @@
 		h.accept(n)
 	}
 	if !h.w.stale && h.w.chance(0.1) == 1 {
-		h.sidecar.Listed(h.w.now, h.w.listedGone())
+		h.sidecar.Listed(h.w.now, h.w.listedGone(h.node()))
 	}
 	due := h.sidecar.Tick(h.w.now)
 	if due.Switched {
--- a/flow/main_test.go
+++ b/flow/main_test.go
@@ -6,8 +6,12 @@
 	"testing"
 )
 
+// withoutFlag names the flag that runs the stateful tests without a mechanism.
+const withoutFlag = "without"
+
 // TestMain makes runs without flags the same each time.
 func TestMain(m *testing.M) {
+	flag.String(withoutFlag, "", "a mechanism to switch off, see Mechanisms")
 	flag.Parse()
 	setDefault("rapid.seed", "0", "1")
 	setDefault("rapid.nofailfile", "false", "true")
--- a/flow/oracle_test.go
+++ b/flow/oracle_test.go
@@ -19,7 +19,10 @@
 	failures []string
 	// planned is true while nothing but planned changes and losses of balancers happened.
 	planned bool
-	// runs holds the incarnation of the upstream that ran a request first.
+	// anywhere holds the requests that ran anywhere.
+	anywhere map[int]bool
+	// runs holds the incarnation of the first upstream of a non-idempotent service
+	// that ran a request.
 	runs map[int]uint64
 	// notRun holds the requests that a refusal declared as not run.
 	notRun map[int]bool
@@ -38,7 +41,7 @@
 }
 
 func newOracle(w *world) *oracle {
-	return &oracle{w: w, planned: true, runs: map[int]uint64{}, notRun: map[int]bool{}, homes: map[*callerFlow]home{}}
+	return &oracle{w: w, planned: true, anywhere: map[int]bool{}, runs: map[int]uint64{}, notRun: map[int]bool{}, homes: map[*callerFlow]home{}}
 }
 
 func (o *oracle) fail(format string, args ...any) {
@@ -73,14 +76,18 @@
 	if o.notRun[bd.id] {
 		o.fail("request %d ran at upstream %d after a refusal said that it did not", bd.id, h.id)
 	}
+	o.anywhere[bd.id] = true
+	o.stays(h, bd)
+	if o.idempotent(h.service) {
+		return
+	}
 	first, again := o.runs[bd.id]
-	if again && first != h.incarnation && !o.idempotent(h.service) {
+	if again && first != h.incarnation {
 		o.fail("request %d of %v ran again at upstream %d", bd.id, bd.flow.key, h.id)
 	}
 	if !again {
 		o.runs[bd.id] = h.incarnation
 	}
-	o.stays(h, bd)
 }
 
 // stays checks that planned changes do not move an established UDP flow.
@@ -104,7 +111,7 @@
 	if !r.NotRun || bd.id == 0 {
 		return
 	}
-	if _, ok := o.runs[bd.id]; ok {
+	if o.anywhere[bd.id] {
 		o.fail("upstream %d refused request %d as not run, but it ran", h.id, bd.id)
 	}
 	o.notRun[bd.id] = true
--- a/flow/peers.go
+++ b/flow/peers.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +35,7 @@
 type peer struct {
 	report   PeerReport
 	heard    time.Time // zero until the first report
+	hears    time.Time // when a report last said that the peer hears this sidecar
 	gone     bool      // missing from the platform's list
 	goneFrom time.Time // valid with gone
 }
@@ -45,13 +47,14 @@
 
 	mu      sync.RWMutex
 	byID    map[bundle.UpstreamID]peer
-	members []bundle.UpstreamID // the other upstreams of the service
+	members []bundle.UpstreamID // the other upstreams that may own flows of the service's addresses
+	voters  []bundle.UpstreamID // those members that serve the same service
 	order   uint64              // the bundle that last changed the order of candidates
 	removed time.Time           // when a member left the bundle without having ended its flows
 	settled time.Time           // since when each live member acts on order or later; zero if not
 
 	fenceAt atomic.Int64 // Unix time in nanoseconds from which the sidecar is fenced
-	alone   atomic.Bool  // no other member is live
+	alone   atomic.Bool  // the bundle names no other upstream of the service
 	anyGone atomic.Bool
 }
 
@@ -63,7 +66,7 @@
 func (ps *peers) reset() {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	ps.members = nil
+	ps.members, ps.voters = nil, nil
 	ps.order = 0
 	ps.settled = time.Time{}
 	ps.removed = time.Time{}
@@ -75,13 +78,16 @@
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
 	old, linked := ps.members, false
-	ps.members = nil
+	ps.members, ps.voters = nil, nil
 	for i := range members {
 		u := members[i].Upstream
 		if u == ps.self {
 			continue
 		}
 		ps.members = append(ps.members, u)
+		if members[i].Service == service {
+			ps.voters = append(ps.voters, u)
+		}
 		linked = linked || members[i].Service != service && !containsUpstream(old, u)
 	}
 	for _, u := range old {
@@ -92,6 +98,7 @@
 	ps.order = version
 	ps.settled = time.Time{}
 	ps.settle(now)
+	ps.fence()
 	return linked
 }
 
@@ -101,23 +108,59 @@
 	return p.report.Leaving && p.report.Flows == 0
 }
 
+// absent reports whether the sidecar has been fenced for so long that others may have taken over.
+func (ps *peers) absent(now time.Time) bool {
+	last := ps.fenceAt.Load()
+	return last != 0 && now.UnixNano()-last >= int64(FenceTime)
+}
+
 // reported takes in a report.
 func (ps *peers) reported(now time.Time, r PeerReport) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
+	if ps.absent(now) {
+		ps.settled = time.Time{}
+	}
 	p := ps.byID[r.Upstream]
 	restarted := !p.heard.IsZero() && p.report.Incarnation != r.Incarnation
 	p.report, p.heard = r, now
+	if containsUpstream(r.Heard, ps.self) {
+		p.hears = now
+	}
 	ps.byID[r.Upstream] = p
 	if restarted && r.Oldest < ps.order {
 		ps.settled = time.Time{}
 	}
-	if containsUpstream(r.Heard, ps.self) {
-		ps.fenceAt.Store(now.Add(FenceTime).UnixNano())
-	}
+	ps.fence()
 	ps.settle(now)
 }
 
+// fence computes until when a majority of the service's upstreams, this one
+// included, is known to hear this sidecar. The caller holds the lock.
+func (ps *peers) fence() {
+	need := majority(len(ps.voters)+1) - 1
+	ps.alone.Store(len(ps.voters) == 0)
+	if need == 0 {
+		return
+	}
+	hears := make([]int64, 0, len(ps.voters))
+	for _, u := range ps.voters {
+		if p := ps.byID[u]; !p.hears.IsZero() {
+			hears = append(hears, p.hears.UnixNano())
+		}
+	}
+	if len(hears) < need {
+		return
+	}
+	slices.Sort(hears)
+	ps.fenceAt.Store(hears[len(hears)-need] + int64(FenceTime))
+}
+
+// majority returns how many of n are more than half.
+func majority(n int) int {
+	return n/2 + 1
+}
+
 // listed takes in which upstreams are missing from the platform's list.
 func (ps *peers) listed(now time.Time, gone []bundle.UpstreamID) {
 	ps.mu.Lock()
@@ -150,16 +193,14 @@
 
 // settle notes since when each live member acts on the order in force. The caller holds the lock.
 func (ps *peers) settle(now time.Time) {
-	agreed, live := ps.order > 0, false
+	agreed := ps.order > 0
 	for _, u := range ps.members {
 		p := ps.byID[u]
 		if p.gone {
 			continue
 		}
-		live = true
 		agreed = agreed && p.report.Version >= ps.order
 	}
-	ps.alone.Store(!live)
 	if !agreed {
 		ps.settled = time.Time{}
 		return
@@ -204,7 +245,9 @@
 	return !ps.removed.IsZero() && now.Sub(ps.removed) < d
 }
 
-// over reports whether the upstream has been gone for so long that others take over its flows.
+// over reports whether the upstream has been gone for so long that others take
+// over its flows. One that was not known to act on the order in force may count
+// on another majority, and is never over.
 func (ps *peers) over(now time.Time, u bundle.UpstreamID, after time.Duration) bool {
 	if !ps.anyGone.Load() {
 		return false
@@ -212,7 +255,7 @@
 	ps.mu.RLock()
 	defer ps.mu.RUnlock()
 	p := ps.byID[u]
-	return p.gone && now.Sub(p.goneFrom) >= after && now.Sub(p.heard) >= after
+	return p.gone && p.report.Version >= ps.order && now.Sub(p.goneFrom) >= after && now.Sub(p.heard) >= after
 }
 
 // suspected reports whether the upstream's sidecar has been silent for SuspectTime.
--- a/flow/plan_test.go
+++ b/flow/plan_test.go
@@ -79,8 +79,8 @@
 
 func (v view) Self() flow.Self {
 	var self flow.Self
-	for s, ms := range v.members {
-		for _, m := range ms {
+	for _, s := range []bundle.ServiceID{fitting, report} {
+		for _, m := range v.members[s] {
 			if m.upstream != v.self || self.Listed && m.leaving {
 				continue
 			}
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -61,12 +61,16 @@
 	view     View
 	service  bundle.ServiceID // the service that the upstream serves now
 	settings Settings
+	// listed is false when the bundle does not name the upstream.
+	listed bool
 	// leaving is true when no new flow is accepted.
 	leaving bool
 	// generation grows with each change that may move a flow's first candidate.
 	generation uint32
 	// changed is when the order of candidates last changed.
 	changed stamp
+	// ordered is the bundle that last changed the order of candidates.
+	ordered uint64
 	// joined is the first bundle under which the sidecar served the service.
 	joined uint64
 }
@@ -201,7 +205,7 @@
 	if st.settings.Idempotent || s.mutations.has(mutateNoFence) {
 		return false
 	}
-	return s.peers.fenced(now)
+	return !st.listed || s.peers.fenced(now)
 }
 
 // takeover returns how long an upstream must be gone before others take over its flows.
--- a/flow/stateful_test.go
+++ b/flow/stateful_test.go
@@ -1,6 +1,7 @@
 package flow_test
 
 import (
+	"flag"
 	"testing"
 	"time"
 
@@ -45,6 +46,7 @@
 	if rapid.Bool().Draw(t, "pass") {
 		w.config.Admitter = flow.Threshold{Flows: 2}
 	}
+	w.without = flag.Lookup(withoutFlag).Value.String()
 	w.start()
 	m := &machine{t: t, w: w}
 	if rapid.Bool().Draw(t, "settled") {
@@ -76,6 +78,9 @@
 		"upstream": m.upstream,
 		"balancer": m.balancer,
 		"platform": m.platform,
+		"storm":    m.storm,
+		"late":     m.late,
+		"stuck":    m.stuck,
 	}
 	if faults {
 		as["kill"] = m.kill
@@ -84,6 +89,10 @@
 		as["restart"] = m.restart
 		as["partition"] = m.partition
 		as["heal"] = m.heal
+		as["killOwner"] = m.killOwner
+		as["pauseOwner"] = m.pauseOwner
+		as["isolateOwner"] = m.isolateOwner
+		as["pauseBalancer"] = m.pauseBalancer
 	}
 	return as
 }
@@ -275,7 +284,92 @@
 	for _, u := range m.w.upstreams() {
 		m.w.sides[m.w.hosts[u].node()] = int(bits>>u) & 1
 	}
+	m.w.parted = m.w.now
 	for i, b := range m.w.balancers {
 		m.w.sides[b.id] = int(bits>>(i%16+16)) & 1
 	}
 }
+
+func (m *machine) storm(*rapid.T) {
+	m.w.storm()
+	m.w.run(100 * time.Millisecond)
+}
+
+// late repeats an opening after the order of candidates changed.
+func (m *machine) late(t *rapid.T) {
+	f := m.w.open(flow.TCP, m.service(t), nil)
+	m.w.run(100 * time.Millisecond)
+	m.weight(t)
+	m.w.spread(0.5)
+	f.syn()
+	m.w.run(100 * time.Millisecond)
+}
+
+// stuck keeps a balancer from hearing of newer bundles.
+func (m *machine) stuck(t *rapid.T) {
+	m.w.balancers[rapid.IntRange(0, len(m.w.balancers)-1).Draw(t, "balancer")].stuck = true
+}
+
+// owner returns the host where the last request of an open flow ran.
+func (m *machine) owner(t *rapid.T) *host {
+	h := m.w.oracle.homes[m.flow(t)].host
+	if h == nil || !h.running() {
+		t.Skip("no owner")
+	}
+	return h
+}
+
+// killOwner kills the owner of a flow while requests run, and may restart it at once.
+func (m *machine) killOwner(t *rapid.T) {
+	h := m.owner(t)
+	m.w.storm()
+	m.w.run(time.Duration(rapid.IntRange(10, 400).Draw(t, "ms")) * time.Millisecond)
+	m.w.kill(h.id)
+	if rapid.Bool().Draw(t, "restart") {
+		h.restart()
+	}
+	m.w.run(time.Duration(rapid.SampledFrom([]int{1, 5, 30}).Draw(t, "s")) * time.Second)
+}
+
+// pauseOwner pauses the owner of a flow while requests arrive, until others may have taken over.
+func (m *machine) pauseOwner(t *rapid.T) {
+	h := m.owner(t)
+	m.w.pause(h.id)
+	m.during(t)
+	m.w.resume(h.id)
+	m.w.storm()
+	m.w.run(3 * time.Second)
+}
+
+// isolateOwner cuts the owner of a flow off from the others, with some balancers on its side.
+func (m *machine) isolateOwner(t *rapid.T) {
+	ns := []node{m.owner(t).node()}
+	for _, b := range m.w.balancers {
+		if rapid.Bool().Draw(t, "with") {
+			ns = append(ns, b.id)
+		}
+	}
+	m.w.isolate(ns...)
+	m.during(t)
+	if rapid.Bool().Draw(t, "heal") {
+		m.w.heal()
+	}
+}
+
+// during keeps flows in use throughout a fault.
+func (m *machine) during(t *rapid.T) {
+	for range rapid.SampledFrom([]int{1, 4, 14}).Draw(t, "rounds") {
+		m.w.storm()
+		m.w.run(3 * time.Second)
+	}
+}
+
+// pauseBalancer pauses a balancer, or wakes it.
+func (m *machine) pauseBalancer(t *rapid.T) {
+	b := m.w.balancers[rapid.IntRange(0, len(m.w.balancers)-1).Draw(t, "balancer")]
+	if b.paused {
+		b.wake()
+		return
+	}
+	b.paused = true
+}
--- a/flow/udp.go
+++ b/flow/udp.go
@@ -55,7 +55,7 @@
 		return c.udpForeign()
 	}
 	if e.kind == kindRefused {
-		return c.refuse(Refuse{Reason: ReasonFull, NotRun: true, RetryAfter: RetryAfter})
+		return c.refuse(Refuse{Reason: ReasonFull, RetryAfter: RetryAfter})
 	}
 	h := c.h
 	if h.Phase == forward.PhaseFind && h.At == h.Asker {
@@ -169,13 +169,8 @@
 
 // udpHome decides at the first candidate on a flow that it does not own.
 func (c *call) udpHome(e entry) Action {
-	if e.kind == kindPassed && e.flags&(asking|promised) == 0 {
-		if j := indexOf(c.h, e.target); j != none && j != int(c.h.At) && !c.over(j) {
-			e.last = c.at
-			c.put(e)
-			pass(c.h, int(c.h.At))
-			return aim(c.h, j)
-		}
+	if j := c.follow(e); j != none {
+		return aim(c.h, j)
 	}
 	if e.kind == 0 && c.s.sure(c.st, c.now, c.h.Version) && !c.anyOver() {
 		return c.udpTake()
@@ -183,6 +178,26 @@
 	return c.udpSearch(e)
 }
 
+// follow returns the candidate that the flow was passed to, or none. What was
+// remembered under another order of candidates is not followed: the flow may
+// have ended, and begun again elsewhere, since then.
+func (c *call) follow(e entry) int {
+	if e.kind != kindPassed || e.flags&(asking|promised) != 0 {
+		return none
+	}
+	if e.version < c.st.ordered || c.h.Version != c.st.view.Version() {
+		return none
+	}
+	j := indexOf(c.h, e.target)
+	if j == none || j == int(c.h.At) || passed(c.h, j) || c.over(j) {
+		return none
+	}
+	e.last = c.at
+	c.put(e)
+	pass(c.h, int(c.h.At))
+	return j
+}
+
 // anyOver reports whether a candidate before this one was skipped because it is gone.
 func (c *call) anyOver() bool {
 	for i := range int(c.h.At) {
@@ -256,12 +271,31 @@
 	if e.kind != kindPassed || e.flags&asking == 0 || e.version > h.Version {
 		return c.drop(ReasonUnsure)
 	}
-	if h.Doubt || c.next() != none || c.behind() {
+	if h.Doubt || c.next() != none || c.behind() || !c.agreed() {
 		return c.drop(ReasonUnsure)
 	}
 	return c.udpTake()
 }
 
+// agreed reports whether a majority of the service's upstreams answered the
+// search, when some were passed by because they are gone.
+func (c *call) agreed() bool {
+	gone, answers, all := false, 0, 0
+	for i := range c.h.Candidates {
+		if c.h.Candidates[i].Service != c.h.Service {
+			continue
+		}
+		all++
+		switch {
+		case c.over(i):
+			gone = true
+		case passed(c.h, i):
+			answers++
+		}
+	}
+	return !gone || answers >= majority(all)
+}
+
 // udpNone refuses a flow when every candidate is leaving and none owns it.
 func (c *call) udpNone() Action {
 	if c.h.Doubt || c.next() != none {
@@ -272,15 +306,10 @@
 
 // udpTold decides on a flow that the first candidate handed on.
 func (c *call) udpTold(e entry) Action {
+	if j := c.follow(e); j != none {
+		return aim(c.h, j)
+	}
 	if e.kind == kindPassed {
-		if e.flags&(asking|promised) == 0 {
-			if j := indexOf(c.h, e.target); j != none && !passed(c.h, j) && !c.over(j) {
-				e.last = c.at
-				c.put(e)
-				pass(c.h, int(c.h.At))
-				return aim(c.h, j)
-			}
-		}
 		if e.version > c.h.Version || e.flags&asking != 0 && c.at-e.seen <= ticks(searchLife) {
 			return c.drop(ReasonUnsure)
 		}
@@ -331,11 +360,28 @@
 	return Deliver{}
 }
 
-// udpRefuse says that the request was not run, and remembers it for as long as
-// a copy of the packet may still arrive.
+// udpRefuse refuses a flow, and remembers it for as long as a copy of the packet
+// may still arrive. It says that the request was not run only where no upstream,
+// alive or restarted, can have run it.
 func (c *call) udpRefuse(r Reason) Action {
 	if !c.s.mutations.has(mutateNoTombstone) {
 		c.put(entry{kind: kindRefused, version: c.h.Version, last: c.at, seen: c.at})
 	}
-	return c.refuse(Refuse{Reason: r, NotRun: true, RetryAfter: RetryAfter})
+	return c.refuse(Refuse{Reason: r, NotRun: c.certain(), RetryAfter: RetryAfter})
+}
+
+// certain reports whether no upstream can have run a request of an unknown flow.
+func (c *call) certain() bool {
+	if c.st.settings.Idempotent || c.s.restarted(c.st, c.now) || c.s.fenced(c.st, c.now) {
+		return false
+	}
+	if c.s.peers.lost(c.now, c.st.takeover()) {
+		return false
+	}
+	for i := range c.h.Candidates {
+		if c.over(i) {
+			return false
+		}
+	}
+	return true
 }
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -52,6 +52,7 @@
 	repeat   float64 // share of messages repeated
 	maxDelay time.Duration
 	sides    map[node]int // processes on different sides of a partition do not hear each other
+	parted   time.Time    // when the partition began
 	stale    bool         // the platform answers nobody
 
 	plans     []*plan // published, oldest first
@@ -65,7 +66,7 @@
 	nextTick  time.Time
 	control   int // bytes of control messages sent
 	config    flow.SidecarConfig
-	disable   func(*flow.Sidecar)
+	without   string   // a mechanism that is switched off
 	trace     []string // what was decided, oldest first
 }
 
@@ -214,11 +215,11 @@
 // tick does what processes and callers do from time to time.
 func (w *world) tick() {
 	for _, b := range w.balancers {
-		if n := w.newest(b.id); b.running() && w.takes(b.plan, n) {
+		if n := w.newest(b.id); b.running() && !b.stuck && w.takes(b.plan, n) {
 			b.plan = n
 		}
 		if b.running() && !w.stale && w.chance(0.1) == 1 {
-			b.list(w.listedGone())
+			b.list(w.listedGone(b.id))
 		}
 	}
 	for _, u := range w.upstreams() {
@@ -264,13 +265,14 @@
 	return p
 }
 
-// listedGone returns the upstreams that the platform's lagging list lacks.
-func (w *world) listedGone() []bundle.UpstreamID {
+// listedGone returns the upstreams that the platform's lagging list lacks, as node n reads it.
+func (w *world) listedGone(n node) []bundle.UpstreamID {
 	const lag = 5 * time.Second
 	var gone []bundle.UpstreamID
 	for _, u := range w.upstreams() {
 		h := w.hosts[u]
-		if h.dead && w.now.Sub(h.deadAt) > lag || h.paused && w.now.Sub(h.pausedAt) > 2*lag {
+		away := w.cut(n, h.node()) && w.now.Sub(w.parted) > lag
+		if away || h.dead && w.now.Sub(h.deadAt) > lag || h.paused && w.now.Sub(h.pausedAt) > lag {
 			gone = append(gone, u)
 		}
 	}
