--- a/forward/header.go
+++ b/forward/header.go
@@ -51,6 +51,8 @@
 	Asker uint8
 	// Passed has bit i set when Candidates[i] said that it neither owns nor takes the flow.
 	Passed uint32
+	// Doubt is true when a candidate with its Passed bit set could not say that it never owned the flow.
+	Doubt bool
 	// Loads holds the load in thousandths of a slot that passing candidates reported, by index; 0 is unknown.
 	Loads [4]uint32
 	// Balancer is where the balancer that forwarded the packet receives hints.
@@ -58,3 +60,25 @@
 	// Candidates is the order in which sidecars are asked: at least 1 and at most MaxCandidates entries.
 	Candidates []Candidate
 }
+
+// Check reports *HeaderError when a field is out of range.
+func (h *Header) Check() error {
+	if h.Phase != PhaseAccept && h.Phase != PhaseFind {
+		return &HeaderError{Field: "phase"}
+	}
+	if len(h.Candidates) == 0 || len(h.Candidates) > MaxCandidates {
+		return &HeaderError{Field: "candidates"}
+	}
+	if int(h.At) >= len(h.Candidates) {
+		return &HeaderError{Field: "at"}
+	}
+	if int(h.Asker) >= len(h.Candidates) {
+		return &HeaderError{Field: "asker"}
+	}
+	for i := range h.Candidates {
+		if !h.Candidates[i].Sidecar.IsValid() {
+			return &HeaderError{Field: "sidecar"}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/layout_test.go
@@ -0,0 +1,132 @@
+package corianderbay_test
+
+import (
+	"fmt"
+	"go/doc"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"maps"
+	"os"
+	"path"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+const module = "github.com/corianderbay/corianderbay"
+
+const importsHeading = "## What imports what"
+
+// TestImportsFollowThePage holds the table in docs/ARCHITECTURE.md equal to
+// the packages of the module, what their comments say, and what they import,
+// tests left out. To write the table anew, run:
+// CORIANDERBAY_UPDATE_PAGES=1 go test -run TestImportsFollowThePage .
+func TestImportsFollowThePage(t *testing.T) {
+	const name = "docs/ARCHITECTURE.md"
+	page, err := os.ReadFile(name)
+	must.NoError(t, err)
+	head, _, ok := strings.Cut(string(page), importsHeading)
+	must.True(t, ok)
+	want := head + importsHeading + "\n\n" + importsTable(t)
+	if os.Getenv("CORIANDERBAY_UPDATE_PAGES") != "" {
+		must.NoError(t, os.WriteFile(name, []byte(want), 0o644))
+		return
+	}
+	must.Eq(t, want, string(page))
+}
+
+// importsTable renders the packages and their imports.
+func importsTable(t *testing.T) string {
+	t.Helper()
+	var b strings.Builder
+	b.WriteString("A test holds this table equal to the code; a new row or import is seen in review.\n\n")
+	b.WriteString("| package | what it is | imports from the module |\n|---|---|---|\n")
+	imports := importsInCode(t)
+	for _, pkg := range slices.Sorted(maps.Keys(imports)) {
+		var quoted []string
+		for _, imported := range imports[pkg] {
+			quoted = append(quoted, "`"+imported+"`")
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s |\n", pkg, synopsisOf(t, pkg), strings.Join(quoted, ", "))
+	}
+	return b.String()
+}
+
+// synopsisOf returns the first sentence of the package comment.
+func synopsisOf(t *testing.T, dir string) string {
+	t.Helper()
+	for _, name := range goFiles(t, dir) {
+		f, err := parser.ParseFile(token.NewFileSet(), name, nil, parser.ParseComments|parser.PackageClauseOnly)
+		must.NoError(t, err)
+		if f.Doc != nil {
+			return new(doc.Package).Synopsis(f.Doc.Text())
+		}
+	}
+	t.Fatalf("package %s has no comment", dir)
+	return ""
+}
+
+// TestDecisionsImportNoEdges checks that packages that decide reach neither sockets nor the clock.
+func TestDecisionsImportNoEdges(t *testing.T) {
+	barred := []string{"net", "net/http", "os", "math/rand", "math/rand/v2", "crypto/rand", "syscall"}
+	for _, dir := range []string{"flow", "route", "bundle"} {
+		for _, imported := range importsOf(t, dir) {
+			must.SliceNotContains(t, barred, imported, must.Sprintf("package %s", dir))
+		}
+	}
+}
+
+// importsInCode returns the packages of the module that each one imports.
+func importsInCode(t *testing.T) map[string][]string {
+	t.Helper()
+	all := make(map[string][]string)
+	err := filepath.WalkDir(".", func(p string, d fs.DirEntry, err error) error {
+		if err != nil || !d.IsDir() || p == "." {
+			return err
+		}
+		if strings.HasPrefix(d.Name(), ".") || d.Name() == "testdata" {
+			return fs.SkipDir
+		}
+		if goFiles(t, p) == nil {
+			return nil
+		}
+		all[p] = nil
+		for _, imported := range importsOf(t, p) {
+			if local, ok := strings.CutPrefix(imported, module+"/"); ok {
+				all[p] = append(all[p], local)
+			}
+		}
+		return nil
+	})
+	must.NoError(t, err)
+	return all
+}
+
+// importsOf returns what the files of a directory import, tests left out.
+func importsOf(t *testing.T, dir string) []string {
+	t.Helper()
+	var imports []string
+	for _, name := range goFiles(t, dir) {
+		f, err := parser.ParseFile(token.NewFileSet(), name, nil, parser.ImportsOnly)
+		must.NoError(t, err)
+		for _, spec := range f.Imports {
+			imported, err := strconv.Unquote(spec.Path.Value)
+			must.NoError(t, err)
+			imports = append(imports, imported)
+		}
+	}
+	slices.Sort(imports)
+	return slices.Compact(imports)
+}
+
+func goFiles(t *testing.T, dir string) []string {
+	t.Helper()
+	names, err := filepath.Glob(path.Join(dir, "*.go"))
+	must.NoError(t, err)
+	return slices.DeleteFunc(names, func(n string) bool { return strings.HasSuffix(n, "_test.go") })
+}
