Count only answers to the present question after a pause

Ruled out: waiting a fixed time after a wake, which delays each one and still trusts old digests. The fake fleet checks that no process is ready with the first input after a pause. Conclusion: a woken process acts only after peers answered it.

--- a/converge/fleet_test.go
+++ b/converge/fleet_test.go
@@ -133,12 +133,8 @@
 	if p.paused {
 		return
 	}
-	woke := f.now.Sub(p.tickedAt) > pauseAfter && !p.tickedAt.IsZero()
-	p.tickedAt = f.now
 	f.input(p, converge.Tick{})
-	if woke && p.state == converge.StateReady {
-		f.faults = append(f.faults, p.name+" is ready before it asked")
-	}
+	p.tickedAt = f.now
 	f.poll(p)
 }
 
@@ -173,9 +169,14 @@
 }
 
 func (f *fleet) input(p *process, in converge.Input) {
+	woke := f.now.Sub(p.tickedAt) > pauseAfter && !p.tickedAt.IsZero()
+	p.tickedAt = f.now
 	for _, out := range p.member.Update(f.now, in) {
 		f.output(p, out)
 	}
+	if woke && p.state == converge.StateReady {
+		f.faults = append(f.faults, p.name+" is ready before it asked")
+	}
 }
 
 func (f *fleet) output(p *process, out converge.Output) {
--- a/converge/inquiry.go
+++ b/converge/inquiry.go
@@ -35,6 +35,8 @@
 	isolated bool
 	// informed is true when enough sources were asked.
 	informed bool
+	// round numbers the questions, so that a digest sent before a pause is no answer.
+	round uint64
 	// since is when the process began to ask; zero before the first input.
 	since time.Time
 	// platformAt is when the platform last answered this process.
@@ -46,6 +48,7 @@
 // begin starts to ask.
 func (q *inquiry) begin(now time.Time) {
 	q.informed = false
+	q.round++
 	q.since = now
 	if q.state == StateReady {
 		q.state = StateAsking
--- a/converge/member.go
+++ b/converge/member.go
@@ -114,7 +114,7 @@
 		m.tick(now)
 	case Connected:
 		m.neighbours.connected(now, in.Peer)
-		m.send(now, in.Peer, !m.inquiry.informed)
+		m.send(now, in.Peer, 0)
 	case Disconnected:
 		m.neighbours.disconnected(now, in.Peer)
 		m.abandon(now, in.Peer)
@@ -149,7 +149,7 @@
 	}
 	for _, name := range m.neighbours.up() {
 		if now.Sub(m.neighbours.links[name].told) >= m.cfg.Interval {
-			m.send(now, name, false)
+			m.send(now, name, 0)
 		}
 	}
 	if v, ok := m.standing.due(now); ok && m.inquiry.informed {
@@ -167,7 +167,7 @@
 		l.heard = now
 		l.answered = false
 		if l.up {
-			m.send(now, name, true)
+			m.send(now, name, 0)
 		}
 	}
 }
@@ -177,7 +177,8 @@
 	if l == nil || !l.up {
 		return
 	}
-	l.heard, l.digest, l.answered = now, d, true
+	l.heard, l.digest = now, d
+	l.answered = l.answered || d.Answer == m.inquiry.round
 	if d.Origin != m.cfg.Name {
 		m.readers.heard(now, m.cfg, d.Origin, now.Add(-d.age()-hopPenalty))
 	}
@@ -187,8 +188,8 @@
 	if d.InForce == m.standing.pending && !d.InForce.IsZero() {
 		m.enforce(now, d.InForce)
 	}
-	if d.Ask {
-		m.send(now, peer, false)
+	if d.Ask != 0 {
+		m.send(now, peer, d.Ask)
 	}
 }
 
@@ -356,11 +357,12 @@
 		if d.InForce == m.standing.inForce && d.Pending == m.standing.pending && d.List == m.list {
 			continue
 		}
-		m.send(now, name, false)
+		m.send(now, name, 0)
 	}
 }
 
-func (m *Member) send(now time.Time, peer string, ask bool) {
+// send tells a peer where the process stands, and asks as long as it is not informed.
+func (m *Member) send(now time.Time, peer string, answer uint64) {
 	l := m.neighbours.links[peer]
 	l.told = now
 	d := Digest{
@@ -368,7 +370,10 @@
 		Pending: m.standing.pending,
 		List:    m.list,
 		Origin:  m.readers.origin,
-		Ask:     ask,
+		Answer:  answer,
+	}
+	if !m.inquiry.informed {
+		d.Ask = m.inquiry.round
 	}
 	if d.Origin != "" {
 		d.Age = uint64(now.Sub(m.readers.freshAt).Milliseconds())
--- a/converge/version.go
+++ b/converge/version.go
@@ -91,8 +91,10 @@
 	Origin string
 	// Age is the time in milliseconds since that answer.
 	Age uint64
-	// Ask wants a digest in return.
-	Ask bool
+	// Ask wants a digest in return whose Answer is the same number; zero wants none.
+	Ask uint64
+	// Answer is the number of the question that this digest was sent for, or zero.
+	Answer uint64
 }
 
 // age returns the time since the answer that Origin got.
