Carry bundles and lists between processes over mutual TLS

Ruled out: a digest with every version in a map (longer frames each second); closing a connection on purpose without a word, which made the other side dial again at once; taking in decisions while earlier outputs are still carried out. Change: package peer: frames, messages that check themselves, credentials that reload, an authority for trials, documents with sections, what changed since a version, and Node, which ties platform, converge and the connections together. Conclusion: daemons can replace their own watch of the platform by Node.

--- a/converge/fleet_test.go
+++ b/converge/fleet_test.go
@@ -244,7 +244,8 @@
 		return
 	}
 	n := q.incarnation
-	f.after(f.delay(), func() { f.deliver(q, n, converge.Disconnected{Peer: p.name}) })
+	closed := p.alive
+	f.after(f.delay(), func() { f.deliver(q, n, converge.Disconnected{Peer: p.name, Closed: closed}) })
 }
 
 func (f *fleet) send(p, q *process, d converge.Digest) {
--- a/converge/input.go
+++ b/converge/input.go
@@ -12,7 +12,11 @@
 type Connected struct{ Peer string }
 
 // Disconnected reports a connection that ended or a dial that failed.
-type Disconnected struct{ Peer string }
+type Disconnected struct {
+	Peer string
+	// Closed is true when the peer closed the connection on purpose.
+	Closed bool
+}
 
 // DigestReceived reports what a connected peer told.
 type DigestReceived struct {
--- a/converge/member.go
+++ b/converge/member.go
@@ -116,7 +116,7 @@
 		m.neighbours.connected(now, in.Peer)
 		m.send(now, in.Peer, 0)
 	case Disconnected:
-		m.neighbours.disconnected(now, in.Peer)
+		m.neighbours.disconnected(now, in.Peer, in.Closed)
 		m.abandon(now, in.Peer)
 	case DigestReceived:
 		m.digest(now, in.Peer, in.Digest)
--- a/converge/neighbours.go
+++ b/converge/neighbours.go
@@ -120,17 +120,20 @@
 	return l
 }
 
-// disconnected notes a connection that ended or a dial that failed.
-func (n *neighbours) disconnected(now time.Time, name string) {
+// disconnected notes a connection that ended or a dial that failed. A peer that
+// closed the connection on purpose is not suspected.
+func (n *neighbours) disconnected(now time.Time, name string, closed bool) {
 	delete(n.links, name)
-	n.suspect(now, name)
+	if !closed {
+		n.suspect(now, name)
+	}
 }
 
 // maintain returns the peers to dial and the peers to disconnect from.
 func (n *neighbours) maintain(now time.Time, cfg Config) (dial, drop []string) {
 	drop = n.silent(now, cfg)
 	for _, name := range drop {
-		n.disconnected(now, name)
+		n.disconnected(now, name, false)
 	}
 	drop = append(drop, n.surplus(cfg)...)
 	drop = append(drop, n.rotate(now, cfg)...)
--- /dev/null
+++ b/peer/connect.go
@@ -0,0 +1,149 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"time"
+
+	"github.com/corianderbay/corianderbay/converge"
+	"github.com/corianderbay/corianderbay/event"
+	"go.uber.org/zap"
+)
+
+const (
+	acceptBackoff = 50 * time.Millisecond // after a failed accept
+	warnBefore    = 7 * 24 * time.Hour    // of the expiry of a certificate
+	warnInterval  = time.Hour
+)
+
+// accept takes connections until the listener closes.
+func (n *Node) accept(ctx context.Context) {
+	n.wg.Go(func() {
+		<-ctx.Done()
+		n.listener.Close()
+	})
+	for ctx.Err() == nil {
+		raw, err := n.listener.Accept()
+		if err != nil {
+			_ = n.cfg.Timer.Sleep(ctx, acceptBackoff)
+			continue
+		}
+		select {
+		case n.slots <- struct{}{}:
+		default:
+			raw.Close()
+			continue
+		}
+		n.wg.Go(func() {
+			c, err := handshake(ctx, raw, false, n.cfg, &n.meter)
+			<-n.slots
+			n.serve(ctx, c, err)
+		})
+	}
+}
+
+// dial connects to a peer of the list.
+func (n *Node) dial(ctx context.Context, name string) {
+	i, ok := n.instances[name]
+	if !ok {
+		n.wg.Go(func() { n.post(ctx, dialFailed{name: name}) })
+		return
+	}
+	n.wg.Go(func() {
+		d := net.Dialer{Timeout: dialTimeout}
+		raw, err := d.DialContext(ctx, "tcp", i.Control.String())
+		if err != nil {
+			n.post(ctx, dialFailed{name: name})
+			return
+		}
+		c, err := handshake(ctx, raw, true, n.cfg, &n.meter)
+		if err == nil && c.hello.Name != name {
+			c.tls.Close()
+			err = &NameError{Name: c.hello.Name}
+		}
+		if err != nil {
+			n.post(ctx, dialFailed{name: name})
+		}
+		n.serve(ctx, c, err)
+	})
+}
+
+// serve runs a connection whose handshake is over.
+func (n *Node) serve(ctx context.Context, c *conn, err error) {
+	if err != nil {
+		if ctx.Err() == nil && isRefusal(err) {
+			n.cfg.Log.Emit(event.PeerRefused, zap.Error(err))
+		}
+		return
+	}
+	c.ended, c.end = context.WithCancel(ctx)
+	defer c.end()
+	n.post(ctx, opened{conn: c})
+	purpose := c.run(func(m Message) { n.post(ctx, received{conn: c, message: m}) })
+	n.post(ctx, closed{conn: c, purpose: purpose})
+}
+
+// isRefusal reports whether a handshake failed for another reason than a connection that broke.
+func isRefusal(err error) bool {
+	var network net.Error
+	broke := errors.As(err, &network) || errors.Is(err, io.EOF) || errors.Is(err, context.DeadlineExceeded)
+	return !broke
+}
+
+// open takes a connection in. Of two connections between the same processes
+// both keep the one that the lower name dialled, and else the newer one.
+func (n *Node) open(ctx context.Context, c *conn) {
+	name := c.hello.Name
+	old := n.conns[name]
+	if old == nil && len(n.conns) >= connsLimit {
+		c.end()
+		return
+	}
+	if old != nil && old.dialled != c.dialled && c.dialled != (n.cfg.Name < name) {
+		c.end()
+		return
+	}
+	if old != nil {
+		old.end()
+	}
+	n.conns[name] = c
+	n.update(ctx, converge.Connected{Peer: name})
+}
+
+func (n *Node) close(ctx context.Context, s closed) {
+	name := s.conn.hello.Name
+	if n.conns[name] != s.conn {
+		return
+	}
+	delete(n.conns, name)
+	n.update(ctx, converge.Disconnected{Peer: name, Closed: s.purpose})
+}
+
+// tell queues messages for a connected peer.
+func (n *Node) tell(name string, messages ...Message) {
+	c := n.conns[name]
+	if c == nil {
+		return
+	}
+	for _, m := range messages {
+		c.send(m)
+	}
+}
+
+// checkExpiry warns of a certificate that expires soon or cannot be replaced.
+func (n *Node) checkExpiry() {
+	now := n.cfg.Timer.Now()
+	if !n.warnedAt.IsZero() && now.Sub(n.warnedAt) < warnInterval {
+		return
+	}
+	n.warnedAt = now
+	expiry, err := n.cfg.Credentials.Expiry()
+	if err != nil {
+		n.cfg.Log.Emit(event.CredentialsUnusable, zap.Error(err))
+	}
+	if expiry.Sub(now) < warnBefore {
+		n.cfg.Log.Emit(event.CertificateExpiring, zap.Time("expiry", expiry))
+	}
+}
--- /dev/null
+++ b/peer/document.go
@@ -0,0 +1,171 @@
+package peer
+
+import (
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/corianderbay/corianderbay/converge"
+)
+
+// tableHashSize is the length in bytes of a section's hash in a Table. It only
+// finds differences; the content is checked over its full hashes.
+const tableHashSize = 8
+
+// section is one named piece of a document. It never changes.
+type section struct {
+	body []byte
+	hash uint64 // of body
+}
+
+func newSection(body []byte) section {
+	return section{body: body, hash: xxhash.Sum64(body)}
+}
+
+// document is one version of the bundle or of the instance list in the form
+// in which processes exchange it. It never changes.
+type document struct {
+	kind     converge.Kind
+	version  converge.Version
+	head     []byte
+	sections map[string]section
+}
+
+// names returns the names of the sections in order.
+func (d *document) names() []string {
+	return slices.Sorted(maps.Keys(d.sections))
+}
+
+// table returns the message that lists every section.
+func (d *document) table() Table {
+	t := Table{Kind: d.kind, Version: wireVersion(d.version), Names: d.names()}
+	for _, name := range t.Names {
+		t.Hashes = binary.BigEndian.AppendUint64(t.Hashes, d.sections[name].hash)
+	}
+	return t
+}
+
+// lacking returns the sections of the table that d, which may be nil, does not hold.
+func (d *document) lacking(t Table) []string {
+	var names []string
+	for i, name := range t.Names {
+		want := binary.BigEndian.Uint64(t.Hashes[i*tableHashSize:])
+		if d != nil {
+			if s, ok := d.sections[name]; ok && s.hash == want {
+				continue
+			}
+		}
+		names = append(names, name)
+	}
+	return names
+}
+
+// changes returns the messages that carry the named sections to a holder of base, from which removed are taken out.
+func (d *document) changes(base Version, names, removed []string) []Message {
+	messages := []Message{Changes{
+		Kind: d.kind, Version: wireVersion(d.version), Base: base,
+		Head: d.head, Removed: removed, Count: len(names),
+	}}
+	part := Sections{Kind: d.kind, Version: wireVersion(d.version)}
+	size := 0
+	for _, name := range names {
+		body := d.sections[name].body
+		if size > 0 && size+len(body) > chunkSize {
+			messages = append(messages, part)
+			part.Names, part.Bodies, size = nil, nil, 0
+		}
+		part.Names = append(part.Names, name)
+		part.Bodies = append(part.Bodies, body)
+		size += len(body)
+	}
+	if len(part.Names) > 0 {
+		messages = append(messages, part)
+	}
+	return messages
+}
+
+// versionsLimit bounds the versions that a history remembers.
+const versionsLimit = 4096
+
+// history remembers with which version each section last changed, so that a
+// peer with an older version is sent just what changed since.
+type history struct {
+	latest *document // nil before the first version
+	// known holds the versions that were the latest one, by number.
+	known map[uint64]converge.Version
+	// changed holds the number with which a section last changed, removed the
+	// number with which it went.
+	changed, removed map[string]uint64
+}
+
+func newHistory() *history {
+	return &history{
+		known:   make(map[uint64]converge.Version),
+		changed: make(map[string]uint64),
+		removed: make(map[string]uint64),
+	}
+}
+
+// advance makes d the latest version.
+func (h *history) advance(d *document) {
+	n := d.version.Sequence
+	for name, s := range d.sections {
+		if old, ok := h.section(name); !ok || old.hash != s.hash {
+			h.changed[name] = n
+		}
+		delete(h.removed, name)
+	}
+	if h.latest != nil {
+		for name := range h.latest.sections {
+			if _, ok := d.sections[name]; !ok {
+				h.removed[name] = n
+				delete(h.changed, name)
+			}
+		}
+	}
+	h.latest = d
+	h.known[n] = d.version
+	h.trim()
+}
+
+func (h *history) section(name string) (section, bool) {
+	if h.latest == nil {
+		return section{}, false
+	}
+	s, ok := h.latest.sections[name]
+	return s, ok
+}
+
+// trim forgets the oldest versions, and what was removed before all that are known.
+func (h *history) trim() {
+	if len(h.known) <= versionsLimit {
+		return
+	}
+	numbers := slices.Sorted(maps.Keys(h.known))
+	for _, n := range numbers[:len(numbers)/4] {
+		delete(h.known, n)
+	}
+	oldest := numbers[len(numbers)/4]
+	maps.DeleteFunc(h.removed, func(_ string, n uint64) bool { return n <= oldest })
+}
+
+// since returns the sections that changed and went since base. It reports
+// false when base is not known.
+func (h *history) since(base converge.Version) (names, removed []string, ok bool) {
+	if h.known[base.Sequence] != base || base.IsZero() {
+		return nil, nil, false
+	}
+	after := func(stamps map[string]uint64) []string {
+		var found []string
+		for name, n := range stamps {
+			if n > base.Sequence {
+				found = append(found, name)
+			}
+		}
+		slices.SortFunc(found, cmp.Compare)
+		return found
+	}
+	return after(h.changed), after(h.removed), true
+}
--- /dev/null
+++ b/peer/message.go
@@ -0,0 +1,290 @@
+package peer
+
+import (
+	"github.com/corianderbay/corianderbay/converge"
+	"github.com/corianderbay/corianderbay/wire"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// The versions of the protocol that this process speaks.
+const (
+	oldestProtocol = 1
+	newestProtocol = 1
+)
+
+const (
+	nameLimit     = 255     // bytes of a name
+	sectionsLimit = 100_000 // sections of a document
+	chunkSize     = 128 << 10
+)
+
+// A Message is what a frame carries: Hello, Digest, Want, Table, Changes,
+// Sections, Refusal or Close.
+type Message interface {
+	message() messageType
+	// check reports *MessageError when a field is out of its range.
+	check() error
+}
+
+type messageType uint8
+
+const (
+	typeHello    messageType = 1
+	typeDigest   messageType = 2
+	typeWant     messageType = 3
+	typeTable    messageType = 4
+	typeChanges  messageType = 5
+	typeSections messageType = 6
+	typeRefusal  messageType = 7
+	typeClose    messageType = 8
+)
+
+// Hello is the first message in each direction.
+type Hello struct {
+	// Oldest and Newest bound the protocol versions that the sender speaks.
+	Oldest uint64 `msgpack:"oldest"`
+	Newest uint64 `msgpack:"newest"`
+	// Name is the sender's name in the instance list.
+	Name       string `msgpack:"name"`
+	DataCentre string `msgpack:"datacentre"`
+}
+
+// Version is a number and the hash of a content.
+type Version struct {
+	Sequence uint64
+	// Hash has converge.HashSize bytes, or none when Sequence is 0.
+	Hash []byte
+}
+
+// Digest says where the sender stands.
+type Digest struct {
+	InForce Version
+	Pending Version
+	List    Version
+	// Origin is the process with the freshest known answer from the platform.
+	Origin string
+	// Age is the time in milliseconds since that answer.
+	Age    uint64
+	Ask    uint64
+	Answer uint64
+}
+
+// Want asks for a document.
+type Want struct {
+	Kind converge.Kind `msgpack:"kind"`
+	// Version is the one wanted.
+	Version Version `msgpack:"version"`
+	// Base is the version that the sender holds, or zero.
+	Base Version `msgpack:"base"`
+	// Listed is true when the sender has read the Table.
+	Listed bool `msgpack:"listed,omitempty"`
+	// Names are the sections that the sender lacks after a Table; none before.
+	Names []string `msgpack:"names,omitempty"`
+}
+
+// Table lists every section of a document, for a peer whose base is unknown.
+type Table struct {
+	Kind    converge.Kind `msgpack:"kind"`
+	Version Version       `msgpack:"version"`
+	Names   []string      `msgpack:"names"`
+	// Hashes has tableHashSize bytes for each name.
+	Hashes []byte `msgpack:"hashes"`
+}
+
+// Changes begins a document: what differs from Base, or all when Base is zero.
+type Changes struct {
+	Kind    converge.Kind `msgpack:"kind"`
+	Version Version       `msgpack:"version"`
+	Base    Version       `msgpack:"base"`
+	// Head is what the document holds besides its sections.
+	Head []byte `msgpack:"head"`
+	// Removed are sections of Base that the document lacks.
+	Removed []string `msgpack:"removed,omitempty"`
+	// Count is the number of sections that follow.
+	Count int `msgpack:"count"`
+}
+
+// Sections carries sections of the document that Changes began.
+type Sections struct {
+	Kind    converge.Kind `msgpack:"kind"`
+	Version Version       `msgpack:"version"`
+	Names   []string      `msgpack:"names"`
+	Bodies  [][]byte      `msgpack:"bodies"`
+}
+
+// Refusal says that the sender cannot deliver what was wanted.
+type Refusal struct {
+	Kind    converge.Kind `msgpack:"kind"`
+	Version Version       `msgpack:"version"`
+}
+
+// Close ends a connection on purpose.
+type Close struct{}
+
+func (Hello) message() messageType    { return typeHello }
+func (Digest) message() messageType   { return typeDigest }
+func (Want) message() messageType     { return typeWant }
+func (Table) message() messageType    { return typeTable }
+func (Changes) message() messageType  { return typeChanges }
+func (Sections) message() messageType { return typeSections }
+func (Refusal) message() messageType  { return typeRefusal }
+func (Close) message() messageType    { return typeClose }
+
+func (m Hello) check() error {
+	if m.Name == "" || len(m.Name) > nameLimit {
+		return &MessageError{Message: "hello", Field: "name"}
+	}
+	if m.DataCentre == "" || len(m.DataCentre) > nameLimit {
+		return &MessageError{Message: "hello", Field: "datacentre"}
+	}
+	if m.Oldest > m.Newest {
+		return &MessageError{Message: "hello", Field: "oldest"}
+	}
+	return nil
+}
+
+func (m Digest) check() error {
+	if len(m.Origin) > nameLimit {
+		return &MessageError{Message: "digest", Field: "origin"}
+	}
+	return checkVersions("digest", m.InForce, m.Pending, m.List)
+}
+
+func (m Want) check() error {
+	if len(m.Names) > sectionsLimit {
+		return &MessageError{Message: "want", Field: "names"}
+	}
+	return checkDocument("want", m.Kind, m.Version, m.Base)
+}
+
+func (m Table) check() error {
+	if len(m.Names) > sectionsLimit || len(m.Hashes) != len(m.Names)*tableHashSize {
+		return &MessageError{Message: "table", Field: "hashes"}
+	}
+	return checkDocument("table", m.Kind, m.Version)
+}
+
+func (m Changes) check() error {
+	if m.Count < 0 || m.Count > sectionsLimit {
+		return &MessageError{Message: "changes", Field: "count"}
+	}
+	return checkDocument("changes", m.Kind, m.Version, m.Base)
+}
+
+func (m Sections) check() error {
+	if len(m.Names) == 0 || len(m.Names) != len(m.Bodies) {
+		return &MessageError{Message: "sections", Field: "names"}
+	}
+	return checkDocument("sections", m.Kind, m.Version)
+}
+
+func (m Refusal) check() error { return checkDocument("refusal", m.Kind, m.Version) }
+
+func (Close) check() error { return nil }
+
+func checkDocument(message string, kind converge.Kind, versions ...Version) error {
+	if kind != converge.KindBundle && kind != converge.KindList {
+		return &MessageError{Message: message, Field: "kind"}
+	}
+	if versions[0].Sequence == 0 {
+		return &MessageError{Message: message, Field: "version"}
+	}
+	return checkVersions(message, versions...)
+}
+
+func checkVersions(message string, versions ...Version) error {
+	for _, v := range versions {
+		if v.Sequence == 0 && len(v.Hash) == 0 || v.Sequence > 0 && len(v.Hash) == converge.HashSize {
+			continue
+		}
+		return &MessageError{Message: message, Field: "hash"}
+	}
+	return nil
+}
+
+// wireVersion returns v as it goes over the wire.
+func wireVersion(v converge.Version) Version {
+	if v.IsZero() {
+		return Version{}
+	}
+	return Version{Sequence: v.Sequence, Hash: v.Hash[:]}
+}
+
+// version returns v, which was checked, as the decisions use it.
+func (v Version) version() converge.Version {
+	out := converge.Version{Sequence: v.Sequence}
+	copy(out.Hash[:], v.Hash)
+	return out
+}
+
+// EncodeMsgpack writes the version as an array, since digests are sent often.
+func (v Version) EncodeMsgpack(enc *msgpack.Encoder) error {
+	return encodeArray(enc, v.Sequence, v.Hash)
+}
+
+// DecodeMsgpack reads the version and checks its length.
+func (v *Version) DecodeMsgpack(dec *msgpack.Decoder) error {
+	return decodeArray(dec, "version", &v.Sequence, &v.Hash)
+}
+
+// EncodeMsgpack writes the digest as an array.
+func (m Digest) EncodeMsgpack(enc *msgpack.Encoder) error {
+	return encodeArray(enc, m.InForce, m.Pending, m.List, m.Origin, m.Age, m.Ask, m.Answer)
+}
+
+// DecodeMsgpack reads the digest and checks its length.
+func (m *Digest) DecodeMsgpack(dec *msgpack.Decoder) error {
+	return decodeArray(dec, "digest", &m.InForce, &m.Pending, &m.List, &m.Origin, &m.Age, &m.Ask, &m.Answer)
+}
+
+func encodeArray(enc *msgpack.Encoder, fields ...any) error {
+	if err := enc.EncodeArrayLen(len(fields)); err != nil {
+		return err
+	}
+	return enc.EncodeMulti(fields...)
+}
+
+func decodeArray(dec *msgpack.Decoder, message string, fields ...any) error {
+	n, err := dec.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if n != len(fields) {
+		return &MessageError{Message: message, Field: "length"}
+	}
+	return dec.DecodeMulti(fields...)
+}
+
+// decodeMessage decodes and checks the body of a frame.
+func decodeMessage(t messageType, body []byte) (Message, error) {
+	switch t {
+	case typeHello:
+		return decodeAs[Hello](body)
+	case typeDigest:
+		return decodeAs[Digest](body)
+	case typeWant:
+		return decodeAs[Want](body)
+	case typeTable:
+		return decodeAs[Table](body)
+	case typeChanges:
+		return decodeAs[Changes](body)
+	case typeSections:
+		return decodeAs[Sections](body)
+	case typeRefusal:
+		return decodeAs[Refusal](body)
+	case typeClose:
+		return decodeAs[Close](body)
+	}
+	return nil, &MessageError{Message: "frame", Field: "type"}
+}
+
+func decodeAs[M Message](body []byte) (Message, error) {
+	var m M
+	if err := wire.Decode(body, &m); err != nil {
+		return nil, err
+	}
+	if err := m.check(); err != nil {
+		return nil, err
+	}
+	return m, nil
+}
--- /dev/null
+++ b/peer/reading.go
@@ -0,0 +1,76 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/platform"
+	"go.uber.org/zap"
+)
+
+// read starts or ends the watches on the platform.
+func (n *Node) read(ctx context.Context, on bool) {
+	if n.stopRead != nil {
+		n.stopRead()
+		n.stopRead = nil
+	}
+	if !on {
+		return
+	}
+	ctx, n.stopRead = context.WithCancel(ctx)
+	forBundle, forList := n.source(), n.source()
+	n.wg.Go(func() { n.follow(ctx, forBundle, n.watchBundle) })
+	n.wg.Go(func() { n.follow(ctx, forList, n.watchList) })
+}
+
+func (n *Node) source() *rand.Rand {
+	return rand.New(rand.NewPCG(n.cfg.Rand.Uint64(), n.cfg.Rand.Uint64()))
+}
+
+// follow repeats a watch from the index that it returned last, with backoff after failures.
+func (n *Node) follow(ctx context.Context, r *rand.Rand, watch func(context.Context, uint64) (uint64, error)) {
+	var backoff platform.Backoff
+	index := uint64(0)
+	for ctx.Err() == nil {
+		next, err := watch(ctx, index)
+		if ctx.Err() != nil {
+			return
+		}
+		n.post(ctx, platformCalled{err: err})
+		if err != nil {
+			_ = n.cfg.Timer.Sleep(ctx, backoff.Next(r))
+			continue
+		}
+		backoff.Reset()
+		index = next
+	}
+}
+
+func (n *Node) watchBundle(ctx context.Context, index uint64) (uint64, error) {
+	head, changed, err := n.cfg.Platform.Watch(ctx, BundleValue, index)
+	if err != nil || !changed {
+		return index, err
+	}
+	_, body, err := n.cfg.Platform.ReadPublication(ctx, head)
+	if err != nil {
+		return index, err
+	}
+	f, err := bundle.Unmarshal(body)
+	if err != nil {
+		n.cfg.Log.Emit(event.BundleBroken, zap.Error(err))
+		return head.Index, nil
+	}
+	n.post(ctx, bundleRead{frozen: f})
+	return head.Index, nil
+}
+
+func (n *Node) watchList(ctx context.Context, index uint64) (uint64, error) {
+	l, changed, err := n.cfg.Platform.WatchInstances(ctx, index)
+	if err != nil || !changed {
+		return index, err
+	}
+	n.post(ctx, listRead{list: l})
+	return l.Index, nil
+}
