--- /dev/null
+++ b/limit/callers.go
@@ -0,0 +1,165 @@
+package limit
+
+import (
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/corianderbay/corianderbay/bundle"
+)
+
+// CallersConfig holds the settings of a Callers. The zero value selects the defaults.
+type CallersConfig struct {
+	// Shards is a power of two. Zero selects 16.
+	Shards int
+	// Prefixes is how many caller prefixes are held over all shards. Those that
+	// find no room share one bucket a shard. Zero selects 65,536.
+	Prefixes int
+	// Headroom is the share above its part of a limit that one balancer lets
+	// through, because the fabric does not spray evenly, from 0 to 1. Zero
+	// selects 0.1.
+	Headroom float64
+	// Burst is the time over which unused flows are saved up. Zero selects 1 s.
+	Burst time.Duration
+	// Return says when refused callers come back.
+	Return Return
+}
+
+const (
+	defaultShards   = 16
+	defaultPrefixes = 65_536
+	defaultHeadroom = 0.1
+	defaultBurst    = time.Second
+)
+
+// Callers bounds the new flows of each service and of each caller prefix at
+// one balancer. Balancers share no state: each takes the limit divided by the
+// number of live balancers, plus the headroom. It is safe for concurrent use,
+// but for the random source, which the caller guards.
+type Callers struct {
+	cfg       CallersConfig // fixed after NewCallers
+	balancers atomic.Int64  // live balancers, at least 1
+	shards    []callerShard // length is a power of two, fixed after NewCallers
+
+	mu       sync.Mutex
+	services map[bundle.ServiceID]*serviceBucket
+}
+
+// NewCallers returns a Callers of the only balancer. It reports *ConfigError
+// when cfg.Shards is not a power of two.
+func NewCallers(cfg CallersConfig) (*Callers, error) {
+	cfg = cfg.withDefaults()
+	if cfg.Shards < 1 || cfg.Shards&(cfg.Shards-1) != 0 {
+		return nil, &ConfigError{Field: "Shards", Value: cfg.Shards}
+	}
+	c := &Callers{
+		cfg:      cfg,
+		shards:   make([]callerShard, cfg.Shards),
+		services: make(map[bundle.ServiceID]*serviceBucket),
+	}
+	for i := range c.shards {
+		c.shards[i] = newCallerShard(max(cfg.Prefixes/cfg.Shards, 1))
+	}
+	c.balancers.Store(1)
+	return c, nil
+}
+
+func (c CallersConfig) withDefaults() CallersConfig {
+	if c.Shards == 0 {
+		c.Shards = defaultShards
+	}
+	if c.Prefixes == 0 {
+		c.Prefixes = defaultPrefixes
+	}
+	if c.Headroom == 0 {
+		c.Headroom = defaultHeadroom
+	}
+	if c.Burst == 0 {
+		c.Burst = defaultBurst
+	}
+	return c
+}
+
+// SetBalancers sets the number of live balancers, this one included. A number
+// below 1 counts as 1.
+func (c *Callers) SetBalancers(n int) {
+	c.balancers.Store(int64(max(n, 1)))
+}
+
+// Admit counts one new flow of a caller and reports whether it may be
+// forwarded. When it returns false, the refusal says why and when to come back.
+func (c *Callers) Admit(s bundle.ServiceID, l bundle.Limit, caller netip.Addr, now time.Time, rnd Source) (Refusal, bool) {
+	if l.Rate == 0 && l.Prefix == 0 {
+		return Refusal{}, true
+	}
+	key := newCallerKey(s, l, caller)
+	service := c.service(s)
+	shard := &c.shards[key.hash()&uint64(len(c.shards)-1)]
+	bounds := bounds{
+		prefix:  c.part(l.Prefix),
+		fair:    service.fair(c.part(l.Rate), now),
+		service: c.part(l.Rate),
+	}
+	if wait, ok := shard.prefix(key, bounds, now, service); !ok {
+		return c.refuse(Prefix, wait, rnd), false
+	}
+	return c.admitService(service, shard, key, bounds, now, rnd)
+}
+
+// admitService takes a flow from the service's bucket. Once less than half of
+// the bucket is left, only prefixes below their fair share take from it.
+func (c *Callers) admitService(service *serviceBucket, shard *callerShard, key callerKey, b bounds, now time.Time, rnd Source) (Refusal, bool) {
+	if b.service.rate == 0 {
+		return Refusal{}, true
+	}
+	below := shard.fair(key, b, now)
+	if !below && service.scarce(b.service, now) {
+		return c.refuse(Fair, 0, rnd), false
+	}
+	if wait, ok := service.take(b.service, now); !ok {
+		return c.refuse(Rate, wait, rnd), false
+	}
+	return Refusal{}, true
+}
+
+// Prefixes returns how many caller prefixes are held.
+func (c *Callers) Prefixes() int {
+	n := 0
+	for i := range c.shards {
+		n += c.shards[i].len()
+	}
+	return n
+}
+
+// part returns this balancer's part of a limit over the whole fleet.
+func (c *Callers) part(fleet float64) bound {
+	rate := fleet * (1 + c.cfg.Headroom) / float64(c.balancers.Load())
+	return newBound(rate, c.cfg.Burst)
+}
+
+func (c *Callers) service(s bundle.ServiceID) *serviceBucket {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b, ok := c.services[s]
+	if !ok {
+		b = &serviceBucket{}
+		c.services[s] = b
+	}
+	return b
+}
+
+// Retain drops the buckets of services that are not in keep.
+func (c *Callers) Retain(keep map[bundle.ServiceID]bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for s := range c.services {
+		if !keep[s] {
+			delete(c.services, s)
+		}
+	}
+}
+
+func (c *Callers) refuse(r Reason, wait time.Duration, rnd Source) Refusal {
+	return Refusal{Reason: r, After: c.cfg.Return.After(wait, rnd)}
+}
