Decide accept, pass or refuse from what sidecars see and report

Change: package load: Watch weighs what is seen against the endpoints' word and estimates the next free slot from how long requests have run; Board keeps reports of the same service (at most 64 bytes, one a second); Decide compares with the exact loads carried in the packet, balances long flows on connections and short ones on the expected wait, ramps cold starts, bounds the inflow of an empty upstream, and sets failing ones aside only while the rest can carry the load.

--- /dev/null
+++ b/load/connections.go
@@ -0,0 +1,92 @@
+package load
+
+const (
+	// hungryBelow is the share of its fair number of flows below which the
+	// inflow of an upstream is bounded.
+	hungryBelow = 0.97
+	// slotsMargin is added to the slack, in flows for each slot.
+	slotsMargin = 2
+)
+
+// byConnections decides for long flows. An upstream passes when a later
+// candidate holds clearly less, and accepts when it holds clearly less than
+// those before it. One far below its share that fills fast takes only some of
+// the flows that others pass, chosen by hash, so that it is not swamped.
+func (p AcceptOrPass) byConnections(o Opening, own View, b *Board, t total) Decision {
+	if o.last() {
+		return Decision{Verdict: Accept}
+	}
+	l := connectionLoad(own)
+	if o.At > 0 && p.hungry(own, t) {
+		return p.takeIn(o, own, t)
+	}
+	margin := p.loadMargin(own, t)
+	if least, ok := o.least(l); ok && l.clearlyBelow(least, margin) {
+		return Decision{Verdict: Accept}
+	}
+	if !p.betterFollows(o, l, margin, b, t) {
+		return Decision{Verdict: Accept}
+	}
+	return Decision{Verdict: Pass, Reason: Busy, Load: l}
+}
+
+// takeIn decides for an upstream far below its share about a passed flow.
+func (p AcceptOrPass) takeIn(o Opening, own View, t total) Decision {
+	if p.takes(own, o, t) {
+		return Decision{Verdict: Accept}
+	}
+	return Decision{Verdict: Pass, Reason: Starting, Load: connectionLoad(own)}
+}
+
+// fair returns the number of flows that an upstream would hold if all held
+// the same for their weight.
+func (t total) fair(v View) float64 {
+	return t.mean() * v.share()
+}
+
+// hungry reports whether an upstream holds far fewer flows than its share.
+func (p AcceptOrPass) hungry(v View, t total) bool {
+	return float64(v.Connections) < hungryBelow*t.fair(v)-float64(slotsMargin*v.Slots)
+}
+
+// takes reports whether an upstream far below its share takes a flow that
+// another one passed.
+func (p AcceptOrPass) takes(v View, o Opening, t total) bool {
+	if v.Rate < t.fair(v)/p.Fill.Seconds() {
+		return true
+	}
+	others := float64(t.weight)/float64(v.thousandths()) - 1
+	return admits((p.Inflow-1)/max(others, 1), remix(o.Hash))
+}
+
+// loadMargin returns the difference in load that is worth a hop.
+func (p AcceptOrPass) loadMargin(v View, t total) Load {
+	flows := p.Slack*t.fair(v) + float64(slotsMargin*v.Slots)
+	return clampLoad(connectionScale * weightUnit * flows / v.share())
+}
+
+// clearlyBelow reports whether l is below other by more than margin.
+func (l Load) clearlyBelow(other, margin Load) bool {
+	return uint64(l)+uint64(margin) < uint64(other)
+}
+
+// betterFollows reports whether a later candidate has a load clearly below l,
+// or is not known.
+func (p AcceptOrPass) betterFollows(o Opening, l, margin Load, b *Board, t total) bool {
+	for i := o.At + 1; i < min(o.Count, Listed); i++ {
+		if o.Candidates[i] == 0 {
+			continue
+		}
+		v, ok := b.find(o.Candidates[i])
+		if !ok {
+			return true
+		}
+		if v.closed() || p.hungry(v, t) && !p.takes(v, o, t) {
+			continue
+		}
+		if connectionLoad(v).clearlyBelow(l, margin) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/load/decide_test.go
@@ -0,0 +1,190 @@
+package load_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/load"
+	"github.com/shoenig/test/must"
+)
+
+const (
+	service bundle.ServiceID = 7
+	mean                     = 100 * time.Millisecond
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func idle() load.View {
+	return load.View{Slots: 2, Limit: 2500, Weight: 100, Service: mean, Ramp: 1}
+}
+
+func busy(queue int, next time.Duration) load.View {
+	v := idle()
+	v.InUse = v.Slots
+	v.Queue = queue
+	v.Next = next
+	return v
+}
+
+func holding(connections int) load.View {
+	v := idle()
+	v.Connections = connections
+	return v
+}
+
+// board returns the board of upstream 1 that heard the views of upstreams 2, 3 and so on.
+func board(t testing.TB, views ...load.View) *load.Board {
+	b := load.NewBoard(load.BoardConfig{Service: service, Upstream: 1})
+	for i, v := range views {
+		r := load.NewReport(service, bundle.UpstreamID(i+2), 1, v)
+		must.True(t, b.Hear(r, 0, start))
+	}
+	return b
+}
+
+func openingAt(at int, loads ...uint32) load.Opening {
+	o := load.Opening{Hash: 12345, At: at, Count: 7}
+	for i := range 7 {
+		o.Candidates[i] = bundle.UpstreamID(i + 1)
+	}
+	copy(o.Loads[:], loads)
+	return o
+}
+
+func TestDecideShortFlows(t *testing.T) {
+	late := openingAt(6)
+	late.Patience = 50 * time.Millisecond
+	lateFirst := openingAt(0)
+	lateFirst.Patience = 50 * time.Millisecond
+	leaving := idle()
+	leaving.Leaving = true
+	cases := []struct {
+		name    string
+		opening load.Opening
+		own     load.View
+		want    load.Verdict
+		reason  load.Reason
+	}{
+		{"a free slot accepts", openingAt(0), idle(), load.Accept, load.None},
+		{"a short expected wait accepts", openingAt(0), busy(0, 30*time.Millisecond), load.Accept, load.None},
+		{"a long expected wait passes", openingAt(0), busy(0, 90*time.Millisecond), load.Pass, load.Busy},
+		{"less than the earlier accepts", openingAt(1, 2001), busy(0, 90*time.Millisecond), load.Accept, load.None},
+		{"more than the earlier passes", openingAt(1, 501), busy(0, 90*time.Millisecond), load.Pass, load.Busy},
+		{"the last visit accepts", openingAt(6, 501), busy(0, 90*time.Millisecond), load.Accept, load.None},
+		{"too late for the opening passes", lateFirst, busy(0, 90*time.Millisecond), load.Pass, load.Late},
+		{"too late at the last visit refuses", late, busy(0, 90*time.Millisecond), load.Refuse, load.Late},
+		{"leaving passes", openingAt(0), leaving, load.Pass, load.Leaving},
+		{"leaving as the last refuses", openingAt(6), leaving, load.Refuse, load.Leaving},
+		{"failing passes", openingAt(0), idle().WithFailing(true), load.Pass, load.Failing},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			b := board(t, idle(), idle(), idle(), idle(), idle(), idle())
+			got := load.Decide(load.AcceptOrPass{}, c.opening, c.own, b)
+			must.Eq(t, c.want, got.Verdict)
+			must.Eq(t, c.reason, got.Reason)
+		})
+	}
+}
+
+func TestDecideLongFlows(t *testing.T) {
+	ramping := holding(250).WithRamp(0.1)
+	full := holding(2500)
+	cases := []struct {
+		name  string
+		at    int
+		own   load.View
+		peers int // connections that each of the six others holds
+		want  load.Verdict
+	}{
+		{"its share accepts", 0, holding(2000), 2000, load.Accept},
+		{"within the margin accepts", 0, holding(2009), 2000, load.Accept},
+		{"above the margin passes", 0, holding(2030), 2000, load.Pass},
+		{"an empty one accepts", 0, holding(0), 2000, load.Accept},
+		{"an empty one accepts what others passed", 2, holding(0), 2000, load.Accept},
+		{"a cold start holds no more than its ramp", 0, ramping, 2000, load.Pass},
+		{"the limit passes", 0, full, 2000, load.Pass},
+		{"the last accepts above its share", 6, holding(2030), 2000, load.Accept},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			peer := holding(c.peers)
+			b := board(t, peer, peer, peer, peer, peer, peer)
+			got := load.Decide(load.AcceptOrPass{}, openingAt(c.at), c.own, b)
+			must.Eq(t, c.want, got.Verdict)
+		})
+	}
+}
+
+// TestFastFillingUpstreamIsNotSwamped checks that an empty upstream which
+// accepts many flows a second takes only some of those that others pass.
+func TestFastFillingUpstreamIsNotSwamped(t *testing.T) {
+	peer := holding(2000)
+	b := board(t, peer, peer, peer, peer, peer, peer)
+	own := holding(100)
+	own.Rate = 500
+	taken := 0
+	for i := range 1000 {
+		o := openingAt(1, uint32(1<<31|16_001))
+		o.Hash = uint64(i) * 0x9e3779b97f4a7c15
+		if load.Decide(load.AcceptOrPass{}, o, own, b).Verdict == load.Accept {
+			taken++
+		}
+	}
+	must.Between(t, 100, taken, 250)
+}
+
+// TestSetAsideKeepsTheRestBelowTheirLimits lets more and more upstreams fail.
+func TestSetAsideKeepsTheRestBelowTheirLimits(t *testing.T) {
+	failing := holding(1500).WithFailing(true)
+	well := holding(1500)
+	own := holding(1500).WithFailing(true)
+	decide := func(b *load.Board) load.Verdict {
+		return load.Decide(load.AcceptOrPass{}, openingAt(0), own, b).Verdict
+	}
+	must.Eq(t, load.Pass, decide(board(t, well, well, well, well, well, failing)))
+	crowded := holding(2200)
+	must.Eq(t, load.Accept, decide(board(t, crowded, crowded, crowded, crowded, crowded, crowded)))
+}
+
+func TestHashingAndLeastKnown(t *testing.T) {
+	b := board(t)
+	must.Eq(t, load.Accept, load.Decide(load.Hashing{}, openingAt(0), busy(9, mean), b).Verdict)
+	must.Eq(t, load.Pass, load.Decide(load.LeastKnown{}, openingAt(0), holding(2500), b).Verdict)
+	known := [2]load.Load{busy(4, mean).Known(), idle().Known()}
+	must.Eq(t, 1, load.First(load.LeastKnown{}, known))
+	must.Eq(t, 0, load.First(load.Hashing{}, known))
+	must.Eq(t, 0, load.First(load.LeastKnown{}, [2]load.Load{0, idle().Known()}))
+}
+
+func TestDecideAllocatesNothing(t *testing.T) {
+	peer := holding(2000)
+	b := board(t, peer, peer, peer, peer, peer, peer)
+	var p load.Policy = load.AcceptOrPass{}
+	must.Zero(t, testing.AllocsPerRun(100, func() {
+		load.Decide(p, openingAt(0), holding(2030), b)
+		load.Decide(p, openingAt(0), busy(1, mean), b)
+	}))
+}
+
+func BenchmarkDecide(b *testing.B) {
+	peer := holding(2000)
+	cases := map[string]struct {
+		own   load.View
+		board *load.Board
+	}{
+		"short": {busy(1, mean), board(b, idle(), idle(), idle(), idle(), idle(), idle())},
+		"long":  {holding(2030), board(b, peer, peer, peer, peer, peer, peer)},
+	}
+	var p load.Policy = load.AcceptOrPass{}
+	for name, c := range cases {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				load.Decide(p, openingAt(0), c.own, c.board)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/load/opening.go
@@ -0,0 +1,50 @@
+package load
+
+import (
+	"time"
+
+	"github.com/corianderbay/corianderbay/bundle"
+)
+
+const (
+	// Carried is how many loads of earlier candidates take part in a decision.
+	Carried = 4
+	// Listed is how many candidates take part in a decision.
+	Listed = 10
+)
+
+// Opening is what a sidecar knows of an opening that it is asked to accept.
+type Opening struct {
+	// Hash is the hash of the flow's key.
+	Hash uint64
+	// At is the index of this sidecar's upstream among the candidates.
+	At int
+	// Count is the number of candidates, at least 1 and above At.
+	Count int
+	// Candidates are the first candidates; zero stands for one that takes no new flows.
+	Candidates [Listed]bundle.UpstreamID
+	// Loads are those that earlier candidates reported when they passed; zero is unknown.
+	Loads [Carried]uint32
+	// Patience is how long the opening may wait for a slot; zero sets no bound.
+	Patience time.Duration
+}
+
+// last reports whether no further candidate can be asked.
+func (o Opening) last() bool {
+	return o.At+1 >= o.Count
+}
+
+// least returns the lowest load of the earlier candidates that compares with
+// own, and whether there is one.
+func (o Opening) least(own Load) (Load, bool) {
+	least := Load(0)
+	for _, l := range o.Loads[:min(o.At, Carried)] {
+		if !own.comparable(Load(l)) {
+			continue
+		}
+		if least == 0 || Load(l) < least {
+			least = Load(l)
+		}
+	}
+	return least, least != 0
+}
--- /dev/null
+++ b/load/report_test.go
@@ -0,0 +1,70 @@
+package load_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/load"
+	"github.com/shoenig/test/must"
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// largestReport bounds the size of an encoded report in bytes.
+const largestReport = 64
+
+func TestReportTravels(t *testing.T) {
+	v := busy(3, 0)
+	v.Connections = 2345
+	want := load.NewReport(bundle.ServiceIDOf("fitting"), bundle.UpstreamIDOf("mat-1"), 1_790_000_000_000, v)
+	b, err := msgpack.Marshal(want)
+	must.NoError(t, err)
+	must.LessEq(t, largestReport, len(b))
+
+	var got load.Report
+	must.NoError(t, msgpack.Unmarshal(b, &got))
+	must.Eq(t, want.View(), got.View())
+	must.Eq(t, v, got.View())
+}
+
+func TestReportChecksItself(t *testing.T) {
+	r := load.NewReport(service, 2, 1, idle())
+	r.Weight = 1001
+	b, err := msgpack.Marshal(r)
+	must.NoError(t, err)
+	var got load.Report
+	var want *load.ReportError
+	must.True(t, errors.As(msgpack.Unmarshal(b, &got), &want))
+	must.Eq(t, "weight", want.Field)
+}
+
+func TestBoardDropsWhatDoesNotCount(t *testing.T) {
+	b := load.NewBoard(load.BoardConfig{Service: service, Upstream: 1})
+	must.True(t, b.Hear(load.NewReport(service, 2, 5, idle()), 40, start))
+	must.False(t, b.Hear(load.NewReport(service, 2, 5, idle()), 40, start))
+	must.False(t, b.Hear(load.NewReport(service, 1, 9, idle()), 40, start))
+	must.False(t, b.Hear(load.NewReport(service+1, 3, 9, idle()), 40, start))
+	must.Eq(t, uint64(160), b.Bytes())
+}
+
+func TestBoardReportsOncePerPeriod(t *testing.T) {
+	b := load.NewBoard(load.BoardConfig{Service: service, Upstream: 1})
+	first, ok := b.Due(idle(), start)
+	must.True(t, ok)
+	_, ok = b.Due(idle(), start.Add(500*time.Millisecond))
+	must.False(t, ok)
+	second, ok := b.Due(idle(), start.Add(time.Second))
+	must.True(t, ok)
+	must.Greater(t, first.Sequence, second.Sequence)
+}
+
+// TestExpiredReportsDoNotCount checks that an upstream whose reports stop is
+// asked again, since it is not known to be busy.
+func TestExpiredReportsDoNotCount(t *testing.T) {
+	peer := holding(2030)
+	b := board(t, peer, peer, peer, peer, peer, peer)
+	must.Eq(t, load.Accept, load.Decide(load.AcceptOrPass{}, openingAt(0), holding(2030), b).Verdict)
+	b.Expire(start.Add(time.Minute))
+	must.Eq(t, load.Pass, load.Decide(load.AcceptOrPass{}, openingAt(0), holding(2030), b).Verdict)
+}
--- /dev/null
+++ b/load/watch.go
@@ -0,0 +1,246 @@
+package load
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/corianderbay/corianderbay/bundle"
+)
+
+// WatchConfig holds the settings of a Watch.
+type WatchConfig struct {
+	// Upstream gives slots, connections and weight.
+	Upstream bundle.Upstream
+	// Ramp is the cold start of the upstream.
+	Ramp Ramp
+	// Failing sets when an upstream is held to be failing.
+	Failing FailingConfig
+	// WordAge is how old an endpoint's word may be. Zero selects 3 s.
+	WordAge time.Duration
+}
+
+const (
+	defaultWordAge = 3 * time.Second
+	serviceShare   = 1.0 / 32
+	// frozenAfter is how many answers go by before unchanged numbers are ignored.
+	frozenAfter = 16
+	// leastRest is the least expected rest of a request in mean times in service.
+	leastRest = 0.25
+)
+
+// A Watch gathers what one sidecar sees of its upstream. It is safe for concurrent use.
+type Watch struct {
+	cfg WatchConfig // fixed after NewWatch
+
+	mu          sync.Mutex
+	upstream    bundle.Upstream
+	since       time.Time   // when the present cold start began
+	started     []time.Time // of the requests in service, in no order
+	queue       int         // at least 0
+	connections int         // at least 0
+	accepted    pace
+	service     time.Duration
+	failing     failing
+	word        Word
+	unchanged   int // answers since the numbers of word last changed, at least 0
+}
+
+// NewWatch returns a Watch of an upstream whose cold start begins now.
+func NewWatch(cfg WatchConfig, now time.Time) *Watch {
+	if cfg.WordAge == 0 {
+		cfg.WordAge = defaultWordAge
+	}
+	return &Watch{
+		cfg:      cfg,
+		upstream: cfg.Upstream,
+		since:    now,
+		failing:  newFailing(cfg.Failing),
+	}
+}
+
+// Update replaces slots, connections and weight by those of a newer bundle.
+func (w *Watch) Update(u bundle.Upstream) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.upstream = u
+}
+
+// Restarted begins a cold start: the upstream came back empty.
+func (w *Watch) Restarted(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.since = now
+}
+
+// Opened counts a flow that the sidecar accepted.
+func (w *Watch) Opened(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.connections++
+	w.accepted.add(now)
+}
+
+// Closed counts a flow that ended.
+func (w *Watch) Closed() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.connections = max(w.connections-1, 0)
+}
+
+// Queued counts a request that waits for a slot.
+func (w *Watch) Queued() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.queue++
+}
+
+// Unqueued counts a request that left the queue, also when it was cancelled.
+func (w *Watch) Unqueued() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.queue = max(w.queue-1, 0)
+}
+
+// Started counts a request that took a slot.
+func (w *Watch) Started(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.started = append(w.started, now)
+}
+
+// stopped removes the request that took its slot closest to at. The caller holds mu.
+func (w *Watch) stopped(at time.Time) {
+	if len(w.started) == 0 {
+		return
+	}
+	closest := 0
+	for i, s := range w.started {
+		if s.Sub(at).Abs() < w.started[closest].Sub(at).Abs() {
+			closest = i
+		}
+	}
+	w.started = slices.Delete(w.started, closest, closest+1)
+}
+
+// Answered counts a request that freed its slot with an answer after took.
+func (w *Watch) Answered(now time.Time, took time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped(now.Add(-took))
+	w.observe(took)
+	w.unchanged++
+	w.failing.good(now)
+}
+
+// Cancelled counts a request that freed its slot after took because its
+// caller gave up.
+func (w *Watch) Cancelled(now time.Time, took time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped(now.Add(-took))
+}
+
+// TimedOut counts a request that freed its slot without an answer after took.
+func (w *Watch) TimedOut(now time.Time, took time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped(now.Add(-took))
+	w.observe(took)
+	w.failing.timedOut(now)
+}
+
+// Refused counts a request that the upstream would not take.
+func (w *Watch) Refused(now time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped(now)
+	w.failing.refused(now)
+}
+
+// Hear keeps the latest word of the upstream's endpoints.
+func (w *Watch) Hear(word Word) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if word.At.Before(w.word.At) {
+		return
+	}
+	if !word.same(w.word) {
+		w.unchanged = 0
+	}
+	w.word = word
+}
+
+// View returns what the sidecar knows at now. The endpoint's word can only
+// raise the load above what was seen, and its "unhealthy" counts only while no
+// answer contradicts it; "healthy" never outweighs refusals and timeouts.
+func (w *Watch) View(now time.Time) View {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	v := View{
+		Slots:       w.upstream.EffectiveSlots(),
+		InUse:       len(w.started),
+		Queue:       w.queue,
+		Connections: w.connections,
+		Rate:        w.accepted.rate(now),
+		Limit:       w.upstream.EffectiveConnections(),
+		Weight:      w.upstream.EffectiveWeight(),
+		Service:     w.service,
+		Next:        w.next(now),
+		Ramp:        w.share(now),
+		Failing:     w.failing.is(now),
+		Leaving:     w.upstream.Leaving,
+	}
+	return w.weigh(v, now)
+}
+
+// weigh applies the endpoint's word to what was seen. Numbers that stand still
+// while answers go by do not count. The caller holds mu.
+func (w *Watch) weigh(v View, now time.Time) View {
+	if !w.word.fresh(now, w.cfg.WordAge) {
+		return v
+	}
+	if w.unchanged < frozenAfter {
+		v.InUse = min(max(v.InUse, w.word.InUse), max(v.Slots, v.InUse))
+		v.Connections = max(v.Connections, w.word.Connections)
+	}
+	contradicted := w.failing.lastGood.After(w.word.At.Add(-w.cfg.WordAge))
+	if !w.word.Healthy && !contradicted {
+		v.Failing = true
+	}
+	return v
+}
+
+// next returns the expected time until a slot becomes free. Work that has run
+// for long is expected to run for long: its rest counts as its age. The caller holds mu.
+func (w *Watch) next(now time.Time) time.Duration {
+	shortest := float64(w.service) * leastRest
+	if shortest == 0 {
+		return 0
+	}
+	rate := 0.0
+	for _, s := range w.started {
+		rate += 1 / max(float64(now.Sub(s)), shortest)
+	}
+	if rate == 0 {
+		return 0
+	}
+	return time.Duration(math.Round(1 / rate))
+}
+
+// share returns the lower of the cold-start ramp and the ramp after failing.
+func (w *Watch) share(now time.Time) float64 {
+	cold := w.cfg.Ramp.Share(now.Sub(w.since))
+	return min(cold, w.failing.share(now))
+}
+
+// observe moves the mean time in service towards took.
+func (w *Watch) observe(took time.Duration) {
+	if w.service == 0 {
+		w.service = max(took, 1)
+		return
+	}
+	w.service += time.Duration(float64(took-w.service) * serviceShare)
+	w.service = max(w.service, 1)
+}
--- /dev/null
+++ b/load/watch_test.go
@@ -0,0 +1,128 @@
+package load_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/load"
+	"github.com/shoenig/test/must"
+)
+
+func newWatch() *load.Watch {
+	return load.NewWatch(load.WatchConfig{Upstream: bundle.Upstream{}}, start.Add(-time.Hour))
+}
+
+func TestWatchCountsWhatItSees(t *testing.T) {
+	w := newWatch()
+	w.Opened(start)
+	w.Opened(start)
+	w.Queued()
+	w.Started(start)
+	v := w.View(start)
+	must.Eq(t, 2, v.Connections)
+	must.Eq(t, 1, v.InUse)
+	must.Eq(t, 1, v.Queue)
+	must.False(t, v.Free())
+
+	w.Unqueued()
+	w.Closed()
+	w.Answered(start.Add(mean), mean)
+	v = w.View(start.Add(mean))
+	must.Eq(t, 1, v.Connections)
+	must.Eq(t, 0, v.Busy())
+	must.Eq(t, mean, v.Service)
+}
+
+// TestNextGrowsWithTimeInService checks that requests which have run for long
+// are expected to run for long.
+func TestNextGrowsWithTimeInService(t *testing.T) {
+	w := newWatch()
+	w.Started(start)
+	w.Answered(start.Add(mean), mean)
+	w.Started(start)
+	w.Started(start)
+	young := w.View(start.Add(mean)).Next
+	old := w.View(start.Add(10 * mean)).Next
+	must.Eq(t, mean/2, young)
+	must.Eq(t, 5*mean, old)
+}
+
+func TestEndpointWordIsWeighed(t *testing.T) {
+	now := start
+	t.Run("zero load does not hide what is seen", func(t *testing.T) {
+		w := newWatch()
+		w.Started(now)
+		w.Hear(load.Word{Healthy: true, At: now})
+		must.Eq(t, 1, w.View(now).InUse)
+	})
+	t.Run("more load than seen counts", func(t *testing.T) {
+		w := newWatch()
+		w.Hear(load.Word{Healthy: true, InUse: 2, At: now})
+		must.Eq(t, 2, w.View(now).InUse)
+	})
+	t.Run("a late word does not", func(t *testing.T) {
+		w := newWatch()
+		w.Hear(load.Word{Healthy: true, InUse: 2, At: now})
+		must.Eq(t, 0, w.View(now.Add(time.Minute)).InUse)
+	})
+	t.Run("frozen numbers do not", func(t *testing.T) {
+		w := newWatch()
+		for i := range 20 {
+			at := now.Add(time.Duration(i) * mean)
+			w.Hear(load.Word{Healthy: true, InUse: 2, At: at})
+			w.Started(at)
+			w.Answered(at.Add(mean), mean)
+		}
+		must.Eq(t, 0, w.View(now.Add(20*mean)).InUse)
+	})
+	t.Run("healthy does not outweigh timeouts", func(t *testing.T) {
+		w := newWatch()
+		for range 3 {
+			w.Started(now)
+			w.TimedOut(now, time.Second)
+		}
+		w.Hear(load.Word{Healthy: true, At: now})
+		must.True(t, w.View(now).Failing)
+	})
+	t.Run("unhealthy counts without answers", func(t *testing.T) {
+		w := newWatch()
+		w.Hear(load.Word{At: now})
+		must.True(t, w.View(now).Failing)
+	})
+	t.Run("unhealthy does not outweigh answers", func(t *testing.T) {
+		w := newWatch()
+		w.Started(now)
+		w.Answered(now, mean)
+		w.Hear(load.Word{At: now})
+		must.False(t, w.View(now).Failing)
+	})
+}
+
+func TestTimeoutsHoldLongerEachTime(t *testing.T) {
+	w := newWatch()
+	now := start
+	holds := make([]time.Duration, 0, 3)
+	for range 3 {
+		for !w.View(now).Failing {
+			w.Started(now)
+			w.TimedOut(now, 0)
+		}
+		began := now
+		for w.View(now).Failing {
+			now = now.Add(50 * time.Millisecond)
+		}
+		holds = append(holds, now.Sub(began))
+	}
+	must.Eq(t, []time.Duration{250 * time.Millisecond, 500 * time.Millisecond, time.Second}, holds)
+	must.Less(t, 1.0, w.View(now).Ramp)
+	must.Eq(t, 1.0, w.View(now.Add(time.Second)).Ramp)
+}
+
+func TestRestartBeginsColdStart(t *testing.T) {
+	w := newWatch()
+	must.Eq(t, 1.0, w.View(start).Ramp)
+	w.Restarted(start)
+	must.Eq(t, 0.1, w.View(start).Ramp)
+	must.Eq(t, 1.0, w.View(start.Add(time.Minute)).Ramp)
+}
