Compare the policies over virtual time on the same arrivals

Change: package compare with small fakes of callers, upstreams and network around the decisions of load and limit, thirteen cases, a table with 95% confidence intervals (go run ./examples/compare), and tests that assert the bounds on fixed seeds.

--- /dev/null
+++ b/compare/cases.go
@@ -0,0 +1,201 @@
+package compare
+
+import "time"
+
+// Case is one set of arrivals and faults on which policies are compared.
+type Case struct {
+	Name       string
+	Config     Config
+	Columns    []Column
+	Contenders []Contender
+}
+
+// Size is how long the runs of the cases are.
+type Size struct {
+	// Short is the time over which short flows are measured.
+	Short time.Duration
+	// Long is the time over which long flows are measured.
+	Long time.Duration
+	// Recovery is the longest time that a replacement is followed.
+	Recovery time.Duration
+}
+
+// FullSize returns the size of the tables in the docs.
+func FullSize() Size {
+	return Size{Short: 10 * time.Minute, Long: 30 * time.Minute, Recovery: 24 * time.Hour}
+}
+
+// SmallSize returns a size for tests.
+func SmallSize() Size {
+	return Size{Short: 150 * time.Second, Long: 5 * time.Minute, Recovery: 3 * time.Hour}
+}
+
+const (
+	request    = 100 * time.Millisecond
+	usualLoad  = 0.7
+	warmup     = 20 * time.Second
+	longWarmup = 10 * time.Minute
+	longFlows  = 14_000
+	session    = 20 * time.Minute
+	workday    = 4 * time.Hour
+	hopRotulos = 4 * time.Millisecond
+	flapPeriod = 2 * time.Second
+	slowFactor = 4
+	faulty     = 2
+	recovered  = 1.05
+	// hourly is how many times longer runs with hourly changes are.
+	hourly = 6
+)
+
+// Cases returns all cases.
+func Cases(s Size) []Case {
+	cases := []Case{
+		shortCase("short flows, 70% load, 7 upstreams", s),
+		shortCase("short flows, 70% load, one upstream four times slower", s, Slow{Upstream: faulty, Factor: slowFactor}),
+		shortCase("short flows, 70% load, one upstream reports no load", s, Silent{Upstream: faulty}),
+		shortCase("short flows, 70% load, one upstream flaps each 2 s", s, Flap{Upstream: faulty, Period: flapPeriod}),
+		reportCase(s),
+		steadyCase(s),
+		replaceCase(s),
+		overloadCase("load of 1.5 for a minute, limits on", true),
+		overloadCase("load of 1.5 for a minute, limits off", false),
+		loseCase(s),
+		restartCase(s),
+	}
+	return append(cases, changeCases(s)...)
+}
+
+func shortCase(name string, s Size, faults ...Fault) Case {
+	return Case{
+		Name:       name,
+		Contenders: Contenders(),
+		Columns:    shortColumns(),
+		Config: Config{
+			Traffic: Short{Load: usualLoad, Mean: request},
+			Faults:  faults,
+			Warmup:  warmup,
+			Length:  s.Short,
+		},
+	}
+}
+
+// reportCase is a service of three upstreams, one in each data centre.
+func reportCase(s Size) Case {
+	c := shortCase("short flows, 70% load, 3 upstreams in 3 data centres", s)
+	c.Config.Places = []int{1, 1, 1}
+	return c
+}
+
+func steadyCase(s Size) Case {
+	return Case{
+		Name:       "14,000 long flows on 7 upstreams, steady",
+		Contenders: Contenders(),
+		Columns:    spreadColumns(),
+		Config: Config{
+			Traffic: Long{Flows: longFlows, Mean: session},
+			Warmup:  longWarmup,
+			Length:  s.Long,
+		},
+	}
+}
+
+func replaceCase(s Size) Case {
+	under := func(sample Sample) bool {
+		return sample.At > longWarmup+reconnect && sample.Imbalance < recovered
+	}
+	return Case{
+		Name:       "14,000 long flows, one upstream replaced by an empty one",
+		Contenders: Contenders(),
+		Columns:    replaceColumns(),
+		Config: Config{
+			Traffic: Long{Flows: longFlows, Mean: session},
+			Faults:  []Fault{Replace{Upstream: faulty, At: longWarmup}},
+			Warmup:  longWarmup,
+			Length:  s.Recovery,
+			Until:   under,
+		},
+	}
+}
+
+const (
+	surgeAt     = time.Minute
+	surgeLength = time.Minute
+	surgeLoad   = 1.5
+	patience    = 2 * time.Second
+	narrow      = 30
+	afterSurge  = 30 * time.Second
+	restart     = 5 * time.Second
+)
+
+func overloadCase(name string, limits bool) Case {
+	return Case{
+		Name:       name,
+		Contenders: Contenders()[:3],
+		Columns:    overloadColumns(),
+		Config: Config{
+			Limits: limits,
+			Traffic: Short{
+				Load:        usualLoad,
+				Mean:        request,
+				Widest:      narrow,
+				Patience:    patience,
+				Tries:       2,
+				Surge:       surgeLoad / usualLoad,
+				SurgeAt:     surgeAt,
+				SurgeLength: surgeLength,
+			},
+			Warmup: warmup,
+			Length: surgeAt + surgeLength + afterSurge - warmup,
+		},
+	}
+}
+
+// loseCase loses one place for two minutes.
+func loseCase(s Size) Case {
+	return Case{
+		Name:       "14,000 long flows, one place of 2 upstreams lost for 2 minutes",
+		Contenders: Contenders()[:3],
+		Columns:    loseColumns(),
+		Config: Config{
+			Traffic: Long{Flows: longFlows, Mean: session},
+			Faults:  []Fault{Lose{Place: 1, At: longWarmup, For: 2 * time.Minute}},
+			Warmup:  longWarmup,
+			Length:  s.Long,
+		},
+	}
+}
+
+// restartCase restarts all upstreams empty; every caller reconnects within 30 s.
+func restartCase(s Size) Case {
+	c := loseCase(s)
+	c.Name = "14,000 long flows, all upstreams restarted at once"
+	c.Columns = restartColumns()
+	c.Config.Faults = nil
+	for place := range defaultPlaces() {
+		c.Config.Faults = append(c.Config.Faults, Lose{Place: place, At: longWarmup, For: restart})
+	}
+	return c
+}
+
+// changeCases holds the traffic of both firms under planned changes.
+func changeCases(s Size) []Case {
+	wiryawan := Config{
+		Traffic: Long{Flows: longFlows, Mean: session},
+		Faults:  []Fault{Change{At: longWarmup, Every: longWarmup}},
+		Warmup:  longWarmup - time.Second,
+		Length:  s.Long,
+	}
+	rotulos := wiryawan
+	rotulos.Far = hopRotulos
+	rotulos.Traffic = Long{Flows: longFlows, Mean: workday}
+	rotulos.Faults = []Fault{Change{At: longWarmup, Every: time.Hour}}
+	rotulos.Length = hourly * s.Long
+	return []Case{
+		changeCase("Wiryawan, fitting: sessions of 20 min, an upstream and a balancer replaced each 10 min", wiryawan),
+		changeCase("Rótulos, orders: job boards of 4 h, an upstream and a balancer replaced each hour", rotulos),
+	}
+}
+
+func changeCase(name string, cfg Config) Case {
+	return Case{Name: name, Contenders: Contenders(), Columns: changeColumns(), Config: cfg}
+}
--- /dev/null
+++ b/compare/columns.go
@@ -0,0 +1,139 @@
+package compare
+
+import (
+	"math"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+func shortColumns() []Column {
+	return []Column{
+		{Name: "wait p99 (s)", Value: func(r *Result) float64 { return r.Wait99().Seconds() }},
+		{Name: "visits", Value: (*Result).MeanVisits},
+		{Name: "far share", Value: (*Result).FarShare},
+		{Name: "attempts/request", Value: attempts},
+		{Name: "slots max/mean", Value: func(r *Result) float64 { return NewInterval(r.Slots).Mean }},
+	}
+}
+
+func attempts(r *Result) float64 {
+	return float64(r.Attempts) / float64(max(r.Openings, 1))
+}
+
+func spreadColumns() []Column {
+	return []Column{
+		{Name: "max/mean", Value: (*Result).MeanImbalance},
+		{Name: "worst max/mean", Value: (*Result).WorstImbalance},
+		{Name: "visits", Value: (*Result).MeanVisits},
+		{Name: "far share", Value: (*Result).FarShare},
+	}
+}
+
+func replaceColumns() []Column {
+	return []Column{
+		{Name: "under 1.05 after (s)", Value: underAfter},
+		{Name: "most connections", Value: func(r *Result) float64 { return float64(r.Highest) }},
+		{Name: "most new flows/s", Value: func(r *Result) float64 { return float64(r.Peak) }},
+		{Name: "far share", Value: (*Result).FarShare},
+	}
+}
+
+// underAfter returns the seconds until the imbalance was under the bound, or
+// the length of the run when it never was.
+func underAfter(r *Result) float64 {
+	d, ok := r.Under(recovered, longWarmup+reconnect)
+	if !ok && len(r.Samples) > 0 {
+		d = r.Samples[len(r.Samples)-1].At - longWarmup - reconnect
+	}
+	return (d + reconnect).Seconds()
+}
+
+func overloadColumns() []Column {
+	return []Column{
+		{Name: "useful/capacity", Value: usefulShare},
+		{Name: "normal after (s)", Value: normalAfter},
+		{Name: "refused/opening", Value: func(r *Result) float64 { return float64(r.Refused) / float64(r.Openings) }},
+		{Name: "late answers/opening", Value: func(r *Result) float64 { return float64(r.Late) / float64(r.Openings) }},
+		{Name: "visits", Value: (*Result).MeanVisits},
+		{Name: "attempts/request", Value: attempts},
+	}
+}
+
+// usefulShare returns the useful work during the surge as a share of all slots.
+func usefulShare(r *Result) float64 {
+	cfg := Config{}.withDefaults()
+	slots := cfg.Slots * cfg.upstreams()
+	return r.UsefulSurge.Seconds() / surgeLength.Seconds() / float64(slots)
+}
+
+const (
+	windowSeconds = 5
+	// refusedNormal is the most refusals in a window that counts as normal.
+	refusedNormal = 5
+)
+
+// normalAfter returns the seconds from the end of the surge to the first
+// window whose wait is not above the highest before the surge, with next to no
+// refusals. It returns the seconds up to the end of the run when there is none.
+func normalAfter(r *Result) float64 {
+	highest := int64(0)
+	for s := int(warmup / time.Second); s+windowSeconds <= int(surgeAt/time.Second); s += windowSeconds {
+		highest = max(highest, r.window(s).Waits.ValueAtQuantile(99))
+	}
+	end := int((surgeAt + surgeLength) / time.Second)
+	for s := end; s+windowSeconds <= len(r.Seconds); s++ {
+		w := r.window(s)
+		if w.Refused <= refusedNormal && w.Waits.ValueAtQuantile(99) <= highest {
+			return float64(s - end)
+		}
+	}
+	return float64(len(r.Seconds) - end)
+}
+
+// window merges the seconds from first on.
+func (r *Result) window(first int) Second {
+	w := Second{Waits: hdrhistogram.New(1, longestWait, 2)}
+	for _, s := range r.Seconds[first:min(first+windowSeconds, len(r.Seconds))] {
+		w.Waits.Merge(s.Waits)
+		w.Refused += s.Refused
+	}
+	return w
+}
+
+func loseColumns() []Column {
+	return []Column{
+		{Name: "most connections", Value: func(r *Result) float64 { return float64(r.Highest) }},
+		{Name: "flows of others broken", Value: func(r *Result) float64 { return float64(r.Broken) }},
+		{Name: "refused", Value: func(r *Result) float64 { return float64(r.Refused) }},
+		{Name: "max/mean at the end", Value: lastImbalance},
+	}
+}
+
+func restartColumns() []Column {
+	return []Column{
+		{Name: "under 1.05 after (s)", Value: func(r *Result) float64 {
+			d, _ := r.Under(recovered, longWarmup+reconnect)
+			return (d + reconnect).Seconds()
+		}},
+		{Name: "most connections", Value: func(r *Result) float64 { return float64(r.Highest) }},
+		{Name: "refused", Value: func(r *Result) float64 { return float64(r.Refused) }},
+		{Name: "max/mean at the end", Value: lastImbalance},
+	}
+}
+
+func lastImbalance(r *Result) float64 {
+	if len(r.Samples) == 0 {
+		return math.NaN()
+	}
+	return r.Samples[len(r.Samples)-1].Imbalance
+}
+
+func changeColumns() []Column {
+	return []Column{
+		{Name: "broken flows", Value: func(r *Result) float64 { return float64(r.Broken) }},
+		{Name: "max/mean", Value: (*Result).MeanImbalance},
+		{Name: "worst max/mean", Value: (*Result).WorstImbalance},
+		{Name: "far share", Value: (*Result).FarShare},
+	}
+}
--- /dev/null
+++ b/compare/compare_test.go
@@ -0,0 +1,127 @@
+package compare_test
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/corianderbay/corianderbay/compare"
+	"github.com/corianderbay/corianderbay/load"
+	"github.com/shoenig/test/must"
+)
+
+const (
+	shortSeeds = 10
+	longSeeds  = 2
+	workers    = 4
+)
+
+// means runs a case for some contenders and returns the mean of each column by contender.
+func means(t *testing.T, name string, seeds int, contenders ...string) func(contender, column string) float64 {
+	t.Helper()
+	for _, c := range compare.Cases(compare.SmallSize()) {
+		if !strings.HasPrefix(c.Name, name) {
+			continue
+		}
+		c.Contenders = slices.DeleteFunc(c.Contenders, func(one compare.Contender) bool {
+			return !slices.Contains(contenders, one.Name)
+		})
+		table := c.Run(seeds, workers)
+		return func(contender, column string) float64 {
+			row, ok := table.Row(contender)
+			must.True(t, ok)
+			for i, col := range c.Columns {
+				if col.Name == column {
+					return row.Interval(i).Mean
+				}
+			}
+			must.Unreachable(t)
+			return 0
+		}
+	}
+	must.Unreachable(t, must.Sprintf("no case %q", name))
+	return nil
+}
+
+const ours = "accept or pass"
+
+func TestCompareShortFlows(t *testing.T) {
+	mean := means(t, "short flows, 70% load, 7 upstreams", shortSeeds, "hashing", ours, "ideal")
+	wait := mean(ours, "wait p99 (s)")
+	t.Logf("wait p99: hashing %.3f s, ours %.3f s, ideal %.3f s", mean("hashing", "wait p99 (s)"), wait, mean("ideal", "wait p99 (s)"))
+	must.LessEq(t, 0.3*mean("hashing", "wait p99 (s)"), wait)
+	must.LessEq(t, 2.5*mean("ideal", "wait p99 (s)"), wait)
+	must.LessEq(t, 1.5, mean(ours, "visits"))
+	must.LessEq(t, 1.1, mean(ours, "attempts/request"))
+}
+
+func TestCompareOneBadUpstream(t *testing.T) {
+	for _, fault := range []string{"four times slower", "reports no load", "flaps each 2 s"} {
+		t.Run(fault, func(t *testing.T) {
+			mean := means(t, "short flows, 70% load, one upstream "+fault, shortSeeds, ours, "ideal")
+			t.Logf("wait p99: ours %.3f s, ideal %.3f s", mean(ours, "wait p99 (s)"), mean("ideal", "wait p99 (s)"))
+			must.LessEq(t, 2.5*mean("ideal", "wait p99 (s)"), mean(ours, "wait p99 (s)"))
+			must.LessEq(t, 1.1, mean(ours, "attempts/request"))
+		})
+	}
+}
+
+func TestCompareLongFlows(t *testing.T) {
+	steady := means(t, "14,000 long flows on 7 upstreams, steady", longSeeds, ours)
+	must.LessEq(t, 1.01, steady(ours, "worst max/mean"))
+
+	replaced := means(t, "14,000 long flows, one upstream replaced", longSeeds, "hashing", ours)
+	must.LessEq(t, replaced("hashing", "under 1.05 after (s)")/2, replaced(ours, "under 1.05 after (s)"))
+	must.Less(t, replaced("hashing", "most new flows/s"), replaced(ours, "most new flows/s"))
+}
+
+func TestCompareOverload(t *testing.T) {
+	on := means(t, "load of 1.5 for a minute, limits on", longSeeds, ours)
+	must.GreaterEq(t, 0.95, on(ours, "useful/capacity"))
+	must.LessEq(t, 10, on(ours, "normal after (s)"))
+	must.Zero(t, on(ours, "late answers/opening"))
+	must.LessEq(t, 1.1, on(ours, "attempts/request"))
+
+	off := means(t, "load of 1.5 for a minute, limits off", longSeeds, ours)
+	must.Less(t, 0.5, off(ours, "useful/capacity"))
+}
+
+func TestCompareLostPlace(t *testing.T) {
+	mean := means(t, "14,000 long flows, one place of 2 upstreams lost", longSeeds, ours)
+	must.LessEq(t, 2500, mean(ours, "most connections"))
+	must.Zero(t, mean(ours, "flows of others broken"))
+}
+
+func TestCompareMassRestart(t *testing.T) {
+	mean := means(t, "14,000 long flows, all upstreams restarted", longSeeds, ours)
+	must.LessEq(t, 1.01, mean(ours, "max/mean at the end"))
+	must.LessEq(t, 60, mean(ours, "under 1.05 after (s)"))
+}
+
+func TestCompareBothMeasures(t *testing.T) {
+	for _, firm := range []string{"Wiryawan", "Rótulos"} {
+		t.Run(firm, func(t *testing.T) {
+			mean := means(t, firm, longSeeds, "hashing", "least known", ours)
+			must.Zero(t, mean(ours, "broken flows"))
+			must.Less(t, mean("hashing", "max/mean"), mean(ours, "max/mean"))
+			must.Less(t, mean("least known", "max/mean"), mean(ours, "max/mean"))
+		})
+	}
+}
+
+func TestRunIsDeterministic(t *testing.T) {
+	cfg := compare.Config{
+		Seed:    7,
+		Policy:  load.AcceptOrPass{},
+		Traffic: compare.Short{Load: 0.7, Mean: 100 * time.Millisecond},
+		Faults:  []compare.Fault{compare.Flap{Upstream: 1, Period: time.Second}},
+		Length:  30 * time.Second,
+	}
+	must.Eq(t, compare.Run(cfg).Waits.Export(), compare.Run(cfg).Waits.Export())
+}
+
+func TestIntervalOfTenSeeds(t *testing.T) {
+	i := compare.NewInterval([]float64{1, 2, 3, 4, 5, 6, 7, 8, 9, 10})
+	must.Eq(t, "5.5 ± 2.2", i.String())
+}
--- /dev/null
+++ b/compare/order.go
@@ -0,0 +1,38 @@
+package compare
+
+import (
+	"cmp"
+	"slices"
+)
+
+const mixer = 0x9e3779b97f4a7c15
+
+// mix returns a well-spread number for a flow and an upstream.
+func mix(hash, id uint64) uint64 {
+	x := hash ^ id*mixer
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// rank returns the candidates of a flow: those of the caller's place first,
+// then place by place, each by rendezvous hashing.
+func rank(hash uint64, place, places int, all []*upstream) []*upstream {
+	order := make([]*upstream, 0, len(all))
+	for _, u := range all {
+		if !u.leaving && !u.dead {
+			order = append(order, u)
+		}
+	}
+	slices.SortFunc(order, func(a, b *upstream) int {
+		da := (a.place - place + places) % places
+		db := (b.place - place + places) % places
+		if da != db {
+			return cmp.Compare(da, db)
+		}
+		return cmp.Compare(mix(hash, uint64(b.id)), mix(hash, uint64(a.id)))
+	})
+	return order
+}
--- /dev/null
+++ b/compare/schedule.go
@@ -0,0 +1,55 @@
+package compare
+
+import (
+	"container/heap"
+	"time"
+)
+
+// event is something that happens at a moment of a run.
+type event struct {
+	at  time.Duration
+	seq uint64 // keeps events of one moment in the order of their making
+	do  func()
+}
+
+// schedule holds the events to come, the next first.
+type schedule struct {
+	events eventHeap
+	seq    uint64
+	now    time.Duration // never goes back
+}
+
+// after adds an event d from now.
+func (s *schedule) after(d time.Duration, do func()) {
+	s.seq++
+	heap.Push(&s.events, event{at: s.now + max(d, 0), seq: s.seq, do: do})
+}
+
+// run runs the events up to end, or until stop returns true.
+func (s *schedule) run(end time.Duration, stop func() bool) {
+	for len(s.events) > 0 && s.events[0].at <= end && !stop() {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		e.do()
+	}
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int      { return len(h) }
+func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+
+func (h eventHeap) Less(i, j int) bool {
+	if h[i].at != h[j].at {
+		return h[i].at < h[j].at
+	}
+	return h[i].seq < h[j].seq
+}
+
+func (h *eventHeap) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	*h = (*h)[:last]
+	return e
+}
--- /dev/null
+++ b/examples/compare/main.go
@@ -0,0 +1,23 @@
+// Command compare prints how the policies spread load, side by side on the
+// same seeds and arrivals, with 95% confidence intervals.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/corianderbay/corianderbay/compare"
+)
+
+func main() {
+	seeds := flag.Int("seeds", 10, "number of seeds")
+	workers := flag.Int("workers", 4, "runs at a time")
+	flag.Parse()
+	for _, c := range compare.Cases(compare.FullSize()) {
+		if err := c.Run(*seeds, *workers).Write(os.Stdout); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			os.Exit(1)
+		}
+	}
+}
