Report burn of objectives and spread of load from any set of processes

Ruled out: windows kept in each process (its history is lost with it); absolute counters over a window (a restart reads as a fall). Not covered: what a process counted between its last sample and its end is lost.

--- /dev/null
+++ b/report/collect.go
@@ -0,0 +1,103 @@
+package report
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+)
+
+const (
+	// readers is how many processes are read at a time.
+	readers = 16
+	// varsPath is where expvar publishes.
+	varsPath = "/debug/vars"
+)
+
+// Round is what the processes published at one moment.
+type Round struct {
+	At time.Time
+	// Snapshots are in the order of the addresses, without those that are missing.
+	Snapshots []Snapshot
+	// Missing holds an error for each process that could not be read.
+	Missing []error
+}
+
+// collect samples the processes and calls each with every round. It reports
+// *NoProcessError when no process answered in any round.
+func collect(ctx context.Context, cfg Config, each func(Round)) error {
+	answered := false
+	var last Round
+	for i := range cfg.Samples {
+		if i > 0 {
+			if err := cfg.Timer.Sleep(ctx, cfg.Interval); err != nil {
+				return err
+			}
+		}
+		last = readAll(ctx, cfg)
+		answered = answered || len(last.Snapshots) > 0
+		each(last)
+	}
+	if !answered {
+		return &NoProcessError{Missing: last.Missing}
+	}
+	return nil
+}
+
+// readAll reads all processes at once.
+func readAll(ctx context.Context, cfg Config) Round {
+	type answer struct {
+		snapshot Snapshot
+		err      error
+	}
+	answers := make([]answer, len(cfg.Addresses))
+	p := pool.New().WithMaxGoroutines(readers)
+	for i, address := range cfg.Addresses {
+		p.Go(func() {
+			answers[i].snapshot, answers[i].err = read(ctx, cfg, address)
+		})
+	}
+	p.Wait()
+	r := Round{At: cfg.Timer.Now()}
+	for _, a := range answers {
+		if a.err != nil {
+			r.Missing = append(r.Missing, a.err)
+			continue
+		}
+		r.Snapshots = append(r.Snapshots, a.snapshot)
+	}
+	return r
+}
+
+// page is the part of the expvar page that a report needs.
+type page struct {
+	Snapshot Snapshot `json:"corianderbay"`
+}
+
+func read(ctx context.Context, cfg Config, address string) (Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, cfg.Timeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+varsPath, nil)
+	if err != nil {
+		return Snapshot{}, &FetchError{Address: address, cause: err}
+	}
+	res, err := cfg.Client.Do(req)
+	if err != nil {
+		return Snapshot{}, &FetchError{Address: address, cause: err}
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK {
+		return Snapshot{}, &FetchError{Address: address, Status: res.StatusCode}
+	}
+	var p page
+	if err := json.NewDecoder(res.Body).Decode(&p); err != nil {
+		return Snapshot{}, &FetchError{Address: address, cause: err}
+	}
+	// A page without the variable leaves the snapshot empty.
+	if err := p.Snapshot.Check(); err != nil {
+		return Snapshot{}, &FetchError{Address: address, cause: err}
+	}
+	return p.Snapshot, nil
+}
--- /dev/null
+++ b/report/config.go
@@ -0,0 +1,79 @@
+package report
+
+import (
+	"net/http"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/corianderbay/corianderbay/timer"
+)
+
+// Config says which processes a report reads and how it is printed. The zero
+// value of each field selects its default.
+type Config struct {
+	// Addresses are the operator addresses of the processes, as "host:port".
+	Addresses []string
+	// Interval is the time between two samples, from 100 ms to 1 h. Zero selects 10 s.
+	Interval time.Duration
+	// Samples is how many samples are taken, at least 1. Zero selects 1.
+	Samples int
+	// Timeout is how long a process may take to answer. Zero selects 2 s.
+	Timeout time.Duration
+	// JSON prints JSON in place of a table.
+	JSON bool
+	// Plot is a file that ends in .png or .svg to draw into; empty draws none.
+	Plot string
+	// Keep is a file of samples that a burn report reads before and appends to,
+	// so that windows may be longer than one run. Empty keeps none.
+	Keep string
+	// Client reads the processes. Nil selects a client of its own.
+	Client *http.Client
+	// Timer tells the time. Nil selects a service of its own.
+	Timer *timer.Service
+}
+
+const (
+	defaultInterval = 10 * time.Second
+	defaultTimeout  = 2 * time.Second
+	leastInterval   = 100 * time.Millisecond
+)
+
+// Check reports *ConfigError when a setting is out of its range.
+func (c Config) Check() error {
+	switch {
+	case c.Interval != 0 && (c.Interval < leastInterval || c.Interval > time.Hour):
+		return &ConfigError{Field: "interval", Value: c.Interval.String()}
+	case c.Samples < 0:
+		return &ConfigError{Field: "samples", Value: strconv.Itoa(c.Samples)}
+	case c.Timeout < 0:
+		return &ConfigError{Field: "timeout", Value: c.Timeout.String()}
+	case c.Plot != "" && !slices.Contains(plotKinds(), filepath.Ext(c.Plot)):
+		return &ConfigError{Field: "plot", Value: c.Plot}
+	}
+	return nil
+}
+
+func plotKinds() []string {
+	return []string{".png", ".svg"}
+}
+
+func (c Config) withDefaults() Config {
+	if c.Interval == 0 {
+		c.Interval = defaultInterval
+	}
+	if c.Samples == 0 {
+		c.Samples = 1
+	}
+	if c.Timeout == 0 {
+		c.Timeout = defaultTimeout
+	}
+	if c.Client == nil {
+		c.Client = &http.Client{Timeout: c.Timeout}
+	}
+	if c.Timer == nil {
+		c.Timer = timer.New(timer.Config{})
+	}
+	return c
+}
--- /dev/null
+++ b/report/histogram.go
@@ -0,0 +1,134 @@
+package report
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// largest is the highest value that a histogram holds: an hour in microseconds.
+	largest = int64(time.Hour / time.Microsecond)
+	digits  = 2
+)
+
+// Histogram is an HdrHistogram that travels in its compressed V2 form. The
+// zero value is empty. It is not safe for concurrent use.
+type Histogram struct {
+	hdr *hdrhistogram.Histogram // nil while empty
+}
+
+// Record counts one value. Values out of range count as the nearest one in range.
+func (h *Histogram) Record(v int64) {
+	h.add(v, 1)
+}
+
+// RecordTime counts a time in microseconds.
+func (h *Histogram) RecordTime(d time.Duration) {
+	h.add(int64(d/time.Microsecond), 1)
+}
+
+func (h *Histogram) add(v, n int64) {
+	if h.hdr == nil {
+		h.hdr = hdrhistogram.New(1, largest, digits)
+	}
+	// The value is in range, so recording cannot fail.
+	_ = h.hdr.RecordValues(min(max(v, 0), largest), n)
+}
+
+// Merge adds the values of other.
+func (h *Histogram) Merge(other Histogram) {
+	if other.hdr == nil {
+		return
+	}
+	if h.hdr == nil {
+		h.hdr = hdrhistogram.New(1, largest, digits)
+	}
+	h.hdr.Merge(other.hdr)
+}
+
+// Clone returns an independent copy.
+func (h Histogram) Clone() Histogram {
+	var c Histogram
+	c.Merge(h)
+	return c
+}
+
+// Count returns the number of values.
+func (h Histogram) Count() uint64 {
+	if h.hdr == nil {
+		return 0
+	}
+	return uint64(h.hdr.TotalCount())
+}
+
+// Within returns the number of values of at most d, to two digits.
+func (h Histogram) Within(d time.Duration) uint64 {
+	if h.hdr == nil {
+		return 0
+	}
+	n := uint64(0)
+	for _, bar := range h.hdr.Distribution() {
+		if bar.From <= int64(d/time.Microsecond) {
+			n += uint64(bar.Count)
+		}
+	}
+	return n
+}
+
+// Quantile returns the value at q, from 0 to 100; zero when the histogram is empty.
+func (h Histogram) Quantile(q float64) int64 {
+	if h.hdr == nil {
+		return 0
+	}
+	return h.hdr.ValueAtQuantile(q)
+}
+
+// Mean returns the mean; zero when the histogram is empty.
+func (h Histogram) Mean() float64 {
+	if h.hdr == nil || h.hdr.TotalCount() == 0 {
+		return 0
+	}
+	return h.hdr.Mean()
+}
+
+// Since returns the values that were counted after earlier by the same
+// process. When the counts went down, the process began anew and all count.
+func (h Histogram) Since(earlier Histogram) Histogram {
+	if earlier.hdr == nil || h.hdr == nil || h.Count() < earlier.Count() {
+		return h.Clone()
+	}
+	before := make(map[int64]int64)
+	for _, bar := range earlier.hdr.Distribution() {
+		before[bar.To] = bar.Count
+	}
+	var grown Histogram
+	for _, bar := range h.hdr.Distribution() {
+		if n := bar.Count - before[bar.To]; n > 0 {
+			grown.add(bar.To, n)
+		}
+	}
+	return grown
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (h Histogram) MarshalText() ([]byte, error) {
+	if h.hdr == nil {
+		return nil, nil
+	}
+	return h.hdr.Encode(hdrhistogram.V2CompressedEncodingCookieBase)
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (h *Histogram) UnmarshalText(b []byte) error {
+	if len(b) == 0 {
+		h.hdr = nil
+		return nil
+	}
+	hdr, err := hdrhistogram.Decode(b)
+	if err != nil {
+		return &HistogramError{cause: err}
+	}
+	h.hdr = hdr
+	return nil
+}
--- /dev/null
+++ b/report/history.go
@@ -0,0 +1,192 @@
+package report
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Sample is what one process had counted for its objectives at one moment.
+type Sample struct {
+	At      time.Time `json:"at"`
+	Process string    `json:"process"`
+	Started time.Time `json:"started"`
+	Counts  []Counted `json:"counts"`
+}
+
+// Counted is the count of one objective.
+type Counted struct {
+	Service   string  `json:"service"`
+	Objective string  `json:"objective"`
+	Target    float64 `json:"target"`
+	Count
+}
+
+// NewSample returns the sample of a snapshot that was read at now.
+func NewSample(s Snapshot, now time.Time) Sample {
+	sample := Sample{At: now, Process: s.Process, Started: s.Started}
+	for _, service := range s.Services {
+		for _, o := range service.Objectives {
+			sample.Counts = append(sample.Counts, Counted{
+				Service:   service.Name,
+				Objective: o.Name,
+				Target:    o.Target,
+				Count:     o.count(service),
+			})
+		}
+	}
+	return sample
+}
+
+// count returns the count of an objective; zero when the process has none.
+func (s Sample) count(k objectiveKey) Count {
+	for _, c := range s.Counts {
+		if c.key() == k {
+			return c.Count
+		}
+	}
+	return Count{}
+}
+
+func (c Counted) key() objectiveKey {
+	return objectiveKey{service: c.Service, objective: c.Objective}
+}
+
+// objectiveKey names one objective of one service.
+type objectiveKey struct{ service, objective string }
+
+// point is what one process counted between two moments.
+type point struct {
+	from, to time.Time // from is before or equal to to
+	count    Count
+}
+
+// History turns the samples of processes that come and go into what was
+// counted over time. The zero value is empty. It is not safe for concurrent use.
+type History struct {
+	last    map[string]Sample
+	points  map[objectiveKey][]point
+	targets map[objectiveKey]float64
+	latest  time.Time
+}
+
+// Add takes the next sample of a process. What a process counted before it was
+// first seen, or after a restart, belongs to the time since its start.
+func (h *History) Add(s Sample) {
+	if h.last == nil {
+		h.last = make(map[string]Sample)
+		h.points = make(map[objectiveKey][]point)
+		h.targets = make(map[objectiveKey]float64)
+	}
+	before, ok := h.last[s.Process]
+	if ok && s.At.Before(before.At) {
+		return
+	}
+	from := before.At
+	if !ok || !s.Started.Equal(before.Started) {
+		before = Sample{}
+		from = s.Started
+	}
+	for _, c := range s.Counts {
+		h.targets[c.key()] = c.Target
+		p := point{from: from, to: s.At, count: c.since(before.count(c.key()))}
+		h.points[c.key()] = append(h.points[c.key()], p)
+	}
+	h.last[s.Process] = s
+	if s.At.After(h.latest) {
+		h.latest = s.At
+	}
+}
+
+// Trim drops what is older than the longest window.
+func (h *History) Trim() {
+	windows := Windows()
+	oldest := h.latest.Add(-windows[len(windows)-1].Long)
+	for k, points := range h.points {
+		h.points[k] = slices.DeleteFunc(points, func(p point) bool { return p.to.Before(oldest) })
+	}
+}
+
+// Burns returns the burn of each objective over each window up to the latest
+// sample, in the order of service, objective and window.
+func (h *History) Burns() []BurnRow {
+	return h.burnsAt(h.latest)
+}
+
+func (h *History) burnsAt(now time.Time) []BurnRow {
+	var burns []BurnRow
+	for _, k := range h.keys() {
+		for _, w := range Windows() {
+			burns = append(burns, h.burn(k, w, now))
+		}
+	}
+	return burns
+}
+
+func (h *History) keys() []objectiveKey {
+	keys := make([]objectiveKey, 0, len(h.points))
+	for k := range h.points {
+		keys = append(keys, k)
+	}
+	slices.SortFunc(keys, func(a, b objectiveKey) int {
+		return cmp.Or(cmp.Compare(a.service, b.service), cmp.Compare(a.objective, b.objective))
+	})
+	return keys
+}
+
+func (h *History) burn(k objectiveKey, w Window, now time.Time) BurnRow {
+	long, seen := h.sum(k, w.Long, now)
+	target := h.targets[k]
+	b := BurnRow{
+		Service:   k.service,
+		Objective: k.objective,
+		Target:    target,
+		Window:    w.Name,
+		Count:     long,
+		Long:      long.burn(target),
+		Seen:      seen.Seconds(),
+	}
+	b.Short = b.Long
+	if w.Short > 0 {
+		short, _ := h.sum(k, w.Short, now)
+		b.Short = short.burn(target)
+	}
+	b.Alert = b.Long >= w.Alert && b.Short >= w.Alert
+	return b
+}
+
+// sum adds what was counted within the window that ends at now, and returns
+// how much of the window was seen. A point that begins before the window does
+// not count.
+func (h *History) sum(k objectiveKey, length time.Duration, now time.Time) (Count, time.Duration) {
+	var sum Count
+	first := now
+	begin := now.Add(-length)
+	for _, p := range h.points[k] {
+		if p.from.Before(begin) || p.to.After(now) {
+			continue
+		}
+		sum = sum.plus(p.count)
+		if p.from.Before(first) {
+			first = p.from
+		}
+	}
+	return sum, now.Sub(first)
+}
+
+// BurnRow is how fast one objective spends its error budget over one window; 1
+// spends exactly the budget.
+type BurnRow struct {
+	Service   string  `json:"service"`
+	Objective string  `json:"objective"`
+	Target    float64 `json:"target"`
+	Window    string  `json:"window"`
+	// Long and Short are the burns over the two times of the window.
+	Long  float64 `json:"long"`
+	Short float64 `json:"short"`
+	// Seen is how many seconds of the window the samples cover.
+	Seen float64 `json:"seen"`
+	Count
+	// Alert is true when both burns are at or above the threshold.
+	Alert bool `json:"alert"`
+}
--- /dev/null
+++ b/report/run.go
@@ -0,0 +1,102 @@
+package report
+
+import (
+	"context"
+	"io"
+	"time"
+)
+
+// Burn samples the processes and writes the burn of their objectives to w. It
+// reports
+// *ConfigError for a setting out of range, *NoProcessError when none answered, *FileError for the files of cfg,
+// and the error of ctx when it ends first.
+func Burn(ctx context.Context, cfg Config, w io.Writer) error {
+	if err := cfg.Check(); err != nil {
+		return err
+	}
+	cfg = cfg.withDefaults()
+	var h History
+	if err := h.load(cfg.Keep); err != nil {
+		return err
+	}
+	out := burnOutput{Missing: []string{}}
+	lines := newLines()
+	var added []Sample
+	err := collect(ctx, cfg, func(r Round) {
+		for _, s := range r.Snapshots {
+			sample := NewSample(s, r.At)
+			h.Add(sample)
+			added = append(added, sample)
+		}
+		out.Missing = messages(r.Missing)
+		lines.addBurns(r.At, h.Burns())
+	})
+	if err != nil {
+		return err
+	}
+	if err := keep(cfg.Keep, added); err != nil {
+		return err
+	}
+	out.Burns = h.Burns()
+	if err := lines.draw(cfg.Plot, "Burn over the shortest window", "burn"); err != nil {
+		return err
+	}
+	return out.write(w, cfg.JSON)
+}
+
+// Spread samples the processes and writes how evenly load lies over the
+// upstreams to w. It fails as Burn does.
+func Spread(ctx context.Context, cfg Config, w io.Writer) error {
+	if err := cfg.Check(); err != nil {
+		return err
+	}
+	cfg = cfg.withDefaults()
+	var s spread
+	out := spreadOutput{Missing: []string{}}
+	lines := newLines()
+	rounds := 0
+	err := collect(ctx, cfg, func(r Round) {
+		s.add(r)
+		if rounds == 0 && cfg.Samples > 1 {
+			s.begin()
+		}
+		rounds++
+		out.Missing = messages(r.Missing)
+		lines.addSpread(r.At, s.services)
+	})
+	if err != nil {
+		return err
+	}
+	out.Services = s.rows()
+	if err := lines.draw(cfg.Plot, "Connections, maximum over mean", "max/mean"); err != nil {
+		return err
+	}
+	return out.write(w, cfg.JSON)
+}
+
+// addBurns adds the burns over the shortest window at a moment.
+func (l *lines) addBurns(at time.Time, burns []BurnRow) {
+	shortest := Windows()[0].Name
+	for _, b := range burns {
+		if b.Window == shortest {
+			l.add(b.Service+" "+b.Objective, at, b.Short)
+		}
+	}
+}
+
+// addSpread adds the latest imbalance of each service at a moment.
+func (l *lines) addSpread(at time.Time, services map[string]*serviceSpread) {
+	for name, s := range services {
+		if n := len(s.connections); n > 0 {
+			l.add(name, at, s.connections[n-1])
+		}
+	}
+}
+
+func messages(errs []error) []string {
+	m := make([]string, 0, len(errs))
+	for _, err := range errs {
+		m = append(m, err.Error())
+	}
+	return m
+}
