Alert only once enough of a burn window was seen

Change: each window names the least time seen (5 min, 30 min, 6 h) before it alerts. Conclusion: a short run shows burn and no alert.

--- a/report/command.go
+++ b/report/command.go
@@ -26,7 +26,8 @@
 	cmd.Short = "Burn of each service's objectives over 1 h/5 min, 6 h/30 min and 3 d"
 	cmd.Long = "Burn says how many times faster than allowed an error budget is spent; 1\n" +
 		"spends exactly the budget. ALERT is yes when both times of a window are at or\n" +
-		"above its threshold (14.4, 6 and 1). SEEN is how much of the window was sampled."
+		"above its threshold (14.4, 6 and 1) and at least 5 min, 30 min or 6 h of it were\n" +
+		"sampled. SEEN is how much of the window was."
 	cmd.Example = "  corianderctl report burn 10.0.0.1:6060 10.0.0.2:6060\n" +
 		"  corianderctl report burn --interval 10s --samples 30 --plot burn.svg 10.0.0.1:6060\n" +
 		"  corianderctl report burn --keep samples.json --json 10.0.0.1:6060"
--- a/report/history.go
+++ b/report/history.go
@@ -151,7 +151,7 @@
 		short, _ := h.sum(k, w.Short, now)
 		b.Short = short.burn(target)
 	}
-	b.Alert = b.Long >= w.Alert && b.Short >= w.Alert
+	b.Alert = seen >= w.Least && b.Long >= w.Alert && b.Short >= w.Alert
 	return b
 }
 
@@ -187,6 +187,7 @@
 	// Seen is how many seconds of the window the samples cover.
 	Seen float64 `json:"seen"`
 	Count
-	// Alert is true when both burns are at or above the threshold.
+	// Alert is true when both burns are at or above the threshold and enough of
+	// the window was seen.
 	Alert bool `json:"alert"`
 }
