Measure how cost grows with the size of a deployment

Ruled out: gonum/stat, which only the plots need and go.mod does not list by itself, since a fit is thirty lines; wall time, as a machine that does other work doubled it from run to run; one round per size, for the same reason. Processor time of the process is taken, the cheapest of nine rounds that go over the sizes in turn.

Change: package capacity holds a least-squares line, bundles of any size and a balancer and a sidecar without sockets. Its benchmarks print each point, base, slope and residual. One benchmark starts a real balancer and reads the most memory that it had resident.

--- /dev/null
+++ b/capacity/bundle_test.go
@@ -0,0 +1,119 @@
+package capacity_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/capacity"
+	"github.com/corianderbay/corianderbay/route"
+)
+
+const upstreamsPerService = 2
+
+// freeze returns the signed bundle with the number of services.
+func freeze(t testing.TB, services int) *bundle.Frozen {
+	t.Helper()
+	return sign(t, capacity.Size{Services: services, Upstreams: upstreamsPerService}.Bundle(1, approvers()), nil)
+}
+
+func sign(t testing.TB, b *bundle.Bundle, previous *bundle.Frozen) *bundle.Frozen {
+	t.Helper()
+	f, err := bundle.Freeze(b)
+	must.NoError(t, err)
+	if previous != nil {
+		f, err = f.WithPrevious(previous)
+		must.NoError(t, err)
+	}
+	f, err = bundle.Sign(f, "a", approverKey())
+	must.NoError(t, err)
+	return f
+}
+
+// BenchmarkBundleSize measures a whole frozen bundle.
+func BenchmarkBundleSize(b *testing.B) {
+	reportSlope(b, fleetSizes(), "service", "B", once(func(services int) float64 {
+		raw, err := freeze(b, services).Marshal()
+		must.NoError(b, err)
+		return float64(len(raw))
+	}))
+}
+
+// BenchmarkManifestSize measures the manifest of a frozen bundle.
+func BenchmarkManifestSize(b *testing.B) {
+	reportSlope(b, fleetSizes(), "service", "B", once(func(services int) float64 {
+		raw, err := freeze(b, services).Manifest().Marshal()
+		must.NoError(b, err)
+		return float64(len(raw))
+	}))
+}
+
+// BenchmarkPatchSize measures the patch for one changed weight.
+func BenchmarkPatchSize(b *testing.B) {
+	reportSlope(b, fleetSizes(), "service", "B", once(func(services int) float64 {
+		raw, err := onePatch(b, freeze(b, services), services).Marshal()
+		must.NoError(b, err)
+		return float64(len(raw))
+	}))
+}
+
+// onePatch returns the patch from base to a bundle with one other weight.
+func onePatch(t testing.TB, base *bundle.Frozen, services int) *bundle.Patch {
+	t.Helper()
+	next := capacity.Size{Services: services, Upstreams: upstreamsPerService}.Bundle(2, approvers())
+	next.Services[services/2].Places[0].Upstreams[0].Weight = 50
+	return bundle.NewPatch(base, sign(t, next, base))
+}
+
+// BenchmarkViewTime measures route.NewView.
+func BenchmarkViewTime(b *testing.B) {
+	reportSlope(b, fleetSizes(), "service", "ns", func(services int) func() float64 {
+		thawed := capacity.Size{Services: services, Upstreams: upstreamsPerService}.Bundle(1, approvers())
+		return func() float64 {
+			return processorTime(b, func() { route.NewView(thawed) })
+		}
+	})
+}
+
+// BenchmarkInForceTime measures what a process does with a whole bundle that
+// arrived: decode, verify, thaw, build the view, hand it to the decisions.
+func BenchmarkInForceTime(b *testing.B) {
+	reportSlope(b, fleetSizes(), "service", "ns", func(services int) func() float64 {
+		raw, err := freeze(b, services).Marshal()
+		must.NoError(b, err)
+		return func() float64 {
+			return processorTime(b, func() {
+				f, err := bundle.Unmarshal(raw)
+				must.NoError(b, err)
+				putInForce(b, f, bundle.Anchor(approvers()))
+			})
+		}
+	})
+}
+
+// BenchmarkPatchInForceTime measures the same for a patch with one changed weight.
+func BenchmarkPatchInForceTime(b *testing.B) {
+	reportSlope(b, fleetSizes(), "service", "ns", func(services int) func() float64 {
+		base := freeze(b, services)
+		raw, err := onePatch(b, base, services).Marshal()
+		must.NoError(b, err)
+		return func() float64 {
+			return processorTime(b, func() {
+				patch, err := bundle.UnmarshalPatch(raw)
+				must.NoError(b, err)
+				f, err := patch.Apply(base)
+				must.NoError(b, err)
+				putInForce(b, f, base.Trust())
+			})
+		}
+	})
+}
+
+func putInForce(t testing.TB, f *bundle.Frozen, trust bundle.Trust) {
+	t.Helper()
+	accepted, err := bundle.Accept(trust, f)
+	must.NoError(t, err)
+	_, err = capacity.NewPath(accepted)
+	must.NoError(t, err)
+}
--- /dev/null
+++ b/capacity/line.go
@@ -0,0 +1,72 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+)
+
+// Point is one measurement: the cost Y at the size X.
+type Point struct {
+	X, Y float64
+}
+
+// Line is a cost that grows with a size. It is immutable.
+type Line struct {
+	// Base is the cost at size 0.
+	Base float64
+	// Slope is what one unit of size adds.
+	Slope float64
+	// Residual is the root mean square of what the line misses the points by, in the unit of the cost.
+	Residual float64
+}
+
+// Fit returns the line with the least squares through the points. It reports
+// *PointsError when they have fewer than two sizes.
+func Fit(points []Point) (Line, error) {
+	x, y := means(points)
+	var xx, xy float64
+	for _, p := range points {
+		xx += (p.X - x) * (p.X - x)
+		xy += (p.X - x) * (p.Y - y)
+	}
+	if xx == 0 {
+		return Line{}, &PointsError{Count: len(points)}
+	}
+	l := Line{Slope: xy / xx}
+	l.Base = y - l.Slope*x
+	l.Residual = l.residual(points)
+	return l, nil
+}
+
+// At returns the cost at the size x.
+func (l Line) At(x float64) float64 {
+	return l.Base + l.Slope*x
+}
+
+func (l Line) residual(points []Point) float64 {
+	var sum float64
+	for _, p := range points {
+		miss := p.Y - l.At(p.X)
+		sum += miss * miss
+	}
+	return math.Sqrt(sum / float64(len(points)))
+}
+
+func means(points []Point) (x, y float64) {
+	n := float64(len(points))
+	for _, p := range points {
+		x += p.X / n
+		y += p.Y / n
+	}
+	return x, y
+}
+
+// PointsError reports points that no line can be fitted to.
+type PointsError struct {
+	Count int
+}
+
+// Error returns how many points there were.
+func (e *PointsError) Error() string {
+	return fmt.Sprintf("capacity: %d points have fewer than two sizes", e.Count)
+}
--- /dev/null
+++ b/capacity/path.go
@@ -0,0 +1,273 @@
+package capacity
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/fabric"
+	"github.com/corianderbay/corianderbay/flow"
+	"github.com/corianderbay/corianderbay/forward"
+	"github.com/corianderbay/corianderbay/route"
+)
+
+const (
+	// maxFlows is above what any benchmark opens at one upstream.
+	maxFlows       = 10_000_000
+	maxDatagram    = 9000 // bytes
+	payloadSize    = 200  // bytes of a caller's packet after its headers
+	callersPerHost = 1 << 14
+	firstPort      = 1 << 15
+	openingNumber  = 99  // initial sequence number of callers
+	answerNumber   = 499 // initial sequence number of upstreams
+	balancerSender = 1
+	sidecarSender  = 2
+)
+
+// Path is a balancer and a sidecar without their sockets: what they do with a
+// packet of a caller between receiving and sending it. It is not safe for concurrent use.
+type Path struct {
+	// Now is the time that both act at. It moves only by Advance.
+	Now     time.Time
+	view    *route.View
+	service *route.Service // the first one of the bundle
+	self    bundle.UpstreamID
+	sealer  *forward.Sealer
+	opener  *forward.Opener
+	decoder *fabric.Decoder
+	headers *forward.HeaderDecoder
+	hints   *flow.Hints
+	sidecar *flow.Sidecar
+	header  forward.Header
+	out     []byte
+}
+
+// NewPath returns a path over the first service of a deployment. Its sidecar
+// has reports from all others of the service and owns no flow.
+func NewPath(b *bundle.Bundle) (*Path, error) {
+	key := make([]byte, forward.KeySize)
+	sealer, err := forward.NewSealer(forward.SealerConfig{Key: key, Sender: balancerSender})
+	if err != nil {
+		return nil, err
+	}
+	opener, err := forward.NewOpener(forward.OpenerConfig{Key: key})
+	if err != nil {
+		return nil, err
+	}
+	p := &Path{
+		Now:     time.Unix(1, 0),
+		view:    route.NewView(b),
+		sealer:  sealer,
+		opener:  opener,
+		decoder: fabric.NewDecoder(fabric.DecoderConfig{}),
+		headers: forward.NewHeaderDecoder(),
+		hints:   flow.NewHints(flow.HintsConfig{}),
+		out:     make([]byte, 0, maxDatagram),
+	}
+	p.header.Candidates = make([]forward.Candidate, 0, forward.MaxCandidates)
+	p.service = p.view.Services()[0]
+	p.self = p.service.Members()[0].Upstream
+	p.sidecar = flow.NewSidecar(flow.SidecarConfig{
+		Upstream:    p.self,
+		Incarnation: sidecarSender,
+		Admitter:    flow.Threshold{Flows: maxFlows},
+	}, p.Now)
+	p.Accept(p.view)
+	p.Advance(flow.ReportInterval)
+	return p, nil
+}
+
+// Accept puts a view in force at the sidecar.
+func (p *Path) Accept(v *route.View) {
+	p.sidecar.BundleAccepted(p.Now, route.NewSidecarView(v, p.self))
+}
+
+// Sidecar returns the decisions of the path's sidecar.
+func (p *Path) Sidecar() *flow.Sidecar {
+	return p.sidecar
+}
+
+// Advance moves the time, lets each other sidecar of the service report, and
+// returns what the path's sidecar sends.
+func (p *Path) Advance(d time.Duration) flow.Due {
+	p.Now = p.Now.Add(d)
+	for _, m := range p.service.Members() {
+		if m.Upstream == p.self {
+			continue
+		}
+		p.sidecar.PeerReported(p.Now, flow.PeerReport{
+			Upstream:    m.Upstream,
+			Service:     p.service.ID(),
+			Incarnation: uint64(m.Upstream),
+			Version:     p.view.Version(),
+			Highest:     p.view.Version(),
+			Oldest:      p.view.Version(),
+			Heard:       []bundle.UpstreamID{p.self},
+		})
+	}
+	return p.sidecar.Tick(p.Now)
+}
+
+// Forward does what a balancer does with a Geneve datagram and returns the
+// sealed one that it sends. The result is valid until the next call. It reports
+// the errors of packages fabric, route and forward.
+func (p *Path) Forward(datagram []byte) ([]byte, error) {
+	frame, err := p.decoder.Decode(datagram)
+	if err != nil {
+		return nil, err
+	}
+	match, err := p.view.Classify(frame.Packet.Key)
+	if err != nil {
+		return nil, err
+	}
+	p.header = forward.Header{
+		Service:    match.Service.ID(),
+		Version:    p.view.Version(),
+		Phase:      forward.PhaseAccept,
+		Balancer:   balancerAddress(0),
+		Candidates: p.view.Candidates(p.header.Candidates[:0], match, frame.Packet.Key),
+	}
+	p.hints.Aim(p.Now, &p.header, frame.Packet, flow.Health{})
+	p.out, err = p.sealer.AppendPacket(p.out, &p.header, frame.IP)
+	return p.out, err
+}
+
+// Deliver does what a sidecar does with a forwarded datagram and returns its
+// decision. It reports the errors of packages forward and fabric.
+func (p *Path) Deliver(sealed []byte) (flow.Action, error) {
+	d, err := p.opener.Open(sealed)
+	if err != nil {
+		return nil, err
+	}
+	if err := p.headers.Decode(d.Body, &p.header); err != nil {
+		return nil, err
+	}
+	packet, _, err := p.decoder.DecodePacket(d.Packet)
+	if err != nil {
+		return nil, err
+	}
+	return p.sidecar.Packet(p.Now, &p.header, packet), nil
+}
+
+// Callers returns the numbers of the first n callers whose flows rank the path's upstream first.
+func (p *Path) Callers(n int) []int {
+	callers := make([]int, 0, n)
+	for i := 0; len(callers) < n; i++ {
+		if p.headerFor(p.Key(i)).Candidates[0].Upstream == p.self {
+			callers = append(callers, i)
+		}
+	}
+	return callers
+}
+
+// Open opens the flows of callers that rank the path's upstream first. The
+// sidecar owns them from then on. No balancer takes part.
+func (p *Path) Open(callers []int) {
+	for _, i := range callers {
+		k := p.Key(i)
+		h := p.headerFor(k)
+		p.sidecar.Packet(p.Now, &h, flow.Packet{Key: k, Opening: true, Sequence: openingNumber})
+		p.answer(k)
+		h = p.headerFor(k)
+		p.sidecar.Packet(p.Now, &h, flow.Packet{Key: k, HasAck: true, Sequence: openingNumber + 1, Acknowledged: answerNumber + 1})
+	}
+}
+
+// OpenForwarded opens the flow of one caller with the datagrams of its opening
+// and its first segment, through the balancer and the sidecar. It reports what
+// Forward and Deliver do.
+func (p *Path) OpenForwarded(caller int, opening, first []byte) error {
+	if err := p.pass(opening); err != nil {
+		return err
+	}
+	p.answer(p.Key(caller))
+	return p.pass(first)
+}
+
+// pass takes a datagram through the balancer and the sidecar.
+func (p *Path) pass(datagram []byte) error {
+	sealed, err := p.Forward(datagram)
+	if err != nil {
+		return err
+	}
+	_, err = p.Deliver(sealed)
+	return err
+}
+
+// Detour delivers a packet of an owned flow that came over another sidecar and
+// the balancer with the number, which makes the sidecar owe that balancer a hint.
+func (p *Path) Detour(i, balancer int) flow.Action {
+	k := p.Key(i)
+	h := p.headerFor(k)
+	h.Hops = 1
+	h.Balancer = balancerAddress(balancer)
+	return p.sidecar.Packet(p.Now, &h, flow.Packet{Key: k, HasAck: true, Sequence: openingNumber + 1, Acknowledged: answerNumber + 1})
+}
+
+// answer lets the upstream answer the opening of a flow.
+func (p *Path) answer(k flow.Key) {
+	p.sidecar.Answer(p.Now, flow.Packet{
+		Key:          k,
+		Opening:      true,
+		HasAck:       true,
+		Sequence:     answerNumber,
+		Acknowledged: openingNumber + 1,
+	})
+}
+
+// headerFor returns the header of a packet that is at its first candidate.
+func (p *Path) headerFor(k flow.Key) forward.Header {
+	return forward.Header{
+		Service:    p.service.ID(),
+		Version:    p.view.Version(),
+		Phase:      forward.PhaseAccept,
+		Candidates: p.view.Rank(p.header.Candidates[:0], k),
+	}
+}
+
+// Key returns the flow of the caller with the number to the path's service.
+func (p *Path) Key(i int) flow.Key {
+	return flow.NewKey(flow.TCP, callerAddress(i), p.address())
+}
+
+func (p *Path) address() netip.AddrPort {
+	a := p.service.Config().Addresses[0]
+	return netip.AddrPortFrom(a.IP, a.Port)
+}
+
+// Opening returns the Geneve datagram with the opening of a caller's flow.
+func (p *Path) Opening(i int) ([]byte, error) {
+	return p.segment(i, fabric.Segment{Flags: fabric.SYN, Sequence: openingNumber})
+}
+
+// Data returns the Geneve datagram with a segment of a caller's established flow.
+func (p *Path) Data(i int) ([]byte, error) {
+	return p.segment(i, fabric.Segment{
+		Flags:        fabric.ACK,
+		Sequence:     openingNumber + 1,
+		Acknowledged: answerNumber + 1,
+		Payload:      make([]byte, payloadSize),
+	})
+}
+
+func (p *Path) segment(i int, s fabric.Segment) ([]byte, error) {
+	s.Source = callerAddress(i)
+	s.Destination = p.address()
+	ip, err := s.Encode()
+	if err != nil {
+		return nil, err
+	}
+	return fabric.Append(nil, 0, ip, nil)
+}
+
+// callerAddress returns the address of the caller with the number; it is near the first data centre.
+func callerAddress(i int) netip.AddrPort {
+	host := i / callersPerHost
+	ip := netip.AddrFrom4([4]byte{callerNet, 0, byte(host >> 8), byte(host)})
+	return netip.AddrPortFrom(ip, uint16(firstPort+i%callersPerHost))
+}
+
+// balancerAddress returns where the balancer with the number receives hints.
+func balancerAddress(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{172, 16, byte(i >> 8), byte(i)}), sidecarPort)
+}
--- /dev/null
+++ b/capacity/path_test.go
@@ -0,0 +1,56 @@
+package capacity_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/capacity"
+	"github.com/corianderbay/corianderbay/flow"
+)
+
+// approvers returns a policy of one approver.
+func approvers() bundle.SignOff {
+	return bundle.SignOff{Need: 1, Approvers: []bundle.Approver{{Name: "a", Key: bundle.PublicKey(approverKey())}}}
+}
+
+func newPath(t testing.TB, size capacity.Size) *capacity.Path {
+	t.Helper()
+	p, err := capacity.NewPath(size.Bundle(1, approvers()))
+	must.NoError(t, err)
+	return p
+}
+
+func TestSizesAreValidBundles(t *testing.T) {
+	for _, upstreams := range serviceSizes() {
+		must.NoError(t, bundle.Check(capacity.Size{Services: 10, Upstreams: upstreams}.Bundle(1, approvers())))
+	}
+}
+
+// TestPathDelivers checks that the benchmarks measure packets that arrive.
+func TestPathDelivers(t *testing.T) {
+	p := newPath(t, capacity.Size{Services: 3, Upstreams: 4})
+	for _, i := range p.Callers(100) {
+		opening, err := p.Opening(i)
+		must.NoError(t, err)
+		data, err := p.Data(i)
+		must.NoError(t, err)
+		must.NoError(t, p.OpenForwarded(i, opening, data))
+		sealed, err := p.Forward(data)
+		must.NoError(t, err)
+		action, err := p.Deliver(sealed)
+		must.NoError(t, err)
+		must.Eq(t, flow.Action(flow.Deliver{}), action)
+	}
+	must.Eq(t, 100, p.Sidecar().Flows())
+}
+
+func TestOpenOwnsEveryFlow(t *testing.T) {
+	p := newPath(t, capacity.Size{Services: 2, Upstreams: 7})
+	callers := p.Callers(500)
+	p.Open(callers)
+	must.Eq(t, 500, p.Sidecar().Flows())
+	must.Eq(t, flow.Action(flow.Deliver{}), p.Detour(callers[3], 1))
+	must.SliceNotEmpty(t, p.Advance(flow.ReportInterval).Hints)
+}
--- /dev/null
+++ b/capacity/process_test.go
@@ -0,0 +1,101 @@
+package capacity_test
+
+import (
+	"bufio"
+	"context"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/capacity"
+	"github.com/corianderbay/corianderbay/platform"
+	"github.com/corianderbay/corianderbay/standin"
+)
+
+const (
+	changes = 20
+	// peakField is the line of /proc/PID/status with the most memory that a process had resident.
+	peakField = "VmHWM:"
+)
+
+// BenchmarkProcessMemory measures the most memory that a balancer's process had resident
+// after it followed a number of changes of the bundle.
+func BenchmarkProcessMemory(b *testing.B) {
+	program := filepath.Join(b.TempDir(), "corianderbay")
+	must.NoError(b, exec.Command("go", "build", "-o", program, "../cmd/corianderbay").Run())
+	reportSlope(b, fleetSizes(), "service", "B", once(func(services int) float64 {
+		return peakMemory(b, program, services)
+	}))
+}
+
+func peakMemory(b *testing.B, program string, services int) float64 {
+	p := standin.NewPlatform(standin.PlatformConfig{})
+	server := httptest.NewServer(p.Handler())
+	defer server.Close()
+	ctx, stop := context.WithCancel(b.Context())
+	defer stop()
+	cmd := exec.CommandContext(ctx, program, "balancer",
+		"--name", "entry-1", "--datacentre", "centre-0", "--platform", server.URL,
+		"--key-file", keyFile(b), "--approvers", "a:"+approvers().Approvers[0].Key,
+		"--fabric-address", "127.0.0.1:0", "--gateway", "127.0.0.1:9")
+	events, err := cmd.StderrPipe()
+	must.NoError(b, err)
+	must.NoError(b, cmd.Start())
+	lines := bufio.NewScanner(events)
+	size := capacity.Size{Services: services, Upstreams: upstreamsPerService}
+	var last *bundle.Frozen
+	for i := range changes {
+		last = sign(b, size.Bundle(uint64(i+1), approvers()), last)
+		publish(b, p, last)
+		awaitEvent(b, lines, "bundle-accepted")
+	}
+	peak := peakOf(b, cmd.Process.Pid)
+	stop()
+	_ = cmd.Wait() // it reports the kill
+	return peak
+}
+
+func publish(b *testing.B, p *standin.Platform, f *bundle.Frozen) {
+	raw, err := f.Marshal()
+	must.NoError(b, err)
+	pub, err := platform.NewPublication("bundle", f.Sequence(), raw)
+	must.NoError(b, err)
+	p.Publish(pub)
+}
+
+func awaitEvent(b *testing.B, lines *bufio.Scanner, name string) {
+	for lines.Scan() {
+		if strings.Contains(lines.Text(), name) {
+			return
+		}
+	}
+	b.Fatalf("the process ended before %s", name)
+}
+
+func keyFile(b *testing.B) string {
+	name := filepath.Join(b.TempDir(), "cluster.key")
+	must.NoError(b, os.WriteFile(name, []byte(strings.Repeat("07", 32)), 0o600))
+	return name
+}
+
+// peakOf returns the most memory that the process had resident, in bytes.
+func peakOf(b *testing.B, pid int) float64 {
+	status, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "status"))
+	must.NoError(b, err)
+	for line := range strings.Lines(string(status)) {
+		if rest, ok := strings.CutPrefix(line, peakField); ok {
+			kilobytes, err := strconv.Atoi(strings.Fields(rest)[0])
+			must.NoError(b, err)
+			return float64(kilobytes) * 1024
+		}
+	}
+	b.Fatal("no peak in the status of the process")
+	return 0
+}
--- /dev/null
+++ b/capacity/slope_test.go
@@ -0,0 +1,96 @@
+package capacity_test
+
+import (
+	"crypto/ed25519"
+	"math"
+	"runtime"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"golang.org/x/sys/unix"
+
+	"github.com/corianderbay/corianderbay/capacity"
+)
+
+const (
+	rounds    = 9      // of which the cheapest counts, since the machine is shared
+	packets   = 20_000 // that are timed as one
+	openFlows = 1000
+)
+
+// serviceSizes are the numbers of upstreams of a service that are measured.
+func serviceSizes() []int { return []int{2, 4, 7, 10} }
+
+// fleetSizes are the numbers of services of a bundle that are measured.
+func fleetSizes() []int { return []int{10, 100, 400, 1700} }
+
+func approverKey() ed25519.PrivateKey {
+	return ed25519.NewKeyFromSeed(make([]byte, ed25519.SeedSize))
+}
+
+// reportSlope measures each size and reports the line through the points as
+// metrics, with the points themselves in the log. Prepare returns what measures
+// a size once; the rounds go over the sizes in turn.
+func reportSlope(b *testing.B, sizes []int, of, unit string, prepare func(size int) func() float64) {
+	b.Helper()
+	var line capacity.Line
+	points := make([]capacity.Point, len(sizes))
+	for b.Loop() {
+		measures := make([]func() float64, len(sizes))
+		for i, n := range sizes {
+			measures[i] = prepare(n)
+			points[i] = capacity.Point{X: float64(n), Y: math.Inf(1)}
+		}
+		for range rounds {
+			for i, measure := range measures {
+				points[i].Y = min(points[i].Y, measure())
+			}
+		}
+		var err error
+		line, err = capacity.Fit(points)
+		must.NoError(b, err)
+	}
+	for _, p := range points {
+		b.Logf("%8.0f %s: %14.1f %s", p.X, of, p.Y, unit)
+	}
+	b.ReportMetric(0, "ns/op")
+	b.ReportMetric(line.Base, unit+"-base")
+	b.ReportMetric(line.Slope, unit+"/"+of)
+	b.ReportMetric(line.Residual, unit+"-residual")
+}
+
+// once is for what is the same in every run: it measures a size a single time.
+func once(measure func(size int) float64) func(size int) func() float64 {
+	return func(size int) func() float64 {
+		y := measure(size)
+		return func() float64 { return y }
+	}
+}
+
+// heapOf returns the bytes that stay in use after build, while its result is kept.
+func heapOf(build func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+// processorTime returns the processor time in nanoseconds that this process
+// spends while it does do, garbage collection included.
+func processorTime(t testing.TB, do func()) float64 {
+	t.Helper()
+	before := spent(t)
+	do()
+	return float64(spent(t) - before)
+}
+
+func spent(t testing.TB) int64 {
+	t.Helper()
+	var u unix.Rusage
+	must.NoError(t, unix.Getrusage(unix.RUSAGE_SELF, &u))
+	return u.Utime.Nano() + u.Stime.Nano()
+}
