--- a/capacity/slope_test.go
+++ b/capacity/slope_test.go
@@ -51,7 +51,7 @@
 		must.NoError(b, err)
 	}
 	for _, p := range points {
-		b.Logf("%8.0f %s: %14.1f %s", p.X, of, p.Y, unit)
+		b.Logf("%8.0f %s: %14.6g %s", p.X, of, p.Y, unit)
 	}
 	b.ReportMetric(0, "ns/op")
 	b.ReportMetric(line.Base, unit+"-base")
