Count before comparing: two tests read totals too early

Cause: on the loaded machine TestBalancerCountsWhatItDrops read the forwarded total before the worker had counted the packet that the sink already had, and TestAuditFindsFalseRefusalAndDouble read the runs before the second attempt had run. Ruled out: wrong totals; both come right a moment later. Change: both wait for the work that they count, and are as strict about the totals (one more total is compared).

--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -148,11 +148,22 @@
 	must.NoError(t, err)
 	_, _, err = sink.ReadFromUDPAddrPort(make([]byte, 65535))
 	must.NoError(t, err)
-	for lb.Counts().Fabric.Received < uint64(len(bad)+1) || lb.Counts().Dropped["forged"] < 1 {
+	// A worker counts a packet after it has sent it on.
+	for handled(lb.Counts()) < len(bad)+2 {
 		must.NoError(t, timer.New(timer.Config{}).Sleep(t.Context(), time.Millisecond))
 	}
 	got := lb.Counts()
 	must.Eq(t, uint64(1), got.Dropped["denied"])
 	must.Eq(t, uint64(4), got.Dropped["malformed"])
+	must.Eq(t, uint64(1), got.Dropped["forged"])
 	must.Eq(t, uint64(1), got.Forwarded)
 }
+
+// handled returns how many datagrams have been forwarded or dropped.
+func handled(c balancer.Counts) int {
+	n := c.Forwarded
+	for _, dropped := range c.Dropped {
+		n += dropped
+	}
+	return int(n)
+}
--- a/standin/caller_test.go
+++ b/standin/caller_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/corianderbay/corianderbay/fabric"
 	"github.com/corianderbay/corianderbay/standin"
+	"github.com/corianderbay/corianderbay/timer"
 	"github.com/shoenig/test/must"
 	"github.com/sourcegraph/conc"
 )
@@ -110,6 +111,15 @@
 		r := run(t, standin.CallerConfig{Attach: f, Targets: targets()[1:2]})
 		must.Eq(t, 1, r.Whole)
 		must.SliceLen(t, 1, r.Records)
+		// The answer to the first attempt may arrive before the second one has run.
+		wantRuns := 1
+		if repeats {
+			wantRuns = 2
+		}
+		clock := timer.New(timer.Config{})
+		for len(u.Runs()) < wantRuns {
+			must.NoError(t, clock.Sleep(t.Context(), time.Millisecond))
+		}
 		audit := standin.NewAudit(u.Runs(), r.Records)
 		must.Eq(t, 1, audit.FalseRefusals)
 		must.Eq(t, repeats, audit.Doubled == 1)
