--- a/bundle/accept_test.go
+++ b/bundle/accept_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/wire"
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 )
@@ -32,6 +33,7 @@
 
 	_, err := bundle.Accept(trust, frozen(t, sample(4, 2), nil, 1))
 	must.Eq(t, 4, as[*bundle.StaleError](t, err).Next)
+	must.Eq(t, bundle.RefusedStale, bundle.RefusalOf(err))
 
 	_, err = bundle.Accept(trust, running)
 	as[*bundle.StaleError](t, err)
@@ -41,6 +43,7 @@
 	conflict := as[*bundle.ConflictError](t, err)
 	must.Eq(t, running.Hash(), conflict.Running)
 	must.Eq(t, other.Hash(), conflict.Next)
+	must.Eq(t, bundle.RefusedConflict, bundle.RefusalOf(err))
 
 	_, err = bundle.Accept(trust, frozen(t, sample(6, 2), running))
 	must.Eq(t, 1, as[*bundle.ApproversError](t, err).Need)
@@ -53,9 +56,11 @@
 	stranger.SignOff = policy(1, 9)
 	_, err = bundle.Accept(trust, frozen(t, stranger, running, 9))
 	must.Eq(t, "a9", as[*bundle.UnknownSignerError](t, err).Approver)
+	must.Eq(t, bundle.RefusedUnsigned, bundle.RefusalOf(err))
 
 	_, err = bundle.Accept(trust, frozen(t, stranger, nil, 9))
 	as[*bundle.AnchorError](t, err)
+	must.Eq(t, bundle.RefusedUnanchored, bundle.RefusalOf(err))
 }
 
 // TestAcceptFollowsRotations changes the approvers from 1 and 2 to 3, and then to 4 and 5.
@@ -86,6 +91,21 @@
 	as[*bundle.AnchorError](t, err)
 }
 
+// TestAcceptSharesOnlyWhatIsEqual compares what Accept makes of a running bundle with what it makes from nothing.
+func TestAcceptSharesOnlyWhatIsEqual(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		running := frozen(t, drawBundle(t).WithSequence(1), nil, 1)
+		_, err := bundle.Accept(bundle.Anchor(policy(1, 1, 2)), running)
+		must.NoError(t, err)
+		next := frozen(t, drawBundle(t).WithSequence(2), running, 1)
+		want, err := next.Thaw()
+		must.NoError(t, err)
+		got, err := bundle.Accept(running.Trust(), next)
+		must.NoError(t, err)
+		must.Eq(t, want, got)
+	})
+}
+
 func TestAcceptNeverGoesBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		trust := bundle.Anchor(policy(1, 1, 2))
@@ -140,3 +160,48 @@
 	must.NoError(t, err)
 	t.Logf("%d bytes a rotation", (len(with)-len(without))/bundle.MaxRotations)
 }
+
+// forge returns a signed bundle with one section that Freeze would not write.
+func forge(t *testing.T, name string, section any) *bundle.Frozen {
+	t.Helper()
+	hashed := func(v any) bundle.Hash {
+		raw, err := wire.Encode(v)
+		must.NoError(t, err)
+		return bundle.HashOf(raw)
+	}
+	raw, err := wire.Encode(section)
+	must.NoError(t, err)
+	m := &bundle.Manifest{
+		SignOff: policy(1, 1),
+		Entries: []bundle.Entry{{Name: name, Hash: bundle.HashOf(raw), Size: len(raw)}},
+	}
+	m.Head = bundle.Head{
+		Sequence:  1,
+		Policy:    hashed(m.SignOff),
+		SignOff:   hashed(m.SignOff),
+		Entries:   hashed(m.Entries),
+		Rotations: hashed(m.Rotations),
+	}
+	f, err := bundle.Assemble(m, func(bundle.Hash) ([]byte, bool) { return raw, true })
+	must.NoError(t, err)
+	f, err = bundle.Sign(f, "a1", keyOf(1))
+	must.NoError(t, err)
+	return f
+}
+
+func TestAcceptChecksSignedContent(t *testing.T) {
+	anchor := bundle.Anchor(policy(1, 1))
+	_, err := bundle.Accept(anchor, forge(t, "service/shop", sampleService(1)))
+	must.Eq(t, "service-00001", as[*bundle.SectionError](t, err).Holds)
+
+	s := sampleService(1)
+	_, err = bundle.Accept(anchor, forge(t, "service/"+s.Name, s))
+	as[*bundle.UnknownDataCentreError](t, err)
+
+	_, err = bundle.Accept(anchor, forge(t, "service/"+s.Name, "text"))
+	as[*bundle.DecodeError](t, err)
+	must.Eq(t, bundle.RefusedBroken, bundle.RefusalOf(err))
+
+	_, err = bundle.Accept(anchor, forge(t, "datacentres", []bundle.DataCentre{{Name: "no name"}}))
+	as[*bundle.NameError](t, err)
+}
--- a/bundle/fault.go
+++ b/bundle/fault.go
@@ -104,13 +104,14 @@
 // TypeError reports a value that cannot be read as its field's kind.
 type TypeError struct {
 	Where
+	// Got is the text in quotes, or a kind as in "a list".
 	Got string
 	// Want names the kind, as in "a duration like 10s".
 	Want string
 }
 
 func (e *TypeError) Error() string {
-	return fmt.Sprintf("%s%q is not %s", e.Where, e.Got, e.Want)
+	return fmt.Sprintf("%s%s is not %s", e.Where, e.Got, e.Want)
 }
 
 // MissingError reports a field that must be set and is not.
@@ -157,6 +158,17 @@
 	return fmt.Sprintf("%saddress %s is already held at %s", e.Where, e.Address, e.First)
 }
 
+// AddressError reports an address that cannot be used.
+type AddressError struct {
+	Where
+	Address string
+	Reason  string
+}
+
+func (e *AddressError) Error() string {
+	return fmt.Sprintf("%saddress %s cannot be used: %s", e.Where, e.Address, e.Reason)
+}
+
 // PrefixError reports a caller prefix that stands in two data centres.
 type PrefixError struct {
 	Where
--- a/bundle/parse_test.go
+++ b/bundle/parse_test.go
@@ -63,6 +63,10 @@
 		{", within: 50ms", "", "*bundle.MissingError", "services[0].objectives[1].within: "},
 		{"name: fitting-2", "name: fitting-1", "*bundle.DuplicateError", "services[0].places[0].upstreams[1].name: "},
 		{"10.9.0.3:4789", "10.9.0.1:4789", "*bundle.SidecarError", "services[1].places[0].upstreams[0].sidecar: "},
+		{"10.9.0.3:4789", "0.0.0.0:4789", "*bundle.AddressError", "services[1].places[0].upstreams[0].sidecar: "},
+		{"ip: 198.51.100.2", "ip: \"fe80::1%eth0\"", "*bundle.AddressError", "services[1].addresses[0].ip: "},
+		{"ip: 198.51.100.2", "ip: \"::ffff:198.51.100.2\"", "*bundle.AddressError", "services[1].addresses[0].ip: "},
+		{"10.2.0.0/16", "\"::ffff:10.2.0.0/112\"", "*bundle.AddressError", "datacentres[1].callers[0]: "},
 		{"datacentre: solo", "datacentre: bali", "*bundle.UnknownDataCentreError", "services[1].places[0].datacentre: "},
 		{"name: report\n", "name: fitting\n", "*bundle.DuplicateError", "services[1].name: "},
 		{"repeat: 10s", "repeat: &x 10s", "*bundle.TypeError", "services[0].repeat: "},
@@ -82,6 +86,14 @@
 	}
 }
 
+func TestParseSaysWhatItGot(t *testing.T) {
+	_, err := bundle.Parse("b.yaml", []byte("- 1\n"))
+	must.EqError(t, err, "b.yaml:1: a list is not a mapping")
+	text := strings.Replace(validText(t), "near: [solo]", "near: {solo: 1}", 1)
+	_, err = bundle.Parse("b.yaml", []byte(text))
+	must.EqError(t, err, "b.yaml:10: datacentres[0].near: a mapping is not a list")
+}
+
 func TestParseNamesAllFaults(t *testing.T) {
 	text := strings.NewReplacer("weight: 100", "weight: 0x", "port: 443", "port: 0", "need: 1", "needs: 1").Replace(validText(t))
 	_, err := bundle.Parse("b.yaml", []byte(text))
