Follow bundles and the instance list through peers in every process

Cause: each process watched the platform by itself, so platform calls grew with the fleet, and nobody told the decisions which upstreams the platform's list lacks. Ruled out: keeping the plain follower as a second way, since it would be a twin of peer.Node. Change: instance.process runs a peer.Node over mutual TLS; sidecars and balancers take in the list (missing upstreams, take-over time, leaving instances, which may come back); credentials from memory for the demo; settings for certificates and the control address.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -16,6 +16,7 @@
 	"github.com/corianderbay/corianderbay/event"
 	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/forward"
+	"github.com/corianderbay/corianderbay/platform"
 	"github.com/corianderbay/corianderbay/route"
 	"github.com/corianderbay/corianderbay/timer"
 	"github.com/corianderbay/corianderbay/udp"
@@ -63,6 +64,8 @@
 	forward  *udp.Socket
 	view     atomic.Pointer[route.View] // nil until the first bundle is in force
 	hints    *flow.Hints
+	listed   atomic.Pointer[[]platform.Instance] // nil until the first list
+	missing  atomic.Pointer[missing]             // never nil
 	counters counters
 }
 
@@ -91,14 +94,16 @@
 		in.Close()
 		return nil, err
 	}
-	return &Balancer{
+	b := &Balancer{
 		cfg:     cfg,
 		sealer:  sealer,
 		opener:  opener,
 		fabric:  in,
 		forward: out,
 		hints:   flow.NewHints(flow.HintsConfig{}),
-	}, nil
+	}
+	b.missing.Store(&missing{})
+	return b, nil
 }
 
 // FabricAddress returns the address that the fabric sends to.
@@ -111,9 +116,10 @@
 	return b.forward.Address()
 }
 
-// Accept puts a bundle in force.
+// Accept puts a bundle in force. It is not called concurrently with List.
 func (b *Balancer) Accept(next *bundle.Bundle) {
 	b.view.Store(route.NewView(next))
+	b.compareList()
 }
 
 // Version returns the sequence of the bundle in force, or 0 before the first.
--- /dev/null
+++ b/balancer/missing.go
@@ -0,0 +1,81 @@
+package balancer
+
+import (
+	"time"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/flow"
+	"github.com/corianderbay/corianderbay/platform"
+	"github.com/corianderbay/corianderbay/route"
+)
+
+// missing holds the upstreams of the bundle whose sidecars the platform's list lacks. It is immutable.
+type missing struct {
+	upstreams map[bundle.UpstreamID]absence
+}
+
+// absence is since when an upstream has been missing and how long it takes until others take over.
+type absence struct {
+	since    time.Time
+	takeover time.Duration
+}
+
+// List takes in the platform's instance list.
+func (b *Balancer) List(instances []platform.Instance) {
+	b.listed.Store(&instances)
+	b.compareList()
+}
+
+// compareList compares the last list with the bundle in force.
+func (b *Balancer) compareList() {
+	view, listed := b.view.Load(), b.listed.Load()
+	if view == nil || listed == nil {
+		return
+	}
+	b.missing.Store(b.missing.Load().next(b.cfg.Timer.Now(), view, *listed))
+}
+
+// next returns what is missing from the list. An upstream that was missing
+// before keeps its time. A list without any sidecar says nothing.
+func (m *missing) next(now time.Time, view *route.View, instances []platform.Instance) *missing {
+	listed := make(map[string]bool)
+	for _, i := range instances {
+		if i.Role == platform.RoleSidecar {
+			listed[i.Name] = true
+		}
+	}
+	n := &missing{upstreams: make(map[bundle.UpstreamID]absence)}
+	if len(listed) == 0 {
+		return n
+	}
+	for _, s := range view.Services() {
+		for _, u := range s.Upstreams() {
+			if listed[u.Name] {
+				continue
+			}
+			since := now
+			if before, ok := m.upstreams[u.ID()]; ok {
+				since = before.since
+			}
+			n.upstreams[u.ID()] = absence{since: since, takeover: s.FlowSettings().Takeover()}
+		}
+	}
+	return n
+}
+
+// health returns what the aim of packets depends on.
+func (m *missing) health(now time.Time) flow.Health {
+	if len(m.upstreams) == 0 {
+		return flow.Health{}
+	}
+	return flow.Health{
+		Suspect: func(u bundle.UpstreamID) bool {
+			_, ok := m.upstreams[u]
+			return ok
+		},
+		Over: func(u bundle.UpstreamID) bool {
+			a, ok := m.upstreams[u]
+			return ok && now.Sub(a.since) > a.takeover
+		},
+	}
+}
--- a/balancer/pipe.go
+++ b/balancer/pipe.go
@@ -68,7 +68,8 @@
 		p.drop(dropUnknownAddress)
 		return
 	}
-	p.b.hints.Aim(p.b.cfg.Timer.Now(), h, f.Packet, flow.Health{})
+	now := p.b.cfg.Timer.Now()
+	p.b.hints.Aim(now, h, f.Packet, p.b.missing.Load().health(now))
 	out, err := p.b.sealer.AppendPacket(p.out, h, f.IP)
 	if err != nil {
 		p.drop(dropMalformed)
--- a/cmd/corianderbay/script_test.go
+++ b/cmd/corianderbay/script_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -46,14 +45,15 @@
 		Dir:   "testdata/script",
 		Setup: givePorts,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"expand":  expandFile,
-			"publish": publishFile,
-			"await":   awaitVersion,
-			"sleep":   sleepFor,
-			"audit":   auditRuns,
-			"keyenv":  keyToEnv,
-			"term":    terminate,
-			"spray":   sprayOver,
+			"expand":    expandFile,
+			"publish":   publishFile,
+			"instances": listInstances,
+			"await":     awaitVersion,
+			"sleep":     sleepFor,
+			"audit":     auditRuns,
+			"keyenv":    keyToEnv,
+			"term":      terminate,
+			"spray":     sprayOver,
 		},
 	})
 }
@@ -92,9 +92,18 @@
 
 // publishFile puts a frozen bundle on the platform: publish FILE SEQUENCE ADMIN-ADDRESS.
 func publishFile(ts *testscript.TestScript, _ bool, args []string) {
-	url := "http://" + args[2] + "/admin/publications/bundle?sequence=" + args[1]
-	poll(ts, "publish "+args[1], func() bool {
-		req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader([]byte(ts.ReadFile(args[0]))))
+	put(ts, "http://"+args[2]+"/admin/publications/bundle?sequence="+args[1], ts.ReadFile(args[0]))
+}
+
+// listInstances puts the instance list on the platform: instances FILE ADMIN-ADDRESS.
+func listInstances(ts *testscript.TestScript, _ bool, args []string) {
+	put(ts, "http://"+args[1]+"/admin/instances", ts.ReadFile(args[0]))
+}
+
+// put repeats an HTTP request until the stand-in, which may just be starting, takes it.
+func put(ts *testscript.TestScript, url, body string) {
+	poll(ts, url, func() bool {
+		req, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
 		ts.Check(err)
 		resp, err := http.DefaultClient.Do(req)
 		if err != nil {
@@ -126,14 +135,7 @@
 func sprayOver(ts *testscript.TestScript, _ bool, args []string) {
 	body, err := json.Marshal(args[1:])
 	ts.Check(err)
-	req, err := http.NewRequest(http.MethodPut, "http://"+args[0]+"/balancers", bytes.NewReader(body))
-	ts.Check(err)
-	resp, err := http.DefaultClient.Do(req)
-	ts.Check(err)
-	resp.Body.Close()
-	if resp.StatusCode >= http.StatusMultipleChoices {
-		ts.Fatalf("fabric: %s", resp.Status)
-	}
+	put(ts, "http://"+args[0]+"/balancers", string(body))
 }
 
 // terminate sends SIGTERM to the background process whose arguments include all of those given: term ARGUMENT...
--- a/daemon/common.go
+++ b/daemon/common.go
@@ -10,6 +10,7 @@
 	"github.com/corianderbay/corianderbay/bundle"
 	"github.com/corianderbay/corianderbay/forward"
 	"github.com/corianderbay/corianderbay/instance"
+	"github.com/corianderbay/corianderbay/peer"
 	"github.com/corianderbay/corianderbay/setting"
 )
 
@@ -24,6 +25,10 @@
 	dataCentre *string
 	platform   *string
 	operator   *netip.AddrPort
+	control    *netip.AddrPort
+	authority  *string
+	cert       *string
+	certKey    *string
 	keyFile    *string
 	approvers  *[]string
 	need       *int
@@ -37,16 +42,21 @@
 		dataCentre: s.String("datacentre", "", "data centre that the process runs in"),
 		platform:   s.String("platform", "", "base URL of the platform, like http://127.0.0.1:8500"),
 		operator:   s.Address("operator-address", "127.0.0.1:0", "where /health, /status and /debug/vars answer"),
+		control:    s.Address("control-address", "127.0.0.1:0", "where peers exchange bundles and instance lists"),
+		authority:  s.File("ca-file", "", "file with the certificates of the authority that peers' certificates follow from"),
+		cert:       s.File("certificate-file", "", "file with the certificate of the process"),
+		certKey:    s.File("certificate-key-file", "", "file with the private key of the certificate"),
 		keyFile:    s.File("key-file", "", "file with the cluster key, 64 hexadecimal digits"),
 		approvers:  s.Strings("approvers", "", "first approvers of bundles, each as name:public-key"),
 		need:       s.Int("approvals", 1, 1, 100, "signatures", "how many of the first approvers must sign"),
 		level:      s.Choice("log-level", "info", logLevels(), "least level of the events that are logged"),
 	}
-	s.Require("name", "datacentre", "platform", "key-file", "approvers")
+	s.Require("name", "datacentre", "platform", "key-file", "approvers", "ca-file", "certificate-file", "certificate-key-file")
 	return c
 }
 
-// config returns the settings of a process. It reports *KeyFileError or *ApproverError.
+// config returns the settings of a process. It reports *KeyFileError,
+// *ApproverError or *peer.CredentialsError.
 func (c common) config() (instance.Config, error) {
 	key, err := readKey(*c.keyFile)
 	if err != nil {
@@ -56,14 +66,24 @@
 	if err != nil {
 		return instance.Config{}, err
 	}
+	credentials, err := peer.LoadCredentials(peer.CredentialsConfig{
+		Authority:   *c.authority,
+		Certificate: *c.cert,
+		Key:         *c.certKey,
+	})
+	if err != nil {
+		return instance.Config{}, err
+	}
 	return instance.Config{
-		Name:       *c.name,
-		DataCentre: *c.dataCentre,
-		Platform:   *c.platform,
-		Operator:   *c.operator,
-		Key:        key,
-		Anchor:     anchor,
-		Log:        newLog(*c.level, *c.name),
+		Name:        *c.name,
+		DataCentre:  *c.dataCentre,
+		Platform:    *c.platform,
+		Operator:    *c.operator,
+		Control:     *c.control,
+		Credentials: credentials,
+		Key:         key,
+		Anchor:      anchor,
+		Log:         newLog(*c.level, *c.name),
 	}, nil
 }
 
--- a/daemon/processes.go
+++ b/daemon/processes.go
@@ -25,7 +25,7 @@
 	return program{
 		name:    "balancer",
 		short:   "Forward callers' packets from the fabric to sidecars",
-		example: "corianderbay balancer --name entry-1 --datacentre semarang --platform http://127.0.0.1:8500 --key-file cluster.key --approvers adi:KEY --gateway 127.0.0.1:6082",
+		example: "corianderbay balancer --name entry-1 --datacentre semarang --platform http://127.0.0.1:8500 --key-file cluster.key --ca-file ca.pem --certificate-file corianderbay.pem --certificate-key-file corianderbay.key --approvers adi:KEY --gateway 127.0.0.1:6082",
 		set:     s,
 		run: func(ctx context.Context, _ io.Writer) error {
 			cfg, err := c.config()
@@ -65,7 +65,7 @@
 	return program{
 		name:    "sidecar",
 		short:   "Own the flows of the upstream beside it",
-		example: "corianderbay sidecar --name fitting-1 --datacentre semarang --platform http://127.0.0.1:8500 --key-file cluster.key --approvers adi:KEY --gateway 127.0.0.1:6082 --upstream-address 127.0.0.1:7001",
+		example: "corianderbay sidecar --name fitting-1 --datacentre semarang --platform http://127.0.0.1:8500 --key-file cluster.key --ca-file ca.pem --certificate-file corianderbay.pem --certificate-key-file corianderbay.key --approvers adi:KEY --gateway 127.0.0.1:6082 --upstream-address 127.0.0.1:7001",
 		set:     s,
 		run: func(ctx context.Context, _ io.Writer) error {
 			cfg, err := c.config()
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -15,6 +15,7 @@
 	"github.com/corianderbay/corianderbay/event"
 	"github.com/corianderbay/corianderbay/forward"
 	"github.com/corianderbay/corianderbay/instance"
+	"github.com/corianderbay/corianderbay/peer"
 	"github.com/corianderbay/corianderbay/platform"
 	"github.com/corianderbay/corianderbay/sidecar"
 	"github.com/corianderbay/corianderbay/standin"
@@ -32,6 +33,7 @@
 	readyInterval  = 10 * time.Millisecond
 	balancerDrain  = 200 * time.Millisecond
 	sidecarDrain   = time.Second
+	identityLife   = 24 * time.Hour
 	upstreamsFirst = 7
 	upstreamsOther = 3
 )
@@ -55,6 +57,7 @@
 	timer     *timer.Service
 	key       ed25519.PrivateKey
 	cluster   []byte
+	identity  *peer.Credentials
 	platform  *standin.Platform
 	listener  net.Listener // of the platform
 	fabric    *standin.Fabric
@@ -74,15 +77,61 @@
 		key:     ed25519.NewKeyFromSeed(seed),
 		cluster: bytes.Repeat([]byte{byte(cfg.Seed)}, forward.KeySize),
 	}
-	steps := []func() error{d.openPlatform, d.openFabric, d.openBalancers, d.openPairs}
+	steps := []func() error{d.issueIdentity, d.openPlatform, d.openFabric, d.openBalancers, d.openPairs}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			return nil, err
 		}
 	}
+	d.platform.SetInstances(d.instances())
 	return d, d.publish(d.bundle())
 }
 
+// instances returns the platform's list of all processes.
+func (d *deployment) instances() []platform.Instance {
+	var list []platform.Instance
+	for i, b := range d.balancers {
+		list = append(list, platform.Instance{
+			Name:       fmt.Sprintf("entry-%d", i+1),
+			Role:       platform.RoleBalancer,
+			DataCentre: dataCentres()[i%len(dataCentres())],
+			Control:    b.ControlAddress(),
+			Operator:   b.OperatorAddress(),
+			State:      platform.StateLive,
+		})
+	}
+	for i, p := range d.pairs {
+		list = append(list, platform.Instance{
+			Name:       p.upstream.Name(),
+			Role:       platform.RoleSidecar,
+			DataCentre: dataCentres()[i%len(dataCentres())],
+			Control:    p.sidecar.ControlAddress(),
+			Forward:    p.sidecar.ForwardAddress(),
+			Operator:   p.sidecar.OperatorAddress(),
+			State:      platform.StateLive,
+		})
+	}
+	return list
+}
+
+// issueIdentity makes a certificate that speaks for every process of the demo.
+func (d *deployment) issueIdentity() error {
+	now := d.timer.Now()
+	authority, err := peer.NewAuthority(now, identityLife)
+	if err != nil {
+		return &StartError{Part: "authority", Cause: err}
+	}
+	own, err := authority.Issue(peer.FleetName, now, identityLife)
+	if err != nil {
+		return &StartError{Part: "certificate", Cause: err}
+	}
+	d.identity, err = peer.NewCredentials(authority.PEM(), own, d.timer)
+	if err != nil {
+		return &StartError{Part: "certificate", Cause: err}
+	}
+	return nil
+}
+
 func (d *deployment) openPlatform() error {
 	d.platform = standin.NewPlatform(standin.PlatformConfig{Timer: d.timer})
 	l, err := net.Listen("tcp", loopback().String())
@@ -106,7 +155,7 @@
 	var addresses []netip.AddrPort
 	for i := range balancers {
 		b, err := instance.NewBalancer(instance.BalancerConfig{
-			Config: d.common(fmt.Sprintf("entry-%d", i+1)),
+			Config: d.common(fmt.Sprintf("entry-%d", i+1), i),
 			Role: balancer.Config{
 				Fabric:  loopback(),
 				Forward: loopback(),
@@ -151,7 +200,7 @@
 		return &StartError{Part: name, Cause: err}
 	}
 	sc, err := instance.NewSidecar(instance.SidecarConfig{
-		Config: d.common(name),
+		Config: d.common(name, len(d.pairs)),
 		Role: sidecar.Config{
 			Forward:  loopback(),
 			Gateway:  d.fabric.Answers(),
@@ -166,16 +215,18 @@
 	return nil
 }
 
-func (d *deployment) common(name string) instance.Config {
+func (d *deployment) common(name string, i int) instance.Config {
 	return instance.Config{
-		Name:       name,
-		DataCentre: dataCentres()[0],
-		Platform:   "http://" + d.listener.Addr().String(),
-		Operator:   loopback(),
-		Key:        d.cluster,
-		Anchor:     d.signOff(),
-		Log:        d.log(),
-		Timer:      d.timer,
+		Name:        name,
+		DataCentre:  dataCentres()[i%len(dataCentres())],
+		Platform:    "http://" + d.listener.Addr().String(),
+		Operator:    loopback(),
+		Control:     loopback(),
+		Credentials: d.identity,
+		Key:         d.cluster,
+		Anchor:      d.signOff(),
+		Log:         d.log(),
+		Timer:       d.timer,
 	}
 }
 
@@ -207,7 +258,7 @@
 	if err != nil {
 		return err
 	}
-	pub, err := platform.NewPublication(instance.BundleValue, b.Sequence, body)
+	pub, err := platform.NewPublication(peer.BundleValue, b.Sequence, body)
 	if err != nil {
 		return err
 	}
--- a/flow/events.go
+++ b/flow/events.go
@@ -32,7 +32,7 @@
 	self := v.Self()
 	n := &state{view: v, service: service}
 	n.listed = self.Listed
-	n.leaving = s.draining || !self.Listed || self.Leaving || self.Service != service
+	n.leaving = s.draining || s.retiring || !self.Listed || self.Leaving || self.Service != service
 	settings, ok := v.Settings(service)
 	if !ok && old != nil {
 		settings = old.settings
@@ -138,6 +138,20 @@
 	s.state.Store(&n)
 }
 
+// Retire says whether the platform's list has the instance as leaving. New
+// flows are accepted again when the list takes it back.
+func (s *Sidecar) Retire(now time.Time, leaving bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.retiring == leaving {
+		return
+	}
+	s.retiring = leaving
+	if old := s.state.Load(); old != nil {
+		s.replace(now, old, old.view, old.service)
+	}
+}
+
 // UpstreamRestarted says that the upstream started empty: its flows are gone.
 func (s *Sidecar) UpstreamRestarted(now time.Time) {
 	s.born.Store(now.UnixNano())
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -52,6 +52,7 @@
 	mu         sync.Mutex // guards what follows and replacements of state
 	oldest     uint64     // first bundle in force
 	draining   bool
+	retiring   bool // the platform's list says that the instance is leaving
 	swept      int // next shard to sweep
 	lastReport time.Time
 }
@@ -216,10 +217,7 @@
 
 // takeover returns how long an upstream must be gone before others take over its flows.
 func (st *state) takeover() time.Duration {
-	if st.settings.Idempotent {
-		return FenceTime
-	}
-	return takeoverFences*FenceTime + st.settings.Repeat
+	return st.settings.Takeover()
 }
 
 // sure reports whether no other sidecar can own a flow that the first candidate does not know.
--- a/flow/view.go
+++ b/flow/view.go
@@ -47,6 +47,15 @@
 	Idle time.Duration
 }
 
+// Takeover returns how long an upstream must be missing from the platform's
+// list before others take over its flows.
+func (s Settings) Takeover() time.Duration {
+	if s.Idempotent {
+		return FenceTime
+	}
+	return takeoverFences*FenceTime + s.Repeat
+}
+
 // keep returns how long an owned flow is remembered after its last packet.
 func (s Settings) keep() time.Duration {
 	if s.Idempotent {
--- a/instance/balancer.go
+++ b/instance/balancer.go
@@ -57,6 +57,11 @@
 	return b.balancer.FabricAddress()
 }
 
+// ControlAddress returns the address that peers reach.
+func (b *Balancer) ControlAddress() netip.AddrPort {
+	return b.process.node.Address()
+}
+
 // OperatorAddress returns the address that operators ask.
 func (b *Balancer) OperatorAddress() netip.AddrPort {
 	return b.process.server.Address()
--- a/instance/process.go
+++ b/instance/process.go
@@ -16,13 +16,15 @@
 	"github.com/corianderbay/corianderbay/bundle"
 	"github.com/corianderbay/corianderbay/event"
 	"github.com/corianderbay/corianderbay/operator"
+	"github.com/corianderbay/corianderbay/peer"
 	"github.com/corianderbay/corianderbay/platform"
 	"github.com/corianderbay/corianderbay/timer"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 )
 
-// Config holds what every process is given. Name, Platform, Key, Anchor and Log are required.
+// Config holds what every process is given. Name, DataCentre, Platform, Key,
+// Anchor, Credentials and Log are required.
 type Config struct {
 	// Name is the instance name; for a sidecar it is the name of its upstream.
 	Name string
@@ -32,6 +34,12 @@
 	Platform string
 	// Operator is where the operator address listens.
 	Operator netip.AddrPort
+	// Control is where peers exchange bundles and instance lists over TCP.
+	Control netip.AddrPort
+	// Credentials prove the process to its peers.
+	Credentials *peer.Credentials
+	// Seeds are peers that are asked also when no list names them. They may be none.
+	Seeds []platform.Instance
 	// Key is the cluster key, see package forward.
 	Key []byte
 	// Anchor is the sign-off policy that the first bundle is judged by.
@@ -44,6 +52,7 @@
 // worker is the role of a process: *balancer.Balancer or *sidecar.Sidecar.
 type worker interface {
 	Accept(*bundle.Bundle)
+	List([]platform.Instance)
 	Version() uint64
 	Run(context.Context)
 }
@@ -54,7 +63,7 @@
 	role      string
 	heartbeat *timer.Heartbeat
 	worker    worker
-	follower  *follower
+	node      *peer.Node
 	server    *operator.Server
 	status    func() operator.Status // what only the role knows
 }
@@ -67,18 +76,30 @@
 	return &process{cfg: cfg, role: role, heartbeat: timer.NewHeartbeat(cfg.Timer)}
 }
 
-// open binds the operator address and prepares to follow bundles.
+// open binds the operator and control addresses and prepares to follow
+// bundles and instance lists.
 func (p *process) open(w worker, vars *expvar.Map, status func() operator.Status) error {
 	p.worker = w
 	p.status = status
-	p.follower = newFollower(followerConfig{
-		client: platform.NewClient(platform.Config{Address: p.cfg.Platform, Reader: p.cfg.Name}),
-		anchor: p.cfg.Anchor,
-		timer:  p.cfg.Timer,
-		log:    p.cfg.Log,
-		random: newRandom(),
-		accept: w.Accept,
+	node, err := peer.NewNode(peer.Config{
+		Name:        p.cfg.Name,
+		DataCentre:  p.cfg.DataCentre,
+		Listen:      p.cfg.Control,
+		Credentials: p.cfg.Credentials,
+		Platform:    platform.NewClient(platform.Config{Address: p.cfg.Platform, Reader: p.cfg.Name}),
+		Anchor:      p.cfg.Anchor,
+		Seeds:       p.cfg.Seeds,
+		OnBundle:    func(b *bundle.Bundle, _ bundle.Hash) { w.Accept(b) },
+		OnList:      w.List,
+		Timer:       p.cfg.Timer,
+		Log:         p.cfg.Log,
+		Rand:        newRandom(),
 	})
+	if err != nil {
+		return err
+	}
+	p.node = node
+	vars.Set("control", expvar.Func(func() any { return controlOf(node.Status()) }))
 	server, err := operator.Open(operator.Config{
 		Listen: p.cfg.Operator,
 		Status: p.fullStatus,
@@ -92,6 +113,32 @@
 	return nil
 }
 
+// Control is what a process says of its exchange with peers and the platform.
+type Control struct {
+	// State is how the process stands to the fleet, see package converge.
+	State string `json:"state"`
+	// Isolated is true when neither a peer nor the platform answers.
+	Isolated bool `json:"isolated"`
+	// Reading is true when the process reads the platform for others.
+	Reading bool `json:"reading"`
+	// Sent and Received are bytes on connections to peers.
+	Sent     uint64 `json:"sent"`
+	Received uint64 `json:"received"`
+	// Platform counts the calls.
+	Platform platform.Counts `json:"platform"`
+}
+
+func controlOf(s peer.Status) Control {
+	return Control{
+		State:    s.State.String(),
+		Isolated: s.Isolated,
+		Reading:  s.Reading,
+		Sent:     s.Sent,
+		Received: s.Received,
+		Platform: s.Platform,
+	}
+}
+
 // run works until ctx is done and the worker has stopped.
 func (p *process) run(ctx context.Context) {
 	p.cfg.Log.Emit(event.ProcessStarted, zap.String("role", p.role))
@@ -99,7 +146,7 @@
 	defer stop()
 	var wg conc.WaitGroup
 	wg.Go(func() { p.heartbeat.Run(support) })
-	wg.Go(func() { p.follower.run(support) })
+	wg.Go(func() { _ = p.node.Run(support) })
 	wg.Go(func() { p.server.Run(support) })
 	p.worker.Run(ctx)
 	stop()
@@ -111,9 +158,11 @@
 	s.Process = p.cfg.Name
 	s.Role = p.role
 	s.Version = p.worker.Version()
-	s.Hash = p.follower.hash().String()
+	s.Hash = p.node.Status().Hash.String()
 	s.Uptime = p.cfg.Timer.Uptime().Seconds()
 	s.Ready = s.Version > 0
+	s.Addresses["control"] = p.node.Address()
+	s.Addresses["operator"] = p.server.Address()
 	return s
 }
 
--- a/instance/sidecar.go
+++ b/instance/sidecar.go
@@ -57,6 +57,11 @@
 	return s.sidecar.ForwardAddress()
 }
 
+// ControlAddress returns the address that peers reach.
+func (s *Sidecar) ControlAddress() netip.AddrPort {
+	return s.process.node.Address()
+}
+
 // OperatorAddress returns the address that operators ask.
 func (s *Sidecar) OperatorAddress() netip.AddrPort {
 	return s.process.server.Address()
--- a/peer/credentials.go
+++ b/peer/credentials.go
@@ -56,6 +56,25 @@
 	return c, nil
 }
 
+// NewCredentials returns credentials that come from memory and never change.
+// It reports *CredentialsError.
+func NewCredentials(authority []byte, own Issued, timers *timer.Service) (*Credentials, error) {
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(authority) {
+		return nil, &CredentialsError{What: "authority"}
+	}
+	identity, err := tls.X509KeyPair(own.Certificate, own.Key)
+	if err != nil {
+		return nil, &CredentialsError{What: "certificate", Cause: err}
+	}
+	return &Credentials{
+		cfg:      CredentialsConfig{Timer: timers},
+		sessions: tls.NewLRUClientSessionCache(sessionCache),
+		identity: identity,
+		pool:     pool,
+	}, nil
+}
+
 // Expiry returns when the certificate in use expires, and the error of the last reload.
 func (c *Credentials) Expiry() (time.Time, error) {
 	c.refresh()
@@ -66,6 +85,9 @@
 
 // refresh reads files that changed.
 func (c *Credentials) refresh() {
+	if c.cfg.Authority == "" {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	var stamps [3]time.Time
--- a/route/service.go
+++ b/route/service.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/forward"
 	"github.com/gaissmai/bart"
 )
@@ -96,6 +97,24 @@
 	return s.config
 }
 
+// FlowSettings returns how flows of the service are kept.
+func (s *Service) FlowSettings() flow.Settings {
+	return flow.Settings{
+		Idempotent: s.config.Idempotent,
+		Repeat:     s.config.EffectiveRepeat(),
+		Idle:       s.config.EffectiveIdle(),
+	}
+}
+
+// Upstreams returns the service's upstreams, in the order of the bundle.
+func (s *Service) Upstreams() []bundle.Upstream {
+	out := make([]bundle.Upstream, len(s.pool))
+	for i := range s.pool {
+		out[i] = s.pool[i].upstream
+	}
+	return out
+}
+
 // Members returns the service's upstreams as candidates, in the order of the bundle.
 func (s *Service) Members() []forward.Candidate {
 	out := make([]forward.Candidate, len(s.pool))
--- a/route/sidecarview.go
+++ b/route/sidecarview.go
@@ -71,11 +71,7 @@
 	if svc == nil {
 		return flow.Settings{}, false
 	}
-	return flow.Settings{
-		Idempotent: svc.config.Idempotent,
-		Repeat:     svc.config.EffectiveRepeat(),
-		Idle:       svc.config.EffectiveIdle(),
-	}, true
+	return svc.FlowSettings(), true
 }
 
 // fingerprintOf hashes all that the order of a service's candidates depends on.
--- /dev/null
+++ b/sidecar/list.go
@@ -0,0 +1,40 @@
+package sidecar
+
+import (
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/platform"
+)
+
+// List takes in the platform's instance list.
+func (s *Sidecar) List(instances []platform.Instance) {
+	s.listed.Store(&instances)
+	s.compareList()
+}
+
+// compareList tells the decisions which other sidecars of the service are
+// missing from the last list, and whether this one is to leave. A list without
+// any sidecar says nothing.
+func (s *Sidecar) compareList() {
+	view, instances := s.view.Load(), s.listed.Load()
+	if view == nil || instances == nil {
+		return
+	}
+	listed := make(map[bundle.UpstreamID]platform.State)
+	for _, i := range *instances {
+		if i.Role == platform.RoleSidecar {
+			listed[bundle.UpstreamIDOf(i.Name)] = i.State
+		}
+	}
+	if len(listed) == 0 {
+		return
+	}
+	now := s.cfg.Timer.Now()
+	var gone []bundle.UpstreamID
+	for _, c := range view.Members(view.Self().Service) {
+		if _, ok := listed[c.Upstream]; !ok && c.Upstream != s.self {
+			gone = append(gone, c.Upstream)
+		}
+	}
+	s.flows.Listed(now, gone)
+	s.flows.Retire(now, listed[s.self] == platform.StateLeaving)
+}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -17,6 +17,7 @@
 	"github.com/corianderbay/corianderbay/fabric"
 	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/forward"
+	"github.com/corianderbay/corianderbay/platform"
 	"github.com/corianderbay/corianderbay/route"
 	"github.com/corianderbay/corianderbay/timer"
 	"github.com/corianderbay/corianderbay/udp"
@@ -64,7 +65,8 @@
 	opener   *forward.Opener
 	forward  *udp.Socket
 	edge     upstream.Edge
-	view     atomic.Pointer[route.SidecarView] // nil until the first bundle is in force
+	view     atomic.Pointer[route.SidecarView]   // nil until the first bundle is in force
+	listed   atomic.Pointer[[]platform.Instance] // nil until the first list
 	flows    *flow.Sidecar
 	woke     atomic.Int64 // Unix time in nanoseconds of a wake-up whose backlog is being discarded, or 0
 	answers  answerDecoders
@@ -132,11 +134,12 @@
 	return s.forward.Address()
 }
 
-// Accept puts a bundle in force.
+// Accept puts a bundle in force. It is not called concurrently with List.
 func (s *Sidecar) Accept(next *bundle.Bundle) {
 	view := route.NewSidecarView(route.NewView(next), s.self)
 	s.view.Store(view)
 	s.flows.BundleAccepted(s.cfg.Timer.Now(), view)
+	s.compareList()
 }
 
 // wake tells the decisions that the process was paused.
