Explain the candidates of a flow and ask processes who owns it

Cause: on call, the question is why a flow goes where it goes and who has it now. Ruled out: guessing the owner from the bundle alone, since an upstream may have passed the flow on.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -131,6 +131,17 @@
 	return v.Version()
 }
 
+// Owner returns the name of the upstream that a hint names for a flow, or "".
+func (b *Balancer) Owner(k flow.Key) string {
+	view := b.view.Load()
+	id, ok := b.hints.Owner(b.cfg.Timer.Now(), k.Hash())
+	if view == nil || !ok {
+		return ""
+	}
+	up, _, _ := view.Upstream(id)
+	return up.Name
+}
+
 // Run forwards packets until ctx is done and for the drain time after that.
 func (b *Balancer) Run(ctx context.Context) {
 	sockets, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/ctl/command.go
+++ b/ctl/command.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/corianderbay/corianderbay/report"
 	"github.com/corianderbay/corianderbay/setting"
 	"github.com/corianderbay/corianderbay/timer"
 	"github.com/spf13/cobra"
@@ -54,9 +55,10 @@
 	groups := map[string]*cobra.Command{
 		"":       root,
 		"key":    {Use: "key", Short: "Make keys", Example: "  corianderctl key new sari"},
+		"flow":   {Use: "flow", Short: "Ask about flows", Example: "  corianderctl flow explain bundle.yaml tcp 10.41.0.9:40000 203.0.113.10:7443"},
 		"bundle": {Use: "bundle", Short: "Check, sign, compare and roll bundles", Example: "  corianderctl bundle check bundle.yaml"},
 	}
-	root.AddCommand(groups["key"], groups["bundle"])
+	root.AddCommand(groups["key"], groups["bundle"], groups["flow"], report.NewCommand())
 	for _, p := range programs(cfg) {
 		groups[p.group].AddCommand(p.command())
 	}
@@ -98,6 +100,7 @@
 		newCarryProgram(),
 		newRollbackProgram(),
 		newPublishProgram(),
+		newExplainProgram(cfg),
 		newStatusProgram(cfg),
 		newVersionProgram(cfg),
 	}
--- /dev/null
+++ b/ctl/flow.go
@@ -0,0 +1,108 @@
+package ctl
+
+import (
+	"context"
+	"net/http"
+	"text/tabwriter"
+
+	"github.com/corianderbay/corianderbay/flow"
+	"github.com/corianderbay/corianderbay/operator"
+	"github.com/corianderbay/corianderbay/route"
+	"github.com/corianderbay/corianderbay/setting"
+	"github.com/spf13/cobra"
+)
+
+// explained is the output of "flow explain".
+type explained struct {
+	route.Explanation
+	// Answers are what the asked processes know, in the order asked.
+	Answers []flowAnswer `json:"answers"`
+}
+
+// flowAnswer is what one process answered, or why it did not.
+type flowAnswer struct {
+	Address string `json:"address"`
+	operator.FlowAnswer
+	Error string `json:"error"`
+}
+
+func newExplainProgram(cfg Config) program {
+	set := setting.NewSet()
+	ask := set.Strings("ask", "", "Operator addresses of balancers and sidecars to ask who owns the flow now.")
+	asJSON := set.Bool("json", false, "Print JSON.")
+	return program{
+		group:   "flow",
+		use:     "explain BUNDLE PROTOCOL CALLER ADDRESS",
+		short:   "Show the candidates of a flow in order, why, and who owns it",
+		example: "flow explain bundle.yaml tcp 10.41.0.9:40000 203.0.113.10:7443 --ask 10.41.0.2:9100",
+		args:    cobra.ExactArgs(4),
+		set:     set,
+		run: func(ctx context.Context, s stream, args []string) error {
+			b, err := s.loadBundle(args[0])
+			if err != nil {
+				return err
+			}
+			key, err := operator.ParseKey(args[1], args[2], args[3])
+			if err != nil {
+				return &setting.UsageError{Cause: err}
+			}
+			e, err := route.NewView(b).Explain(key)
+			if err != nil {
+				return err
+			}
+			out := explained{Explanation: e}
+			for _, address := range *ask {
+				out.Answers = append(out.Answers, askFlow(ctx, cfg.Client, address, key))
+			}
+			if *asJSON {
+				return s.printJSON(out)
+			}
+			return s.printExplained(out)
+		},
+	}
+}
+
+// askFlow asks one process what it knows of the flow.
+func askFlow(ctx context.Context, client *http.Client, address string, k flow.Key) flowAnswer {
+	a := flowAnswer{Address: address}
+	if err := fetch(ctx, client, address, operator.FlowQuery(k), &a.FlowAnswer); err != nil {
+		a.Error = err.Error()
+	}
+	return a
+}
+
+// printExplained prints the candidates and the answers as tables.
+func (s stream) printExplained(e explained) error {
+	from := e.DataCentre
+	if from == "" {
+		from = "no data centre's prefix"
+	}
+	if err := s.printf("service %s, caller near %s\n\n", e.Service, from); err != nil {
+		return err
+	}
+	t := stream{in: s.in, out: tabwriter.NewWriter(s.out, 0, 0, 2, ' ', 0)}
+	if err := t.printf("upstream\tservice\tdata centre\tdistance\tweight\tscore\tleaving\n"); err != nil {
+		return err
+	}
+	for _, c := range e.Candidates {
+		if err := t.printf("%s\t%s\t%s\t%d\t%d\t%.4g\t%t\n",
+			c.Upstream, c.Service, c.DataCentre, c.Distance, c.Weight, c.Score, c.Leaving); err != nil {
+			return err
+		}
+	}
+	if len(e.Answers) > 0 {
+		if err := t.printf("\nprocess\trole\tversion\towned\towner\terror\n"); err != nil {
+			return err
+		}
+	}
+	for _, a := range e.Answers {
+		name := a.Process
+		if name == "" {
+			name = a.Address
+		}
+		if err := t.printf("%s\t%s\t%d\t%t\t%s\t%s\n", name, a.Role, a.Version, a.Owned, a.Owner, a.Error); err != nil {
+			return err
+		}
+	}
+	return t.out.(*tabwriter.Writer).Flush()
+}
--- a/ctl/status.go
+++ b/ctl/status.go
@@ -55,14 +55,15 @@
 // ask returns the status of one process.
 func ask(ctx context.Context, client *http.Client, address string) answer {
 	a := answer{Address: address}
-	if err := fetch(ctx, client, address, &a.Status); err != nil {
+	if err := fetch(ctx, client, address, "/status", &a.Status); err != nil {
 		a.Fault = err.Error()
 	}
 	return a
 }
 
-func fetch(ctx context.Context, client *http.Client, address string, status *operator.Status) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+// fetch fills v from the JSON that a process answers for the path with its query.
+func fetch(ctx context.Context, client *http.Client, address, path string, v any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
 		return &ReadError{File: address, Cause: err}
 	}
@@ -74,7 +75,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return &AnswerError{Address: address, Status: resp.Status}
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatus)).Decode(status); err != nil {
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxStatus)).Decode(v); err != nil {
 		return &ReadError{File: address, Cause: err}
 	}
 	return nil
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -53,7 +53,7 @@
 	oldest     uint64     // first bundle in force
 	draining   bool
 	retiring   bool // the platform's list says that the instance is leaving
-	swept      int // next shard to sweep
+	swept      int  // next shard to sweep
 	lastReport time.Time
 }
 
@@ -170,6 +170,16 @@
 	return sh.entries[k].kind.owned()
 }
 
+// Passed returns the upstream that a flow was last handed to, and false when
+// the sidecar remembers none.
+func (s *Sidecar) Passed(k Key) (bundle.UpstreamID, bool) {
+	sh := s.table.shard(k)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	e := sh.entries[k]
+	return e.target, e.kind == kindPassed && e.target != 0
+}
+
 // Service returns the service that the upstream serves now, and false before the first bundle.
 func (s *Sidecar) Service() (bundle.ServiceID, bool) {
 	st := s.state.Load()
--- a/instance/balancer.go
+++ b/instance/balancer.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 
 	"github.com/corianderbay/corianderbay/balancer"
+	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/operator"
 )
 
@@ -39,7 +40,7 @@
 		return nil, err
 	}
 	b := &Balancer{process: p, balancer: w}
-	if err := p.open(w, b.vars(), b.status); err != nil {
+	if err := p.open(w, b.vars(), b.status, b.lookup); err != nil {
 		return nil, err
 	}
 	return b, nil
@@ -88,6 +89,11 @@
 	}
 }
 
+// lookup returns the owner that a hint names.
+func (b *Balancer) lookup(k flow.Key) operator.FlowAnswer {
+	return operator.FlowAnswer{Owner: b.balancer.Owner(k)}
+}
+
 func (b *Balancer) vars() *expvar.Map {
 	m := new(expvar.Map).Init()
 	m.Set("balancer", expvar.Func(func() any { return b.balancer.Counts() }))
--- a/instance/process.go
+++ b/instance/process.go
@@ -11,10 +11,12 @@
 	"encoding/binary"
 	"expvar"
 	mathrand "math/rand/v2"
+	"net/http"
 	"net/netip"
 
 	"github.com/corianderbay/corianderbay/bundle"
 	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/operator"
 	"github.com/corianderbay/corianderbay/peer"
 	"github.com/corianderbay/corianderbay/platform"
@@ -78,7 +80,7 @@
 
 // open binds the operator and control addresses and prepares to follow
 // bundles and instance lists.
-func (p *process) open(w worker, vars *expvar.Map, status func() operator.Status) error {
+func (p *process) open(w worker, vars *expvar.Map, status func() operator.Status, lookup func(flow.Key) operator.FlowAnswer) error {
 	p.worker = w
 	p.status = status
 	node, err := peer.NewNode(peer.Config{
@@ -104,7 +106,10 @@
 		Listen: p.cfg.Operator,
 		Status: p.fullStatus,
 		Vars:   vars,
-		Log:    p.cfg.Log,
+		Handlers: map[string]http.Handler{
+			"GET " + operator.FlowPath: operator.FlowHandler(p.complete(lookup)),
+		},
+		Log: p.cfg.Log,
 	})
 	if err != nil {
 		return err
@@ -113,6 +118,17 @@
 	return nil
 }
 
+// complete adds to what the role knows of a flow who says it.
+func (p *process) complete(lookup func(flow.Key) operator.FlowAnswer) func(flow.Key) operator.FlowAnswer {
+	return func(k flow.Key) operator.FlowAnswer {
+		a := lookup(k)
+		a.Process = p.cfg.Name
+		a.Role = p.role
+		a.Version = p.worker.Version()
+		return a
+	}
+}
+
 // Control is what a process says of its exchange with peers and the platform.
 type Control struct {
 	// State is how the process stands to the fleet, see package converge.
--- a/instance/sidecar.go
+++ b/instance/sidecar.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"sync/atomic"
 
+	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/operator"
 	"github.com/corianderbay/corianderbay/sidecar"
 )
@@ -39,7 +40,7 @@
 		return nil, err
 	}
 	s := &Sidecar{process: p, sidecar: w}
-	if err := p.open(w, s.vars(), s.status); err != nil {
+	if err := p.open(w, s.vars(), s.status, s.lookup); err != nil {
 		return nil, err
 	}
 	return s, nil
@@ -89,6 +90,12 @@
 	}
 }
 
+// lookup returns whether the upstream owns the flow, and else where it was handed to.
+func (s *Sidecar) lookup(k flow.Key) operator.FlowAnswer {
+	owned, owner := s.sidecar.Owner(k)
+	return operator.FlowAnswer{Owned: owned, Owner: owner}
+}
+
 func (s *Sidecar) vars() *expvar.Map {
 	m := new(expvar.Map).Init()
 	m.Set("sidecar", expvar.Func(func() any { return s.sidecar.Counts() }))
--- a/operator/errors.go
+++ b/operator/errors.go
@@ -20,3 +20,18 @@
 func (e *ListenError) Unwrap() error {
 	return e.Cause
 }
+
+// FlowKeyError reports a part of a flow's key that cannot be read.
+type FlowKeyError struct {
+	// Field is "protocol", "caller" or "address".
+	Field string
+	Text  string
+}
+
+// Error returns the field, the text and what is wanted.
+func (e *FlowKeyError) Error() string {
+	if e.Field == paramProtocol {
+		return fmt.Sprintf("protocol %q is not tcp or udp", e.Text)
+	}
+	return fmt.Sprintf("%s %q is not an address and port", e.Field, e.Text)
+}
--- /dev/null
+++ b/route/explain.go
@@ -0,0 +1,75 @@
+package route
+
+import (
+	"github.com/corianderbay/corianderbay/flow"
+	"github.com/corianderbay/corianderbay/forward"
+)
+
+// Explanation says why the candidates of a flow stand in their order.
+type Explanation struct {
+	Service string `json:"service"`
+	// Former is the service that held the address before, or empty.
+	Former string `json:"former"`
+	// DataCentre is the one nearest to the caller, empty when no prefix matches.
+	DataCentre string               `json:"datacentre"`
+	Candidates []ExplainedCandidate `json:"candidates"`
+}
+
+// ExplainedCandidate is one upstream in the order in which sidecars are asked.
+type ExplainedCandidate struct {
+	Upstream   string `json:"upstream"`
+	Service    string `json:"service"`
+	DataCentre string `json:"datacentre"`
+	// Distance is the rank of the data centre as seen from the caller's, 0 the nearest or when no prefix matches.
+	Distance int `json:"distance"`
+	Weight   int `json:"weight"`
+	// Score is what the hash gives; the lower one goes first within a distance.
+	Score   float64 `json:"score"`
+	Leaving bool    `json:"leaving"`
+}
+
+// Explain returns the candidates of a flow in order with what the order
+// depends on. It reports what Classify reports.
+func (v *View) Explain(k flow.Key) (Explanation, error) {
+	m, err := v.Classify(k)
+	if err != nil {
+		return Explanation{}, err
+	}
+	e := Explanation{Service: m.Service.name}
+	if m.Former != nil {
+		e.Former = m.Former.name
+	}
+	if m.DataCentre >= 0 {
+		e.DataCentre = v.names[m.DataCentre]
+	}
+	for _, c := range v.Candidates(nil, m, k) {
+		e.Candidates = append(e.Candidates, v.explain(c, m, k.Hash()))
+	}
+	return e, nil
+}
+
+// explain returns what the place of one candidate depends on.
+func (v *View) explain(c forward.Candidate, m Match, hash uint64) ExplainedCandidate {
+	s := v.byID[c.Service]
+	for i := range s.pool {
+		p := &s.pool[i]
+		if p.candidate.Upstream != c.Upstream {
+			continue
+		}
+		e := ExplainedCandidate{
+			Upstream: p.upstream.Name,
+			Service:  s.name,
+			Weight:   p.upstream.EffectiveWeight(),
+			Score:    s.score(p, hash),
+			Leaving:  c.Leaving,
+		}
+		if p.dataCentre >= 0 {
+			e.DataCentre = v.names[p.dataCentre]
+		}
+		if near := v.nearOf(m.DataCentre); near != nil && p.dataCentre >= 0 {
+			e.Distance = near[p.dataCentre]
+		}
+		return e
+	}
+	return ExplainedCandidate{}
+}
--- a/route/sidecarview.go
+++ b/route/sidecarview.go
@@ -47,6 +47,12 @@
 	return m.Service.id, s.view.Candidates(dst, m, k)
 }
 
+// UpstreamName returns the name of an upstream of the bundle, or "".
+func (s *SidecarView) UpstreamName(id bundle.UpstreamID) string {
+	up, _, _ := s.view.Upstream(id)
+	return up.Name
+}
+
 // Members returns the upstreams of the service, leaving ones included; nil for an unknown service.
 func (s *SidecarView) Members(id bundle.ServiceID) []forward.Candidate {
 	svc := s.view.Service(id)
--- a/route/view.go
+++ b/route/view.go
@@ -25,6 +25,7 @@
 	byID     map[bundle.ServiceID]*Service
 	byAddr   map[address]holders
 	callers  *bart.Table[int] // caller prefix to index of the nearest data centre
+	names    []string         // of the data centres
 	near     [][]int          // near[a][b] is the rank of data centre b for callers of data centre a
 }
 
@@ -159,6 +160,7 @@
 
 func (v *View) addDataCentres(dcs []bundle.DataCentre) {
 	for i, dc := range dcs {
+		v.names = append(v.names, dc.Name)
 		for _, p := range dc.Callers {
 			v.callers.Insert(p, i)
 		}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -159,6 +159,20 @@
 	return v.Version()
 }
 
+// Owner reports whether the upstream owns the flow, and the name of the
+// upstream that owns it or that it was handed to, "" when none is known.
+func (s *Sidecar) Owner(k flow.Key) (owned bool, name string) {
+	if s.flows.Owns(k) {
+		return true, s.cfg.Name
+	}
+	view := s.view.Load()
+	id, ok := s.flows.Passed(k)
+	if view == nil || !ok {
+		return false, ""
+	}
+	return false, view.UpstreamName(id)
+}
+
 // Run serves until ctx is done, and then until its flows have ended or the drain time is over.
 func (s *Sidecar) Run(ctx context.Context) {
 	sockets, stop := context.WithCancel(context.WithoutCancel(ctx))
