Give the report command an example

Cause: the test that every command has an example failed once report hung below corianderctl. Change: the example.

--- a/report/command.go
+++ b/report/command.go
@@ -10,8 +10,9 @@
 // NewCommand returns the command "report" with its parts "burn" and "spread".
 func NewCommand() *cobra.Command {
 	cmd := &cobra.Command{
-		Use:   "report",
-		Short: "Report on service-level burn and on the spread of load",
+		Use:     "report",
+		Short:   "Report on service-level burn and on the spread of load",
+		Example: "  corianderctl report burn 10.0.0.1:6060 10.0.0.2:6060",
 		Long: "Report reads the operator addresses of any set of processes. Processes may\n" +
 			"come, go and restart between samples; those that do not answer are listed.",
 	}
