flow: let the fake's upstream judge an opening by the caller's last incarnation

Cause: a late copy of an older opening replaced the connection of the newer one in the fake upstream, which no TCP stack does (it sends a challenge ACK).

Change: the fake asks which incarnation the caller holds now.

Conclusion: a fault of the fake, not of the decisions.

--- a/flow/caller_test.go
+++ b/flow/caller_test.go
@@ -57,6 +57,7 @@
 		reuse.closed = true
 	}
 	w.flows = append(w.flows, f)
+	w.current[f.key] = f
 	if p == flow.UDP {
 		f.established = true
 		return f
--- a/flow/host_test.go
+++ b/flow/host_test.go
@@ -205,7 +205,7 @@
 // open answers a SYN as a TCP stack does; one of another incarnation replaces
 // the connection only when the caller still wants it, which a challenge ACK finds out.
 func (h *host) open(c *conn, p flow.Packet, bd body) {
-	if c != nil && c.callerISN != p.Sequence && bd.flow.isn != p.Sequence {
+	if c != nil && c.callerISN != p.Sequence && h.w.current[p.Key].isn != p.Sequence {
 		return
 	}
 	if c == nil || c.callerISN != p.Sequence {
--- a/flow/stateful_test.go
+++ b/flow/stateful_test.go
@@ -100,7 +100,7 @@
 // check fails the case at the first broken promise.
 func (m *machine) check(t *rapid.T) {
 	if len(m.w.oracle.failures) > 0 {
-		const lines = 2000
+		const lines = 20000
 		for _, line := range m.w.trace[max(0, len(m.w.trace)-lines):] {
 			t.Log(line)
 		}
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -59,6 +59,7 @@
 	balancers []*balancer
 	hosts     map[bundle.UpstreamID]*host
 	flows     []*callerFlow
+	current   map[flow.Key]*callerFlow // the last incarnation of each 5-tuple
 	oracle    *oracle
 	nextPort  int
 	nextID    int
@@ -89,6 +90,7 @@
 		maxDelay: 20 * time.Millisecond,
 		sides:    map[node]int{},
 		hosts:    map[bundle.UpstreamID]*host{},
+		current:  map[flow.Key]*callerFlow{},
 	}
 	w.oracle = newOracle(w)
 	w.plans = []*plan{newPlan(n, m)}
