Let the load of an upstream decide whether its sidecar accepts

Cause: the sidecar accepted by a fixed threshold; the policy of package load was not in use. Ruled out: only the endpoint's word, which may lie: the time from a caller's opening or datagram to the upstream's first packet is measured at the sidecar, and unanswered ones count as timeouts. Change: flow's policy sees all candidates that may take a flow and returns the load that goes along; package sidecar has the admission, the reports of load, and the counters that the burn and spread reports read.

--- a/flow/admit.go
+++ b/flow/admit.go
@@ -1,10 +1,27 @@
 package flow
 
+import (
+	"time"
+
+	"github.com/corianderbay/corianderbay/bundle"
+)
+
+// listedCandidates is how many candidates an Offer names.
+const listedCandidates = 10
+
 // An Offer describes a new flow to the policy that accepts flows.
 type Offer struct {
+	Now time.Time
+	// Hash is the hash of the flow's key.
+	Hash uint64
+	// At is how many candidates have passed, and Count how many may take the flow at all.
+	At, Count int
+	// Candidates are those that may take the flow: the ones that passed, this
+	// sidecar's upstream, and the ones that are left, each in their order.
+	Candidates [listedCandidates]bundle.UpstreamID
 	// Load is the sidecar's own load in thousandths of a slot.
 	Load uint32
-	// Loads are the loads of the first candidates that passed, in thousandths of a slot; 0 is unknown.
+	// Loads are those of the first candidates that passed, in the order of Candidates; 0 is unknown.
 	Loads [4]uint32
 	// Flows is how many flows the sidecar owns.
 	Flows int
@@ -24,7 +41,16 @@
 
 // An Admitter is the policy that accepts new flows. It is safe for concurrent use and does not block.
 type Admitter interface {
-	Admit(o Offer) Choice
+	Admit(o Offer) Verdict
+}
+
+// A Verdict is what a policy decides.
+type Verdict struct {
+	Choice Choice
+	// Load is carried to the next candidate with Pass; 0 is unknown.
+	Load uint32
+	// RetryAfter is what a caller is told with Deny, at least RetryAfter of this package.
+	RetryAfter time.Duration
 }
 
 // A Threshold accepts below a load, passes above it and denies above a number of flows.
@@ -42,7 +68,11 @@
 )
 
 // Admit implements Admitter.
-func (t Threshold) Admit(o Offer) Choice {
+func (t Threshold) Admit(o Offer) Verdict {
+	return Verdict{Choice: t.choose(o), Load: o.Load, RetryAfter: RetryAfter}
+}
+
+func (t Threshold) choose(o Offer) Choice {
 	load, flows := t.Load, t.Flows
 	if load == 0 {
 		load = defaultThresholdLoad
--- a/flow/call.go
+++ b/flow/call.go
@@ -169,24 +169,65 @@
 }
 
 // admit asks the policy.
-func (c *call) admit(last bool) Choice {
-	return c.s.cfg.Admitter.Admit(Offer{
+func (c *call) admit(last bool) Verdict {
+	o := Offer{
+		Now:   c.now,
+		Hash:  c.p.Key.Hash(),
 		Load:  c.s.load.Load(),
-		Loads: c.h.Loads,
 		Flows: c.s.Flows(),
 		Last:  last,
-	})
+	}
+	c.offerPassed(&o)
+	c.offerLeft(&o)
+	v := c.s.cfg.Admitter.Admit(o)
+	v.RetryAfter = max(v.RetryAfter, RetryAfter)
+	return v
+}
+
+// offerPassed fills in the candidates that have passed, with their loads.
+func (c *call) offerPassed(o *Offer) {
+	for i := range c.h.Candidates {
+		if i == int(c.h.At) || !passed(c.h, i) || !takes(c.h, i) {
+			continue
+		}
+		if o.At < len(o.Loads) && i < len(c.h.Loads) {
+			o.Loads[o.At] = c.h.Loads[i]
+		}
+		if o.At < len(o.Candidates) {
+			o.Candidates[o.At] = c.upstream(i)
+		}
+		o.At++
+	}
+}
+
+// offerLeft fills in this sidecar's upstream and the candidates that are left.
+func (c *call) offerLeft(o *Offer) {
+	o.Count = o.At
+	if o.Count < len(o.Candidates) {
+		o.Candidates[o.Count] = c.s.cfg.Upstream
+	}
+	o.Count++
+	for i := range c.h.Candidates {
+		if passed(c.h, i) || !takes(c.h, i) || c.over(i) || i == int(c.h.At) {
+			continue
+		}
+		if o.Count < len(o.Candidates) {
+			o.Candidates[o.Count] = c.upstream(i)
+		}
+		o.Count++
+	}
 }
 
-// passOn hands a new flow to candidate i and remembers it, so that repeated packets follow.
-func (c *call) passOn(i int) Action {
+// passOn hands a new flow to candidate i and remembers it, so that repeated
+// packets follow. The load goes along; 0 is unknown.
+func (c *call) passOn(i int, load uint32) Action {
 	c.s.counters.Passed.Add(1)
 	owned := c.shard.entries[c.p.Key].kind.owned()
 	if !owned && !c.s.mutations.has(mutateNoMemory) {
 		c.put(entry{kind: kindPassed, target: c.upstream(i), version: c.h.Version, last: c.at, seen: c.at})
 	}
 	if c.listed() && int(c.h.At) < len(c.h.Loads) {
-		c.h.Loads[c.h.At] = c.s.load.Load()
+		c.h.Loads[c.h.At] = load
 	}
 	return aim(c.h, i)
 }
--- a/flow/tcp.go
+++ b/flow/tcp.go
@@ -114,23 +114,23 @@
 	may := c.may()
 	c.tcpPass()
 	i := c.nextTaker()
-	choice := Pass
+	verdict := Verdict{Choice: Pass}
 	known := c.introduced()
 	if may && known {
-		choice = c.admit(i == none)
+		verdict = c.admit(i == none)
 	}
 	switch {
-	case choice == Accept:
+	case verdict.Choice == Accept:
 		c.s.counters.Accepted.Add(1)
 		c.put(entry{kind: kindHalfOpen, callerISN: c.p.Sequence, version: c.h.Version, last: c.at})
 		c.hint()
 		return Deliver{}
-	case choice == Pass && i != none:
-		return c.passOn(i)
+	case verdict.Choice == Pass && i != none:
+		return c.passOn(i, verdict.Load)
 	case !known:
 		return c.drop(ReasonUnsure)
 	case may:
-		return c.refuse(Refuse{Reason: ReasonFull, NotRun: true, RetryAfter: RetryAfter})
+		return c.refuse(Refuse{Reason: ReasonFull, NotRun: true, RetryAfter: verdict.RetryAfter})
 	}
 	if c.behind() {
 		return c.drop(ReasonUnsure)
--- a/flow/udp.go
+++ b/flow/udp.go
@@ -334,15 +334,15 @@
 	}
 	pass(h, int(h.At))
 	may, i := c.may(), c.nextTaker()
-	choice := Pass
+	verdict := Verdict{Choice: Pass}
 	if may {
-		choice = c.admit(i == none)
+		verdict = c.admit(i == none)
 	}
 	switch {
-	case choice == Accept:
+	case verdict.Choice == Accept:
 		return c.udpAccept()
-	case choice == Pass && i != none:
-		return c.passOn(i)
+	case verdict.Choice == Pass && i != none:
+		return c.passOn(i, verdict.Load)
 	case may:
 		return c.udpRefuse(ReasonFull)
 	}
--- a/forward/sealer.go
+++ b/forward/sealer.go
@@ -37,6 +37,7 @@
 	KindPacket Kind = 1
 	KindHints  Kind = 2
 	KindReport Kind = 3
+	KindLoad   Kind = 4
 )
 
 // SealerConfig holds the settings of a Sealer.
--- a/instance/sidecar.go
+++ b/instance/sidecar.go
@@ -99,5 +99,6 @@
 func (s *Sidecar) vars() *expvar.Map {
 	m := new(expvar.Map).Init()
 	m.Set("sidecar", expvar.Func(func() any { return s.sidecar.Counts() }))
+	m.Set("corianderbay", expvar.Func(func() any { return s.sidecar.Report() }))
 	return m
 }
--- a/route/sidecarview.go
+++ b/route/sidecarview.go
@@ -13,8 +13,10 @@
 // SidecarView is what one bundle says to the sidecar of one upstream. It is
 // immutable, safe for concurrent use, and implements flow.View.
 type SidecarView struct {
-	view *View
-	self flow.Self
+	view     *View
+	self     flow.Self
+	upstream bundle.Upstream // the zero value when the bundle does not list it
+	service  *Service        // nil when the bundle does not list the upstream
 }
 
 // NewSidecarView returns the view of the sidecar beside the upstream.
@@ -22,6 +24,8 @@
 	s := &SidecarView{view: v}
 	if up, svc, ok := v.Upstream(self); ok {
 		s.self = flow.Self{Listed: true, Service: svc.id, Leaving: up.Leaving}
+		s.upstream = up
+		s.service = svc
 	}
 	return s
 }
@@ -47,6 +51,27 @@
 	return m.Service.id, s.view.Candidates(dst, m, k)
 }
 
+// Upstream returns what the bundle says of the upstream, and false when it does not list it.
+func (s *SidecarView) Upstream() (bundle.Upstream, bool) {
+	return s.upstream, s.self.Listed
+}
+
+// ServiceName returns the name of the service that the upstream is to serve, or "".
+func (s *SidecarView) ServiceName() string {
+	if s.service == nil {
+		return ""
+	}
+	return s.service.name
+}
+
+// Objectives returns those of the service that the upstream is to serve. The caller must not change the slice.
+func (s *SidecarView) Objectives() []bundle.Objective {
+	if s.service == nil {
+		return nil
+	}
+	return s.service.config.Objectives
+}
+
 // UpstreamName returns the name of an upstream of the bundle, or "".
 func (s *SidecarView) UpstreamName(id bundle.UpstreamID) string {
 	up, _, _ := s.view.Upstream(id)
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -7,6 +7,7 @@
 
 	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/forward"
+	"github.com/corianderbay/corianderbay/load"
 )
 
 const tickInterval = 100 * time.Millisecond
@@ -34,7 +35,11 @@
 	due := s.flows.Tick(now)
 	s.sendHints(due.Hints)
 	if due.Report != nil {
-		s.sendReport(due.Report)
+		s.sendToPeers(forward.KindReport, due.Report)
+	}
+	s.measure(now)
+	if r, ok := s.admission.due(now, s.flows.Flows()); ok {
+		s.sendToPeers(forward.KindLoad, &r)
 	}
 }
 
@@ -53,15 +58,16 @@
 	}
 }
 
-// sendReport sends the report to each other sidecar of the service.
-func (s *Sidecar) sendReport(r *flow.PeerReport) {
+// sendToPeers sends a message to each other sidecar of the service.
+func (s *Sidecar) sendToPeers(kind forward.Kind, m forward.Message) {
 	view := s.view.Load()
-	if view == nil {
+	service, ok := s.flows.Service()
+	if view == nil || !ok {
 		return
 	}
-	for _, c := range view.Members(r.Service) {
+	for _, c := range view.Members(service) {
 		if c.Upstream != s.self {
-			s.send(forward.KindReport, r, c.Sidecar)
+			s.send(kind, m, c.Sidecar)
 		}
 	}
 }
@@ -100,3 +106,13 @@
 	}
 	s.flows.PeerReported(s.cfg.Timer.Now(), r)
 }
+
+// receiveLoad takes in the load of another sidecar.
+func (s *Sidecar) receiveLoad(body []byte) {
+	var r load.Report
+	if err := forward.DecodeMessage(body, &r); err != nil {
+		s.counters.drop(dropMalformed)
+		return
+	}
+	s.admission.hear(r, len(body), s.cfg.Timer.Now())
+}
--- a/sidecar/pipe.go
+++ b/sidecar/pipe.go
@@ -48,6 +48,8 @@
 		p.s.receiveHints(d.Body)
 	case forward.KindReport:
 		p.s.receiveReport(d.Body)
+	case forward.KindLoad:
+		p.s.receiveLoad(d.Body)
 	default:
 		p.s.counters.drop(dropMalformed)
 	}
@@ -64,8 +66,10 @@
 		p.s.counters.drop(dropMalformed)
 		return
 	}
-	switch a := p.s.flows.Packet(p.s.cfg.Timer.Now(), &p.header, packet).(type) {
+	now := p.s.cfg.Timer.Now()
+	switch a := p.s.flows.Packet(now, &p.header, packet).(type) {
 	case flow.Deliver:
+		p.s.delivered(packet, now)
 		p.deliver(upstream.Packet{Key: packet.Key, IP: d.Packet, Payload: payload})
 	case flow.Forward:
 		p.forward(d.Packet)
@@ -100,7 +104,8 @@
 // refuse answers the caller at once.
 func (p *pipe) refuse(r flow.Refuse, packet []byte) {
 	p.s.counters.reason(r.Reason)
-	ip, err := fabric.Refuse(packet)
+	p.s.recordRefusal(r.Reason)
+	ip, err := p.packets.Refuse(packet)
 	if err != nil {
 		return // a reset is not answered
 	}
@@ -135,7 +140,9 @@
 		s.counters.drop(dropMalformed)
 		return
 	}
-	if drop, ok := s.flows.Answer(s.cfg.Timer.Now(), packet).(flow.Drop); ok {
+	now := s.cfg.Timer.Now()
+	s.answered(packet, now)
+	if drop, ok := s.flows.Answer(now, packet).(flow.Drop); ok {
 		s.counters.reason(drop.Reason)
 		return
 	}
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -18,6 +18,7 @@
 	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/forward"
 	"github.com/corianderbay/corianderbay/platform"
+	"github.com/corianderbay/corianderbay/report"
 	"github.com/corianderbay/corianderbay/route"
 	"github.com/corianderbay/corianderbay/timer"
 	"github.com/corianderbay/corianderbay/udp"
@@ -47,8 +48,6 @@
 	Workers int
 	// Drain is how long a stopping sidecar waits for its flows to end. Zero selects 1 min.
 	Drain time.Duration
-	// Admitter is the policy that accepts new flows. Nil selects the default of package flow.
-	Admitter flow.Admitter
 	// Upstream is the edge to the upstream; Answer, Timer and Heartbeat are filled in.
 	Upstream upstream.Config
 
@@ -59,18 +58,21 @@
 
 // Sidecar serves one upstream. It is safe for concurrent use.
 type Sidecar struct {
-	cfg      Config
-	self     bundle.UpstreamID
-	sealer   *forward.Sealer
-	opener   *forward.Opener
-	forward  *udp.Socket
-	edge     upstream.Edge
-	view     atomic.Pointer[route.SidecarView]   // nil until the first bundle is in force
-	listed   atomic.Pointer[[]platform.Instance] // nil until the first list
-	flows    *flow.Sidecar
-	woke     atomic.Int64 // Unix time in nanoseconds of a wake-up whose backlog is being discarded, or 0
-	answers  answerDecoders
-	counters counters
+	cfg       Config
+	self      bundle.UpstreamID
+	sealer    *forward.Sealer
+	opener    *forward.Opener
+	forward   *udp.Socket
+	edge      upstream.Edge
+	view      atomic.Pointer[route.SidecarView]   // nil until the first bundle is in force
+	listed    atomic.Pointer[[]platform.Instance] // nil until the first list
+	flows     *flow.Sidecar
+	woke      atomic.Int64 // Unix time in nanoseconds of a wake-up whose backlog is being discarded, or 0
+	admission *admission
+	pending   *pending
+	recorder  *report.Recorder
+	answers   answerDecoders
+	counters  counters
 }
 
 // New binds the sockets of a sidecar. It reports *udp.ListenError,
@@ -88,16 +90,19 @@
 		return nil, err
 	}
 	s := &Sidecar{
-		cfg:    cfg,
-		self:   bundle.UpstreamIDOf(cfg.Name),
-		sealer: sealer,
-		opener: opener,
-		flows: flow.NewSidecar(flow.SidecarConfig{
-			Upstream:    bundle.UpstreamIDOf(cfg.Name),
-			Incarnation: cfg.Sender,
-			Admitter:    cfg.Admitter,
-		}, cfg.Timer.Now()),
+		cfg:      cfg,
+		self:     bundle.UpstreamIDOf(cfg.Name),
+		sealer:   sealer,
+		opener:   opener,
+		pending:  newPending(),
+		recorder: report.NewRecorder(cfg.Name, cfg.Timer.Now()),
 	}
+	s.admission = newAdmission(cfg.Name, cfg.Timer.Now(), cfg.Sender, s.opened)
+	s.flows = flow.NewSidecar(flow.SidecarConfig{
+		Upstream:    s.self,
+		Incarnation: cfg.Sender,
+		Admitter:    s.admission,
+	}, cfg.Timer.Now())
 	cfg.Heartbeat.OnWake(s.wake)
 	s.answers.pool.New = func() any { return fabric.NewDecoder(fabric.DecoderConfig{}) }
 	if err := s.open(); err != nil {
@@ -138,10 +143,16 @@
 func (s *Sidecar) Accept(next *bundle.Bundle) {
 	view := route.NewSidecarView(route.NewView(next), s.self)
 	s.view.Store(view)
+	s.observe(view)
 	s.flows.BundleAccepted(s.cfg.Timer.Now(), view)
 	s.compareList()
 }
 
+// opened counts a flow that was accepted after visits sidecars had been asked.
+func (s *Sidecar) opened(visits int) {
+	s.record().Opened(visits, 0)
+}
+
 // wake tells the decisions that the process was paused.
 func (s *Sidecar) wake(gap time.Duration) {
 	now := s.cfg.Timer.Now()
