--- /dev/null
+++ b/bundle/fuzz_test.go
@@ -0,0 +1,55 @@
+package bundle_test
+
+import (
+	"os"
+	"testing"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/shoenig/test/must"
+)
+
+// FuzzParse looks for text that ends the process, and for accepted text that cannot be frozen.
+func FuzzParse(f *testing.F) {
+	valid, err := os.ReadFile("testdata/valid.yaml")
+	must.NoError(f, err)
+	f.Add(valid)
+	f.Fuzz(func(t *testing.T, text []byte) {
+		b, err := bundle.Parse("fuzz.yaml", text)
+		if err != nil {
+			return
+		}
+		_, err = bundle.Freeze(b)
+		must.NoError(t, err)
+	})
+}
+
+// FuzzUnmarshal looks for bytes that end the process, and for accepted bytes
+// with a second encoding. It reads the same bytes as each kind of wire value.
+func FuzzUnmarshal(f *testing.F) {
+	base := frozen(f, sample(1, 2), nil, 1)
+	next := frozen(f, sample(2, 3), base, 1)
+	whole, err := base.Marshal()
+	must.NoError(f, err)
+	f.Add(whole)
+	patch, err := bundle.NewPatch(base, next).Marshal()
+	must.NoError(f, err)
+	f.Add(patch)
+	published, err := bundle.Publish(next, bundle.PublishConfig{})
+	must.NoError(f, err)
+	f.Add(published.Index)
+	trust := bundle.Anchor(policy(1, 1, 2))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if got, err := bundle.Unmarshal(raw); err == nil {
+			again, err := got.Marshal()
+			must.NoError(t, err)
+			must.Eq(t, raw, again)
+			_, _ = bundle.Accept(trust, got)
+		}
+		if x, err := bundle.UnmarshalIndex(raw); err == nil {
+			_, _ = x.Assemble(base.Section, nil)
+		}
+		if p, err := bundle.UnmarshalPatch(raw); err == nil {
+			_, _ = p.Apply(base)
+		}
+	})
+}
--- /dev/null
+++ b/route/service.go
@@ -0,0 +1,173 @@
+package route
+
+import (
+	"encoding/binary"
+	"math"
+	"math/bits"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/forward"
+	"github.com/gaissmai/bart"
+)
+
+// Service is what a view knows of one service. It is immutable.
+type Service struct {
+	id     bundle.ServiceID
+	name   string
+	config bundle.Service
+	rules  *bart.Table[bool]
+	pool   []member // in the order of the bundle
+	equal  bool     // whether all members weigh the same
+	// fingerprint differs whenever the order of candidates may differ.
+	fingerprint uint64
+}
+
+// member is one upstream of a service's pool.
+type member struct {
+	upstream   bundle.Upstream
+	candidate  forward.Candidate
+	dataCentre int       // index in the view, or -1 when the bundle lacks it
+	weight     float64   // above 0
+	seeds      [2]uint64 // follow from the identity of the upstream
+}
+
+func newService(b *bundle.Service, dcs []bundle.DataCentre) *Service {
+	s := &Service{id: b.ID(), name: b.Name, config: *b, rules: new(bart.Table[bool])}
+	for _, r := range b.Rules {
+		s.rules.Insert(r.Callers, r.Allow)
+	}
+	for _, p := range b.Places {
+		dc := slices.IndexFunc(dcs, func(d bundle.DataCentre) bool { return d.Name == p.DataCentre })
+		for _, u := range p.Upstreams {
+			s.pool = append(s.pool, newMember(s.id, u, dc))
+		}
+	}
+	s.equal = allWeighTheSame(s.pool)
+	s.fingerprint = fingerprintOf(s, dcs)
+
+	return s
+}
+
+func allWeighTheSame(pool []member) bool {
+	for i := range pool {
+		if pool[i].weight != pool[0].weight {
+			return false
+		}
+	}
+	return true
+}
+
+func newMember(id bundle.ServiceID, u bundle.Upstream, dataCentre int) member {
+	return member{
+		upstream: u,
+		candidate: forward.Candidate{
+			Upstream: u.ID(),
+			Service:  id,
+			Sidecar:  u.Sidecar,
+			Leaving:  u.Leaving,
+		},
+		dataCentre: dataCentre,
+		weight:     float64(u.EffectiveWeight()),
+		seeds:      [2]uint64{seedOf(u.ID(), 0), seedOf(u.ID(), 1)},
+	}
+}
+
+func seedOf(id bundle.UpstreamID, n byte) uint64 {
+	var b [5]byte
+	binary.LittleEndian.PutUint32(b[:], uint32(id))
+	b[4] = n
+	return xxhash.Sum64(b[:])
+}
+
+// ID returns the identity of the service on the wire.
+func (s *Service) ID() bundle.ServiceID {
+	return s.id
+}
+
+// Name returns the name that the bundle gives to the service.
+func (s *Service) Name() string {
+	return s.name
+}
+
+// Config returns the service as the bundle has it.
+func (s *Service) Config() bundle.Service {
+	return s.config
+}
+
+// Members returns the service's upstreams as candidates, in the order of the bundle.
+func (s *Service) Members() []forward.Candidate {
+	out := make([]forward.Candidate, len(s.pool))
+	for i := range s.pool {
+		out[i] = s.pool[i].candidate
+	}
+	return out
+}
+
+// ranked is a member with what it is ordered by.
+type ranked struct {
+	score float64 // the lower one goes first
+	index uint16
+	near  uint16 // the rank of its data centre for the caller
+}
+
+func (r ranked) before(o ranked) bool {
+	if r.near != o.near {
+		return r.near < o.near
+	}
+	return r.score < o.score
+}
+
+// appendRanked appends the members by weighted rendezvous hashing, near data centres first.
+func (s *Service) appendRanked(dst []forward.Candidate, hash uint64, near []int) []forward.Candidate {
+	var order [forward.MaxCandidates]ranked
+	n := 0
+	for i := range s.pool {
+		r := ranked{index: uint16(i), score: s.score(&s.pool[i], hash)}
+		if near != nil && s.pool[i].dataCentre >= 0 {
+			r.near = uint16(near[s.pool[i].dataCentre])
+		}
+		n = insertRanked(&order, n, r)
+	}
+	room := forward.MaxCandidates - len(dst)
+	for _, r := range order[:min(n, room)] {
+		dst = append(dst, s.pool[r.index].candidate)
+	}
+	return dst
+}
+
+// insertRanked puts r into the first n entries, which are in order, and returns
+// how many there are then. The last one falls out when there is no room.
+func insertRanked(order *[forward.MaxCandidates]ranked, n int, r ranked) int {
+	at := n
+	for at > 0 && r.before(order[at-1]) {
+		at--
+	}
+	if at == len(order) {
+		return n
+	}
+	n = min(n+1, len(order))
+	copy(order[at+1:n], order[at:n-1])
+	order[at] = r
+	return n
+}
+
+// score draws from hash a number that is exponentially distributed with the
+// member's weight as rate. When all weigh the same, the uniform number behind
+// it gives the same order.
+func (s *Service) score(m *member, hash uint64) float64 {
+	u := m.uniform(hash)
+	if s.equal {
+		return -u
+	}
+	return -math.Log(u) / m.weight
+}
+
+// uniform draws from hash a number between 0 and 1. The hash of a flow is
+// uniform already, so folding one product with the seeds makes it independent
+// of the numbers of the other members.
+func (m *member) uniform(hash uint64) float64 {
+	high, low := bits.Mul64(hash^m.seeds[0], m.seeds[1])
+	return (float64((high^low)>>11) + 0.5) / (1 << 53)
+}
--- /dev/null
+++ b/sidecar/counts.go
@@ -0,0 +1,105 @@
+package sidecar
+
+import (
+	"sync/atomic"
+
+	"github.com/corianderbay/corianderbay/flow"
+	"github.com/corianderbay/corianderbay/udp"
+)
+
+// dropReason says why a sidecar dropped a packet.
+type dropReason int
+
+const (
+	dropForged dropReason = iota
+	dropMalformed
+	dropUpstream
+	dropReasons // how many there are
+)
+
+func (r dropReason) String() string {
+	switch r {
+	case dropForged:
+		return "forged"
+	case dropMalformed:
+		return "malformed"
+	case dropUpstream:
+		return "upstream"
+	}
+	return "other"
+}
+
+const maxReasons = 32 // above every flow.Reason
+
+// counters are the running totals of a sidecar.
+type counters struct {
+	delivered atomic.Uint64
+	passed    atomic.Uint64
+	answered  atomic.Uint64
+	refused   atomic.Uint64
+	hops      atomic.Uint64 // sidecars visited by delivered packets
+	control   atomic.Uint64 // bytes of hints and reports
+	dropped   [dropReasons]atomic.Uint64
+	reasons   [maxReasons]atomic.Uint64 // by flow.Reason
+}
+
+// reason counts a packet that the decisions dropped or refused.
+func (c *counters) reason(r flow.Reason) {
+	c.reasons[int(r)%maxReasons].Add(1)
+}
+
+func (c *counters) drop(r dropReason) {
+	c.dropped[r].Add(1)
+}
+
+// Counts are the totals of a sidecar since its start.
+type Counts struct {
+	Delivered uint64 `json:"delivered"`
+	Passed    uint64 `json:"passed"`
+	Answered  uint64 `json:"answered"`
+	Refused   uint64 `json:"refused"`
+	// Hops is how many sidecars the delivered packets have visited in all.
+	Hops uint64 `json:"hops"`
+	// Control is how many bytes of hints and reports were sent.
+	Control uint64 `json:"control"`
+	// Dropped holds packets that were dropped or refused, by reason.
+	Dropped map[string]uint64 `json:"dropped"`
+	// Flows is how many flows the upstream owns, Open how many of them have not ended.
+	Flows int `json:"flows"`
+	Open  int `json:"open"`
+	// Accepted, Broken and Searches are decisions, see flow.Counters.
+	Accepted uint64     `json:"accepted"`
+	Broken   uint64     `json:"broken"`
+	Searches uint64     `json:"searches"`
+	Forward  udp.Counts `json:"forward"`
+}
+
+// Counts returns the totals so far.
+func (s *Sidecar) Counts() Counts {
+	c := Counts{
+		Delivered: s.counters.delivered.Load(),
+		Passed:    s.counters.passed.Load(),
+		Answered:  s.counters.answered.Load(),
+		Refused:   s.counters.refused.Load(),
+		Hops:      s.counters.hops.Load(),
+		Control:   s.counters.control.Load(),
+		Dropped:   make(map[string]uint64),
+		Flows:     s.flows.Flows(),
+		Open:      s.flows.Open(),
+		Accepted:  s.flows.Counters().Accepted.Load(),
+		Broken:    s.flows.Counters().Broken.Load(),
+		Searches:  s.flows.Counters().Searches.Load(),
+		Forward:   s.forward.Counts(),
+	}
+	for i := range maxReasons {
+		if n := s.counters.reasons[i].Load(); n > 0 {
+			c.Dropped[flow.Reason(i).String()] = n
+		}
+	}
+	for r := range dropReasons {
+		if n := s.counters.dropped[r].Load(); n > 0 {
+			c.Dropped[r.String()] = n
+		}
+	}
+	return c
+}
