--- a/compare/observe.go
+++ b/compare/observe.go
@@ -22,9 +22,6 @@
 			other.board.Hear(report, reportBytes, clock(r.now))
 		}
 	}
-	for _, u := range r.upstreams {
-		u.board.Expire(clock(r.now))
-	}
 }
 
 // reportBytes is the size that a report counts with.
--- a/compare/upstream.go
+++ b/compare/upstream.go
@@ -20,6 +20,8 @@
 	spec    bundle.Upstream
 	watch   *load.Watch
 	board   *load.Board
+	policy  load.Policy // nil for the ideal
+	gate    *load.Gate
 	queue   *limit.Queue
 	waiting map[uint64]*flow // by the identity in queue
 	flows   map[*flow]bool   // accepted and not ended
@@ -33,7 +35,7 @@
 }
 
 func newUpstream(id bundle.UpstreamID, place int, cfg Config, age time.Duration, now time.Duration) *upstream {
-	u := &upstream{id: id, place: place, slow: 1}
+	u := &upstream{id: id, place: place, policy: cfg.Policy, slow: 1}
 	u.spec = bundle.Upstream{Slots: cfg.Slots, Connections: cfg.Connections}
 	u.empty(clock(now - age))
 	return u
@@ -43,6 +45,7 @@
 func (u *upstream) empty(since time.Time) {
 	u.watch = load.NewWatch(load.WatchConfig{Upstream: u.spec}, since)
 	u.board = load.NewBoard(load.BoardConfig{Service: service, Upstream: u.id})
+	u.gate = load.NewGate(load.GateConfig{Policy: u.policy, Watch: u.watch, Board: u.board})
 	u.queue = limit.NewQueue(limit.QueueConfig{Max: queueMax})
 	u.waiting = make(map[uint64]*flow)
 	u.flows = make(map[*flow]bool)
@@ -62,7 +65,7 @@
 
 // report returns what the sidecar tells the others.
 func (u *upstream) report(now time.Duration) (load.Report, bool) {
-	r, ok := u.board.Due(u.view(now), clock(now))
+	r, ok := u.gate.Due(clock(now))
 	if u.silent {
 		r.Busy = 0
 		r.Connections = 0
--- a/compare/walk.go
+++ b/compare/walk.go
@@ -58,7 +58,7 @@
 	}
 	f.visits++
 	r.count(func(res *Result) { res.Visits++ })
-	d := load.Decide(r.cfg.Policy, f.opening(r.patience(f, u)), u.view(r.now), u.board)
+	d := u.gate.Decide(f.opening(r.patience(f, u)), clock(r.now))
 	switch d.Verdict {
 	case load.Accept:
 		r.accept(f, u)
--- a/load/watch.go
+++ b/load/watch.go
@@ -195,6 +195,28 @@
 	return w.weigh(v, now)
 }
 
+// Contradicted reports whether the fresh word of the endpoints says otherwise
+// than what was seen: healthy while failing, unhealthy while answering, no load
+// while requests are in service, or numbers that stand still.
+func (w *Watch) Contradicted(now time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.word.fresh(now, w.cfg.WordAge) {
+		return false
+	}
+	failing := w.failing.is(now)
+	return w.word.Healthy && failing ||
+		!w.word.Healthy && w.answering() ||
+		w.word.InUse == 0 && len(w.started) >= w.upstream.EffectiveSlots() ||
+		w.word.InUse > 0 && w.unchanged >= frozenAfter
+}
+
+// answering reports whether an answer was seen about when the word was heard
+// or later. The caller holds mu.
+func (w *Watch) answering() bool {
+	return w.failing.lastGood.After(w.word.At.Add(-w.cfg.WordAge))
+}
+
 // weigh applies the endpoint's word to what was seen. Numbers that stand still
 // while answers go by do not count. The caller holds mu.
 func (w *Watch) weigh(v View, now time.Time) View {
@@ -205,8 +227,7 @@
 		v.InUse = min(max(v.InUse, w.word.InUse), max(v.Slots, v.InUse))
 		v.Connections = max(v.Connections, w.word.Connections)
 	}
-	contradicted := w.failing.lastGood.After(w.word.At.Add(-w.cfg.WordAge))
-	if !w.word.Healthy && !contradicted {
+	if !w.word.Healthy && !w.answering() {
 		v.Failing = true
 	}
 	return v
--- a/load/watch_test.go
+++ b/load/watch_test.go
@@ -55,6 +55,9 @@
 		w.Started(now)
 		w.Hear(load.Word{Healthy: true, At: now})
 		must.Eq(t, 1, w.View(now).InUse)
+		must.False(t, w.Contradicted(now))
+		w.Started(now)
+		must.True(t, w.Contradicted(now))
 	})
 	t.Run("more load than seen counts", func(t *testing.T) {
 		w := newWatch()
@@ -75,6 +78,7 @@
 			w.Answered(at.Add(mean), mean)
 		}
 		must.Eq(t, 0, w.View(now.Add(20*mean)).InUse)
+		must.True(t, w.Contradicted(now.Add(20*mean)))
 	})
 	t.Run("healthy does not outweigh timeouts", func(t *testing.T) {
 		w := newWatch()
@@ -84,6 +88,7 @@
 		}
 		w.Hear(load.Word{Healthy: true, At: now})
 		must.True(t, w.View(now).Failing)
+		must.True(t, w.Contradicted(now))
 	})
 	t.Run("unhealthy counts without answers", func(t *testing.T) {
 		w := newWatch()
@@ -96,6 +101,7 @@
 		w.Answered(now, mean)
 		w.Hear(load.Word{At: now})
 		must.False(t, w.View(now).Failing)
+		must.True(t, w.Contradicted(now))
 	})
 }
 
