--- a/compare/cases.go
+++ b/compare/cases.go
@@ -27,7 +27,7 @@
 
 // SmallSize returns a size for tests.
 func SmallSize() Size {
-	return Size{Short: 150 * time.Second, Long: 5 * time.Minute, Recovery: 3 * time.Hour}
+	return Size{Short: 100 * time.Second, Long: 3 * time.Minute, Recovery: 3 * time.Hour}
 }
 
 const (
--- a/compare/schedule.go
+++ b/compare/schedule.go
@@ -22,23 +22,23 @@
 // after adds an event d from now.
 func (s *schedule) after(d time.Duration, do func()) {
 	s.seq++
-	heap.Push(&s.events, event{at: s.now + max(d, 0), seq: s.seq, do: do})
+	heap.Push(&s.events, &event{at: s.now + max(d, 0), seq: s.seq, do: do})
 }
 
 // run runs the events up to end, or until stop returns true.
 func (s *schedule) run(end time.Duration, stop func() bool) {
 	for len(s.events) > 0 && s.events[0].at <= end && !stop() {
-		e := heap.Pop(&s.events).(event)
+		e := heap.Pop(&s.events).(*event)
 		s.now = e.at
 		e.do()
 	}
 }
 
-type eventHeap []event
+type eventHeap []*event
 
 func (h eventHeap) Len() int      { return len(h) }
 func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(x any)   { *h = append(*h, x.(event)) }
+func (h *eventHeap) Push(x any)   { *h = append(*h, x.(*event)) }
 
 func (h eventHeap) Less(i, j int) bool {
 	if h[i].at != h[j].at {
--- /dev/null
+++ b/load/property_test.go
@@ -0,0 +1,108 @@
+package load_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/load"
+	"pgregory.net/rapid"
+)
+
+func drawView(t *rapid.T) load.View {
+	return load.View{
+		Slots:       rapid.IntRange(1, 100).Draw(t, "slots"),
+		InUse:       rapid.IntRange(0, 200).Draw(t, "in use"),
+		Queue:       rapid.IntRange(0, 1000).Draw(t, "queue"),
+		Connections: rapid.IntRange(0, 10_000).Draw(t, "connections"),
+		Rate:        rapid.Float64Range(0, 1000).Draw(t, "rate"),
+		Limit:       rapid.IntRange(1, 10_000).Draw(t, "limit"),
+		Weight:      rapid.IntRange(1, 1000).Draw(t, "weight"),
+		Service:     time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "service")),
+		Next:        time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "next")),
+		Ramp:        rapid.Float64Range(0.001, 1).Draw(t, "ramp"),
+		Failing:     rapid.Bool().Draw(t, "failing"),
+		Leaving:     rapid.Bool().Draw(t, "leaving"),
+	}
+}
+
+func drawOpening(t *rapid.T) load.Opening {
+	o := load.Opening{
+		Hash:     rapid.Uint64().Draw(t, "hash"),
+		Count:    rapid.IntRange(1, 32).Draw(t, "count"),
+		Patience: time.Duration(rapid.Int64Range(0, int64(time.Second)).Draw(t, "patience")),
+	}
+	o.At = rapid.IntRange(0, o.Count-1).Draw(t, "at")
+	for i := range o.Loads {
+		o.Loads[i] = rapid.Uint32().Draw(t, "load")
+	}
+	for i := range o.Candidates {
+		o.Candidates[i] = bundle.UpstreamID(rapid.IntRange(0, 12).Draw(t, "candidate"))
+	}
+	return o
+}
+
+// TestDecideKeepsItsPromises holds for any policy, view, opening and board: no
+// new flow where none may be, no pass without a next candidate, and a refusal
+// only when nobody is left or the opening cannot wait.
+func TestDecideKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := load.NewBoard(load.BoardConfig{Service: service, Upstream: 1})
+		for i := range rapid.IntRange(0, 9).Draw(t, "peers") {
+			b.Hear(load.NewReport(service, bundle.UpstreamID(i+2), 1, drawView(t)), 0, start)
+		}
+		p := rapid.SampledFrom([]load.Policy{load.Hashing{}, load.LeastKnown{}, load.AcceptOrPass{}}).Draw(t, "policy")
+		own, o := drawView(t), drawOpening(t)
+		last := o.At == o.Count-1
+		d := load.Decide(p, o, own, b)
+		switch d.Verdict {
+		case load.Accept:
+			if own.Leaving || own.Connections >= own.Limit {
+				t.Fatalf("accepted a flow that may not be: %+v", own)
+			}
+		case load.Pass:
+			if last {
+				t.Fatalf("passed without a next candidate")
+			}
+		case load.Refuse:
+			if !last && d.Reason != load.Late {
+				t.Fatalf("refused for %s with candidates left", d.Reason)
+			}
+		default:
+			t.Fatalf("verdict %d", d.Verdict)
+		}
+		if again := load.Decide(p, o, own, b); again != d {
+			t.Fatalf("the same opening was decided as %v and %v", d, again)
+		}
+	})
+}
+
+// TestBoardSumsWhatItHolds compares a board that heard, forgot and expired
+// reports with one that heard only those that remain.
+func TestBoardSumsWhatItHolds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		used := load.NewBoard(load.BoardConfig{Service: service, Upstream: 1})
+		held := make(map[bundle.UpstreamID]load.Report)
+		for i := range rapid.IntRange(1, 30).Draw(t, "steps") {
+			id := bundle.UpstreamID(rapid.IntRange(2, 6).Draw(t, "upstream"))
+			if rapid.Bool().Draw(t, "forget") {
+				used.Forget(id)
+				delete(held, id)
+				continue
+			}
+			r := load.NewReport(service, id, uint64(i+1), drawView(t))
+			if used.Hear(r, 0, start) {
+				held[id] = r
+			}
+		}
+		fresh := load.NewBoard(load.BoardConfig{Service: service, Upstream: 1})
+		for _, r := range held {
+			fresh.Hear(r, 0, start)
+		}
+		own, o := drawView(t), drawOpening(t)
+		got, want := load.Decide(load.AcceptOrPass{}, o, own, used), load.Decide(load.AcceptOrPass{}, o, own, fresh)
+		if got != want {
+			t.Fatalf("got %v, want %v", got, want)
+		}
+	})
+}
