Take the share of a cold start relative to the warmest of the others

Cause: after a mass restart every sidecar takes a tenth of its openings and passes the rest, so that the last candidate gets them: up to 4,790 of 10,000 answers at one of 3 upstreams in the demo. Change: Board keeps the highest ramp of the others; own ramp counts relative to it, and fully while none is known. The new test TestColdStartIsRelative failed first (0.101 instead of 1).

--- a/demo/bundle.go
+++ b/demo/bundle.go
@@ -75,6 +75,7 @@
 		place.Upstreams = append(place.Upstreams, bundle.Upstream{
 			Name:    p.upstream.Name(),
 			Sidecar: p.sidecar.ForwardAddress(),
+			Slots:   d.cfg.Slots,
 		})
 		n++
 	}
--- a/load/board.go
+++ b/load/board.go
@@ -31,7 +31,8 @@
 
 	mu       sync.RWMutex
 	peers    map[bundle.UpstreamID]peer
-	total    total // sum over the views in peers, without the sidecar's own
+	total    total   // sum over the views in peers, without the sidecar's own
+	warmest  float64 // the highest Ramp in peers, 0 without peers
 	sequence uint64
 	next     time.Time // when the next own report is due
 	bytes    uint64    // of all reports sent and received
@@ -70,6 +71,7 @@
 	b.drop(r.Upstream)
 	b.peers[r.Upstream] = peer{sequence: r.Sequence, view: r.View(), heard: now}
 	b.total = b.total.with(r.View())
+	b.warmest = max(b.warmest, r.View().Ramp)
 	return true
 }
 
@@ -126,6 +128,21 @@
 	}
 	delete(b.peers, u)
 	b.total = b.total.minus(p.view)
+	b.warmest = 0
+	for _, other := range b.peers {
+		b.warmest = max(b.warmest, other.view.Ramp)
+	}
+}
+
+// startShare returns the part of its openings that an upstream takes during
+// its cold start. It is relative to the warmest of the others: when all are
+// equally cold, or none is known, nobody else is there to take the rest. The
+// caller holds mu.
+func (b *Board) startShare(own View) float64 {
+	if b.warmest == 0 {
+		return 1
+	}
+	return min(own.Ramp/b.warmest, 1)
 }
 
 // find returns the view of another upstream and whether it is known. The
--- a/load/decide.go
+++ b/load/decide.go
@@ -109,7 +109,7 @@
 	if t.long() {
 		return p.byConnections(o, own, b, t)
 	}
-	if !o.last() && !admits(own.Ramp, o.Hash) {
+	if !o.last() && !admits(b.startShare(own), o.Hash) {
 		return Decision{Verdict: Pass, Reason: Starting, Load: l}
 	}
 	return p.byQueue(o, own, b, t)
--- a/load/decide_test.go
+++ b/load/decide_test.go
@@ -204,3 +204,22 @@
 		})
 	}
 }
+
+// TestColdStartIsRelative checks that a cold upstream gives up its share only
+// to warmer ones: after a mass restart all are equally cold.
+func TestColdStartIsRelative(t *testing.T) {
+	cold := idle().WithRamp(0.1)
+	share := func(b *load.Board) float64 {
+		accepted := 0
+		for i := range 1000 {
+			o := openingAt(0)
+			o.Hash = uint64(i) * 0x9e3779b97f4a7c15
+			if load.Decide(load.AcceptOrPass{}, o, cold, b).Verdict == load.Accept {
+				accepted++
+			}
+		}
+		return float64(accepted) / 1000
+	}
+	must.Eq(t, 1, share(board(t, cold, cold, cold)))
+	must.Less(t, 0.2, share(board(t, cold, idle(), cold)))
+}
