Limit new flows at the balancer and refuse them at once

Cause: the limits of package limit were not in use. Ruled out: limiting datagrams at a balancer, since no balancer can say that an earlier copy has not run. Change: openings above a service's or caller prefix's limit are answered with a reset that says when to come back; each balancer takes its share by the number of live balancers in the platform's list.

--- /dev/null
+++ b/balancer/admit.go
@@ -0,0 +1,71 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/corianderbay/corianderbay/fabric"
+	"github.com/corianderbay/corianderbay/limit"
+	"github.com/corianderbay/corianderbay/platform"
+	"github.com/corianderbay/corianderbay/route"
+)
+
+// lockedRandom is a random source that several goroutines share.
+type lockedRandom struct {
+	mu     sync.Mutex
+	random *rand.Rand // guarded by mu
+}
+
+// Float64 returns a number from 0 up to 1.
+func (r *lockedRandom) Float64() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.random.Float64()
+}
+
+// admit reports whether a packet may be forwarded, and refuses it at once when
+// not. Only openings are limited: a datagram may belong to a flow that is open,
+// and its caller could not tell whether an earlier copy has run.
+func (p *pipe) admit(m route.Match, f fabric.Frame, now time.Time) bool {
+	if !f.Packet.Opening {
+		return true
+	}
+	caller := f.Packet.Key.Caller().Addr()
+	refusal, ok := p.b.callers.Admit(m.Service.ID(), m.Service.Limit(), caller, now, &p.b.random)
+	if !ok {
+		p.refuse(f, refusal)
+	}
+	return ok
+}
+
+// refuse answers an opening that is not forwarded. A connection that is reset
+// while it opens has run nothing.
+func (p *pipe) refuse(f fabric.Frame, r limit.Refusal) {
+	p.b.counters.refused.Add(1)
+	ip, err := p.decoder.Refuse(f.IP)
+	if err != nil {
+		return
+	}
+	out, err := fabric.Append(p.out[:0], f.VNI, ip, &fabric.Refusal{
+		Reason:     fabric.ReasonLimited,
+		NotRun:     true,
+		RetryAfter: r.After,
+	})
+	if err != nil {
+		return
+	}
+	p.out = out
+	p.b.fabric.Send(out, p.b.cfg.Gateway)
+}
+
+// shareLimits takes from the platform's list over how many balancers limits are shared.
+func (b *Balancer) shareLimits(instances []platform.Instance) {
+	n := 0
+	for _, i := range instances {
+		if i.Role == platform.RoleBalancer && i.State == platform.StateLive {
+			n++
+		}
+	}
+	b.callers.SetBalancers(n)
+}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/corianderbay/corianderbay/event"
 	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/forward"
+	"github.com/corianderbay/corianderbay/limit"
 	"github.com/corianderbay/corianderbay/platform"
 	"github.com/corianderbay/corianderbay/route"
 	"github.com/corianderbay/corianderbay/timer"
@@ -64,6 +66,8 @@
 	forward  *udp.Socket
 	view     atomic.Pointer[route.View] // nil until the first bundle is in force
 	hints    *flow.Hints
+	callers  *limit.Callers
+	random   lockedRandom
 	listed   atomic.Pointer[[]platform.Instance] // nil until the first list
 	missing  atomic.Pointer[missing]             // never nil
 	counters counters
@@ -85,6 +89,10 @@
 	if err != nil {
 		return nil, err
 	}
+	callers, err := limit.NewCallers(limit.CallersConfig{})
+	if err != nil {
+		return nil, err
+	}
 	in, err := udp.Open(udp.Config{Listen: cfg.Fabric, Workers: cfg.Workers, Heartbeat: cfg.Heartbeat})
 	if err != nil {
 		return nil, err
@@ -101,6 +109,8 @@
 		fabric:  in,
 		forward: out,
 		hints:   flow.NewHints(flow.HintsConfig{}),
+		callers: callers,
+		random:  lockedRandom{random: rand.New(rand.NewPCG(cfg.Sender, cfg.Sender))},
 	}
 	b.missing.Store(&missing{})
 	return b, nil
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -59,12 +59,19 @@
 
 // startBalancer runs a balancer until the test ends.
 func startBalancer(t testing.TB, b *bundle.Bundle) *balancer.Balancer {
+	t.Helper()
+	return startBalancerAt(t, b, netip.AddrPort{})
+}
+
+// startBalancerAt runs a balancer whose refusals go to gateway.
+func startBalancerAt(t testing.TB, b *bundle.Bundle, gateway netip.AddrPort) *balancer.Balancer {
 	t.Helper()
 	service := timer.New(timer.Config{PauseAfter: time.Hour})
 	lb, err := balancer.New(balancer.Config{
 		Name:      "entry-1",
 		Fabric:    netip.MustParseAddrPort("127.0.0.1:0"),
 		Forward:   netip.MustParseAddrPort("127.0.0.1:0"),
+		Gateway:   gateway,
 		Key:       clusterKey(),
 		Sender:    1,
 		Drain:     time.Nanosecond,
@@ -167,3 +174,32 @@
 	}
 	return int(n)
 }
+
+// TestBalancerRefusesOpeningsAboveTheLimit sends two openings of one caller
+// prefix to a service that lets one through a second.
+func TestBalancerRefusesOpeningsAboveTheLimit(t *testing.T) {
+	sink, gateway := listen(t), listen(t)
+	b := bundleWith(addressOf(sink), 2)
+	b.Services[0].Limit = bundle.Limit{Prefix: 1}
+	lb := startBalancerAt(t, b, addressOf(gateway))
+	caller := listen(t)
+	buf := make([]byte, 65535)
+	for _, from := range []string{"10.0.0.9:4000", "10.0.0.9:4001"} {
+		_, err := caller.WriteToUDPAddrPort(geneve(t, segmentFrom(t, from)), lb.FabricAddress())
+		must.NoError(t, err)
+		if from == "10.0.0.9:4000" {
+			_, _, err = sink.ReadFromUDPAddrPort(buf)
+			must.NoError(t, err)
+		}
+	}
+	n, _, err := gateway.ReadFromUDPAddrPort(buf)
+	must.NoError(t, err)
+	got, err := fabric.NewDecoder(fabric.DecoderConfig{}).DecodeAnswerFrame(buf[:n])
+	must.NoError(t, err)
+	must.True(t, got.Packet.Reset)
+	must.Eq(t, netip.MustParseAddrPort("10.0.0.9:4001"), got.Packet.Key.Caller())
+	must.NotNil(t, got.Refusal)
+	must.Eq(t, fabric.ReasonLimited, got.Refusal.Reason)
+	must.True(t, got.Refusal.NotRun)
+	must.Greater(t, 0, got.Refusal.RetryAfter)
+}
--- a/balancer/missing.go
+++ b/balancer/missing.go
@@ -23,6 +23,7 @@
 // List takes in the platform's instance list.
 func (b *Balancer) List(instances []platform.Instance) {
 	b.listed.Store(&instances)
+	b.shareLimits(instances)
 	b.compareList()
 }
 
--- a/balancer/pipe.go
+++ b/balancer/pipe.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/corianderbay/corianderbay/fabric"
@@ -46,8 +47,12 @@
 		p.drop(reasonOf(err))
 		return
 	}
+	now := p.b.cfg.Timer.Now()
+	if !p.admit(match, frame, now) {
+		return
+	}
 	p.rank(view, match, frame)
-	p.forward(frame)
+	p.forward(frame, now)
 }
 
 // rank fills the header with the candidates of the packet's flow.
@@ -62,13 +67,12 @@
 	}
 }
 
-func (p *pipe) forward(f fabric.Frame) {
+func (p *pipe) forward(f fabric.Frame, now time.Time) {
 	h := &p.header
 	if len(h.Candidates) == 0 {
 		p.drop(dropUnknownAddress)
 		return
 	}
-	now := p.b.cfg.Timer.Now()
 	p.b.hints.Aim(now, h, f.Packet, p.b.missing.Load().health(now))
 	out, err := p.b.sealer.AppendPacket(p.out, h, f.IP)
 	if err != nil {
--- a/route/service.go
+++ b/route/service.go
@@ -115,6 +115,11 @@
 	return out
 }
 
+// Limit returns the bound on the service's new flows.
+func (s *Service) Limit() bundle.Limit {
+	return s.config.Limit
+}
+
 // Members returns the service's upstreams as candidates, in the order of the bundle.
 func (s *Service) Members() []forward.Candidate {
 	out := make([]forward.Candidate, len(s.pool))
