Send openings past a sidecar that its peers find silent

Cause: between the death of an upstream's instance and its removal from the platform's list, each opening that it is first for was lost. Ruled out: heartbeats from every sidecar to every balancer (3,400 a second at a balancer at the size to come, about 200 KB/s); retransmissions seen at a balancer, since the fabric sprays them. Change: sidecars of a service, which report to each other once a second anyway, tell each balancer of the list from one of them, every 2 s while a peer is silent, at most 64 balancers at once; a sidecar that hears less than half of the others says nothing. Only TCP openings pass by: they carry no work. Not measured: the time to first use after a kill with processes.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -66,6 +66,7 @@
 	forward  *udp.Socket
 	view     atomic.Pointer[route.View] // nil until the first bundle is in force
 	hints    *flow.Hints
+	silent   silent
 	callers  *limit.Callers
 	random   lockedRandom
 	listed   atomic.Pointer[[]platform.Instance] // nil until the first list
--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -12,6 +12,7 @@
 	"github.com/corianderbay/corianderbay/bundle"
 	"github.com/corianderbay/corianderbay/event"
 	"github.com/corianderbay/corianderbay/fabric"
+	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/forward"
 	"github.com/corianderbay/corianderbay/timer"
 	"github.com/shoenig/test/must"
@@ -203,3 +204,40 @@
 	must.True(t, got.Refusal.NotRun)
 	must.Greater(t, 0, got.Refusal.RetryAfter)
 }
+
+// TestBalancerSendsOpeningsPastASilentSidecar tells a balancer that the
+// sidecar of a flow's first candidate is silent.
+func TestBalancerSendsOpeningsPastASilentSidecar(t *testing.T) {
+	sink := listen(t)
+	lb := startBalancer(t, bundleWith(addressOf(sink), 3))
+	caller := listen(t)
+	opening := geneve(t, segmentFrom(t, "10.0.0.9:4000"))
+	first := forwardedTo(t, lb, caller, sink, opening)
+
+	sealer, err := forward.NewSealer(forward.SealerConfig{Key: clusterKey(), Sender: 77})
+	must.NoError(t, err)
+	body, err := forward.EncodeMessage(&flow.Silence{Upstreams: []bundle.UpstreamID{first}})
+	must.NoError(t, err)
+	_, err = caller.WriteToUDPAddrPort(sealer.AppendMessage(nil, forward.KindSilence, body), lb.ForwardAddress())
+	must.NoError(t, err)
+	for forwardedTo(t, lb, caller, sink, opening) == first {
+		must.NoError(t, timer.New(timer.Config{}).Sleep(t.Context(), time.Millisecond))
+	}
+}
+
+// forwardedTo sends a caller's datagram and returns the upstream whose sidecar is asked.
+func forwardedTo(t *testing.T, lb *balancer.Balancer, caller, sink *net.UDPConn, datagram []byte) bundle.UpstreamID {
+	t.Helper()
+	_, err := caller.WriteToUDPAddrPort(datagram, lb.FabricAddress())
+	must.NoError(t, err)
+	buf := make([]byte, 65535)
+	n, _, err := sink.ReadFromUDPAddrPort(buf)
+	must.NoError(t, err)
+	opener, err := forward.NewOpener(forward.OpenerConfig{Key: clusterKey()})
+	must.NoError(t, err)
+	d, err := opener.Open(buf[:n])
+	must.NoError(t, err)
+	var h forward.Header
+	must.NoError(t, forward.NewHeaderDecoder().Decode(d.Body, &h))
+	return h.Candidates[h.At].Upstream
+}
--- a/balancer/missing.go
+++ b/balancer/missing.go
@@ -65,18 +65,16 @@
 }
 
 // health returns what the aim of packets depends on.
-func (m *missing) health(now time.Time) flow.Health {
-	if len(m.upstreams) == 0 {
-		return flow.Health{}
-	}
+func (b *Balancer) health(now time.Time) flow.Health {
+	m := b.missing.Load()
 	return flow.Health{
 		Suspect: func(u bundle.UpstreamID) bool {
-			_, ok := m.upstreams[u]
-			return ok
+			_, gone := m.upstreams[u]
+			return gone || b.silent.includes(u, now)
 		},
 		Over: func(u bundle.UpstreamID) bool {
-			a, ok := m.upstreams[u]
-			return ok && now.Sub(a.since) > a.takeover
+			a, gone := m.upstreams[u]
+			return gone && now.Sub(a.since) > a.takeover
 		},
 	}
 }
--- a/balancer/pipe.go
+++ b/balancer/pipe.go
@@ -73,7 +73,7 @@
 		p.drop(dropUnknownAddress)
 		return
 	}
-	p.b.hints.Aim(now, h, f.Packet, p.b.missing.Load().health(now))
+	p.b.hints.Aim(now, h, f.Packet, p.b.health(now))
 	out, err := p.b.sealer.AppendPacket(p.out, h, f.IP)
 	if err != nil {
 		p.drop(dropMalformed)
@@ -100,7 +100,7 @@
 	return dropUnknownAddress
 }
 
-// newForwardHandler handles the hints that sidecars send to this balancer.
+// newForwardHandler handles what sidecars tell this balancer.
 func (b *Balancer) newForwardHandler() udp.Handler {
 	return func(raw []byte, _ netip.AddrPort) {
 		d, err := b.opener.Open(raw)
@@ -108,15 +108,40 @@
 			b.counters.dropped[dropForged].Add(1)
 			return
 		}
-		var m flow.OwnerHints
-		if d.Kind != forward.KindHints || forward.DecodeMessage(d.Body, &m) != nil {
-			b.counters.dropped[dropMalformed].Add(1)
-			return
-		}
 		now := b.cfg.Timer.Now()
-		for _, k := range m.Flows {
-			b.hints.Add(now, k.Hash(), m.Owner)
+		switch d.Kind {
+		case forward.KindHints:
+			err = b.takeHints(d.Body, now)
+		case forward.KindSilence:
+			err = b.takeSilence(d.Body, now)
+		default:
+			err = &forward.HeaderError{Field: "kind"}
 		}
-		b.counters.hinted.Add(uint64(len(m.Flows)))
+		if err != nil {
+			b.counters.dropped[dropMalformed].Add(1)
+		}
+	}
+}
+
+// takeHints keeps who owns some flows.
+func (b *Balancer) takeHints(body []byte, now time.Time) error {
+	var m flow.OwnerHints
+	if err := forward.DecodeMessage(body, &m); err != nil {
+		return err
+	}
+	for _, k := range m.Flows {
+		b.hints.Add(now, k.Hash(), m.Owner)
+	}
+	b.counters.hinted.Add(uint64(len(m.Flows)))
+	return nil
+}
+
+// takeSilence keeps which sidecars are silent.
+func (b *Balancer) takeSilence(body []byte, now time.Time) error {
+	var m flow.Silence
+	if err := forward.DecodeMessage(body, &m); err != nil {
+		return err
 	}
+	b.silent.hear(m, now)
+	return nil
 }
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -96,6 +96,7 @@
 			Role:       platform.RoleBalancer,
 			DataCentre: dataCentres()[i%len(dataCentres())],
 			Control:    b.ControlAddress(),
+			Forward:    b.ForwardAddress(),
 			Operator:   b.OperatorAddress(),
 			State:      platform.StateLive,
 		})
--- a/flow/limits.go
+++ b/flow/limits.go
@@ -10,6 +10,8 @@
 	ReportInterval = time.Second
 	// SuspectTime is how long a peer may be silent before it is asked last.
 	SuspectTime = 3 * time.Second
+	// SilenceLife is how long a balancer believes that a sidecar is silent.
+	SilenceLife = 10 * time.Second
 	// FenceTime is how long a sidecar that no peer hears keeps delivering non-idempotent requests.
 	FenceTime = 5 * time.Second
 	// DetourInterval is how often a UDP flow away from its first candidate is seen there.
--- a/flow/message.go
+++ b/flow/message.go
@@ -28,6 +28,21 @@
 	return nil
 }
 
+// Silence tells a balancer which upstreams' sidecars are silent. Openings are
+// not sent to them for SilenceLife.
+type Silence struct {
+	// Upstreams has 1 to 64 entries.
+	Upstreams []bundle.UpstreamID `msgpack:"upstreams"`
+}
+
+// Check reports *MessageError when a field is out of range.
+func (s *Silence) Check() error {
+	if len(s.Upstreams) == 0 || len(s.Upstreams) > maxHeard {
+		return &MessageError{Field: "upstreams"}
+	}
+	return nil
+}
+
 // Check reports *MessageError when a field is out of range.
 func (r *PeerReport) Check() error {
 	switch {
--- a/flow/peers.go
+++ b/flow/peers.go
@@ -268,6 +268,24 @@
 	return ps.silent(now, ps.byID[u])
 }
 
+// silentMembers returns the members that have been silent for SuspectTime. It
+// returns none when less than half of the others are heard, since then this
+// sidecar may be the one that is cut off.
+func (ps *peers) silentMembers(now time.Time) []bundle.UpstreamID {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	var silent []bundle.UpstreamID
+	for _, u := range ps.members {
+		if ps.silent(now, ps.byID[u]) {
+			silent = append(silent, u)
+		}
+	}
+	if len(ps.members)-len(silent) < len(ps.members)/2 {
+		return nil
+	}
+	return silent
+}
+
 // silent reports whether no report arrived for SuspectTime. The caller holds the lock.
 func (ps *peers) silent(now time.Time, p peer) bool {
 	last := p.heard
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -180,6 +180,12 @@
 	return e.target, e.kind == kindPassed && e.target != 0
 }
 
+// Silent returns the other upstreams of the service whose sidecars have been
+// silent for SuspectTime; none when this sidecar may itself be cut off.
+func (s *Sidecar) Silent(now time.Time) []bundle.UpstreamID {
+	return s.peers.silentMembers(now)
+}
+
 // Service returns the service that the upstream serves now, and false before the first bundle.
 func (s *Sidecar) Service() (bundle.ServiceID, bool) {
 	st := s.state.Load()
--- /dev/null
+++ b/flow/silent_test.go
@@ -0,0 +1,35 @@
+package flow_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/flow"
+)
+
+// TestSilentNamesTheDeadButNotTheFleet checks that a sidecar names a peer that
+// stopped reporting, and nobody when it hears too few to be sure of itself.
+func TestSilentNamesTheDeadButNotTheFleet(t *testing.T) {
+	p, now := newPlan(7, 1), time.Unix(1, 0)
+	s := flow.NewSidecar(flow.SidecarConfig{Upstream: 1}, now)
+	s.BundleAccepted(now, view{plan: p, self: 1})
+	members := view{plan: p, self: 1}.Members(fitting)
+	report := func(at time.Time, heard int) {
+		for _, c := range members {
+			if c.Upstream != 1 && heard > 0 {
+				heard--
+				s.PeerReported(at, flow.PeerReport{Upstream: c.Upstream, Service: fitting, Version: 1, Highest: 1})
+			}
+		}
+	}
+	others := len(members) - 1
+	report(now, others)
+	later := now.Add(flow.SuspectTime)
+	report(later, others-1)
+	must.SliceLen(t, 1, s.Silent(later.Add(time.Millisecond)))
+	alone := later.Add(2 * flow.SuspectTime)
+	must.Eq(t, []bundle.UpstreamID(nil), s.Silent(alone))
+}
--- a/forward/sealer.go
+++ b/forward/sealer.go
@@ -34,10 +34,11 @@
 
 // The kinds of datagrams.
 const (
-	KindPacket Kind = 1
-	KindHints  Kind = 2
-	KindReport Kind = 3
-	KindLoad   Kind = 4
+	KindPacket  Kind = 1
+	KindHints   Kind = 2
+	KindReport  Kind = 3
+	KindLoad    Kind = 4
+	KindSilence Kind = 5
 )
 
 // SealerConfig holds the settings of a Sealer.
--- a/instance/balancer.go
+++ b/instance/balancer.go
@@ -58,6 +58,11 @@
 	return b.balancer.FabricAddress()
 }
 
+// ForwardAddress returns the address that hints arrive at.
+func (b *Balancer) ForwardAddress() netip.AddrPort {
+	return b.balancer.ForwardAddress()
+}
+
 // ControlAddress returns the address that peers reach.
 func (b *Balancer) ControlAddress() netip.AddrPort {
 	return b.process.node.Address()
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -37,6 +37,7 @@
 	if due.Report != nil {
 		s.sendToPeers(forward.KindReport, due.Report)
 	}
+	s.tellSilence(now)
 	s.measure(now)
 	if r, ok := s.admission.due(now, s.flows.Flows()); ok {
 		s.sendToPeers(forward.KindLoad, &r)
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -69,6 +69,7 @@
 	flows     *flow.Sidecar
 	woke      atomic.Int64 // Unix time in nanoseconds of a wake-up whose backlog is being discarded, or 0
 	admission *admission
+	silence   silence
 	pending   *pending
 	recorder  *report.Recorder
 	answers   answerDecoders
