--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -52,6 +52,7 @@
 	mu         sync.Mutex // guards what follows and replacements of state
 	oldest     uint64     // first bundle in force
 	draining   bool
+	retiring   bool // the platform's list says that the instance is leaving
 	swept      int // next shard to sweep
 	lastReport time.Time
 }
@@ -61,12 +62,16 @@
 	view     View
 	service  bundle.ServiceID // the service that the upstream serves now
 	settings Settings
+	// listed is false when the bundle does not name the upstream.
+	listed bool
 	// leaving is true when no new flow is accepted.
 	leaving bool
 	// generation grows with each change that may move a flow's first candidate.
 	generation uint32
 	// changed is when the order of candidates last changed.
 	changed stamp
+	// ordered is the bundle that last changed the order of candidates.
+	ordered uint64
 	// joined is the first bundle under which the sidecar served the service.
 	joined uint64
 }
@@ -151,6 +156,12 @@
 	return int(s.table.owned.Load())
 }
 
+// Open returns how many flows the upstream owns that have not ended. It reads
+// the whole table.
+func (s *Sidecar) Open() int {
+	return s.table.open()
+}
+
 // Owns reports whether the upstream owns the flow.
 func (s *Sidecar) Owns(k Key) bool {
 	sh := s.table.shard(k)
@@ -201,15 +212,12 @@
 	if st.settings.Idempotent || s.mutations.has(mutateNoFence) {
 		return false
 	}
-	return s.peers.fenced(now)
+	return !st.listed || s.peers.fenced(now)
 }
 
 // takeover returns how long an upstream must be gone before others take over its flows.
 func (st *state) takeover() time.Duration {
-	if st.settings.Idempotent {
-		return FenceTime
-	}
-	return takeoverFences*FenceTime + st.settings.Repeat
+	return st.settings.Takeover()
 }
 
 // sure reports whether no other sidecar can own a flow that the first candidate does not know.
