--- a/bundle/accept.go
+++ b/bundle/accept.go
@@ -54,6 +54,11 @@
 	if err := m.check(); err != nil {
 		return err
 	}
+	return t.verify(m)
+}
+
+// verify is Verify for a manifest whose parts, entries left out, are known to fit each other.
+func (t Trust) verify(m *Manifest) error {
 	if err := t.newer(m); err != nil {
 		return err
 	}
--- a/bundle/lifecycle_test.go
+++ b/bundle/lifecycle_test.go
@@ -89,17 +89,14 @@
 	l.publish(t, next)
 }
 
-// Deliver offers any published bundle to a process, whole or as a patch. It is
+// Deliver offers any published bundle to a process, whole or in parts. It is
 // accepted when its number is higher than the one in force, and only then.
 func (l *lifecycle) Deliver(t *rapid.T) {
 	p := &l.processes[rapid.IntRange(0, len(l.processes)-1).Draw(t, "process")]
 	drawn := l.draw(t)
 	offered := drawn.frozen
-	if p.frozen != nil && rapid.Bool().Draw(t, "patch") {
-		patched, err := bundle.NewPatch(p.frozen, offered).Apply(p.frozen)
-		must.NoError(t, err)
-		must.Eq(t, offered.Hash(), patched.Hash())
-		offered = patched
+	if rapid.Bool().Draw(t, "parts") {
+		offered = readParts(t, p.frozen, offered)
 	}
 	b, err := bundle.Accept(p.trust, offered)
 	must.Eq(t, offered.Sequence() > p.trust.Sequence, err == nil, must.Sprint(err))
@@ -111,6 +108,24 @@
 	*p = process{trust: offered.Trust(), frozen: offered}
 }
 
+// readParts publishes f in small parts and reads those that base, which may be nil, lacks.
+func readParts(t *rapid.T, base, f *bundle.Frozen) *bundle.Frozen {
+	p, err := bundle.Publish(f, bundle.PublishConfig{Part: 600})
+	must.NoError(t, err)
+	x, err := bundle.UnmarshalIndex(p.Index)
+	must.NoError(t, err)
+	missing, err := x.Missing(base)
+	must.NoError(t, err)
+	fetched := make(map[bundle.Hash][]byte)
+	for _, h := range missing {
+		fetched[h] = p.Parts[h]
+	}
+	got, err := x.Assemble(base, fetched)
+	must.NoError(t, err)
+	must.Eq(t, f.Hash(), got.Hash())
+	return got
+}
+
 // Restart leaves a process with its anchor only.
 func (l *lifecycle) Restart(t *rapid.T) {
 	i := rapid.IntRange(0, len(l.processes)-1).Draw(t, "process")
--- a/bundle/manifest.go
+++ b/bundle/manifest.go
@@ -127,14 +127,22 @@
 	return fmt.Sprintf("broken manifest: %s %s", e.Part, e.Text)
 }
 
-// check reports *ManifestError or *FaultsError when the parts do not fit each other.
+// check reports *ManifestError, *TooLargeError or *FaultsError when the parts do not fit each other.
 func (m *Manifest) check() error {
-	if m.Head.Sequence == 0 {
-		return &ManifestError{Part: "sequence", Text: "is zero"}
+	if err := m.checkSigned(); err != nil {
+		return err
 	}
 	if err := checkEntries(m.Entries); err != nil {
 		return err
 	}
+	return matchHash("entries", m.Entries, m.Head.Entries)
+}
+
+// checkSigned is check without the entries: what signatures are judged by.
+func (m *Manifest) checkSigned() error {
+	if m.Head.Sequence == 0 {
+		return &ManifestError{Part: "sequence", Text: "is zero"}
+	}
 	if err := checkSignatures("signatures", m.Signatures); err != nil {
 		return err
 	}
@@ -144,16 +152,9 @@
 	if err := m.checkRotations(); err != nil {
 		return err
 	}
-	return m.checkHashes()
-}
-
-func (m *Manifest) checkHashes() error {
 	if err := matchHash("signoff", m.SignOff, m.Head.SignOff); err != nil {
 		return err
 	}
-	if err := matchHash("entries", m.Entries, m.Head.Entries); err != nil {
-		return err
-	}
 	return matchHash("rotations", m.Rotations, m.Head.Rotations)
 }
 
--- a/bundle/publish.go
+++ b/bundle/publish.go
@@ -1,7 +1,9 @@
 package bundle
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -10,16 +12,15 @@
 	// MaxValue is the size of a value that the platform holds, in bytes.
 	MaxValue = 1_000_000
 	// defaultPart is the size of a part, in bytes.
-	defaultPart = 128 << 10
+	defaultPart = 16 << 10
 	// maxParts bounds the parts of one bundle.
 	maxParts = 1024
 )
 
 // PublishConfig holds the sizes of published values. The zero value selects the defaults.
 type PublishConfig struct {
-	// Part is the largest size of a part, from 1 to MaxValue bytes. Zero
-	// selects 128 KiB. A bundle whose sections fit in one part has none: they
-	// stand in the index.
+	// Part is the size in bytes from which sections are dealt out to more
+	// parts, from 1 to MaxSection. Zero selects 16 KiB.
 	Part int
 }
 
@@ -28,52 +29,40 @@
 type Publication struct {
 	// Index is the value that readers watch.
 	Index []byte
-	// Parts are values named by their hashes.
+	// Parts are values named by their hashes. A bundle that fits in one part has none: its sections stand in the index.
 	Parts map[Hash][]byte
 }
 
-// Index is the value that readers watch: the manifest, and either the sections
-// or the names of the parts that hold them. It is immutable.
-type Index struct {
-	manifest *Manifest
-	parts    []Hash          // empty when the sections stand in the index
-	sections map[Hash][]byte // empty when parts hold the sections
+// namedSection is a section as a part holds it.
+type namedSection struct {
+	Name string `msgpack:"name"`
+	Body []byte `msgpack:"body"`
 }
 
 // indexWire is the encoding of an index.
 type indexWire struct {
-	Manifest []byte   `msgpack:"manifest"`
-	Parts    []Hash   `msgpack:"parts,omitempty"`
-	Sections [][]byte `msgpack:"sections,omitempty"`
+	// Manifest lacks the entries: they follow from the sections.
+	Manifest Manifest `msgpack:"manifest"`
+	// Parts has a power of two of hashes, or none when Only is the one part.
+	Parts []Hash `msgpack:"parts,omitempty"`
+	Only  []byte `msgpack:"only,omitempty"`
 }
 
-// Publish returns the values to publish. It reports *TooLargeError when the
-// index is above MaxValue or no split into parts is small enough.
+// Publish returns the values to publish. It reports *TooLargeError when a value
+// is above MaxValue or no split into parts is small enough.
 func Publish(f *Frozen, cfg PublishConfig) (*Publication, error) {
-	limit := cfg.Part
-	if limit == 0 {
-		limit = defaultPart
-	}
-	limit = min(limit, MaxValue)
-	manifest, err := f.manifest.Marshal()
+	parts, err := f.split(cmp.Or(cfg.Part, defaultPart))
 	if err != nil {
 		return nil, err
 	}
 	p := &Publication{Parts: make(map[Hash][]byte)}
-	w := indexWire{Manifest: manifest}
-	parts, err := f.split(limit)
-	if err != nil {
-		return nil, err
-	}
+	w := indexWire{Manifest: *f.manifest}
+	w.Manifest.Entries = nil
 	if len(parts) == 1 {
-		w.Sections = parts[0]
+		w.Only = parts[0]
 		parts = nil
 	}
-	for _, sections := range parts {
-		raw, err := encode("part", sections)
-		if err != nil {
-			return nil, err
-		}
+	for _, raw := range parts {
 		h := HashOf(raw)
 		p.Parts[h] = raw
 		w.Parts = append(w.Parts, h)
@@ -87,22 +76,15 @@
 	return p, nil
 }
 
-// split deals the sections out to a power of two of parts by their names, so
-// that a change of one section changes one part.
-func (f *Frozen) split(limit int) ([][][]byte, error) {
+// split returns the fewest parts that are not larger than limit each.
+func (f *Frozen) split(limit int) ([][]byte, error) {
 	largest := 0
 	for n := 1; n <= maxParts; n *= 2 {
-		parts := make([][][]byte, n)
-		sizes := make([]int, n)
-		for _, e := range f.manifest.Entries {
-			i := partOf(e.Name, n)
-			parts[i] = append(parts[i], f.sections[e.Hash])
-			sizes[i] += e.Size
-		}
-		largest = 0
-		for _, size := range sizes {
-			largest = max(largest, size)
+		parts, err := f.parts(n)
+		if err != nil {
+			return nil, err
 		}
+		largest = len(slices.MaxFunc(parts, func(a, b []byte) int { return cmp.Compare(len(a), len(b)) }))
 		if largest <= limit {
 			return parts, nil
 		}
@@ -110,87 +92,146 @@
 	return nil, &TooLargeError{What: "part", Size: largest, Max: limit}
 }
 
-// partOf returns the part of n, a power of two, that holds the section of the name.
-func partOf(name string, n int) int {
-	return int(xxhash.Sum64String(name) % uint64(n))
+// parts deals the sections out to n parts by the hashes of their names, so that
+// a change of one section changes one part.
+func (f *Frozen) parts(n int) ([][]byte, error) {
+	dealt := make([][]namedSection, n)
+	for _, e := range f.manifest.Entries {
+		i := int(xxhash.Sum64String(e.Name) % uint64(n))
+		dealt[i] = append(dealt[i], namedSection{Name: e.Name, Body: f.sections[e.Hash]})
+	}
+	parts := make([][]byte, n)
+	for i, sections := range dealt {
+		raw, err := encode("part", sections)
+		if err != nil {
+			return nil, err
+		}
+		parts[i] = raw
+	}
+	return parts, nil
 }
 
-// UnmarshalIndex decodes an index. It fails with *TooLargeError, *DecodeError, *ManifestError or *PartsError.
+// Index is the value that readers watch: all that is signed, and the names of
+// the parts that hold the sections. It is immutable.
+type Index struct {
+	manifest Manifest // without entries
+	parts    []Hash   // at least one
+	only     []byte   // the one part when it stands in the index, or nil
+}
+
+// UnmarshalIndex decodes an index and checks that what is signed fits together.
+// It does not check signatures: Verify does. It fails with *TooLargeError,
+// *DecodeError, *ManifestError, *FaultsError or *PartsError.
 func UnmarshalIndex(b []byte) (*Index, error) {
 	var w indexWire
 	if err := decode("index", MaxValue, b, &w); err != nil {
 		return nil, err
 	}
-	m, err := UnmarshalManifest(w.Manifest)
-	if err != nil {
+	if w.Manifest.Entries != nil {
+		return nil, &ManifestError{Part: "entries", Text: "stand in the index"}
+	}
+	if err := w.Manifest.checkSigned(); err != nil {
 		return nil, err
 	}
 	n := len(w.Parts)
-	if n > maxParts || n&(n-1) != 0 || n > 0 && len(w.Sections) > 0 {
+	if n > maxParts || n&(n-1) != 0 || (n == 0) == (w.Only == nil) {
 		return nil, &PartsError{Parts: n}
 	}
-	return &Index{manifest: m, parts: w.Parts, sections: sectionsByHash(w.Sections)}, nil
+	x := &Index{manifest: w.Manifest, parts: w.Parts, only: w.Only}
+	if w.Only != nil {
+		x.parts = []Hash{HashOf(w.Only)}
+	}
+	return x, nil
 }
 
-// Manifest returns the manifest, which Verify judges before parts are fetched.
-func (x *Index) Manifest() *Manifest {
-	return x.manifest
+// Verify judges what is signed like the function Verify, before any part is fetched.
+func (x *Index) Verify(t Trust) error {
+	return t.verify(&x.manifest)
 }
 
-// Missing returns the hashes of the parts that hold sections for which have returns false, each once.
-func (x *Index) Missing(have func(Hash) bool) []Hash {
-	if len(x.parts) == 0 {
-		return nil
+// Missing returns the hashes of the parts to fetch, each once: those that differ
+// from what base, which may be nil, would have there.
+func (x *Index) Missing(base *Frozen) ([]Hash, error) {
+	held, err := x.heldBy(base)
+	if err != nil {
+		return nil, err
 	}
 	var missing []Hash
-	seen := make(map[Hash]bool)
-	for _, e := range x.manifest.Entries {
-		h := x.parts[partOf(e.Name, len(x.parts))]
-		if have(e.Hash) || seen[h] {
-			continue
+	for _, h := range x.parts {
+		if _, ok := held[h]; !ok && !slices.Contains(missing, h) {
+			missing = append(missing, h)
 		}
-		seen[h] = true
-		missing = append(missing, h)
 	}
-	return missing
+	return missing, nil
+}
+
+// heldBy returns the parts that need no fetching by their hashes.
+func (x *Index) heldBy(base *Frozen) (map[Hash][]byte, error) {
+	held := make(map[Hash][]byte)
+	if x.only != nil {
+		held[x.parts[0]] = x.only
+	}
+	if base == nil {
+		return held, nil
+	}
+	parts, err := base.parts(len(x.parts))
+	if err != nil {
+		return nil, err
+	}
+	for _, raw := range parts {
+		held[HashOf(raw)] = raw
+	}
+	return held, nil
 }
 
-// Assemble joins the index with sections that the caller has and with the parts
-// that Missing named. It fails with *PartError, *TooLargeError, *DecodeError
-// or what the function Assemble reports, so that a half-published bundle is refused.
-func (x *Index) Assemble(have func(Hash) ([]byte, bool), parts map[Hash][]byte) (*Frozen, error) {
-	fetched := make(map[Hash][]byte)
-	for want, raw := range parts {
+// Assemble joins the index with the parts that Missing named and those that
+// base has. It fails with *MissingPartError, *PartError, *DecodeError or what
+// the function Assemble reports, so that a half-published bundle is refused.
+func (x *Index) Assemble(base *Frozen, fetched map[Hash][]byte) (*Frozen, error) {
+	held, err := x.heldBy(base)
+	if err != nil {
+		return nil, err
+	}
+	m := x.manifest
+	sections := make(map[Hash][]byte)
+	for _, want := range x.parts {
+		raw, ok := held[want]
+		if !ok {
+			raw, ok = fetched[want]
+		}
+		if !ok {
+			return nil, &MissingPartError{Hash: want}
+		}
 		if got := HashOf(raw); got != want {
 			return nil, &PartError{Want: want, Got: got}
 		}
-		var sections [][]byte
-		if err := decode("part", 2*MaxValue, raw, &sections); err != nil {
+		if err := m.addPart(raw, sections); err != nil {
 			return nil, err
 		}
-		for h, section := range sectionsByHash(sections) {
-			fetched[h] = section
-		}
 	}
-	return Assemble(x.manifest, func(h Hash) ([]byte, bool) {
-		for _, held := range []map[Hash][]byte{x.sections, fetched} {
-			if raw, ok := held[h]; ok {
-				return raw, true
-			}
-		}
-		return have(h)
+	slices.SortFunc(m.Entries, func(a, b Entry) int { return cmp.Compare(a.Name, b.Name) })
+	return Assemble(&m, func(h Hash) ([]byte, bool) {
+		raw, ok := sections[h]
+		return raw, ok
 	})
 }
 
-func sectionsByHash(list [][]byte) map[Hash][]byte {
-	byHash := make(map[Hash][]byte, len(list))
-	for _, raw := range list {
-		byHash[HashOf(raw)] = raw
+// addPart adds the entries of a part to the manifest and its bodies to sections.
+func (m *Manifest) addPart(raw []byte, sections map[Hash][]byte) error {
+	var list []namedSection
+	if err := decode("part", MaxFrozen, raw, &list); err != nil {
+		return err
 	}
-	return byHash
+	for _, s := range list {
+		h := HashOf(s.Body)
+		sections[h] = s.Body
+		m.Entries = append(m.Entries, Entry{Name: s.Name, Hash: h, Size: len(s.Body)})
+	}
+	return nil
 }
 
-// PartsError reports an index whose number of parts is no power of two, too high, or given besides sections.
+// PartsError reports an index whose number of parts is no power of two, too
+// high, or given besides the one part.
 type PartsError struct {
 	Parts int
 }
@@ -199,6 +240,15 @@
 	return fmt.Sprintf("an index cannot have %d parts", e.Parts)
 }
 
+// MissingPartError reports a part that an index names and that was not fetched.
+type MissingPartError struct {
+	Hash Hash
+}
+
+func (e *MissingPartError) Error() string {
+	return fmt.Sprintf("part %s is missing", e.Hash)
+}
+
 // PartError reports a part that is not the one that its index names.
 type PartError struct {
 	Want, Got Hash
