Keep a race from splitting the fleet when a process is paused for a moment

Cause: with pauses added, TestStatefulRace broke after 29 checks: a process that held a pending bundle was paused for 1.7 s, too short to count as a pause, and put it in force before it read that another content of the number was in force. Ruled out: counting each short gap as a pause, which would make processes ask again whenever the machine is busy.

--- a/converge/member.go
+++ b/converge/member.go
@@ -98,9 +98,7 @@
 		m.inquiry.begin(now)
 		m.ticked, m.inquiry.reachedAt, m.readers.freshAt = now, now, now
 	}
-	if now.Sub(m.ticked) > m.cfg.PauseAfter {
-		m.wake(now)
-	}
+	m.notice(now)
 	m.take(now, in)
 	m.seekBundle(now)
 	m.seekList(now)
@@ -157,6 +155,18 @@
 	}
 }
 
+// notice acts on a gap since the last tick. After a short one a pending version
+// waits until what peers told meanwhile is taken in.
+func (m *Member) notice(now time.Time) {
+	gap := now.Sub(m.ticked)
+	if gap > m.cfg.Settle/2 {
+		m.standing.delay(now.Add(m.cfg.Settle / 2))
+	}
+	if gap > m.cfg.PauseAfter {
+		m.wake(now)
+	}
+}
+
 // wake asks everyone again, after a gap between ticks which says that the process was paused.
 func (m *Member) wake(now time.Time) {
 	m.ticked = now
--- a/converge/neighbours.go
+++ b/converge/neighbours.go
@@ -11,8 +11,10 @@
 const (
 	// suspectLimit bounds the peers that are remembered as unreachable.
 	suspectLimit = 64
-	// surplusLimit is how many connections above Config.Neighbours a process keeps before it closes those it dialled.
+	// surplusLimit is how many connections above Config.Neighbours a process may have dialled.
 	surplusLimit = 4
+	// trimInterval is the time between two connections that are closed as there are too many.
+	trimInterval = 10 * time.Second
 	// missedDigests is after how many intervals without a digest a link no longer counts as good.
 	missedDigests = 2
 )
@@ -40,6 +42,7 @@
 	suspects map[string]time.Time // when the peer was last tried
 	retryAt  time.Time
 	rotateAt time.Time
+	trimAt   time.Time
 }
 
 func newNeighbours(seeds []Peer) neighbours {
@@ -135,7 +138,7 @@
 	for _, name := range drop {
 		n.disconnected(now, name, false)
 	}
-	drop = append(drop, n.surplus(cfg)...)
+	drop = append(drop, n.surplus(now, cfg)...)
 	drop = append(drop, n.rotate(now, cfg)...)
 	dial = n.fill(now, cfg)
 	if len(dial) == 0 {
@@ -159,11 +162,17 @@
 	return names
 }
 
-// surplus takes out the dialled links above the number wanted.
-func (n *neighbours) surplus(cfg Config) []string {
-	var drop []string
+// surplus takes out dialled links above the number wanted: one when a trim is
+// due, and all that exceed the limit.
+func (n *neighbours) surplus(now time.Time, cfg Config) []string {
+	limit := cfg.Neighbours + surplusLimit
 	names := n.dialled()
-	for len(names) > cfg.Neighbours+surplusLimit {
+	if len(names) > cfg.Neighbours && !now.Before(n.trimAt) {
+		n.trimAt = now.Add(jitter(cfg.Rand, trimInterval))
+		limit = min(limit, len(names)-1)
+	}
+	var drop []string
+	for len(names) > limit {
 		i := cfg.Rand.IntN(len(names))
 		if n.links[names[i]].up {
 			drop = append(drop, names[i])
--- a/converge/standing.go
+++ b/converge/standing.go
@@ -108,3 +108,11 @@
 	s.since = now
 	s.settleAt = now.Add(cfg.Settle)
 }
+
+// delay keeps a pending version from coming into force before the time.
+func (s *standing) delay(until time.Time) {
+	if s.pending.IsZero() || s.settleAt.After(until) {
+		return
+	}
+	s.settleAt = until
+}
--- a/peer/slope_test.go
+++ b/peer/slope_test.go
@@ -57,6 +57,7 @@
 	b.ReportMetric(busy.bytes/n, "busy-B/s")
 	b.ReportMetric(quiet.cpu/n*100, "quiet-cpu%")
 	b.ReportMetric(busy.cpu/n*100, "busy-cpu%")
+	b.ReportMetric(f.links()/n, "links")
 	b.ReportMetric(quiet.calls, "quiet-calls/s")
 	b.ReportMetric((heapInUse()-before)/n/1e6, "heap-MB")
 	b.ReportMetric(delays[len(delays)/2].Seconds()*1e3, "p50-ms")
@@ -138,6 +139,15 @@
 	must.NoError(f.t, f.timer.Sleep(f.t.Context(), d))
 }
 
+// links returns the connections that the processes have, each counted at both ends.
+func (f *fleet) links() float64 {
+	sum := 0
+	for _, n := range f.nodes {
+		sum += n.Status().Peers
+	}
+	return float64(sum)
+}
+
 // bytes returns what all processes sent and received.
 func (f *fleet) bytes() uint64 {
 	sum := uint64(0)
