--- a/load/decide_test.go
+++ b/load/decide_test.go
@@ -136,6 +136,22 @@
 	must.Between(t, 100, taken, 250)
 }
 
+// TestLeavingUpstreamsDoNotRaiseTheShare checks that the flows of a leaving
+// upstream do not make the others count as far below their share.
+func TestLeavingUpstreamsDoNotRaiseTheShare(t *testing.T) {
+	leaving := holding(2500)
+	leaving.Leaving = true
+	peer := holding(1000)
+	b := board(t, peer, peer, peer, peer, peer, leaving)
+	own := holding(1000)
+	own.Rate = 500
+	for hash := range uint64(20) {
+		o := openingAt(1, uint32(1<<31|8801))
+		o.Hash = hash * 0x9e3779b97f4a7c15
+		must.Eq(t, load.Accept, load.Decide(load.AcceptOrPass{}, o, own, b).Verdict)
+	}
+}
+
 // TestSetAsideKeepsTheRestBelowTheirLimits lets more and more upstreams fail.
 func TestSetAsideKeepsTheRestBelowTheirLimits(t *testing.T) {
 	failing := holding(1500).WithFailing(true)
@@ -188,3 +204,22 @@
 		})
 	}
 }
+
+// TestColdStartIsRelative checks that a cold upstream gives up its share only
+// to warmer ones: after a mass restart all are equally cold.
+func TestColdStartIsRelative(t *testing.T) {
+	cold := idle().WithRamp(0.1)
+	share := func(b *load.Board) float64 {
+		accepted := 0
+		for i := range 1000 {
+			o := openingAt(0)
+			o.Hash = uint64(i) * 0x9e3779b97f4a7c15
+			if load.Decide(load.AcceptOrPass{}, o, cold, b).Verdict == load.Accept {
+				accepted++
+			}
+		}
+		return float64(accepted) / 1000
+	}
+	must.Eq(t, 1, share(board(t, cold, cold, cold)))
+	must.Less(t, 0.2, share(board(t, cold, idle(), cold)))
+}
