--- a/compare/cases.go
+++ b/compare/cases.go
@@ -55,6 +55,7 @@
 		shortCase("short flows, 70% load, one upstream reports no load", s, Silent{Upstream: faulty}),
 		shortCase("short flows, 70% load, one upstream flaps each 2 s", s, Flap{Upstream: faulty, Period: flapPeriod}),
 		reportCase(s),
+		leanCase(),
 		steadyCase(s),
 		replaceCase(s),
 		overloadCase("load of 1.5 for a minute, limits on", true),
@@ -86,6 +87,21 @@
 	return c
 }
 
+const (
+	leanAt     = time.Minute
+	leanLength = time.Minute
+)
+
+// leanCase has 60% of the callers near one data centre for a minute, which
+// fills its 3 upstreams to 98%.
+func leanCase() Case {
+	c := shortCase("short flows, 70% load, 60% of callers near one data centre for a minute", Size{})
+	c.Columns = leanColumns()
+	c.Config.Lean = Lean{At: leanAt, For: leanLength, Callers: []float64{0.6, 0.2, 0.2}}
+	c.Config.Length = leanAt + leanLength + time.Minute - warmup
+	return c
+}
+
 func steadyCase(s Size) Case {
 	return Case{
 		Name:       "14,000 long flows on 7 upstreams, steady",
--- a/compare/columns.go
+++ b/compare/columns.go
@@ -17,6 +17,30 @@
 	}
 }
 
+func leanColumns() []Column {
+	return []Column{
+		{Name: "wait p99 (s)", Value: func(r *Result) float64 { return r.Wait99().Seconds() }},
+		{Name: "far share before", Value: func(r *Result) float64 { return r.farShare(warmup, leanAt) }},
+		{Name: "during", Value: func(r *Result) float64 { return r.farShare(leanAt, leanAt+leanLength) }},
+		{Name: "in the 10 s after", Value: func(r *Result) float64 {
+			end := leanAt + leanLength
+			return r.farShare(end, end+10*time.Second)
+		}},
+		{Name: "visits", Value: (*Result).MeanVisits},
+	}
+}
+
+// farShare returns the share of flows accepted outside the caller's data
+// centre between two moments, to the second.
+func (r *Result) farShare(from, to time.Duration) float64 {
+	accepted, far := 0, 0
+	for _, s := range r.Seconds[from/time.Second : to/time.Second] {
+		accepted += s.Accepted
+		far += s.Far
+	}
+	return float64(far) / float64(max(accepted, 1))
+}
+
 func attempts(r *Result) float64 {
 	return float64(r.Attempts) / float64(max(r.Openings, 1))
 }
--- a/compare/compare_test.go
+++ b/compare/compare_test.go
@@ -67,6 +67,14 @@
 	}
 }
 
+// TestCompareSpillAndBack checks that flows spill to other data centres while
+// the near one is full, and are near again at once when it is not.
+func TestCompareSpillAndBack(t *testing.T) {
+	mean := means(t, "short flows, 70% load, 60% of callers", shortSeeds, ours, "hashing")
+	must.LessEq(t, 0.1*mean("hashing", "wait p99 (s)"), mean(ours, "wait p99 (s)"))
+	must.LessEq(t, 1.5*mean(ours, "far share before"), mean(ours, "in the 10 s after"))
+}
+
 func TestCompareLongFlows(t *testing.T) {
 	steady := means(t, "14,000 long flows on 7 upstreams, steady", longSeeds, ours)
 	must.LessEq(t, 1.01, steady(ours, "worst max/mean"))
--- a/compare/config.go
+++ b/compare/config.go
@@ -18,6 +18,8 @@
 	// Callers holds the share of openings from near each data centre. Nil
 	// selects the share of the upstreams there.
 	Callers []float64
+	// Lean moves callers for a time. The zero value moves none.
+	Lean Lean
 	// Slots is how many requests an upstream runs at once. Zero selects 2.
 	Slots int
 	// Connections is how many flows an upstream holds. Zero selects 2,500.
@@ -102,6 +104,20 @@
 	return c
 }
 
+// Lean gives other shares of openings to the data centres for a time.
+type Lean struct {
+	At, For time.Duration
+	Callers []float64
+}
+
+// callers returns the shares of openings at a moment.
+func (c Config) callers(now time.Duration) []float64 {
+	if now >= c.Lean.At && now < c.Lean.At+c.Lean.For {
+		return c.Lean.Callers
+	}
+	return c.Callers
+}
+
 // Traffic is what callers send: Short or Long.
 type Traffic interface{ traffic() }
 
--- a/compare/result.go
+++ b/compare/result.go
@@ -53,6 +53,8 @@
 	Waits *hdrhistogram.Histogram
 	// Refused counts refused openings.
 	Refused int
+	// Accepted counts accepted openings, Far those outside the caller's data centre.
+	Accepted, Far int
 }
 
 const (
--- a/compare/run.go
+++ b/compare/run.go
@@ -83,7 +83,7 @@
 	return &flow{
 		id:    r.flows,
 		hash:  r.arrivals.Uint64(),
-		place: pick(r.arrivals, r.cfg.Callers),
+		place: pick(r.arrivals, r.cfg.callers(r.now)),
 		born:  r.now,
 	}
 }
--- a/compare/walk.go
+++ b/compare/walk.go
@@ -104,12 +104,17 @@
 	u.flows[f] = true
 	u.watch.Opened(clock(r.now))
 	u.opened++
+	second := r.result.second(r.now)
+	second.Accepted++
+	far := 0
+	if f.place != u.place {
+		far = 1
+	}
+	second.Far += far
 	r.count(func(res *Result) {
 		res.Accepted++
+		res.Far += far
 		res.Highest = max(res.Highest, len(u.flows))
-		if f.place != u.place {
-			res.Far++
-		}
 	})
 	if f.work > 0 {
 		r.join(f, u)
--- a/load/decide_test.go
+++ b/load/decide_test.go
@@ -134,6 +134,8 @@
 		}
 	}
 	must.Between(t, 100, taken, 250)
+	last := load.Decide(load.AcceptOrPass{}, openingAt(6), own, b)
+	must.Eq(t, load.Accept, last.Verdict)
 }
 
 // TestLeavingUpstreamsDoNotRaiseTheShare checks that the flows of a leaving
