Name the parts of load and limit by the field's terms

Cause: names such as board, word, gate and hungry were wordings of their own. Change: Peers, Probe, Decider, underfilled; in limit RetryAfter.

--- a/compare/cases.go
+++ b/compare/cases.go
@@ -55,7 +55,7 @@
 		shortCase("short flows, 70% load, one upstream reports no load", s, Silent{Upstream: faulty}),
 		shortCase("short flows, 70% load, one upstream flaps each 2 s", s, Flap{Upstream: faulty, Period: flapPeriod}),
 		reportCase(s),
-		leanCase(),
+		shiftCase(),
 		steadyCase(s),
 		replaceCase(s),
 		overloadCase("load of 1.5 for a minute, limits on", true),
@@ -88,17 +88,17 @@
 }
 
 const (
-	leanAt     = time.Minute
-	leanLength = time.Minute
+	shiftAt     = time.Minute
+	shiftLength = time.Minute
 )
 
-// leanCase has 60% of the callers near one data centre for a minute, which
+// shiftCase has 60% of the callers near one data centre for a minute, which
 // fills its 3 upstreams to 98%.
-func leanCase() Case {
+func shiftCase() Case {
 	c := shortCase("short flows, 70% load, 60% of callers near one data centre for a minute", Size{})
-	c.Columns = leanColumns()
-	c.Config.Lean = Lean{At: leanAt, For: leanLength, Callers: []float64{0.6, 0.2, 0.2}}
-	c.Config.Length = leanAt + leanLength + time.Minute - warmup
+	c.Columns = shiftColumns()
+	c.Config.Shift = Shift{At: shiftAt, For: shiftLength, Callers: []float64{0.6, 0.2, 0.2}}
+	c.Config.Length = shiftAt + shiftLength + time.Minute - warmup
 	return c
 }
 
--- a/compare/columns.go
+++ b/compare/columns.go
@@ -17,13 +17,13 @@
 	}
 }
 
-func leanColumns() []Column {
+func shiftColumns() []Column {
 	return []Column{
 		{Name: "wait p99 (s)", Value: func(r *Result) float64 { return r.Wait99().Seconds() }},
-		{Name: "far share before", Value: func(r *Result) float64 { return r.farShare(warmup, leanAt) }},
-		{Name: "during", Value: func(r *Result) float64 { return r.farShare(leanAt, leanAt+leanLength) }},
+		{Name: "far share before", Value: func(r *Result) float64 { return r.farShare(warmup, shiftAt) }},
+		{Name: "during", Value: func(r *Result) float64 { return r.farShare(shiftAt, shiftAt+shiftLength) }},
 		{Name: "in the 10 s after", Value: func(r *Result) float64 {
-			end := leanAt + leanLength
+			end := shiftAt + shiftLength
 			return r.farShare(end, end+10*time.Second)
 		}},
 		{Name: "visits", Value: (*Result).MeanVisits},
--- a/compare/config.go
+++ b/compare/config.go
@@ -18,8 +18,8 @@
 	// Callers holds the share of openings from near each data centre. Nil
 	// selects the share of the upstreams there.
 	Callers []float64
-	// Lean moves callers for a time. The zero value moves none.
-	Lean Lean
+	// Shift moves callers for a time. The zero value moves none.
+	Shift Shift
 	// Slots is how many requests an upstream runs at once. Zero selects 2.
 	Slots int
 	// Connections is how many flows an upstream holds. Zero selects 2,500.
@@ -104,16 +104,16 @@
 	return c
 }
 
-// Lean gives other shares of openings to the data centres for a time.
-type Lean struct {
+// Shift gives other shares of openings to the data centres for a time.
+type Shift struct {
 	At, For time.Duration
 	Callers []float64
 }
 
 // callers returns the shares of openings at a moment.
 func (c Config) callers(now time.Duration) []float64 {
-	if now >= c.Lean.At && now < c.Lean.At+c.Lean.For {
-		return c.Lean.Callers
+	if now >= c.Shift.At && now < c.Shift.At+c.Shift.For {
+		return c.Shift.Callers
 	}
 	return c.Callers
 }
--- a/compare/inject.go
+++ b/compare/inject.go
@@ -110,6 +110,6 @@
 			}
 			res.Broken++
 		})
-		r.comeBack(f, time.Duration(r.returns.Float64()*float64(reconnect)))
+		r.retry(f, time.Duration(r.returns.Float64()*float64(reconnect)))
 	}
 }
--- a/compare/observe.go
+++ b/compare/observe.go
@@ -19,7 +19,7 @@
 		}
 		r.known[u.id] = report.View().Known()
 		for _, other := range r.upstreams {
-			other.board.Hear(report, reportBytes, clock(r.now))
+			other.peers.Hear(report, reportBytes, clock(r.now))
 		}
 	}
 }
--- a/compare/serve.go
+++ b/compare/serve.go
@@ -25,7 +25,7 @@
 	if r.cfg.Limits {
 		r.cancel(f)
 	}
-	r.comeBack(f, 0)
+	r.retry(f, 0)
 }
 
 func (r *run) cancel(f *flow) {
--- a/compare/upstream.go
+++ b/compare/upstream.go
@@ -13,15 +13,15 @@
 
 const service bundle.ServiceID = 1
 
-// upstream is a fake upstream with its sidecar's watch, board and queue.
+// upstream is a fake upstream with its sidecar's watch, peers and queue.
 type upstream struct {
 	id      bundle.UpstreamID // never 0
 	place   int
 	spec    bundle.Upstream
 	watch   *load.Watch
-	board   *load.Board
+	peers   *load.Peers
 	policy  load.Policy // nil for the ideal
-	gate    *load.Gate
+	decider *load.Decider
 	queue   *limit.Queue
 	waiting map[uint64]*flow // by the identity in queue
 	flows   map[*flow]bool   // accepted and not ended
@@ -44,8 +44,8 @@
 // empty puts a fresh sidecar without flows beside the upstream.
 func (u *upstream) empty(since time.Time) {
 	u.watch = load.NewWatch(load.WatchConfig{Upstream: u.spec}, since)
-	u.board = load.NewBoard(load.BoardConfig{Service: service, Upstream: u.id})
-	u.gate = load.NewGate(load.GateConfig{Policy: u.policy, Watch: u.watch, Board: u.board})
+	u.peers = load.NewPeers(load.PeersConfig{Service: service, Upstream: u.id})
+	u.decider = load.NewDecider(load.DeciderConfig{Policy: u.policy, Watch: u.watch, Peers: u.peers})
 	u.queue = limit.NewQueue(limit.QueueConfig{Max: queueMax})
 	u.waiting = make(map[uint64]*flow)
 	u.flows = make(map[*flow]bool)
@@ -65,7 +65,7 @@
 
 // report returns what the sidecar tells the others.
 func (u *upstream) report(now time.Duration) (load.Report, bool) {
-	r, ok := u.gate.Due(clock(now))
+	r, ok := u.decider.Due(clock(now))
 	if u.silent {
 		r.Busy = 0
 		r.Connections = 0
--- a/compare/walk.go
+++ b/compare/walk.go
@@ -28,7 +28,7 @@
 	}
 	f.order = rank(f.hash, f.place, len(r.cfg.Places), r.upstreams)
 	if len(f.order) == 0 {
-		r.refused(f, comeback(load.None, r.returns))
+		r.refused(f, retryAfter(load.None, r.returns))
 		return
 	}
 	r.choose(f)
@@ -58,7 +58,7 @@
 	}
 	f.visits++
 	r.count(func(res *Result) { res.Visits++ })
-	d := u.gate.Decide(f.opening(r.patience(f, u)), clock(r.now))
+	d := u.decider.Decide(f.opening(r.patience(f, u)), clock(r.now))
 	switch d.Verdict {
 	case load.Accept:
 		r.accept(f, u)
@@ -68,7 +68,7 @@
 		}
 		r.pass(f, u)
 	case load.Refuse:
-		r.refused(f, comeback(d.Reason, r.returns))
+		r.refused(f, retryAfter(d.Reason, r.returns))
 	}
 }
 
@@ -138,12 +138,12 @@
 	u.watch.Closed()
 }
 
-// comeback returns when a refused caller may come back.
-func comeback(reason load.Reason, rnd limit.Source) time.Duration {
+// retryAfter returns when a refused caller may come back.
+func retryAfter(reason load.Reason, rnd limit.Source) time.Duration {
 	if reason == load.Full {
-		return limit.RoomReturn().After(0, rnd)
+		return limit.FullRetryAfter().After(0, rnd)
 	}
-	return limit.Return{}.After(0, rnd)
+	return limit.RetryAfter{}.After(0, rnd)
 }
 
 // refused ends a try. The caller comes back after the time that it was told.
@@ -152,11 +152,11 @@
 	f.done = true
 	r.count(func(res *Result) { res.Refused++ })
 	r.result.second(r.now).Refused++
-	r.comeBack(f, after)
+	r.retry(f, after)
 }
 
-// comeBack starts the caller's next try, as a new flow with the same work.
-func (r *run) comeBack(f *flow, after time.Duration) {
+// retry starts the caller's next try, as a new flow with the same work.
+func (r *run) retry(f *flow, after time.Duration) {
 	if f.tries >= r.tries(f) {
 		return
 	}
--- a/limit/callers.go
+++ b/limit/callers.go
@@ -22,8 +22,8 @@
 	Headroom float64
 	// Burst is the time over which unused flows are saved up. Zero selects 1 s.
 	Burst time.Duration
-	// Return says when refused callers come back.
-	Return Return
+	// RetryAfter says when refused callers come back.
+	RetryAfter RetryAfter
 }
 
 const (
@@ -161,5 +161,5 @@
 }
 
 func (c *Callers) refuse(r Reason, wait time.Duration, rnd Source) Refusal {
-	return Refusal{Reason: r, After: c.cfg.Return.After(wait, rnd)}
+	return Refusal{Reason: r, After: c.cfg.RetryAfter.After(wait, rnd)}
 }
--- a/limit/queue.go
+++ b/limit/queue.go
@@ -15,8 +15,8 @@
 	Share float64
 	// Rule says what is refused when something must be. Nil selects Newest.
 	Rule Rule
-	// Return says when refused callers come back.
-	Return Return
+	// RetryAfter says when refused callers come back.
+	RetryAfter RetryAfter
 }
 
 const (
@@ -159,7 +159,7 @@
 
 // refuse returns the refusal of w, to come back once the queue has emptied.
 func (q *Queue) refuse(w Waiting, r Reason, p Pace, rnd Source) Refusal {
-	after := q.cfg.Return.After(p.wait(q.waiting.Len()), rnd)
+	after := q.cfg.RetryAfter.After(p.wait(q.waiting.Len()), rnd)
 	return Refusal{ID: w.ID, Reason: r, After: after}
 }
 
--- a/limit/queue_test.go
+++ b/limit/queue_test.go
@@ -124,17 +124,17 @@
 	must.Eq(t, 0, q.Len())
 }
 
-func TestReturnTimesAreSpread(t *testing.T) {
+func TestRetryTimesAreSpread(t *testing.T) {
 	rnd := source()
 	shortest, longest := time.Hour, time.Duration(0)
 	for range 1000 {
-		d := limit.Return{}.After(0, rnd)
+		d := limit.RetryAfter{}.After(0, rnd)
 		shortest = min(shortest, d)
 		longest = max(longest, d)
 	}
 	must.Between(t, 500*time.Millisecond, shortest, 600*time.Millisecond)
 	must.Between(t, 4400*time.Millisecond, longest, 4500*time.Millisecond)
-	must.GreaterEq(t, 10*time.Second, limit.Return{}.After(10*time.Second, rnd))
+	must.GreaterEq(t, 10*time.Second, limit.RetryAfter{}.After(10*time.Second, rnd))
 }
 
 func TestBudgetBoundsRetries(t *testing.T) {
--- a/limit/refusal.go
+++ b/limit/refusal.go
@@ -55,9 +55,9 @@
 	Float64() float64
 }
 
-// Return is how refused callers are told to come back. The zero value selects
+// RetryAfter is how refused callers are told to come back. The zero value selects
 // the defaults.
-type Return struct {
+type RetryAfter struct {
 	// Least is the shortest time, from 1 ms to 1 min. Zero selects 500 ms.
 	Least time.Duration
 	// Spread is the width over which the times are drawn evenly, from 1 ms to
@@ -68,18 +68,18 @@
 const (
 	defaultLeast  = 500 * time.Millisecond
 	defaultSpread = 4 * time.Second
-	roomLeast     = 5 * time.Second
-	roomSpread    = 30 * time.Second
+	fullLeast     = 5 * time.Second
+	fullSpread    = 30 * time.Second
 )
 
-// RoomReturn returns how callers come back that were refused because the
+// FullRetryAfter returns how callers come back that were refused because the
 // upstreams hold as many flows as they may: flows end slowly.
-func RoomReturn() Return {
-	return Return{Least: roomLeast, Spread: roomSpread}
+func FullRetryAfter() RetryAfter {
+	return RetryAfter{Least: fullLeast, Spread: fullSpread}
 }
 
 // After draws a time that is at least wait.
-func (r Return) After(wait time.Duration, rnd Source) time.Duration {
+func (r RetryAfter) After(wait time.Duration, rnd Source) time.Duration {
 	if r.Least == 0 {
 		r.Least = defaultLeast
 	}
--- a/load/connections.go
+++ b/load/connections.go
@@ -1,9 +1,9 @@
 package load
 
 const (
-	// hungryBelow is the share of its fair number of flows below which the
+	// underfilledBelow is the share of its fair number of flows below which the
 	// inflow of an upstream is bounded.
-	hungryBelow = 0.97
+	underfilledBelow = 0.97
 	// slotsMargin is added to the slack, in flows for each slot.
 	slotsMargin = 2
 )
@@ -12,26 +12,26 @@
 // candidate holds clearly less, and accepts when it holds clearly less than
 // those before it. One far below its share that fills fast takes only some of
 // the flows that others pass, chosen by hash, so that it is not swamped.
-func (p AcceptOrPass) byConnections(o Opening, own View, b *Board, t total) Decision {
+func (p AcceptOrPass) byConnections(o Opening, own View, ps *Peers, t total) Decision {
 	if o.last() {
 		return Decision{Verdict: Accept}
 	}
 	l := connectionLoad(own)
-	if o.At > 0 && p.hungry(own, t) {
-		return p.takeIn(o, own, t)
+	if o.At > 0 && p.underfilled(own, t) {
+		return p.decidePassed(o, own, t)
 	}
 	margin := p.loadMargin(own, t)
 	if least, ok := o.least(l); ok && l.clearlyBelow(least, margin) {
 		return Decision{Verdict: Accept}
 	}
-	if !p.betterFollows(o, l, margin, b, t) {
+	if !p.betterFollows(o, l, margin, ps, t) {
 		return Decision{Verdict: Accept}
 	}
 	return Decision{Verdict: Pass, Reason: Busy, Load: l}
 }
 
-// takeIn decides for an upstream far below its share about a passed flow.
-func (p AcceptOrPass) takeIn(o Opening, own View, t total) Decision {
+// decidePassed decides for an upstream far below its share about a passed flow.
+func (p AcceptOrPass) decidePassed(o Opening, own View, t total) Decision {
 	if p.takes(own, o, t) {
 		return Decision{Verdict: Accept}
 	}
@@ -44,9 +44,9 @@
 	return t.mean() * v.share()
 }
 
-// hungry reports whether an upstream holds far fewer flows than its share.
-func (p AcceptOrPass) hungry(v View, t total) bool {
-	return float64(v.Connections) < hungryBelow*t.fair(v)-float64(slotsMargin*v.Slots)
+// underfilled reports whether an upstream holds far fewer flows than its share.
+func (p AcceptOrPass) underfilled(v View, t total) bool {
+	return float64(v.Connections) < underfilledBelow*t.fair(v)-float64(slotsMargin*v.Slots)
 }
 
 // takes reports whether an upstream far below its share takes a flow that
@@ -72,16 +72,16 @@
 
 // betterFollows reports whether a later candidate has a load clearly below l,
 // or is not known.
-func (p AcceptOrPass) betterFollows(o Opening, l, margin Load, b *Board, t total) bool {
+func (p AcceptOrPass) betterFollows(o Opening, l, margin Load, ps *Peers, t total) bool {
 	for i := o.At + 1; i < min(o.Count, Listed); i++ {
 		if o.Candidates[i] == 0 {
 			continue
 		}
-		v, ok := b.find(o.Candidates[i])
+		v, ok := ps.find(o.Candidates[i])
 		if !ok {
 			return true
 		}
-		if v.closed() || p.hungry(v, t) && !p.takes(v, o, t) {
+		if v.unavailable() || p.underfilled(v, t) && !p.takes(v, o, t) {
 			continue
 		}
 		if connectionLoad(v).clearlyBelow(l, margin) {
--- a/load/decide.go
+++ b/load/decide.go
@@ -59,12 +59,12 @@
 // allocates nothing and may be called concurrently. Pass is returned only
 // when another candidate follows; Refuse is true when each earlier candidate
 // passed.
-func Decide(p Policy, o Opening, own View, b *Board) Decision {
-	b.mu.RLock()
-	defer b.mu.RUnlock()
+func Decide(p Policy, o Opening, own View, ps *Peers) Decision {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
 	switch p := p.(type) {
 	case AcceptOrPass:
-		return p.withDefaults().decide(o, own, b)
+		return p.withDefaults().decide(o, own, ps)
 	default:
 		return acceptUnlessFull(o, own)
 	}
@@ -72,14 +72,14 @@
 
 // acceptUnlessFull accepts wherever the upstream may hold one flow more.
 func acceptUnlessFull(o Opening, own View) Decision {
-	if reason := closed(own); reason != None {
+	if reason := exhausted(own); reason != None {
 		return onward(o, reason, 0)
 	}
 	return Decision{Verdict: Accept}
 }
 
-// closed returns why an upstream can take no new flow at all, or None.
-func closed(own View) Reason {
+// exhausted returns why an upstream can take no new flow at all, or None.
+func exhausted(own View) Reason {
 	switch {
 	case own.Leaving:
 		return Leaving
@@ -97,22 +97,22 @@
 	return Decision{Verdict: Pass, Reason: reason, Load: l}
 }
 
-func (p AcceptOrPass) decide(o Opening, own View, b *Board) Decision {
-	t := b.total.with(own)
+func (p AcceptOrPass) decide(o Opening, own View, ps *Peers) Decision {
+	t := ps.total.with(own)
 	l := t.load(own)
-	if reason := closed(own); reason != None {
+	if reason := exhausted(own); reason != None {
 		return onward(o, reason, maxLoad|l&connectionsBit)
 	}
-	if own.Failing && b.mayStandAside(own) {
+	if own.Failing && ps.mayStandAside(own) {
 		return onward(o, Failing, maxLoad|l&connectionsBit)
 	}
 	if t.long() {
-		return p.byConnections(o, own, b, t)
+		return p.byConnections(o, own, ps, t)
 	}
 	if !o.last() && !admits(own.Ramp, o.Hash) {
 		return Decision{Verdict: Pass, Reason: Starting, Load: l}
 	}
-	return p.byQueue(o, own, b, t)
+	return p.byQueue(o, own, ps, t)
 }
 
 // load returns own in the measure that suits the flows of the service.
@@ -139,7 +139,7 @@
 }
 
 // byQueue decides for short flows.
-func (p AcceptOrPass) byQueue(o Opening, own View, b *Board, t total) Decision {
+func (p AcceptOrPass) byQueue(o Opening, own View, ps *Peers, t total) Decision {
 	if own.Free() {
 		return Decision{Verdict: Accept}
 	}
--- a/load/decide_test.go
+++ b/load/decide_test.go
@@ -34,14 +34,14 @@
 	return v
 }
 
-// board returns the board of upstream 1 that heard the views of upstreams 2, 3 and so on.
-func board(t testing.TB, views ...load.View) *load.Board {
-	b := load.NewBoard(load.BoardConfig{Service: service, Upstream: 1})
+// heard returns the peers of upstream 1 with the views of upstreams 2, 3 and so on.
+func heard(t testing.TB, views ...load.View) *load.Peers {
+	ps := load.NewPeers(load.PeersConfig{Service: service, Upstream: 1})
 	for i, v := range views {
 		r := load.NewReport(service, bundle.UpstreamID(i+2), 1, v)
-		must.True(t, b.Hear(r, 0, start))
+		must.True(t, ps.Hear(r, 0, start))
 	}
-	return b
+	return ps
 }
 
 func openingAt(at int, loads ...uint32) load.Opening {
@@ -81,8 +81,8 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			b := board(t, idle(), idle(), idle(), idle(), idle(), idle())
-			got := load.Decide(load.AcceptOrPass{}, c.opening, c.own, b)
+			ps := heard(t, idle(), idle(), idle(), idle(), idle(), idle())
+			got := load.Decide(load.AcceptOrPass{}, c.opening, c.own, ps)
 			must.Eq(t, c.want, got.Verdict)
 			must.Eq(t, c.reason, got.Reason)
 		})
@@ -111,8 +111,8 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			peer := holding(c.peers)
-			b := board(t, peer, peer, peer, peer, peer, peer)
-			got := load.Decide(load.AcceptOrPass{}, openingAt(c.at), c.own, b)
+			ps := heard(t, peer, peer, peer, peer, peer, peer)
+			got := load.Decide(load.AcceptOrPass{}, openingAt(c.at), c.own, ps)
 			must.Eq(t, c.want, got.Verdict)
 		})
 	}
@@ -122,19 +122,19 @@
 // accepts many flows a second takes only some of those that others pass.
 func TestFastFillingUpstreamIsNotSwamped(t *testing.T) {
 	peer := holding(2000)
-	b := board(t, peer, peer, peer, peer, peer, peer)
+	ps := heard(t, peer, peer, peer, peer, peer, peer)
 	own := holding(100)
 	own.Rate = 500
 	taken := 0
 	for i := range 1000 {
 		o := openingAt(1, uint32(1<<31|16_001))
 		o.Hash = uint64(i) * 0x9e3779b97f4a7c15
-		if load.Decide(load.AcceptOrPass{}, o, own, b).Verdict == load.Accept {
+		if load.Decide(load.AcceptOrPass{}, o, own, ps).Verdict == load.Accept {
 			taken++
 		}
 	}
 	must.Between(t, 100, taken, 250)
-	last := load.Decide(load.AcceptOrPass{}, openingAt(6), own, b)
+	last := load.Decide(load.AcceptOrPass{}, openingAt(6), own, ps)
 	must.Eq(t, load.Accept, last.Verdict)
 }
 
@@ -144,13 +144,13 @@
 	leaving := holding(2500)
 	leaving.Leaving = true
 	peer := holding(1000)
-	b := board(t, peer, peer, peer, peer, peer, leaving)
+	ps := heard(t, peer, peer, peer, peer, peer, leaving)
 	own := holding(1000)
 	own.Rate = 500
 	for hash := range uint64(20) {
 		o := openingAt(1, uint32(1<<31|8801))
 		o.Hash = hash * 0x9e3779b97f4a7c15
-		must.Eq(t, load.Accept, load.Decide(load.AcceptOrPass{}, o, own, b).Verdict)
+		must.Eq(t, load.Accept, load.Decide(load.AcceptOrPass{}, o, own, ps).Verdict)
 	}
 }
 
@@ -159,18 +159,18 @@
 	failing := holding(1500).WithFailing(true)
 	well := holding(1500)
 	own := holding(1500).WithFailing(true)
-	decide := func(b *load.Board) load.Verdict {
-		return load.Decide(load.AcceptOrPass{}, openingAt(0), own, b).Verdict
+	decide := func(ps *load.Peers) load.Verdict {
+		return load.Decide(load.AcceptOrPass{}, openingAt(0), own, ps).Verdict
 	}
-	must.Eq(t, load.Pass, decide(board(t, well, well, well, well, well, failing)))
+	must.Eq(t, load.Pass, decide(heard(t, well, well, well, well, well, failing)))
 	crowded := holding(2200)
-	must.Eq(t, load.Accept, decide(board(t, crowded, crowded, crowded, crowded, crowded, crowded)))
+	must.Eq(t, load.Accept, decide(heard(t, crowded, crowded, crowded, crowded, crowded, crowded)))
 }
 
 func TestHashingAndLeastKnown(t *testing.T) {
-	b := board(t)
-	must.Eq(t, load.Accept, load.Decide(load.Hashing{}, openingAt(0), busy(9, mean), b).Verdict)
-	must.Eq(t, load.Pass, load.Decide(load.LeastKnown{}, openingAt(0), holding(2500), b).Verdict)
+	ps := heard(t)
+	must.Eq(t, load.Accept, load.Decide(load.Hashing{}, openingAt(0), busy(9, mean), ps).Verdict)
+	must.Eq(t, load.Pass, load.Decide(load.LeastKnown{}, openingAt(0), holding(2500), ps).Verdict)
 	known := [2]load.Load{busy(4, mean).Known(), idle().Known()}
 	must.Eq(t, 1, load.First(load.LeastKnown{}, known))
 	must.Eq(t, 0, load.First(load.Hashing{}, known))
@@ -179,11 +179,11 @@
 
 func TestDecideAllocatesNothing(t *testing.T) {
 	peer := holding(2000)
-	b := board(t, peer, peer, peer, peer, peer, peer)
+	ps := heard(t, peer, peer, peer, peer, peer, peer)
 	var p load.Policy = load.AcceptOrPass{}
 	must.Zero(t, testing.AllocsPerRun(100, func() {
-		load.Decide(p, openingAt(0), holding(2030), b)
-		load.Decide(p, openingAt(0), busy(1, mean), b)
+		load.Decide(p, openingAt(0), holding(2030), ps)
+		load.Decide(p, openingAt(0), busy(1, mean), ps)
 	}))
 }
 
@@ -191,17 +191,17 @@
 	peer := holding(2000)
 	cases := map[string]struct {
 		own   load.View
-		board *load.Board
+		peers *load.Peers
 	}{
-		"short": {busy(1, mean), board(b, idle(), idle(), idle(), idle(), idle(), idle())},
-		"long":  {holding(2030), board(b, peer, peer, peer, peer, peer, peer)},
+		"short": {busy(1, mean), heard(b, idle(), idle(), idle(), idle(), idle(), idle())},
+		"long":  {holding(2030), heard(b, peer, peer, peer, peer, peer, peer)},
 	}
 	var p load.Policy = load.AcceptOrPass{}
 	for name, c := range cases {
 		b.Run(name, func(b *testing.B) {
 			b.ReportAllocs()
 			for b.Loop() {
-				load.Decide(p, openingAt(0), c.own, c.board)
+				load.Decide(p, openingAt(0), c.own, c.peers)
 			}
 		})
 	}
--- a/load/failing.go
+++ b/load/failing.go
@@ -16,17 +16,17 @@
 	// Forget is how long an upstream must serve before the next hold starts
 	// from Hold again. Zero selects 60 s.
 	Forget time.Duration
-	// Return is the ramp after each hold. Its zero value selects 1 s from 0.25.
-	Return Ramp
+	// Recovery is the ramp after each hold. Its zero value selects 1 s from 0.25.
+	Recovery Ramp
 }
 
 const (
-	defaultRun         = 3
-	defaultHold        = 250 * time.Millisecond
-	defaultMaxHold     = 30 * time.Second
-	defaultForget      = time.Minute
-	defaultReturn      = time.Second
-	defaultReturnFloor = 0.25
+	defaultRun           = 3
+	defaultHold          = 250 * time.Millisecond
+	defaultMaxHold       = 30 * time.Second
+	defaultForget        = time.Minute
+	defaultRecovery      = time.Second
+	defaultRecoveryFloor = 0.25
 )
 
 func (c FailingConfig) withDefaults() FailingConfig {
@@ -42,8 +42,8 @@
 	if c.Forget == 0 {
 		c.Forget = defaultForget
 	}
-	if c.Return == (Ramp{}) {
-		c.Return = Ramp{Length: defaultReturn, Floor: defaultReturnFloor}
+	if c.Recovery == (Ramp{}) {
+		c.Recovery = Ramp{Length: defaultRecovery, Floor: defaultRecoveryFloor}
 	}
 	return c
 }
@@ -100,5 +100,5 @@
 	if f.until.IsZero() {
 		return 1
 	}
-	return f.cfg.Return.Share(now.Sub(f.until))
+	return f.cfg.Recovery.Share(now.Sub(f.until))
 }
--- a/load/board.go
+++ b/load/peers.go
@@ -7,8 +7,8 @@
 	"github.com/corianderbay/corianderbay/bundle"
 )
 
-// BoardConfig holds the settings of a Board. The zero value selects the defaults.
-type BoardConfig struct {
+// PeersConfig holds the settings of a Peers. The zero value selects the defaults.
+type PeersConfig struct {
 	// Service is the service whose reports count; all others are dropped.
 	Service bundle.ServiceID
 	// Upstream is the one beside which the sidecar runs.
@@ -24,14 +24,14 @@
 	defaultReportPeriod = time.Second
 )
 
-// A Board keeps the latest report of each other sidecar of one service. It is
+// A Peers keeps the latest report of each other sidecar of one service. It is
 // safe for concurrent use.
-type Board struct {
-	cfg BoardConfig // fixed after NewBoard
+type Peers struct {
+	cfg PeersConfig // fixed after NewPeers
 
 	mu       sync.RWMutex
-	peers    map[bundle.UpstreamID]peer
-	total    total // sum over the views in peers, without the sidecar's own
+	byID     map[bundle.UpstreamID]peer
+	total    total // sum over the views in byID, without the sidecar's own
 	sequence uint64
 	next     time.Time // when the next own report is due
 	bytes    uint64    // of all reports sent and received
@@ -44,105 +44,105 @@
 	heard    time.Time
 }
 
-// NewBoard returns a Board without reports.
-func NewBoard(cfg BoardConfig) *Board {
+// NewPeers returns a Peers without reports.
+func NewPeers(cfg PeersConfig) *Peers {
 	if cfg.MaxAge == 0 {
 		cfg.MaxAge = defaultReportAge
 	}
 	if cfg.Period == 0 {
 		cfg.Period = defaultReportPeriod
 	}
-	return &Board{cfg: cfg, peers: make(map[bundle.UpstreamID]peer)}
+	return &Peers{cfg: cfg, byID: make(map[bundle.UpstreamID]peer)}
 }
 
 // Hear keeps a report of size bytes. It returns false for a report of another
 // service, of the sidecar itself, or older than the one that it holds.
-func (b *Board) Hear(r Report, size int, now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.bytes += uint64(size)
-	if r.Service != b.cfg.Service || r.Upstream == b.cfg.Upstream {
+func (ps *Peers) Hear(r Report, size int, now time.Time) bool {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	ps.bytes += uint64(size)
+	if r.Service != ps.cfg.Service || r.Upstream == ps.cfg.Upstream {
 		return false
 	}
-	if p, ok := b.peers[r.Upstream]; ok && p.sequence >= r.Sequence {
+	if p, ok := ps.byID[r.Upstream]; ok && p.sequence >= r.Sequence {
 		return false
 	}
-	b.drop(r.Upstream)
-	b.peers[r.Upstream] = peer{sequence: r.Sequence, view: r.View(), heard: now}
-	b.total = b.total.with(r.View())
+	ps.drop(r.Upstream)
+	ps.byID[r.Upstream] = peer{sequence: r.Sequence, view: r.View(), heard: now}
+	ps.total = ps.total.with(r.View())
 	return true
 }
 
 // Due returns the sidecar's next report when it is time to send it.
-func (b *Board) Due(own View, now time.Time) (Report, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if now.Before(b.next) {
+func (ps *Peers) Due(own View, now time.Time) (Report, bool) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	if now.Before(ps.next) {
 		return Report{}, false
 	}
-	b.next = now.Add(b.cfg.Period)
+	ps.next = now.Add(ps.cfg.Period)
 	// The clock keeps the sequence growing when the sidecar restarts.
-	b.sequence = max(b.sequence+1, uint64(now.UnixMilli()))
-	return NewReport(b.cfg.Service, b.cfg.Upstream, b.sequence, own), true
+	ps.sequence = max(ps.sequence+1, uint64(now.UnixMilli()))
+	return NewReport(ps.cfg.Service, ps.cfg.Upstream, ps.sequence, own), true
 }
 
 // Sent counts the bytes of a report that left for one other sidecar.
-func (b *Board) Sent(size int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.bytes += uint64(size)
+func (ps *Peers) Sent(size int) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	ps.bytes += uint64(size)
 }
 
 // Bytes returns the size of all reports sent and received.
-func (b *Board) Bytes() uint64 {
-	b.mu.RLock()
-	defer b.mu.RUnlock()
-	return b.bytes
+func (ps *Peers) Bytes() uint64 {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	return ps.bytes
 }
 
 // Expire drops the reports that are too old at now.
-func (b *Board) Expire(now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for id, p := range b.peers {
-		if now.Sub(p.heard) > b.cfg.MaxAge {
-			b.drop(id)
+func (ps *Peers) Expire(now time.Time) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	for id, p := range ps.byID {
+		if now.Sub(p.heard) > ps.cfg.MaxAge {
+			ps.drop(id)
 		}
 	}
 }
 
 // Forget drops an upstream that left the bundle.
-func (b *Board) Forget(u bundle.UpstreamID) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.drop(u)
+func (ps *Peers) Forget(u bundle.UpstreamID) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	ps.drop(u)
 }
 
-// drop takes an upstream out of peers and total. The caller holds mu.
-func (b *Board) drop(u bundle.UpstreamID) {
-	p, ok := b.peers[u]
+// drop takes an upstream out of byID and total. The caller holds mu.
+func (ps *Peers) drop(u bundle.UpstreamID) {
+	p, ok := ps.byID[u]
 	if !ok {
 		return
 	}
-	delete(b.peers, u)
-	b.total = b.total.minus(p.view)
+	delete(ps.byID, u)
+	ps.total = ps.total.minus(p.view)
 }
 
 // find returns the view of another upstream and whether it is known. The
 // caller holds mu.
-func (b *Board) find(u bundle.UpstreamID) (View, bool) {
-	p, ok := b.peers[u]
+func (ps *Peers) find(u bundle.UpstreamID) (View, bool) {
+	p, ok := ps.byID[u]
 	return p.view, ok
 }
 
 // mayStandAside reports whether the rest can carry the load without the
 // upstreams that are failing, this one included, when those with the lower
 // identities go first. The caller holds mu.
-func (b *Board) mayStandAside(own View) bool {
-	t := b.total.with(own)
+func (ps *Peers) mayStandAside(own View) bool {
+	t := ps.total.with(own)
 	rest := t.without(own)
-	for id, p := range b.peers {
-		if p.view.Failing && id < b.cfg.Upstream {
+	for id, p := range ps.byID {
+		if p.view.Failing && id < ps.cfg.Upstream {
 			rest = rest.without(p.view)
 		}
 	}
--- a/load/property_test.go
+++ b/load/property_test.go
@@ -42,19 +42,19 @@
 	return o
 }
 
-// TestDecideKeepsItsPromises holds for any policy, view, opening and board: no
+// TestDecideKeepsItsPromises holds for any policy, view, opening and peers: no
 // new flow where none may be, no pass without a next candidate, and a refusal
 // only when nobody is left or the opening cannot wait.
 func TestDecideKeepsItsPromises(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		b := load.NewBoard(load.BoardConfig{Service: service, Upstream: 1})
+		ps := load.NewPeers(load.PeersConfig{Service: service, Upstream: 1})
 		for i := range rapid.IntRange(0, 9).Draw(t, "peers") {
-			b.Hear(load.NewReport(service, bundle.UpstreamID(i+2), 1, drawView(t)), 0, start)
+			ps.Hear(load.NewReport(service, bundle.UpstreamID(i+2), 1, drawView(t)), 0, start)
 		}
 		p := rapid.SampledFrom([]load.Policy{load.Hashing{}, load.LeastKnown{}, load.AcceptOrPass{}}).Draw(t, "policy")
 		own, o := drawView(t), drawOpening(t)
 		last := o.At == o.Count-1
-		d := load.Decide(p, o, own, b)
+		d := load.Decide(p, o, own, ps)
 		switch d.Verdict {
 		case load.Accept:
 			if own.Leaving || own.Connections >= own.Limit {
@@ -71,17 +71,17 @@
 		default:
 			t.Fatalf("verdict %d", d.Verdict)
 		}
-		if again := load.Decide(p, o, own, b); again != d {
+		if again := load.Decide(p, o, own, ps); again != d {
 			t.Fatalf("the same opening was decided as %v and %v", d, again)
 		}
 	})
 }
 
-// TestBoardSumsWhatItHolds compares a board that heard, forgot and expired
+// TestPeersSumWhatTheyHold compares peers that heard, forgot and expired
 // reports with one that heard only those that remain.
-func TestBoardSumsWhatItHolds(t *testing.T) {
+func TestPeersSumWhatTheyHold(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		used := load.NewBoard(load.BoardConfig{Service: service, Upstream: 1})
+		used := load.NewPeers(load.PeersConfig{Service: service, Upstream: 1})
 		held := make(map[bundle.UpstreamID]load.Report)
 		for i := range rapid.IntRange(1, 30).Draw(t, "steps") {
 			id := bundle.UpstreamID(rapid.IntRange(2, 6).Draw(t, "upstream"))
@@ -95,7 +95,7 @@
 				held[id] = r
 			}
 		}
-		fresh := load.NewBoard(load.BoardConfig{Service: service, Upstream: 1})
+		fresh := load.NewPeers(load.PeersConfig{Service: service, Upstream: 1})
 		for _, r := range held {
 			fresh.Hear(r, 0, start)
 		}
--- a/load/report_test.go
+++ b/load/report_test.go
@@ -39,22 +39,22 @@
 	must.Eq(t, "weight", want.Field)
 }
 
-func TestBoardDropsWhatDoesNotCount(t *testing.T) {
-	b := load.NewBoard(load.BoardConfig{Service: service, Upstream: 1})
-	must.True(t, b.Hear(load.NewReport(service, 2, 5, idle()), 40, start))
-	must.False(t, b.Hear(load.NewReport(service, 2, 5, idle()), 40, start))
-	must.False(t, b.Hear(load.NewReport(service, 1, 9, idle()), 40, start))
-	must.False(t, b.Hear(load.NewReport(service+1, 3, 9, idle()), 40, start))
-	must.Eq(t, uint64(160), b.Bytes())
+func TestPeersDropWhatDoesNotCount(t *testing.T) {
+	ps := load.NewPeers(load.PeersConfig{Service: service, Upstream: 1})
+	must.True(t, ps.Hear(load.NewReport(service, 2, 5, idle()), 40, start))
+	must.False(t, ps.Hear(load.NewReport(service, 2, 5, idle()), 40, start))
+	must.False(t, ps.Hear(load.NewReport(service, 1, 9, idle()), 40, start))
+	must.False(t, ps.Hear(load.NewReport(service+1, 3, 9, idle()), 40, start))
+	must.Eq(t, uint64(160), ps.Bytes())
 }
 
-func TestBoardReportsOncePerPeriod(t *testing.T) {
-	b := load.NewBoard(load.BoardConfig{Service: service, Upstream: 1})
-	first, ok := b.Due(idle(), start)
+func TestPeersReportOncePerPeriod(t *testing.T) {
+	ps := load.NewPeers(load.PeersConfig{Service: service, Upstream: 1})
+	first, ok := ps.Due(idle(), start)
 	must.True(t, ok)
-	_, ok = b.Due(idle(), start.Add(500*time.Millisecond))
+	_, ok = ps.Due(idle(), start.Add(500*time.Millisecond))
 	must.False(t, ok)
-	second, ok := b.Due(idle(), start.Add(time.Second))
+	second, ok := ps.Due(idle(), start.Add(time.Second))
 	must.True(t, ok)
 	must.Greater(t, first.Sequence, second.Sequence)
 }
@@ -63,8 +63,8 @@
 // asked again, since it is not known to be busy.
 func TestExpiredReportsDoNotCount(t *testing.T) {
 	peer := holding(2030)
-	b := board(t, peer, peer, peer, peer, peer, peer)
-	must.Eq(t, load.Accept, load.Decide(load.AcceptOrPass{}, openingAt(0), holding(2030), b).Verdict)
-	b.Expire(start.Add(time.Minute))
-	must.Eq(t, load.Pass, load.Decide(load.AcceptOrPass{}, openingAt(0), holding(2030), b).Verdict)
+	ps := heard(t, peer, peer, peer, peer, peer, peer)
+	must.Eq(t, load.Accept, load.Decide(load.AcceptOrPass{}, openingAt(0), holding(2030), ps).Verdict)
+	ps.Expire(start.Add(time.Minute))
+	must.Eq(t, load.Pass, load.Decide(load.AcceptOrPass{}, openingAt(0), holding(2030), ps).Verdict)
 }
--- a/load/view.go
+++ b/load/view.go
@@ -79,8 +79,8 @@
 	return float64(v.thousandths()) / thousandths
 }
 
-// closed reports whether the upstream is known to take no new flows.
-func (v View) closed() bool {
+// unavailable reports whether the upstream is known to take no new flows.
+func (v View) unavailable() bool {
 	return v.Leaving || v.Failing || v.full()
 }
 
--- a/load/watch.go
+++ b/load/watch.go
@@ -17,13 +17,13 @@
 	Ramp Ramp
 	// Failing sets when an upstream is held to be failing.
 	Failing FailingConfig
-	// WordAge is how old an endpoint's word may be. Zero selects 3 s.
-	WordAge time.Duration
+	// ProbeAge is how old a probe may count. Zero selects 3 s.
+	ProbeAge time.Duration
 }
 
 const (
-	defaultWordAge = 3 * time.Second
-	serviceShare   = 1.0 / 32
+	defaultProbeAge = 3 * time.Second
+	serviceShare    = 1.0 / 32
 	// frozenAfter is how many answers go by before unchanged numbers are ignored.
 	frozenAfter = 16
 	// leastRest is the least expected rest of a request in mean times in service.
@@ -43,14 +43,14 @@
 	accepted    pace
 	service     time.Duration
 	failing     failing
-	word        Word
-	unchanged   int // answers since the numbers of word last changed, at least 0
+	probe       Probe
+	unchanged   int // answers since the numbers of probe last changed, at least 0
 }
 
 // NewWatch returns a Watch of an upstream whose cold start begins now.
 func NewWatch(cfg WatchConfig, now time.Time) *Watch {
-	if cfg.WordAge == 0 {
-		cfg.WordAge = defaultWordAge
+	if cfg.ProbeAge == 0 {
+		cfg.ProbeAge = defaultProbeAge
 	}
 	return &Watch{
 		cfg:      cfg,
@@ -159,20 +159,20 @@
 	w.failing.refused(now)
 }
 
-// Hear keeps the latest word of the upstream's endpoints.
-func (w *Watch) Hear(word Word) {
+// Probed keeps the latest answer of the upstream's endpoints.
+func (w *Watch) Probed(p Probe) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if word.At.Before(w.word.At) {
+	if p.At.Before(w.probe.At) {
 		return
 	}
-	if !word.same(w.word) {
+	if !p.same(w.probe) {
 		w.unchanged = 0
 	}
-	w.word = word
+	w.probe = p
 }
 
-// View returns what the sidecar knows at now. The endpoint's word can only
+// View returns what the sidecar knows at now. A probe can only
 // raise the load above what was seen, and its "unhealthy" counts only while no
 // answer contradicts it; "healthy" never outweighs refusals and timeouts.
 func (w *Watch) View(now time.Time) View {
@@ -195,39 +195,39 @@
 	return w.weigh(v, now)
 }
 
-// Contradicted reports whether the fresh word of the endpoints says otherwise
+// Contradicted reports whether a fresh probe says otherwise
 // than what was seen: healthy while failing, unhealthy while answering, no load
 // while requests are in service, or numbers that stand still.
 func (w *Watch) Contradicted(now time.Time) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if !w.word.fresh(now, w.cfg.WordAge) {
+	if !w.probe.fresh(now, w.cfg.ProbeAge) {
 		return false
 	}
 	failing := w.failing.is(now)
-	return w.word.Healthy && failing ||
-		!w.word.Healthy && w.answering() ||
-		w.word.InUse == 0 && len(w.started) >= w.upstream.EffectiveSlots() ||
-		w.word.InUse > 0 && w.unchanged >= frozenAfter
+	return w.probe.Healthy && failing ||
+		!w.probe.Healthy && w.answering() ||
+		w.probe.InUse == 0 && len(w.started) >= w.upstream.EffectiveSlots() ||
+		w.probe.InUse > 0 && w.unchanged >= frozenAfter
 }
 
-// answering reports whether an answer was seen about when the word was heard
+// answering reports whether an answer was seen about when the probe was
 // or later. The caller holds mu.
 func (w *Watch) answering() bool {
-	return w.failing.lastGood.After(w.word.At.Add(-w.cfg.WordAge))
+	return w.failing.lastGood.After(w.probe.At.Add(-w.cfg.ProbeAge))
 }
 
-// weigh applies the endpoint's word to what was seen. Numbers that stand still
+// weigh applies the latest probe to what was seen. Numbers that stand still
 // while answers go by do not count. The caller holds mu.
 func (w *Watch) weigh(v View, now time.Time) View {
-	if !w.word.fresh(now, w.cfg.WordAge) {
+	if !w.probe.fresh(now, w.cfg.ProbeAge) {
 		return v
 	}
 	if w.unchanged < frozenAfter {
-		v.InUse = min(max(v.InUse, w.word.InUse), max(v.Slots, v.InUse))
-		v.Connections = max(v.Connections, w.word.Connections)
+		v.InUse = min(max(v.InUse, w.probe.InUse), max(v.Slots, v.InUse))
+		v.Connections = max(v.Connections, w.probe.Connections)
 	}
-	if !w.word.Healthy && !w.answering() {
+	if !w.probe.Healthy && !w.answering() {
 		v.Failing = true
 	}
 	return v
--- a/load/watch_test.go
+++ b/load/watch_test.go
@@ -48,12 +48,12 @@
 	must.Eq(t, 5*mean, old)
 }
 
-func TestEndpointWordIsWeighed(t *testing.T) {
+func TestProbesAreWeighed(t *testing.T) {
 	now := start
 	t.Run("zero load does not hide what is seen", func(t *testing.T) {
 		w := newWatch()
 		w.Started(now)
-		w.Hear(load.Word{Healthy: true, At: now})
+		w.Probed(load.Probe{Healthy: true, At: now})
 		must.Eq(t, 1, w.View(now).InUse)
 		must.False(t, w.Contradicted(now))
 		w.Started(now)
@@ -61,19 +61,19 @@
 	})
 	t.Run("more load than seen counts", func(t *testing.T) {
 		w := newWatch()
-		w.Hear(load.Word{Healthy: true, InUse: 2, At: now})
+		w.Probed(load.Probe{Healthy: true, InUse: 2, At: now})
 		must.Eq(t, 2, w.View(now).InUse)
 	})
-	t.Run("a late word does not", func(t *testing.T) {
+	t.Run("a late probe does not", func(t *testing.T) {
 		w := newWatch()
-		w.Hear(load.Word{Healthy: true, InUse: 2, At: now})
+		w.Probed(load.Probe{Healthy: true, InUse: 2, At: now})
 		must.Eq(t, 0, w.View(now.Add(time.Minute)).InUse)
 	})
 	t.Run("frozen numbers do not", func(t *testing.T) {
 		w := newWatch()
 		for i := range 20 {
 			at := now.Add(time.Duration(i) * mean)
-			w.Hear(load.Word{Healthy: true, InUse: 2, At: at})
+			w.Probed(load.Probe{Healthy: true, InUse: 2, At: at})
 			w.Started(at)
 			w.Answered(at.Add(mean), mean)
 		}
@@ -86,20 +86,20 @@
 			w.Started(now)
 			w.TimedOut(now, time.Second)
 		}
-		w.Hear(load.Word{Healthy: true, At: now})
+		w.Probed(load.Probe{Healthy: true, At: now})
 		must.True(t, w.View(now).Failing)
 		must.True(t, w.Contradicted(now))
 	})
 	t.Run("unhealthy counts without answers", func(t *testing.T) {
 		w := newWatch()
-		w.Hear(load.Word{At: now})
+		w.Probed(load.Probe{At: now})
 		must.True(t, w.View(now).Failing)
 	})
 	t.Run("unhealthy does not outweigh answers", func(t *testing.T) {
 		w := newWatch()
 		w.Started(now)
 		w.Answered(now, mean)
-		w.Hear(load.Word{At: now})
+		w.Probed(load.Probe{At: now})
 		must.False(t, w.View(now).Failing)
 		must.True(t, w.Contradicted(now))
 	})
