--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -52,7 +52,8 @@
 	mu         sync.Mutex // guards what follows and replacements of state
 	oldest     uint64     // first bundle in force
 	draining   bool
-	swept      int // next shard to sweep
+	retiring   bool // the platform's list says that the instance is leaving
+	swept      int  // next shard to sweep
 	lastReport time.Time
 }
 
@@ -169,6 +170,16 @@
 	return sh.entries[k].kind.owned()
 }
 
+// Passed returns the upstream that a flow was last handed to, and false when
+// the sidecar remembers none.
+func (s *Sidecar) Passed(k Key) (bundle.UpstreamID, bool) {
+	sh := s.table.shard(k)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	e := sh.entries[k]
+	return e.target, e.kind == kindPassed && e.target != 0
+}
+
 // Service returns the service that the upstream serves now, and false before the first bundle.
 func (s *Sidecar) Service() (bundle.ServiceID, bool) {
 	st := s.state.Load()
@@ -216,10 +227,7 @@
 
 // takeover returns how long an upstream must be gone before others take over its flows.
 func (st *state) takeover() time.Duration {
-	if st.settings.Idempotent {
-		return FenceTime
-	}
-	return takeoverFences*FenceTime + st.settings.Repeat
+	return st.settings.Takeover()
 }
 
 // sure reports whether no other sidecar can own a flow that the first candidate does not know.
