Follow the new names in the sidecar

Cause: package sidecar came to use load.Board and limit.RoomReturn meanwhile. Change: their new names, nothing else.

--- a/sidecar/admission.go
+++ b/sidecar/admission.go
@@ -19,7 +19,7 @@
 	self    bundle.UpstreamID
 	policy  load.Policy
 	watch   *load.Watch
-	board   atomic.Pointer[load.Board] // of the service that the upstream serves; never nil
+	peers   atomic.Pointer[load.Peers] // of the service that the upstream serves; never nil
 	service atomic.Uint32              // the identity of that service
 	opened  func(visits int)           // called for each accepted flow
 
@@ -35,7 +35,7 @@
 		opened: opened,
 		random: rand.New(rand.NewPCG(seed, seed)),
 	}
-	a.board.Store(load.NewBoard(load.BoardConfig{Upstream: a.self}))
+	a.peers.Store(load.NewPeers(load.PeersConfig{Upstream: a.self}))
 	return a
 }
 
@@ -45,7 +45,7 @@
 	if bundle.ServiceID(a.service.Swap(uint32(service))) == service {
 		return
 	}
-	a.board.Store(load.NewBoard(load.BoardConfig{Service: service, Upstream: a.self}))
+	a.peers.Store(load.NewPeers(load.PeersConfig{Service: service, Upstream: a.self}))
 }
 
 // Admit implements flow.Admitter.
@@ -56,7 +56,7 @@
 		Count:      o.Count,
 		Candidates: o.Candidates,
 		Loads:      o.Loads,
-	}, a.view(o.Now, o.Flows), a.board.Load())
+	}, a.view(o.Now, o.Flows), a.peers.Load())
 	switch d.Verdict {
 	case load.Accept:
 		a.watch.Opened(o.Now)
@@ -79,17 +79,17 @@
 func (a *admission) retryAfter() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return limit.RoomReturn().After(0, a.random)
+	return limit.FullRetryAfter().After(0, a.random)
 }
 
 // hear takes in the report of another sidecar of the service.
 func (a *admission) hear(r load.Report, size int, now time.Time) {
-	a.board.Load().Hear(r, size, now)
+	a.peers.Load().Hear(r, size, now)
 }
 
 // due returns the report for the other sidecars when it is time to send one.
 func (a *admission) due(now time.Time, flows int) (load.Report, bool) {
-	b := a.board.Load()
-	b.Expire(now)
-	return b.Due(a.view(now, flows), now)
+	ps := a.peers.Load()
+	ps.Expire(now)
+	return ps.Due(a.view(now, flows), now)
 }
