Take the number of flows from the table that owns them

Cause: the sidecar called Watch.Opened for each accepted flow and never Closed, so the connections only grew: after 2500 accepted flows in all, an upstream counted as full for good. Seen by reading; no test of the sidecar runs that many flows. Ruled out: calling Closed at each of the ways in which a flow ends; the table has the count. Change: Watch.Accepted counts for the rate only and SetConnections takes the count; the sidecar and the comparison use both. Conclusion: an API that cannot drift replaces one that did.

--- a/compare/ideal.go
+++ b/compare/ideal.go
@@ -24,8 +24,7 @@
 		f := r.central[0]
 		r.central = r.central[1:]
 		f.owner = u
-		u.flows[f] = true
-		u.watch.Opened(clock(r.now))
+		u.own(f, r.now)
 		r.serve(f, u)
 	}
 }
--- a/compare/upstream.go
+++ b/compare/upstream.go
@@ -52,6 +52,19 @@
 	u.running = 0
 }
 
+// own takes a flow.
+func (u *upstream) own(f *flow, now time.Duration) {
+	u.flows[f] = true
+	u.watch.Accepted(clock(now))
+	u.watch.SetConnections(len(u.flows))
+}
+
+// disown drops a flow.
+func (u *upstream) disown(f *flow) {
+	delete(u.flows, f)
+	u.watch.SetConnections(len(u.flows))
+}
+
 // leave stops new flows.
 func (u *upstream) leave() {
 	u.leaving = true
--- a/compare/walk.go
+++ b/compare/walk.go
@@ -101,8 +101,7 @@
 
 func (r *run) accept(f *flow, u *upstream) {
 	f.owner = u
-	u.flows[f] = true
-	u.watch.Opened(clock(r.now))
+	u.own(f, r.now)
 	u.opened++
 	second := r.result.second(r.now)
 	second.Accepted++
@@ -134,8 +133,7 @@
 		return
 	}
 	f.owner = nil
-	delete(u.flows, f)
-	u.watch.Closed()
+	u.disown(f)
 }
 
 // retryAfter returns when a refused caller may come back.
--- a/load/watch.go
+++ b/load/watch.go
@@ -74,19 +74,18 @@
 	w.since = now
 }
 
-// Opened counts a flow that the sidecar accepted.
-func (w *Watch) Opened(now time.Time) {
+// Accepted counts a flow that the sidecar accepted, for the rate only.
+func (w *Watch) Accepted(now time.Time) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.connections++
 	w.accepted.add(now)
 }
 
-// Closed counts a flow that ended.
-func (w *Watch) Closed() {
+// SetConnections sets how many flows the sidecar owns.
+func (w *Watch) SetConnections(n int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.connections = max(w.connections-1, 0)
+	w.connections = n
 }
 
 // Queued counts a request that waits for a slot.
--- a/load/watch_test.go
+++ b/load/watch_test.go
@@ -15,18 +15,19 @@
 
 func TestWatchCountsWhatItSees(t *testing.T) {
 	w := newWatch()
-	w.Opened(start)
-	w.Opened(start)
+	w.SetConnections(2)
+	w.Accepted(start)
 	w.Queued()
 	w.Started(start)
 	v := w.View(start)
 	must.Eq(t, 2, v.Connections)
+	must.Eq(t, 1.0, v.Rate)
 	must.Eq(t, 1, v.InUse)
 	must.Eq(t, 1, v.Queue)
 	must.False(t, v.Free())
 
 	w.Unqueued()
-	w.Closed()
+	w.SetConnections(1)
 	w.Answered(start.Add(mean), mean)
 	v = w.View(start.Add(mean))
 	must.Eq(t, 1, v.Connections)
--- a/sidecar/admission.go
+++ b/sidecar/admission.go
@@ -59,7 +59,7 @@
 	}, a.view(o.Now, o.Flows), a.peers.Load())
 	switch d.Verdict {
 	case load.Accept:
-		a.watch.Opened(o.Now)
+		a.watch.Accepted(o.Now)
 		a.opened(o.At + 1)
 		return flow.Verdict{Choice: flow.Accept}
 	case load.Pass:
@@ -70,9 +70,8 @@
 
 // view returns what the sidecar knows of its upstream, which owns flows.
 func (a *admission) view(now time.Time, flows int) load.View {
-	v := a.watch.View(now)
-	v.Connections = max(v.Connections, flows)
-	return v
+	a.watch.SetConnections(flows)
+	return a.watch.View(now)
 }
 
 // retryAfter draws when a refused caller may come back.
