--- a/capacity/control_test.go
+++ b/capacity/control_test.go
@@ -14,6 +14,7 @@
 
 const (
 	datagramHeaders = 28 // bytes of the IPv4 and UDP headers
+	geneveHeader    = 8  // bytes, without options
 	tick            = 100 * time.Millisecond
 	controlSeconds  = 20
 	balancers       = 540
--- a/capacity/packet_test.go
+++ b/capacity/packet_test.go
@@ -39,6 +39,17 @@
 	}
 }
 
+// BenchmarkHeaderSize measures what a balancer adds to a caller's packet, the IPv4 and UDP headers included.
+func BenchmarkHeaderSize(b *testing.B) {
+	reportSlope(b, serviceSizes(), "upstream", "B", once(func(upstreams int) float64 {
+		p := newPath(b, capacity.Size{Services: 100, Upstreams: upstreams})
+		datagram := dataOf(b, p, []int{0})[0]
+		sealed, err := p.Forward(datagram)
+		must.NoError(b, err)
+		return float64(len(sealed) - len(datagram) + geneveHeader + datagramHeaders)
+	}))
+}
+
 // BenchmarkDeliverTime measures a sidecar's work on one packet of an owned
 // flow, by the size of the service.
 func BenchmarkDeliverTime(b *testing.B) {
--- /dev/null
+++ b/pages_test.go
@@ -0,0 +1,215 @@
+package corianderbay_test
+
+import (
+	"context"
+	"io/fs"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/corianderbay/corianderbay/event"
+)
+
+const (
+	// sessionTimeout bounds the commands of one page, with the build of the programs.
+	sessionTimeout = 4 * time.Minute
+	// stopTimeout bounds how long processes that a session left behind may take to end.
+	stopTimeout = 5 * time.Second
+)
+
+// runMark is the info string of fenced blocks that the tests run as they are printed.
+const runMark = "sh run"
+
+// pagesOf returns the Markdown pages of the module.
+func pagesOf(t *testing.T) []string {
+	t.Helper()
+	var pages []string
+	err := filepath.WalkDir(".", func(p string, d fs.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if d.IsDir() && p != "." && strings.HasPrefix(d.Name(), ".") {
+			return fs.SkipDir
+		}
+		if filepath.Ext(p) == ".md" {
+			pages = append(pages, p)
+		}
+		return nil
+	})
+	must.NoError(t, err)
+	must.SliceNotEmpty(t, pages)
+	return pages
+}
+
+// A page is a Markdown file with its fenced blocks apart.
+type page struct {
+	text   string   // without the blocks
+	blocks []string // those that are marked to be run, in their order
+}
+
+func readPage(t *testing.T, name string) page {
+	t.Helper()
+	raw, err := os.ReadFile(name)
+	must.NoError(t, err)
+	var p page
+	var text, block strings.Builder
+	inside, marked := false, false
+	for line := range strings.Lines(string(raw)) {
+		info, fence := strings.CutPrefix(line, "```")
+		switch {
+		case fence && inside && marked:
+			p.blocks = append(p.blocks, block.String())
+			block.Reset()
+			inside = false
+		case fence:
+			inside = !inside
+			marked = inside && strings.TrimSpace(info) == runMark
+		case inside && marked:
+			block.WriteString(line)
+		case !inside:
+			text.WriteString(line)
+		}
+	}
+	must.False(t, inside, must.Sprintf("%s: a fenced block does not end", name))
+	p.text = text.String()
+	return p
+}
+
+// TestLinksResolve checks that each relative link of each page names a file
+// that exists, and each anchor a heading of it.
+func TestLinksResolve(t *testing.T) {
+	link := regexp.MustCompile(`\]\(([^)\s]+)\)`)
+	for _, name := range pagesOf(t) {
+		t.Run(name, func(t *testing.T) {
+			for _, m := range link.FindAllStringSubmatch(readPage(t, name).text, -1) {
+				checkLink(t, name, m[1])
+			}
+		})
+	}
+}
+
+func checkLink(t *testing.T, from, target string) {
+	t.Helper()
+	if strings.Contains(target, "://") {
+		return
+	}
+	file, anchor, _ := strings.Cut(target, "#")
+	to := from
+	if file != "" {
+		to = filepath.Join(filepath.Dir(from), file)
+	}
+	if _, err := os.Stat(to); err != nil {
+		t.Errorf("%s: the link %s leads nowhere", from, target)
+		return
+	}
+	if anchor != "" && !anchorsOf(t, to)[anchor] {
+		t.Errorf("%s: the link %s names no heading", from, target)
+	}
+}
+
+// anchorsOf returns the anchors of a page's headings: lower case, hyphens for
+// spaces, letters, digits, hyphens and underscores only.
+func anchorsOf(t *testing.T, name string) map[string]bool {
+	t.Helper()
+	heading := regexp.MustCompile(`(?m)^#+ +(.*)$`)
+	dropped := regexp.MustCompile(`[^\p{L}\p{N}_\- ]`)
+	anchors := make(map[string]bool)
+	for _, m := range heading.FindAllStringSubmatch(readPage(t, name).text, -1) {
+		a := dropped.ReplaceAllString(strings.ToLower(m[1]), "")
+		anchors[strings.ReplaceAll(strings.TrimSpace(a), " ", "-")] = true
+	}
+	return anchors
+}
+
+// TestEventsOnPagesExist checks that each number of an event on a page, as in
+// "bundle-accepted (4001)" or "(4002)", belongs to that event of the catalogue.
+func TestEventsOnPagesExist(t *testing.T) {
+	names := make(map[int]string)
+	for _, e := range event.Catalogue() {
+		names[int(e.Number)] = e.Name
+	}
+	mention := regexp.MustCompile(`([a-z]+(?:-[a-z]+)*)? ?\(([1-9]\d{3})\)`)
+	logged := regexp.MustCompile(`"event":(\d+)`)
+	for _, file := range pagesOf(t) {
+		raw, err := os.ReadFile(file)
+		must.NoError(t, err)
+		for _, m := range mention.FindAllStringSubmatch(string(raw), -1) {
+			n, _ := strconv.Atoi(m[2])
+			must.MapContainsKey(t, names, n, must.Sprintf("%s: %q", file, m[0]))
+			if strings.Contains(m[1], "-") {
+				must.Eq(t, names[n], m[1], must.Sprintf("%s: %q", file, m[0]))
+			}
+		}
+		for _, m := range logged.FindAllStringSubmatch(string(raw), -1) {
+			n, _ := strconv.Atoi(m[1])
+			must.MapContainsKey(t, names, n, must.Sprintf("%s: %q", file, m[0]))
+		}
+	}
+}
+
+// TestCommandsRun runs the marked blocks of each page as one session of bash,
+// in the root of the module and with ports that other sessions do not use.
+func TestCommandsRun(t *testing.T) {
+	if testing.Short() {
+		t.Skip("starts processes")
+	}
+	for _, name := range pagesOf(t) {
+		blocks := readPage(t, name).blocks
+		if len(blocks) == 0 {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			ctx, stop := context.WithTimeout(t.Context(), sessionTimeout)
+			defer stop()
+			cmd := exec.CommandContext(ctx, "bash", "-eu", "-o", "pipefail", "-c", strings.Join(blocks, "\n"))
+			cmd.Env = append(os.Environ(), "port="+strconv.Itoa(freePorts(t)), "TMPDIR="+t.TempDir())
+			cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+			cmd.Cancel = func() error { return syscall.Kill(-cmd.Process.Pid, syscall.SIGTERM) }
+			cmd.WaitDelay = stopTimeout
+			out, err := cmd.CombinedOutput()
+			must.NoError(t, err, must.Sprintf("%s", out))
+			t.Logf("%s", out)
+		})
+	}
+}
+
+// portsNeeded is how many ports in a row a session of commands takes.
+const portsNeeded = 4
+
+// freePorts returns the first of portsNeeded ports in a row that nobody listens on.
+func freePorts(t *testing.T) int {
+	t.Helper()
+	const attempts = 100
+	for range attempts {
+		if first, ok := portsFrom(t); ok {
+			return first
+		}
+	}
+	t.Fatal("no free ports in a row")
+	return 0
+}
+
+func portsFrom(t *testing.T) (first int, ok bool) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer l.Close()
+	first = l.Addr().(*net.TCPAddr).Port
+	for i := 1; i < portsNeeded; i++ {
+		next, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(first+i)))
+		if err != nil {
+			return 0, false
+		}
+		defer next.Close()
+	}
+	return first, true
+}
