--- a/load/decide_test.go
+++ b/load/decide_test.go
@@ -211,7 +211,7 @@
 // to warmer ones: after a mass restart all are equally cold.
 func TestColdStartIsRelative(t *testing.T) {
 	cold := idle().WithRamp(0.1)
-	share := func(b *load.Board) float64 {
+	share := func(b *load.Peers) float64 {
 		accepted := 0
 		for i := range 1000 {
 			o := openingAt(0)
@@ -222,6 +222,6 @@
 		}
 		return float64(accepted) / 1000
 	}
-	must.Eq(t, 1, share(board(t, cold, cold, cold)))
-	must.Less(t, 0.2, share(board(t, cold, idle(), cold)))
+	must.Eq(t, 1, share(heard(t, cold, cold, cold)))
+	must.Less(t, 0.2, share(heard(t, cold, idle(), cold)))
 }
