--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -16,6 +17,7 @@
 	"github.com/corianderbay/corianderbay/event"
 	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/forward"
+	"github.com/corianderbay/corianderbay/limit"
 	"github.com/corianderbay/corianderbay/platform"
 	"github.com/corianderbay/corianderbay/route"
 	"github.com/corianderbay/corianderbay/timer"
@@ -64,6 +66,9 @@
 	forward  *udp.Socket
 	view     atomic.Pointer[route.View] // nil until the first bundle is in force
 	hints    *flow.Hints
+	silent   silent
+	callers  *limit.Callers
+	random   lockedRandom
 	listed   atomic.Pointer[[]platform.Instance] // nil until the first list
 	missing  atomic.Pointer[missing]             // never nil
 	counters counters
@@ -85,6 +90,10 @@
 	if err != nil {
 		return nil, err
 	}
+	callers, err := limit.NewCallers(limit.CallersConfig{})
+	if err != nil {
+		return nil, err
+	}
 	in, err := udp.Open(udp.Config{Listen: cfg.Fabric, Workers: cfg.Workers, Heartbeat: cfg.Heartbeat})
 	if err != nil {
 		return nil, err
@@ -101,6 +110,8 @@
 		fabric:  in,
 		forward: out,
 		hints:   flow.NewHints(flow.HintsConfig{}),
+		callers: callers,
+		random:  lockedRandom{random: rand.New(rand.NewPCG(cfg.Sender, cfg.Sender))},
 	}
 	b.missing.Store(&missing{})
 	return b, nil
@@ -131,6 +142,17 @@
 	return v.Version()
 }
 
+// Owner returns the name of the upstream that a hint names for a flow, or "".
+func (b *Balancer) Owner(k flow.Key) string {
+	view := b.view.Load()
+	id, ok := b.hints.Owner(b.cfg.Timer.Now(), k.Hash())
+	if view == nil || !ok {
+		return ""
+	}
+	up, _, _ := view.Upstream(id)
+	return up.Name
+}
+
 // Run forwards packets until ctx is done and for the drain time after that.
 func (b *Balancer) Run(ctx context.Context) {
 	sockets, stop := context.WithCancel(context.WithoutCancel(ctx))
--- a/balancer/pipe.go
+++ b/balancer/pipe.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/corianderbay/corianderbay/fabric"
@@ -46,8 +47,12 @@
 		p.drop(reasonOf(err))
 		return
 	}
+	now := p.b.cfg.Timer.Now()
+	if !p.admit(match, frame, now) {
+		return
+	}
 	p.rank(view, match, frame)
-	p.forward(frame)
+	p.forward(frame, now)
 }
 
 // rank fills the header with the candidates of the packet's flow.
@@ -62,14 +67,13 @@
 	}
 }
 
-func (p *pipe) forward(f fabric.Frame) {
+func (p *pipe) forward(f fabric.Frame, now time.Time) {
 	h := &p.header
 	if len(h.Candidates) == 0 {
 		p.drop(dropUnknownAddress)
 		return
 	}
-	now := p.b.cfg.Timer.Now()
-	p.b.hints.Aim(now, h, f.Packet, p.b.missing.Load().health(now))
+	p.b.hints.Aim(now, h, f.Packet, p.b.health(now))
 	out, err := p.b.sealer.AppendPacket(p.out, h, f.IP)
 	if err != nil {
 		p.drop(dropMalformed)
@@ -96,7 +100,7 @@
 	return dropUnknownAddress
 }
 
-// newForwardHandler handles the hints that sidecars send to this balancer.
+// newForwardHandler handles what sidecars tell this balancer.
 func (b *Balancer) newForwardHandler() udp.Handler {
 	return func(raw []byte, _ netip.AddrPort) {
 		d, err := b.opener.Open(raw)
@@ -104,15 +108,40 @@
 			b.counters.dropped[dropForged].Add(1)
 			return
 		}
-		var m flow.OwnerHints
-		if d.Kind != forward.KindHints || forward.DecodeMessage(d.Body, &m) != nil {
-			b.counters.dropped[dropMalformed].Add(1)
-			return
-		}
 		now := b.cfg.Timer.Now()
-		for _, k := range m.Flows {
-			b.hints.Add(now, k.Hash(), m.Owner)
+		switch d.Kind {
+		case forward.KindHints:
+			err = b.takeHints(d.Body, now)
+		case forward.KindSilence:
+			err = b.takeSilence(d.Body, now)
+		default:
+			err = &forward.HeaderError{Field: "kind"}
 		}
-		b.counters.hinted.Add(uint64(len(m.Flows)))
+		if err != nil {
+			b.counters.dropped[dropMalformed].Add(1)
+		}
+	}
+}
+
+// takeHints keeps who owns some flows.
+func (b *Balancer) takeHints(body []byte, now time.Time) error {
+	var m flow.OwnerHints
+	if err := forward.DecodeMessage(body, &m); err != nil {
+		return err
+	}
+	for _, k := range m.Flows {
+		b.hints.Add(now, k.Hash(), m.Owner)
+	}
+	b.counters.hinted.Add(uint64(len(m.Flows)))
+	return nil
+}
+
+// takeSilence keeps which sidecars are silent.
+func (b *Balancer) takeSilence(body []byte, now time.Time) error {
+	var m flow.Silence
+	if err := forward.DecodeMessage(body, &m); err != nil {
+		return err
 	}
+	b.silent.hear(m, now)
+	return nil
 }
--- a/compare/observe.go
+++ b/compare/observe.go
@@ -19,12 +19,9 @@
 		}
 		r.known[u.id] = report.View().Known()
 		for _, other := range r.upstreams {
-			other.board.Hear(report, reportBytes, clock(r.now))
+			other.peers.Hear(report, reportBytes, clock(r.now))
 		}
 	}
-	for _, u := range r.upstreams {
-		u.board.Expire(clock(r.now))
-	}
 }
 
 // reportBytes is the size that a report counts with.
