--- a/capacity/bundle_test.go
+++ b/capacity/bundle_test.go
@@ -49,21 +49,36 @@
 	}))
 }
 
-// BenchmarkPatchSize measures the patch for one changed weight.
-func BenchmarkPatchSize(b *testing.B) {
+// BenchmarkChangeSize measures the sections that differ for one changed weight,
+// without the manifest.
+func BenchmarkChangeSize(b *testing.B) {
 	reportSlope(b, fleetSizes(), "service", "B", once(func(services int) float64 {
-		raw, err := onePatch(b, freeze(b, services), services).Marshal()
-		must.NoError(b, err)
-		return float64(len(raw))
+		base := freeze(b, services)
+		next := oneChange(b, base, services)
+		size := 0
+		for _, h := range missing(base, next.Manifest()) {
+			raw, ok := next.Section(h)
+			must.True(b, ok)
+			size += len(raw)
+		}
+		return float64(size)
 	}))
 }
 
-// onePatch returns the patch from base to a bundle with one other weight.
-func onePatch(t testing.TB, base *bundle.Frozen, services int) *bundle.Patch {
+// oneChange returns the bundle that follows base with one other weight.
+func oneChange(t testing.TB, base *bundle.Frozen, services int) *bundle.Frozen {
 	t.Helper()
 	next := capacity.Size{Services: services, Upstreams: upstreamsPerService}.Bundle(2, approvers())
 	next.Services[services/2].Places[0].Upstreams[0].Weight = 50
-	return bundle.NewPatch(base, sign(t, next, base))
+	return sign(t, next, base)
+}
+
+// missing returns the sections of a manifest that base lacks.
+func missing(base *bundle.Frozen, m *bundle.Manifest) []bundle.Hash {
+	return m.Missing(func(h bundle.Hash) bool {
+		_, ok := base.Section(h)
+		return ok
+	})
 }
 
 // BenchmarkViewTime measures route.NewView.
@@ -92,20 +107,26 @@
 	})
 }
 
-// BenchmarkPatchInForceTime measures the same for a patch with one changed weight, in a process that
-// has the bundle before it in force.
-func BenchmarkPatchInForceTime(b *testing.B) {
+// BenchmarkChangeInForceTime measures the same for the manifest and the section of one changed weight, in
+// a process that has the bundle before it in force.
+func BenchmarkChangeInForceTime(b *testing.B) {
 	reportSlope(b, fleetSizes(), "service", "ns", func(services int) func() float64 {
 		base := freeze(b, services)
 		_, err := bundle.Accept(bundle.Anchor(approvers()), base)
 		must.NoError(b, err)
-		raw, err := onePatch(b, base, services).Marshal()
+		next := oneChange(b, base, services)
+		raw, err := next.Manifest().Marshal()
 		must.NoError(b, err)
 		return func() float64 {
 			return processorTime(b, func() {
-				patch, err := bundle.UnmarshalPatch(raw)
+				m, err := bundle.UnmarshalManifest(raw)
 				must.NoError(b, err)
-				f, err := patch.Apply(base)
+				f, err := bundle.Assemble(m, func(h bundle.Hash) ([]byte, bool) {
+					if held, ok := base.Section(h); ok {
+						return held, true
+					}
+					return next.Section(h)
+				})
 				must.NoError(b, err)
 				putInForce(b, f, base.Trust())
 			})
