Take ports for the pages' commands below the range of outgoing connections

Cause: a test of other scripts failed with "address already in use": it had a free port from the system and closed it, and another process got it for an outgoing connection. The ports for the commands of the pages were found the same way.

Ruled out: retrying the whole session, which takes 17 s and would hide a process that does not come up.

Change: a random first port from 10,000 to 30,000 at which six in a row are free.

Figures: `go test -run 'Commands/docs|Examples' .` passes before and after. The scripts of cmd/corianderbay failed so in one run of the whole suite and are not touched here.

Conclusion: two sessions at once can still collide, at odds of about 12 in 20,000.

--- a/pages_test.go
+++ b/pages_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io/fs"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -182,15 +183,20 @@
 	}
 }
 
-// portsNeeded is how many ports in a row a session of commands takes.
-const portsNeeded = 6
+const (
+	// portsNeeded is how many ports in a row a session of commands takes.
+	portsNeeded = 6
+	// Ports below the range that the system gives to outgoing connections.
+	firstPort, lastPort = 10_000, 30_000
+)
 
 // freePorts returns the first of portsNeeded ports in a row that nobody listens on.
 func freePorts(t *testing.T) int {
 	t.Helper()
 	const attempts = 100
 	for range attempts {
-		if first, ok := portsFrom(t); ok {
+		first := firstPort + rand.IntN(lastPort-firstPort)
+		if allFree(first) {
 			return first
 		}
 	}
@@ -198,20 +204,16 @@
 	return 0
 }
 
-func portsFrom(t *testing.T) (first int, ok bool) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer l.Close()
-	first = l.Addr().(*net.TCPAddr).Port
-	for i := 1; i < portsNeeded; i++ {
-		next, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(first+i)))
+// allFree reports whether nobody listens on portsNeeded ports from first on.
+func allFree(first int) bool {
+	for i := range portsNeeded {
+		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(first+i)))
 		if err != nil {
-			return 0, false
+			return false
 		}
-		defer next.Close()
+		defer l.Close()
 	}
-	return first, true
+	return true
 }
 
 // TestExamplesHavePages checks that each folder of an example has a page that
