--- a/pages_test.go
+++ b/pages_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io/fs"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -21,7 +22,7 @@
 
 const (
 	// sessionTimeout bounds the commands of one page, with the build of the programs.
-	sessionTimeout = 4 * time.Minute
+	sessionTimeout = 2 * time.Minute
 	// stopTimeout bounds how long processes that a session left behind may take to end.
 	stopTimeout = 5 * time.Second
 )
@@ -182,15 +183,20 @@
 	}
 }
 
-// portsNeeded is how many ports in a row a session of commands takes.
-const portsNeeded = 4
+const (
+	// portsNeeded is how many ports in a row a session of commands takes.
+	portsNeeded = 6
+	// Ports below the range that the system gives to outgoing connections.
+	firstPort, lastPort = 10_000, 30_000
+)
 
 // freePorts returns the first of portsNeeded ports in a row that nobody listens on.
 func freePorts(t *testing.T) int {
 	t.Helper()
 	const attempts = 100
 	for range attempts {
-		if first, ok := portsFrom(t); ok {
+		first := firstPort + rand.IntN(lastPort-firstPort)
+		if allFree(first) {
 			return first
 		}
 	}
@@ -198,18 +204,34 @@
 	return 0
 }
 
-func portsFrom(t *testing.T) (first int, ok bool) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	defer l.Close()
-	first = l.Addr().(*net.TCPAddr).Port
-	for i := 1; i < portsNeeded; i++ {
-		next, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(first+i)))
+// allFree reports whether nobody listens on portsNeeded ports from first on.
+func allFree(first int) bool {
+	for i := range portsNeeded {
+		l, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(first+i)))
 		if err != nil {
-			return 0, false
+			return false
+		}
+		defer l.Close()
+	}
+	return true
+}
+
+// TestExamplesHavePages checks that each folder of an example has a page that
+// examples/README.md names, and that programs among them are run.
+func TestExamplesHavePages(t *testing.T) {
+	index, err := os.ReadFile("examples/README.md")
+	must.NoError(t, err)
+	entries, err := os.ReadDir("examples")
+	must.NoError(t, err)
+	for _, entry := range entries {
+		if !entry.IsDir() {
+			continue
+		}
+		folder := filepath.Join("examples", entry.Name())
+		p := readPage(t, filepath.Join(folder, "README.md"))
+		must.StrContains(t, string(index), "("+entry.Name()+"/README.md)")
+		if goFiles(t, folder) != nil {
+			must.StrContains(t, strings.Join(p.blocks, ""), "go run ./"+folder)
 		}
-		defer next.Close()
 	}
-	return first, true
 }
