Let the process trial run the real daemons; measure slopes after the start has settled

Cause: the trial ran processes of the test binary only; and the slope at 320 processes took in the connections of the start (1,580 B/s in quiet against 1,111 at 160), which made a linear fit point at 8.2 KB/s for 3,940. Conclusion: the same trial covers Node and the daemons.

--- a/peer/process_test.go
+++ b/peer/process_test.go
@@ -8,16 +8,21 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/event"
 	"github.com/corianderbay/corianderbay/peer"
 	"github.com/corianderbay/corianderbay/platform"
 	"github.com/corianderbay/corianderbay/standin"
@@ -28,11 +33,16 @@
 // childVariable holds the settings of a child process that runs one node.
 const childVariable = "CORIANDERBAY_TEST_NODE"
 
+// binaryVariable names the program corianderbay; trials then run its balancers as processes.
+const binaryVariable = "CORIANDERBAY_BINARY"
+
 // childConfig is the value of childVariable in JSON.
 type childConfig struct {
 	Name, DataCentre, Platform string
 	Seed                       uint64
 	Certificates               peer.CredentialsConfig
+	// Control is the address of a daemon; a child that runs a node prints its own.
+	Control netip.AddrPort
 }
 
 func TestMain(m *testing.M) {
@@ -117,28 +127,74 @@
 }
 
 func (h *herd) start(cfg childConfig) (*child, netip.AddrPort) {
-	cfg.Certificates.Timer = nil
-	settings, err := json.Marshal(cfg)
-	must.NoError(h.t, err)
-	c := &child{cmd: exec.Command(os.Args[0]), enforced: make(map[uint64]time.Time)}
-	c.cmd.Env = append(os.Environ(), childVariable+"="+string(settings))
-	c.cmd.Stderr = os.Stderr
+	c := &child{cmd: h.command(&cfg), enforced: make(map[uint64]time.Time)}
+	var err error
 	c.stdin, err = c.cmd.StdinPipe()
 	must.NoError(h.t, err)
 	out, err := c.cmd.StdoutPipe()
 	must.NoError(h.t, err)
+	c.cmd.Stderr = c.cmd.Stdout // a daemon logs its events there
 	must.NoError(h.t, c.cmd.Start())
 	c.lines = bufio.NewScanner(out)
-	must.True(h.t, c.lines.Scan())
-	address := netip.MustParseAddrPort(c.lines.Text())
+	if !cfg.Control.IsValid() {
+		must.True(h.t, c.lines.Scan())
+		cfg.Control = netip.MustParseAddrPort(c.lines.Text())
+	}
 	h.wg.Go(func() { h.listen(c) })
-	return c, address
+	return c, cfg.Control
+}
+
+// command returns the command of a child. For a daemon it sets the control address.
+func (h *herd) command(cfg *childConfig) *exec.Cmd {
+	binary := os.Getenv(binaryVariable)
+	if binary != "" {
+		cfg.Control = h.freeAddress()
+		return exec.Command(binary, h.daemonFlags(*cfg)...)
+	}
+	settings, err := json.Marshal(cfg)
+	must.NoError(h.t, err)
+	cmd := exec.Command(os.Args[0])
+	cmd.Env = append(os.Environ(), childVariable+"="+string(settings))
+	return cmd
+}
+
+func (h *herd) daemonFlags(cfg childConfig) []string {
+	key := filepath.Join(h.files, "cluster.key")
+	must.NoError(h.t, os.WriteFile(key, []byte(strings.Repeat("0", 64)), 0o600))
+	return []string{
+		"balancer", "--name", cfg.Name, "--datacentre", cfg.DataCentre, "--platform", cfg.Platform,
+		"--control-address", cfg.Control.String(), "--key-file", key, "--drain", "0s",
+		"--approvers", "adi:" + policy().Approvers[0].Key, "--gateway", "127.0.0.1:9",
+		"--ca-file", cfg.Certificates.Authority, "--certificate-file", cfg.Certificates.Certificate,
+		"--certificate-key-file", cfg.Certificates.Key, "--fabric-address", "127.0.0.1:0",
+	}
+}
+
+func (h *herd) freeAddress() netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(h.t, err)
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// sequenceOf returns the sequence that a line says came into force: a number
+// alone, or the event of a daemon.
+func sequenceOf(line []byte) (uint64, bool) {
+	var logged struct {
+		Event    event.Number `json:"event"`
+		Sequence uint64       `json:"sequence"`
+	}
+	if json.Unmarshal(line, &logged) == nil {
+		return logged.Sequence, logged.Event == event.BundleAccepted
+	}
+	sequence, err := strconv.ParseUint(string(line), 10, 64)
+	return sequence, err == nil
 }
 
 func (h *herd) listen(c *child) {
 	for c.lines.Scan() {
-		var sequence uint64
-		if _, err := fmt.Sscan(c.lines.Text(), &sequence); err != nil {
+		sequence, ok := sequenceOf(c.lines.Bytes())
+		if !ok {
 			continue
 		}
 		c.mu.Lock()
@@ -153,6 +209,9 @@
 	for _, c := range h.children {
 		_ = c.cmd.Process.Signal(syscall.SIGCONT)
 		c.stdin.Close()
+		_ = c.cmd.Process.Signal(syscall.SIGTERM)
+	}
+	for _, c := range h.children {
 		_ = c.cmd.Wait()
 	}
 }
--- a/peer/slope_test.go
+++ b/peer/slope_test.go
@@ -17,6 +17,7 @@
 	slopeChanges  = 10              // bundles rolled in one run
 	slopeInterval = 2 * time.Second // between two bundles
 	slopeQuiet    = 10 * time.Second
+	slopeWarmUp   = 15 * time.Second // in which the connections of the start settle
 	slopeServices = 100
 )
 
@@ -39,6 +40,7 @@
 	before := heapInUse()
 	f := newFleet(b, count, slopeServices)
 	f.await(f.publish(), f.nodes...)
+	f.sleep(slopeWarmUp)
 	n := float64(count)
 
 	quiet := f.measure(func() { f.sleep(slopeQuiet) })
