--- a/compare/config.go
+++ b/compare/config.go
@@ -18,6 +18,8 @@
 	// Callers holds the share of openings from near each data centre. Nil
 	// selects the share of the upstreams there.
 	Callers []float64
+	// Shift moves callers for a time. The zero value moves none.
+	Shift Shift
 	// Slots is how many requests an upstream runs at once. Zero selects 2.
 	Slots int
 	// Connections is how many flows an upstream holds. Zero selects 2,500.
@@ -102,6 +104,20 @@
 	return c
 }
 
+// Shift gives other shares of openings to the data centres for a time.
+type Shift struct {
+	At, For time.Duration
+	Callers []float64
+}
+
+// callers returns the shares of openings at a moment.
+func (c Config) callers(now time.Duration) []float64 {
+	if now >= c.Shift.At && now < c.Shift.At+c.Shift.For {
+		return c.Shift.Callers
+	}
+	return c.Callers
+}
+
 // Traffic is what callers send: Short or Long.
 type Traffic interface{ traffic() }
 
