--- a/flow/balancer_test.go
+++ b/flow/balancer_test.go
@@ -18,7 +18,7 @@
 	plan  *plan
 	hints *flow.Hints
 	gone  map[bundle.UpstreamID]time.Time
-	stuck bool // it hears of no newer bundle
+	stuck bool // it hears of no newer bundle and no newer list
 }
 
 func (w *world) joinBalancer() {
--- a/flow/events.go
+++ b/flow/events.go
@@ -65,7 +65,7 @@
 		return
 	}
 	s.hear(max(r.Version, r.Highest))
-	if st := s.state.Load(); st != nil && !st.settings.Idempotent && s.peers.absent(now) {
+	if st := s.state.Load(); st != nil && s.guarded(st) && s.peers.absent(now) {
 		s.doubtOwned(s.stamp(now))
 	}
 	s.peers.reported(now, r)
@@ -95,7 +95,7 @@
 // are dropped until Drained, which the caller must call once every socket has
 // been read empty.
 func (s *Sidecar) Woke(now time.Time, gap time.Duration) {
-	if gap < MaxPacketLife {
+	if gap < MaxPacketLife || s.mutations.has(mutateKeepBacklog) {
 		return
 	}
 	s.backlog.Store(true)
--- a/flow/export_test.go
+++ b/flow/export_test.go
@@ -1,5 +1,7 @@
 package flow
 
+import "strings"
+
 // Mechanisms that a test can switch off, by name.
 var Mechanisms = map[string]mutation{
 	"backlog":   mutateKeepBacklog,
@@ -18,7 +20,9 @@
 	"hint":      mutateNoHint,
 }
 
-// Disable switches a mechanism off. It is to be called before the first event.
-func (s *Sidecar) Disable(name string) {
-	s.mutations |= Mechanisms[name]
+// Disable switches mechanisms off, named with commas between. It is to be called before the first event.
+func (s *Sidecar) Disable(names string) {
+	for name := range strings.SplitSeq(names, ",") {
+		s.mutations |= Mechanisms[name]
+	}
 }
--- a/flow/host_test.go
+++ b/flow/host_test.go
@@ -210,7 +210,7 @@
 	}
 	if c == nil || c.callerISN != p.Sequence {
 		h.w.oracle.opened(h, bd)
-		c = &conn{callerISN: p.Sequence, upstreamISN: h.w.rng.Uint32(), ran: map[int]bool{}}
+		c = &conn{callerISN: p.Sequence, upstreamISN: h.w.upstreamISN(), ran: map[int]bool{}}
 		h.conns[p.Key] = c
 	}
 	h.answer(p, body{flow: bd.flow, synAck: true})
--- a/flow/main_test.go
+++ b/flow/main_test.go
@@ -15,13 +15,14 @@
 	flag.Parse()
 	setDefault("rapid.seed", "0", "1")
 	setDefault("rapid.nofailfile", "false", "true")
+	setDefault("rapid.checks", "100", "200")
 	os.Exit(m.Run())
 }
 
-// setDefault sets a flag that still has its zero value.
-func setDefault(name, zero, value string) {
+// setDefault sets a flag that still has its default.
+func setDefault(name, old, value string) {
 	f := flag.Lookup(name)
-	if f != nil && f.Value.String() == zero {
+	if f != nil && f.Value.String() == old {
 		_ = f.Value.Set(value)
 	}
 }
--- a/flow/mutation.go
+++ b/flow/mutation.go
@@ -4,7 +4,7 @@
 type mutation uint32
 
 const (
-	mutateKeepBacklog   mutation = 1 << iota // deliver what waited during a pause
+	mutateKeepBacklog   mutation = 1 << iota // ignore that the process was paused
 	mutateAnyService                         // deliver whatever service the candidate entry names
 	mutateForgetRestart                      // accept unknown flows right after a restart
 	mutateNoFence                            // deliver while no peer hears the sidecar
--- a/flow/plan_test.go
+++ b/flow/plan_test.go
@@ -155,21 +155,25 @@
 
 // rank appends the members of the service by rendezvous hashing.
 func (v view) rank(dst []forward.Candidate, s bundle.ServiceID, k flow.Key) []forward.Candidate {
+	var scores [forward.MaxCandidates]uint64
 	n := len(dst)
+	hash := k.Hash()
 	for _, m := range v.members[s] {
-		dst = append(dst, candidate(s, m))
+		own := score(hash, m)
+		i := len(dst)
+		dst = append(dst, forward.Candidate{})
+		for ; i > n && scores[i-1] < own; i-- {
+			dst[i], scores[i] = dst[i-1], scores[i-1]
+		}
+		dst[i], scores[i] = candidate(s, m), own
 	}
-	slices.SortFunc(dst[n:], func(a, b forward.Candidate) int {
-		return cmp.Compare(v.score(s, b.Upstream, k), v.score(s, a.Upstream, k))
-	})
 	return dst
 }
 
-func (v view) score(s bundle.ServiceID, u bundle.UpstreamID, k flow.Key) uint64 {
+func score(hash uint64, m member) uint64 {
 	var b [12]byte
-	binary.BigEndian.PutUint64(b[:], k.Hash())
-	binary.BigEndian.PutUint32(b[8:], uint32(u))
-	m, _ := v.find(s, u)
+	binary.BigEndian.PutUint64(b[:], hash)
+	binary.BigEndian.PutUint32(b[8:], uint32(m.upstream))
 	return xxhash.Sum64(b[:]) >> 12 * max(1, m.weight)
 }
 
@@ -189,7 +193,7 @@
 )
 
 const (
-	testIdle   = 20 * time.Second
+	testIdle   = 40 * time.Second
 	testRepeat = 3 * time.Second
 )
 
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -108,7 +108,7 @@
 // memory of the flow. The hot path, a packet of an owned flow, allocates nothing.
 func (s *Sidecar) Packet(now time.Time, h *forward.Header, p Packet) Action {
 	st := s.state.Load()
-	if s.backlog.Load() && !s.mutations.has(mutateKeepBacklog) {
+	if s.backlog.Load() {
 		return s.drop(ReasonBacklog)
 	}
 	if st == nil {
@@ -202,10 +202,12 @@
 
 // fenced reports whether non-idempotent requests must not be delivered.
 func (s *Sidecar) fenced(st *state, now time.Time) bool {
-	if st.settings.Idempotent || s.mutations.has(mutateNoFence) {
-		return false
-	}
-	return !st.listed || s.peers.fenced(now)
+	return s.guarded(st) && (!st.listed || s.peers.fenced(now))
+}
+
+// guarded reports whether requests of the service must not run twice.
+func (s *Sidecar) guarded(st *state) bool {
+	return !st.settings.Idempotent && !s.mutations.has(mutateNoFence)
 }
 
 // takeover returns how long an upstream must be gone before others take over its flows.
--- a/flow/stateful_test.go
+++ b/flow/stateful_test.go
@@ -100,9 +100,9 @@
 // check fails the case at the first broken promise.
 func (m *machine) check(t *rapid.T) {
 	if len(m.w.oracle.failures) > 0 {
-		const lines = 20000
+		const lines = 2000
 		for _, line := range m.w.trace[max(0, len(m.w.trace)-lines):] {
-			t.Log(line)
+			t.Log(line.String())
 		}
 		t.Fatalf("%s", m.w.oracle.failures[0])
 	}
@@ -181,7 +181,7 @@
 }
 
 func (m *machine) rest(t *rapid.T) {
-	m.w.rest(170 * time.Second)
+	m.w.rest(190 * time.Second)
 }
 
 func (m *machine) add(t *rapid.T) {
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -62,19 +62,35 @@
 	current   map[flow.Key]*callerFlow // the last incarnation of each 5-tuple
 	oracle    *oracle
 	nextPort  int
+	isn       uint32 // the upstreams' last initial sequence number
 	nextID    int
 	births    uint64
 	nextTick  time.Time
 	control   int // bytes of control messages sent
 	config    flow.SidecarConfig
-	without   string   // a mechanism that is switched off
-	trace     []string // what was decided, oldest first
+	without   string // a mechanism that is switched off
+	trace     []line // the last decisions, oldest first
+}
+
+// A line is one entry of the trace; it is put into words only when a case fails.
+type line struct {
+	at     time.Time
+	format string
+	args   []any
+}
+
+func (l line) String() string {
+	at := l.at.Sub(time.Unix(worldStart, 0))
+	return fmt.Sprintf("%8.3f ", at.Seconds()) + fmt.Sprintf(l.format, l.args...)
 }
 
 // log adds a line to the trace.
 func (w *world) log(format string, args ...any) {
-	at := w.now.Sub(time.Unix(worldStart, 0))
-	w.trace = append(w.trace, fmt.Sprintf("%8.3f ", at.Seconds())+fmt.Sprintf(format, args...))
+	const most = 4000
+	if len(w.trace) >= most {
+		w.trace = append(w.trace[:0], w.trace[most/2:]...)
+	}
+	w.trace = append(w.trace, line{at: w.now, format: format, args: args})
 }
 
 // worldStart is the Unix time at which worlds start.
@@ -131,6 +147,14 @@
 	}
 }
 
+// upstreamISN returns an initial sequence number that is further than a window
+// from those before it.
+func (w *world) upstreamISN() uint32 {
+	const window = 1 << 25
+	w.isn += window
+	return w.isn
+}
+
 // chance returns 1 with probability p, else 0.
 func (w *world) chance(p float64) int {
 	if w.rng.Float64() < p {
@@ -220,7 +244,7 @@
 		if n := w.newest(b.id); b.running() && !b.stuck && w.takes(b.plan, n) {
 			b.plan = n
 		}
-		if b.running() && !w.stale && w.chance(0.1) == 1 {
+		if b.running() && !b.stuck && !w.stale && w.chance(0.1) == 1 {
 			b.list(w.listedGone(b.id))
 		}
 	}
