--- a/flow/answer.go
+++ b/flow/answer.go
@@ -35,7 +35,10 @@
 		e.flags |= answered
 	}
 	if c.p.Closing {
-		e.flags |= closing
+		e.flags |= closing | upstreamDone
+	}
+	if c.p.Reset {
+		e.flags |= callerDone
 	}
 	e.last = c.at
 	c.shard.entries[c.p.Key] = e
@@ -66,7 +69,7 @@
 	if e.generation != c.st.generation {
 		c.udpRegenerate(&e)
 	}
-	if e.flags&first != 0 || c.at-e.seen <= ticks(DetourInterval+DetourGrace) {
+	if e.flags&first != 0 || c.at.since(e.seen) <= ticks(DetourInterval+DetourGrace) {
 		c.touch(e)
 	}
 	return Deliver{}
--- /dev/null
+++ b/instance/process.go
@@ -0,0 +1,195 @@
+// Package instance puts together what one process of the system consists of:
+// the role (balancer or sidecar), the bundle that it follows, and the operator
+// address.
+//
+// Start with Balancer and Sidecar.
+package instance
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"expvar"
+	mathrand "math/rand/v2"
+	"net/http"
+	"net/netip"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/flow"
+	"github.com/corianderbay/corianderbay/operator"
+	"github.com/corianderbay/corianderbay/peer"
+	"github.com/corianderbay/corianderbay/platform"
+	"github.com/corianderbay/corianderbay/timer"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+)
+
+// Config holds what every process is given. Name, DataCentre, Platform, Key,
+// Anchor, Credentials and Log are required.
+type Config struct {
+	// Name is the instance name; for a sidecar it is the name of its upstream.
+	Name string
+	// DataCentre is where the process runs.
+	DataCentre string
+	// Platform is the base of the platform's URLs.
+	Platform string
+	// Operator is where the operator address listens.
+	Operator netip.AddrPort
+	// Control is where peers exchange bundles and instance lists over TCP.
+	Control netip.AddrPort
+	// Credentials prove the process to its peers.
+	Credentials *peer.Credentials
+	// Seeds are peers that are asked also when no list names them. They may be none.
+	Seeds []platform.Instance
+	// Key is the cluster key, see package forward.
+	Key []byte
+	// Anchor is the sign-off policy that the first bundle is judged by.
+	Anchor bundle.SignOff
+	Log    *event.Logger
+	// Timer is the timer service. Nil selects one on the process clock.
+	Timer *timer.Service
+}
+
+// worker is the role of a process: *balancer.Balancer or *sidecar.Sidecar.
+type worker interface {
+	Accept(*bundle.Bundle)
+	List([]platform.Instance)
+	Version() uint64
+	Run(context.Context)
+}
+
+// process runs one worker with all that surrounds it.
+type process struct {
+	cfg       Config
+	role      string
+	heartbeat *timer.Heartbeat
+	worker    worker
+	node      *peer.Node
+	server    *operator.Server
+	status    func() operator.Status // what only the role knows
+}
+
+// newProcess returns a process without a worker.
+func newProcess(cfg Config, role string) *process {
+	if cfg.Timer == nil {
+		cfg.Timer = timer.New(timer.Config{})
+	}
+	return &process{cfg: cfg, role: role, heartbeat: timer.NewHeartbeat(cfg.Timer)}
+}
+
+// open binds the operator and control addresses and prepares to follow
+// bundles and instance lists.
+func (p *process) open(w worker, vars *expvar.Map, status func() operator.Status, lookup func(flow.Key) operator.FlowAnswer) error {
+	p.worker = w
+	p.status = status
+	node, err := peer.NewNode(peer.Config{
+		Name:        p.cfg.Name,
+		DataCentre:  p.cfg.DataCentre,
+		Listen:      p.cfg.Control,
+		Credentials: p.cfg.Credentials,
+		Platform:    platform.NewClient(platform.Config{Address: p.cfg.Platform, Reader: p.cfg.Name}),
+		Anchor:      p.cfg.Anchor,
+		Seeds:       p.cfg.Seeds,
+		OnBundle:    func(b *bundle.Bundle, _ bundle.Hash) { w.Accept(b) },
+		OnList:      w.List,
+		Timer:       p.cfg.Timer,
+		Log:         p.cfg.Log,
+		Rand:        newRandom(),
+	})
+	if err != nil {
+		return err
+	}
+	p.node = node
+	vars.Set("control", expvar.Func(func() any { return controlOf(node.Status()) }))
+	server, err := operator.Open(operator.Config{
+		Listen: p.cfg.Operator,
+		Status: p.fullStatus,
+		Vars:   vars,
+		Handlers: map[string]http.Handler{
+			"GET " + operator.FlowPath: operator.FlowHandler(p.complete(lookup)),
+		},
+		Log: p.cfg.Log,
+	})
+	if err != nil {
+		return err
+	}
+	p.server = server
+	return nil
+}
+
+// complete adds to what the role knows of a flow who says it.
+func (p *process) complete(lookup func(flow.Key) operator.FlowAnswer) func(flow.Key) operator.FlowAnswer {
+	return func(k flow.Key) operator.FlowAnswer {
+		a := lookup(k)
+		a.Process = p.cfg.Name
+		a.Role = p.role
+		a.Version = p.worker.Version()
+		return a
+	}
+}
+
+// Control is what a process says of its exchange with peers and the platform.
+type Control struct {
+	// State is how the process stands to the fleet, see package converge.
+	State string `json:"state"`
+	// Isolated is true when neither a peer nor the platform answers.
+	Isolated bool `json:"isolated"`
+	// Reading is true when the process reads the platform for others.
+	Reading bool `json:"reading"`
+	// Sent and Received are bytes on connections to peers.
+	Sent     uint64 `json:"sent"`
+	Received uint64 `json:"received"`
+	// Platform counts the calls.
+	Platform platform.Counts `json:"platform"`
+}
+
+func controlOf(s peer.Status) Control {
+	return Control{
+		State:    s.State.String(),
+		Isolated: s.Isolated,
+		Reading:  s.Reading,
+		Sent:     s.Sent,
+		Received: s.Received,
+		Platform: s.Platform,
+	}
+}
+
+// run works until ctx is done and the worker has stopped.
+func (p *process) run(ctx context.Context) {
+	p.cfg.Log.Emit(event.ProcessStarted, zap.String("role", p.role))
+	support, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var wg conc.WaitGroup
+	wg.Go(func() { p.heartbeat.Run(support) })
+	wg.Go(func() { _ = p.node.Run(support) })
+	wg.Go(func() { p.server.Run(support) })
+	p.worker.Run(ctx)
+	stop()
+	wg.Wait()
+}
+
+func (p *process) fullStatus() operator.Status {
+	s := p.status()
+	s.Process = p.cfg.Name
+	s.Role = p.role
+	s.Version = p.worker.Version()
+	s.Hash = p.node.Status().Hash.String()
+	s.Uptime = p.cfg.Timer.Uptime().Seconds()
+	s.Ready = s.Version > 0
+	s.Addresses["control"] = p.node.Address()
+	s.Addresses["operator"] = p.server.Address()
+	return s
+}
+
+// newSender returns a number that no other process uses.
+func newSender() uint64 {
+	var b [8]byte
+	// Read never fails; it ends the process instead.
+	_, _ = rand.Read(b[:])
+	return binary.BigEndian.Uint64(b[:])
+}
+
+func newRandom() *mathrand.Rand {
+	return mathrand.New(mathrand.NewPCG(newSender(), newSender()))
+}
--- /dev/null
+++ b/peer/export_test.go
@@ -0,0 +1,67 @@
+package peer
+
+import "github.com/corianderbay/corianderbay/converge"
+
+// Exchange is one version of a document with what a process remembers of the
+// versions before, for benchmarks of the difference protocol.
+type Exchange struct {
+	history *history
+}
+
+// NewExchange returns an Exchange that holds no version.
+func NewExchange() *Exchange {
+	return &Exchange{history: newHistory()}
+}
+
+// Advance makes a bundle document with the sections the latest version.
+func (x *Exchange) Advance(sequence uint64, head []byte, sections map[string][]byte) {
+	x.history.advance(newTestDocument(sequence, head, sections))
+}
+
+func newTestDocument(sequence uint64, head []byte, sections map[string][]byte) *document {
+	d := &document{kind: converge.KindBundle, head: head, sections: make(map[string]section, len(sections))}
+	d.version = converge.Version{Sequence: sequence, Hash: converge.Hash{byte(sequence), byte(sequence >> 8)}}
+	for name, body := range sections {
+		d.sections[name] = newSection(body)
+	}
+	return d
+}
+
+// Forget drops the versions before the latest one, so that a base is unknown.
+func (x *Exchange) Forget() {
+	latest := x.history.latest
+	x.history = newHistory()
+	x.history.advance(latest)
+}
+
+// Fetch exchanges messages, passing each through carry, and returns the sections that holder ends with.
+func (x *Exchange) Fetch(holder *Exchange, carry func(Message) Message) map[string][]byte {
+	return x.fetch(holder, x.history.latest, carry)
+}
+
+// FetchPending is like Fetch for a version that follows the latest one.
+func (x *Exchange) FetchPending(holder *Exchange, sequence uint64, sections map[string][]byte, carry func(Message) Message) map[string][]byte {
+	return x.fetch(holder, newTestDocument(sequence, nil, sections), carry)
+}
+
+func (x *Exchange) fetch(holder *Exchange, d *document, carry func(Message) Message) map[string][]byte {
+	t := &transfer{kind: converge.KindBundle, version: d.version, base: holder.history.latest}
+	next := Message(t.want())
+	for !t.done() {
+		for _, m := range deliver(x.history, d, carry(next).(Want)) {
+			switch m := carry(m).(type) {
+			case Table:
+				next = t.table(m)
+			case Changes:
+				t.begin(m)
+			case Sections:
+				t.add(m)
+			}
+		}
+	}
+	bodies := make(map[string][]byte)
+	for name, s := range t.document().sections {
+		bodies[name] = s.body
+	}
+	return bodies
+}
