--- a/flow/plan_test.go
+++ b/flow/plan_test.go
@@ -33,6 +33,9 @@
 	settings  map[bundle.ServiceID]flow.Settings
 	members   map[bundle.ServiceID][]member
 	addresses map[netip.AddrPort]owner
+	// centres is how many data centres there are; with more than one, upstreams
+	// of the caller's own rank first.
+	centres int
 }
 
 // with returns the next version of the plan after change.
@@ -42,6 +45,7 @@
 		settings:  maps.Clone(p.settings),
 		members:   make(map[bundle.ServiceID][]member),
 		addresses: maps.Clone(p.addresses),
+		centres:   p.centres,
 	}
 	for s, ms := range p.members {
 		n.members[s] = slices.Clone(ms)
@@ -159,7 +163,10 @@
 	n := len(dst)
 	hash := k.Hash()
 	for _, m := range v.members[s] {
-		own := score(hash, m)
+		own := score(hash, m) >> 1
+		if v.centres > 1 && v.near(m.upstream, k) {
+			own |= 1 << 63
+		}
 		i := len(dst)
 		dst = append(dst, forward.Candidate{})
 		for ; i > n && scores[i-1] < own; i-- {
@@ -170,6 +177,11 @@
 	return dst
 }
 
+// near reports whether the upstream runs in the data centre of the key's caller.
+func (p *plan) near(u bundle.UpstreamID, k flow.Key) bool {
+	return int(u)%p.centres == int(k.Caller().Port())%p.centres
+}
+
 func score(hash uint64, m member) uint64 {
 	var b [12]byte
 	binary.BigEndian.PutUint64(b[:], hash)
