--- a/flow/hints.go
+++ b/flow/hints.go
@@ -15,13 +15,13 @@
 	Shards int
 	// Size is how many hints are held. Zero selects 262,144.
 	Size int
-	// Life is how long a hint is used. Zero selects 60 s.
+	// Life is how long a hint is used. Zero selects 15 min.
 	Life time.Duration
 }
 
 const (
 	defaultHints    = 1 << 18
-	defaultHintLife = time.Minute
+	defaultHintLife = 15 * time.Minute
 )
 
 // Hints caches at a balancer which upstream owns a flow. It is bounded, and
