flow: let a restarted upstream of a former service not vouch for its requests

Cause: go test ./flow -run StatefulFaults -rapid.checks=2500 -rapid.seed=11 failed after 2401 cases: an address moved from an idempotent service to another, an upstream of the former one restarted after it ran a request, denied the flow, and the new service refused the request as not run.

Ruled out: making the oracle lenient; the refusal was untrue.

Change: an upstream that started within the repeat time marks the search when the packet's service is not its own, idempotent or not.

--- a/flow/bench_test.go
+++ b/flow/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"runtime"
+	"strconv"
 	"testing"
 	"time"
 
@@ -42,7 +43,13 @@
 }
 
 func BenchmarkOwned(b *testing.B) {
-	const flows = 100_000
+	for _, flows := range []int{2_500, 100_000} {
+		b.Run(strconv.Itoa(flows), func(b *testing.B) { benchmarkOwned(b, flows) })
+	}
+}
+
+// benchmarkOwned delivers packets of the flows in turn, so that a large table misses the processor's caches.
+func benchmarkOwned(b *testing.B, flows int) {
 	p, now := newPlan(1, 1), time.Unix(1, 0)
 	s := loneSidecar(p, now)
 	establish(s, p, now, flows)
@@ -64,7 +71,7 @@
 
 func BenchmarkOwnedMemory(b *testing.B) {
 	for _, flows := range []int{58_000, 100_000, 200_000} {
-		b.Run("", func(b *testing.B) {
+		b.Run(strconv.Itoa(flows), func(b *testing.B) {
 			for b.Loop() {
 				b.ReportMetric(flowBytes(flows), "bytes/flow")
 			}
--- a/flow/host_test.go
+++ b/flow/host_test.go
@@ -1,6 +1,7 @@
 package flow_test
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/corianderbay/corianderbay/bundle"
@@ -82,7 +83,7 @@
 
 func (h *host) accept(p *plan) {
 	h.plan = p
-	h.w.log("upstream %d takes bundle %d", h.id, p.version)
+	h.w.log(func() string { return fmt.Sprintf("upstream %d takes bundle %d", h.id, p.version) })
 	v := view{plan: p, self: h.id}
 	h.sidecar.BundleAccepted(h.w.now, v)
 	h.service, _ = h.sidecar.Service()
@@ -171,9 +172,14 @@
 
 // log traces a decision.
 func (h *host) log(before, after forward.Header, p flow.Packet, bd body, a flow.Action) {
-	h.w.log("upstream %d: %v request %d opening %v ack %v v%d phase %d at %d passed %b doubt %v -> %T%+v v%d phase %d at %d passed %b doubt %v",
-		h.id, p.Key, bd.id, p.Opening, p.Acknowledged, before.Version, before.Phase, before.At, before.Passed, before.Doubt,
-		a, a, after.Version, after.Phase, after.At, after.Passed, after.Doubt)
+	h.w.log(func() string {
+		return fmt.Sprintf("upstream %d: %v request %d opening %v ack %v %s -> %T%+v %s",
+			h.id, p.Key, bd.id, p.Opening, p.Acknowledged, headerText(before), a, a, headerText(after))
+	})
+}
+
+func headerText(h forward.Header) string {
+	return fmt.Sprintf("v%d phase %d at %d passed %b doubt %v", h.Version, h.Phase, h.At, h.Passed, h.Doubt)
 }
 
 // deliver hands a packet to the upstream.
--- a/flow/main_test.go
+++ b/flow/main_test.go
@@ -15,7 +15,7 @@
 	flag.Parse()
 	setDefault("rapid.seed", "0", "1")
 	setDefault("rapid.nofailfile", "false", "true")
-	setDefault("rapid.checks", "100", "200")
+	setDefault("rapid.checks", "100", "400")
 	os.Exit(m.Run())
 }
 
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -204,7 +204,13 @@
 // restarted reports whether the upstream may have run, before its last start,
 // requests that callers may still repeat.
 func (s *Sidecar) restarted(st *state, now time.Time) bool {
-	if st.settings.Idempotent || s.mutations.has(mutateForgetRestart) {
+	return !st.settings.Idempotent && s.young(st, now)
+}
+
+// young reports whether the upstream started so lately that callers may still
+// repeat requests that it forgot.
+func (s *Sidecar) young(st *state, now time.Time) bool {
+	if s.mutations.has(mutateForgetRestart) {
 		return false
 	}
 	return now.UnixNano()-s.born.Load() < int64(st.settings.Repeat+MaxPacketLife)
--- a/flow/stateful_test.go
+++ b/flow/stateful_test.go
@@ -14,6 +14,7 @@
 // TestStatefulPlanned makes planned changes, loses balancers and packets, and
 // lets callers do what they like: nothing may break.
 func TestStatefulPlanned(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine(t)
 		t.Repeat(m.actions(false))
@@ -24,6 +25,7 @@
 // TestStatefulFaults adds unplanned faults: flows may break, but no promise
 // about requests, services and refusals.
 func TestStatefulFaults(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		m := newMachine(t)
 		t.Repeat(m.actions(true))
--- a/flow/udp.go
+++ b/flow/udp.go
@@ -226,7 +226,7 @@
 func (c *call) udpAsked(e entry) Action {
 	h := c.h
 	i, asker := c.home(), c.upstream(int(h.Asker))
-	if i != none && i != int(h.Asker) || c.s.restarted(c.st, c.now) || c.udpPromised(e) {
+	if i != none && i != int(h.Asker) || c.forgetful() || c.udpPromised(e) {
 		h.Doubt = true
 	}
 	pass(h, int(h.At))
@@ -246,6 +246,15 @@
 	return aim(h, int(h.Asker))
 }
 
+// forgetful reports whether the upstream may have run the request and forgotten
+// it. An idempotent service vouches for itself, but not for one that got its address.
+func (c *call) forgetful() bool {
+	if c.h.Service != c.st.service {
+		return c.s.young(c.st, c.now)
+	}
+	return c.s.restarted(c.st, c.now)
+}
+
 // udpPromised reports whether another search may still end in an acceptance.
 func (c *call) udpPromised(e entry) bool {
 	if e.kind != kindPassed {
--- a/flow/world_test.go
+++ b/flow/world_test.go
@@ -74,23 +74,22 @@
 
 // A line is one entry of the trace; it is put into words only when a case fails.
 type line struct {
-	at     time.Time
-	format string
-	args   []any
+	at   time.Time
+	text func() string
 }
 
 func (l line) String() string {
 	at := l.at.Sub(time.Unix(worldStart, 0))
-	return fmt.Sprintf("%8.3f ", at.Seconds()) + fmt.Sprintf(l.format, l.args...)
+	return fmt.Sprintf("%8.3f %s", at.Seconds(), l.text())
 }
 
 // log adds a line to the trace.
-func (w *world) log(format string, args ...any) {
+func (w *world) log(text func() string) {
 	const most = 4000
 	if len(w.trace) >= most {
 		w.trace = append(w.trace[:0], w.trace[most/2:]...)
 	}
-	w.trace = append(w.trace, line{at: w.now, format: format, args: args})
+	w.trace = append(w.trace, line{at: w.now, text: text})
 }
 
 // worldStart is the Unix time at which worlds start.
@@ -132,7 +131,8 @@
 // publish makes the next plan available; processes take it at their own times.
 func (w *world) publish(change func(*plan)) {
 	w.plans = append(w.plans, w.latest().with(change))
-	w.log("publish %d: %v %v", w.latest().version, w.latest().members, w.latest().addresses)
+	p := w.latest()
+	w.log(func() string { return fmt.Sprintf("publish %d: %v %v", p.version, p.members, p.addresses) })
 }
 
 // send puts a message on its way, unless it is lost.
