flow: keep the heavier half of a crowded outbox

Cause: an outbox with more than half of its room taken was emptied after each sending, so a burst of hints was lost but for a few.

Change: only the lightest hints of a crowded outbox are forgotten.

--- a/flow/outbox.go
+++ b/flow/outbox.go
@@ -77,12 +77,19 @@
 	for _, h := range hints[:n] {
 		delete(o.counts, h)
 	}
-	if len(o.counts) >= outboxSize/2 {
-		clear(o.counts)
+	if len(o.counts) > outboxSize/2 {
+		o.evict(hints[outboxSize/2:])
 	}
 	return hints[:n:n]
 }
 
+// evict forgets hints, the lightest of a crowded outbox, to leave room for heavier ones.
+func (o *outbox) evict(hints []Hint) {
+	for _, h := range hints {
+		delete(o.counts, h)
+	}
+}
+
 // compareHints makes the order of equal hints the same in each run.
 func compareHints(a, b Hint) int {
 	if c := cmp.Compare(a.Key.Hash(), b.Key.Hash()); c != 0 {
