--- a/compare/compare_test.go
+++ b/compare/compare_test.go
@@ -102,6 +102,14 @@
 	must.Zero(t, mean(ours, "flows of others broken"))
 }
 
+// TestCompareShortFlowsAfterRestart checks that upstreams which are all equally
+// cold share the load as warm ones do.
+func TestCompareShortFlowsAfterRestart(t *testing.T) {
+	mean := means(t, "short flows, 70% load, in the minute after", longSeeds, ours, "hashing")
+	must.LessEq(t, 0.5*mean("hashing", "wait p99 (s)"), mean(ours, "wait p99 (s)"))
+	must.LessEq(t, 1.5, mean(ours, "visits"))
+}
+
 func TestCompareMassRestart(t *testing.T) {
 	mean := means(t, "14,000 long flows, all upstreams restarted", longSeeds, ours)
 	must.LessEq(t, 1.01, mean(ours, "max/mean at the end"))
--- a/load/decide.go
+++ b/load/decide.go
@@ -109,7 +109,7 @@
 	if t.long() {
 		return p.byConnections(o, own, ps, t)
 	}
-	if !o.last() && !admits(own.Ramp, o.Hash) {
+	if !o.last() && !ps.admits(ps.startShare(own), o.Hash) {
 		return Decision{Verdict: Pass, Reason: Starting, Load: l}
 	}
 	return p.byQueue(o, own, ps, t)
--- a/load/peers.go
+++ b/load/peers.go
@@ -31,7 +31,8 @@
 
 	mu       sync.RWMutex
 	byID     map[bundle.UpstreamID]peer
-	total    total // sum over the views in byID, without the sidecar's own
+	total    total   // sum over the views in byID, without the sidecar's own
+	warmest  float64 // the highest Ramp of those in byID that take new flows, 0 without
 	sequence uint64
 	next     time.Time // when the next own report is due
 	bytes    uint64    // of all reports sent and received
@@ -70,6 +71,7 @@
 	ps.drop(r.Upstream)
 	ps.byID[r.Upstream] = peer{sequence: r.Sequence, view: r.View(), heard: now}
 	ps.total = ps.total.with(r.View())
+	ps.warm()
 	return true
 }
 
@@ -126,6 +128,34 @@
 	}
 	delete(ps.byID, u)
 	ps.total = ps.total.minus(p.view)
+	ps.warm()
+}
+
+// warm finds the warmest of the others. The caller holds mu.
+func (ps *Peers) warm() {
+	ps.warmest = 0
+	for _, p := range ps.byID {
+		if !p.view.unavailable() {
+			ps.warmest = max(ps.warmest, p.view.Ramp)
+		}
+	}
+}
+
+// startShare returns the part of its openings that an upstream takes during
+// its cold start. It is relative to the warmest of the others: when all are
+// equally cold, or none is known, nobody else is there to take the rest. The
+// caller holds mu.
+func (ps *Peers) startShare(own View) float64 {
+	if ps.warmest == 0 {
+		return 1
+	}
+	return min(own.Ramp/ps.warmest, 1)
+}
+
+// admits reports whether an opening belongs to the share of this upstream.
+// Upstreams choose independently of each other. The caller holds mu.
+func (ps *Peers) admits(share float64, hash uint64) bool {
+	return admits(share, hash^remix(uint64(ps.cfg.Upstream)))
 }
 
 // find returns the view of another upstream and whether it is known. The
