Look services up under a read lock, and measure admission

Cause: each opening took one lock over all services of a balancer. Change: a read lock on the way that finds the service; a benchmark.

--- a/limit/callers.go
+++ b/limit/callers.go
@@ -42,7 +42,7 @@
 	balancers atomic.Int64  // live balancers, at least 1
 	shards    []callerShard // length is a power of two, fixed after NewCallers
 
-	mu       sync.Mutex
+	mu       sync.RWMutex
 	services map[bundle.ServiceID]*serviceBucket
 }
 
@@ -139,13 +139,19 @@
 }
 
 func (c *Callers) service(s bundle.ServiceID) *serviceBucket {
+	c.mu.RLock()
+	b, ok := c.services[s]
+	c.mu.RUnlock()
+	if ok {
+		return b
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	b, ok := c.services[s]
-	if !ok {
-		b = &serviceBucket{}
-		c.services[s] = b
+	if b, ok := c.services[s]; ok {
+		return b
 	}
+	b = &serviceBucket{}
+	c.services[s] = b
 	return b
 }
 
--- a/limit/callers_test.go
+++ b/limit/callers_test.go
@@ -123,3 +123,17 @@
 	var bad *limit.ConfigError
 	must.True(t, errors.As(err, &bad))
 }
+
+func BenchmarkAdmit(b *testing.B) {
+	c, err := limit.NewCallers(limit.CallersConfig{})
+	must.NoError(b, err)
+	l := bundle.Limit{Rate: 1e6, Prefix: 1e6}
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		rnd := source()
+		for i := uint32(0); pb.Next(); i++ {
+			caller := netip.AddrFrom4([4]byte{10, byte(i >> 8), byte(i), 1})
+			c.Admit(fitting, l, caller, start.Add(time.Duration(i)*time.Microsecond), rnd)
+		}
+	})
+}
