--- a/compare/cases.go
+++ b/compare/cases.go
@@ -62,6 +62,7 @@
 		overloadCase("load of 1.5 for a minute, limits off", false),
 		loseCase(s),
 		restartCase(s),
+		shortRestartCase(),
 	}
 	return append(cases, changeCases(s)...)
 }
@@ -193,6 +194,16 @@
 	return c
 }
 
+// shortRestartCase measures the minute after all upstreams restarted at once.
+func shortRestartCase() Case {
+	c := shortCase("short flows, 70% load, in the minute after all upstreams restarted", Size{})
+	c.Contenders = Contenders()[:3]
+	c.Config.Faults = restartCase(Size{}).Config.Faults
+	c.Config.Warmup = longWarmup + restart
+	c.Config.Length = time.Minute
+	return c
+}
+
 // changeCases holds the traffic of both firms under planned changes.
 func changeCases(s Size) []Case {
 	wiryawan := Config{
--- a/load/decide_test.go
+++ b/load/decide_test.go
@@ -211,12 +211,12 @@
 // to warmer ones: after a mass restart all are equally cold.
 func TestColdStartIsRelative(t *testing.T) {
 	cold := idle().WithRamp(0.1)
-	share := func(b *load.Peers) float64 {
+	share := func(ps *load.Peers) float64 {
 		accepted := 0
 		for i := range 1000 {
 			o := openingAt(0)
 			o.Hash = uint64(i) * 0x9e3779b97f4a7c15
-			if load.Decide(load.AcceptOrPass{}, o, cold, b).Verdict == load.Accept {
+			if load.Decide(load.AcceptOrPass{}, o, cold, ps).Verdict == load.Accept {
 				accepted++
 			}
 		}
@@ -224,4 +224,7 @@
 	}
 	must.Eq(t, 1, share(heard(t, cold, cold, cold)))
 	must.Less(t, 0.2, share(heard(t, cold, idle(), cold)))
+	leaving := idle()
+	leaving.Leaving = true
+	must.Eq(t, 1, share(heard(t, cold, leaving, cold)))
 }
