Act without an instance list once the platform has answered for 30 s

Ruled out: acting at once, since a list that lags may still name peers that know a newer bundle. Change: converge.Config.ListTimeout. The new test TestStartsWithoutAnInstanceList failed first (sequence 0 instead of 1).

--- a/converge/config.go
+++ b/converge/config.go
@@ -16,6 +16,7 @@
 	defaultSettle        = 1500 * time.Millisecond
 	defaultSettleLimit   = 4 * time.Second
 	defaultAskTimeout    = 2 * time.Second
+	defaultListTimeout   = 30 * time.Second
 	defaultPauseAfter    = 2 * time.Second
 	defaultPeerTimeout   = 3 * time.Second
 	defaultFetchTimeout  = 3 * time.Second
@@ -49,6 +50,9 @@
 	SettleLimit time.Duration
 	// AskTimeout is how long a process waits for Answers before fewer will do. Zero selects 2 s.
 	AskTimeout time.Duration
+	// ListTimeout is how long a process that reaches the platform waits for an instance list
+	// before it acts without one. Zero selects 30 s.
+	ListTimeout time.Duration
 	// PauseAfter is the gap between ticks that counts as a pause. Zero selects 2 s.
 	PauseAfter time.Duration
 	// PeerTimeout is the silence after which a connection is closed. Zero selects 3 s.
@@ -72,6 +76,7 @@
 	setDefault(&c.Settle, defaultSettle)
 	setDefault(&c.SettleLimit, defaultSettleLimit)
 	setDefault(&c.AskTimeout, defaultAskTimeout)
+	setDefault(&c.ListTimeout, defaultListTimeout)
 	setDefault(&c.PauseAfter, defaultPauseAfter)
 	setDefault(&c.PeerTimeout, defaultPeerTimeout)
 	setDefault(&c.FetchTimeout, defaultFetchTimeout)
--- a/converge/inquiry.go
+++ b/converge/inquiry.go
@@ -64,7 +64,7 @@
 // others is the number of other processes in the list.
 func (q *inquiry) enough(now time.Time, cfg Config, answers, others int, listed bool) bool {
 	if !listed && answers == 0 {
-		return false
+		return q.platform() && now.Sub(q.since) >= cfg.ListTimeout
 	}
 	need := min(cfg.Answers, others)
 	if need > 0 && answers >= need {
--- /dev/null
+++ b/converge/unlisted_test.go
@@ -0,0 +1,35 @@
+package converge_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/corianderbay/corianderbay/converge"
+	"github.com/shoenig/test/must"
+)
+
+// TestStartsWithoutAnInstanceList starts a process whose platform answers and
+// has a bundle, but has not published any instance list.
+func TestStartsWithoutAnInstanceList(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	m := converge.New(converge.Config{Name: "a", DataCentre: "dc", Rand: rand.New(rand.NewPCG(1, 1))})
+	v := version(1, 1)
+	m.Update(now, converge.Tick{})
+	m.Update(now, converge.PlatformAnswered{})
+	m.Update(now, converge.Offered{Version: v})
+	m.Update(now, converge.Fetched{Version: v, Valid: true})
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		m.Update(now, converge.PlatformAnswered{})
+		m.Update(now, converge.Tick{})
+	}
+	must.True(t, m.Status().InForce.IsZero(), must.Sprint("a list that lags may still come"))
+	for range 300 {
+		now = now.Add(100 * time.Millisecond)
+		m.Update(now, converge.PlatformAnswered{})
+		m.Update(now, converge.Tick{})
+	}
+	must.Eq(t, v, m.Status().InForce)
+	must.Eq(t, converge.StateReady, m.Status().State)
+}
