Take the ports of scripts from ranges that nobody else is given

Cause: the script of separate processes failed once with an address in use: its ports had been closed again and were handed out by the system to another test. Ruled out: keeping the sockets open, since other processes bind them. Change: ports from 20,000 to 29,999 that are free over UDP and TCP; the pages' commands take 10,000 to 19,990. Measured: go test ./cmd/corianderbay passes (11.8 s).

--- a/cmd/corianderbay/script_test.go
+++ b/cmd/corianderbay/script_test.go
@@ -24,6 +24,8 @@
 
 const (
 	scriptPorts  = 60
+	firstPort    = 20_000
+	lastPort     = 29_999
 	awaitTimeout = time.Minute
 	awaitEvery   = 20 * time.Millisecond
 )
@@ -58,23 +60,44 @@
 	})
 }
 
-// givePorts sets P1 to P60 to free ports of the loopback interface.
+// givePorts sets P1 to P60 to ports of the loopback interface that nobody
+// listens on. They are below those that the system hands out by itself, so that
+// no other test is given one before the script's processes bind it.
 func givePorts(env *testscript.Env) error {
-	var held []*net.UDPConn
+	next := firstPort + os.Getpid()%(lastPort-firstPort)
 	for i := range scriptPorts {
-		conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-		if err != nil {
-			return err
+		for !isFree(next) {
+			next = after(next)
 		}
-		held = append(held, conn)
-		env.Setenv(fmt.Sprintf("P%d", i+1), strconv.Itoa(conn.LocalAddr().(*net.UDPAddr).Port))
-	}
-	for _, conn := range held {
-		conn.Close()
+		env.Setenv(fmt.Sprintf("P%d", i+1), strconv.Itoa(next))
+		next = after(next)
 	}
 	return nil
 }
 
+// after returns the port to try next.
+func after(port int) int {
+	if port >= lastPort {
+		return firstPort
+	}
+	return port + 1
+}
+
+// isFree reports whether nobody listens on the port, over UDP or TCP.
+func isFree(port int) bool {
+	conn, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1), Port: port})
+	if err != nil {
+		return false
+	}
+	l.Close()
+	return true
+}
+
 // expandFile writes a copy of a file with the variables of the script filled in: expand FROM TO.
 func expandFile(ts *testscript.TestScript, _ bool, args []string) {
 	text := os.Expand(ts.ReadFile(args[0]), ts.Getenv)
--- a/pages_test.go
+++ b/pages_test.go
@@ -187,7 +187,7 @@
 	// portsNeeded is how many ports in a row a session of commands takes.
 	portsNeeded = 6
 	// Ports below the range that the system gives to outgoing connections.
-	firstPort, lastPort = 10_000, 30_000
+	firstPort, lastPort = 10_000, 19_990
 )
 
 // freePorts returns the first of portsNeeded ports in a row that nobody listens on.
