Count hints by what they take on the wire, and let them share datagrams

Cause: a hint was counted as 64 B, but alone in a datagram it takes about 122 B; with a budget of 2,000 B/s a sidecar sent 3,016 B/s in the new test, which failed first. Ruled out: a higher count for each hint, which would halve how many are sent. Change: hints are due twice a second, heaviest first; a datagram's fixed part and each flow's part are counted apart.

--- /dev/null
+++ b/flow/budget_test.go
@@ -0,0 +1,56 @@
+package flow_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/corianderbay/corianderbay/flow"
+	"github.com/corianderbay/corianderbay/forward"
+)
+
+// TestHintsKeepTheirBudgetOnTheWire lets every packet arrive the long way and
+// adds up what the hints take on the wire, IP and UDP headers included.
+func TestHintsKeepTheirBudgetOnTheWire(t *testing.T) {
+	const (
+		budget    = 2000 // bytes a second
+		seconds   = 20
+		ipAndUDP  = 28 // bytes
+		balancers = 3
+		flows     = 2000
+	)
+	p, now := newPlan(1, 1), time.Unix(1, 0)
+	s := flow.NewSidecar(flow.SidecarConfig{Upstream: 1, HintBudget: budget, Admitter: flow.Threshold{Flows: flows}}, now)
+	s.BundleAccepted(now, view{plan: p, self: 1})
+	establish(s, p, now, flows)
+	sent, hints := 0, 0
+	for step := range seconds * 10 {
+		at := now.Add(time.Duration(step) * 100 * time.Millisecond)
+		for i := range 200 {
+			k := testKey(flow.TCP, (step*200+i)%flows, fitting)
+			h := header(p, k, 1)
+			h.Hops = 1
+			h.Balancer = netip.AddrPortFrom(netip.MustParseAddr("10.2.0.1"), uint16(7000+i%balancers))
+			s.Packet(at, h, flow.Packet{Key: k, Sequence: 2, Acknowledged: 101, HasAck: true})
+		}
+		byAddress := make(map[netip.AddrPort][]flow.Key)
+		for _, hint := range s.Tick(at).Hints {
+			byAddress[hint.To] = append(byAddress[hint.To], hint.Key)
+			hints++
+		}
+		for _, keys := range byAddress {
+			for len(keys) > 0 {
+				n := min(len(keys), flow.MaxHints)
+				body, err := forward.EncodeMessage(&flow.OwnerHints{Owner: 1, Flows: keys[:n]})
+				must.NoError(t, err)
+				sent += len(body) + forward.Overhead + ipAndUDP
+				keys = keys[n:]
+			}
+		}
+	}
+	t.Logf("%d hints, %d B/s", hints, sent/seconds)
+	must.LessEq(t, budget*(seconds+1), sent)
+	must.Greater(t, 30*seconds, hints)
+}
--- a/flow/outbox.go
+++ b/flow/outbox.go
@@ -15,8 +15,15 @@
 	Key Key
 }
 
-// hintSize is what a hint costs on the wire in bytes, headers included.
-const hintSize = 64
+const (
+	// hintSize is what one more flow takes in a datagram of hints, in bytes.
+	hintSize = 39
+	// hintsSize is what a datagram of hints takes besides its flows, IP and UDP
+	// headers included, in bytes.
+	hintsSize = 88
+	// hintsPerSecond is how often hints are due, so that they share datagrams.
+	hintsPerSecond = 2
+)
 
 // outboxSize bounds the hints that wait.
 const outboxSize = 4096
@@ -50,7 +57,7 @@
 	o.counts[h] = n + 1
 }
 
-// due returns the heaviest hints that the budget allows.
+// due returns the heaviest hints that the budget allows, a few times a second.
 func (o *outbox) due(now time.Time) []Hint {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -59,10 +66,18 @@
 	}
 	o.last = now
 	o.credit = min(o.credit, float64(o.budget))
-	n := min(len(o.counts), int(o.credit)/hintSize)
-	if n == 0 {
+	if len(o.counts) == 0 || o.credit < float64(o.budget)/hintsPerSecond {
 		return nil
 	}
+	hints := o.take(o.heaviest())
+	if len(o.counts) >= outboxSize/2 {
+		clear(o.counts)
+	}
+	return hints
+}
+
+// heaviest returns all hints, those that spare the most hops first. The caller holds the lock.
+func (o *outbox) heaviest() []Hint {
 	hints := make([]Hint, 0, len(o.counts))
 	for h := range o.counts {
 		hints = append(hints, h)
@@ -73,21 +88,25 @@
 		}
 		return compareHints(a, b)
 	})
-	o.credit -= float64(n * hintSize)
-	for _, h := range hints[:n] {
-		delete(o.counts, h)
-	}
-	if len(o.counts) > outboxSize/2 {
-		o.evict(hints[outboxSize/2:])
-	}
-	return hints[:n:n]
+	return hints
 }
 
-// evict forgets hints, the lightest of a crowded outbox, to leave room for heavier ones.
-func (o *outbox) evict(hints []Hint) {
-	for _, h := range hints {
+// take removes the first hints that the credit pays for and returns them. The caller holds the lock.
+func (o *outbox) take(hints []Hint) []Hint {
+	inDatagram := make(map[netip.AddrPort]int)
+	for i, h := range hints {
+		cost := float64(hintSize)
+		if inDatagram[h.To]%MaxHints == 0 {
+			cost += hintsSize
+		}
+		if cost > o.credit {
+			return hints[:i:i]
+		}
+		o.credit -= cost
+		inDatagram[h.To]++
 		delete(o.counts, h)
 	}
+	return hints
 }
 
 // compareHints makes the order of equal hints the same in each run.
