--- a/balancer/balancer_test.go
+++ b/balancer/balancer_test.go
@@ -241,3 +241,24 @@
 	must.NoError(t, forward.NewHeaderDecoder().Decode(d.Body, &h))
 	return h.Candidates[h.At].Upstream
 }
+
+// TestBalancerDropsWhatIsTooLargeOnceWrapped sends a packet that fits the
+// fabric's link and, with the header before it, no longer the sidecar's.
+func TestBalancerDropsWhatIsTooLargeOnceWrapped(t *testing.T) {
+	sink := listen(t)
+	lb := startBalancer(t, bundleWith(addressOf(sink), 7))
+	caller := listen(t)
+	ip, err := fabric.Segment{
+		Source:      netip.MustParseAddrPort("10.0.0.9:4000"),
+		Destination: netip.MustParseAddrPort("198.51.100.1:7000"),
+		Flags:       fabric.ACK,
+		Payload:     make([]byte, 8900),
+	}.Encode()
+	must.NoError(t, err)
+	_, err = caller.WriteToUDPAddrPort(geneve(t, ip), lb.FabricAddress())
+	must.NoError(t, err)
+	for handled(lb.Counts()) < 1 {
+		must.NoError(t, timer.New(timer.Config{}).Sleep(t.Context(), time.Millisecond))
+	}
+	must.Eq(t, map[string]uint64{"oversized": 1}, lb.Counts().Dropped)
+}
--- /dev/null
+++ b/flow/message_test.go
@@ -0,0 +1,41 @@
+package flow_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/flow"
+	"github.com/corianderbay/corianderbay/forward"
+)
+
+// FuzzMessages decodes bytes as each message between sidecars and balancers:
+// what is taken in has passed its check.
+func FuzzMessages(f *testing.F) {
+	for _, m := range []forward.Message{
+		&flow.OwnerHints{Owner: 1, Flows: []flow.Key{testKey(flow.TCP, 1, fitting)}},
+		&flow.PeerReport{Upstream: 1, Service: fitting, Version: 2, Highest: 3, Oldest: 1, Heard: []bundle.UpstreamID{2}},
+		&flow.Silence{Upstreams: []bundle.UpstreamID{3}},
+	} {
+		body, err := forward.EncodeMessage(m)
+		must.NoError(f, err)
+		f.Add(body)
+	}
+	f.Add([]byte{0xc1})
+	f.Fuzz(func(t *testing.T, body []byte) {
+		for _, m := range []forward.Message{&flow.OwnerHints{}, &flow.PeerReport{}, &flow.Silence{}} {
+			if forward.DecodeMessage(body, m) == nil {
+				must.NoError(t, m.Check())
+			}
+		}
+	})
+}
+
+// TestMessagesAnnounceNoMoreThanTheyHold decodes 12 bytes that announce a list of
+// four thousand million flows.
+func TestMessagesAnnounceNoMoreThanTheyHold(t *testing.T) {
+	body := []byte{0x81, 0xa5, 'f', 'l', 'o', 'w', 's', 0xdd, 0xff, 0xff, 0xff, 0xff}
+	var m flow.OwnerHints
+	must.ErrorAs[*forward.HeaderError](t, forward.DecodeMessage(body, &m), new(*forward.HeaderError))
+}
--- a/forward/message.go
+++ b/forward/message.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"github.com/corianderbay/corianderbay/wire"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -22,9 +23,13 @@
 	return b, nil
 }
 
-// DecodeMessage fills m from the body of a control datagram and checks it. It
-// reports *HeaderError, or what m's Check reports.
+// DecodeMessage fills m from the body of a control datagram and checks it.
+// Fields that this release does not know are passed over, so that two releases
+// live together. It reports *HeaderError, or what m's Check reports.
 func DecodeMessage(body []byte, m Message) error {
+	if err := wire.Scan(body); err != nil {
+		return &HeaderError{Field: "message", Cause: err}
+	}
 	if err := msgpack.Unmarshal(body, m); err != nil {
 		return &HeaderError{Field: "message", Cause: err}
 	}
--- a/sidecar/counts.go
+++ b/sidecar/counts.go
@@ -5,6 +5,7 @@
 
 	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/udp"
+	"github.com/corianderbay/corianderbay/upstream"
 )
 
 // dropReason says why a sidecar dropped a packet.
@@ -68,10 +69,12 @@
 	Flows int `json:"flows"`
 	Open  int `json:"open"`
 	// Accepted, Broken and Searches are decisions, see flow.Counters.
-	Accepted uint64     `json:"accepted"`
-	Broken   uint64     `json:"broken"`
-	Searches uint64     `json:"searches"`
-	Forward  udp.Counts `json:"forward"`
+	Accepted uint64 `json:"accepted"`
+	Broken   uint64 `json:"broken"`
+	Searches uint64 `json:"searches"`
+	// Upstream holds what came from the upstream's side and was not handed on.
+	Upstream upstream.Drops `json:"upstream"`
+	Forward  udp.Counts     `json:"forward"`
 }
 
 // Counts returns the totals so far.
@@ -89,6 +92,7 @@
 		Accepted:  s.flows.Counters().Accepted.Load(),
 		Broken:    s.flows.Counters().Broken.Load(),
 		Searches:  s.flows.Counters().Searches.Load(),
+		Upstream:  upstream.DropsOf(s.edge),
 		Forward:   s.forward.Counts(),
 	}
 	for i := range maxReasons {
--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -233,3 +233,20 @@
 	_, _ = readFrame(t, b.upstream, false)
 	must.Eq(t, uint64(1), b.sidecar.Counts().Delivered)
 }
+
+// TestSidecarCountsBadAnswers sends what is no answer from the upstream's
+// address, and an answer from a stranger's.
+func TestSidecarCountsBadAnswers(t *testing.T) {
+	b := newBench(t, upstream.ModeTunnel)
+	b.send(b.forward(segment(t, fabric.SYN, 100, 0)))
+	_, edge := readFrame(t, b.upstream, false)
+	_, err := b.upstream.WriteToUDPAddrPort([]byte("no packet"), edge)
+	must.NoError(t, err)
+	_, err = b.balancer.WriteToUDPAddrPort([]byte("no friend"), edge)
+	must.NoError(t, err)
+	clock := timer.New(timer.Config{})
+	want := upstream.Drops{Stranger: 1, Malformed: 1}
+	for b.sidecar.Counts().Upstream != want {
+		must.NoError(t, clock.Sleep(t.Context(), time.Millisecond))
+	}
+}
--- a/standin/message.go
+++ b/standin/message.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/corianderbay/corianderbay/wire"
 	"github.com/vmihailenco/msgpack/v5"
 )
 
@@ -115,6 +116,9 @@
 	if xxhash.Sum64(frame[:sum]) != binary.BigEndian.Uint64(frame[sum:]) {
 		return &MessageError{Part: "checksum"}
 	}
+	if err := wire.Scan(frame[messageHeader:sum]); err != nil {
+		return &MessageError{Part: "body", Cause: err}
+	}
 	if err := msgpack.Unmarshal(frame[messageHeader:sum], v); err != nil {
 		return &MessageError{Part: "body", Cause: err}
 	}
--- a/upstream/datagram.go
+++ b/upstream/datagram.go
@@ -23,6 +23,8 @@
 	cfg Config
 	wg  conc.WaitGroup // the readers of the open sockets
 
+	drops drops
+
 	mu     sync.Mutex
 	flows  map[flow.Key]*datagramFlow // at most cfg.MaxFlows
 	closed bool                       // set once, by run; no socket is opened after that
@@ -92,6 +94,7 @@
 		}
 		ip, err := fabric.DatagramAnswer(k, buf[:n])
 		if err != nil {
+			d.drops.malformed.Add(1)
 			continue
 		}
 		d.cfg.Answer(ip)
--- a/upstream/tunnel.go
+++ b/upstream/tunnel.go
@@ -16,6 +16,7 @@
 	cfg     Config
 	socket  *udp.Socket
 	scratch sync.Pool // holds *[]byte
+	drops   drops
 }
 
 func openTunnel(cfg Config) (*Tunnel, error) {
@@ -53,10 +54,12 @@
 	dec := fabric.NewDecoder(fabric.DecoderConfig{})
 	return func(b []byte, from netip.AddrPort) {
 		if from != t.cfg.Address {
+			t.drops.stranger.Add(1)
 			return
 		}
 		f, err := dec.DecodeAnswerFrame(b)
 		if err != nil {
+			t.drops.malformed.Add(1)
 			return
 		}
 		t.cfg.Answer(f.IP)
