--- a/ctl/change.go
+++ b/ctl/change.go
@@ -167,11 +167,7 @@
 			if err != nil {
 				return err
 			}
-			raw, err := f.Marshal()
-			if err != nil {
-				return err
-			}
-			p, err := platform.NewPublication(*name, f.Sequence(), raw)
+			p, err := platform.NewPublication(*name, f)
 			if err != nil {
 				return err
 			}
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -255,11 +255,7 @@
 	if err != nil {
 		return err
 	}
-	body, err := signed.Marshal()
-	if err != nil {
-		return err
-	}
-	pub, err := platform.NewPublication(peer.BundleValue, b.Sequence, body)
+	pub, err := platform.NewPublication(peer.BundleValue, signed)
 	if err != nil {
 		return err
 	}
--- a/peer/reading.go
+++ b/peer/reading.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 
+	"github.com/cockroachdb/errors"
 	"github.com/corianderbay/corianderbay/bundle"
 	"github.com/corianderbay/corianderbay/event"
 	"github.com/corianderbay/corianderbay/platform"
@@ -21,7 +22,8 @@
 	}
 	ctx, n.stopRead = context.WithCancel(ctx)
 	forBundle, forList := n.source(), n.source()
-	n.wg.Go(func() { n.follow(ctx, forBundle, n.watchBundle) })
+	bundles := &bundleWatch{node: n}
+	n.wg.Go(func() { n.follow(ctx, forBundle, bundles.next) })
 	n.wg.Go(func() { n.follow(ctx, forList, n.watchList) })
 }
 
@@ -48,20 +50,28 @@
 	}
 }
 
-func (n *Node) watchBundle(ctx context.Context, index uint64) (uint64, error) {
+// bundleWatch reads bundles from the platform, each time the parts that differ from the last one.
+type bundleWatch struct {
+	node *Node
+	base *bundle.Frozen // the bundle that was read last, or nil
+}
+
+func (w *bundleWatch) next(ctx context.Context, index uint64) (uint64, error) {
+	n := w.node
 	head, changed, err := n.cfg.Platform.Watch(ctx, BundleValue, index)
 	if err != nil || !changed {
 		return index, err
 	}
-	_, body, err := n.cfg.Platform.ReadPublication(ctx, head)
-	if err != nil {
-		return index, err
-	}
-	f, err := bundle.Unmarshal(body)
-	if err != nil {
+	f, err := n.cfg.Platform.ReadBundle(ctx, head, w.base)
+	var broken *platform.BundleError
+	if errors.As(err, &broken) {
 		n.cfg.Log.Emit(event.BundleBroken, zap.Error(err))
 		return head.Index, nil
 	}
+	if err != nil {
+		return index, err
+	}
+	w.base = f
 	n.post(ctx, bundleRead{frozen: f})
 	return head.Index, nil
 }
