Let sidecars of services that a moved address links know of each other

Cause: flow.View asks for the upstreams of linked services, or a datagram flow of an address that moved can be accepted twice; route.SidecarView gave only those of the service. The new test TestMembersIncludeServicesLinkedByAnAddress failed first (it did not compile, then 7 instead of 14). Second: a one-way flow of datagrams was counted as an upstream that does not answer, and could set it aside; only openings of TCP count now. Ruled out: sending loads to linked services, which share no upstreams. Measured: go test ./route ./sidecar ./flow pass.

--- a/route/sidecarview.go
+++ b/route/sidecarview.go
@@ -78,13 +78,28 @@
 	return up.Name
 }
 
-// Members returns the upstreams of the service, leaving ones included; nil for an unknown service.
+// Members returns the upstreams of the service, leaving ones included, and
+// those of services that a moved address links to it, in either direction; nil
+// for an unknown service.
 func (s *SidecarView) Members(id bundle.ServiceID) []forward.Candidate {
 	svc := s.view.Service(id)
 	if svc == nil {
 		return nil
 	}
-	return svc.Members()
+	members := svc.Members()
+	for _, linked := range s.view.linked(svc) {
+		members = append(members, linked.Members()...)
+	}
+	return members
+}
+
+// Peers returns the upstreams of the service that the sidecar's upstream is to
+// serve, leaving ones included.
+func (s *SidecarView) Peers() []forward.Candidate {
+	if s.service == nil {
+		return nil
+	}
+	return s.service.Members()
 }
 
 // Fingerprint differs whenever the order of candidates of the service may differ; 0 for an unknown service.
--- a/route/view.go
+++ b/route/view.go
@@ -8,6 +8,7 @@
 package route
 
 import (
+	"cmp"
 	"net/netip"
 	"slices"
 
@@ -142,6 +143,29 @@
 	return v.Candidates(dst, m, key)
 }
 
+// linked returns the other services that held an address of s before, or that hold one that s held.
+func (v *View) linked(s *Service) []*Service {
+	var linked []*Service
+	add := func(o *Service) {
+		if o != s && !slices.Contains(linked, o) {
+			linked = append(linked, o)
+		}
+	}
+	for _, h := range v.byAddr {
+		if h.former == nil {
+			continue
+		}
+		if h.service == s {
+			add(h.former)
+		}
+		if h.former == s {
+			add(h.service)
+		}
+	}
+	slices.SortFunc(linked, func(a, b *Service) int { return cmp.Compare(a.id, b.id) })
+	return linked
+}
+
 func (v *View) dataCentreOf(caller netip.Addr) int {
 	i, ok := v.callers.Lookup(caller)
 	if !ok {
--- a/route/view_test.go
+++ b/route/view_test.go
@@ -168,3 +168,20 @@
 		must.Less(t, 5*math.Sqrt(want), math.Abs(float64(n)-want))
 	}
 }
+
+// TestMembersIncludeServicesLinkedByAnAddress checks that sidecars of two
+// services know of each other while an address that moved links them.
+func TestMembersIncludeServicesLinkedByAnAddress(t *testing.T) {
+	b := exampleBundle()
+	b.Services[1].Addresses = append(b.Services[1].Addresses, bundle.Address{
+		IP: netip.MustParseAddr("198.51.100.9"), Port: 7000, Protocol: "tcp", Former: "fitting",
+	})
+	v := route.NewView(b)
+	for _, name := range []string{"fitting-0", "report-0"} {
+		s := route.NewSidecarView(v, bundle.UpstreamIDOf(name))
+		must.SliceLen(t, 2*upstreamsPerService, s.Members(s.Self().Service))
+		must.SliceLen(t, upstreamsPerService, s.Peers())
+	}
+	apart := route.NewSidecarView(route.NewView(exampleBundle()), bundle.UpstreamIDOf("report-0"))
+	must.SliceLen(t, upstreamsPerService, apart.Members(apart.Self().Service))
+}
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -35,12 +35,12 @@
 	due := s.flows.Tick(now)
 	s.sendHints(due.Hints)
 	if due.Report != nil {
-		s.sendToPeers(forward.KindReport, due.Report)
+		s.sendReport(due.Report)
 	}
 	s.tellSilence(now)
 	s.measure(now)
 	if r, ok := s.admission.due(now, s.flows.Flows()); ok {
-		s.sendToPeers(forward.KindLoad, &r)
+		s.sendLoad(&r)
 	}
 }
 
@@ -59,14 +59,27 @@
 	}
 }
 
-// sendToPeers sends a message to each other sidecar of the service.
-func (s *Sidecar) sendToPeers(kind forward.Kind, m forward.Message) {
+// sendReport sends the report to each other sidecar of the service, and to those of linked services.
+func (s *Sidecar) sendReport(r *flow.PeerReport) {
 	view := s.view.Load()
-	service, ok := s.flows.Service()
-	if view == nil || !ok {
+	if view == nil {
 		return
 	}
-	for _, c := range view.Members(service) {
+	s.sendTo(view.Members(r.Service), forward.KindReport, r)
+}
+
+// sendLoad sends the load to each other sidecar of the service.
+func (s *Sidecar) sendLoad(r *load.Report) {
+	view := s.view.Load()
+	if view == nil {
+		return
+	}
+	s.sendTo(view.Peers(), forward.KindLoad, r)
+}
+
+// sendTo sends a message to each of the sidecars but this one.
+func (s *Sidecar) sendTo(members []forward.Candidate, kind forward.Kind, m forward.Message) {
+	for _, c := range members {
 		if c.Upstream != s.self {
 			s.send(kind, m, c.Sidecar)
 		}
--- a/sidecar/measure.go
+++ b/sidecar/measure.go
@@ -50,10 +50,14 @@
 
 // measure counts what was not answered in time and publishes the present load.
 func (s *Sidecar) measure(now time.Time) {
-	for range s.pending.expire(now) {
+	e := s.pending.expire(now)
+	for range e.openings {
 		s.admission.watch.TimedOut(now, answerDeadline)
 		s.record().Failed()
 	}
+	for range e.datagrams {
+		s.admission.watch.Cancelled(now, answerDeadline)
+	}
 	v := s.admission.view(now, s.flows.Flows())
 	s.flows.Loaded(uint32(v.Known()))
 	s.record().SetUpstream(report.Upstream{
--- a/sidecar/pending.go
+++ b/sidecar/pending.go
@@ -62,24 +62,37 @@
 	return max(0, now.Sub(since)), true
 }
 
+// expired is how many packets were not answered within the deadline.
+type expired struct {
+	openings  int // of TCP; an upstream that is well answers each
+	datagrams int // a flow may be one-way, so these say nothing of the upstream
+}
+
 // expire forgets what has waited past the deadline and returns how many there were.
-func (p *pending) expire(now time.Time) int {
-	n := 0
+func (p *pending) expire(now time.Time) expired {
+	var sum expired
 	for i := range p.shards {
-		n += p.shards[i].expire(now)
+		e := p.shards[i].expire(now)
+		sum.openings += e.openings
+		sum.datagrams += e.datagrams
 	}
-	return n
+	return sum
 }
 
-func (sh *pendingShard) expire(now time.Time) int {
+func (sh *pendingShard) expire(now time.Time) expired {
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	n := 0
+	var e expired
 	for k, since := range sh.since {
-		if now.Sub(since) >= answerDeadline {
-			delete(sh.since, k)
-			n++
+		if now.Sub(since) < answerDeadline {
+			continue
+		}
+		delete(sh.since, k)
+		if k.Protocol() == flow.TCP {
+			e.openings++
+		} else {
+			e.datagrams++
 		}
 	}
-	return n
+	return e
 }
