Merge twins: one process for both roles, one way to send what differs

Cause: balancer's and sidecar's processes repeated Run and four accessors; bundle.Patch did what the changes of package peer do, and nothing used it any more. Ruled out: one generic process type, since the two roles have different accessors besides.

--- a/bundle/fuzz_test.go
+++ b/bundle/fuzz_test.go
@@ -31,9 +31,6 @@
 	whole, err := base.Marshal()
 	must.NoError(f, err)
 	f.Add(whole)
-	patch, err := bundle.NewPatch(base, next).Marshal()
-	must.NoError(f, err)
-	f.Add(patch)
 	published, err := bundle.Publish(next, bundle.PublishConfig{})
 	must.NoError(f, err)
 	f.Add(published.Index)
@@ -49,8 +46,5 @@
 			_ = x.Verify(trust)
 			_, _ = x.Assemble(base, nil)
 		}
-		if p, err := bundle.UnmarshalPatch(raw); err == nil {
-			_, _ = p.Apply(base)
-		}
 	})
 }
--- a/instance/balancer.go
+++ b/instance/balancer.go
@@ -1,10 +1,8 @@
 package instance
 
 import (
-	"context"
 	"expvar"
 	"net/netip"
-	"sync/atomic"
 
 	"github.com/corianderbay/corianderbay/balancer"
 	"github.com/corianderbay/corianderbay/flow"
@@ -20,9 +18,8 @@
 
 // Balancer is a balancer's process.
 type Balancer struct {
-	process  *process
+	*process
 	balancer *balancer.Balancer
-	draining atomic.Bool
 }
 
 // NewBalancer binds all addresses. It reports the errors of balancer.New and *operator.ListenError.
@@ -46,13 +43,6 @@
 	return b, nil
 }
 
-// Run works until ctx is done and the drain time is over.
-func (b *Balancer) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { b.draining.Store(true) })
-	defer stop()
-	b.process.run(ctx)
-}
-
 // FabricAddress returns the address that the fabric sends to.
 func (b *Balancer) FabricAddress() netip.AddrPort {
 	return b.balancer.FabricAddress()
@@ -63,29 +53,13 @@
 	return b.balancer.ForwardAddress()
 }
 
-// ControlAddress returns the address that peers reach.
-func (b *Balancer) ControlAddress() netip.AddrPort {
-	return b.process.node.Address()
-}
-
-// OperatorAddress returns the address that operators ask.
-func (b *Balancer) OperatorAddress() netip.AddrPort {
-	return b.process.server.Address()
-}
-
 // Counts returns the totals of the balancer.
 func (b *Balancer) Counts() balancer.Counts {
 	return b.balancer.Counts()
 }
 
-// Version returns the sequence of the bundle in force.
-func (b *Balancer) Version() uint64 {
-	return b.balancer.Version()
-}
-
 func (b *Balancer) status() operator.Status {
 	return operator.Status{
-		Draining: b.draining.Load(),
 		Addresses: map[string]netip.AddrPort{
 			"fabric":  b.balancer.FabricAddress(),
 			"forward": b.balancer.ForwardAddress(),
--- a/instance/process.go
+++ b/instance/process.go
@@ -13,6 +13,7 @@
 	mathrand "math/rand/v2"
 	"net/http"
 	"net/netip"
+	"sync/atomic"
 
 	"github.com/corianderbay/corianderbay/bundle"
 	"github.com/corianderbay/corianderbay/event"
@@ -68,6 +69,7 @@
 	node      *peer.Node
 	server    *operator.Server
 	status    func() operator.Status // what only the role knows
+	draining  atomic.Bool
 }
 
 // newProcess returns a process without a worker.
@@ -155,9 +157,11 @@
 	}
 }
 
-// run works until ctx is done and the worker has stopped.
-func (p *process) run(ctx context.Context) {
+// Run works until ctx is done and the worker has stopped.
+func (p *process) Run(ctx context.Context) {
 	p.cfg.Log.Emit(event.ProcessStarted, zap.String("role", p.role))
+	release := context.AfterFunc(ctx, func() { p.draining.Store(true) })
+	defer release()
 	support, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var wg conc.WaitGroup
@@ -169,6 +173,21 @@
 	wg.Wait()
 }
 
+// ControlAddress returns the address that peers reach.
+func (p *process) ControlAddress() netip.AddrPort {
+	return p.node.Address()
+}
+
+// OperatorAddress returns the address that operators ask.
+func (p *process) OperatorAddress() netip.AddrPort {
+	return p.server.Address()
+}
+
+// Version returns the sequence of the bundle in force, 0 before the first.
+func (p *process) Version() uint64 {
+	return p.worker.Version()
+}
+
 func (p *process) fullStatus() operator.Status {
 	s := p.status()
 	s.Process = p.cfg.Name
@@ -177,6 +196,7 @@
 	s.Hash = p.node.Status().Hash.String()
 	s.Uptime = p.cfg.Timer.Uptime().Seconds()
 	s.Ready = s.Version > 0
+	s.Draining = p.draining.Load()
 	s.Addresses["control"] = p.node.Address()
 	s.Addresses["operator"] = p.server.Address()
 	return s
--- a/instance/sidecar.go
+++ b/instance/sidecar.go
@@ -1,10 +1,8 @@
 package instance
 
 import (
-	"context"
 	"expvar"
 	"net/netip"
-	"sync/atomic"
 
 	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/operator"
@@ -20,9 +18,8 @@
 
 // Sidecar is a sidecar's process.
 type Sidecar struct {
-	process  *process
-	sidecar  *sidecar.Sidecar
-	draining atomic.Bool
+	*process
+	sidecar *sidecar.Sidecar
 }
 
 // NewSidecar binds all addresses. It reports the errors of sidecar.New and *operator.ListenError.
@@ -46,43 +43,20 @@
 	return s, nil
 }
 
-// Run works until ctx is done and the flows have ended or the drain time is over.
-func (s *Sidecar) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { s.draining.Store(true) })
-	defer stop()
-	s.process.run(ctx)
-}
-
 // ForwardAddress returns the address that forwarded packets arrive at.
 func (s *Sidecar) ForwardAddress() netip.AddrPort {
 	return s.sidecar.ForwardAddress()
 }
 
-// ControlAddress returns the address that peers reach.
-func (s *Sidecar) ControlAddress() netip.AddrPort {
-	return s.process.node.Address()
-}
-
-// OperatorAddress returns the address that operators ask.
-func (s *Sidecar) OperatorAddress() netip.AddrPort {
-	return s.process.server.Address()
-}
-
 // Counts returns the totals of the sidecar.
 func (s *Sidecar) Counts() sidecar.Counts {
 	return s.sidecar.Counts()
 }
 
-// Version returns the sequence of the bundle in force.
-func (s *Sidecar) Version() uint64 {
-	return s.sidecar.Version()
-}
-
 func (s *Sidecar) status() operator.Status {
 	c := s.sidecar.Counts()
 	return operator.Status{
-		Flows:    c.Open,
-		Draining: s.draining.Load(),
+		Flows: c.Open,
 		Addresses: map[string]netip.AddrPort{
 			"forward": s.sidecar.ForwardAddress(),
 		},
