--- a/peer/node.go
+++ b/peer/node.go
@@ -21,6 +21,8 @@
 	handshakesLimit = 64 // accepted connections that have not said Hello
 	connsLimit      = 128
 	heldLimit       = 8 // bundles that are kept besides the one in force
+	// repeatEvent is how often an outage of the platform is logged.
+	repeatEvent = time.Minute
 )
 
 // Status is what a Node knows about itself.
@@ -63,6 +65,7 @@
 	transfers map[converge.Kind]*transfer
 	stopRead  context.CancelFunc // nil while the platform is not read
 	warnedAt  time.Time          // of an expiring certificate
+	failedAt  time.Time          // when a call to the platform that failed was last logged; zero after an answer
 }
 
 // nodeStatus is a status with the time it was taken at.
@@ -199,12 +202,17 @@
 }
 
 func (n *Node) called(ctx context.Context, err error) {
-	if err != nil {
-		n.cfg.Log.Emit(event.PlatformUnreachable, zap.Error(err))
-		n.update(ctx, converge.PlatformFailed{})
+	if err == nil {
+		n.failedAt = time.Time{}
+		n.update(ctx, converge.PlatformAnswered{})
 		return
 	}
-	n.update(ctx, converge.PlatformAnswered{})
+	now := n.cfg.Timer.Now()
+	if n.failedAt.IsZero() || now.Sub(n.failedAt) >= repeatEvent {
+		n.failedAt = now
+		n.cfg.Log.Emit(event.PlatformUnreachable, zap.Error(err))
+	}
+	n.update(ctx, converge.PlatformFailed{})
 }
 
 // update asks for decisions and carries them out. Inputs that follow from an
--- a/peer/process_test.go
+++ b/peer/process_test.go
@@ -8,7 +8,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -36,6 +35,8 @@
 // binaryVariable names the program corianderbay; trials then run its balancers as processes.
 const binaryVariable = "CORIANDERBAY_BINARY"
 
+const controlPort = 7946
+
 // childConfig is the value of childVariable in JSON.
 type childConfig struct {
 	Name, DataCentre, Platform string
@@ -108,6 +109,7 @@
 
 func newHerd(t testing.TB, count int) *herd {
 	h := &herd{fleet: newFleet(t, 0, slopeServices)}
+	must.NoError(t, os.WriteFile(h.clusterKey(), []byte(strings.Repeat("0", 64)), 0o600))
 	var list []platform.Instance
 	for i := range count {
 		cfg := childConfig{
@@ -148,7 +150,7 @@
 func (h *herd) command(cfg *childConfig) *exec.Cmd {
 	binary := os.Getenv(binaryVariable)
 	if binary != "" {
-		cfg.Control = h.freeAddress()
+		cfg.Control = loopbackOf(*cfg)
 		return exec.Command(binary, h.daemonFlags(*cfg)...)
 	}
 	settings, err := json.Marshal(cfg)
@@ -158,23 +160,25 @@
 	return cmd
 }
 
+func (h *herd) clusterKey() string {
+	return filepath.Join(h.files, "cluster.key")
+}
+
 func (h *herd) daemonFlags(cfg childConfig) []string {
-	key := filepath.Join(h.files, "cluster.key")
-	must.NoError(h.t, os.WriteFile(key, []byte(strings.Repeat("0", 64)), 0o600))
 	return []string{
 		"balancer", "--name", cfg.Name, "--datacentre", cfg.DataCentre, "--platform", cfg.Platform,
-		"--control-address", cfg.Control.String(), "--key-file", key, "--drain", "0s",
+		"--control-address", cfg.Control.String(), "--key-file", h.clusterKey(), "--drain", "0s",
 		"--approvers", "adi:" + policy().Approvers[0].Key, "--gateway", "127.0.0.1:9",
 		"--ca-file", cfg.Certificates.Authority, "--certificate-file", cfg.Certificates.Certificate,
 		"--certificate-key-file", cfg.Certificates.Key, "--fabric-address", "127.0.0.1:0",
 	}
 }
 
-func (h *herd) freeAddress() netip.AddrPort {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(h.t, err)
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).AddrPort()
+// loopbackOf returns an address of the loopback interface that no other child
+// has, and from which the system gives no ports out.
+func loopbackOf(cfg childConfig) netip.AddrPort {
+	ip := netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%250), byte(cfg.Seed), 1})
+	return netip.AddrPortFrom(ip, controlPort)
 }
 
 // sequenceOf returns the sequence that a line says came into force: a number
