--- a/capacity/control_test.go
+++ b/capacity/control_test.go
@@ -97,12 +97,12 @@
 func hintsOfASecond(b *testing.B, p *capacity.Path) float64 {
 	var sent float64
 	for range time.Second / tick {
-		byAddress := make(map[netip.AddrPort][]flow.Key)
+		byAddress := make(map[netip.AddrPort][]uint64)
 		for _, h := range p.Advance(tick).Hints {
-			byAddress[h.To] = append(byAddress[h.To], h.Key)
+			byAddress[h.To] = append(byAddress[h.To], h.Key.Hash())
 		}
-		for _, keys := range byAddress {
-			sent += sizeOf(b, forward.KindHints, &flow.OwnerHints{Owner: 1, Flows: keys})
+		for _, hashes := range byAddress {
+			sent += sizeOf(b, forward.KindHints, &flow.OwnerHints{Owner: 1, Hashes: hashes})
 		}
 	}
 	return sent
--- a/flow/call.go
+++ b/flow/call.go
@@ -169,16 +169,16 @@
 }
 
 // admit asks the policy.
-func (c *call) admit(last bool) Verdict {
+func (c *call) admit() Verdict {
 	o := Offer{
 		Now:   c.now,
 		Hash:  c.p.Key.Hash(),
 		Load:  c.s.load.Load(),
 		Flows: c.s.Flows(),
-		Last:  last,
 	}
 	c.offerPassed(&o)
 	c.offerLeft(&o)
+	o.Last = o.At+1 == o.Count
 	v := c.s.cfg.Admitter.Admit(o)
 	v.RetryAfter = max(v.RetryAfter, RetryAfter)
 	return v
@@ -211,6 +211,10 @@
 		if passed(c.h, i) || !takes(c.h, i) || c.over(i) || i == int(c.h.At) {
 			continue
 		}
+		// A flow that is passed to a silent sidecar may be lost with it.
+		if c.s.peers.suspected(c.now, c.upstream(i)) {
+			continue
+		}
 		if o.Count < len(o.Candidates) {
 			o.Candidates[o.Count] = c.upstream(i)
 		}
--- a/flow/tcp.go
+++ b/flow/tcp.go
@@ -117,7 +117,7 @@
 	verdict := Verdict{Choice: Pass}
 	known := c.introduced()
 	if may && known {
-		verdict = c.admit(i == none)
+		verdict = c.admit()
 	}
 	switch {
 	case verdict.Choice == Accept:
--- a/flow/udp.go
+++ b/flow/udp.go
@@ -345,7 +345,7 @@
 	may, i := c.may(), c.nextTaker()
 	verdict := Verdict{Choice: Pass}
 	if may {
-		verdict = c.admit(i == none)
+		verdict = c.admit()
 	}
 	switch {
 	case verdict.Choice == Accept:
