--- a/cmd/corianderbay/script_test.go
+++ b/cmd/corianderbay/script_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -43,9 +44,10 @@
 
 // TestScripts runs each script in testdata/script with every role as a process of its own.
 func TestScripts(t *testing.T) {
+	ports := &portRange{next: firstPort + os.Getpid()%(lastPort-firstPort)}
 	testscript.Run(t, testscript.Params{
 		Dir:   "testdata/script",
-		Setup: givePorts,
+		Setup: ports.give,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"expand":    expandFile,
 			"publish":   publishFile,
@@ -60,17 +62,25 @@
 	})
 }
 
-// givePorts sets P1 to P60 to ports of the loopback interface that nobody
-// listens on. They are below those that the system hands out by itself, so that
-// no other test is given one before the script's processes bind it.
-func givePorts(env *testscript.Env) error {
-	next := firstPort + os.Getpid()%(lastPort-firstPort)
+// portRange hands out ports of the loopback interface that nobody listens on,
+// each only once. They are below those that the system hands out by itself, so
+// that no other test is given one before a script's processes bind it. It is
+// safe for concurrent use: scripts run side by side.
+type portRange struct {
+	mu   sync.Mutex
+	next int // guarded by mu
+}
+
+// give sets P1 to P60.
+func (r *portRange) give(env *testscript.Env) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	for i := range scriptPorts {
-		for !isFree(next) {
-			next = after(next)
+		for !isFree(r.next) {
+			r.next = after(r.next)
 		}
-		env.Setenv(fmt.Sprintf("P%d", i+1), strconv.Itoa(next))
-		next = after(next)
+		env.Setenv(fmt.Sprintf("P%d", i+1), strconv.Itoa(r.next))
+		r.next = after(r.next)
 	}
 	return nil
 }
--- a/flow/outbox.go
+++ b/flow/outbox.go
@@ -80,13 +80,22 @@
 	if len(o.counts) == 0 || o.credit < float64(o.budget)/hintsPerSecond {
 		return nil
 	}
-	hints := o.take(o.heaviest())
-	if len(o.counts) >= outboxSize/2 {
-		clear(o.counts)
+	all := o.heaviest()
+	hints := o.take(all)
+	if len(o.counts) > outboxSize/2 {
+		o.evict(all[outboxSize/2:])
 	}
 	return hints
 }
 
+// evict forgets hints, the lightest of a crowded outbox, to leave room for
+// heavier ones. The caller holds the lock.
+func (o *outbox) evict(hints []Hint) {
+	for _, h := range hints {
+		delete(o.counts, h)
+	}
+}
+
 // heaviest returns all hints, those that spare the most hops first. The caller holds the lock.
 func (o *outbox) heaviest() []Hint {
 	hints := make([]Hint, 0, len(o.counts))
