Judge refused bundles in one place

Cause: peer.rejection repeated the choice of bundle.RefusalOf case by case, and the next reason would have had to be added twice. Change: peer maps the reason to its event; which error stands for which reason is bundle's alone.

--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 
 	"github.com/corianderbay/corianderbay/bundle"
 	"github.com/corianderbay/corianderbay/converge"
@@ -70,22 +69,17 @@
 		zap.Stringer("have", n.trust.Hash), zap.Stringer("got", f.Hash()), zap.String("peer", peer))
 }
 
+// rejection returns the event that tells why a bundle was refused.
 func rejection(err error) event.Number {
-	var stale *bundle.StaleError
-	var conflict *bundle.ConflictError
-	var anchor *bundle.AnchorError
-	var signer *bundle.UnknownSignerError
-	var signature *bundle.SignatureError
-	var approvers *bundle.ApproversError
-	switch {
-	case errors.As(err, &stale):
+	switch bundle.RefusalOf(err) {
+	case bundle.RefusedStale:
 		return event.BundleStale
-	case errors.As(err, &conflict):
+	case bundle.RefusedConflict:
 		return event.BundleConflict
-	case errors.As(err, &anchor):
-		return event.BundleUnanchored
-	case errors.As(err, &signer), errors.As(err, &signature), errors.As(err, &approvers):
+	case bundle.RefusedUnsigned:
 		return event.BundleUnsigned
+	case bundle.RefusedUnanchored:
+		return event.BundleUnanchored
 	}
 	return event.BundleBroken
 }
