--- a/balancer/admit.go
+++ b/balancer/admit.go
@@ -5,9 +5,9 @@
 	"sync"
 	"time"
 
+	"github.com/corianderbay/corianderbay/configservice"
 	"github.com/corianderbay/corianderbay/fabric"
 	"github.com/corianderbay/corianderbay/limit"
-	"github.com/corianderbay/corianderbay/platform"
 	"github.com/corianderbay/corianderbay/route"
 )
 
@@ -60,10 +60,10 @@
 }
 
 // shareLimits takes from the platform's list over how many balancers limits are shared.
-func (b *Balancer) shareLimits(instances []platform.Instance) {
+func (b *Balancer) shareLimits(instances []configservice.Instance) {
 	n := 0
 	for _, i := range instances {
-		if i.Role == platform.RoleBalancer && i.State == platform.StateLive {
+		if i.Role == configservice.RoleBalancer && i.State == configservice.StateLive {
 			n++
 		}
 	}
--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -14,11 +14,11 @@
 	"time"
 
 	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/configservice"
 	"github.com/corianderbay/corianderbay/event"
 	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/forward"
 	"github.com/corianderbay/corianderbay/limit"
-	"github.com/corianderbay/corianderbay/platform"
 	"github.com/corianderbay/corianderbay/route"
 	"github.com/corianderbay/corianderbay/timer"
 	"github.com/corianderbay/corianderbay/udp"
@@ -69,8 +69,8 @@
 	silent   silent
 	callers  *limit.Callers
 	random   lockedRandom
-	listed   atomic.Pointer[[]platform.Instance] // nil until the first list
-	missing  atomic.Pointer[missing]             // never nil
+	listed   atomic.Pointer[[]configservice.Instance] // nil until the first list
+	missing  atomic.Pointer[missing]                  // never nil
 	counters counters
 }
 
--- a/balancer/missing.go
+++ b/balancer/missing.go
@@ -4,8 +4,8 @@
 	"time"
 
 	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/configservice"
 	"github.com/corianderbay/corianderbay/flow"
-	"github.com/corianderbay/corianderbay/platform"
 	"github.com/corianderbay/corianderbay/route"
 )
 
@@ -21,7 +21,7 @@
 }
 
 // List takes in the platform's instance list.
-func (b *Balancer) List(instances []platform.Instance) {
+func (b *Balancer) List(instances []configservice.Instance) {
 	b.listed.Store(&instances)
 	b.shareLimits(instances)
 	b.compareList()
@@ -38,10 +38,10 @@
 
 // next returns what is missing from the list. An upstream that was missing
 // before keeps its time. A list without any sidecar says nothing.
-func (m *missing) next(now time.Time, view *route.View, instances []platform.Instance) *missing {
+func (m *missing) next(now time.Time, view *route.View, instances []configservice.Instance) *missing {
 	listed := make(map[string]bool)
 	for _, i := range instances {
-		if i.Role == platform.RoleSidecar {
+		if i.Role == configservice.RoleSidecar {
 			listed[i.Name] = true
 		}
 	}
--- a/capacity/follow_test.go
+++ b/capacity/follow_test.go
@@ -13,11 +13,11 @@
 
 	"github.com/corianderbay/corianderbay/balancer"
 	"github.com/corianderbay/corianderbay/capacity"
+	"github.com/corianderbay/corianderbay/configservice"
 	"github.com/corianderbay/corianderbay/event"
 	"github.com/corianderbay/corianderbay/forward"
 	"github.com/corianderbay/corianderbay/instance"
 	"github.com/corianderbay/corianderbay/peer"
-	"github.com/corianderbay/corianderbay/platform"
 	"github.com/corianderbay/corianderbay/standin"
 	"github.com/corianderbay/corianderbay/timer"
 )
@@ -74,7 +74,7 @@
 	defer stop()
 	credentials := newCredentials(b)
 	var all []*instance.Balancer
-	var list []platform.Instance
+	var list []configservice.Instance
 	for i := range n {
 		lb := newBalancer(b, fmt.Sprintf("entry-%d", i), server.URL, credentials)
 		all = append(all, lb)
@@ -99,13 +99,13 @@
 }
 
 // listed returns how the platform lists the balancer with the number.
-func listed(i int, lb *instance.Balancer) platform.Instance {
-	return platform.Instance{
+func listed(i int, lb *instance.Balancer) configservice.Instance {
+	return configservice.Instance{
 		Name:       fmt.Sprintf("entry-%d", i),
-		Role:       platform.RoleBalancer,
+		Role:       configservice.RoleBalancer,
 		DataCentre: "centre-0",
 		Control:    lb.ControlAddress(),
-		State:      platform.StateLive,
+		State:      configservice.StateLive,
 	}
 }
 
--- a/capacity/process_test.go
+++ b/capacity/process_test.go
@@ -16,7 +16,7 @@
 
 	"github.com/corianderbay/corianderbay/bundle"
 	"github.com/corianderbay/corianderbay/capacity"
-	"github.com/corianderbay/corianderbay/platform"
+	"github.com/corianderbay/corianderbay/configservice"
 	"github.com/corianderbay/corianderbay/standin"
 )
 
@@ -42,12 +42,12 @@
 	defer server.Close()
 	ctx, stop := context.WithCancel(b.Context())
 	defer stop()
-	p.SetInstances([]platform.Instance{{
+	p.SetInstances([]configservice.Instance{{
 		Name:       "entry-1",
-		Role:       platform.RoleBalancer,
+		Role:       configservice.RoleBalancer,
 		DataCentre: "centre-0",
 		Control:    netip.MustParseAddrPort("127.0.0.1:9"), // it is alone and is not asked
-		State:      platform.StateLive,
+		State:      configservice.StateLive,
 	}})
 	authority, issued := issue(b)
 	cmd := exec.CommandContext(ctx, program, "balancer",
@@ -74,7 +74,7 @@
 }
 
 func publish(b *testing.B, p *standin.Platform, f *bundle.Frozen) {
-	pub, err := platform.NewPublication("bundle", f)
+	pub, err := configservice.NewPublication("bundle", f)
 	must.NoError(b, err)
 	p.Publish(pub)
 }
--- a/platform/client_test.go
+++ b/configservice/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package configservice_test
 
 import (
 	"crypto/ed25519"
@@ -13,24 +13,24 @@
 	"time"
 
 	"github.com/corianderbay/corianderbay/bundle"
-	"github.com/corianderbay/corianderbay/platform"
+	"github.com/corianderbay/corianderbay/configservice"
 	"github.com/corianderbay/corianderbay/standin"
 	"github.com/shoenig/test/must"
 )
 
-func instance(name string) platform.Instance {
-	return platform.Instance{
-		Name: name, Role: platform.RoleSidecar, DataCentre: "semarang",
-		Control: netip.MustParseAddrPort("127.0.0.1:7000"), State: platform.StateLive,
+func instance(name string) configservice.Instance {
+	return configservice.Instance{
+		Name: name, Role: configservice.RoleSidecar, DataCentre: "semarang",
+		Control: netip.MustParseAddrPort("127.0.0.1:7000"), State: configservice.StateLive,
 	}
 }
 
-func newClient(t *testing.T, reader string) (*platform.Client, *standin.Platform) {
+func newClient(t *testing.T, reader string) (*configservice.Client, *standin.Platform) {
 	t.Helper()
 	p := standin.NewPlatform(standin.PlatformConfig{})
 	s := httptest.NewServer(p.Handler())
 	t.Cleanup(s.Close)
-	c := platform.NewClient(platform.Config{Address: s.URL, Reader: reader, Wait: 50 * time.Millisecond})
+	c := configservice.NewClient(configservice.Config{Address: s.URL, Reader: reader, Wait: 50 * time.Millisecond})
 	t.Cleanup(c.Close)
 	return c, p
 }
@@ -38,7 +38,7 @@
 func TestReadAndWatch(t *testing.T) {
 	c, p := newClient(t, "a")
 	_, err := c.Read(t.Context(), "bundle")
-	var missing *platform.NotFoundError
+	var missing *configservice.NotFoundError
 	must.True(t, errors.As(err, &missing))
 
 	p.SetValue("bundle", []byte("one"))
@@ -62,15 +62,15 @@
 
 func TestInstances(t *testing.T) {
 	c, p := newClient(t, "a")
-	p.SetInstances([]platform.Instance{instance("s1"), instance("s2")})
+	p.SetInstances([]configservice.Instance{instance("s1"), instance("s2")})
 	l, changed, err := c.WatchInstances(t.Context(), 0)
 	must.NoError(t, err)
 	must.True(t, changed)
 	must.Eq(t, 2, len(l.Instances))
 
-	p.SetInstances([]platform.Instance{instance("s1"), instance("s1")})
+	p.SetInstances([]configservice.Instance{instance("s1"), instance("s1")})
 	_, err = c.Instances(t.Context())
-	var bad *platform.InstanceError
+	var bad *configservice.InstanceError
 	must.True(t, errors.As(err, &bad))
 	must.Eq(t, "s1", bad.Name)
 }
@@ -86,7 +86,7 @@
 
 	p.SetFault("a", standin.PlatformFault{Down: true})
 	_, err = a.Read(t.Context(), "bundle")
-	var down *platform.UnreachableError
+	var down *configservice.UnreachableError
 	must.True(t, errors.As(err, &down))
 
 	p.SetFault("a", standin.PlatformFault{})
@@ -121,13 +121,13 @@
 func TestPublication(t *testing.T) {
 	c, p := newClient(t, "a")
 	f := published(t, 7, 2000, nil)
-	pub, err := platform.NewPublication("bundle", f)
+	pub, err := configservice.NewPublication("bundle", f)
 	must.NoError(t, err)
 	must.Greater(t, 2, len(pub.Parts))
 
 	p.SetValue(pub.Head.Name, pub.Head.Body)
 	_, err = c.ReadBundle(t.Context(), pub.Head, nil)
-	var missing *platform.NotFoundError
+	var missing *configservice.NotFoundError
 	must.True(t, errors.As(err, &missing))
 
 	p.Publish(pub)
@@ -142,8 +142,8 @@
 	must.True(t, errors.As(err, &part))
 	must.Eq(t, pub.Parts[1].Name, "bundle."+part.Want.String())
 
-	_, err = c.ReadBundle(t.Context(), platform.Value{Name: "bundle", Body: []byte("whole")}, nil)
-	var broken *platform.BundleError
+	_, err = c.ReadBundle(t.Context(), configservice.Value{Name: "bundle", Body: []byte("whole")}, nil)
+	var broken *configservice.BundleError
 	must.True(t, errors.As(err, &broken))
 }
 
@@ -152,7 +152,7 @@
 	c, p := newClient(t, "a")
 	base := published(t, 7, 2000, nil)
 	next := published(t, 8, 2000, base)
-	pub, err := platform.NewPublication("bundle", next)
+	pub, err := configservice.NewPublication("bundle", next)
 	must.NoError(t, err)
 	p.Publish(pub)
 	before := p.Counts()
@@ -164,9 +164,9 @@
 
 func TestOversizedValue(t *testing.T) {
 	c, p := newClient(t, "a")
-	p.SetValue("bundle", make([]byte, platform.ValueLimit+1))
+	p.SetValue("bundle", make([]byte, configservice.ValueLimit+1))
 	_, err := c.Read(t.Context(), "bundle")
-	var size *platform.SizeError
+	var size *configservice.SizeError
 	must.True(t, errors.As(err, &size))
 }
 
@@ -197,7 +197,7 @@
 
 func TestBackoffGrowsToItsBound(t *testing.T) {
 	r := rand.New(rand.NewPCG(1, 1))
-	b := platform.Backoff{Base: time.Second, Max: 8 * time.Second}
+	b := configservice.Backoff{Base: time.Second, Max: 8 * time.Second}
 	for _, bound := range []time.Duration{1, 2, 4, 8, 8} {
 		d := b.Next(r)
 		must.Between(t, bound*time.Second/2, d, bound*time.Second)
--- a/platform/publication.go
+++ b/configservice/publication.go
@@ -1,4 +1,4 @@
-package platform
+package configservice
 
 import (
 	"bytes"
--- a/platform/value.go
+++ b/configservice/value.go
@@ -1,4 +1,4 @@
-package platform
+package configservice
 
 // ValueLimit is the size in bytes that a value may have.
 const ValueLimit = 1 << 20
--- a/ctl/change.go
+++ b/ctl/change.go
@@ -7,7 +7,7 @@
 	"strings"
 
 	"github.com/corianderbay/corianderbay/bundle"
-	"github.com/corianderbay/corianderbay/platform"
+	"github.com/corianderbay/corianderbay/configservice"
 	"github.com/corianderbay/corianderbay/setting"
 	"github.com/spf13/cobra"
 )
@@ -167,7 +167,7 @@
 			if err != nil {
 				return err
 			}
-			p, err := platform.NewPublication(*name, f)
+			p, err := configservice.NewPublication(*name, f)
 			if err != nil {
 				return err
 			}
@@ -177,7 +177,7 @@
 }
 
 // writeValues writes the values in their order, so that the head comes after its parts.
-func (s stream) writeValues(folder string, values []platform.Value) error {
+func (s stream) writeValues(folder string, values []configservice.Value) error {
 	if err := makeFolder(folder); err != nil {
 		return err
 	}
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -12,11 +12,11 @@
 
 	"github.com/corianderbay/corianderbay/balancer"
 	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/configservice"
 	"github.com/corianderbay/corianderbay/event"
 	"github.com/corianderbay/corianderbay/forward"
 	"github.com/corianderbay/corianderbay/instance"
 	"github.com/corianderbay/corianderbay/peer"
-	"github.com/corianderbay/corianderbay/platform"
 	"github.com/corianderbay/corianderbay/sidecar"
 	"github.com/corianderbay/corianderbay/standin"
 	"github.com/corianderbay/corianderbay/timer"
@@ -88,28 +88,28 @@
 }
 
 // instances returns the platform's list of all processes.
-func (d *deployment) instances() []platform.Instance {
-	var list []platform.Instance
+func (d *deployment) instances() []configservice.Instance {
+	var list []configservice.Instance
 	for i, b := range d.balancers {
-		list = append(list, platform.Instance{
+		list = append(list, configservice.Instance{
 			Name:       fmt.Sprintf("entry-%d", i+1),
-			Role:       platform.RoleBalancer,
+			Role:       configservice.RoleBalancer,
 			DataCentre: dataCentres()[i%len(dataCentres())],
 			Control:    b.ControlAddress(),
 			Forward:    b.ForwardAddress(),
 			Operator:   b.OperatorAddress(),
-			State:      platform.StateLive,
+			State:      configservice.StateLive,
 		})
 	}
 	for i, p := range d.pairs {
-		list = append(list, platform.Instance{
+		list = append(list, configservice.Instance{
 			Name:       p.upstream.Name(),
-			Role:       platform.RoleSidecar,
+			Role:       configservice.RoleSidecar,
 			DataCentre: dataCentres()[i%len(dataCentres())],
 			Control:    p.sidecar.ControlAddress(),
 			Forward:    p.sidecar.ForwardAddress(),
 			Operator:   p.sidecar.OperatorAddress(),
-			State:      platform.StateLive,
+			State:      configservice.StateLive,
 		})
 	}
 	return list
@@ -255,7 +255,7 @@
 	if err != nil {
 		return err
 	}
-	pub, err := platform.NewPublication(peer.BundleValue, signed)
+	pub, err := configservice.NewPublication(peer.BundleValue, signed)
 	if err != nil {
 		return err
 	}
--- a/instance/process.go
+++ b/instance/process.go
@@ -16,11 +16,11 @@
 	"sync/atomic"
 
 	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/configservice"
 	"github.com/corianderbay/corianderbay/event"
 	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/operator"
 	"github.com/corianderbay/corianderbay/peer"
-	"github.com/corianderbay/corianderbay/platform"
 	"github.com/corianderbay/corianderbay/timer"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
@@ -42,7 +42,7 @@
 	// Credentials prove the process to its peers.
 	Credentials *peer.Credentials
 	// Seeds are peers that are asked also when no list names them. They may be none.
-	Seeds []platform.Instance
+	Seeds []configservice.Instance
 	// Key is the cluster key, see package forward.
 	Key []byte
 	// Anchor is the sign-off policy that the first bundle is judged by.
@@ -55,7 +55,7 @@
 // worker is the role of a process: *balancer.Balancer or *sidecar.Sidecar.
 type worker interface {
 	Accept(*bundle.Bundle)
-	List([]platform.Instance)
+	List([]configservice.Instance)
 	Version() uint64
 	Run(context.Context)
 }
@@ -90,7 +90,7 @@
 		DataCentre:  p.cfg.DataCentre,
 		Listen:      p.cfg.Control,
 		Credentials: p.cfg.Credentials,
-		Platform:    platform.NewClient(platform.Config{Address: p.cfg.Platform, Reader: p.cfg.Name}),
+		Platform:    configservice.NewClient(configservice.Config{Address: p.cfg.Platform, Reader: p.cfg.Name}),
 		Anchor:      p.cfg.Anchor,
 		Seeds:       p.cfg.Seeds,
 		OnBundle:    func(b *bundle.Bundle, _ bundle.Hash) { w.Accept(b) },
@@ -143,7 +143,7 @@
 	Sent     uint64 `json:"sent"`
 	Received uint64 `json:"received"`
 	// Platform counts the calls.
-	Platform platform.Counts `json:"platform"`
+	Platform configservice.Counts `json:"platform"`
 }
 
 func controlOf(s peer.Status) Control {
--- a/peer/config.go
+++ b/peer/config.go
@@ -5,9 +5,9 @@
 	"net/netip"
 
 	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/configservice"
 	"github.com/corianderbay/corianderbay/converge"
 	"github.com/corianderbay/corianderbay/event"
-	"github.com/corianderbay/corianderbay/platform"
 	"github.com/corianderbay/corianderbay/timer"
 )
 
@@ -25,16 +25,16 @@
 	// Credentials prove the process to its peers.
 	Credentials *Credentials
 	// Platform reads what operators publish.
-	Platform *platform.Client
+	Platform *configservice.Client
 	// Anchor is the sign-off policy that the first bundle is judged by.
 	Anchor bundle.SignOff
 	// Seeds are peers that are dialled also when no list names them. They may be none.
-	Seeds []platform.Instance
+	Seeds []configservice.Instance
 	// OnBundle gets each bundle that comes into force, one after the other,
 	// with ever higher sequences. It may be nil.
 	OnBundle func(*bundle.Bundle, bundle.Hash)
 	// OnList gets each instance list that comes into use. It may be nil.
-	OnList func([]platform.Instance)
+	OnList func([]configservice.Instance)
 	// OnState gets each change of the state. It may be nil.
 	OnState func(state converge.State, isolated bool)
 	// Converge holds the limits of the decisions. Name, DataCentre, Rand and Seeds are filled in from here.
@@ -58,7 +58,7 @@
 		c.OnBundle = func(*bundle.Bundle, bundle.Hash) {}
 	}
 	if c.OnList == nil {
-		c.OnList = func([]platform.Instance) {}
+		c.OnList = func([]configservice.Instance) {}
 	}
 	if c.OnState == nil {
 		c.OnState = func(converge.State, bool) {}
--- a/peer/content.go
+++ b/peer/content.go
@@ -7,8 +7,8 @@
 	"slices"
 
 	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/configservice"
 	"github.com/corianderbay/corianderbay/converge"
-	"github.com/corianderbay/corianderbay/platform"
 	"github.com/corianderbay/corianderbay/wire"
 )
 
@@ -69,7 +69,7 @@
 }
 
 // listDocument lays an instance list out for the exchange, a section for each instance.
-func listDocument(l platform.InstanceList) (*document, error) {
+func listDocument(l configservice.InstanceList) (*document, error) {
 	d := &document{kind: converge.KindList, sections: make(map[string]section, len(l.Instances))}
 	for _, i := range l.Instances {
 		body, err := json.Marshal(i)
@@ -83,13 +83,13 @@
 }
 
 // instancesOf returns the instances of d. It fails unless the content is that of the version.
-func instancesOf(d *document) ([]platform.Instance, error) {
+func instancesOf(d *document) ([]configservice.Instance, error) {
 	if listVersion(d.version.Sequence, d.sections) != d.version {
 		return nil, &ContentError{What: "list"}
 	}
-	instances := make([]platform.Instance, 0, len(d.sections))
+	instances := make([]configservice.Instance, 0, len(d.sections))
 	for _, name := range slices.Sorted(maps.Keys(d.sections)) {
-		var i platform.Instance
+		var i configservice.Instance
 		if err := json.Unmarshal(d.sections[name].body, &i); err != nil {
 			return nil, &ContentError{What: name}
 		}
--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -4,9 +4,9 @@
 	"context"
 
 	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/configservice"
 	"github.com/corianderbay/corianderbay/converge"
 	"github.com/corianderbay/corianderbay/event"
-	"github.com/corianderbay/corianderbay/platform"
 	"go.uber.org/zap"
 )
 
@@ -181,7 +181,7 @@
 }
 
 // offerList takes in a whole list from the platform.
-func (n *Node) offerList(ctx context.Context, peer string, l platform.InstanceList) {
+func (n *Node) offerList(ctx context.Context, peer string, l configservice.InstanceList) {
 	d, err := listDocument(l)
 	if err != nil || d.version.IsZero() {
 		return
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -14,9 +14,9 @@
 	"time"
 
 	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/configservice"
 	"github.com/corianderbay/corianderbay/converge"
 	"github.com/corianderbay/corianderbay/peer"
-	"github.com/corianderbay/corianderbay/platform"
 	"github.com/corianderbay/corianderbay/standin"
 	"github.com/corianderbay/corianderbay/timer"
 	"github.com/shoenig/test/must"
@@ -85,7 +85,7 @@
 	n, err := peer.NewNode(peer.Config{
 		Name: name, DataCentre: dataCentre, Listen: netip.MustParseAddrPort("127.0.0.1:0"),
 		Credentials: credentials, Anchor: policy(),
-		Platform: platform.NewClient(platform.Config{Address: f.server.URL, Reader: name}),
+		Platform: configservice.NewClient(configservice.Config{Address: f.server.URL, Reader: name}),
 		Rand:     rand.New(rand.NewPCG(uint64(len(f.nodes)), 7)),
 		OnBundle: func(b *bundle.Bundle, _ bundle.Hash) { f.took(name, b.Sequence) },
 	})
@@ -110,12 +110,12 @@
 	f.platform.SetInstances(f.instances())
 }
 
-func (f *fleet) instances() []platform.Instance {
-	var list []platform.Instance
+func (f *fleet) instances() []configservice.Instance {
+	var list []configservice.Instance
 	for i, n := range f.nodes {
-		list = append(list, platform.Instance{
+		list = append(list, configservice.Instance{
 			Name: fmt.Sprintf("node-%02d", i), DataCentre: fmt.Sprintf("dc%d", i%2),
-			Role: platform.RoleBalancer, Control: n.Address(), State: platform.StateLive,
+			Role: configservice.RoleBalancer, Control: n.Address(), State: configservice.StateLive,
 		})
 	}
 	return list
@@ -124,7 +124,7 @@
 // publish rolls the next bundle and returns its number.
 func (f *fleet) publish() uint64 {
 	f.previous = signed(f.t, sequenceAfter(f.previous), f.size, f.previous)
-	pub, err := platform.NewPublication(peer.BundleValue, f.previous)
+	pub, err := configservice.NewPublication(peer.BundleValue, f.previous)
 	must.NoError(f.t, err)
 	f.platform.Publish(pub)
 	return f.previous.Sequence()
--- a/peer/node.go
+++ b/peer/node.go
@@ -9,9 +9,9 @@
 	"time"
 
 	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/configservice"
 	"github.com/corianderbay/corianderbay/converge"
 	"github.com/corianderbay/corianderbay/event"
-	"github.com/corianderbay/corianderbay/platform"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 )
@@ -32,7 +32,7 @@
 	Hash bundle.Hash
 	// Sent and Received are bytes on connections to peers, TLS included.
 	Sent, Received uint64
-	Platform       platform.Counts
+	Platform       configservice.Counts
 }
 
 // held is a bundle that passed its checks.
@@ -57,7 +57,7 @@
 	inputs    []converge.Input // the first one is being taken in
 	trust     bundle.Trust     // its sequence never goes down
 	conns     map[string]*conn
-	instances map[string]platform.Instance
+	instances map[string]configservice.Instance
 	bundles   map[converge.Version]held
 	offered   *bundle.Frozen // what the platform last held
 	listed    *document      // a list that was offered and may be adopted
@@ -92,7 +92,7 @@
 		slots:     make(chan struct{}, handshakesLimit),
 		trust:     bundle.Anchor(cfg.Anchor),
 		conns:     make(map[string]*conn),
-		instances: make(map[string]platform.Instance),
+		instances: make(map[string]configservice.Instance),
 		bundles:   make(map[converge.Version]held),
 		histories: map[converge.Kind]*history{converge.KindBundle: newHistory(), converge.KindList: newHistory()},
 		transfers: make(map[converge.Kind]*transfer),
@@ -289,7 +289,7 @@
 		return
 	}
 	n.histories[converge.KindList].advance(n.listed)
-	n.instances = make(map[string]platform.Instance, len(list))
+	n.instances = make(map[string]configservice.Instance, len(list))
 	for _, i := range n.cfg.Seeds {
 		n.instances[i.Name] = i
 	}
@@ -300,11 +300,11 @@
 	n.cfg.OnList(list)
 }
 
-func peersOf(list []platform.Instance) []converge.Peer {
+func peersOf(list []configservice.Instance) []converge.Peer {
 	peers := make([]converge.Peer, 0, len(list))
 	for _, i := range list {
 		peers = append(peers, converge.Peer{
-			Name: i.Name, DataCentre: i.DataCentre, Leaving: i.State == platform.StateLeaving,
+			Name: i.Name, DataCentre: i.DataCentre, Leaving: i.State == configservice.StateLeaving,
 		})
 	}
 	return peers
--- a/peer/process_test.go
+++ b/peer/process_test.go
@@ -21,9 +21,9 @@
 	"time"
 
 	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/configservice"
 	"github.com/corianderbay/corianderbay/event"
 	"github.com/corianderbay/corianderbay/peer"
-	"github.com/corianderbay/corianderbay/platform"
 	"github.com/corianderbay/corianderbay/standin"
 	"github.com/shoenig/test/must"
 	"github.com/sourcegraph/conc"
@@ -73,7 +73,7 @@
 	n, err := peer.NewNode(peer.Config{
 		Name: cfg.Name, DataCentre: cfg.DataCentre, Listen: netip.MustParseAddrPort("127.0.0.1:0"),
 		Credentials: credentials, Anchor: policy(), Rand: rand.New(rand.NewPCG(cfg.Seed, 1)),
-		Platform: platform.NewClient(platform.Config{Address: cfg.Platform, Reader: cfg.Name}),
+		Platform: configservice.NewClient(configservice.Config{Address: cfg.Platform, Reader: cfg.Name}),
 		OnBundle: func(b *bundle.Bundle, _ bundle.Hash) { fmt.Println(b.Sequence) },
 	})
 	if err != nil {
@@ -110,7 +110,7 @@
 func newHerd(t testing.TB, count int) *herd {
 	h := &herd{fleet: newFleet(t, 0, slopeServices)}
 	must.NoError(t, os.WriteFile(h.clusterKey(), []byte(strings.Repeat("0", 64)), 0o600))
-	var list []platform.Instance
+	var list []configservice.Instance
 	for i := range count {
 		cfg := childConfig{
 			Name: fmt.Sprintf("node-%02d", i), DataCentre: fmt.Sprintf("dc%d", i%2),
@@ -118,9 +118,9 @@
 		}
 		c, address := h.start(cfg)
 		h.children = append(h.children, c)
-		list = append(list, platform.Instance{
-			Name: cfg.Name, DataCentre: cfg.DataCentre, Role: platform.RoleBalancer,
-			Control: address, State: platform.StateLive,
+		list = append(list, configservice.Instance{
+			Name: cfg.Name, DataCentre: cfg.DataCentre, Role: configservice.RoleBalancer,
+			Control: address, State: configservice.StateLive,
 		})
 	}
 	t.Cleanup(h.stop)
--- a/peer/reading.go
+++ b/peer/reading.go
@@ -6,8 +6,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/configservice"
 	"github.com/corianderbay/corianderbay/event"
-	"github.com/corianderbay/corianderbay/platform"
 	"go.uber.org/zap"
 )
 
@@ -33,7 +33,7 @@
 
 // follow repeats a watch from the index that it returned last, with backoff after failures.
 func (n *Node) follow(ctx context.Context, r *rand.Rand, watch func(context.Context, uint64) (uint64, error)) {
-	var backoff platform.Backoff
+	var backoff configservice.Backoff
 	index := uint64(0)
 	for ctx.Err() == nil {
 		next, err := watch(ctx, index)
@@ -63,7 +63,7 @@
 		return index, err
 	}
 	f, err := n.cfg.Platform.ReadBundle(ctx, head, w.base)
-	var broken *platform.BundleError
+	var broken *configservice.BundleError
 	if errors.As(err, &broken) {
 		n.cfg.Log.Emit(event.BundleBroken, zap.Error(err))
 		return head.Index, nil
--- a/peer/signal.go
+++ b/peer/signal.go
@@ -2,7 +2,7 @@
 
 import (
 	"github.com/corianderbay/corianderbay/bundle"
-	"github.com/corianderbay/corianderbay/platform"
+	"github.com/corianderbay/corianderbay/configservice"
 )
 
 // A signal tells the loop of a Node what happened at an edge: opened, closed,
@@ -32,7 +32,7 @@
 type bundleRead struct{ frozen *bundle.Frozen }
 
 // listRead is the instance list that the platform holds.
-type listRead struct{ list platform.InstanceList }
+type listRead struct{ list configservice.InstanceList }
 
 // platformCalled is a call to the platform; err is nil when it answered.
 type platformCalled struct{ err error }
--- a/peer/slope_test.go
+++ b/peer/slope_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"github.com/corianderbay/corianderbay/platform"
+	"github.com/corianderbay/corianderbay/configservice"
 	"github.com/shoenig/test/must"
 	"golang.org/x/sys/unix"
 )
@@ -112,9 +112,9 @@
 func (f *fleet) pad(total int) {
 	list := f.instances()
 	for i := len(list); i < total; i++ {
-		list = append(list, platform.Instance{
+		list = append(list, configservice.Instance{
 			Name: fmt.Sprintf("instance-%04d", i), DataCentre: fmt.Sprintf("dc%d", i%2),
-			Role: platform.RoleSidecar, State: platform.StateLeaving,
+			Role: configservice.RoleSidecar, State: configservice.StateLeaving,
 			Control: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, byte(i >> 8), byte(i)}), 7000),
 			Forward: netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 9, byte(i >> 8), byte(i)}), 6081),
 		})
--- a/sidecar/list.go
+++ b/sidecar/list.go
@@ -2,11 +2,11 @@
 
 import (
 	"github.com/corianderbay/corianderbay/bundle"
-	"github.com/corianderbay/corianderbay/platform"
+	"github.com/corianderbay/corianderbay/configservice"
 )
 
 // List takes in the platform's instance list.
-func (s *Sidecar) List(instances []platform.Instance) {
+func (s *Sidecar) List(instances []configservice.Instance) {
 	s.listed.Store(&instances)
 	s.compareList()
 }
@@ -19,9 +19,9 @@
 	if view == nil || instances == nil {
 		return
 	}
-	listed := make(map[bundle.UpstreamID]platform.State)
+	listed := make(map[bundle.UpstreamID]configservice.State)
 	for _, i := range *instances {
-		if i.Role == platform.RoleSidecar {
+		if i.Role == configservice.RoleSidecar {
 			listed[bundle.UpstreamIDOf(i.Name)] = i.State
 		}
 	}
@@ -36,5 +36,5 @@
 		}
 	}
 	s.flows.Listed(now, gone)
-	s.flows.Retire(now, listed[s.self] == platform.StateLeaving)
+	s.flows.Retire(now, listed[s.self] == configservice.StateLeaving)
 }
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -13,11 +13,11 @@
 	"time"
 
 	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/configservice"
 	"github.com/corianderbay/corianderbay/event"
 	"github.com/corianderbay/corianderbay/fabric"
 	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/forward"
-	"github.com/corianderbay/corianderbay/platform"
 	"github.com/corianderbay/corianderbay/report"
 	"github.com/corianderbay/corianderbay/route"
 	"github.com/corianderbay/corianderbay/timer"
@@ -64,8 +64,8 @@
 	opener    *forward.Opener
 	forward   *udp.Socket
 	edge      upstream.Edge
-	view      atomic.Pointer[route.SidecarView]   // nil until the first bundle is in force
-	listed    atomic.Pointer[[]platform.Instance] // nil until the first list
+	view      atomic.Pointer[route.SidecarView]        // nil until the first bundle is in force
+	listed    atomic.Pointer[[]configservice.Instance] // nil until the first list
 	flows     *flow.Sidecar
 	woke      atomic.Int64 // Unix time in nanoseconds of a wake-up whose backlog is being discarded, or 0
 	admission *admission
--- a/sidecar/silence.go
+++ b/sidecar/silence.go
@@ -7,9 +7,9 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/corianderbay/corianderbay/bundle"
+	"github.com/corianderbay/corianderbay/configservice"
 	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/forward"
-	"github.com/corianderbay/corianderbay/platform"
 )
 
 const (
@@ -56,7 +56,7 @@
 	members := view.Members(view.Self().Service)
 	var told []netip.AddrPort
 	for _, i := range *instances {
-		if i.Role == platform.RoleBalancer && i.Forward.IsValid() && speaker(members, quiet, i.Name) == s.self {
+		if i.Role == configservice.RoleBalancer && i.Forward.IsValid() && speaker(members, quiet, i.Name) == s.self {
 			told = append(told, i.Forward)
 		}
 	}
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/corianderbay/corianderbay/platform"
+	"github.com/corianderbay/corianderbay/configservice"
 	"github.com/corianderbay/corianderbay/timer"
 )
 
@@ -51,8 +51,8 @@
 // platformState is one version of all that the platform holds. It never changes.
 type platformState struct {
 	index     uint64
-	values    map[string]platform.Value
-	instances platform.InstanceList
+	values    map[string]configservice.Value
+	instances configservice.InstanceList
 }
 
 // pinnedFault is a fault with the state that a stale reader is answered from.
@@ -95,15 +95,15 @@
 	next.index++
 	next.values = maps.Clone(next.values)
 	if next.values == nil {
-		next.values = make(map[string]platform.Value)
+		next.values = make(map[string]configservice.Value)
 	}
-	next.values[name] = platform.Value{Name: name, Index: next.index, Body: body}
+	next.values[name] = configservice.Value{Name: name, Index: next.index, Body: body}
 	p.state = &next
 	p.notify()
 }
 
 // Publish publishes the parts of a publication and then its head.
-func (p *Platform) Publish(pub platform.Publication) {
+func (p *Platform) Publish(pub configservice.Publication) {
 	for _, v := range pub.Parts {
 		p.SetValue(v.Name, v.Body)
 	}
@@ -111,12 +111,12 @@
 }
 
 // SetInstances publishes the instance list.
-func (p *Platform) SetInstances(instances []platform.Instance) {
+func (p *Platform) SetInstances(instances []configservice.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	next := *p.state
 	next.index++
-	next.instances = platform.InstanceList{Index: next.index, Instances: instances}
+	next.instances = configservice.InstanceList{Index: next.index, Instances: instances}
 	p.state = &next
 	p.notify()
 }
@@ -186,7 +186,7 @@
 	case unchanged(r, v.Index):
 		w.WriteHeader(http.StatusNotModified)
 	default:
-		w.Header().Set(platform.IndexHeader, strconv.FormatUint(v.Index, 10))
+		w.Header().Set(configservice.IndexHeader, strconv.FormatUint(v.Index, 10))
 		_, _ = w.Write(v.Body)
 	}
 }
@@ -198,7 +198,7 @@
 		w.WriteHeader(http.StatusNotModified)
 		return
 	}
-	w.Header().Set(platform.IndexHeader, strconv.FormatUint(st.instances.Index, 10))
+	w.Header().Set(configservice.IndexHeader, strconv.FormatUint(st.instances.Index, 10))
 	_ = json.NewEncoder(w).Encode(st.instances)
 }
 
--- a/standin/platform_admin.go
+++ b/standin/platform_admin.go
@@ -6,7 +6,7 @@
 	"net/http"
 
 	"github.com/corianderbay/corianderbay/bundle"
-	"github.com/corianderbay/corianderbay/platform"
+	"github.com/corianderbay/corianderbay/configservice"
 )
 
 // AdminHandler returns the side that operators and trials write:
@@ -27,7 +27,7 @@
 }
 
 func (p *Platform) putValue(w http.ResponseWriter, r *http.Request) {
-	body, ok := readBody(w, r, platform.ValueLimit)
+	body, ok := readBody(w, r, configservice.ValueLimit)
 	if !ok {
 		return
 	}
@@ -45,7 +45,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	pub, err := platform.NewPublication(r.PathValue("name"), f)
+	pub, err := configservice.NewPublication(r.PathValue("name"), f)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -55,7 +55,7 @@
 }
 
 func (p *Platform) putInstances(w http.ResponseWriter, r *http.Request) {
-	var list []platform.Instance
+	var list []configservice.Instance
 	if err := json.NewDecoder(r.Body).Decode(&list); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
