--- a/daemon/command.go
+++ b/daemon/command.go
@@ -39,7 +39,7 @@
 		}
 		parent.AddCommand(p.command())
 	}
-	root.AddCommand(standins, newVersionCommand())
+	root.AddCommand(standins, newPlatformCommand(), newVersionCommand())
 	return root
 }
 
--- /dev/null
+++ b/daemon/platform.go
@@ -0,0 +1,60 @@
+package daemon
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+
+	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/platform"
+	"github.com/corianderbay/corianderbay/timer"
+	"github.com/spf13/cobra"
+	"go.uber.org/zap/zapcore"
+)
+
+// newPlatformCommand returns the processes that run on the users' platform.
+// Their settings come from a file that the platform lays out.
+func newPlatformCommand() *cobra.Command {
+	cmd := &cobra.Command{
+		Use:     "platform",
+		Short:   "Run a process on the users' platform",
+		Long:    "Run a process on the users' platform. Its settings come from the file that " + platform.SettingsVariable + " names.",
+		Example: "  corianderbay platform balancer",
+	}
+	cmd.AddCommand(
+		platformRole("balancer", "Take callers' packets and forward them to sidecars", platform.RunBalancer),
+		platformRole("sidecar", "Serve the flows of the upstream beside it", platform.RunSidecar),
+	)
+	return cmd
+}
+
+func platformRole(name, short string, run func(context.Context, platform.Config) error) *cobra.Command {
+	level := "info"
+	cmd := &cobra.Command{
+		Use:     name,
+		Short:   short,
+		Example: "  corianderbay platform " + name + " --log-level debug",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			l, err := zapcore.ParseLevel(level)
+			if err != nil {
+				return err
+			}
+			return run(cmd.Context(), platform.Config{
+				Path:        platform.SettingsPath(),
+				Incarnation: newIncarnation(),
+				Timer:       timer.New(timer.Config{}),
+				Log:         event.NewJSON(zapcore.AddSync(cmd.OutOrStdout()), l, name),
+			})
+		},
+	}
+	cmd.Flags().StringVar(&level, "log-level", level, "least level of the events that are logged")
+	return cmd
+}
+
+// newIncarnation returns a number that no other start of a process has.
+func newIncarnation() uint64 {
+	var b [8]byte
+	_, _ = rand.Read(b[:]) // never fails; it ends the process instead
+	return binary.BigEndian.Uint64(b[:])
+}
--- /dev/null
+++ b/edge/balancer.go
@@ -0,0 +1,222 @@
+package edge
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/exchange"
+	"github.com/corianderbay/corianderbay/membership"
+	"github.com/corianderbay/corianderbay/registry"
+	"github.com/corianderbay/corianderbay/steer"
+	"github.com/corianderbay/corianderbay/timer"
+	"github.com/corianderbay/corianderbay/udp"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+)
+
+const (
+	// expireEvery is how often flows that ended are forgotten.
+	expireEvery = time.Second
+	// readyWait is for how long a starting balancer waits for sidecars to tell their flows.
+	readyWait = time.Second
+	// minDrain is for how long a stopping balancer serves at least: routers need
+	// two checks, half a second apart, to see that it is not ready.
+	minDrain = 1200 * time.Millisecond
+	// quietDrain is the silence of callers after which a stopping balancer ends.
+	quietDrain = 500 * time.Millisecond
+	// packetBuffer bounds what waits in a socket for packets, in bytes.
+	packetBuffer = 2 << 20
+)
+
+// BalancerConfig holds the settings of a balancer.
+type BalancerConfig struct {
+	Config
+	// Callers is where the packets of callers arrive.
+	Callers netip.AddrPort
+	// MaxDrain is for how long a stopping balancer serves at most.
+	MaxDrain time.Duration
+}
+
+// Balancer takes the packets of callers and forwards them to sidecars.
+type Balancer struct {
+	cfg       BalancerConfig
+	heartbeat *timer.Heartbeat
+	decide    *steer.Balancer
+	node      *exchange.Node
+	socket    *udp.Socket
+	counts    counts
+	stopping  atomic.Bool
+	ready     atomic.Bool
+	informed  atomic.Int64 // nanoseconds of uptime since when routes and upstreams are known; 0 if not
+	last      atomic.Int64 // nanoseconds of uptime of the last packet of a caller
+}
+
+// OpenBalancer binds the addresses. It reports *udp.ListenError or *exchange.ListenError.
+func OpenBalancer(cfg BalancerConfig) (*Balancer, error) {
+	b := &Balancer{cfg: cfg, heartbeat: timer.NewHeartbeat(cfg.Timer)}
+	self, err := registry.HostOf(cfg.Exchange.Addr())
+	if err != nil {
+		return nil, err
+	}
+	b.decide = steer.NewBalancer(steer.BalancerConfig{Self: self, DataCentre: cfg.DataCentre, MaxFlow: cfg.MaxFlow})
+	b.socket, err = udp.Open(udp.Config{Listen: cfg.Callers, Workers: 1, Buffer: packetBuffer, Heartbeat: b.heartbeat})
+	if err != nil {
+		return nil, err
+	}
+	nc := cfg.node(membership.Balancer, b.heartbeat)
+	nc.Handler = (*balancerHandler)(b)
+	nc.Refresh = b.refresh
+	nc.Load = func(time.Duration) membership.Load { return membership.Load{} }
+	b.node, err = exchange.Open(nc)
+	if err != nil {
+		b.socket.Close()
+		return nil, err
+	}
+	return b, nil
+}
+
+// Run serves until ctx is done, and then on until callers are quiet.
+func (b *Balancer) Run(ctx context.Context) {
+	inner, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	var wg conc.WaitGroup
+	wg.Go(func() { b.heartbeat.Run(inner) })
+	wg.Go(func() { b.node.Run(inner) })
+	wg.Go(func() { b.socket.Run(inner, b.newHandler) })
+	wg.Go(func() { b.tick(inner) })
+	<-ctx.Done()
+	b.drain(inner)
+	end()
+	wg.Wait()
+}
+
+// Ready reports whether routers should send packets here.
+func (b *Balancer) Ready() bool {
+	return b.ready.Load() && !b.stopping.Load()
+}
+
+// SetSeeds replaces the seeds.
+func (b *Balancer) SetSeeds(seeds []registry.Host) {
+	b.node.SetSeeds(seeds)
+}
+
+// drain serves until callers have been quiet, and at most for MaxDrain.
+func (b *Balancer) drain(ctx context.Context) {
+	begin := b.cfg.Timer.Uptime()
+	b.stopping.Store(true)
+	b.cfg.Log.Emit(event.ProcessStopping)
+	for {
+		_ = b.cfg.Timer.Sleep(ctx, quietDrain/5) // ctx is not done before drain returns
+		now := b.cfg.Timer.Uptime()
+		quiet := now - time.Duration(b.last.Load())
+		if now-begin >= b.cfg.MaxDrain || now-begin >= minDrain && quiet >= quietDrain {
+			break
+		}
+	}
+	b.node.Stop()
+}
+
+// refresh takes over a new view.
+func (b *Balancer) refresh(f *steer.Fleet) {
+	b.decide.SetFleet(f)
+	if f.Snapshot.Version() == 0 || f.Snapshot.Revision() == 0 {
+		return
+	}
+	now := b.cfg.Timer.Uptime()
+	b.informed.CompareAndSwap(0, int64(now))
+	if b.ready.Load() {
+		return
+	}
+	if b.heardAll(f) || now-time.Duration(b.informed.Load()) >= readyWait {
+		b.ready.Store(true)
+		b.cfg.Log.Emit(event.ProcessReady, zap.Uint64("version", f.Snapshot.Version()), zap.Uint64("revision", f.Snapshot.Revision()))
+	}
+}
+
+// heardAll reports whether each listed sidecar was heard, so that it knows of this balancer.
+func (b *Balancer) heardAll(f *steer.Fleet) bool {
+	for _, h := range f.Snapshot.Hosts() {
+		if _, known := f.Sidecars[h]; !known {
+			return false
+		}
+	}
+	return true
+}
+
+// tick forgets what has ended.
+func (b *Balancer) tick(ctx context.Context) {
+	sub := b.cfg.Timer.Every(expireEvery)
+	defer sub.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-sub.C:
+			b.decide.Expire(b.cfg.Timer.Uptime())
+		}
+	}
+}
+
+// newHandler returns the handler of packets of callers, with buffers of its own.
+func (b *Balancer) newHandler() udp.Handler {
+	var p steer.Packet
+	out := make([]byte, 0, maxPacket+exchange.ForwardRoom)
+	return func(d []byte, _ netip.AddrPort) {
+		out = b.packet(d, &p, out[:0])
+	}
+}
+
+// packet handles one packet of a caller and returns the buffer for the next one.
+func (b *Balancer) packet(d []byte, p *steer.Packet, out []byte) []byte {
+	now := b.cfg.Timer.Uptime()
+	b.last.Store(int64(now))
+	if err := b.cfg.Codec.Decode(d, p); err != nil {
+		b.counts.invalid.Add(1)
+		return out
+	}
+	switch a := b.decide.Packet(now, p).(type) {
+	case steer.Forward:
+		b.counts.forwarded.Add(1)
+		out = exchange.AppendForward(out, &a.Header)
+		out = append(out, d...)
+		b.node.Send(out, a.Host)
+		b.logOpening(p, &a)
+	case steer.Refuse:
+		b.counts.refused.Add(1)
+		out = b.cfg.Codec.AppendReset(out, p)
+		b.socket.Send(out, p.Source.Host.Port(b.cfg.CallerPort))
+		logFlow(b.cfg.Log, event.FlowRefused, p, zap.Stringer("reason", a.Reason))
+	case steer.Drop:
+		b.counts.dropped.Add(1)
+		logFlow(b.cfg.Log, event.PacketDropped, p, zap.Stringer("reason", a.Reason))
+	}
+	return out
+}
+
+func (b *Balancer) logOpening(p *steer.Packet, a *steer.Forward) {
+	if p.Opens() && b.cfg.Log.Enabled(event.FlowOpened) {
+		logFlow(b.cfg.Log, event.FlowOpened, p, zap.Stringer("upstream", a.Host), zap.Uint64("version", a.Header.Version))
+	}
+}
+
+// balancerHandler takes what other processes send to a balancer.
+type balancerHandler Balancer
+
+// Forwarded ignores packets: nobody forwards any to a balancer.
+func (h *balancerHandler) Forwarded(*steer.Header, []byte) {}
+
+// Held notes where a flow is.
+func (h *balancerHandler) Held(k steer.Key, host registry.Host) {
+	h.decide.Learn(h.cfg.Timer.Uptime(), k, host)
+}
+
+// Restarted does nothing: balancers hold nothing that another one needs.
+func (h *balancerHandler) Restarted(registry.Host) {}
+
+// Told notes that the load of a sidecar is known anew.
+func (h *balancerHandler) Told(host registry.Host) {
+	h.decide.LoadHeard(host)
+}
--- /dev/null
+++ b/edge/config.go
@@ -0,0 +1,57 @@
+package edge
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/exchange"
+	"github.com/corianderbay/corianderbay/membership"
+	"github.com/corianderbay/corianderbay/registry"
+	"github.com/corianderbay/corianderbay/steer"
+	"github.com/corianderbay/corianderbay/timer"
+)
+
+// Codec reads and writes the packets of callers and upstreams. It is safe for concurrent use.
+type Codec interface {
+	// Decode fills p from a whole datagram.
+	Decode(b []byte, p *steer.Packet) error
+	// SetTag writes the tag into a datagram that Decode read, and takes the mark of a returned one off.
+	SetTag(b []byte, tag uint32)
+	// AppendReset appends a datagram that resets the flow of the caller's packet p.
+	AppendReset(b []byte, p *steer.Packet) []byte
+}
+
+// Config holds what balancers and sidecars share. All fields but Seeds are required.
+type Config struct {
+	DataCentre string
+	// Exchange is where other processes reach this one, over UDP and TCP.
+	Exchange netip.AddrPort
+	// Incarnation differs each time the process starts.
+	Incarnation uint64
+	// Seeds are hosts of balancers to begin with.
+	Seeds []registry.Host
+	// MaxFlow is how long a flow may live.
+	MaxFlow time.Duration
+	// CallerPort is the port at which callers take packets.
+	CallerPort uint16
+	Codec      Codec
+	Source     exchange.Source
+	Timer      *timer.Service
+	Log        *event.Logger
+}
+
+// node returns the configuration of the process among the others.
+func (cfg Config) node(role membership.Role, hb *timer.Heartbeat) exchange.Config {
+	return exchange.Config{
+		Role:        role,
+		DataCentre:  cfg.DataCentre,
+		Listen:      cfg.Exchange,
+		Incarnation: cfg.Incarnation,
+		Seeds:       cfg.Seeds,
+		Source:      cfg.Source,
+		Timer:       cfg.Timer,
+		Heartbeat:   hb,
+		Log:         cfg.Log,
+	}
+}
--- /dev/null
+++ b/edge/sidecar.go
@@ -0,0 +1,263 @@
+package edge
+
+import (
+	"context"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/exchange"
+	"github.com/corianderbay/corianderbay/membership"
+	"github.com/corianderbay/corianderbay/registry"
+	"github.com/corianderbay/corianderbay/steer"
+	"github.com/corianderbay/corianderbay/timer"
+	"github.com/corianderbay/corianderbay/udp"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+)
+
+const (
+	// noticeEvery is how often balancers are told of new flows.
+	noticeEvery = 50 * time.Millisecond
+	// busyWindow is over how long the mean number of requests is taken.
+	busyWindow = time.Second
+)
+
+// SidecarConfig holds the settings of a sidecar.
+type SidecarConfig struct {
+	Config
+	// Service is the service of the upstream.
+	Service string
+	// Outbound is where the upstream sends its packets to.
+	Outbound netip.AddrPort
+	// Upstream is where the upstream takes packets.
+	Upstream netip.AddrPort
+	// MaxDrain is for how long a stopping sidecar serves at most while its upstream has flows.
+	MaxDrain time.Duration
+}
+
+// Sidecar moves packets between balancers, the upstream beside it and callers.
+type Sidecar struct {
+	cfg       SidecarConfig
+	self      registry.Host
+	heartbeat *timer.Heartbeat
+	decide    *steer.Sidecar
+	node      *exchange.Node
+	socket    *udp.Socket // for the upstream and for callers
+	counts    counts
+	stopping  atomic.Bool
+	busy      atomic.Int64 // mean number of requests that wait, in thousandths
+
+	// The buffers belong to the goroutine that reads the named socket.
+	fromPeers    buffers
+	fromUpstream buffers
+}
+
+// buffers are reused from packet to packet.
+type buffers struct {
+	packet steer.Packet
+	out    []byte
+}
+
+// OpenSidecar binds the addresses. It reports *udp.ListenError or *exchange.ListenError.
+func OpenSidecar(cfg SidecarConfig) (*Sidecar, error) {
+	s := &Sidecar{cfg: cfg, heartbeat: timer.NewHeartbeat(cfg.Timer)}
+	self, err := registry.HostOf(cfg.Exchange.Addr())
+	if err != nil {
+		return nil, err
+	}
+	s.self = self
+	s.decide = steer.NewSidecar(steer.SidecarConfig{
+		Self:       self,
+		DataCentre: cfg.DataCentre,
+		Service:    cfg.Service,
+		MaxFlow:    cfg.MaxFlow,
+	})
+	s.socket, err = udp.Open(udp.Config{Listen: cfg.Outbound, Workers: 1, Buffer: packetBuffer, Heartbeat: s.heartbeat})
+	if err != nil {
+		return nil, err
+	}
+	nc := cfg.node(membership.Sidecar, s.heartbeat)
+	nc.Handler = (*sidecarHandler)(s)
+	nc.Refresh = s.decide.SetFleet
+	nc.Load = s.load
+	s.node, err = exchange.Open(nc)
+	if err != nil {
+		s.socket.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// Run serves until ctx is done.
+func (s *Sidecar) Run(ctx context.Context) {
+	inner, end := context.WithCancel(context.WithoutCancel(ctx))
+	defer end()
+	var wg conc.WaitGroup
+	wg.Go(func() { s.heartbeat.Run(inner) })
+	wg.Go(func() { s.node.Run(inner) })
+	wg.Go(func() { s.socket.Run(inner, func() udp.Handler { return s.upstreamPacket }) })
+	wg.Go(func() { s.tick(inner) })
+	<-ctx.Done()
+	s.drain(inner)
+	end()
+	wg.Wait()
+}
+
+// Ready reports whether the sidecar serves.
+func (s *Sidecar) Ready() bool {
+	return !s.stopping.Load()
+}
+
+// SetSeeds replaces the seeds.
+func (s *Sidecar) SetSeeds(seeds []registry.Host) {
+	s.node.SetSeeds(seeds)
+}
+
+// drain tells balancers to open no flows here, and waits until no request is
+// under way. Flows stay open: the next process of this instance serves them.
+func (s *Sidecar) drain(ctx context.Context) {
+	begin := s.cfg.Timer.Uptime()
+	s.stopping.Store(true)
+	s.cfg.Log.Emit(event.ProcessStopping, zap.Int("flows", s.decide.Flows()), zap.Int("active", s.decide.Active()))
+	s.node.Stop()
+	for s.decide.Active() > 0 && s.cfg.Timer.Uptime()-begin < s.cfg.MaxDrain {
+		_ = s.cfg.Timer.Sleep(ctx, 10*time.Millisecond) // ctx is not done before drain returns
+	}
+}
+
+// load returns what balancers are told.
+func (s *Sidecar) load(now time.Duration) membership.Load {
+	return s.decide.Load(now, int(s.busy.Load()))
+}
+
+// tick tells balancers of flows, and forgets what has ended.
+func (s *Sidecar) tick(ctx context.Context) {
+	sub := s.cfg.Timer.Every(noticeEvery)
+	defer sub.Stop()
+	var expired time.Duration
+	silent := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-sub.C:
+		}
+		now := s.cfg.Timer.Uptime()
+		s.measure()
+		s.sendNotices()
+		if now-expired >= expireEvery {
+			expired = now
+			s.decide.Expire(now)
+		}
+		if was := silent; s.decide.Silent(now) != was {
+			silent = !was
+			s.logSilence(silent)
+			s.node.Hurry()
+		}
+	}
+}
+
+func (s *Sidecar) logSilence(silent bool) {
+	if silent {
+		s.cfg.Log.Emit(event.UpstreamSilent, zap.Int("flows", s.decide.Flows()))
+		return
+	}
+	s.cfg.Log.Emit(event.UpstreamReacts)
+}
+
+// measure takes one sample of the requests that wait.
+func (s *Sidecar) measure() {
+	mean := s.busy.Load()
+	sample := int64(1000 * s.decide.Active())
+	s.busy.Store(mean + (sample-mean)*int64(noticeEvery)/int64(busyWindow))
+}
+
+// sendNotices tells balancers which flows the upstream holds.
+func (s *Sidecar) sendNotices() {
+	notices := s.decide.Notices()
+	if len(notices) == 0 {
+		return
+	}
+	only := make(map[registry.Host][]steer.Key)
+	for _, n := range notices {
+		only[n.Only] = append(only[n.Only], n.Key)
+	}
+	for h, keys := range only {
+		if h.IsZero() {
+			s.node.TellFlows(keys, s.node.Balancers())
+			continue
+		}
+		s.node.TellFlows(keys, []registry.Host{h})
+	}
+}
+
+// upstreamPacket handles one packet that the upstream sent or returned.
+func (s *Sidecar) upstreamPacket(d []byte, from netip.AddrPort) {
+	if from.Addr() != s.cfg.Upstream.Addr() && !from.Addr().IsLoopback() {
+		s.counts.invalid.Add(1)
+		return // only the own upstream sends here
+	}
+	p := &s.fromUpstream.packet
+	if err := s.cfg.Codec.Decode(d, p); err != nil {
+		s.counts.invalid.Add(1)
+		return
+	}
+	s.act(s.decide.FromUpstream(s.cfg.Timer.Uptime(), p), d, &s.fromUpstream)
+}
+
+// act does what was decided for the packet d.
+func (s *Sidecar) act(a steer.Action, d []byte, b *buffers) {
+	p := &b.packet
+	switch a := a.(type) {
+	case steer.Deliver:
+		s.counts.delivered.Add(1)
+		s.cfg.Codec.SetTag(d, a.Tag)
+		s.socket.Send(d, s.cfg.Upstream)
+	case steer.Answer:
+		s.counts.answered.Add(1)
+		s.socket.Send(d, p.Destination.Host.Port(s.cfg.CallerPort))
+	case steer.Forward:
+		s.counts.forwarded.Add(1)
+		s.cfg.Codec.SetTag(d, 0)
+		b.out = exchange.AppendForward(b.out[:0], &a.Header)
+		b.out = append(b.out, d...)
+		s.node.Send(b.out, a.Host)
+		logFlow(s.cfg.Log, event.PacketPassed, p, zap.Stringer("next", a.Host), zap.Int("visited", len(a.Header.Visited)))
+	case steer.Refuse:
+		s.counts.refused.Add(1)
+		b.out = s.cfg.Codec.AppendReset(b.out[:0], p)
+		s.socket.Send(b.out, p.Source.Host.Port(s.cfg.CallerPort))
+		logFlow(s.cfg.Log, event.FlowRefused, p, zap.Stringer("reason", a.Reason))
+	case steer.Drop:
+		s.counts.dropped.Add(1)
+		logFlow(s.cfg.Log, event.PacketDropped, p, zap.Stringer("reason", a.Reason))
+	}
+}
+
+// sidecarHandler takes what other processes send to a sidecar.
+type sidecarHandler Sidecar
+
+// Forwarded handles a packet of a caller.
+func (h *sidecarHandler) Forwarded(header *steer.Header, d []byte) {
+	s := (*Sidecar)(h)
+	p := &s.fromPeers.packet
+	if err := s.cfg.Codec.Decode(d, p); err != nil {
+		s.counts.invalid.Add(1)
+		return
+	}
+	s.act(s.decide.FromBalancer(s.cfg.Timer.Uptime(), header, p), d, &s.fromPeers)
+}
+
+// Held does nothing: sidecars ask upstreams, not each other.
+func (h *sidecarHandler) Held(steer.Key, registry.Host) {}
+
+// Restarted tells a balancer that has just started which flows the upstream holds.
+func (h *sidecarHandler) Restarted(balancer registry.Host) {
+	s := (*Sidecar)(h)
+	s.node.TellFlows(s.decide.Open(), []registry.Host{balancer})
+}
+
+// Told does nothing: sidecars learn loads with each view.
+func (h *sidecarHandler) Told(registry.Host) {}
--- a/event/catalogue.go
+++ b/event/catalogue.go
@@ -31,5 +31,6 @@
 		bundleEvents(),
 		peerEvents(),
 		operatorEvents(),
+		edgeEvents(),
 	)
 }
--- a/event/logger.go
+++ b/event/logger.go
@@ -62,6 +62,12 @@
 	ce.Write(append([]zap.Field{zap.Int("event", int(n))}, fields...)...)
 }
 
+// Enabled reports whether the event would be written, so that callers can skip gathering its fields.
+func (l *Logger) Enabled(n Number) bool {
+	e, ok := l.entries[n]
+	return !ok || l.zap.Core().Enabled(e.Level)
+}
+
 // Sync flushes what is buffered.
 func (l *Logger) Sync() error {
 	return l.zap.Sync()
--- /dev/null
+++ b/exchange/datagram.go
@@ -0,0 +1,69 @@
+package exchange
+
+import (
+	"github.com/corianderbay/corianderbay/registry"
+	"github.com/corianderbay/corianderbay/steer"
+)
+
+// kind is the first byte of each datagram.
+type kind byte
+
+const (
+	kindBeat    kind = 1 // a membership.Beat in msgpack
+	kindForward kind = 2 // a steer.Header and a packet
+	kindFlows   kind = 3 // keys of flows that the sender's upstream holds
+)
+
+// ForwardRoom is how many bytes a packet must leave free before it for a
+// forward to a first sidecar.
+const ForwardRoom = 64
+
+// maxFlows is how many keys fit into one datagram.
+const maxFlows = 100
+
+// AppendForward appends the head of a forwarded packet to b; the packet follows.
+func AppendForward(b []byte, h *steer.Header) []byte {
+	return h.Append(append(b, byte(kindForward)))
+}
+
+// appendFlows appends a datagram that names flows; at most maxFlows are given.
+func appendFlows(b []byte, keys []steer.Key) []byte {
+	b = append(b, byte(kindFlows))
+	for _, k := range keys {
+		b = k.Append(b)
+	}
+	return b
+}
+
+// parseFlows calls learn with each flow that a datagram names.
+func parseFlows(body []byte, learn func(steer.Key)) {
+	for len(body) >= steer.KeySize {
+		learn(steer.ParseKey(body))
+		body = body[steer.KeySize:]
+	}
+}
+
+// flowBatches splits keys into lists that fit into one datagram each.
+func flowBatches(keys []steer.Key) [][]steer.Key {
+	var batches [][]steer.Key
+	for len(keys) > maxFlows {
+		batches = append(batches, keys[:maxFlows])
+		keys = keys[maxFlows:]
+	}
+	if len(keys) > 0 {
+		batches = append(batches, keys)
+	}
+	return batches
+}
+
+// Handler receives what other processes send. Its methods are called by one goroutine.
+type Handler interface {
+	// Forwarded is called with a packet and its header; b is valid until it returns.
+	Forwarded(h *steer.Header, b []byte)
+	// Held is called for each flow that the upstream on a host holds.
+	Held(k steer.Key, host registry.Host)
+	// Restarted is called when a balancer has started.
+	Restarted(balancer registry.Host)
+	// Told is called when a sidecar has told its load.
+	Told(sidecar registry.Host)
+}
--- /dev/null
+++ b/exchange/errors.go
@@ -0,0 +1,34 @@
+package exchange
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/corianderbay/corianderbay/registry"
+)
+
+// ListenError reports a TCP address that could not be bound.
+type ListenError struct {
+	Address netip.AddrPort
+	Cause   error
+}
+
+// Error returns the address and the cause.
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("exchange: cannot listen on %s: %v", e.Address, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error {
+	return e.Cause
+}
+
+// NothingNewError reports a peer that announced something newer and then did not send it.
+type NothingNewError struct {
+	Host registry.Host
+}
+
+// Error returns the host.
+func (e *NothingNewError) Error() string {
+	return fmt.Sprintf("%s sent nothing newer", e.Host)
+}
--- /dev/null
+++ b/exchange/frame.go
@@ -0,0 +1,87 @@
+package exchange
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/corianderbay/corianderbay/registry"
+	"github.com/corianderbay/corianderbay/wire"
+)
+
+const (
+	// frameLimit is the length in bytes that a compressed frame may have.
+	frameLimit = 4 << 20
+	// contentLimit is the length in bytes that a frame may have when unpacked.
+	contentLimit = 32 << 20
+	lengthSize   = 4 // bytes of the length before a frame
+)
+
+// query asks for what is newer than what the sender has.
+type query struct {
+	Version  uint64 `msgpack:"v"`
+	Revision uint64 `msgpack:"r"`
+}
+
+// writeFrame writes v as one frame: a big-endian length and its compressed msgpack encoding.
+func writeFrame(w io.Writer, v any) error {
+	body, err := wire.Encode(v)
+	if err != nil {
+		return err
+	}
+	var buf bytes.Buffer
+	buf.Write(make([]byte, lengthSize))
+	fw, err := flate.NewWriter(&buf, flate.BestSpeed)
+	if err != nil {
+		return err
+	}
+	if _, err := fw.Write(body); err != nil {
+		return err
+	}
+	if err := fw.Close(); err != nil {
+		return err
+	}
+	frame := buf.Bytes()
+	binary.BigEndian.PutUint32(frame, uint32(len(frame)-lengthSize))
+	_, err = w.Write(frame)
+	return err
+}
+
+// readFrame reads one frame into v. It reports *FrameError, or an error of package wire or of r.
+func readFrame(r io.Reader, v any) error {
+	var head [lengthSize]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return err
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > frameLimit {
+		return &FrameError{Length: n}
+	}
+	fr := flate.NewReader(io.LimitReader(r, int64(n)))
+	body, err := io.ReadAll(io.LimitReader(fr, contentLimit))
+	if err != nil {
+		return err
+	}
+	return wire.Decode(body, v)
+}
+
+// readUpdate reads an update and checks it.
+func readUpdate(r io.Reader) (registry.Update, error) {
+	var u registry.Update
+	if err := readFrame(r, &u); err != nil {
+		return registry.Update{}, err
+	}
+	return u, u.Check()
+}
+
+// FrameError reports a frame that is longer than allowed.
+type FrameError struct {
+	Length uint32
+}
+
+// Error returns the length and the limit.
+func (e *FrameError) Error() string {
+	return fmt.Sprintf("frame of %d bytes exceeds %d", e.Length, frameLimit)
+}
--- /dev/null
+++ b/exchange/node.go
@@ -0,0 +1,421 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/membership"
+	"github.com/corianderbay/corianderbay/registry"
+	"github.com/corianderbay/corianderbay/steer"
+	"github.com/corianderbay/corianderbay/timer"
+	"github.com/corianderbay/corianderbay/udp"
+	"github.com/corianderbay/corianderbay/wire"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+)
+
+const (
+	// tick is how often views are refreshed and notices are sent.
+	tick = 50 * time.Millisecond
+	// listEvery is how many heartbeats go by between two that name balancers.
+	listEvery = 4
+	// socketBuffer bounds what waits in the socket, in bytes; it counts as memory of the process.
+	socketBuffer = 1 << 20
+)
+
+// Config holds the settings of a Node. All fields but Seeds are required.
+type Config struct {
+	Role       membership.Role
+	DataCentre string
+	// Listen is where other processes reach this one, over UDP and TCP. The port is the same on all hosts.
+	Listen      netip.AddrPort
+	Incarnation uint64
+	// Seeds are hosts of balancers to begin with.
+	Seeds []registry.Host
+	// Source is read when this process is to read for the others.
+	Source Source
+	// Load returns what a sidecar tells of its upstream.
+	Load func(now time.Duration) membership.Load
+	// Refresh is called with each new view.
+	Refresh func(*steer.Fleet)
+	Handler Handler
+
+	Timer     *timer.Service
+	Heartbeat *timer.Heartbeat
+	Log       *event.Logger
+}
+
+// Node is one process among the others. It is safe for concurrent use.
+type Node struct {
+	cfg      Config
+	self     registry.Host
+	socket   *udp.Socket
+	listener net.Listener
+	pulls    chan struct{} // wakes the goroutine that asks peers
+	urgent   chan struct{} // wakes the goroutine that sends heartbeats
+
+	mu        sync.Mutex
+	directory *registry.Directory
+	members   *membership.Table
+	snapshot  *registry.Snapshot // never nil
+	made      time.Duration      // when snapshot was made
+	stale     bool               // a heartbeat arrived after the last view
+	stopping  bool
+	beats     int // heartbeats sent
+	silent    map[registry.Host]bool
+}
+
+// Open binds the addresses. It reports *udp.ListenError or *ListenError.
+func Open(cfg Config) (*Node, error) {
+	self, err := registry.HostOf(cfg.Listen.Addr())
+	if err != nil {
+		return nil, err
+	}
+	socket, err := udp.Open(udp.Config{
+		Listen:    cfg.Listen,
+		Workers:   1,
+		Buffer:    socketBuffer,
+		Heartbeat: cfg.Heartbeat,
+	})
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp4", socket.Address().String())
+	if err != nil {
+		socket.Close()
+		return nil, &ListenError{Address: cfg.Listen, Cause: err}
+	}
+	cfg.Listen = socket.Address()
+	n := &Node{
+		cfg:       cfg,
+		self:      self,
+		socket:    socket,
+		listener:  listener,
+		pulls:     make(chan struct{}, 1),
+		urgent:    make(chan struct{}, 1),
+		directory: registry.NewDirectory(),
+		members: membership.New(membership.Config{
+			Self:       self,
+			Role:       cfg.Role,
+			DataCentre: cfg.DataCentre,
+			Seeds:      cfg.Seeds,
+			Started:    cfg.Timer.Uptime(),
+		}),
+		silent: make(map[registry.Host]bool),
+	}
+	n.snapshot = n.directory.Snapshot(0)
+	return n, nil
+}
+
+// Run serves until ctx is done.
+func (n *Node) Run(ctx context.Context) {
+	var wg conc.WaitGroup
+	wg.Go(func() { n.socket.Run(ctx, func() udp.Handler { return n.received }) })
+	wg.Go(func() { n.serve(ctx) })
+	wg.Go(func() { n.pull(ctx) })
+	wg.Go(func() { n.read(ctx) })
+	wg.Go(func() { n.tick(ctx) })
+	wg.Wait()
+}
+
+// Self returns the host of this process.
+func (n *Node) Self() registry.Host {
+	return n.self
+}
+
+// Send sends a datagram to the process on a host.
+func (n *Node) Send(b []byte, h registry.Host) {
+	n.socket.Send(b, h.Port(n.cfg.Listen.Port()))
+}
+
+// Version returns the version of the routes and the revision of the list of upstreams.
+func (n *Node) Version() (version, revision uint64) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.directory.Version(), n.directory.Revision()
+}
+
+// Status is what a Node tells of itself.
+type Status struct {
+	Version  uint64
+	Revision uint64
+	StoreAge time.Duration
+	// Peers is how many other processes are alive.
+	Peers int
+	// Sidecars is how many sidecars are alive.
+	Sidecars int
+}
+
+// Status returns how far the process is informed.
+func (n *Node) Status() Status {
+	now := n.cfg.Timer.Uptime()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := Status{
+		Version:  n.directory.Version(),
+		Revision: n.directory.Revision(),
+		StoreAge: n.members.StoreAge(now),
+	}
+	for _, p := range n.members.Peers(membership.Sidecar) {
+		if n.members.Alive(now, p.Host) {
+			s.Sidecars++
+		}
+	}
+	s.Peers = s.Sidecars
+	for _, p := range n.members.Peers(membership.Balancer) {
+		if n.members.Alive(now, p.Host) {
+			s.Peers++
+		}
+	}
+	return s
+}
+
+// Stop tells all others that this process is about to end.
+func (n *Node) Stop() {
+	n.mu.Lock()
+	n.stopping = true
+	n.mu.Unlock()
+	n.beat()
+}
+
+// SetSeeds replaces the seeds.
+func (n *Node) SetSeeds(seeds []registry.Host) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.members.SetSeeds(seeds)
+}
+
+// Hurry sends a heartbeat soon, since the load has changed much.
+func (n *Node) Hurry() {
+	select {
+	case n.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// Balancers returns the other balancers that are believed to be alive.
+func (n *Node) Balancers() []registry.Host {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	hosts := n.members.Balancers(n.cfg.Timer.Uptime())
+	others := hosts[:0]
+	for _, h := range hosts {
+		if h != n.self {
+			others = append(others, h)
+		}
+	}
+	return others
+}
+
+// TellFlows tells balancers that the own upstream holds flows.
+func (n *Node) TellFlows(keys []steer.Key, balancers []registry.Host) {
+	var buf []byte
+	for _, batch := range flowBatches(keys) {
+		buf = appendFlows(buf[:0], batch)
+		for _, h := range balancers {
+			n.Send(buf, h)
+		}
+	}
+}
+
+// received handles one datagram of another process.
+func (n *Node) received(b []byte, from netip.AddrPort) {
+	host, err := registry.HostOf(from.Addr())
+	if err != nil || len(b) == 0 {
+		return // nothing of ours is sent over IPv6
+	}
+	body := b[1:]
+	switch kind(b[0]) {
+	case kindBeat:
+		n.heard(body, host)
+	case kindForward:
+		n.forwarded(body, host)
+	case kindFlows:
+		parseFlows(body, func(k steer.Key) { n.cfg.Handler.Held(k, host) })
+	}
+}
+
+func (n *Node) forwarded(body []byte, from registry.Host) {
+	var h steer.Header
+	rest, err := h.Parse(body)
+	if err != nil {
+		n.cfg.Log.Emit(event.DatagramUnusable, zap.Stringer("peer", from), zap.Error(err))
+		return
+	}
+	n.cfg.Handler.Forwarded(&h, rest)
+}
+
+// heard takes in a heartbeat.
+func (n *Node) heard(body []byte, from registry.Host) {
+	var b membership.Beat
+	err := wire.Decode(body, &b)
+	if err == nil {
+		err = b.Check()
+	}
+	if err != nil {
+		n.cfg.Log.Emit(event.DatagramUnusable, zap.Stringer("peer", from), zap.Error(err))
+		return
+	}
+	now := n.cfg.Timer.Uptime()
+	n.mu.Lock()
+	news := n.members.Heard(now, from, b, n.directory.Version(), n.directory.Revision())
+	n.stale = true
+	n.mu.Unlock()
+	if news.Ahead {
+		n.askPeers()
+	}
+	if news.Restarted {
+		n.cfg.Log.Emit(event.PeerStarted, zap.Stringer("peer", from), zap.Stringer("role", b.Role), zap.Uint64("incarnation", b.Incarnation))
+	}
+	switch {
+	case b.Role == membership.Sidecar:
+		n.refresh(now)
+		n.cfg.Handler.Told(from)
+	case news.Restarted:
+		n.cfg.Handler.Restarted(from)
+	}
+}
+
+// tick refreshes views and sends heartbeats.
+func (n *Node) tick(ctx context.Context) {
+	sub := n.cfg.Timer.Every(tick)
+	defer sub.Stop()
+	var last time.Duration
+	for {
+		hurry := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.urgent:
+			hurry = true
+		case <-sub.C:
+		}
+		now := n.cfg.Timer.Uptime()
+		if hurry || now-last >= membership.BeatInterval-tick/2 {
+			last = now
+			n.beat()
+			n.watchPeers(now)
+		}
+		n.refresh(now)
+	}
+}
+
+// beat sends a heartbeat to all others.
+func (n *Node) beat() {
+	now := n.cfg.Timer.Uptime()
+	n.mu.Lock()
+	b := membership.Beat{
+		Role:        n.cfg.Role,
+		DataCentre:  n.cfg.DataCentre,
+		Incarnation: n.cfg.Incarnation,
+		Version:     n.directory.Version(),
+		Revision:    n.directory.Revision(),
+		StoreAge:    n.members.StoreAge(now),
+		Reading:     n.members.Reading(now),
+		Stopping:    n.stopping,
+		Load:        n.cfg.Load(now),
+	}
+	if n.beats%listEvery == 0 {
+		b.Balancers = n.members.Balancers(now)
+	}
+	n.beats++
+	var sidecars []registry.Host
+	if n.cfg.Role == membership.Balancer {
+		sidecars = n.snapshot.Hosts()
+	}
+	targets := n.members.Targets(now, sidecars)
+	n.mu.Unlock()
+	body, err := wire.Encode(b)
+	if err != nil {
+		n.cfg.Log.Emit(event.DatagramUnusable, zap.Error(err))
+		return
+	}
+	datagram := append([]byte{byte(kindBeat)}, body...)
+	for _, h := range targets {
+		n.Send(datagram, h)
+	}
+}
+
+// watchPeers logs which processes fell silent or are heard again.
+func (n *Node) watchPeers(now time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, role := range []membership.Role{membership.Balancer, membership.Sidecar} {
+		for _, p := range n.members.Peers(role) {
+			silent := !n.members.Alive(now, p.Host)
+			if silent == n.silent[p.Host] {
+				continue
+			}
+			n.silent[p.Host] = silent
+			n.logSilence(now, p, silent)
+		}
+	}
+	n.members.Expire(now)
+	n.directory.Expire(now)
+}
+
+func (n *Node) logSilence(now time.Duration, p *membership.Peer, silent bool) {
+	number := event.PeerHeard
+	if silent {
+		number = event.PeerSilent
+	}
+	n.cfg.Log.Emit(number,
+		zap.Stringer("peer", p.Host),
+		zap.Stringer("role", p.Beat.Role),
+		zap.Duration("age", now-p.Heard),
+		zap.Bool("stopping", p.Beat.Stopping))
+}
+
+// refresh hands out a new view when something changed. Heartbeats alone are gathered for a tick.
+func (n *Node) refresh(now time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if now-n.made >= registry.MissingGrace/4 {
+		n.remake(now)
+	}
+	if !n.stale {
+		return
+	}
+	n.stale = false
+	n.publish()
+}
+
+// remake makes the snapshot anew. The caller holds the lock.
+func (n *Node) remake(now time.Duration) {
+	n.snapshot = n.directory.Snapshot(now)
+	n.made = now
+	n.stale = true
+}
+
+// publish hands out the present view. The caller holds the lock.
+func (n *Node) publish() {
+	f := &steer.Fleet{Snapshot: n.snapshot, Sidecars: make(map[registry.Host]steer.Instance)}
+	for _, p := range n.members.Peers(membership.Sidecar) {
+		f.Sidecars[p.Host] = steer.Instance{Load: p.Beat.Load, Heard: p.Heard, Stopping: p.Beat.Stopping}
+	}
+	n.cfg.Refresh(f)
+}
+
+// apply merges an update and hands out the new view at once.
+func (n *Node) apply(u registry.Update, from zap.Field) (registry.Result, uint64) {
+	now := n.cfg.Timer.Uptime()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	res := n.directory.Apply(now, u)
+	if res.Routes || res.Upstreams {
+		n.remake(now)
+		n.stale = false
+		n.publish()
+		n.cfg.Log.Emit(event.RoutesAdopted, from,
+			zap.Uint64("version", n.directory.Version()),
+			zap.Uint64("revision", n.directory.Revision()),
+			zap.Bool("routes", res.Routes),
+			zap.Bool("upstreams", res.Upstreams),
+			zap.Int("changes", len(u.Changes)))
+	}
+	return res, n.directory.Revision()
+}
--- /dev/null
+++ b/exchange/pull.go
@@ -0,0 +1,130 @@
+package exchange
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/registry"
+	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/zap"
+)
+
+const (
+	// pullTimeout bounds one question to a peer. An open connection may fall silent.
+	pullTimeout = time.Second
+	// pullPause is the pause after a question that failed.
+	pullPause = 100 * time.Millisecond
+	// maxServed is how many peers are answered at the same time.
+	maxServed = 32
+)
+
+// askPeers wakes the goroutine that asks peers for what is newer.
+func (n *Node) askPeers() {
+	select {
+	case n.pulls <- struct{}{}:
+	default:
+	}
+}
+
+// pull asks one peer after the other, as long as one has something newer.
+func (n *Node) pull(ctx context.Context) {
+	var failed registry.Host
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.pulls:
+		}
+		for ctx.Err() == nil {
+			host, q, ok := n.ahead(failed)
+			if !ok {
+				break
+			}
+			failed = registry.Host{}
+			if err := n.ask(ctx, host, q); err != nil {
+				failed = host
+				n.cfg.Log.Emit(event.PullFailed, zap.Stringer("peer", host), zap.Error(err))
+				_ = n.cfg.Timer.Sleep(ctx, pullPause) // ends early only when ctx is done, which the loop sees
+			}
+		}
+	}
+}
+
+// ahead returns the peer to ask and what this process has.
+func (n *Node) ahead(failed registry.Host) (registry.Host, query, bool) {
+	now := n.cfg.Timer.Uptime()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	q := query{Version: n.directory.Version(), Revision: n.directory.Revision()}
+	p := n.members.Newest(now, q.Version, q.Revision, failed)
+	if p == nil {
+		return registry.Host{}, q, false
+	}
+	return p.Host, q, true
+}
+
+// ask merges what a peer has that is newer.
+func (n *Node) ask(ctx context.Context, host registry.Host, q query) error {
+	d := net.Dialer{Timeout: pullTimeout}
+	conn, err := d.DialContext(ctx, "tcp4", host.Port(n.cfg.Listen.Port()).String())
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	if err := conn.SetDeadline(n.cfg.Timer.Now().Add(pullTimeout)); err != nil {
+		return err
+	}
+	if err := writeFrame(conn, q); err != nil {
+		return err
+	}
+	u, err := readUpdate(conn)
+	if err != nil {
+		return err
+	}
+	res, _ := n.apply(u, zap.Stringer("peer", host))
+	if res.Gap || u.Routes == nil && u.Revision == 0 {
+		return &NothingNewError{Host: host}
+	}
+	return nil
+}
+
+// serve answers peers until ctx is done.
+func (n *Node) serve(ctx context.Context) {
+	p := pool.New().WithMaxGoroutines(maxServed)
+	stop := context.AfterFunc(ctx, func() { n.listener.Close() })
+	defer stop()
+	for {
+		conn, err := n.listener.Accept()
+		if ctx.Err() != nil {
+			break
+		}
+		if err != nil {
+			n.cfg.Log.Emit(event.PullFailed, zap.Error(err))
+			_ = n.cfg.Timer.Sleep(ctx, pullPause) // as when descriptors are used up
+			continue
+		}
+		p.Go(func() { n.answer(conn) })
+	}
+	p.Wait()
+}
+
+// answer answers one peer.
+func (n *Node) answer(conn net.Conn) {
+	defer conn.Close()
+	err := conn.SetDeadline(n.cfg.Timer.Now().Add(pullTimeout))
+	if err != nil {
+		return // the peer has gone
+	}
+	var q query
+	if err = readFrame(conn, &q); err == nil {
+		n.mu.Lock()
+		u := n.directory.Since(q.Version, q.Revision)
+		n.mu.Unlock()
+		err = writeFrame(conn, u)
+	}
+	if err != nil {
+		n.cfg.Log.Emit(event.PullFailed, zap.Stringer("peer", conn.RemoteAddr()), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/exchange/reader.go
@@ -0,0 +1,101 @@
+package exchange
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/registry"
+	"go.uber.org/zap"
+)
+
+const (
+	// readPause gathers changes that come together into one watch.
+	readPause = 250 * time.Millisecond
+	// idlePause is how often a process that does not read asks whether it should.
+	idlePause = 100 * time.Millisecond
+	// firstBackoff and lastBackoff are the pauses after failed calls; they double in between.
+	firstBackoff = 150 * time.Millisecond
+	lastBackoff  = 1200 * time.Millisecond
+	// maxPatience is up to how much longer a process waits before it reads beside others.
+	maxPatience = time.Second
+)
+
+// reader follows the store for as long as this process should.
+type reader struct {
+	node    *Node
+	backoff time.Duration
+	whole   bool // the next call reads everything
+	lost    bool // the last call failed
+}
+
+// read follows the store until ctx is done.
+func (n *Node) read(ctx context.Context) {
+	r := reader{node: n}
+	for ctx.Err() == nil {
+		pause := idlePause
+		if n.shouldRead() {
+			pause = r.step(ctx)
+		}
+		_ = n.cfg.Timer.Sleep(ctx, pause) // ends early only when ctx is done, which the loop sees
+	}
+}
+
+func (n *Node) shouldRead() bool {
+	now := n.cfg.Timer.Uptime()
+	patience := time.Duration(n.cfg.Incarnation % uint64(maxPatience))
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members.ShouldRead(now, patience)
+}
+
+// step makes one call and returns the pause after it.
+func (r *reader) step(ctx context.Context) time.Duration {
+	n := r.node
+	_, revision := n.Version()
+	u, err := r.call(ctx, revision)
+	if ctx.Err() != nil {
+		return 0
+	}
+	if err != nil {
+		return r.failed(err)
+	}
+	r.backoff = 0
+	n.mu.Lock()
+	n.members.StoreAnswered(n.cfg.Timer.Uptime())
+	n.mu.Unlock()
+	if r.lost {
+		r.lost = false
+		n.cfg.Log.Emit(event.StoreRegained)
+	}
+	res, _ := n.apply(u, zap.String("source", "store"))
+	r.whole = res.Gap
+	if res.Routes || res.Upstreams {
+		n.Hurry()
+	}
+	return readPause
+}
+
+func (r *reader) call(ctx context.Context, revision uint64) (registry.Update, error) {
+	if r.whole || revision == 0 {
+		return r.node.cfg.Source.Read(ctx)
+	}
+	return r.node.cfg.Source.Watch(ctx, revision)
+}
+
+// failed returns the pause after a failed call.
+func (r *reader) failed(err error) time.Duration {
+	n := r.node
+	if history := (*HistoryError)(nil); errors.As(err, &history) {
+		r.whole = true
+		n.cfg.Log.Emit(event.HistoryLost, zap.Uint64("after", history.After))
+		return 0
+	}
+	if !r.lost {
+		r.lost = true
+		n.cfg.Log.Emit(event.StoreLost, zap.Error(err))
+	}
+	r.backoff = min(max(firstBackoff, 2*r.backoff), lastBackoff)
+	return r.backoff
+}
--- a/layout_test.go
+++ b/layout_test.go
@@ -74,7 +74,7 @@
 // TestDecisionsImportNoEdges checks that packages that decide reach neither sockets nor the clock.
 func TestDecisionsImportNoEdges(t *testing.T) {
 	barred := []string{"net", "net/http", "os", "math/rand", "math/rand/v2", "crypto/rand", "syscall"}
-	for _, dir := range []string{"flow", "route", "bundle", "load", "limit"} {
+	for _, dir := range []string{"flow", "route", "bundle", "load", "limit", "steer", "registry", "membership"} {
 		for _, imported := range importsOf(t, dir) {
 			must.SliceNotContains(t, barred, imported, must.Sprintf("package %s", dir))
 		}
--- /dev/null
+++ b/membership/beat.go
@@ -0,0 +1,84 @@
+package membership
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/corianderbay/corianderbay/registry"
+)
+
+// Role is what a process does.
+type Role uint8
+
+// The roles of processes.
+const (
+	Balancer Role = 1
+	Sidecar  Role = 2
+)
+
+// String returns the name of the role.
+func (r Role) String() string {
+	switch r {
+	case Balancer:
+		return "balancer"
+	case Sidecar:
+		return "sidecar"
+	}
+	return "unknown"
+}
+
+// Load is what a sidecar tells of its upstream.
+type Load struct {
+	// Flows is how many flows are open or opening.
+	Flows int `msgpack:"f"`
+	// Active is how many requests wait for an answer.
+	Active int `msgpack:"a"`
+	// Busy is the mean of Active over the last second, in thousandths.
+	Busy int `msgpack:"b"`
+	// Silent is true when the upstream has not reacted to what was delivered to it.
+	Silent bool `msgpack:"s"`
+	// Refusing is true when the upstream lately returned openings.
+	Refusing bool `msgpack:"r"`
+}
+
+// Beat is a heartbeat.
+type Beat struct {
+	Role       Role   `msgpack:"r"`
+	DataCentre string `msgpack:"d"`
+	// Incarnation differs each time the process starts.
+	Incarnation uint64 `msgpack:"i"`
+	// Version and Revision are what the sender has of routes and upstreams.
+	Version  uint64 `msgpack:"v"`
+	Revision uint64 `msgpack:"n"`
+	// StoreAge is how long ago the sender, or a process that it heard of, had an answer of the store.
+	StoreAge time.Duration `msgpack:"a"`
+	// Reading is true when the sender itself had an answer of the store within FreshStore.
+	Reading bool `msgpack:"g"`
+	// Stopping is true when the process is about to end.
+	Stopping bool `msgpack:"s"`
+	// Load is valid in beats of sidecars.
+	Load Load `msgpack:"l"`
+	// Balancers lists balancers that the sender believes to be alive. It is empty in most beats.
+	Balancers []registry.Host `msgpack:"b"`
+}
+
+// Check reports *BeatError when the beat cannot be used.
+func (b *Beat) Check() error {
+	if b.Role != Balancer && b.Role != Sidecar {
+		return &BeatError{Text: "unknown role"}
+	}
+	if b.StoreAge < 0 || b.Load.Flows < 0 || b.Load.Active < 0 || b.Load.Busy < 0 {
+		return &BeatError{Text: "negative number"}
+	}
+	return nil
+}
+
+// BeatError reports a heartbeat with content that makes no sense.
+type BeatError struct {
+	Text string
+}
+
+// Error returns what is wrong.
+func (e *BeatError) Error() string {
+	return fmt.Sprintf("heartbeat: %s", e.Text)
+}
--- /dev/null
+++ b/membership/table.go
@@ -0,0 +1,258 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/corianderbay/corianderbay/registry"
+)
+
+const (
+	// BeatInterval is the time between two heartbeats.
+	BeatInterval = 250 * time.Millisecond
+	// SuspectAfter is the silence after which a process gets no new flows: two beats lost in a row.
+	SuspectAfter = 650 * time.Millisecond
+	// forgetAfter is the silence after which a process is forgotten.
+	forgetAfter = 20 * time.Second
+
+	// FreshStore is the age up to which the state of the store counts as known.
+	// It leaves most of the three seconds within which changes must be in force.
+	FreshStore = 1500 * time.Millisecond
+	// readers is how many balancers read the store for all.
+	readers = 2
+)
+
+// Config holds the settings of a Table.
+type Config struct {
+	Self       registry.Host
+	Role       Role
+	DataCentre string
+	// Seeds are hosts of balancers to begin with; they may be stale.
+	Seeds []registry.Host
+	// Started is when the process started.
+	Started time.Duration
+}
+
+// Peer is what is known of another process.
+type Peer struct {
+	Host  registry.Host
+	Beat  Beat
+	Heard time.Duration
+}
+
+// alive reports whether the process was heard lately and goes on.
+func (p *Peer) alive(now time.Duration) bool {
+	return now-p.Heard < SuspectAfter && !p.Beat.Stopping
+}
+
+// Table holds the other processes. It is not safe for concurrent use.
+type Table struct {
+	cfg       Config
+	peers     map[registry.Host]*Peer
+	named     map[registry.Host]time.Duration // balancers that others named, and when
+	storeSeen time.Duration                   // when the store last answered anyone; before Started if never
+	selfRead  time.Duration                   // when the store last answered this process
+}
+
+// New returns a table that knows only the seeds.
+func New(cfg Config) *Table {
+	t := &Table{
+		cfg:       cfg,
+		peers:     make(map[registry.Host]*Peer),
+		named:     make(map[registry.Host]time.Duration),
+		storeSeen: cfg.Started - time.Hour,
+		selfRead:  cfg.Started - time.Hour,
+	}
+	return t
+}
+
+// SetSeeds replaces the seeds, as when the settings changed.
+func (t *Table) SetSeeds(seeds []registry.Host) {
+	t.cfg.Seeds = seeds
+}
+
+// News says what a heartbeat told.
+type News struct {
+	// Restarted is true for the first beat of an incarnation.
+	Restarted bool
+	// Ahead is true when the sender has newer routes or upstreams than the given ones.
+	Ahead bool
+}
+
+// Heard takes in a beat. version and revision are what this process has.
+func (t *Table) Heard(now time.Duration, from registry.Host, b Beat, version, revision uint64) News {
+	if from == t.cfg.Self {
+		return News{}
+	}
+	p := t.peers[from]
+	if p == nil {
+		p = &Peer{Host: from}
+		t.peers[from] = p
+	}
+	news := News{
+		Restarted: p.Beat.Incarnation != b.Incarnation,
+		Ahead:     b.Version > version || b.Revision > revision,
+	}
+	p.Beat, p.Heard = b, now
+	t.storeSeen = max(t.storeSeen, now-b.StoreAge)
+	for _, h := range b.Balancers {
+		if h != t.cfg.Self {
+			t.named[h] = now
+		}
+	}
+	return news
+}
+
+// StoreAnswered notes that the store answered this process.
+func (t *Table) StoreAnswered(now time.Duration) {
+	t.selfRead = now
+	t.storeSeen = now
+}
+
+// StoreAge returns how long ago the store was last known to answer any process.
+func (t *Table) StoreAge(now time.Duration) time.Duration {
+	return now - t.storeSeen
+}
+
+// Reading reports whether the store answered this process within FreshStore.
+func (t *Table) Reading(now time.Duration) bool {
+	return now-t.selfRead < FreshStore
+}
+
+// Alive reports whether the process on a host was heard lately and goes on.
+func (t *Table) Alive(now time.Duration, h registry.Host) bool {
+	p := t.peers[h]
+	return p != nil && p.alive(now)
+}
+
+// Peer returns what is known of the process on a host, or nil.
+func (t *Table) Peer(h registry.Host) *Peer {
+	return t.peers[h]
+}
+
+// Peers returns all known processes of a role, in the order of their hosts.
+func (t *Table) Peers(role Role) []*Peer {
+	var list []*Peer
+	for _, p := range t.peers {
+		if p.Beat.Role == role {
+			list = append(list, p)
+		}
+	}
+	slices.SortFunc(list, func(a, b *Peer) int { return a.Host.Compare(b.Host) })
+	return list
+}
+
+// Balancers returns the balancers that are believed to be alive, this process included.
+func (t *Table) Balancers(now time.Duration) []registry.Host {
+	var hosts []registry.Host
+	if t.cfg.Role == Balancer {
+		hosts = append(hosts, t.cfg.Self)
+	}
+	for _, p := range t.peers {
+		if p.Beat.Role == Balancer && p.alive(now) {
+			hosts = append(hosts, p.Host)
+		}
+	}
+	slices.SortFunc(hosts, registry.Host.Compare)
+	return hosts
+}
+
+// Targets returns the hosts to send heartbeats to: seeds, known balancers, and
+// for a balancer also the sidecars among hosts. Sidecars tell each other
+// nothing, as balancers choose among them.
+func (t *Table) Targets(now time.Duration, sidecars []registry.Host) []registry.Host {
+	targets := slices.Clone(t.cfg.Seeds)
+	for h, at := range t.named {
+		if now-at < forgetAfter {
+			targets = append(targets, h)
+		}
+	}
+	for _, p := range t.peers {
+		if now-p.Heard < forgetAfter {
+			targets = append(targets, p.Host)
+		}
+	}
+	targets = append(targets, sidecars...)
+	slices.SortFunc(targets, registry.Host.Compare)
+	targets = slices.Compact(targets)
+	return slices.DeleteFunc(targets, func(h registry.Host) bool { return h == t.cfg.Self })
+}
+
+// Expire forgets processes that have been silent for long.
+func (t *Table) Expire(now time.Duration) {
+	for h, p := range t.peers {
+		if now-p.Heard >= forgetAfter {
+			delete(t.peers, h)
+		}
+	}
+	for h, at := range t.named {
+		if now-at >= forgetAfter {
+			delete(t.named, h)
+		}
+	}
+}
+
+// ShouldRead reports whether this process should read the store: a balancer
+// that ranks among the first of those alive, or any process when none of those
+// that it hears has had an answer lately. patience differs from process to
+// process, so that they do not all ask at the same moment.
+func (t *Table) ShouldRead(now, patience time.Duration) bool {
+	if t.StoreAge(now) >= FreshStore+patience {
+		return true
+	}
+	if t.cfg.Role != Balancer {
+		return false
+	}
+	return t.rank(now) < readers
+}
+
+// rank returns how many live balancers go before this one as readers. A
+// balancer whose reads fail goes behind those whose reads succeed.
+func (t *Table) rank(now time.Duration) int {
+	own := readerHash(t.cfg.Self)
+	before := 0
+	for _, p := range t.peers {
+		if p.Beat.Role != Balancer || !p.alive(now) {
+			continue
+		}
+		if p.Beat.Reading && readerHash(p.Host) < own {
+			before++
+		}
+	}
+	return before
+}
+
+func readerHash(h registry.Host) uint64 {
+	return xxhash.Sum64(h[:])
+}
+
+// Newest returns the peer to ask for what is newer than version and revision:
+// one of the same data centre if possible. It returns nil when none has more.
+func (t *Table) Newest(now time.Duration, version, revision uint64, failed registry.Host) *Peer {
+	var best *Peer
+	for _, p := range t.peers {
+		if now-p.Heard >= SuspectAfter || p.Beat.Version <= version && p.Beat.Revision <= revision {
+			continue
+		}
+		if best == nil || t.better(p, best, failed) {
+			best = p
+		}
+	}
+	return best
+}
+
+// better reports whether a should be asked rather than b.
+func (t *Table) better(a, b *Peer, failed registry.Host) bool {
+	if (a.Host == failed) != (b.Host == failed) {
+		return b.Host == failed
+	}
+	near := a.Beat.DataCentre == t.cfg.DataCentre
+	if near != (b.Beat.DataCentre == t.cfg.DataCentre) {
+		return near
+	}
+	if a.Beat.Version != b.Beat.Version {
+		return a.Beat.Version > b.Beat.Version
+	}
+	return a.Beat.Revision > b.Beat.Revision
+}
--- /dev/null
+++ b/registry/address.go
@@ -0,0 +1,99 @@
+package registry
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
+
+// Host is the IPv4 address of an instance.
+type Host [4]byte
+
+// HostOf returns the host of an address. It reports *AddressError for IPv6.
+func HostOf(a netip.Addr) (Host, error) {
+	a = a.Unmap()
+	if !a.Is4() {
+		return Host{}, &AddressError{Text: a.String()}
+	}
+	return Host(a.As4()), nil
+}
+
+// Addr returns the host as an IP address.
+func (h Host) Addr() netip.Addr {
+	return netip.AddrFrom4(h)
+}
+
+// Port returns a port of the host.
+func (h Host) Port(port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(h.Addr(), port)
+}
+
+// IsZero reports whether h names no host.
+func (h Host) IsZero() bool {
+	return h == Host{}
+}
+
+// String returns the address in dotted form.
+func (h Host) String() string {
+	return h.Addr().String()
+}
+
+// Compare orders hosts by address.
+func (h Host) Compare(o Host) int {
+	return h.Addr().Compare(o.Addr())
+}
+
+// EncodeMsgpack writes the host as 4 bytes.
+func (h Host) EncodeMsgpack(enc *msgpack.Encoder) error {
+	return enc.EncodeBytes(h[:])
+}
+
+// DecodeMsgpack reads what EncodeMsgpack writes. It reports *AddressError.
+func (h *Host) DecodeMsgpack(dec *msgpack.Decoder) error {
+	raw, err := dec.DecodeBytes()
+	if err != nil {
+		return err
+	}
+	if len(raw) != len(h) {
+		return &AddressError{Text: strconv.Itoa(len(raw)) + " bytes"}
+	}
+	copy(h[:], raw)
+	return nil
+}
+
+// Endpoint is a port of a host. It is small, comparable and holds no pointers.
+type Endpoint struct {
+	Host Host   `msgpack:"h"`
+	Port uint16 `msgpack:"p"`
+}
+
+// EndpointOf returns the endpoint of an address and port. It reports *AddressError for IPv6.
+func EndpointOf(a netip.AddrPort) (Endpoint, error) {
+	h, err := HostOf(a.Addr())
+	if err != nil {
+		return Endpoint{}, err
+	}
+	return Endpoint{Host: h, Port: a.Port()}, nil
+}
+
+// AddrPort returns the endpoint as an IP address and port.
+func (e Endpoint) AddrPort() netip.AddrPort {
+	return e.Host.Port(e.Port)
+}
+
+// String returns the address and the port.
+func (e Endpoint) String() string {
+	return e.AddrPort().String()
+}
+
+// AddressError reports an address that is not IPv4.
+type AddressError struct {
+	Text string
+}
+
+// Error returns the text that was found.
+func (e *AddressError) Error() string {
+	return fmt.Sprintf("%s is not an IPv4 address", e.Text)
+}
--- /dev/null
+++ b/registry/route.go
@@ -0,0 +1,122 @@
+package registry
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Target is a service that a route sends new flows to.
+type Target struct {
+	Service string `msgpack:"service"`
+	// Weight is the share of new flows, relative to the other targets; at least 1.
+	Weight uint32 `msgpack:"weight"`
+}
+
+// Route says where flows to one address go.
+type Route struct {
+	Name    string   `msgpack:"name"`
+	Address Endpoint `msgpack:"address"`
+	// Targets has at least one entry.
+	Targets []Target `msgpack:"targets"`
+	// Idempotent is true when callers may repeat the requests of the route.
+	Idempotent bool `msgpack:"idempotent"`
+	// Timeout is how long a request may take.
+	Timeout time.Duration `msgpack:"timeout"`
+	// Objective is the latency within which a request should be answered.
+	Objective time.Duration `msgpack:"objective"`
+	// Priority is 0 for the most important requests.
+	Priority int `msgpack:"priority"`
+}
+
+// Allows reports whether the route may send flows to the service.
+func (r *Route) Allows(service string) bool {
+	for i := range r.Targets {
+		if r.Targets[i].Service == service {
+			return true
+		}
+	}
+	return false
+}
+
+// Service returns the service for a new flow with the given hash. Equal hashes
+// give equal services in every process.
+func (r *Route) Service(hash uint64) string {
+	if len(r.Targets) == 1 {
+		return r.Targets[0].Service
+	}
+	var total uint64
+	for i := range r.Targets {
+		total += uint64(r.Targets[i].Weight)
+	}
+	at := hash % total
+	for i := range r.Targets {
+		w := uint64(r.Targets[i].Weight)
+		if at < w {
+			return r.Targets[i].Service
+		}
+		at -= w
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
+
+// Routes is one version of all routes. It is immutable.
+type Routes struct {
+	// Version grows with each change; at least 1.
+	Version uint64 `msgpack:"version"`
+	// List has each address at most once.
+	List []Route `msgpack:"routes"`
+	// Idle is after how much silence a flow may be forgotten.
+	Idle time.Duration `msgpack:"idle"`
+	// Connections is how many flows an upstream of a service holds.
+	Connections map[string]int `msgpack:"connections"`
+}
+
+// Check reports *RoutesError when an invariant does not hold.
+func (r *Routes) Check() error {
+	if r.Version == 0 {
+		return &RoutesError{Text: "there is no version"}
+	}
+	for i := range r.List {
+		if err := r.List[i].check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Route) check() error {
+	if len(r.Targets) == 0 {
+		return &RoutesError{Route: r.Name, Text: "there is no service"}
+	}
+	for _, t := range r.Targets {
+		if t.Service == "" || t.Weight == 0 {
+			return &RoutesError{Route: r.Name, Text: "a service has no name or no weight"}
+		}
+	}
+	return nil
+}
+
+// RoutesError reports routes that cannot be used.
+type RoutesError struct {
+	// Route is the name of the route. Empty when the fault concerns all.
+	Route string
+	Text  string
+}
+
+// Error returns the route and what is wrong.
+func (e *RoutesError) Error() string {
+	if e.Route == "" {
+		return "routes: " + e.Text
+	}
+	return fmt.Sprintf("route %q: %s", e.Route, e.Text)
+}
+
+// ServiceHash names a service in forwarded datagrams.
+type ServiceHash uint32
+
+// HashService returns the hash of a service's name.
+func HashService(name string) ServiceHash {
+	return ServiceHash(xxhash.Sum64String(name))
+}
--- /dev/null
+++ b/registry/snapshot.go
@@ -0,0 +1,171 @@
+package registry
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Standing says how far an upstream may be used.
+type Standing uint8
+
+// The standings of an upstream.
+const (
+	// Available upstreams take new flows.
+	Available Standing = iota
+	// Leaving upstreams keep their flows and take no new ones.
+	Leaving
+	// Removed upstreams are asked only for flows that nobody else holds.
+	Removed
+)
+
+// Member is an upstream in a snapshot.
+type Member struct {
+	Upstream
+	// Standing is as of the time that the snapshot was made for.
+	Standing Standing
+}
+
+// Pool is the upstreams of one service, one a host, in the order of their hosts.
+type Pool struct {
+	Service string
+	Hash    ServiceHash
+	// Members has the youngest upstream of each host.
+	Members []Member
+}
+
+// Snapshot is what a process acts on until the next one. It is immutable and
+// safe for concurrent use.
+type Snapshot struct {
+	version  uint64
+	revision uint64
+	idle     time.Duration
+	routes   map[Endpoint]*Route
+	pools    map[ServiceHash]*Pool
+	caps     map[string]int
+}
+
+// Snapshot returns the view at now.
+func (d *Directory) Snapshot(now time.Duration) *Snapshot {
+	s := &Snapshot{
+		version:  d.Version(),
+		revision: d.revision,
+		routes:   make(map[Endpoint]*Route),
+		pools:    make(map[ServiceHash]*Pool),
+	}
+	if d.routes != nil {
+		s.idle, s.caps = d.routes.Idle, d.routes.Connections
+		for i := range d.routes.List {
+			s.routes[d.routes.List[i].Address] = &d.routes.List[i]
+		}
+	}
+	for _, r := range d.records {
+		if r.upstream != nil {
+			s.add(*r.upstream, r.standing(now))
+		}
+	}
+	for _, p := range s.pools {
+		slices.SortFunc(p.Members, func(a, b Member) int { return a.Address.Host.Compare(b.Address.Host) })
+	}
+	return s
+}
+
+func (r record) standing(now time.Duration) Standing {
+	switch {
+	case !r.present && now-r.missing >= MissingGrace:
+		return Removed
+	case r.upstream.Draining:
+		return Leaving
+	}
+	return Available
+}
+
+// add puts an upstream into its pool. Of two on one host the younger one stays.
+func (s *Snapshot) add(u Upstream, st Standing) {
+	hash := HashService(u.Service)
+	p := s.pools[hash]
+	if p == nil {
+		p = &Pool{Service: u.Service, Hash: hash}
+		s.pools[hash] = p
+	}
+	m := Member{Upstream: u, Standing: st}
+	for i := range p.Members {
+		if p.Members[i].Address.Host != u.Address.Host {
+			continue
+		}
+		if replaces(m, p.Members[i]) {
+			p.Members[i] = m
+		}
+		return
+	}
+	p.Members = append(p.Members, m)
+}
+
+// replaces reports whether a stands for the host rather than b.
+func replaces(a, b Member) bool {
+	if a.Standing == Removed != (b.Standing == Removed) {
+		return b.Standing == Removed
+	}
+	if a.Born != b.Born {
+		return a.Born > b.Born
+	}
+	return strings.Compare(a.ID, b.ID) > 0
+}
+
+// Version returns the version of the routes, 0 before the first.
+func (s *Snapshot) Version() uint64 {
+	return s.version
+}
+
+// Revision returns the state of the store that the upstreams stand for, 0 before the first.
+func (s *Snapshot) Revision() uint64 {
+	return s.revision
+}
+
+// Idle returns after how much silence a flow may be forgotten. 0 before the first routes.
+func (s *Snapshot) Idle() time.Duration {
+	return s.idle
+}
+
+// Route returns the route to an address, or nil.
+func (s *Snapshot) Route(e Endpoint) *Route {
+	return s.routes[e]
+}
+
+// Pool returns the upstreams of a service, or nil.
+func (s *Snapshot) Pool(h ServiceHash) *Pool {
+	return s.pools[h]
+}
+
+// Connections returns how many flows an upstream of the service holds, 0 when it is not known.
+func (s *Snapshot) Connections(service string) int {
+	return s.caps[service]
+}
+
+// Hosts returns the hosts of all upstreams that are not removed, in order.
+func (s *Snapshot) Hosts() []Host {
+	var hosts []Host
+	for _, p := range s.pools {
+		for i := range p.Members {
+			if p.Members[i].Standing != Removed {
+				hosts = append(hosts, p.Members[i].Address.Host)
+			}
+		}
+	}
+	slices.SortFunc(hosts, Host.Compare)
+	return slices.Compact(hosts)
+}
+
+// Member returns the upstream of a service on a host; found is false when there is none.
+func (s *Snapshot) Member(h ServiceHash, host Host) (m Member, found bool) {
+	p := s.pools[h]
+	if p == nil {
+		return Member{}, false
+	}
+	for i := range p.Members {
+		if p.Members[i].Address.Host == host {
+			return p.Members[i], true
+		}
+	}
+	return Member{}, false
+}
--- /dev/null
+++ b/steer/fleet.go
@@ -0,0 +1,47 @@
+package steer
+
+import (
+	"time"
+
+	"github.com/corianderbay/corianderbay/membership"
+	"github.com/corianderbay/corianderbay/registry"
+)
+
+// Instance is what a Fleet knows of the sidecar on one host.
+type Instance struct {
+	// Load is what the sidecar last told of its upstream.
+	Load membership.Load
+	// Heard is when the sidecar was last heard.
+	Heard time.Duration
+	// Stopping is true when the sidecar is about to end.
+	Stopping bool
+}
+
+// alive reports whether the sidecar was heard lately and goes on.
+func (i Instance) alive(now time.Duration) bool {
+	return !i.Stopping && now-i.Heard < membership.SuspectAfter
+}
+
+// Fleet is the routes, the upstreams and their sidecars as of one moment. It
+// is immutable and safe for concurrent use.
+type Fleet struct {
+	// Snapshot is never nil.
+	Snapshot *registry.Snapshot
+	// Sidecars has the sidecars that were ever heard; others count as silent.
+	Sidecars map[registry.Host]Instance
+}
+
+// alive reports whether the sidecar on a host was heard lately and goes on.
+func (f *Fleet) alive(now time.Duration, h registry.Host) bool {
+	i, known := f.Sidecars[h]
+	return known && i.alive(now)
+}
+
+// opens reports whether a new flow may be opened at the upstream.
+func (f *Fleet) opens(now time.Duration, m *registry.Member) bool {
+	if m.Standing != registry.Available {
+		return false
+	}
+	i, known := f.Sidecars[m.Address.Host]
+	return known && i.alive(now) && !i.Load.Silent
+}
--- /dev/null
+++ b/steer/sidecar.go
@@ -0,0 +1,497 @@
+package steer
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/corianderbay/corianderbay/membership"
+	"github.com/corianderbay/corianderbay/registry"
+)
+
+const (
+	// trails is how many delivered packets can come back at the same time.
+	trails = 1 << 12
+	// trailLife is how long a delivered packet takes to come back at most.
+	trailLife = 2 * time.Second
+	// silentAfter is how long an upstream takes at most to react to a packet.
+	silentAfter = 150 * time.Millisecond
+	// retrySilent is after how long one more opening is offered to a silent upstream.
+	retrySilent = time.Second
+	// refusedFor is how long an upstream that returned an opening counts as refusing.
+	refusedFor = 500 * time.Millisecond
+)
+
+// SidecarConfig configures a sidecar's decisions.
+type SidecarConfig struct {
+	Self       registry.Host
+	DataCentre string
+	// Service is the service of the upstream beside the sidecar.
+	Service string
+	// MaxFlow is how long a flow without packets is remembered. It is required.
+	MaxFlow time.Duration
+}
+
+// Notice tells balancers that the own upstream holds a flow.
+type Notice struct {
+	Key Key
+	// Only is the balancer to tell. The zero host stands for all.
+	Only registry.Host
+}
+
+// Sidecar decides what happens to packets for the upstream beside it, and to
+// those that the upstream sends. It is safe for concurrent use.
+type Sidecar struct {
+	cfg     SidecarConfig
+	service registry.ServiceHash
+	fleet   atomic.Pointer[Fleet] // nil until SetFleet
+	shards  [shards]sidecarShard
+
+	flows   atomic.Int64 // that are live
+	active  atomic.Int64 // requests that wait for an answer
+	asked   atomic.Int64 // nanoseconds; since when the upstream owes a reaction, 0 if it does not
+	refused atomic.Int64 // nanoseconds; when the upstream last returned an opening, 0 if never
+
+	mu      sync.Mutex
+	trails  [trails]trail // the trail with tag t is at t%trails
+	tag     uint32        // the last one that was given; 0 is never given
+	notices []Notice
+}
+
+type sidecarShard struct {
+	mu    sync.Mutex
+	flows map[Key]local
+}
+
+// NewSidecar returns the decisions of a sidecar that knows no flow yet.
+func NewSidecar(cfg SidecarConfig) *Sidecar {
+	s := &Sidecar{cfg: cfg, service: registry.HashService(cfg.Service)}
+	for i := range s.shards {
+		s.shards[i].flows = make(map[Key]local)
+	}
+	return s
+}
+
+// SetFleet replaces what the sidecar acts on.
+func (s *Sidecar) SetFleet(f *Fleet) {
+	s.fleet.Store(f)
+}
+
+// Flows returns how many flows are open or opening.
+func (s *Sidecar) Flows() int {
+	return int(s.flows.Load())
+}
+
+// Active returns how many requests wait for an answer.
+func (s *Sidecar) Active() int {
+	return int(s.active.Load())
+}
+
+// Silent reports whether the upstream owes a reaction for longer than it ever takes.
+func (s *Sidecar) Silent(now time.Duration) bool {
+	at := s.asked.Load()
+	return at != 0 && now-time.Duration(at) >= silentAfter
+}
+
+// Refusing reports whether the upstream lately returned an opening.
+func (s *Sidecar) Refusing(now time.Duration) bool {
+	at := s.refused.Load()
+	return at != 0 && now-time.Duration(at) < refusedFor
+}
+
+// Notices returns what balancers are to be told since the last call.
+func (s *Sidecar) Notices() []Notice {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.notices
+	s.notices = nil
+	return n
+}
+
+// Open returns the flows that the upstream holds, for a balancer that has just started.
+func (s *Sidecar) Open() []Key {
+	var keys []Key
+	for i := range s.shards {
+		sh := &s.shards[i]
+		sh.mu.Lock()
+		for k, l := range sh.flows {
+			if l.stage == stageOpen {
+				keys = append(keys, k)
+			}
+		}
+		sh.mu.Unlock()
+	}
+	return keys
+}
+
+// Expire forgets flows that ended or have been silent for long, and lets a
+// silent upstream be tried again.
+func (s *Sidecar) Expire(now time.Duration) {
+	if at := s.asked.Load(); at != 0 && now-time.Duration(at) >= silentAfter+retrySilent {
+		s.asked.CompareAndSwap(at, 0)
+	}
+	maxQuiet := s.cfg.MaxFlow
+	if f := s.fleet.Load(); f != nil && f.Snapshot.Idle() > 0 {
+		maxQuiet = min(maxQuiet, f.Snapshot.Idle())
+	}
+	for i := range s.shards {
+		sh := &s.shards[i]
+		sh.mu.Lock()
+		for k, l := range sh.flows {
+			if l.expired(now, maxQuiet) {
+				s.remove(sh, k, &l)
+			}
+		}
+		sh.mu.Unlock()
+	}
+}
+
+// FromBalancer decides on a packet of a caller that a balancer or another
+// sidecar sent here. Deliver may be returned for flows of other upstreams, too:
+// the upstream returns what it does not hold.
+func (s *Sidecar) FromBalancer(now time.Duration, h *Header, p *Packet) Action {
+	if p.Flags.Has(Returned) || p.Flags.Has(SYN|ACK) {
+		return Drop{Reason: ReasonInvalid}
+	}
+	k := p.CallerKey()
+	sh := s.shard(k)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	l, known := sh.flows[k]
+	if p.Opens() {
+		return s.opening(now, sh, k, l, known, h, p)
+	}
+	if !known {
+		return s.ask(now, sh, k, h)
+	}
+	return s.later(now, sh, k, l, h, p)
+}
+
+// opening decides on a request for a new flow.
+func (s *Sidecar) opening(now time.Duration, sh *sidecarShard, k Key, l local, known bool, h *Header, p *Packet) Action {
+	if known && l.live() && !(l.stage == stageOpening && s.Silent(now)) {
+		l.last = now
+		sh.flows[k] = l
+		s.owes(now)
+		return Deliver{Tag: s.remember(now, k, h)}
+	}
+	if known {
+		s.remove(sh, k, &l)
+	}
+	if !s.takes(now, h, p) {
+		return s.passOn(now, h, p)
+	}
+	sh.flows[k] = local{stage: stageOpening, balancer: h.Balancer, next: p.Sequence, last: now}
+	s.flows.Add(1)
+	s.owes(now)
+	return Deliver{Tag: s.remember(now, k, h)}
+}
+
+// takes reports whether a new flow may be offered to the own upstream.
+func (s *Sidecar) takes(now time.Duration, h *Header, p *Packet) bool {
+	if h.Service != s.service || s.Silent(now) {
+		return false
+	}
+	f := s.fleet.Load()
+	if f == nil {
+		return true
+	}
+	m, listed := f.Snapshot.Member(s.service, s.cfg.Self)
+	if listed && m.Standing == registry.Leaving {
+		return false
+	}
+	if limit := f.Snapshot.Connections(s.cfg.Service); limit > 0 && s.Flows() >= limit {
+		return false
+	}
+	if f.Snapshot.Version() <= h.Version {
+		return true
+	}
+	route := f.Snapshot.Route(p.Destination)
+	return route != nil && route.Allows(s.cfg.Service)
+}
+
+// ask delivers a packet of an unknown flow: the upstream knows better.
+func (s *Sidecar) ask(now time.Duration, sh *sidecarShard, k Key, h *Header) Action {
+	sh.flows[k] = local{stage: stageAsked, balancer: h.Balancer, last: now}
+	return Deliver{Tag: s.remember(now, k, h)}
+}
+
+// later decides on a packet of a flow that is remembered.
+func (s *Sidecar) later(now time.Duration, sh *sidecarShard, k Key, l local, h *Header, p *Packet) Action {
+	l.last, l.balancer = now, h.Balancer
+	if l.stage == stageAnswered {
+		if !confirms(l.confirm, p) {
+			s.remove(sh, k, &l)
+			return s.passOn(now, h, p)
+		}
+		s.opened(k, &l)
+	}
+	if l.stage == stageOpen {
+		s.fromCaller(now, &l, p)
+		if h.Unknown {
+			s.notify(Notice{Key: k, Only: h.Balancer})
+		}
+	}
+	sh.flows[k] = l
+	if l.stage == stageOpen || l.stage == stageEnded {
+		return Deliver{}
+	}
+	return Deliver{Tag: s.remember(now, k, h)}
+}
+
+// confirms reports whether the caller acknowledges the upstream's answer to its opening.
+func confirms(confirm uint32, p *Packet) bool {
+	return p.Flags.Has(RST) || p.Acknowledge-confirm <= 1
+}
+
+// fromCaller notes requests and the end of a flow.
+func (s *Sidecar) fromCaller(now time.Duration, l *local, p *Packet) {
+	if p.Data > 0 && int32(p.Sequence+uint32(p.Data)-l.next) > 0 {
+		l.next = p.Sequence + uint32(p.Data)
+		if !l.waiting {
+			l.waiting, l.asked = true, now
+			s.active.Add(1)
+		}
+	}
+	l.callerFin = l.callerFin || p.Flags.Has(FIN)
+	if p.Flags.Has(RST) || l.callerFin && l.ownFin {
+		s.end(l)
+	}
+}
+
+// opened notes that the upstream holds the flow.
+func (s *Sidecar) opened(k Key, l *local) {
+	if !l.live() {
+		s.flows.Add(1)
+	}
+	l.stage = stageOpen
+	s.notify(Notice{Key: k})
+}
+
+// end notes that the flow is over.
+func (s *Sidecar) end(l *local) {
+	s.release(l)
+	l.stage = stageEnded
+}
+
+// release takes the flow out of the counts.
+func (s *Sidecar) release(l *local) {
+	if l.live() {
+		s.flows.Add(-1)
+	}
+	if l.waiting {
+		l.waiting = false
+		s.active.Add(-1)
+	}
+}
+
+func (s *Sidecar) remove(sh *sidecarShard, k Key, l *local) {
+	s.release(l)
+	delete(sh.flows, k)
+}
+
+// FromUpstream decides on a packet that the upstream sent or returned.
+func (s *Sidecar) FromUpstream(now time.Duration, p *Packet) Action {
+	s.asked.Store(0)
+	if p.Flags.Has(Returned) {
+		return s.returned(now, p)
+	}
+	k := p.UpstreamKey()
+	sh := s.shard(k)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	l, known := sh.flows[k]
+	if !known && p.Data == 0 && !p.Flags.Has(SYN) {
+		return Answer{} // the end of a flow that is forgotten here
+	}
+	l.last = now
+	if p.Flags.Has(SYN) {
+		s.answered(k, &l, p)
+	} else {
+		s.fromUpstream(k, &l, p)
+	}
+	sh.flows[k] = l
+	return Answer{}
+}
+
+// answered notes that the upstream accepts an opening.
+func (s *Sidecar) answered(k Key, l *local, p *Packet) {
+	if l.stage == stageOpen {
+		return
+	}
+	if !l.live() {
+		s.flows.Add(1)
+	}
+	l.stage, l.confirm = stageAnswered, p.Sequence
+	if !l.balancer.IsZero() {
+		s.notify(Notice{Key: k, Only: l.balancer})
+	}
+}
+
+// fromUpstream notes answers and the end of a flow. Any packet but the answer
+// to an opening shows that the upstream holds the flow.
+func (s *Sidecar) fromUpstream(k Key, l *local, p *Packet) {
+	if p.Flags.Has(RST) {
+		s.end(l)
+		return
+	}
+	if l.stage != stageOpen && l.stage != stageEnded {
+		s.opened(k, l)
+	}
+	if p.Data > 0 && l.waiting {
+		l.waiting = false
+		s.active.Add(-1)
+	}
+	l.ownFin = l.ownFin || p.Flags.Has(FIN)
+	if l.callerFin && l.ownFin {
+		s.end(l)
+	}
+}
+
+// returned decides on a packet that the upstream does not take.
+func (s *Sidecar) returned(now time.Duration, p *Packet) Action {
+	k := p.CallerKey()
+	h := s.trail(now, k, p.Tag)
+	sh := s.shard(k)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	l, known := sh.flows[k]
+	if p.Opens() {
+		s.refused.Store(int64(now))
+		if known && l.stage == stageOpening {
+			s.remove(sh, k, &l)
+		}
+		return s.passOn(now, &h, p)
+	}
+	if known && l.stage == stageOpen {
+		s.remove(sh, k, &l)
+		return Refuse{Reason: ReasonForgotten}
+	}
+	if known && l.stage == stageEnded {
+		return Drop{Reason: ReasonForgotten}
+	}
+	if known {
+		s.remove(sh, k, &l)
+	}
+	return s.passOn(now, &h, p)
+}
+
+// passOn sends a packet to the next upstream that may take it.
+func (s *Sidecar) passOn(now time.Duration, h *Header, p *Packet) Action {
+	if len(h.Visited) >= MaxVisited {
+		return s.none(p, ReasonVisits)
+	}
+	f := s.fleet.Load()
+	if f == nil {
+		return Drop{Reason: ReasonStarting}
+	}
+	next := h.WithVisited(s.cfg.Self)
+	c := chooser{
+		fleet:      f,
+		now:        now,
+		hash:       p.CallerKey().Hash(),
+		dataCentre: s.cfg.DataCentre,
+		pending:    func(registry.Host) int { return 0 },
+	}
+	m := s.next(f, &c, &next, p)
+	if m == nil {
+		return s.none(p, ReasonUnknownFlow)
+	}
+	return Forward{Host: m.Address.Host, Header: next}
+}
+
+// next returns the upstream to pass a packet on to: of its service, then of the
+// others that the route allows.
+func (s *Sidecar) next(f *Fleet, c *chooser, h *Header, p *Packet) *registry.Member {
+	if m := pick(c, f.Snapshot.Pool(h.Service), h, p); m != nil {
+		return m
+	}
+	route := f.Snapshot.Route(p.Destination)
+	if route == nil {
+		return nil
+	}
+	for i := range route.Targets {
+		hash := registry.HashService(route.Targets[i].Service)
+		if hash == h.Service {
+			continue
+		}
+		if m := pick(c, f.Snapshot.Pool(hash), h, p); m != nil {
+			h.Service = hash
+			return m
+		}
+	}
+	return nil
+}
+
+func pick(c *chooser, pool *registry.Pool, h *Header, p *Packet) *registry.Member {
+	if pool == nil {
+		return nil
+	}
+	if p.Opens() {
+		return c.choose(pool, h.visited)
+	}
+	return c.walk(pool, h.visited)
+}
+
+// none ends a packet that no upstream took. An opening is refused; for a later
+// packet the upstream may be out of reach, so that it is dropped.
+func (s *Sidecar) none(p *Packet, reason Reason) Action {
+	if p.Opens() {
+		return Refuse{Reason: ReasonNoUpstream}
+	}
+	return Drop{Reason: reason}
+}
+
+// owes notes that the upstream has to react to a packet.
+func (s *Sidecar) owes(now time.Duration) {
+	s.asked.CompareAndSwap(0, int64(now))
+}
+
+// remember keeps what a delivered packet came with, and returns its tag.
+func (s *Sidecar) remember(now time.Duration, k Key, h *Header) uint32 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tag++
+	if s.tag == 0 {
+		s.tag = 1
+	}
+	t := &s.trails[s.tag%trails]
+	visited := append(t.header.Visited[:0], h.Visited...)
+	t.key, t.header, t.at = k, *h, now
+	t.header.Visited = visited
+	return s.tag
+}
+
+// trail returns what a returned packet came with. It names no visited host when that was forgotten.
+func (s *Sidecar) trail(now time.Duration, k Key, tag uint32) Header {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := &s.trails[tag%trails]
+	if tag == 0 || t.key != k || now-t.at >= trailLife {
+		return Header{Service: s.service}
+	}
+	h := t.header
+	h.Visited = append([]registry.Host(nil), h.Visited...)
+	return h
+}
+
+func (s *Sidecar) notify(n Notice) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.notices = append(s.notices, n)
+}
+
+func (s *Sidecar) shard(k Key) *sidecarShard {
+	return &s.shards[(k.Caller.Port^uint16(k.Caller.Host[3]))%shards]
+}
+
+// Load returns what balancers are told. busy is the mean of Active in thousandths.
+func (s *Sidecar) Load(now time.Duration, busy int) membership.Load {
+	return membership.Load{
+		Flows:    s.Flows(),
+		Active:   s.Active(),
+		Busy:     busy,
+		Silent:   s.Silent(now),
+		Refusing: s.Refusing(now),
+	}
+}
