Let sidecars of one data centre hear each other, and ask those never heard

Ruled out: lost entries of the list (the flow's upstream was listed and its sidecar alive all the time). Change: sidecars send heartbeats to the sidecars of their data centre; a search skips only sidecars that were heard once and fell silent; an opening that is passed on may go to a sidecar that was never heard.

--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -138,7 +138,7 @@
 
 // heardAll reports whether each listed sidecar was heard, so that it knows of this balancer.
 func (b *Balancer) heardAll(f *steer.Fleet) bool {
-	for _, h := range f.Snapshot.Hosts() {
+	for _, h := range f.Snapshot.Hosts("") {
 		if _, known := f.Sidecars[h]; !known {
 			return false
 		}
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -323,11 +323,7 @@
 		b.Balancers = n.members.Balancers(now)
 	}
 	n.beats++
-	var sidecars []registry.Host
-	if n.cfg.Role == membership.Balancer {
-		sidecars = n.snapshot.Hosts()
-	}
-	targets := n.members.Targets(now, sidecars)
+	targets := n.members.Targets(now, n.sidecars())
 	n.mu.Unlock()
 	body, err := wire.Encode(b)
 	if err != nil {
@@ -340,6 +336,16 @@
 	}
 }
 
+// sidecars returns the sidecars that are to hear of this process: for a
+// balancer all, for a sidecar those that it passes flows on to first. The
+// caller holds the lock.
+func (n *Node) sidecars() []registry.Host {
+	if n.cfg.Role == membership.Balancer {
+		return n.snapshot.Hosts("")
+	}
+	return n.snapshot.Hosts(n.cfg.DataCentre)
+}
+
 // watchPeers logs which processes fell silent or are heard again.
 func (n *Node) watchPeers(now time.Duration) {
 	n.mu.Lock()
--- a/membership/table.go
+++ b/membership/table.go
@@ -158,9 +158,8 @@
 	return hosts
 }
 
-// Targets returns the hosts to send heartbeats to: seeds, known balancers, and
-// for a balancer also the sidecars among hosts. Sidecars tell each other
-// nothing, as balancers choose among them.
+// Targets returns the hosts to send heartbeats to: seeds, known processes and
+// the given sidecars.
 func (t *Table) Targets(now time.Duration, sidecars []registry.Host) []registry.Host {
 	targets := slices.Clone(t.cfg.Seeds)
 	for h, at := range t.named {
--- a/registry/snapshot.go
+++ b/registry/snapshot.go
@@ -142,13 +142,15 @@
 	return s.caps[service]
 }
 
-// Hosts returns the hosts of all upstreams that are not removed, in order.
-func (s *Snapshot) Hosts() []Host {
+// Hosts returns the hosts of all upstreams that are not removed, in order;
+// only those of one data centre when its name is not empty.
+func (s *Snapshot) Hosts(dataCentre string) []Host {
 	var hosts []Host
 	for _, p := range s.pools {
 		for i := range p.Members {
-			if p.Members[i].Standing != Removed {
-				hosts = append(hosts, p.Members[i].Address.Host)
+			m := &p.Members[i]
+			if m.Standing != Removed && (dataCentre == "" || m.DataCentre == dataCentre) {
+				hosts = append(hosts, m.Address.Host)
 			}
 		}
 	}
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -193,7 +193,10 @@
 	if m := c.choose(pool, skip); m != nil {
 		return m
 	}
-	return c.last(pool, skip)
+	if m := c.unheard(pool, skip); m != nil {
+		return m
+	}
+	return c.first(pool, skip) // all are silent, so that this process may be the one that is cut off
 }
 
 func (b *Balancer) chooser(now time.Duration, f *Fleet, hash uint64) chooser {
--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -27,7 +27,7 @@
 type Fleet struct {
 	// Snapshot is never nil.
 	Snapshot *registry.Snapshot
-	// Sidecars has the sidecars that were ever heard; others count as silent.
+	// Sidecars has the sidecars that were ever heard.
 	Sidecars map[registry.Host]Instance
 }
 
@@ -37,6 +37,12 @@
 	return known && i.alive(now)
 }
 
+// silent reports whether the sidecar on a host was heard once and is not heard any more.
+func (f *Fleet) silent(now time.Duration, h registry.Host) bool {
+	i, known := f.Sidecars[h]
+	return known && !i.alive(now)
+}
+
 // opens reports whether a new flow may be opened at the upstream.
 func (f *Fleet) opens(now time.Duration, m *registry.Member) bool {
 	if m.Standing != registry.Available {
--- a/steer/place.go
+++ b/steer/place.go
@@ -91,7 +91,7 @@
 }
 
 // walk returns the next upstream to ask for a flow that nobody remembers: the
-// near ones first, each in the flow's own order. Sidecars that are silent are
+// near ones first, each in the flow's own order. Sidecars that fell silent are
 // left out. It returns nil when all were asked.
 func (c *chooser) walk(p *registry.Pool, skip func(registry.Host) bool) *registry.Member {
 	var best *registry.Member
@@ -99,7 +99,7 @@
 	for i := range p.Members {
 		m := &p.Members[i]
 		host := m.Address.Host
-		if skip(host) || !c.fleet.alive(c.now, host) {
+		if skip(host) || c.fleet.silent(c.now, host) {
 			continue
 		}
 		r := rank(c.hash, host) >> 1
@@ -113,10 +113,18 @@
 	return best
 }
 
-// last returns an upstream when none takes new flows for sure: one that is not
-// known to be leaving, although its sidecar is silent. Its sidecar passes the
-// flow on if it must.
-func (c *chooser) last(p *registry.Pool, skip func(registry.Host) bool) *registry.Member {
+// unheard returns an upstream when none takes new flows for sure: one that is
+// not known to be leaving, and whose sidecar was never heard. That sidecar
+// passes the flow on if it must.
+func (c *chooser) unheard(p *registry.Pool, skip func(registry.Host) bool) *registry.Member {
+	return c.first(p, func(h registry.Host) bool {
+		_, known := c.fleet.Sidecars[h]
+		return known || skip(h)
+	})
+}
+
+// first returns the upstream that is not known to be leaving and goes first for the flow, or nil.
+func (c *chooser) first(p *registry.Pool, skip func(registry.Host) bool) *registry.Member {
 	var best *registry.Member
 	for i := range p.Members {
 		m := &p.Members[i]
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -427,10 +427,13 @@
 	if pool == nil {
 		return nil
 	}
-	if p.Opens() {
-		return c.choose(pool, h.visited)
+	if !p.Opens() {
+		return c.walk(pool, h.visited)
+	}
+	if m := c.choose(pool, h.visited); m != nil {
+		return m
 	}
-	return c.walk(pool, h.visited)
+	return c.unheard(pool, h.visited)
 }
 
 // none ends a packet that no upstream took. An opening is refused; for a later
