Tell sidecars which sidecars the balancers lost

Ruled out: the flow's own sidecar (alive and listed; the search never came that far). Change: heartbeats of balancers list sidecars that they heard once and lost; searches leave those out and ask upstreams that were removed from the list last.

--- a/exchange/node.go
+++ b/exchange/node.go
@@ -322,6 +322,9 @@
 	if n.beats%listEvery == 0 {
 		b.Balancers = n.members.Balancers(now)
 	}
+	if n.cfg.Role == membership.Balancer {
+		b.Lost = n.members.Lost(now)
+	}
 	n.beats++
 	targets := n.members.Targets(now, n.sidecars())
 	n.mu.Unlock()
@@ -403,6 +406,11 @@
 	for _, p := range n.members.Peers(membership.Sidecar) {
 		f.Sidecars[p.Host] = steer.Instance{Load: p.Beat.Load, Heard: p.Heard, Stopping: p.Beat.Stopping}
 	}
+	for _, h := range n.members.Lost(n.cfg.Timer.Uptime()) {
+		if _, heard := f.Sidecars[h]; !heard {
+			f.Sidecars[h] = steer.Instance{Stopping: true}
+		}
+	}
 	n.cfg.Refresh(f)
 }
 
--- a/membership/beat.go
+++ b/membership/beat.go
@@ -60,6 +60,8 @@
 	Load Load `msgpack:"l"`
 	// Balancers lists balancers that the sender believes to be alive. It is empty in most beats.
 	Balancers []registry.Host `msgpack:"b"`
+	// Lost lists sidecars that a balancer heard once and does not hear any more.
+	Lost []registry.Host `msgpack:"x"`
 }
 
 // Check reports *BeatError when the beat cannot be used.
--- a/membership/table.go
+++ b/membership/table.go
@@ -51,6 +51,7 @@
 	cfg       Config
 	peers     map[registry.Host]*Peer
 	named     map[registry.Host]time.Duration // balancers that others named, and when
+	lost      map[registry.Host]time.Duration // sidecars that balancers do not hear, and when they said so
 	storeSeen time.Duration                   // when the store last answered anyone; before Started if never
 	selfRead  time.Duration                   // when the store last answered this process
 }
@@ -61,6 +62,7 @@
 		cfg:       cfg,
 		peers:     make(map[registry.Host]*Peer),
 		named:     make(map[registry.Host]time.Duration),
+		lost:      make(map[registry.Host]time.Duration),
 		storeSeen: cfg.Started - time.Hour,
 		selfRead:  cfg.Started - time.Hour,
 	}
@@ -101,9 +103,30 @@
 			t.named[h] = now
 		}
 	}
+	for _, h := range b.Lost {
+		t.lost[h] = now
+	}
 	return news
 }
 
+// Lost returns the sidecars that were heard once and are not heard any more: by
+// this process, or by a balancer when this process never heard them.
+func (t *Table) Lost(now time.Duration) []registry.Host {
+	var hosts []registry.Host
+	for _, p := range t.peers {
+		if p.Beat.Role == Sidecar && !p.alive(now) {
+			hosts = append(hosts, p.Host)
+		}
+	}
+	for h, at := range t.lost {
+		if t.peers[h] == nil && now-at < SuspectAfter {
+			hosts = append(hosts, h)
+		}
+	}
+	slices.SortFunc(hosts, registry.Host.Compare)
+	return hosts
+}
+
 // StoreAnswered notes that the store answered this process.
 func (t *Table) StoreAnswered(now time.Duration) {
 	t.selfRead = now
@@ -190,6 +213,11 @@
 			delete(t.named, h)
 		}
 	}
+	for h, at := range t.lost {
+		if now-at >= SuspectAfter {
+			delete(t.lost, h)
+		}
+	}
 }
 
 // ShouldRead reports whether this process should read the store: a balancer
--- a/steer/place.go
+++ b/steer/place.go
@@ -91,7 +91,7 @@
 }
 
 // walk returns the next upstream to ask for a flow that nobody remembers: the
-// near ones first, each in the flow's own order. Sidecars that fell silent are
+// near ones first, each in the flow's own order, and removed ones last. Sidecars that fell silent are
 // left out. It returns nil when all were asked.
 func (c *chooser) walk(p *registry.Pool, skip func(registry.Host) bool) *registry.Member {
 	var best *registry.Member
@@ -102,8 +102,11 @@
 		if skip(host) || c.fleet.silent(c.now, host) {
 			continue
 		}
-		r := rank(c.hash, host) >> 1
+		r := rank(c.hash, host) >> 2
 		if m.DataCentre != c.dataCentre {
+			r |= 1 << 62
+		}
+		if m.Standing == registry.Removed {
 			r |= 1 << 63
 		}
 		if best == nil || r < bestRank {
