Reset a flow once every upstream has returned its packet

Change: a sidecar resets a flow when each listed upstream of every service has returned the packet, the list is at least as new as the balancer's, and the store has been without trouble for 2.2 s; an upstream that was removed and whose sidecar is silent counts as gone.

--- a/exchange/node.go
+++ b/exchange/node.go
@@ -25,6 +25,9 @@
 	listEvery = 4
 	// socketBuffer bounds what waits in the socket, in bytes; it counts as memory of the process.
 	socketBuffer = 1 << 20
+	// settleTime is how long after trouble with the store the list of upstreams
+	// may lack some that live: their entries are back within about two seconds.
+	settleTime = 2200 * time.Millisecond
 )
 
 // Config holds the settings of a Node. All fields but Seeds are required.
@@ -64,6 +67,7 @@
 	snapshot  *registry.Snapshot // never nil
 	made      time.Duration      // when snapshot was made
 	stale     bool               // a heartbeat arrived after the last view
+	trouble   time.Duration      // when the store was last out of reach; negative if never
 	stopping  bool
 	beats     int // heartbeats sent
 	silent    map[registry.Host]bool
@@ -105,7 +109,8 @@
 			Seeds:      cfg.Seeds,
 			Started:    cfg.Timer.Uptime(),
 		}),
-		silent: make(map[registry.Host]bool),
+		trouble: -settleTime,
+		silent:  make(map[registry.Host]bool),
 	}
 	n.snapshot = n.directory.Snapshot(0)
 	return n, nil
@@ -390,7 +395,7 @@
 		return
 	}
 	n.stale = false
-	n.publish()
+	n.publish(now)
 }
 
 // remake makes the snapshot anew. The caller holds the lock.
@@ -398,15 +403,22 @@
 	n.snapshot = n.directory.Snapshot(now)
 	n.made = now
 	n.stale = true
+	if n.members.StoreKnown() && n.members.StoreAge(now) >= membership.FreshStore {
+		n.trouble = now
+	}
 }
 
 // publish hands out the present view. The caller holds the lock.
-func (n *Node) publish() {
-	f := &steer.Fleet{Snapshot: n.snapshot, Sidecars: make(map[registry.Host]steer.Instance)}
+func (n *Node) publish(now time.Duration) {
+	f := &steer.Fleet{
+		Snapshot: n.snapshot,
+		Sidecars: make(map[registry.Host]steer.Instance),
+		Settled:  now-n.trouble >= settleTime,
+	}
 	for _, p := range n.members.Peers(membership.Sidecar) {
 		f.Sidecars[p.Host] = steer.Instance{Load: p.Beat.Load, Heard: p.Heard, Stopping: p.Beat.Stopping}
 	}
-	for _, h := range n.members.Lost(n.cfg.Timer.Uptime()) {
+	for _, h := range n.members.Lost(now) {
 		if _, heard := f.Sidecars[h]; !heard {
 			f.Sidecars[h] = steer.Instance{Stopping: true}
 		}
@@ -423,7 +435,7 @@
 	if res.Routes || res.Upstreams {
 		n.remake(now)
 		n.stale = false
-		n.publish()
+		n.publish(now)
 		n.cfg.Log.Emit(event.RoutesAdopted, from,
 			zap.Uint64("version", n.directory.Version()),
 			zap.Uint64("revision", n.directory.Revision()),
--- a/exchange/reader.go
+++ b/exchange/reader.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/membership"
 	"github.com/corianderbay/corianderbay/registry"
 	"go.uber.org/zap"
 )
@@ -84,6 +85,16 @@
 	return r.node.cfg.Source.Watch(ctx, revision)
 }
 
+// noteTrouble notes that a call failed while no other process has an answer.
+func (n *Node) noteTrouble() {
+	now := n.cfg.Timer.Uptime()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.members.StoreAge(now) >= membership.FreshStore {
+		n.trouble = now
+	}
+}
+
 // failed returns the pause after a failed call.
 func (r *reader) failed(err error) time.Duration {
 	n := r.node
@@ -92,6 +103,7 @@
 		n.cfg.Log.Emit(event.HistoryLost, zap.Uint64("after", history.After))
 		return 0
 	}
+	n.noteTrouble()
 	if !r.lost {
 		r.lost = true
 		n.cfg.Log.Emit(event.StoreLost, zap.Error(err))
--- a/membership/table.go
+++ b/membership/table.go
@@ -138,6 +138,11 @@
 	return now - t.storeSeen
 }
 
+// StoreKnown reports whether the store is known to have answered any process.
+func (t *Table) StoreKnown() bool {
+	return t.storeSeen >= t.cfg.Started
+}
+
 // Reading reports whether the store answered this process within FreshStore.
 func (t *Table) Reading(now time.Duration) bool {
 	return now-t.selfRead < FreshStore
--- a/registry/snapshot.go
+++ b/registry/snapshot.go
@@ -42,6 +42,7 @@
 	idle     time.Duration
 	routes   map[Endpoint]*Route
 	pools    map[ServiceHash]*Pool
+	list     []*Pool // the pools in the order of their services
 	caps     map[string]int
 }
 
@@ -65,8 +66,10 @@
 		}
 	}
 	for _, p := range s.pools {
+		s.list = append(s.list, p)
 		slices.SortFunc(p.Members, func(a, b Member) int { return a.Address.Host.Compare(b.Address.Host) })
 	}
+	slices.SortFunc(s.list, func(a, b *Pool) int { return strings.Compare(a.Service, b.Service) })
 	return s
 }
 
@@ -137,6 +140,11 @@
 	return s.pools[h]
 }
 
+// Pools returns the upstreams of all services. The caller must not change the slice.
+func (s *Snapshot) Pools() []*Pool {
+	return s.list
+}
+
 // Connections returns how many flows an upstream of the service holds, 0 when it is not known.
 func (s *Snapshot) Connections(service string) int {
 	return s.caps[service]
@@ -146,7 +154,7 @@
 // only those of one data centre when its name is not empty.
 func (s *Snapshot) Hosts(dataCentre string) []Host {
 	var hosts []Host
-	for _, p := range s.pools {
+	for _, p := range s.list {
 		for i := range p.Members {
 			m := &p.Members[i]
 			if m.Standing != Removed && (dataCentre == "" || m.DataCentre == dataCentre) {
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -227,16 +227,7 @@
 			return m
 		}
 	}
-	for i := range route.Targets {
-		pool := f.Snapshot.Pool(registry.HashService(route.Targets[i].Service))
-		if pool == nil {
-			continue
-		}
-		if m := c.walk(pool, none); m != nil {
-			return m
-		}
-	}
-	return nil
+	return c.walkAll(f.Snapshot.Pools(), none)
 }
 
 func (b *Balancer) forward(f *Fleet, service string, h registry.Host, unknown bool) Action {
@@ -244,6 +235,7 @@
 		Balancer: b.cfg.Self,
 		Service:  registry.HashService(service),
 		Version:  f.Snapshot.Version(),
+		Revision: f.Snapshot.Revision(),
 		Unknown:  unknown,
 	}}
 }
--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -29,6 +29,9 @@
 	Snapshot *registry.Snapshot
 	// Sidecars has the sidecars that were ever heard.
 	Sidecars map[registry.Host]Instance
+	// Settled is true when the store has answered without trouble for so long
+	// that no living upstream is missing from the list.
+	Settled bool
 }
 
 // alive reports whether the sidecar on a host was heard lately and goes on.
@@ -51,3 +54,16 @@
 	i, known := f.Sidecars[m.Address.Host]
 	return known && i.alive(now) && !i.Load.Silent
 }
+
+// allAsked reports whether each upstream of the pool that may hold a flow has
+// passed the packet on. One that was removed and whose sidecar fell silent is gone.
+func (f *Fleet) allAsked(now time.Duration, p *registry.Pool, h *Header) bool {
+	for i := range p.Members {
+		m := &p.Members[i]
+		gone := m.Standing == registry.Removed && f.silent(now, m.Address.Host)
+		if !gone && !h.visited(m.Address.Host) {
+			return false
+		}
+	}
+	return true
+}
--- a/steer/header.go
+++ b/steer/header.go
@@ -11,7 +11,7 @@
 	// MaxVisited is how many upstreams are asked for one packet.
 	MaxVisited = 64
 
-	headerSize = 20 // bytes before the list of visited hosts
+	headerSize = 28 // bytes before the list of visited hosts
 	hostSize   = 4  // bytes
 
 	flagUnknown = 1 // the balancer did not know the flow
@@ -26,6 +26,8 @@
 	Service registry.ServiceHash
 	// Version is that of the routes that the balancer acted on.
 	Version uint64
+	// Revision is that of the list of upstreams that the balancer acted on.
+	Revision uint64
 	// Unknown is true when the balancer did not know the flow.
 	Unknown bool
 	// Visited lists the hosts that have passed the packet on; at most MaxVisited.
@@ -47,6 +49,7 @@
 	b = append(b, h.Balancer[:]...)
 	b = binary.BigEndian.AppendUint32(b, uint32(h.Service))
 	b = binary.BigEndian.AppendUint64(b, h.Version)
+	b = binary.BigEndian.AppendUint64(b, h.Revision)
 	for i := range h.Visited {
 		b = append(b, h.Visited[i][:]...)
 	}
@@ -68,6 +71,7 @@
 	copy(h.Balancer[:], b[4:8])
 	h.Service = registry.ServiceHash(binary.BigEndian.Uint32(b[8:]))
 	h.Version = binary.BigEndian.Uint64(b[12:])
+	h.Revision = binary.BigEndian.Uint64(b[20:])
 	h.Visited = h.Visited[:0]
 	for i := range n {
 		h.Visited = append(h.Visited, registry.Host(b[headerSize+hostSize*i:]))
--- a/steer/place.go
+++ b/steer/place.go
@@ -63,6 +63,17 @@
 	return near.member
 }
 
+// open returns the upstream to pass a new flow on to, or nil. pool may be nil.
+func (c *chooser) open(pool *registry.Pool, skip func(registry.Host) bool) *registry.Member {
+	if pool == nil {
+		return nil
+	}
+	if m := c.choose(pool, skip); m != nil {
+		return m
+	}
+	return c.unheard(pool, skip)
+}
+
 // offer replaces the best upstream when m is better.
 func (c *chooser) offer(best *choice, m *registry.Member) {
 	n := choice{member: m, cost: c.cost(m), busy: c.busy(m), rank: rank(c.hash, m.Address.Host)}
@@ -116,6 +127,16 @@
 	return best
 }
 
+// walkAll is walk over the pools of several services, one after the other.
+func (c *chooser) walkAll(pools []*registry.Pool, skip func(registry.Host) bool) *registry.Member {
+	for _, p := range pools {
+		if m := c.walk(p, skip); m != nil {
+			return m
+		}
+	}
+	return nil
+}
+
 // unheard returns an upstream when none takes new flows for sure: one that is
 // not known to be leaving, and whose sidecar was never heard. That sidecar
 // passes the flow on if it must.
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -394,16 +394,33 @@
 		pending:    func(registry.Host) int { return 0 },
 	}
 	m := s.next(f, &c, &next, p)
+	if m == nil && s.nobody(now, f, &next, p) {
+		return Refuse{Reason: ReasonUnknownFlow}
+	}
 	if m == nil {
 		return s.none(p, ReasonUnknownFlow)
 	}
 	return Forward{Host: m.Address.Host, Header: next}
 }
 
-// next returns the upstream to pass a packet on to: of its service, then of the
-// others that the route allows.
+// next returns the upstream to pass a packet on to. A new flow goes to the
+// services that its route allows. A later packet goes on to all others: its
+// flow may have been opened under an older version of the route.
 func (s *Sidecar) next(f *Fleet, c *chooser, h *Header, p *Packet) *registry.Member {
-	if m := pick(c, f.Snapshot.Pool(h.Service), h, p); m != nil {
+	if p.Opens() {
+		return s.nextOpening(f, c, h, p)
+	}
+	if pool := f.Snapshot.Pool(h.Service); pool != nil {
+		if m := c.walk(pool, h.visited); m != nil {
+			return m
+		}
+	}
+	return c.walkAll(f.Snapshot.Pools(), h.visited)
+}
+
+// nextOpening returns the upstream to offer a new flow to.
+func (s *Sidecar) nextOpening(f *Fleet, c *chooser, h *Header, p *Packet) *registry.Member {
+	if m := c.open(f.Snapshot.Pool(h.Service), h.visited); m != nil {
 		return m
 	}
 	route := f.Snapshot.Route(p.Destination)
@@ -412,10 +429,7 @@
 	}
 	for i := range route.Targets {
 		hash := registry.HashService(route.Targets[i].Service)
-		if hash == h.Service {
-			continue
-		}
-		if m := pick(c, f.Snapshot.Pool(hash), h, p); m != nil {
+		if m := c.open(f.Snapshot.Pool(hash), h.visited); m != nil {
 			h.Service = hash
 			return m
 		}
@@ -423,19 +437,6 @@
 	return nil
 }
 
-func pick(c *chooser, pool *registry.Pool, h *Header, p *Packet) *registry.Member {
-	if pool == nil {
-		return nil
-	}
-	if !p.Opens() {
-		return c.walk(pool, h.visited)
-	}
-	if m := c.choose(pool, h.visited); m != nil {
-		return m
-	}
-	return c.unheard(pool, h.visited)
-}
-
 // none ends a packet that no upstream took. An opening is refused; for a later
 // packet the upstream may be out of reach, so that it is dropped.
 func (s *Sidecar) none(p *Packet, reason Reason) Action {
@@ -445,6 +446,20 @@
 	return Drop{Reason: reason}
 }
 
+// nobody reports whether it is certain that no upstream holds the flow of a
+// packet: each one that may was asked and returned the packet.
+func (s *Sidecar) nobody(now time.Duration, f *Fleet, h *Header, p *Packet) bool {
+	if !f.Settled || p.Opens() || p.Flags.Has(RST) || h.Revision == 0 || f.Snapshot.Revision() < h.Revision {
+		return false
+	}
+	for _, pool := range f.Snapshot.Pools() {
+		if !f.allAsked(now, pool, h) {
+			return false
+		}
+	}
+	return true
+}
+
 // owes notes that the upstream has to react to a packet.
 func (s *Sidecar) owes(now time.Duration) {
 	s.asked.CompareAndSwap(0, int64(now))
