Greet a process that has just started, and bound the lines of each event

Ruled out: a slow start of the program (settings are read 40 to 140 ms after power). Change: the first heartbeat of an incarnation is answered at once, newly named balancers are told at once; each event has at most 20 lines a second.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -12,6 +12,9 @@
 	"go.uber.org/zap/zapcore"
 )
 
+// linesEach is how many lines a second each event may have in the log.
+const linesEach = 20
+
 // newPlatformCommand returns the processes that run on the users' platform.
 // Their settings come from a file that the platform lays out.
 func newPlatformCommand() *cobra.Command {
@@ -44,7 +47,7 @@
 				Path:        platform.SettingsPath(),
 				Incarnation: newIncarnation(),
 				Timer:       timer.New(timer.Config{}),
-				Log:         event.NewJSON(zapcore.AddSync(cmd.OutOrStdout()), l, name),
+				Log:         event.NewSampled(zapcore.AddSync(cmd.OutOrStdout()), l, name, linesEach),
 			})
 		},
 	}
--- a/event/logger.go
+++ b/event/logger.go
@@ -6,6 +6,8 @@
 package event
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
@@ -42,10 +44,19 @@
 
 // NewJSON returns a Logger that writes one JSON object a line to w, from level up.
 func NewJSON(w zapcore.WriteSyncer, level zapcore.Level, process string) *Logger {
+	return New(Config{Core: newJSONCore(w, level), Process: process})
+}
+
+// NewSampled is like NewJSON, but leaves out what an event has beyond perSecond lines a second.
+func NewSampled(w zapcore.WriteSyncer, level zapcore.Level, process string, perSecond int) *Logger {
+	core := zapcore.NewSamplerWithOptions(newJSONCore(w, level), time.Second, perSecond, 0)
+	return New(Config{Core: core, Process: process})
+}
+
+func newJSONCore(w zapcore.WriteSyncer, level zapcore.Level) zapcore.Core {
 	enc := zap.NewProductionEncoderConfig()
 	enc.EncodeTime = zapcore.ISO8601TimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(w), level)
-	return New(Config{Core: core, Process: process})
+	return zapcore.NewCore(zapcore.NewJSONEncoder(enc), zapcore.Lock(w), level)
 }
 
 // Emit writes the event with its number, its name and the fields.
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -273,7 +273,11 @@
 	if news.Ahead {
 		n.askPeers()
 	}
+	if news.Named {
+		n.Hurry()
+	}
 	if news.Restarted {
+		n.greet(from)
 		n.cfg.Log.Emit(event.PeerStarted, zap.Stringer("peer", from), zap.Stringer("role", b.Role), zap.Uint64("incarnation", b.Incarnation))
 	}
 	switch {
@@ -313,6 +317,24 @@
 func (n *Node) beat() {
 	now := n.cfg.Timer.Uptime()
 	n.mu.Lock()
+	b := n.ownBeat(now, n.beats%listEvery == 0)
+	n.beats++
+	targets := n.members.Targets(now, n.sidecars())
+	n.mu.Unlock()
+	n.sendBeat(&b, targets)
+}
+
+// greet sends a heartbeat to a process that has just started, so that it need not wait for the next one.
+func (n *Node) greet(h registry.Host) {
+	now := n.cfg.Timer.Uptime()
+	n.mu.Lock()
+	b := n.ownBeat(now, true)
+	n.mu.Unlock()
+	n.sendBeat(&b, []registry.Host{h})
+}
+
+// ownBeat returns what this process tells; it names balancers when list is true. The caller holds the lock.
+func (n *Node) ownBeat(now time.Duration, list bool) membership.Beat {
 	b := membership.Beat{
 		Role:        n.cfg.Role,
 		DataCentre:  n.cfg.DataCentre,
@@ -324,22 +346,24 @@
 		Stopping:    n.stopping,
 		Load:        n.cfg.Load(now),
 	}
-	if n.beats%listEvery == 0 {
+	if list {
 		b.Balancers = n.members.Balancers(now)
 	}
 	if n.cfg.Role == membership.Balancer {
 		b.Lost = n.members.Lost(now)
 	}
-	n.beats++
-	targets := n.members.Targets(now, n.sidecars())
-	n.mu.Unlock()
+	return b
+}
+
+// sendBeat sends a heartbeat to the processes on hosts.
+func (n *Node) sendBeat(b *membership.Beat, hosts []registry.Host) {
 	body, err := wire.Encode(b)
 	if err != nil {
 		n.cfg.Log.Emit(event.DatagramUnusable, zap.Error(err))
 		return
 	}
 	datagram := append([]byte{byte(kindBeat)}, body...)
-	for _, h := range targets {
+	for _, h := range hosts {
 		n.Send(datagram, h)
 	}
 }
--- a/membership/table.go
+++ b/membership/table.go
@@ -80,6 +80,8 @@
 	Restarted bool
 	// Ahead is true when the sender has newer routes or upstreams than the given ones.
 	Ahead bool
+	// Named is true when the beat names balancers that were not known before.
+	Named bool
 }
 
 // Heard takes in a beat. version and revision are what this process has.
@@ -99,9 +101,12 @@
 	p.Beat, p.Heard = b, now
 	t.storeSeen = max(t.storeSeen, now-b.StoreAge)
 	for _, h := range b.Balancers {
-		if h != t.cfg.Self {
-			t.named[h] = now
+		if h == t.cfg.Self {
+			continue
 		}
+		_, known := t.named[h]
+		news.Named = news.Named || !known && t.peers[h] == nil
+		t.named[h] = now
 	}
 	for _, h := range b.Lost {
 		t.lost[h] = now
