Let new flows leave a crowded upstream at once

Ruled out: resets of our own (every flow-refused line was an unknown flow); cold starts (all restarted alike). Change: the queue of an upstream counts requests under way and flows placed since its last heartbeat; a far upstream is taken when the near one has four more waiting; a sidecar passes one opening on for the same reason; loads are told out of turn when they change by four requests.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -12,8 +12,8 @@
 	"go.uber.org/zap/zapcore"
 )
 
-// linesEach is how many lines a second each event may have in the log.
-const linesEach = 20
+// defaultLines is how many lines a second each event may have in the log.
+const defaultLines = 20
 
 // newPlatformCommand returns the processes that run on the users' platform.
 // Their settings come from a file that the platform lays out.
@@ -32,7 +32,7 @@
 }
 
 func platformRole(name, short string, run func(context.Context, platform.Config) error) *cobra.Command {
-	level := "info"
+	level, lines := "info", defaultLines
 	cmd := &cobra.Command{
 		Use:     name,
 		Short:   short,
@@ -47,11 +47,12 @@
 				Path:        platform.SettingsPath(),
 				Incarnation: newIncarnation(),
 				Timer:       timer.New(timer.Config{}),
-				Log:         event.NewSampled(zapcore.AddSync(cmd.OutOrStdout()), l, name, linesEach),
+				Log:         event.NewSampled(zapcore.AddSync(cmd.OutOrStdout()), l, name, lines),
 			})
 		},
 	}
 	cmd.Flags().StringVar(&level, "log-level", level, "least level of the events that are logged")
+	cmd.Flags().IntVar(&lines, "log-lines", lines, "lines that each event may have in the log (lines a second)")
 	return cmd
 }
 
--- a/edge/counts.go
+++ b/edge/counts.go
@@ -34,3 +34,11 @@
 	}
 	log.Emit(n, append(all, fields...)...)
 }
+
+// logReset writes an event about a flow that the upstream reset with packet p.
+func logReset(log *event.Logger, p *steer.Packet) {
+	log.Emit(event.UpstreamReset,
+		zap.Stringer("caller", p.Destination),
+		zap.Stringer("address", p.Source),
+		zap.Uint32("sequence", p.Sequence))
+}
--- a/edge/sidecar.go
+++ b/edge/sidecar.go
@@ -20,6 +20,8 @@
 const (
 	// noticeEvery is how often balancers are told of new flows.
 	noticeEvery = 50 * time.Millisecond
+	// hurryBy is by how many requests the load changes until others are told out of turn.
+	hurryBy = 4
 	// busyWindow is over how long the mean number of requests is taken.
 	busyWindow = time.Second
 )
@@ -79,6 +81,7 @@
 		return nil, err
 	}
 	nc := cfg.node(membership.Sidecar, s.heartbeat)
+	nc.Service = registry.HashService(cfg.Service)
 	nc.Handler = (*sidecarHandler)(s)
 	nc.Refresh = s.decide.SetFleet
 	nc.Load = s.load
@@ -137,6 +140,7 @@
 	sub := s.cfg.Timer.Every(noticeEvery)
 	defer sub.Stop()
 	var expired time.Duration
+	told := 0 // requests that waited when others were last told out of turn
 	silent := false
 	for {
 		select {
@@ -146,6 +150,10 @@
 		}
 		now := s.cfg.Timer.Uptime()
 		s.measure()
+		if active := s.decide.Active(); active-told >= hurryBy || told-active >= hurryBy {
+			told = active
+			s.node.Hurry()
+		}
 		s.sendNotices()
 		if now-expired >= expireEvery {
 			expired = now
@@ -205,6 +213,9 @@
 		return
 	}
 	s.act(s.decide.FromUpstream(s.cfg.Timer.Uptime(), p), d, &s.fromUpstream)
+	if p.Flags.Has(steer.RST) && !p.Flags.Has(steer.Returned) {
+		logReset(s.cfg.Log, p)
+	}
 }
 
 // act does what was decided for the packet d.
--- a/event/edge.go
+++ b/event/edge.go
@@ -23,6 +23,7 @@
 	FlowRefused      Number = 7041
 	PacketPassed     Number = 7042
 	PacketDropped    Number = 7043
+	UpstreamReset    Number = 7044
 	UpstreamSilent   Number = 7050
 	UpstreamReacts   Number = 7051
 )
@@ -48,6 +49,7 @@
 		{FlowRefused, "flow-refused", zapcore.WarnLevel, "A flow was reset; the fields say which and why.", "See docs/OPERATIONS.md for the reasons."},
 		{PacketPassed, "packet-passed", zapcore.InfoLevel, "The upstream did not take a packet, and the next one is asked.", "None."},
 		{PacketDropped, "packet-dropped", zapcore.InfoLevel, "A packet was discarded; the fields say why.", "None."},
+		{UpstreamReset, "upstream-reset", zapcore.InfoLevel, "The upstream itself reset a flow.", "Look at the upstream when it repeats."},
 		{UpstreamSilent, "upstream-silent", zapcore.WarnLevel, "The upstream does not react to what is delivered to it; it gets no new flows.", "Look at the upstream."},
 		{UpstreamReacts, "upstream-reacts", zapcore.InfoLevel, "The upstream reacts again.", "None."},
 	}
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -41,6 +41,8 @@
 	Seeds []registry.Host
 	// Source is read when this process is to read for the others.
 	Source Source
+	// Service is that of the upstream beside a sidecar.
+	Service registry.ServiceHash
 	// Load returns what a sidecar tells of its upstream.
 	Load func(now time.Duration) membership.Load
 	// Refresh is called with each new view.
@@ -375,7 +377,11 @@
 	if n.cfg.Role == membership.Balancer {
 		return n.snapshot.Hosts("")
 	}
-	return n.snapshot.Hosts(n.cfg.DataCentre)
+	hosts := n.snapshot.Hosts(n.cfg.DataCentre)
+	if pool := n.snapshot.Pool(n.cfg.Service); pool != nil {
+		hosts = append(hosts, pool.Hosts()...)
+	}
+	return hosts
 }
 
 // watchPeers logs which processes fell silent or are heard again.
--- a/registry/snapshot.go
+++ b/registry/snapshot.go
@@ -34,6 +34,17 @@
 	Members []Member
 }
 
+// Hosts returns the hosts of the upstreams that are not removed.
+func (p *Pool) Hosts() []Host {
+	var hosts []Host
+	for i := range p.Members {
+		if p.Members[i].Standing != Removed {
+			hosts = append(hosts, p.Members[i].Address.Host)
+		}
+	}
+	return hosts
+}
+
 // Snapshot is what a process acts on until the next one. It is immutable and
 // safe for concurrent use.
 type Snapshot struct {
--- a/steer/place.go
+++ b/steer/place.go
@@ -14,12 +14,15 @@
 	warmupFlows = 6
 	// refusingFlows is how many more flows an upstream that returns openings counts for.
 	refusingFlows = 64
-	// crowded is the mean number of requests for each slot, in thousandths, from
+	// crowdedBusy is the mean number of requests for each slot, in thousandths, from
 	// which upstreams of other data centres are considered.
-	crowded = 900
+	crowdedBusy = 900
 	// farMargin is by how much, in thousandths of a slot, an upstream of another
-	// data centre must be less busy.
+	// data centre must then be less busy.
 	farMargin = 300
+	// crowdedQueue is how many requests wait at an upstream, beyond its slots, when
+	// another one is considered: they take longer than the way to another data centre.
+	crowdedQueue = 4
 )
 
 // chooser compares the upstreams of a pool for one new flow.
@@ -36,7 +39,6 @@
 type choice struct {
 	member *registry.Member // nil when there is none
 	cost   int
-	busy   int // thousandths of a slot
 	rank   uint64
 }
 
@@ -54,29 +56,24 @@
 			c.offer(&far, m)
 		}
 	}
-	switch {
-	case near.member == nil:
-		return far.member
-	case far.member != nil && near.busy >= crowded && far.busy+farMargin <= near.busy:
+	if near.member == nil || far.member != nil && c.relieves(far.member, near.member) {
 		return far.member
 	}
 	return near.member
 }
 
-// open returns the upstream to pass a new flow on to, or nil. pool may be nil.
-func (c *chooser) open(pool *registry.Pool, skip func(registry.Host) bool) *registry.Member {
-	if pool == nil {
-		return nil
-	}
-	if m := c.choose(pool, skip); m != nil {
-		return m
+// relieves reports whether an upstream of another data centre serves a new flow
+// better than the best near one: that one is crowded, and this one is less so.
+func (c *chooser) relieves(far, near *registry.Member) bool {
+	if c.busy(near) >= crowdedBusy && c.busy(far)+farMargin <= c.busy(near) {
+		return true
 	}
-	return c.unheard(pool, skip)
+	return c.queue(near) >= crowdedQueue && c.queue(far)+crowdedQueue <= c.queue(near)
 }
 
 // offer replaces the best upstream when m is better.
 func (c *chooser) offer(best *choice, m *registry.Member) {
-	n := choice{member: m, cost: c.cost(m), busy: c.busy(m), rank: rank(c.hash, m.Address.Host)}
+	n := choice{member: m, cost: c.cost(m), rank: rank(c.hash, m.Address.Host)}
 	if best.member == nil || n.cost < best.cost || n.cost == best.cost && n.rank < best.rank {
 		*best = n
 	}
@@ -86,7 +83,7 @@
 func (c *chooser) cost(m *registry.Member) int {
 	host := m.Address.Host
 	load := c.fleet.Sidecars[host].Load
-	flows := load.Flows + c.pending(host) + waitingWeight*max(0, load.Active-m.Slots)
+	flows := load.Flows + c.pending(host) + waitingWeight*max(0, c.queue(m))
 	if m.Warmup > 0 {
 		flows += warmupFlows
 	}
@@ -96,11 +93,28 @@
 	return 1000 * flows / max(1, m.Slots)
 }
 
+// queue returns how many requests wait beyond the slots of an upstream. Each new flow brings one.
+func (c *chooser) queue(m *registry.Member) int {
+	host := m.Address.Host
+	return c.fleet.Sidecars[host].Load.Active + c.pending(host) - m.Slots
+}
+
 // busy returns the mean number of requests for each slot, in thousandths.
 func (c *chooser) busy(m *registry.Member) int {
 	return c.fleet.Sidecars[m.Address.Host].Load.Busy / max(1, m.Slots)
 }
 
+// open returns the upstream to pass a new flow on to, or nil. pool may be nil.
+func (c *chooser) open(pool *registry.Pool, skip func(registry.Host) bool) *registry.Member {
+	if pool == nil {
+		return nil
+	}
+	if m := c.choose(pool, skip); m != nil {
+		return m
+	}
+	return c.unheard(pool, skip)
+}
+
 // walk returns the next upstream to ask for a flow that nobody remembers: the
 // near ones first, each in the flow's own order, and removed ones last. Sidecars that fell silent are
 // left out. It returns nil when all were asked.
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -181,6 +181,9 @@
 	if !s.takes(now, h, p) {
 		return s.passOn(now, h, p)
 	}
+	if a := s.relieve(now, h, p); a != nil {
+		return a
+	}
 	sh.flows[k] = local{stage: stageOpening, balancer: h.Balancer, next: p.Sequence, last: now}
 	s.flows.Add(1)
 	s.owes(now)
@@ -210,6 +213,37 @@
 	return route != nil && route.Allows(s.cfg.Service)
 }
 
+// relieve passes a new flow on when requests wait at the own upstream and
+// clearly fewer at another one. It returns nil when the flow is to stay. A flow
+// is passed on for this reason only once.
+func (s *Sidecar) relieve(now time.Duration, h *Header, p *Packet) Action {
+	f := s.fleet.Load()
+	if f == nil || len(h.Visited) > 0 {
+		return nil
+	}
+	own, listed := f.Snapshot.Member(s.service, s.cfg.Self)
+	if !listed || s.Active()-own.Slots < crowdedQueue {
+		return nil
+	}
+	c := s.chooser(now, f, p)
+	other := c.choose(f.Snapshot.Pool(s.service), func(host registry.Host) bool { return host == s.cfg.Self })
+	if other == nil || c.queue(other)+crowdedQueue > s.Active()-own.Slots {
+		return nil
+	}
+	return Forward{Host: other.Address.Host, Header: h.WithVisited(s.cfg.Self)}
+}
+
+// chooser returns the comparison of upstreams for a packet.
+func (s *Sidecar) chooser(now time.Duration, f *Fleet, p *Packet) chooser {
+	return chooser{
+		fleet:      f,
+		now:        now,
+		hash:       p.CallerKey().Hash(),
+		dataCentre: s.cfg.DataCentre,
+		pending:    func(registry.Host) int { return 0 },
+	}
+}
+
 // ask delivers a packet of an unknown flow: the upstream knows better.
 func (s *Sidecar) ask(now time.Duration, sh *sidecarShard, k Key, h *Header) Action {
 	sh.flows[k] = local{stage: stageAsked, balancer: h.Balancer, last: now}
@@ -386,13 +420,7 @@
 		return Drop{Reason: ReasonStarting}
 	}
 	next := h.WithVisited(s.cfg.Self)
-	c := chooser{
-		fleet:      f,
-		now:        now,
-		hash:       p.CallerKey().Hash(),
-		dataCentre: s.cfg.DataCentre,
-		pending:    func(registry.Host) int { return 0 },
-	}
+	c := s.chooser(now, f, p)
 	m := s.next(f, &c, &next, p)
 	if m == nil && s.nobody(now, f, &next, p) {
 		return Refuse{Reason: ReasonUnknownFlow}
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -316,3 +316,34 @@
 	must.Eq(t, 0, s.Flows())
 	must.Eq(t, 0, s.Active())
 }
+
+// TestBurstLeavesACrowdedUpstream opens many flows at once through one balancer
+// that hears no load in between: requests in time depend on how deep the deepest queue is.
+func TestBurstLeavesACrowdedUpstream(t *testing.T) {
+	w := newWorld(1, service, service, service) // two near, one far
+	for n := range 60 {
+		w.send(0, opening(caller(n)))
+	}
+	for i, s := range w.sites {
+		must.Between(t, 15, s.taken, 25, must.Sprintf("site %d took %d of 60", i, s.taken))
+	}
+}
+
+// TestCrowdedSidecarPassesNewFlowsOn has a balancer that does not know yet how many requests wait.
+func TestCrowdedSidecarPassesNewFlowsOn(t *testing.T) {
+	w := newWorld(1, service, service)
+	stale := &steer.Fleet{
+		Snapshot: w.directory.Snapshot(w.now),
+		Sidecars: map[registry.Host]steer.Instance{w.sites[0].host: {Heard: w.now}},
+		Settled:  true,
+	}
+	for n := range 10 {
+		w.balancers[0].SetFleet(stale)
+		w.balancers[0].LoadHeard(w.sites[0].host)
+		at := w.send(0, opening(caller(n)))
+		w.send(0, w.request(caller(n), at))
+		w.refresh()
+	}
+	must.Eq(t, 10, w.sites[0].sidecar.Active()+w.sites[1].sidecar.Active())
+	must.Between(t, 2, w.sites[1].sidecar.Active(), 5)
+}
