Send heartbeats to other data centres once a second, and read the store with one process

Ruled out: fewer fields alone (zero values are left out now, too). Change: far processes get every fourth heartbeat, and all when something changed, and count as lost after 2.35 s; one balancer reads the store, the next takes over when it is gone or has no answers.

--- a/exchange/node.go
+++ b/exchange/node.go
@@ -186,7 +186,7 @@
 	n.mu.Lock()
 	n.stopping = true
 	n.mu.Unlock()
-	n.beat()
+	n.beat(true)
 }
 
 // SetSeeds replaces the seeds.
@@ -308,20 +308,24 @@
 		now := n.cfg.Timer.Uptime()
 		if hurry || now-last >= membership.BeatInterval-tick/2 {
 			last = now
-			n.beat()
+			n.beat(hurry)
 			n.watchPeers(now)
 		}
 		n.refresh(now)
 	}
 }
 
-// beat sends a heartbeat to all others.
-func (n *Node) beat() {
+// beat sends a heartbeat to the processes of this data centre, and to all when
+// that is due or urgent.
+func (n *Node) beat(urgent bool) {
 	now := n.cfg.Timer.Uptime()
 	n.mu.Lock()
 	b := n.ownBeat(now, n.beats%listEvery == 0)
-	n.beats++
 	targets := n.members.Targets(now, n.sidecars())
+	if !urgent && n.beats%membership.FarEvery != 0 {
+		targets = n.members.Near(targets)
+	}
+	n.beats++
 	n.mu.Unlock()
 	n.sendBeat(&b, targets)
 }
@@ -446,7 +450,12 @@
 		Settled:  now-n.trouble >= settleTime,
 	}
 	for _, p := range n.members.Peers(membership.Sidecar) {
-		f.Sidecars[p.Host] = steer.Instance{Load: p.Beat.Load, Heard: p.Heard, Stopping: p.Beat.Stopping}
+		f.Sidecars[p.Host] = steer.Instance{
+			Load:     p.Beat.Load,
+			Heard:    p.Heard,
+			Patience: membership.Patience(p.Beat.DataCentre, n.cfg.DataCentre),
+			Stopping: p.Beat.Stopping,
+		}
 	}
 	for _, h := range n.members.Lost(now) {
 		if _, heard := f.Sidecars[h]; !heard {
--- a/membership/beat.go
+++ b/membership/beat.go
@@ -30,38 +30,38 @@
 // Load is what a sidecar tells of its upstream.
 type Load struct {
 	// Flows is how many flows are open or opening.
-	Flows int `msgpack:"f"`
+	Flows int `msgpack:"f,omitempty"`
 	// Active is how many requests wait for an answer.
-	Active int `msgpack:"a"`
+	Active int `msgpack:"a,omitempty"`
 	// Busy is the mean of Active over the last second, in thousandths.
-	Busy int `msgpack:"b"`
+	Busy int `msgpack:"b,omitempty"`
 	// Silent is true when the upstream has not reacted to what was delivered to it.
-	Silent bool `msgpack:"s"`
+	Silent bool `msgpack:"s,omitempty"`
 	// Refusing is true when the upstream lately returned openings.
-	Refusing bool `msgpack:"r"`
+	Refusing bool `msgpack:"r,omitempty"`
 }
 
 // Beat is a heartbeat.
 type Beat struct {
-	Role       Role   `msgpack:"r"`
-	DataCentre string `msgpack:"d"`
+	Role       Role   `msgpack:"r,omitempty"`
+	DataCentre string `msgpack:"d,omitempty"`
 	// Incarnation differs each time the process starts.
-	Incarnation uint64 `msgpack:"i"`
+	Incarnation uint64 `msgpack:"i,omitempty"`
 	// Version and Revision are what the sender has of routes and upstreams.
-	Version  uint64 `msgpack:"v"`
-	Revision uint64 `msgpack:"n"`
+	Version  uint64 `msgpack:"v,omitempty"`
+	Revision uint64 `msgpack:"n,omitempty"`
 	// StoreAge is how long ago the sender, or a process that it heard of, had an answer of the store.
-	StoreAge time.Duration `msgpack:"a"`
+	StoreAge time.Duration `msgpack:"a,omitempty"`
 	// Reading is true when the sender itself had an answer of the store within FreshStore.
-	Reading bool `msgpack:"g"`
+	Reading bool `msgpack:"g,omitempty"`
 	// Stopping is true when the process is about to end.
-	Stopping bool `msgpack:"s"`
+	Stopping bool `msgpack:"s,omitempty"`
 	// Load is valid in beats of sidecars.
-	Load Load `msgpack:"l"`
+	Load Load `msgpack:"l,omitempty"`
 	// Balancers lists balancers that the sender believes to be alive. It is empty in most beats.
-	Balancers []registry.Host `msgpack:"b"`
+	Balancers []registry.Host `msgpack:"b,omitempty"`
 	// Lost lists sidecars that a balancer heard once and does not hear any more.
-	Lost []registry.Host `msgpack:"x"`
+	Lost []registry.Host `msgpack:"x,omitempty"`
 }
 
 // Check reports *BeatError when the beat cannot be used.
--- a/membership/table.go
+++ b/membership/table.go
@@ -13,14 +13,20 @@
 	BeatInterval = 250 * time.Millisecond
 	// SuspectAfter is the silence after which a process gets no new flows: two beats lost in a row.
 	SuspectAfter = 650 * time.Millisecond
+	// FarEvery is how many heartbeats go by between two to other data centres,
+	// where each byte costs more.
+	FarEvery = 4
+	// farSuspectAfter is SuspectAfter for processes of other data centres.
+	farSuspectAfter = FarEvery*SuspectAfter - BeatInterval
 	// forgetAfter is the silence after which a process is forgotten.
 	forgetAfter = 20 * time.Second
 
 	// FreshStore is the age up to which the state of the store counts as known.
 	// It leaves most of the three seconds within which changes must be in force.
 	FreshStore = 1500 * time.Millisecond
-	// readers is how many balancers read the store for all.
-	readers = 2
+	// readers is how many balancers read the store for all. Another one takes over
+	// as soon as it hears that the first one is gone or has no answers.
+	readers = 1
 )
 
 // Config holds the settings of a Table.
@@ -42,8 +48,17 @@
 }
 
 // alive reports whether the process was heard lately and goes on.
-func (p *Peer) alive(now time.Duration) bool {
-	return now-p.Heard < SuspectAfter && !p.Beat.Stopping
+func (p *Peer) alive(now time.Duration, dataCentre string) bool {
+	return now-p.Heard < Patience(p.Beat.DataCentre, dataCentre) && !p.Beat.Stopping
+}
+
+// Patience returns after how much silence a process of data centre a counts as
+// lost in data centre b.
+func Patience(a, b string) time.Duration {
+	if a == b {
+		return SuspectAfter
+	}
+	return farSuspectAfter
 }
 
 // Table holds the other processes. It is not safe for concurrent use.
@@ -119,12 +134,12 @@
 func (t *Table) Lost(now time.Duration) []registry.Host {
 	var hosts []registry.Host
 	for _, p := range t.peers {
-		if p.Beat.Role == Sidecar && !p.alive(now) {
+		if p.Beat.Role == Sidecar && !p.alive(now, t.cfg.DataCentre) {
 			hosts = append(hosts, p.Host)
 		}
 	}
 	for h, at := range t.lost {
-		if t.peers[h] == nil && now-at < SuspectAfter {
+		if t.peers[h] == nil && now-at < farSuspectAfter {
 			hosts = append(hosts, h)
 		}
 	}
@@ -156,7 +171,7 @@
 // Alive reports whether the process on a host was heard lately and goes on.
 func (t *Table) Alive(now time.Duration, h registry.Host) bool {
 	p := t.peers[h]
-	return p != nil && p.alive(now)
+	return p != nil && p.alive(now, t.cfg.DataCentre)
 }
 
 // Peer returns what is known of the process on a host, or nil.
@@ -183,7 +198,7 @@
 		hosts = append(hosts, t.cfg.Self)
 	}
 	for _, p := range t.peers {
-		if p.Beat.Role == Balancer && p.alive(now) {
+		if p.Beat.Role == Balancer && p.alive(now, t.cfg.DataCentre) {
 			hosts = append(hosts, p.Host)
 		}
 	}
@@ -191,6 +206,14 @@
 	return hosts
 }
 
+// Near leaves processes out that are known to be in another data centre.
+func (t *Table) Near(hosts []registry.Host) []registry.Host {
+	return slices.DeleteFunc(hosts, func(h registry.Host) bool {
+		p := t.peers[h]
+		return p != nil && p.Beat.DataCentre != t.cfg.DataCentre
+	})
+}
+
 // Targets returns the hosts to send heartbeats to: seeds, known processes and
 // the given sidecars.
 func (t *Table) Targets(now time.Duration, sidecars []registry.Host) []registry.Host {
@@ -224,7 +247,7 @@
 		}
 	}
 	for h, at := range t.lost {
-		if now-at >= SuspectAfter {
+		if now-at >= farSuspectAfter {
 			delete(t.lost, h)
 		}
 	}
@@ -250,7 +273,7 @@
 	own := readerHash(t.cfg.Self)
 	before := 0
 	for _, p := range t.peers {
-		if p.Beat.Role != Balancer || !p.alive(now) {
+		if p.Beat.Role != Balancer || !p.alive(now, t.cfg.DataCentre) {
 			continue
 		}
 		if p.Beat.Reading && readerHash(p.Host) < own {
@@ -269,7 +292,7 @@
 func (t *Table) Newest(now time.Duration, version, revision uint64, failed registry.Host) *Peer {
 	var best *Peer
 	for _, p := range t.peers {
-		if now-p.Heard >= SuspectAfter || p.Beat.Version <= version && p.Beat.Revision <= revision {
+		if now-p.Heard >= Patience(p.Beat.DataCentre, t.cfg.DataCentre) || p.Beat.Version <= version && p.Beat.Revision <= revision {
 			continue
 		}
 		if best == nil || t.better(p, best, failed) {
--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -13,13 +13,15 @@
 	Load membership.Load
 	// Heard is when the sidecar was last heard.
 	Heard time.Duration
+	// Patience is the silence after which the sidecar counts as lost.
+	Patience time.Duration
 	// Stopping is true when the sidecar is about to end.
 	Stopping bool
 }
 
 // alive reports whether the sidecar was heard lately and goes on.
 func (i Instance) alive(now time.Duration) bool {
-	return !i.Stopping && now-i.Heard < membership.SuspectAfter
+	return !i.Stopping && now-i.Heard < i.Patience
 }
 
 // Fleet is the routes, the upstreams and their sidecars as of one moment. It
