--- a/exchange/reader.go
+++ b/exchange/reader.go
@@ -106,6 +106,7 @@
 	n.noteTrouble()
 	if !r.lost {
 		r.lost = true
+		n.Hurry()
 		n.cfg.Log.Emit(event.StoreLost, zap.Error(err))
 	}
 	r.backoff = min(max(firstBackoff, 2*r.backoff), lastBackoff)
