Test the protocol between processes over loopback sockets

Cause: package exchange had no test of its own; the wake after a pause was not tested at all. Ruled out: virtual time, since sockets are real; each wait ends with what is awaited, none is timed. Change: tests of pulls between peers with the store shut, of flows and packets in datagrams, junk, a process that woke, stopping, a taken address and a store that comes back.

--- /dev/null
+++ b/exchange/node_test.go
@@ -0,0 +1,291 @@
+package exchange_test
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/exchange"
+	"github.com/corianderbay/corianderbay/membership"
+	"github.com/corianderbay/corianderbay/registry"
+	"github.com/corianderbay/corianderbay/steer"
+	"github.com/corianderbay/corianderbay/timer"
+	"github.com/shoenig/test/must"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap/zapcore"
+)
+
+const (
+	port    = 23720
+	service = "fitting"
+)
+
+// memory is a store in memory. It answers nobody while it is down.
+type memory struct {
+	mu    sync.Mutex
+	now   registry.Update
+	down  bool
+	calls int
+}
+
+type downError struct{}
+
+func (downError) Error() string { return "the store is down" }
+
+func (m *memory) Read(context.Context) (registry.Update, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.calls++
+	if m.down {
+		return registry.Update{}, downError{}
+	}
+	return m.now, nil
+}
+
+func (m *memory) Watch(ctx context.Context, after uint64) (registry.Update, error) {
+	for range 20 {
+		m.mu.Lock()
+		u, down := m.now, m.down
+		m.mu.Unlock()
+		if down {
+			return registry.Update{}, downError{}
+		}
+		if u.Revision > after {
+			return registry.Update{}, &exchange.HistoryError{After: after}
+		}
+		select {
+		case <-ctx.Done():
+			return registry.Update{}, ctx.Err()
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	return registry.Update{From: after, Revision: after}, nil
+}
+
+// set publishes a version with upstreams on hosts.
+func (m *memory) set(version uint64, hosts ...registry.Host) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.now = registry.Update{Whole: true, Revision: version, Routes: &registry.Routes{Version: version}}
+	for _, h := range hosts {
+		m.now.Changes = append(m.now.Changes, registry.Change{Key: h.String(), Revision: version, Upstream: &registry.Upstream{
+			ID: h.String(), Service: service, Address: registry.Endpoint{Host: h, Port: 80}, DataCentre: "a", Slots: 2,
+		}})
+	}
+}
+
+func (m *memory) fail(down bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.down = down
+}
+
+// process is a node with what it was told.
+type process struct {
+	node *exchange.Node
+	stop context.CancelFunc
+
+	mu        sync.Mutex
+	fleet     *steer.Fleet
+	held      map[steer.Key]registry.Host
+	restarted map[registry.Host]int
+	forwarded []string
+}
+
+func hostOf(n int) registry.Host {
+	return registry.Host{127, byte(64 + os.Getpid()%128), 9, byte(n)}
+}
+
+func start(t *testing.T, n int, role membership.Role, source exchange.Source, pauseAfter time.Duration) *process {
+	t.Helper()
+	p := &process{held: make(map[steer.Key]registry.Host), restarted: make(map[registry.Host]int)}
+	tm := timer.New(timer.Config{PauseAfter: pauseAfter})
+	hb := timer.NewHeartbeat(tm)
+	node, err := exchange.Open(exchange.Config{
+		Role:        role,
+		DataCentre:  "a",
+		Listen:      netip.AddrPortFrom(hostOf(n).Addr(), port),
+		Incarnation: uint64(n),
+		Seeds:       []registry.Host{hostOf(1)},
+		Source:      source,
+		Service:     registry.HashService(service),
+		Load:        func(time.Duration) membership.Load { return membership.Load{Flows: n} },
+		Refresh: func(f *steer.Fleet) {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.fleet = f
+		},
+		Handler:   p,
+		Timer:     tm,
+		Heartbeat: hb,
+		Log:       event.NewJSON(zapcore.AddSync(io.Discard), zapcore.DebugLevel, "test"),
+	})
+	must.NoError(t, err)
+	p.node = node
+	ctx, cancel := context.WithCancel(context.Background())
+	p.stop = cancel
+	var wg conc.WaitGroup
+	wg.Go(func() { hb.Run(ctx) })
+	wg.Go(func() { node.Run(ctx) })
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	return p
+}
+
+func (p *process) Forwarded(_ *steer.Header, b []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forwarded = append(p.forwarded, string(b))
+}
+
+func (p *process) Held(k steer.Key, host registry.Host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held[k] = host
+}
+
+func (p *process) Restarted(h registry.Host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.restarted[h]++
+}
+
+func (p *process) Told(registry.Host) {}
+
+// await waits until cond holds.
+func await(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	for range 1000 {
+		if cond() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("waited in vain until %s", what)
+}
+
+func (p *process) hears(h registry.Host) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.fleet == nil {
+		return false
+	}
+	_, ok := p.fleet.Sidecars[h]
+	return ok
+}
+
+func (p *process) version() uint64 {
+	v, _ := p.node.Version()
+	return v
+}
+
+// TestNewsTravelWithoutTheStore lets one process read, and others learn from it.
+func TestNewsTravelWithoutTheStore(t *testing.T) {
+	open, shut := new(memory), &memory{down: true}
+	open.set(3, hostOf(3), hostOf(4))
+	first := start(t, 1, membership.Balancer, open, 0)
+	second := start(t, 2, membership.Balancer, shut, 0)
+	sidecar := start(t, 3, membership.Sidecar, shut, 0)
+	await(t, "all have version 3", func() bool {
+		return first.version() == 3 && second.version() == 3 && sidecar.version() == 3
+	})
+	await(t, "the second balancer hears the sidecar", func() bool { return second.hears(hostOf(3)) })
+	open.set(4, hostOf(3))
+	await(t, "all have version 4", func() bool {
+		return second.version() == 4 && sidecar.version() == 4
+	})
+	_, revision := sidecar.node.Version()
+	must.Eq(t, uint64(4), revision)
+}
+
+// TestFlowsAndPacketsTravel sends each kind of datagram.
+func TestFlowsAndPacketsTravel(t *testing.T) {
+	m := new(memory)
+	m.set(1, hostOf(2))
+	b := start(t, 1, membership.Balancer, m, 0)
+	s := start(t, 2, membership.Sidecar, m, 0)
+	await(t, "they hear each other", func() bool { return b.hears(hostOf(2)) && len(s.node.Balancers()) == 1 })
+	var keys []steer.Key
+	for n := range 250 {
+		keys = append(keys, steer.Key{Caller: registry.Endpoint{Port: uint16(n + 1)}})
+	}
+	s.node.TellFlows(keys, s.node.Balancers())
+	await(t, "250 flows are known", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(b.held) == 250 && b.held[keys[7]] == hostOf(2)
+	})
+	h := steer.Header{Balancer: hostOf(1), Visited: []registry.Host{hostOf(9)}}
+	b.node.Send(append(exchange.AppendForward(nil, &h), "packet"...), hostOf(2))
+	for _, junk := range []string{"", "\x01", "\x01\xc1", "\x02short", "\x03", "\x09what"} {
+		b.node.Send([]byte(junk), hostOf(2))
+	}
+	await(t, "the packet arrives", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.forwarded) == 1 && s.forwarded[0] == "packet"
+	})
+}
+
+// TestProcessThatWokeIsToldAgain pauses a balancer, as far as its clock can tell.
+func TestProcessThatWokeIsToldAgain(t *testing.T) {
+	m := new(memory)
+	m.set(1, hostOf(2))
+	// Every heartbeat of this process seems to come after a pause.
+	start(t, 1, membership.Balancer, m, time.Nanosecond)
+	s := start(t, 2, membership.Sidecar, m, 0)
+	await(t, "the sidecar sees several starts", func() bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return s.restarted[hostOf(1)] >= 2
+	})
+}
+
+// TestStoppingProcessIsLost tells others that a sidecar ends.
+func TestStoppingProcessIsLost(t *testing.T) {
+	m := new(memory)
+	m.set(1, hostOf(2))
+	b := start(t, 1, membership.Balancer, m, 0)
+	s := start(t, 2, membership.Sidecar, m, 0)
+	await(t, "it is heard", func() bool { return b.hears(hostOf(2)) })
+	s.node.Stop()
+	await(t, "it is known to stop", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return b.fleet.Sidecars[hostOf(2)].Stopping
+	})
+}
+
+// TestTakenAddressIsReported binds an address twice.
+func TestTakenAddressIsReported(t *testing.T) {
+	m := new(memory)
+	start(t, 1, membership.Balancer, m, 0)
+	tm := timer.New(timer.Config{})
+	_, err := exchange.Open(exchange.Config{
+		Listen:    netip.AddrPortFrom(hostOf(1).Addr(), port),
+		Timer:     tm,
+		Heartbeat: timer.NewHeartbeat(tm),
+	})
+	must.Error(t, err)
+}
+
+// TestReaderRetries has a store that comes back.
+func TestReaderRetries(t *testing.T) {
+	m := &memory{down: true}
+	m.set(5)
+	b := start(t, 1, membership.Balancer, m, 0)
+	await(t, "it has tried", func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.calls >= 2
+	})
+	m.fail(false)
+	await(t, "it has read", func() bool { return b.version() == 5 })
+}
