Say that a request did not run only under an order of candidates that all have agreed on

Ruled out: tombstones (the refuser had one; the copy never came back to it). Change: certain() also needs sure(): the packet's bundle is the one in force, no newer one was heard of, and every live member has acted on its order for the guard time, which is longer than a packet lives. Otherwise the refusal says that it is not known.

--- a/flow/udp.go
+++ b/flow/udp.go
@@ -379,8 +379,13 @@
 	return c.refuse(Refuse{Reason: r, NotRun: c.certain(), RetryAfter: RetryAfter})
 }
 
-// certain reports whether no upstream can have run a request of an unknown flow.
+// certain reports whether no upstream can have run a request of an unknown flow,
+// or run it later: a copy that is still on its way under another order of
+// candidates may be accepted elsewhere.
 func (c *call) certain() bool {
+	if !c.s.sure(c.st, c.now, c.h.Version) {
+		return false
+	}
 	if c.st.settings.Idempotent || c.s.restarted(c.st, c.now) || c.s.fenced(c.st, c.now) {
 		return false
 	}
