Never wait for a reader of the log; write a line for each opening

Ruled out: zap's buffered writer, which waits for its writer when the buffer is full. Change: event.Writer keeps 512 lines and leaves out what does not fit, counted; flow-opened is logged at info with the upstream, the version and the revision it was decided on.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -15,6 +15,9 @@
 // defaultLines is how many lines a second each event may have in the log.
 const defaultLines = 20
 
+// keptLines is how many lines wait for a reader of standard output that is slow.
+const keptLines = 512
+
 // newPlatformCommand returns the processes that run on the users' platform.
 // Their settings come from a file that the platform lays out.
 func newPlatformCommand() *cobra.Command {
@@ -43,11 +46,14 @@
 			if err != nil {
 				return err
 			}
+			t := timer.New(timer.Config{CountSuspension: true})
+			out := event.NewWriter(cmd.OutOrStdout(), keptLines, t)
+			defer out.Close()
 			return run(cmd.Context(), platform.Config{
 				Path:        platform.SettingsPath(),
 				Incarnation: newIncarnation(),
-				Timer:       timer.New(timer.Config{CountSuspension: true}),
-				Log:         event.NewSampled(zapcore.AddSync(cmd.OutOrStdout()), l, name, lines),
+				Timer:       t,
+				Log:         event.NewSampled(out, l, name, lines),
 			})
 		},
 	}
--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -200,7 +200,10 @@
 
 func (b *Balancer) logOpening(p *steer.Packet, a *steer.Forward) {
 	if p.Opens() && b.cfg.Log.Enabled(event.FlowOpened) {
-		logFlow(b.cfg.Log, event.FlowOpened, p, zap.Stringer("upstream", a.Host), zap.Uint64("version", a.Header.Version))
+		logFlow(b.cfg.Log, event.FlowOpened, p,
+			zap.Stringer("upstream", a.Host),
+			zap.Uint64("version", a.Header.Version),
+			zap.Uint64("revision", a.Header.Revision))
 	}
 }
 
--- a/event/edge.go
+++ b/event/edge.go
@@ -49,7 +49,7 @@
 		{PullFailed, "pull-failed", zapcore.WarnLevel, "A question to a peer, or the answer to one, failed; another peer is asked.", "Look at the network between both instances when it repeats."},
 		{DatagramUnusable, "datagram-unusable", zapcore.WarnLevel, "A datagram of another process cannot be read.", "See whether both processes have the same release."},
 		{RoutesAdopted, "routes-adopted", zapcore.InfoLevel, "Newer routes or upstreams are in force in this process.", "None."},
-		{FlowOpened, "flow-opened", zapcore.DebugLevel, "A new flow was placed; the fields say where and under which version.", "None."},
+		{FlowOpened, "flow-opened", zapcore.InfoLevel, "A new flow was placed; the fields say where and under which version.", "None."},
 		{FlowRefused, "flow-refused", zapcore.WarnLevel, "A flow was reset; the fields say which and why.", "See docs/OPERATIONS.md for the reasons."},
 		{PacketPassed, "packet-passed", zapcore.InfoLevel, "The upstream did not take a packet, and the next one is asked.", "None."},
 		{PacketDropped, "packet-dropped", zapcore.InfoLevel, "A packet was discarded; the fields say why.", "None."},
--- /dev/null
+++ b/event/writer_test.go
@@ -0,0 +1,51 @@
+package event_test
+
+import (
+	"bytes"
+	"io"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/timer"
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap/zapcore"
+)
+
+// TestStalledReaderHoldsNobodyUp fills a pipe that nobody reads.
+func TestStalledReaderHoldsNobodyUp(t *testing.T) {
+	r, w, err := os.Pipe()
+	must.NoError(t, err)
+	b := event.NewWriter(w, 10, timer.New(timer.Config{}))
+	line := []byte(strings.Repeat("x", 4096) + "\n")
+	for range 1000 {
+		n, err := b.Write(line)
+		must.NoError(t, err)
+		must.Eq(t, len(line), n)
+	}
+	must.Positive(t, b.Dropped())
+	// The reader comes back: what was kept arrives whole.
+	read := make(chan []byte)
+	go func() {
+		all, _ := io.ReadAll(r)
+		read <- all
+	}()
+	b.Close()
+	must.NoError(t, w.Close())
+	all := <-read
+	must.Eq(t, 0, len(all)%len(line))
+	must.Eq(t, 1000-int(b.Dropped()), len(all)/len(line))
+}
+
+// TestLinesOfOneEventAreBounded writes more of one event than it may have in a second.
+func TestLinesOfOneEventAreBounded(t *testing.T) {
+	var buf bytes.Buffer
+	log := event.NewSampled(zapcore.AddSync(&buf), zapcore.InfoLevel, "test", 5)
+	for range 100 {
+		log.Emit(event.PacketDropped)
+	}
+	log.Emit(event.FlowRefused)
+	must.Between(t, 5, strings.Count(buf.String(), "packet-dropped"), 10) // two seconds may be touched
+	must.Eq(t, 1, strings.Count(buf.String(), "flow-refused"))
+}
