Ask live sidecars that the list lacks before a reset; believe losses to those who are near

Change: a process resets nothing for half a second after its first list, nor while the list lacks its own upstream; sidecars that live and are not listed are told of and asked last; one beside which nothing reacts passes packets on. So a loss is believed to balancers of the sidecar's data centre, and only what a process itself hears is told (reports had gone round for ever).

--- a/exchange/node.go
+++ b/exchange/node.go
@@ -29,6 +29,9 @@
 	// settleTime is how long after trouble with the store the list of upstreams
 	// may lack some that live: their entries are back within about two seconds.
 	settleTime = 2200 * time.Millisecond
+	// gatherTime is how long after its first list a process may not have heard of
+	// all sidecars: two heartbeats.
+	gatherTime = 2 * membership.BeatInterval
 )
 
 // Config holds the settings of a Node. All fields but Seeds are required.
@@ -73,6 +76,7 @@
 	made      time.Duration      // when snapshot was made
 	stale     bool               // a heartbeat arrived after the last view
 	trouble   time.Duration      // when the store was last out of reach; negative if never
+	informed  time.Duration      // when the first list arrived; 0 if none has
 	stopping  bool
 	beats     int  // heartbeats sent
 	alone     bool // whether the last look at peers found none
@@ -377,7 +381,8 @@
 		b.Balancers = n.members.Balancers(now)
 	}
 	if n.cfg.Role == membership.Balancer {
-		b.Lost = n.members.Lost(now)
+		b.Lost = n.members.LostSidecars(now)
+		b.Unlisted = n.snapshot.Unlisted(n.members.LiveSidecars(now))
 	}
 	return b
 }
@@ -421,6 +426,9 @@
 			}
 			n.silent[p.Host] = silent
 			n.logSilence(now, p, silent)
+			if silent && role == membership.Sidecar {
+				n.Hurry()
+			}
 		}
 	}
 	if alone := n.members.Alone(now); alone != n.alone {
@@ -460,6 +468,9 @@
 // remake makes the snapshot anew. The caller holds the lock.
 func (n *Node) remake(now time.Duration) {
 	n.snapshot = n.directory.Snapshot(now)
+	if n.informed == 0 && n.snapshot.Revision() > 0 {
+		n.informed = now
+	}
 	n.made = now
 	n.stale = true
 	if n.members.StoreKnown() && n.members.StoreAge(now) >= membership.FreshStore {
@@ -472,7 +483,8 @@
 	f := &steer.Fleet{
 		Snapshot: n.snapshot,
 		Sidecars: make(map[registry.Host]steer.Instance),
-		Settled:  now-n.trouble >= settleTime,
+		Unlisted: n.snapshot.Unlisted(n.members.Sidecars(now)),
+		Settled:  now-n.trouble >= settleTime && n.informed != 0 && now-n.informed >= gatherTime,
 	}
 	for _, p := range n.members.Peers(membership.Sidecar) {
 		f.Sidecars[p.Host] = steer.Instance{
@@ -483,9 +495,7 @@
 		}
 	}
 	for _, h := range n.members.Lost(now) {
-		if _, heard := f.Sidecars[h]; !heard {
-			f.Sidecars[h] = steer.Instance{Stopping: true}
-		}
+		f.Sidecars[h] = steer.Instance{Stopping: true}
 	}
 	n.cfg.Refresh(f)
 }
--- a/membership/beat.go
+++ b/membership/beat.go
@@ -60,6 +60,8 @@
 	Load Load `msgpack:"l,omitempty"`
 	// Balancers lists balancers that the sender believes to be alive. It is empty in most beats.
 	Balancers []registry.Host `msgpack:"b,omitempty"`
+	// Unlisted lists live sidecars that a balancer hears and whose upstreams its list lacks.
+	Unlisted []registry.Host `msgpack:"u,omitempty"`
 	// Lost lists sidecars that a balancer heard once and does not hear any more.
 	Lost []registry.Host `msgpack:"x,omitempty"`
 }
--- a/membership/table.go
+++ b/membership/table.go
@@ -70,6 +70,7 @@
 	peers     map[registry.Host]*Peer
 	named     map[registry.Host]time.Duration // balancers that others named, and when
 	lost      map[registry.Host]time.Duration // sidecars that balancers do not hear, and when they said so
+	unlisted  map[registry.Host]time.Duration // live sidecars that a list lacks, and when balancers said so
 	storeSeen time.Duration                   // when the store last answered anyone; before Started if never
 	selfRead  time.Duration                   // when the store last answered this process
 }
@@ -81,6 +82,7 @@
 		peers:     make(map[registry.Host]*Peer),
 		named:     make(map[registry.Host]time.Duration),
 		lost:      make(map[registry.Host]time.Duration),
+		unlisted:  make(map[registry.Host]time.Duration),
 		storeSeen: cfg.Started - time.Hour,
 		selfRead:  cfg.Started - time.Hour,
 	}
@@ -127,27 +129,81 @@
 		t.named[h] = now
 	}
 	for _, h := range b.Lost {
-		t.lost[h] = now
+		t.noteLost(now, h, &b)
+	}
+	for _, h := range b.Unlisted {
+		t.unlisted[h] = now
 	}
 	return news
 }
 
-// Lost returns the sidecars that were heard once and are not heard any more: by
-// this process, or by a balancer when this process never heard them.
-func (t *Table) Lost(now time.Duration) []registry.Host {
+// noteLost notes that a balancer does not hear a sidecar any more. Of a sidecar
+// that this process hears, it believes that only to balancers of the sidecar's
+// own data centre, who hear it most often.
+func (t *Table) noteLost(now time.Duration, h registry.Host, b *Beat) {
+	p := t.peers[h]
+	if p == nil || p.Beat.DataCentre == b.DataCentre {
+		t.lost[h] = now
+	}
+}
+
+// gone reports whether the sidecar was lately called lost, after this process last heard it.
+func (t *Table) gone(now time.Duration, p *Peer) bool {
+	at, ok := t.lost[p.Host]
+	return ok && p.Heard < at && now-at < farSuspectAfter
+}
+
+// LiveSidecars returns the sidecars that this process itself hears; those whose
+// upstreams do not react are left out. Heartbeats tell of these alone, so that
+// no report goes round for ever.
+func (t *Table) LiveSidecars(now time.Duration) []registry.Host {
+	var hosts []registry.Host
+	for _, p := range t.peers {
+		if p.Beat.Role == Sidecar && p.alive(now, t.cfg.DataCentre) && !t.gone(now, p) && !p.Beat.Load.Silent {
+			hosts = append(hosts, p.Host)
+		}
+	}
+	slices.SortFunc(hosts, registry.Host.Compare)
+	return hosts
+}
+
+// Sidecars returns LiveSidecars and those that a balancer has lately called unlisted.
+func (t *Table) Sidecars(now time.Duration) []registry.Host {
+	hosts := t.LiveSidecars(now)
+	for h, at := range t.unlisted {
+		if h != t.cfg.Self && now-at < farSuspectAfter && t.lost[h] <= at {
+			hosts = append(hosts, h)
+		}
+	}
+	slices.SortFunc(hosts, registry.Host.Compare)
+	return slices.Compact(hosts)
+}
+
+// LostSidecars returns the sidecars that this process itself heard once and does
+// not hear any more. Heartbeats tell of these alone.
+func (t *Table) LostSidecars(now time.Duration) []registry.Host {
 	var hosts []registry.Host
 	for _, p := range t.peers {
 		if p.Beat.Role == Sidecar && !p.alive(now, t.cfg.DataCentre) {
 			hosts = append(hosts, p.Host)
 		}
 	}
+	slices.SortFunc(hosts, registry.Host.Compare)
+	return hosts
+}
+
+// Lost returns LostSidecars and those that balancers called lost, which this
+// process has not heard since.
+func (t *Table) Lost(now time.Duration) []registry.Host {
+	hosts := t.LostSidecars(now)
 	for h, at := range t.lost {
-		if t.peers[h] == nil && now-at < farSuspectAfter {
+		p := t.peers[h]
+		if now-at < farSuspectAfter && (p == nil || p.Heard < at) {
 			hosts = append(hosts, h)
 		}
 	}
 	slices.SortFunc(hosts, registry.Host.Compare)
-	return hosts
+	return slices.Compact(hosts)
 }
 
 // StoreAnswered notes that the store answered this process.
@@ -269,9 +325,11 @@
 			delete(t.named, h)
 		}
 	}
-	for h, at := range t.lost {
-		if now-at >= farSuspectAfter {
-			delete(t.lost, h)
+	for _, reports := range []map[registry.Host]time.Duration{t.lost, t.unlisted} {
+		for h, at := range reports {
+			if now-at >= farSuspectAfter {
+				delete(reports, h)
+			}
 		}
 	}
 }
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -167,3 +167,42 @@
 	tb.Heard(start+time.Second, host(3), far, 0, 0)
 	must.False(t, tb.Alone(start+1300*time.Millisecond))
 }
+
+// TestUnlistedSidecarsTravel tells a sidecar of a live one that it does not hear.
+func TestUnlistedSidecarsTravel(t *testing.T) {
+	tb := table(1, membership.Sidecar)
+	tb.Heard(start, host(3), membership.Beat{Role: membership.Sidecar, DataCentre: "a", Incarnation: 1}, 0, 0)
+	b := balancerBeat(true)
+	b.Unlisted = []registry.Host{host(1), host(5)}
+	tb.Heard(start, host(2), b, 0, 0)
+	must.Eq(t, []registry.Host{host(3), host(5)}, tb.Sidecars(start))
+	must.SliceEmpty(t, tb.Sidecars(start+time.Minute))
+}
+
+// TestLossIsBelievedToNearBalancers tells of a sidecar of another data centre that this process still hears.
+func TestLossIsBelievedToNearBalancers(t *testing.T) {
+	tb := table(1, membership.Balancer)
+	side := membership.Beat{Role: membership.Sidecar, DataCentre: "b", Incarnation: 1}
+	tb.Heard(start, host(5), side, 0, 0)
+	b := balancerBeat(true)
+	b.Lost = []registry.Host{host(5)}
+	tb.Heard(start+1, host(2), b, 0, 0) // of data centre a
+	must.SliceEmpty(t, tb.Lost(start+1))
+	must.Eq(t, []registry.Host{host(5)}, tb.Sidecars(start+1))
+	b.DataCentre = "b"
+	tb.Heard(start+2, host(3), b, 0, 0)
+	must.Eq(t, []registry.Host{host(5)}, tb.Lost(start+2))
+	must.SliceEmpty(t, tb.Sidecars(start+2))
+	tb.Heard(start+3, host(5), side, 0, 0)
+	must.SliceEmpty(t, tb.Lost(start+3))
+}
+
+// TestReportsDoNotGoRound lets two balancers tell each other of sidecars that neither hears.
+func TestReportsDoNotGoRound(t *testing.T) {
+	tb := table(1, membership.Balancer)
+	b := balancerBeat(true)
+	b.Lost, b.Unlisted = []registry.Host{host(5)}, []registry.Host{host(6)}
+	tb.Heard(start, host(2), b, 0, 0)
+	must.SliceEmpty(t, tb.LostSidecars(start))
+	must.SliceEmpty(t, tb.LiveSidecars(start))
+}
--- a/registry/snapshot.go
+++ b/registry/snapshot.go
@@ -179,6 +179,23 @@
 	return slices.Compact(hosts)
 }
 
+// Unlisted returns those of the hosts on which the list has no upstream, removed ones included.
+func (s *Snapshot) Unlisted(hosts []Host) []Host {
+	listed := make(map[Host]bool)
+	for _, p := range s.list {
+		for i := range p.Members {
+			listed[p.Members[i].Address.Host] = true
+		}
+	}
+	var missing []Host
+	for _, h := range hosts {
+		if !listed[h] {
+			missing = append(missing, h)
+		}
+	}
+	return missing
+}
+
 // Member returns the upstream of a service on a host; found is false when there is none.
 func (s *Snapshot) Member(h ServiceHash, host Host) (m Member, found bool) {
 	p := s.pools[h]
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -214,21 +214,26 @@
 	if m := b.search(now, f, route, hash); m != nil {
 		return b.forward(f, m.Service, m.Address.Host, true)
 	}
+	if host, found := f.unlisted(nobody); found {
+		return b.forward(f, service, host, true)
+	}
 	return Drop{Reason: ReasonNoUpstream}
 }
 
 // search returns the first upstream to ask for an unknown flow.
 func (b *Balancer) search(now time.Duration, f *Fleet, route *registry.Route, hash uint64) *registry.Member {
 	c := b.chooser(now, f, hash)
-	none := func(registry.Host) bool { return false }
 	if pool := f.Snapshot.Pool(registry.HashService(route.Service(hash))); pool != nil {
-		if m := c.walk(pool, none); m != nil {
+		if m := c.walk(pool, nobody); m != nil {
 			return m
 		}
 	}
-	return c.walkAll(f.Snapshot.Pools(), none)
+	return c.walkAll(f.Snapshot.Pools(), nobody)
 }
 
+// nobody leaves no host out.
+func nobody(registry.Host) bool { return false }
+
 func (b *Balancer) forward(f *Fleet, service string, h registry.Host, unknown bool) Action {
 	return Forward{Host: h, Header: Header{
 		Balancer: b.cfg.Self,
--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -31,8 +31,11 @@
 	Snapshot *registry.Snapshot
 	// Sidecars has the sidecars that were ever heard.
 	Sidecars map[registry.Host]Instance
-	// Settled is true when the store has answered without trouble for so long
-	// that no living upstream is missing from the list.
+	// Unlisted has the hosts of live sidecars whose upstreams the list lacks, as
+	// when entries lapsed while the store was away.
+	Unlisted []registry.Host
+	// Settled is true when the process has heard of all sidecars, and the store has
+	// answered without trouble for so long that no living upstream is missing.
 	Settled bool
 }
 
@@ -57,6 +60,28 @@
 	return known && i.alive(now) && !i.Load.Silent
 }
 
+// listed reports whether the list has an upstream on the host, removed ones included.
+func (f *Fleet) listed(h registry.Host) bool {
+	for _, p := range f.Snapshot.Pools() {
+		for i := range p.Members {
+			if p.Members[i].Address.Host == h {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// unlisted returns the first unlisted host that is not left out; found is false when there is none.
+func (f *Fleet) unlisted(skip func(registry.Host) bool) (h registry.Host, found bool) {
+	for _, h := range f.Unlisted {
+		if !skip(h) {
+			return h, true
+		}
+	}
+	return registry.Host{}, false
+}
+
 // allAsked reports whether each upstream of the pool that may hold a flow has
 // passed the packet on. One that was removed and whose sidecar fell silent is gone.
 func (f *Fleet) allAsked(now time.Duration, p *registry.Pool, h *Header) bool {
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -161,6 +161,9 @@
 	if p.Opens() {
 		return s.opening(now, sh, k, l, known, h, p)
 	}
+	if (!known || l.stage == stageAsked) && s.absent(now) {
+		return s.passOn(now, h, p)
+	}
 	if !known {
 		return s.ask(now, sh, k, h)
 	}
@@ -244,8 +247,18 @@
 	}
 }
 
+// absent reports whether there is no upstream beside this sidecar: the list has
+// none, and nothing reacts to what is delivered.
+func (s *Sidecar) absent(now time.Duration) bool {
+	f := s.fleet.Load()
+	return f != nil && !f.listed(s.cfg.Self) && s.Silent(now)
+}
+
 // ask delivers a packet of an unknown flow: the upstream knows better.
 func (s *Sidecar) ask(now time.Duration, sh *sidecarShard, k Key, h *Header) Action {
+	if f := s.fleet.Load(); f != nil && !f.listed(s.cfg.Self) {
+		s.owes(now) // a flow that it does not hold comes back at once
+	}
 	sh.flows[k] = local{stage: stageAsked, balancer: h.Balancer, last: now}
 	return Deliver{Tag: s.remember(now, k, h)}
 }
@@ -421,14 +434,16 @@
 	}
 	next := h.WithVisited(s.cfg.Self)
 	c := s.chooser(now, f, p)
-	m := s.next(f, &c, &next, p)
-	if m == nil && s.nobody(now, f, &next, p) {
-		return Refuse{Reason: ReasonUnknownFlow}
+	if m := s.next(f, &c, &next, p); m != nil {
+		return Forward{Host: m.Address.Host, Header: next}
 	}
-	if m == nil {
-		return s.none(p, ReasonUnknownFlow)
+	if host, found := f.unlisted(next.visited); found && !p.Opens() {
+		return Forward{Host: host, Header: next}
+	}
+	if s.nobody(now, f, &next, p) {
+		return Refuse{Reason: ReasonUnknownFlow}
 	}
-	return Forward{Host: m.Address.Host, Header: next}
+	return s.none(p, ReasonUnknownFlow)
 }
 
 // next returns the upstream to pass a packet on to. A new flow goes to the
@@ -475,7 +490,8 @@
 }
 
 // nobody reports whether it is certain that no upstream holds the flow of a
-// packet: each one that may was asked and returned the packet.
+// packet: each one that may was asked and returned the packet. A list that
+// lacks the own upstream lacks others, too, unless there is none.
 func (s *Sidecar) nobody(now time.Duration, f *Fleet, h *Header, p *Packet) bool {
 	if !f.Settled || p.Opens() || p.Flags.Has(RST) || h.Revision == 0 || f.Snapshot.Revision() < h.Revision {
 		return false
@@ -485,7 +501,7 @@
 			return false
 		}
 	}
-	return true
+	return f.listed(s.cfg.Self) || s.Silent(now)
 }
 
 // owes notes that the upstream has to react to a packet.
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -121,6 +121,86 @@
 	}
 }
 
+// TestFlowAtAnUnlistedUpstreamIsFound restarts all processes after entries
+// lapsed, so that the new list lacks the upstream that holds the flow.
+func TestFlowAtAnUnlistedUpstreamIsFound(t *testing.T) {
+	w := newWorld(1, service, service, service)
+	for n := range 20 {
+		at := w.open(0, caller(n))
+		partial := registry.NewDirectory()
+		list := registry.Update{Revision: w.revision, Whole: true}
+		for i, s := range w.sites {
+			if i != at {
+				list.Changes = append(list.Changes, registry.Change{Key: s.host.String(), Revision: 1, Upstream: w.entry(i, false)})
+			}
+		}
+		partial.Apply(w.now, list)
+		partial.Apply(w.now, w.directory.Since(0, w.revision))
+		f := &steer.Fleet{
+			Snapshot: partial.Snapshot(w.now),
+			Sidecars: map[registry.Host]steer.Instance{},
+			Unlisted: []registry.Host{w.sites[at].host},
+			Settled:  true,
+		}
+		w.startBalancer(0)
+		w.balancers[0].SetFleet(f)
+		for i, s := range w.sites {
+			w.startSidecar(i)
+			s.sidecar.SetFleet(f)
+		}
+		must.Eq(t, at, w.send(0, w.request(caller(n), at)))
+		w.refresh()
+	}
+	must.SliceEmpty(t, w.resets)
+}
+
+// TestNoResetWhileTheOwnUpstreamIsUnlisted has a list that lacks an upstream which only its sidecar knows.
+func TestNoResetWhileTheOwnUpstreamIsUnlisted(t *testing.T) {
+	w := newWorld(1, service, service)
+	at := w.open(0, caller(1))
+	p := w.request(caller(1), at)
+	w.startUpstream(at)
+	empty := registry.NewDirectory()
+	empty.Apply(w.now, registry.Update{Revision: w.revision, Whole: true})
+	empty.Apply(w.now, w.directory.Since(0, w.revision))
+	f := &steer.Fleet{Snapshot: empty.Snapshot(w.now), Settled: true}
+	w.startSidecar(at)
+	w.sites[at].sidecar.SetFleet(f)
+	h := steer.Header{Service: registry.HashService(service), Revision: w.revision}
+	must.Eq(t, -1, w.follow(steer.Forward{Host: w.sites[at].host, Header: h}, p))
+	must.SliceEmpty(t, w.resets)
+}
+
+// TestSidecarWithoutUpstreamHoldsNoSearchUp has a live sidecar that the list
+// lacks, because its upstream has gone.
+func TestSidecarWithoutUpstreamHoldsNoSearchUp(t *testing.T) {
+	w := newWorld(1, service, service)
+	at := w.open(0, caller(1))
+	p := w.request(caller(1), at)
+	w.startUpstream(at)
+	w.startBalancer(0)
+	bare := steer.NewSidecar(steer.SidecarConfig{Self: registry.Host{10, 9, 9, 9}, DataCentre: near, Service: service, MaxFlow: maxFlow})
+	w.sites = append(w.sites, &site{host: registry.Host{10, 9, 9, 9}, service: service, sidecar: bare})
+	f := &steer.Fleet{
+		Snapshot: w.directory.Snapshot(w.now),
+		Sidecars: map[registry.Host]steer.Instance{},
+		Unlisted: []registry.Host{{10, 9, 9, 9}},
+		Settled:  true,
+	}
+	w.balancers[0].SetFleet(f)
+	for i, s := range w.sites[:2] {
+		w.startSidecar(i)
+		s.sidecar.SetFleet(f)
+	}
+	bare.SetFleet(f)
+	must.Eq(t, -1, w.send(0, p)) // lost at the sidecar without an upstream
+	must.SliceEmpty(t, w.resets)
+	w.now += 200 * time.Millisecond
+	must.True(t, bare.Silent(w.now))
+	must.Eq(t, -1, w.send(0, p))
+	must.Eq(t, []steer.Key{caller(1)}, w.resets)
+}
+
 // TestNoResetBehindTheBalancersList has a sidecar whose list is older than the balancer's.
 func TestNoResetBehindTheBalancersList(t *testing.T) {
 	w := newWorld(1, service, service)
