--- a/exchange/node.go
+++ b/exchange/node.go
@@ -484,6 +484,7 @@
 		Snapshot: n.snapshot,
 		Sidecars: make(map[registry.Host]steer.Instance),
 		Unlisted: n.snapshot.Unlisted(n.members.Sidecars(now)),
+		Young:    now-n.informed < settleTime,
 		Settled:  now-n.trouble >= settleTime && n.informed != 0 && now-n.informed >= gatherTime,
 	}
 	for _, p := range n.members.Peers(membership.Sidecar) {
--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -34,6 +34,8 @@
 	// Unlisted has the hosts of live sidecars whose upstreams the list lacks, as
 	// when entries lapsed while the store was away.
 	Unlisted []registry.Host
+	// Young is true while entries that had lapsed before the first list may still come back.
+	Young bool
 	// Settled is true when the process has heard of all sidecars, and the store has
 	// answered without trouble for so long that no living upstream is missing.
 	Settled bool
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -490,8 +490,8 @@
 }
 
 // nobody reports whether it is certain that no upstream holds the flow of a
-// packet: each one that may was asked and returned the packet. A list that
-// lacks the own upstream lacks others, too, unless there is none.
+// packet: each one that may was asked and returned the packet. A young list that
+// lacks the own upstream may lack others, too.
 func (s *Sidecar) nobody(now time.Duration, f *Fleet, h *Header, p *Packet) bool {
 	if !f.Settled || p.Opens() || p.Flags.Has(RST) || h.Revision == 0 || f.Snapshot.Revision() < h.Revision {
 		return false
@@ -501,7 +501,7 @@
 			return false
 		}
 	}
-	return f.listed(s.cfg.Self) || s.Silent(now)
+	return !f.Young || f.listed(s.cfg.Self) || s.Silent(now)
 }
 
 // owes notes that the upstream has to react to a packet.
