Forward packets without allocating, and bound the tables

Ruled out: a pool of actions, which needs someone to give them back. Change: the caller of Balancer.Packet hands in the Forward to fill; a decision at a balancer is a type of its own; a shard remembers at most 16,384 flows, others are found by a search. A test holds names of the users' platform in package platform.

--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -165,27 +165,28 @@
 // newHandler returns the handler of packets of callers, with buffers of its own.
 func (b *Balancer) newHandler() udp.Handler {
 	var p steer.Packet
+	var fw steer.Forward
 	out := make([]byte, 0, maxPacket+exchange.ForwardRoom)
 	return func(d []byte, _ netip.AddrPort) {
-		out = b.packet(d, &p, out[:0])
+		out = b.packet(d, &p, &fw, out[:0])
 	}
 }
 
 // packet handles one packet of a caller and returns the buffer for the next one.
-func (b *Balancer) packet(d []byte, p *steer.Packet, out []byte) []byte {
+func (b *Balancer) packet(d []byte, p *steer.Packet, fw *steer.Forward, out []byte) []byte {
 	now := b.cfg.Timer.Uptime()
 	b.last.Store(int64(now))
 	if err := b.cfg.Codec.Decode(d, p); err != nil {
 		b.counts.invalid.Add(1)
 		return out
 	}
-	switch a := b.decide.Packet(now, p).(type) {
-	case steer.Forward:
+	switch a := b.decide.Packet(now, p, fw).(type) {
+	case *steer.Forward:
 		b.counts.forwarded.Add(1)
 		out = exchange.AppendForward(out, &a.Header)
 		out = append(out, d...)
 		b.node.Send(out, a.Host)
-		b.logOpening(p, &a)
+		b.logOpening(p, a)
 	case steer.Refuse:
 		b.counts.refused.Add(1)
 		out = b.cfg.Codec.AppendReset(out, p)
--- a/edge/sidecar.go
+++ b/edge/sidecar.go
@@ -229,7 +229,7 @@
 	case steer.Answer:
 		s.counts.answered.Add(1)
 		s.socket.Send(d, p.Destination.Host.Port(s.cfg.CallerPort))
-	case steer.Forward:
+	case *steer.Forward:
 		s.counts.forwarded.Add(1)
 		s.cfg.Codec.SetTag(d, 0)
 		b.out = exchange.AppendForward(b.out[:0], &a.Header)
--- a/layout_test.go
+++ b/layout_test.go
@@ -81,6 +81,27 @@
 	}
 }
 
+// TestUsersNamesStayInPlatform looks for names of the users' platform in the
+// code of other packages, and for imports of the adapter.
+func TestUsersNamesStayInPlatform(t *testing.T) {
+	names := []string{"datagram_addr", "op/config", "kv-range", "kv-watch", "BOUNCED", "forwarding_mode", "internal_ports", "warmup_left_ms", "max_conns", "Corianderbay-"}
+	for dir, imports := range importsInCode(t) {
+		if dir == "platform" {
+			continue
+		}
+		if dir != "daemon" {
+			must.SliceNotContains(t, imports, "platform", must.Sprintf("package %s", dir))
+		}
+		for _, name := range goFiles(t, dir) {
+			code, err := os.ReadFile(name)
+			must.NoError(t, err)
+			for _, word := range names {
+				must.StrNotContains(t, string(code), word, must.Sprint(name))
+			}
+		}
+	}
+}
+
 // importsInCode returns the packages of the module that each one imports.
 func importsInCode(t *testing.T) map[string][]string {
 	t.Helper()
--- a/steer/action.go
+++ b/steer/action.go
@@ -2,7 +2,7 @@
 
 import "github.com/corianderbay/corianderbay/registry"
 
-// An Action is what is done with one packet: Forward, Deliver, Answer, Refuse or Drop.
+// An Action is what is done with one packet: *Forward, Deliver, Answer, Refuse or Drop.
 type Action interface{ action() }
 
 // Forward sends the packet to the sidecar on Host, behind Header.
@@ -29,11 +29,11 @@
 	Reason Reason
 }
 
-func (Forward) action() {}
-func (Deliver) action() {}
-func (Answer) action()  {}
-func (Refuse) action()  {}
-func (Drop) action()    {}
+func (*Forward) action() {}
+func (Deliver) action()  {}
+func (Answer) action()   {}
+func (Refuse) action()   {}
+func (Drop) action()     {}
 
 // Reason says why a packet was refused or dropped.
 type Reason uint8
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -11,6 +11,9 @@
 const (
 	// shards of the flow table; a power of two.
 	shards = 16
+	// maxRemembered is how many flows a shard remembers, so that a flood of openings
+	// cannot fill the memory. Flows beyond it are found by a search.
+	maxRemembered = 1 << 14
 	// reopenAfter is how soon a repeated opening may go to another upstream: less
 	// than the time after which callers repeat it.
 	reopenAfter = 100 * time.Millisecond
@@ -36,7 +39,14 @@
 
 type balancerShard struct {
 	mu    sync.Mutex
-	flows map[Key]placed
+	flows map[Key]placed // at most maxRemembered
+}
+
+// put remembers where a flow is, if there is room. The shard is locked.
+func (s *balancerShard) put(k Key, e placed) {
+	if _, known := s.flows[k]; known || len(s.flows) < maxRemembered {
+		s.flows[k] = e
+	}
 }
 
 // placed is where a flow was sent or is known to be.
@@ -74,7 +84,7 @@
 	s := b.shard(k)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.flows[k] = placed{host: h, known: true, last: now}
+	s.put(k, placed{host: h, known: true, last: now})
 }
 
 // Flows returns how many flows are remembered.
@@ -103,8 +113,9 @@
 	}
 }
 
-// Packet decides on a packet of a caller.
-func (b *Balancer) Packet(now time.Duration, p *Packet) Action {
+// Packet decides on a packet of a caller. It returns out when the packet is to
+// be forwarded, so that nothing is allocated for it.
+func (b *Balancer) Packet(now time.Duration, p *Packet, out *Forward) Action {
 	f := b.fleet.Load()
 	if f == nil || f.Snapshot.Version() == 0 {
 		return Drop{Reason: ReasonStarting}
@@ -116,14 +127,15 @@
 	if route == nil {
 		return noRoute(p)
 	}
-	k := p.CallerKey()
-	s := b.shard(k)
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	c := call{b: b, now: now, fleet: f, route: route, key: p.CallerKey(), packet: p, out: out}
+	c.hash = c.key.Hash()
+	c.shard = b.shard(c.key)
+	c.shard.mu.Lock()
+	defer c.shard.mu.Unlock()
 	if p.Opens() {
-		return b.open(now, f, route, s, k, p)
+		return c.open()
 	}
-	return b.follow(now, f, route, s, k)
+	return c.follow()
 }
 
 // noRoute refuses openings. Later packets may belong to a flow under a route
@@ -135,113 +147,126 @@
 	return Drop{Reason: ReasonNoRoute}
 }
 
+// call is the decision on one packet of a caller. The shard is locked.
+type call struct {
+	b      *Balancer
+	now    time.Duration
+	fleet  *Fleet
+	route  *registry.Route // never nil
+	key    Key
+	hash   uint64 // of key
+	shard  *balancerShard
+	packet *Packet
+	out    *Forward // filled in when the packet is forwarded
+}
+
 // open chooses an upstream for a new flow, or the same one again for a repeated opening.
-func (b *Balancer) open(now time.Duration, f *Fleet, route *registry.Route, s *balancerShard, k Key, p *Packet) Action {
-	hash := k.Hash()
-	e, repeated := s.flows[k]
-	repeated = repeated && (e.known || e.sequence == p.Sequence)
-	if repeated && b.sticks(now, f, e) {
-		e.last = now
-		s.flows[k] = e
-		return b.forward(f, route.Service(hash), e.host, false)
+func (c *call) open() Action {
+	e, repeated := c.shard.flows[c.key]
+	repeated = repeated && (e.known || e.sequence == c.packet.Sequence)
+	if repeated && c.sticks(e) {
+		e.last = c.now
+		c.shard.flows[c.key] = e
+		return c.forward(c.route.Service(c.hash), e.host, false)
 	}
 	skip := func(h registry.Host) bool { return repeated && h == e.host }
-	service, m := b.place(now, f, route, hash, skip)
+	service, m := c.place(skip)
 	if m == nil {
 		return Refuse{Reason: ReasonNoUpstream}
 	}
-	s.flows[k] = placed{host: m.Address.Host, sequence: p.Sequence, last: now}
-	b.count(m.Address.Host)
-	return b.forward(f, service, m.Address.Host, false)
+	c.shard.put(c.key, placed{host: m.Address.Host, sequence: c.packet.Sequence, last: c.now})
+	c.b.count(m.Address.Host)
+	return c.forward(service, m.Address.Host, false)
 }
 
 // sticks reports whether a repeated opening goes to the same upstream again:
 // its sidecar was heard after the last one was sent.
-func (b *Balancer) sticks(now time.Duration, f *Fleet, e placed) bool {
-	if e.known || now-e.last < reopenAfter {
+func (c *call) sticks(e placed) bool {
+	if e.known || c.now-e.last < reopenAfter {
 		return true
 	}
-	return f.Sidecars[e.host].Heard > e.last && f.alive(now, e.host)
+	return c.fleet.Sidecars[e.host].Heard > e.last && c.fleet.alive(c.now, e.host)
 }
 
 // place returns the upstream for a new flow: of the service that the flow's
 // hash selects, or of another one that the route allows when that has none.
-func (b *Balancer) place(now time.Duration, f *Fleet, route *registry.Route, hash uint64, skip func(registry.Host) bool) (string, *registry.Member) {
-	service := route.Service(hash)
-	if m := b.chooseFrom(now, f, service, hash, skip); m != nil {
+func (c *call) place(skip func(registry.Host) bool) (string, *registry.Member) {
+	service := c.route.Service(c.hash)
+	if m := c.placeAt(service, skip); m != nil {
 		return service, m
 	}
-	for i := range route.Targets {
-		other := route.Targets[i].Service
+	for i := range c.route.Targets {
+		other := c.route.Targets[i].Service
 		if other == service {
 			continue
 		}
-		if m := b.chooseFrom(now, f, other, hash, skip); m != nil {
+		if m := c.placeAt(other, skip); m != nil {
 			return other, m
 		}
 	}
 	return service, nil
 }
 
-func (b *Balancer) chooseFrom(now time.Duration, f *Fleet, service string, hash uint64, skip func(registry.Host) bool) *registry.Member {
-	pool := f.Snapshot.Pool(registry.HashService(service))
+// placeAt returns the upstream of one service for a new flow, or nil.
+func (c *call) placeAt(service string, skip func(registry.Host) bool) *registry.Member {
+	pool := c.fleet.Snapshot.Pool(registry.HashService(service))
 	if pool == nil {
 		return nil
 	}
-	c := b.chooser(now, f, hash)
-	if m := c.choose(pool, skip); m != nil {
+	ch := c.chooser()
+	if m := ch.open(pool, skip); m != nil {
 		return m
 	}
-	if m := c.unheard(pool, skip); m != nil {
-		return m
-	}
-	return c.first(pool, skip) // all are silent, so that this process may be the one that is cut off
+	return ch.first(pool, skip) // all are silent, so that this process may be the one that is cut off
 }
 
-func (b *Balancer) chooser(now time.Duration, f *Fleet, hash uint64) chooser {
-	return chooser{fleet: f, now: now, hash: hash, dataCentre: b.cfg.DataCentre, pending: b.placedOn}
+func (c *call) chooser() chooser {
+	return chooser{fleet: c.fleet, now: c.now, hash: c.hash, dataCentre: c.b.cfg.DataCentre, pending: c.b.placedOn}
 }
 
 // follow sends a later packet to the upstream that holds its flow, or begins a search for it.
-func (b *Balancer) follow(now time.Duration, f *Fleet, route *registry.Route, s *balancerShard, k Key) Action {
-	hash := k.Hash()
-	service := route.Service(hash)
-	if e, ok := s.flows[k]; ok {
-		e.last = now
-		s.flows[k] = e
-		return b.forward(f, service, e.host, false)
+func (c *call) follow() Action {
+	service := c.route.Service(c.hash)
+	if e, ok := c.shard.flows[c.key]; ok {
+		e.last = c.now
+		c.shard.flows[c.key] = e
+		return c.forward(service, e.host, false)
 	}
-	if m := b.search(now, f, route, hash); m != nil {
-		return b.forward(f, m.Service, m.Address.Host, true)
+	if m := c.search(service); m != nil {
+		return c.forward(m.Service, m.Address.Host, true)
 	}
-	if host, found := f.unlisted(nobody); found {
-		return b.forward(f, service, host, true)
+	if host, found := c.fleet.unlisted(nobody); found {
+		return c.forward(service, host, true)
 	}
 	return Drop{Reason: ReasonNoUpstream}
 }
 
-// search returns the first upstream to ask for an unknown flow.
-func (b *Balancer) search(now time.Duration, f *Fleet, route *registry.Route, hash uint64) *registry.Member {
-	c := b.chooser(now, f, hash)
-	if pool := f.Snapshot.Pool(registry.HashService(route.Service(hash))); pool != nil {
-		if m := c.walk(pool, nobody); m != nil {
+// search returns the first upstream to ask for an unknown flow: one of the
+// service that new flows with its hash go to, or else of any.
+func (c *call) search(service string) *registry.Member {
+	ch := c.chooser()
+	if pool := c.fleet.Snapshot.Pool(registry.HashService(service)); pool != nil {
+		if m := ch.walk(pool, nobody); m != nil {
 			return m
 		}
 	}
-	return c.walkAll(f.Snapshot.Pools(), nobody)
+	return ch.walkAll(c.fleet.Snapshot.Pools(), nobody)
 }
 
 // nobody leaves no host out.
 func nobody(registry.Host) bool { return false }
 
-func (b *Balancer) forward(f *Fleet, service string, h registry.Host, unknown bool) Action {
-	return Forward{Host: h, Header: Header{
-		Balancer: b.cfg.Self,
+// forward returns the action for a packet to the sidecar on a host.
+func (c *call) forward(service string, h registry.Host, unknown bool) Action {
+	c.out.Host = h
+	c.out.Header = Header{
+		Balancer: c.b.cfg.Self,
 		Service:  registry.HashService(service),
-		Version:  f.Snapshot.Version(),
-		Revision: f.Snapshot.Revision(),
+		Version:  c.fleet.Snapshot.Version(),
+		Revision: c.fleet.Snapshot.Revision(),
 		Unknown:  unknown,
-	}}
+	}
+	return c.out
 }
 
 func (b *Balancer) count(h registry.Host) {
--- a/steer/bench_test.go
+++ b/steer/bench_test.go
@@ -15,9 +15,10 @@
 	}
 	p := w.request(caller(7), 0)
 	var out []byte
+	var fw steer.Forward
 	b.ReportAllocs()
 	for b.Loop() {
-		a, ok := w.balancers[0].Packet(w.now, &p).(steer.Forward)
+		a, ok := w.balancers[0].Packet(w.now, &p, &fw).(*steer.Forward)
 		if !ok {
 			b.Fatal("the packet was not forwarded")
 		}
@@ -30,11 +31,12 @@
 	w := newWorld(1, service, service, service, service, service, service, service)
 	p := opening(caller(1))
 	n := uint32(0)
+	var fw steer.Forward
 	b.ReportAllocs()
 	for b.Loop() {
 		n++
 		p.Sequence = n
-		if _, ok := w.balancers[0].Packet(w.now+time.Duration(n)*time.Second, &p).(steer.Forward); !ok {
+		if _, ok := w.balancers[0].Packet(w.now+time.Duration(n)*time.Second, &p, &fw).(*steer.Forward); !ok {
 			b.Fatal("the opening was not forwarded")
 		}
 	}
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -59,7 +59,8 @@
 }
 
 type sidecarShard struct {
-	mu    sync.Mutex
+	mu sync.Mutex
+	// flows has at most maxRemembered that are asked for, and as many that are live in all shards.
 	flows map[Key]local
 }
 
@@ -209,6 +210,9 @@
 	if limit := f.Snapshot.Connections(s.cfg.Service); limit > 0 && s.Flows() >= limit {
 		return false
 	}
+	if s.Flows() >= maxRemembered {
+		return false
+	}
 	if f.Snapshot.Version() <= h.Version {
 		return true
 	}
@@ -233,7 +237,7 @@
 	if other == nil || c.queue(other)+crowdedQueue > s.Active()-own.Slots {
 		return nil
 	}
-	return Forward{Host: other.Address.Host, Header: h.WithVisited(s.cfg.Self)}
+	return &Forward{Host: other.Address.Host, Header: h.WithVisited(s.cfg.Self)}
 }
 
 // chooser returns the comparison of upstreams for a packet.
@@ -259,7 +263,9 @@
 	if f := s.fleet.Load(); f != nil && !f.listed(s.cfg.Self) {
 		s.owes(now) // a flow that it does not hold comes back at once
 	}
-	sh.flows[k] = local{stage: stageAsked, balancer: h.Balancer, last: now}
+	if len(sh.flows) < maxRemembered {
+		sh.flows[k] = local{stage: stageAsked, balancer: h.Balancer, last: now}
+	}
 	return Deliver{Tag: s.remember(now, k, h)}
 }
 
@@ -435,10 +441,10 @@
 	next := h.WithVisited(s.cfg.Self)
 	c := s.chooser(now, f, p)
 	if m := s.next(f, &c, &next, p); m != nil {
-		return Forward{Host: m.Address.Host, Header: next}
+		return &Forward{Host: m.Address.Host, Header: next}
 	}
 	if host, found := f.unlisted(next.visited); found && !p.Opens() {
-		return Forward{Host: host, Header: next}
+		return &Forward{Host: host, Header: next}
 	}
 	if s.nobody(now, f, &next, p) {
 		return Refuse{Reason: ReasonUnknownFlow}
--- a/steer/stateful_test.go
+++ b/steer/stateful_test.go
@@ -174,7 +174,7 @@
 	p := opening(caller(1))
 	p.Flags |= steer.Returned
 	p.Tag = 99
-	a, ok := w.sites[0].sidecar.FromUpstream(w.now, &p).(steer.Forward)
+	a, ok := w.sites[0].sidecar.FromUpstream(w.now, &p).(*steer.Forward)
 	must.True(t, ok)
 	must.Eq(t, w.sites[1].host, a.Host)
 }
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -168,7 +168,7 @@
 	h := steer.Header{Service: registry.HashService(service), Revision: w.revision}
 	for _, young := range []bool{true, false} {
 		w.sites[at].sidecar.SetFleet(&steer.Fleet{Snapshot: empty.Snapshot(w.now), Settled: true, Young: young})
-		must.Eq(t, -1, w.follow(steer.Forward{Host: w.sites[at].host, Header: h}, p))
+		must.Eq(t, -1, w.follow(&steer.Forward{Host: w.sites[at].host, Header: h}, p))
 		must.Eq(t, young, len(w.resets) == 0)
 	}
 }
@@ -313,7 +313,7 @@
 			}
 			w.balancers[0].SetFleet(f)
 			p := opening(caller(1))
-			a, ok := w.balancers[0].Packet(w.now, &p).(steer.Forward)
+			a, ok := w.balancers[0].Packet(w.now, &p, new(steer.Forward)).(*steer.Forward)
 			must.True(t, ok)
 			must.Eq(t, w.sites[tc.want].host, a.Host)
 		})
@@ -337,7 +337,7 @@
 	for _, flags := range []steer.Flags{steer.SYN | steer.ACK, steer.SYN | steer.Returned, steer.ACK | steer.Returned} {
 		p := opening(caller(1))
 		p.Flags = flags
-		must.Eq[steer.Action](t, steer.Drop{Reason: steer.ReasonInvalid}, w.balancers[0].Packet(w.now, &p))
+		must.Eq[steer.Action](t, steer.Drop{Reason: steer.ReasonInvalid}, w.balancers[0].Packet(w.now, &p, new(steer.Forward)))
 		h := steer.Header{Service: registry.HashService(service)}
 		must.Eq[steer.Action](t, steer.Drop{Reason: steer.ReasonInvalid}, w.sites[0].sidecar.FromBalancer(w.now, &h, &p))
 	}
@@ -348,9 +348,9 @@
 	w := newWorld(1, service)
 	p := opening(caller(1))
 	p.Destination.Port++
-	must.Eq[steer.Action](t, steer.Refuse{Reason: steer.ReasonNoRoute}, w.balancers[0].Packet(w.now, &p))
+	must.Eq[steer.Action](t, steer.Refuse{Reason: steer.ReasonNoRoute}, w.balancers[0].Packet(w.now, &p, new(steer.Forward)))
 	p.Flags = steer.ACK
-	must.Eq[steer.Action](t, steer.Drop{Reason: steer.ReasonNoRoute}, w.balancers[0].Packet(w.now, &p))
+	must.Eq[steer.Action](t, steer.Drop{Reason: steer.ReasonNoRoute}, w.balancers[0].Packet(w.now, &p, new(steer.Forward)))
 }
 
 // TestSilentUpstream passes openings on until the upstream reacts, and tries it again after a while.
@@ -365,7 +365,7 @@
 	must.True(t, s.Silent(w.now))
 	w.refresh()
 	again := opening(caller(2))
-	passed, ok := s.FromBalancer(w.now, &h, &again).(steer.Forward)
+	passed, ok := s.FromBalancer(w.now, &h, &again).(*steer.Forward)
 	must.True(t, ok)
 	must.Eq(t, w.sites[1].host, passed.Host)
 	w.now += 2 * time.Second
@@ -429,3 +429,31 @@
 	must.Eq(t, 10, w.sites[0].sidecar.Active()+w.sites[1].sidecar.Active())
 	must.Between(t, 2, w.sites[1].sidecar.Active(), 5)
 }
+
+// TestFloodOfOpeningsIsBounded opens more flows than a shard remembers; those
+// beyond are found by a search.
+func TestFloodOfOpeningsIsBounded(t *testing.T) {
+	w := newWorld(1, service, service)
+	const flows = 1<<14 + 100
+	key := func(n int) steer.Key {
+		k := caller(0)
+		k.Caller.Host = registry.Host{byte(n >> 16), byte(n >> 8), byte(n), 1} // one shard
+		return k
+	}
+	for n := range flows {
+		p := opening(key(n))
+		w.balancers[0].Packet(w.now, &p, new(steer.Forward))
+	}
+	must.Eq(t, 1<<14, w.balancers[0].Flows())
+	at := w.open(0, key(flows))
+	must.Eq(t, at, w.send(0, w.request(key(flows), at)))
+	h := steer.Header{Service: registry.HashService(service)}
+	for n := range flows {
+		p := opening(key(n))
+		p.Flags = steer.ACK
+		w.sites[0].sidecar.FromBalancer(w.now, &h, &p)
+	}
+	w.advance(time.Minute)
+	w.sites[0].sidecar.Expire(w.now)
+	must.Eq(t, 0, w.sites[0].sidecar.Active())
+}
--- a/steer/world_test.go
+++ b/steer/world_test.go
@@ -165,7 +165,7 @@
 
 // send moves a packet of a caller through a balancer, and returns the upstream that kept it, or -1.
 func (w *world) send(balancer int, p steer.Packet) int {
-	return w.follow(w.balancers[balancer].Packet(w.now, &p), p)
+	return w.follow(w.balancers[balancer].Packet(w.now, &p, new(steer.Forward)), p)
 }
 
 // follow does what was decided for a packet until it is kept or lost.
@@ -177,7 +177,7 @@
 			return -1
 		case steer.Drop:
 			return -1
-		case steer.Forward:
+		case *steer.Forward:
 			i := slices.IndexFunc(w.sites, func(s *site) bool { return s.host == d.Host })
 			h := d.Header
 			a = w.sites[i].sidecar.FromBalancer(w.now, &h, &p)
