Split what had grown: passing on, trails, heartbeats and views have files of their own

Ruled out: new packages, since nothing outside needs these parts. Change: steer/pass.go, steer/trail.go, exchange/beats.go, exchange/view.go; apply returns what it is asked for. No behaviour changes, so nothing was measured. Conclusion: go test ./steer ./exchange passes.

--- a/exchange/pull.go
+++ b/exchange/pull.go
@@ -83,7 +83,7 @@
 	if err != nil {
 		return err
 	}
-	res, _ := n.apply(u, zap.Stringer("peer", host))
+	res := n.apply(u, zap.Stringer("peer", host))
 	if res.Gap || u.Routes == nil && u.Revision == 0 {
 		return &NothingNewError{Host: host}
 	}
--- a/exchange/reader.go
+++ b/exchange/reader.go
@@ -70,7 +70,7 @@
 		r.lost = false
 		n.cfg.Log.Emit(event.StoreRegained)
 	}
-	res, _ := n.apply(u, zap.String("source", "store"))
+	res := n.apply(u, zap.String("source", "store"))
 	r.whole = res.Gap
 	if res.Routes || res.Upstreams {
 		n.Hurry()
--- /dev/null
+++ b/exchange/view.go
@@ -0,0 +1,81 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/membership"
+	"github.com/corianderbay/corianderbay/registry"
+	"github.com/corianderbay/corianderbay/steer"
+	"go.uber.org/zap"
+)
+
+// refresh hands out a new view when something changed. Heartbeats alone are gathered for a tick.
+func (n *Node) refresh(now time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if now-n.made >= registry.MissingGrace/4 {
+		n.remake(now)
+	}
+	if !n.stale {
+		return
+	}
+	n.stale = false
+	n.publish(now)
+}
+
+// remake makes the snapshot anew. The caller holds the lock.
+func (n *Node) remake(now time.Duration) {
+	n.snapshot = n.directory.Snapshot(now)
+	if n.informed == 0 && n.snapshot.Revision() > 0 {
+		n.informed = now
+	}
+	n.made = now
+	n.stale = true
+	if n.members.StoreKnown() && n.members.StoreAge(now) >= membership.FreshStore {
+		n.trouble = now
+	}
+}
+
+// publish hands out the present view. The caller holds the lock.
+func (n *Node) publish(now time.Duration) {
+	f := &steer.Fleet{
+		Snapshot: n.snapshot,
+		Sidecars: make(map[registry.Host]steer.Instance),
+		Unlisted: n.snapshot.Unlisted(n.members.Sidecars(now)),
+		Young:    now-n.informed < settleTime,
+		Settled:  now-n.trouble >= settleTime && n.informed != 0 && now-n.informed >= gatherTime,
+	}
+	for _, p := range n.members.Peers(membership.Sidecar) {
+		f.Sidecars[p.Host] = steer.Instance{
+			Load:     p.Beat.Load,
+			Heard:    p.Heard,
+			Patience: membership.Patience(p.Beat.DataCentre, n.cfg.DataCentre),
+			Stopping: p.Beat.Stopping,
+		}
+	}
+	for _, h := range n.members.Lost(now) {
+		f.Sidecars[h] = steer.Instance{Stopping: true}
+	}
+	n.cfg.Refresh(f)
+}
+
+// apply merges an update and hands out the new view at once.
+func (n *Node) apply(u registry.Update, from zap.Field) registry.Result {
+	now := n.cfg.Timer.Uptime()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	res := n.directory.Apply(now, u)
+	if res.Routes || res.Upstreams {
+		n.remake(now)
+		n.stale = false
+		n.publish(now)
+		n.cfg.Log.Emit(event.RoutesAdopted, from,
+			zap.Uint64("version", n.directory.Version()),
+			zap.Uint64("revision", n.directory.Revision()),
+			zap.Bool("routes", res.Routes),
+			zap.Bool("upstreams", res.Upstreams),
+			zap.Int("changes", len(u.Changes)))
+	}
+	return res
+}
--- a/steer/flow.go
+++ b/steer/flow.go
@@ -61,10 +61,3 @@
 	}
 	return quiet >= openingLife
 }
-
-// trail is what a packet that was delivered and may come back was sent with.
-type trail struct {
-	key    Key
-	header Header // with visited hosts of its own
-	at     time.Duration
-}
