--- a/exchange/node_test.go
+++ b/exchange/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/netip"
 	"os"
 	"sync"
@@ -15,6 +16,7 @@
 	"github.com/corianderbay/corianderbay/registry"
 	"github.com/corianderbay/corianderbay/steer"
 	"github.com/corianderbay/corianderbay/timer"
+	"github.com/corianderbay/corianderbay/wire"
 	"github.com/shoenig/test/must"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap/zapcore"
@@ -289,3 +291,30 @@
 	m.fail(false)
 	await(t, "it has read", func() bool { return b.version() == 5 })
 }
+
+// TestSilentPeerHoldsNobodyUp has a peer that announces something newer, takes
+// connections and never answers, as an open connection may fall silent for good.
+func TestSilentPeerHoldsNobodyUp(t *testing.T) {
+	shut := &memory{down: true}
+	open := new(memory)
+	open.set(7)
+	learner := start(t, 2, membership.Balancer, shut, 0)
+	silent, err := net.Listen("tcp4", netip.AddrPortFrom(hostOf(5).Addr(), port).String())
+	must.NoError(t, err)
+	t.Cleanup(func() { silent.Close() })
+	beats, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(hostOf(5).Addr(), port)))
+	must.NoError(t, err)
+	t.Cleanup(func() { beats.Close() })
+	raw, err := wire.Encode(membership.Beat{Role: membership.Balancer, DataCentre: "a", Incarnation: 1, Version: 9, Revision: 9})
+	must.NoError(t, err)
+	lie := func() {
+		_, err := beats.WriteToUDPAddrPort(append([]byte{1}, raw...), netip.AddrPortFrom(hostOf(2).Addr(), port))
+		must.NoError(t, err)
+	}
+	lie()
+	start(t, 1, membership.Balancer, open, 0)
+	await(t, "the honest peer is asked", func() bool {
+		lie()
+		return learner.version() == 7
+	})
+}
