Let a test suspend the clock; say what is awaited in ordinary words

Cause: the count of suspensions had no test, as it read the system's clocks itself; some comments of steer said that the upstream owes a reaction or knows better. Ruled out: a fake clock for all of timer, which synctest has. Change: timer.Config takes the function that tells suspensions; owes is awaitReaction. No behaviour changes. Measured: TestSuspensionCountsAsPause passes; nothing else was measured.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -46,7 +46,7 @@
 			if err != nil {
 				return err
 			}
-			t := timer.New(timer.Config{CountSuspension: true})
+			t := timer.New(timer.Config{Suspended: timer.Suspended})
 			out := event.NewWriter(cmd.OutOrStdout(), keptLines, t)
 			defer out.Close()
 			return run(cmd.Context(), platform.Config{
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -49,7 +49,7 @@
 
 	flows   atomic.Int64 // that are live
 	active  atomic.Int64 // requests that wait for an answer
-	asked   atomic.Int64 // nanoseconds; since when the upstream owes a reaction, 0 if it does not
+	asked   atomic.Int64 // nanoseconds; when the packet was delivered that waits for a reaction, 0 if none does
 	refused atomic.Int64 // nanoseconds; when the upstream last returned an opening, 0 if never
 
 	mu      sync.Mutex
@@ -88,7 +88,7 @@
 	return int(s.active.Load())
 }
 
-// Silent reports whether the upstream owes a reaction for longer than it ever takes.
+// Silent reports whether the upstream has not reacted for longer than it ever takes.
 func (s *Sidecar) Silent(now time.Duration) bool {
 	at := s.asked.Load()
 	return at != 0 && now-time.Duration(at) >= silentAfter
@@ -176,7 +176,7 @@
 	if known && l.live() && !(l.stage == stageOpening && s.Silent(now)) {
 		l.last = now
 		sh.flows[k] = l
-		s.owes(now)
+		s.awaitReaction(now)
 		return Deliver{Tag: s.remember(now, k, h)}
 	}
 	if known {
@@ -190,7 +190,7 @@
 	}
 	sh.flows[k] = local{stage: stageOpening, balancer: h.Balancer, next: p.Sequence, last: now}
 	s.flows.Add(1)
-	s.owes(now)
+	s.awaitReaction(now)
 	return Deliver{Tag: s.remember(now, k, h)}
 }
 
@@ -227,10 +227,10 @@
 	return f != nil && !f.listed(s.cfg.Self) && s.Silent(now)
 }
 
-// ask delivers a packet of an unknown flow: the upstream knows better.
+// ask delivers a packet of an unknown flow: the upstream returns it when it does not hold the flow.
 func (s *Sidecar) ask(now time.Duration, sh *sidecarShard, k Key, h *Header) Action {
 	if f := s.fleet.Load(); f != nil && !f.listed(s.cfg.Self) {
-		s.owes(now) // a flow that it does not hold comes back at once
+		s.awaitReaction(now) // a packet of a flow that it does not hold comes back at once
 	}
 	if len(sh.flows) < maxRemembered {
 		sh.flows[k] = local{stage: stageAsked, balancer: h.Balancer, last: now}
@@ -398,8 +398,8 @@
 	return s.passOn(now, &h, p)
 }
 
-// owes notes that the upstream has to react to a packet.
-func (s *Sidecar) owes(now time.Duration) {
+// awaitReaction notes that the upstream has to react to a packet.
+func (s *Sidecar) awaitReaction(now time.Duration) {
 	s.asked.CompareAndSwap(0, int64(now))
 }
 
--- a/timer/service.go
+++ b/timer/service.go
@@ -18,9 +18,10 @@
 	// PauseAfter is the gap between two expected ticks from which the process
 	// counts as having been paused. Zero selects defaultPauseAfter.
 	PauseAfter time.Duration
-	// CountSuspension makes Uptime count the time for which the instance was
-	// suspended, which the monotonic clock leaves out. A Heartbeat has to run.
-	CountSuspension bool
+	// Suspended returns for how long the instance has been suspended in all, which
+	// Uptime then counts; the monotonic clock leaves it out. A Heartbeat has to
+	// run. Nil counts none; Suspended of this package asks the system.
+	Suspended func() time.Duration
 }
 
 const (
@@ -33,9 +34,9 @@
 type Service struct {
 	cfg   Config
 	start time.Time // fixed after New
-	// lead is how far the clock that counts suspensions was ahead of the monotonic one at the start.
-	lead      time.Duration
-	suspended atomic.Int64 // nanoseconds for which the instance was suspended; 0 unless counted
+	// before is for how long the instance had been suspended before the start.
+	before    time.Duration
+	suspended atomic.Int64 // nanoseconds for which it was suspended since; 0 unless counted
 }
 
 // New returns a Service that runs on the process clock.
@@ -44,26 +45,26 @@
 		cfg.PauseAfter = defaultPauseAfter
 	}
 	s := &Service{cfg: cfg, start: time.Now()}
-	if cfg.CountSuspension {
-		s.lead = suspensionLead()
+	if cfg.Suspended != nil {
+		s.before = cfg.Suspended()
 	}
 	return s
 }
 
 // noteSuspension counts the time for which the instance was suspended since the last call.
 func (s *Service) noteSuspension() {
-	if !s.cfg.CountSuspension {
+	if s.cfg.Suspended == nil {
 		return
 	}
-	total := suspensionLead() - s.lead
+	total := s.cfg.Suspended() - s.before
 	if total-time.Duration(s.suspended.Load()) >= minSuspension {
 		s.suspended.Store(int64(total))
 	}
 }
 
-// suspensionLead returns how long the instance has been suspended since it was
+// Suspended returns for how long the instance has been suspended since it was
 // booted, or 0 when that cannot be told.
-func suspensionLead() time.Duration {
+func Suspended() time.Duration {
 	var boot, mono unix.Timespec
 	if unix.ClockGettime(unix.CLOCK_BOOTTIME, &boot) != nil || unix.ClockGettime(unix.CLOCK_MONOTONIC, &mono) != nil {
 		return 0
--- a/timer/service_test.go
+++ b/timer/service_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -30,3 +32,28 @@
 		must.ErrorIs(t, s.Sleep(ctx, time.Hour), context.DeadlineExceeded)
 	})
 }
+
+// TestSuspensionCountsAsPause suspends the instance for five seconds, which the
+// monotonic clock leaves out.
+func TestSuspensionCountsAsPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var suspended atomic.Int64
+		suspended.Store(int64(time.Hour)) // before the start
+		s := timer.New(timer.Config{Suspended: func() time.Duration { return time.Duration(suspended.Load()) }})
+		hb := timer.NewHeartbeat(s)
+		var gap time.Duration
+		hb.OnWake(func(d time.Duration) { gap = d })
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { hb.Run(ctx) })
+		time.Sleep(time.Second)
+		must.Eq(t, 0, hb.Epoch())
+		suspended.Add(int64(5 * time.Second))
+		time.Sleep(time.Second)
+		must.Eq(t, 1, hb.Epoch())
+		must.Between(t, 5*time.Second, gap, 5200*time.Millisecond)
+		must.Eq(t, 7*time.Second, s.Uptime())
+		cancel()
+		wg.Wait()
+	})
+}
