Hold packets in doubt for a moment, and ask whether an upstream still runs

Searches ended at 10.3.0.27: a sidecar whose upstream had left long ago, alive again for 0.3 s, listed by nobody and therefore asked last. What it was given came back from nowhere. Packets that arrived in the first 0.1 s were dropped for want of routes, and are repeated only after 0.2 to 0.8 s.

Change: a packet that cannot be decided on yet is held for at most 0.8 s and offered again (a balancer without routes, a sidecar in doubt about an unknown flow). A sidecar whose upstream does not react connects to it; a refused connection ends the search there, resets the flows that ended with the upstream, also the idle ones, and keeps new ones away. It is believed only when the upstream is known to take connections, or never sent a packet. Searches ask sidecars that were never heard last; a process sends its first heartbeat at its start.

Tests: TestHeldPacketIsDecidedOnceTheStoreSettled, TestSearchGoesPastAnUpstreamThatEnded, TestFlowsOfAnEndedUpstreamAreReset, TestUpstreamThatTakesNoConnectionsKeepsItsFlows, TestSidecarWithoutUpstreamIsSilent.

--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -48,6 +48,7 @@
 	node      *exchange.Node
 	socket    *udp.Socket
 	counts    counts
+	held      holder // packets that arrived before routes and upstreams were known
 	stopping  atomic.Bool
 	ready     atomic.Bool
 	informed  atomic.Int64 // nanoseconds of uptime since when routes and upstreams are known; 0 if not
@@ -128,7 +129,9 @@
 		return
 	}
 	now := b.cfg.Timer.Uptime()
-	b.informed.CompareAndSwap(0, int64(now))
+	if b.informed.CompareAndSwap(0, int64(now)) {
+		b.release(now)
+	}
 	if b.ready.Load() {
 		return
 	}
@@ -192,13 +195,31 @@
 		out = b.cfg.Codec.AppendReset(out, p)
 		b.socket.Send(out, p.Source.Host.Port(b.cfg.CallerPort))
 		logFlow(b.cfg.Log, event.FlowRefused, p, zap.Stringer("reason", a.Reason))
+	case *steer.Hold:
+		if !b.held.add(now, a.Header, d) {
+			b.drop(p, a.Reason)
+		}
 	case steer.Drop:
-		b.counts.dropped.Add(1)
-		logFlow(b.cfg.Log, event.PacketDropped, p, zap.Stringer("reason", a.Reason))
+		b.drop(p, a.Reason)
 	}
 	return out
 }
 
+func (b *Balancer) drop(p *steer.Packet, reason steer.Reason) {
+	b.counts.dropped.Add(1)
+	logFlow(b.cfg.Log, event.PacketDropped, p, zap.Stringer("reason", reason))
+}
+
+// release decides on the packets that were held until routes and upstreams were known.
+func (b *Balancer) release(now time.Duration) {
+	handle := b.newHandler()
+	for _, h := range b.held.take() {
+		if !h.expired(now) {
+			handle(h.data, netip.AddrPort{})
+		}
+	}
+}
+
 func (b *Balancer) logOpening(p *steer.Packet, a *steer.Forward) {
 	if p.Opens() && b.cfg.Log.Enabled(event.FlowOpened) {
 		logFlow(b.cfg.Log, event.FlowOpened, p,
--- a/edge/sidecar.go
+++ b/edge/sidecar.go
@@ -48,12 +48,17 @@
 	node      *exchange.Node
 	socket    *udp.Socket // for the upstream and for callers
 	counts    counts
+	held      holder
+	checks    chan struct{} // wakes the goroutine that asks whether the upstream runs
 	stopping  atomic.Bool
-	busy      atomic.Int64 // mean number of requests that wait, in thousandths
+	goneSince time.Duration // when the upstream was first found to be gone; 0 while it runs
+	goneTicks int           // since the process started, while the upstream was gone
+	busy      atomic.Int64  // mean number of requests that wait, in thousandths
 
 	// The buffers belong to the goroutine that reads the named socket.
 	fromPeers    buffers
 	fromUpstream buffers
+	fromHeld     buffers // of the goroutine that ticks
 }
 
 // buffers are reused from packet to packet.
@@ -64,7 +69,7 @@
 
 // OpenSidecar binds the addresses. It reports *udp.ListenError or *exchange.ListenError.
 func OpenSidecar(cfg SidecarConfig) (*Sidecar, error) {
-	s := &Sidecar{cfg: cfg, heartbeat: timer.NewHeartbeat(cfg.Timer)}
+	s := &Sidecar{cfg: cfg, heartbeat: timer.NewHeartbeat(cfg.Timer), checks: make(chan struct{}, 1)}
 	self, err := registry.HostOf(cfg.Exchange.Addr())
 	if err != nil {
 		return nil, err
@@ -102,6 +107,7 @@
 	wg.Go(func() { s.node.Run(inner) })
 	wg.Go(func() { s.socket.Run(inner, func() udp.Handler { return s.upstreamPacket }) })
 	wg.Go(func() { s.tick(inner) })
+	wg.Go(func() { s.watchUpstream(inner) })
 	<-ctx.Done()
 	s.drain(inner)
 	end()
@@ -142,6 +148,7 @@
 	var expired time.Duration
 	told := 0 // requests that waited when others were last told out of turn
 	silent := false
+	s.wakeCheck() // an instance may start without its upstream
 	for {
 		select {
 		case <-ctx.Done():
@@ -155,6 +162,8 @@
 			s.node.Hurry()
 		}
 		s.sendNotices()
+		s.release(now)
+		s.checkUpstream(now)
 		if now-expired >= expireEvery {
 			expired = now
 			s.decide.Expire(now)
@@ -237,13 +246,47 @@
 		s.node.Send(b.out, a.Host)
 		logFlow(s.cfg.Log, event.PacketPassed, p, zap.Stringer("next", a.Host), zap.Int("visited", len(a.Header.Visited)))
 	case steer.Refuse:
-		s.counts.refused.Add(1)
-		b.out = s.cfg.Codec.AppendReset(b.out[:0], p)
-		s.socket.Send(b.out, p.Source.Host.Port(s.cfg.CallerPort))
-		logFlow(s.cfg.Log, event.FlowRefused, p, zap.Stringer("reason", a.Reason))
+		b.out = s.refuse(p, a.Reason, b.out)
+	case *steer.Hold:
+		if !s.held.add(s.cfg.Timer.Uptime(), a.Header, d) {
+			s.drop(p, a.Reason)
+		}
 	case steer.Drop:
-		s.counts.dropped.Add(1)
-		logFlow(s.cfg.Log, event.PacketDropped, p, zap.Stringer("reason", a.Reason))
+		s.drop(p, a.Reason)
+	}
+}
+
+// refuse resets the flow of a caller's packet, and returns the buffer for the next one.
+func (s *Sidecar) refuse(p *steer.Packet, reason steer.Reason, out []byte) []byte {
+	s.counts.refused.Add(1)
+	out = s.cfg.Codec.AppendReset(out[:0], p)
+	s.socket.Send(out, p.Source.Host.Port(s.cfg.CallerPort))
+	logFlow(s.cfg.Log, event.FlowRefused, p, zap.Stringer("reason", reason))
+	return out
+}
+
+func (s *Sidecar) drop(p *steer.Packet, reason steer.Reason) {
+	s.counts.dropped.Add(1)
+	logFlow(s.cfg.Log, event.PacketDropped, p, zap.Stringer("reason", reason))
+}
+
+// release decides again on the packets that are held.
+func (s *Sidecar) release(now time.Duration) {
+	p := &s.fromHeld.packet
+	for _, h := range s.held.take() {
+		if err := s.cfg.Codec.Decode(h.data, p); err != nil {
+			continue // it was decoded before it was held
+		}
+		a := s.decide.Again(now, &h.header, p)
+		again, held := a.(*steer.Hold)
+		switch {
+		case held && h.expired(now):
+			s.drop(p, again.Reason)
+		case held:
+			s.held.keep(h)
+		default:
+			s.act(a, h.data, &s.fromHeld)
+		}
 	}
 }
 
--- a/event/edge.go
+++ b/event/edge.go
@@ -28,6 +28,7 @@
 	UpstreamReset    Number = 7044
 	UpstreamSilent   Number = 7050
 	UpstreamReacts   Number = 7051
+	UpstreamEnded    Number = 7052
 )
 
 func edgeEvents() []Entry {
@@ -56,5 +57,6 @@
 		{UpstreamReset, "upstream-reset", zapcore.InfoLevel, "The upstream itself reset a flow.", "Look at the upstream when it repeats."},
 		{UpstreamSilent, "upstream-silent", zapcore.WarnLevel, "The upstream does not react to what is delivered to it; it gets no new flows.", "Look at the upstream."},
 		{UpstreamReacts, "upstream-reacts", zapcore.InfoLevel, "The upstream reacts again.", "None."},
+		{UpstreamEnded, "upstream-ended", zapcore.WarnLevel, "Nothing listens at the upstream's address; its flows are reset.", "Look at the upstream, unless it was to end."},
 	}
 }
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -320,7 +320,8 @@
 func (n *Node) tick(ctx context.Context) {
 	sub := n.cfg.Timer.Every(tick)
 	defer sub.Stop()
-	var last time.Duration
+	n.beat(true) // others learn at once that this process has started
+	last := n.cfg.Timer.Uptime()
 	for {
 		hurry := false
 		select {
--- a/exchange/view.go
+++ b/exchange/view.go
@@ -65,7 +65,11 @@
 	now := n.cfg.Timer.Uptime()
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	first := n.directory.Revision() == 0
 	res := n.directory.Apply(now, u)
+	if first && res.Upstreams {
+		n.Hurry() // sidecars learn of this process
+	}
 	if res.Routes || res.Upstreams {
 		n.remake(now)
 		n.stale = false
--- a/steer/action.go
+++ b/steer/action.go
@@ -2,7 +2,7 @@
 
 import "github.com/corianderbay/corianderbay/registry"
 
-// An Action is what is done with one packet: *Forward, Deliver, Answer, Refuse or Drop.
+// An Action is what is done with one packet: *Forward, Deliver, Answer, Refuse, *Hold or Drop.
 type Action interface{ action() }
 
 // Forward sends the packet to the sidecar on Host, behind Header.
@@ -24,6 +24,14 @@
 	Reason Reason
 }
 
+// Hold keeps the packet for a moment and offers it again: what is missing to
+// decide on it is about to be known. Callers repeat a packet only after 200 ms or more.
+type Hold struct {
+	// Header is what the packet is offered again with. It means nothing at a balancer.
+	Header Header
+	Reason Reason
+}
+
 // Drop discards the packet.
 type Drop struct {
 	Reason Reason
@@ -33,6 +41,7 @@
 func (Deliver) action()  {}
 func (Answer) action()   {}
 func (Refuse) action()   {}
+func (*Hold) action()    {}
 func (Drop) action()     {}
 
 // Reason says why a packet was refused or dropped.
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -118,7 +118,7 @@
 func (b *Balancer) Packet(now time.Duration, p *Packet, out *Forward) Action {
 	f := b.fleet.Load()
 	if f == nil || f.Snapshot.Version() == 0 {
-		return Drop{Reason: ReasonStarting}
+		return &Hold{Reason: ReasonStarting}
 	}
 	if p.Flags.Has(Returned) || p.Flags.Has(SYN|ACK) {
 		return Drop{Reason: ReasonInvalid}
--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -85,11 +85,11 @@
 }
 
 // allAsked reports whether each upstream of the pool that may hold a flow has
-// passed the packet on. One that was removed and whose sidecar fell silent is gone.
+// passed the packet on. One that was removed and whose sidecar is not heard is gone.
 func (f *Fleet) allAsked(now time.Duration, p *registry.Pool, h *Header) bool {
 	for i := range p.Members {
 		m := &p.Members[i]
-		gone := m.Standing == registry.Removed && f.silent(now, m.Address.Host)
+		gone := m.Standing == registry.Removed && !f.alive(now, m.Address.Host)
 		if !gone && !h.visited(m.Address.Host) {
 			return false
 		}
--- a/steer/flow.go
+++ b/steer/flow.go
@@ -36,12 +36,14 @@
 	// confirm is the acknowledgement with which the caller confirms the upstream's answer to the opening.
 	confirm uint32
 	// next is the sequence number after the caller's last data.
-	next      uint32
-	waiting   bool // a request waits for its answer
-	callerFin bool
-	ownFin    bool
-	last      time.Duration // of the last packet in either direction
-	asked     time.Duration // when the request that waits arrived
+	next uint32
+	// acknowledge is the caller's last acknowledgement.
+	acknowledge uint32
+	waiting     bool // a request waits for its answer
+	callerFin   bool
+	ownFin      bool
+	last        time.Duration // of the last packet in either direction
+	asked       time.Duration // when the request that waits arrived
 }
 
 // live reports whether the flow takes a connection of the upstream.
--- a/steer/pass.go
+++ b/steer/pass.go
@@ -44,7 +44,7 @@
 	}
 	f := s.fleet.Load()
 	if f == nil {
-		return Drop{Reason: ReasonStarting}
+		return hold(h, ReasonStarting)
 	}
 	next := h.WithVisited(s.cfg.Self)
 	c := s.chooser(now, f, p)
@@ -57,9 +57,24 @@
 	if s.nobody(now, f, &next, p) {
 		return Refuse{Reason: ReasonUnknownFlow}
 	}
+	if !p.Opens() && !p.Flags.Has(RST) && (!f.Settled || f.Snapshot.Revision() < h.Revision) {
+		return hold(h, ReasonUnknownFlow)
+	}
 	return s.none(p, ReasonUnknownFlow)
 }
 
+// Again decides once more on a packet that was held.
+func (s *Sidecar) Again(now time.Duration, h *Header, p *Packet) Action {
+	return s.passOn(now, h, p)
+}
+
+// hold returns a Hold with a header of its own.
+func hold(h *Header, reason Reason) *Hold {
+	c := *h
+	c.Visited = append([]registry.Host(nil), h.Visited...)
+	return &Hold{Header: c, Reason: reason}
+}
+
 // next returns the upstream to pass a packet on to. A new flow goes to the
 // services that its route allows. A later packet goes on to all others: its
 // flow may have been opened under an older version of the route.
--- a/steer/place.go
+++ b/steer/place.go
@@ -115,9 +115,16 @@
 	return c.unheard(pool, skip)
 }
 
-// walk returns the next upstream to ask for a flow that nobody remembers: the
-// near ones first, each in the flow's own order, and removed ones last. Sidecars that fell silent are
-// left out. It returns nil when all were asked.
+// The classes of upstreams in a walk: those without a bit go first.
+const (
+	walkFar     = 1 << 61 // of another data centre
+	walkUnheard = 1 << 62 // whose sidecar was never heard, so that a packet may be lost there
+	walkRemoved = 1 << 63 // that the list does not have any more
+)
+
+// walk returns the next upstream to ask for a flow that nobody remembers, each
+// class in the flow's own order. Sidecars that fell silent are left out. It
+// returns nil when all were asked.
 func (c *chooser) walk(p *registry.Pool, skip func(registry.Host) bool) *registry.Member {
 	var best *registry.Member
 	var bestRank uint64
@@ -127,12 +134,15 @@
 		if skip(host) || c.fleet.silent(c.now, host) {
 			continue
 		}
-		r := rank(c.hash, host) >> 2
+		r := rank(c.hash, host) >> 3
 		if m.DataCentre != c.dataCentre {
-			r |= 1 << 62
+			r |= walkFar
+		}
+		if !c.fleet.alive(c.now, host) {
+			r |= walkUnheard
 		}
 		if m.Standing == registry.Removed {
-			r |= 1 << 63
+			r |= walkRemoved
 		}
 		if best == nil || r < bestRank {
 			best, bestRank = m, r
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -16,6 +16,11 @@
 	trailLife = 2 * time.Second
 	// silentAfter is how long an upstream takes at most to react to a packet.
 	silentAfter = 150 * time.Millisecond
+	// openingDoubt is after how long without a reaction to an opening it is worth
+	// asking whether the upstream still runs: it answers openings within a millisecond.
+	openingDoubt = 20 * time.Millisecond
+	// dataDoubt is openingDoubt for other packets, which may wait for a request to be worked on.
+	dataDoubt = 100 * time.Millisecond
 	// retrySilent is after how long one more opening is offered to a silent upstream.
 	retrySilent = time.Second
 	// refusedFor is how long an upstream that returned an opening counts as refusing.
@@ -42,14 +47,14 @@
 // Sidecar decides what happens to packets for the upstream beside it, and to
 // those that the upstream sends. It is safe for concurrent use.
 type Sidecar struct {
-	cfg     SidecarConfig
-	service registry.ServiceHash
-	fleet   atomic.Pointer[Fleet] // nil until SetFleet
-	shards  [shards]sidecarShard
+	cfg      SidecarConfig
+	service  registry.ServiceHash
+	fleet    atomic.Pointer[Fleet] // nil until SetFleet
+	shards   [shards]sidecarShard
+	upstream presence
 
 	flows   atomic.Int64 // that are live
 	active  atomic.Int64 // requests that wait for an answer
-	asked   atomic.Int64 // nanoseconds; when the packet was delivered that waits for a reaction, 0 if none does
 	refused atomic.Int64 // nanoseconds; when the upstream last returned an opening, 0 if never
 
 	mu      sync.Mutex
@@ -76,6 +81,10 @@
 // SetFleet replaces what the sidecar acts on.
 func (s *Sidecar) SetFleet(f *Fleet) {
 	s.fleet.Store(f)
+	if s.upstream.untried.Load() && f.listed(s.cfg.Self) {
+		s.upstream.untried.Store(false)
+		s.upstream.gone.Store(false) // it may take packets though it took no connection
+	}
 }
 
 // Flows returns how many flows are open or opening.
@@ -88,12 +97,6 @@
 	return int(s.active.Load())
 }
 
-// Silent reports whether the upstream has not reacted for longer than it ever takes.
-func (s *Sidecar) Silent(now time.Duration) bool {
-	at := s.asked.Load()
-	return at != 0 && now-time.Duration(at) >= silentAfter
-}
-
 // Refusing reports whether the upstream lately returned an opening.
 func (s *Sidecar) Refusing(now time.Duration) bool {
 	at := s.refused.Load()
@@ -128,9 +131,7 @@
 // Expire forgets flows that ended or have been silent for long, and lets a
 // silent upstream be tried again.
 func (s *Sidecar) Expire(now time.Duration) {
-	if at := s.asked.Load(); at != 0 && now-time.Duration(at) >= silentAfter+retrySilent {
-		s.asked.CompareAndSwap(at, 0)
-	}
+	s.upstream.retry(now)
 	maxQuiet := s.cfg.MaxFlow
 	if f := s.fleet.Load(); f != nil && f.Snapshot.Idle() > 0 {
 		maxQuiet = min(maxQuiet, f.Snapshot.Idle())
@@ -162,6 +163,9 @@
 	if p.Opens() {
 		return s.opening(now, sh, k, l, known, h, p)
 	}
+	if s.Gone() {
+		return s.orphaned(now, sh, k, l, known, h, p)
+	}
 	if (!known || l.stage == stageAsked) && s.absent(now) {
 		return s.passOn(now, h, p)
 	}
@@ -173,10 +177,10 @@
 
 // opening decides on a request for a new flow.
 func (s *Sidecar) opening(now time.Duration, sh *sidecarShard, k Key, l local, known bool, h *Header, p *Packet) Action {
-	if known && l.live() && !(l.stage == stageOpening && s.Silent(now)) {
+	if known && l.live() && !s.Gone() && !(l.stage == stageOpening && s.Silent(now)) {
 		l.last = now
 		sh.flows[k] = l
-		s.awaitReaction(now)
+		s.upstream.awaitReaction(now)
 		return Deliver{Tag: s.remember(now, k, h)}
 	}
 	if known {
@@ -190,7 +194,7 @@
 	}
 	sh.flows[k] = local{stage: stageOpening, balancer: h.Balancer, next: p.Sequence, last: now}
 	s.flows.Add(1)
-	s.awaitReaction(now)
+	s.upstream.awaitReaction(now)
 	return Deliver{Tag: s.remember(now, k, h)}
 }
 
@@ -230,17 +234,19 @@
 // ask delivers a packet of an unknown flow: the upstream returns it when it does not hold the flow.
 func (s *Sidecar) ask(now time.Duration, sh *sidecarShard, k Key, h *Header) Action {
 	if f := s.fleet.Load(); f != nil && !f.listed(s.cfg.Self) {
-		s.awaitReaction(now) // a packet of a flow that it does not hold comes back at once
+		s.upstream.awaitReaction(now) // a packet of a flow that it does not hold comes back at once
 	}
 	if len(sh.flows) < maxRemembered {
 		sh.flows[k] = local{stage: stageAsked, balancer: h.Balancer, last: now}
 	}
+	s.upstream.awaitPacket(now)
 	return Deliver{Tag: s.remember(now, k, h)}
 }
 
 // later decides on a packet of a flow that is remembered.
 func (s *Sidecar) later(now time.Duration, sh *sidecarShard, k Key, l local, h *Header, p *Packet) Action {
 	l.last, l.balancer = now, h.Balancer
+	l.acknowledge = p.Acknowledge
 	if l.stage == stageAnswered {
 		if !confirms(l.confirm, p) {
 			s.remove(sh, k, &l)
@@ -269,6 +275,7 @@
 // fromCaller notes requests and the end of a flow.
 func (s *Sidecar) fromCaller(now time.Duration, l *local, p *Packet) {
 	if p.Data > 0 && int32(p.Sequence+uint32(p.Data)-l.next) > 0 {
+		s.upstream.awaitPacket(now)
 		l.next = p.Sequence + uint32(p.Data)
 		if !l.waiting {
 			l.waiting, l.asked = true, now
@@ -314,7 +321,7 @@
 
 // FromUpstream decides on a packet that the upstream sent or returned.
 func (s *Sidecar) FromUpstream(now time.Duration, p *Packet) Action {
-	s.asked.Store(0)
+	s.upstream.reacted()
 	if p.Flags.Has(Returned) {
 		return s.returned(now, p)
 	}
@@ -398,11 +405,6 @@
 	return s.passOn(now, &h, p)
 }
 
-// awaitReaction notes that the upstream has to react to a packet.
-func (s *Sidecar) awaitReaction(now time.Duration) {
-	s.asked.CompareAndSwap(0, int64(now))
-}
-
 func (s *Sidecar) notify(n Notice) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -457,3 +457,109 @@
 	w.sites[0].sidecar.Expire(w.now)
 	must.Eq(t, 0, w.sites[0].sidecar.Active())
 }
+
+// TestHeldPacketIsDecidedOnceTheStoreSettled restarts everything, and sends a
+// packet of a flow that ended before it is certain that no upstream is missing.
+func TestHeldPacketIsDecidedOnceTheStoreSettled(t *testing.T) {
+	w := newWorld(1, service, service, other)
+	at := w.open(0, caller(1))
+	p := w.request(caller(1), at)
+	unsettled := &steer.Fleet{Snapshot: w.directory.Snapshot(w.now), Sidecars: map[registry.Host]steer.Instance{}}
+	w.startBalancer(0)
+	w.balancers[0].SetFleet(unsettled)
+	for i, s := range w.sites {
+		w.startSidecar(i)
+		w.startUpstream(i)
+		s.sidecar.SetFleet(unsettled)
+	}
+	must.Eq(t, -1, w.send(0, p))
+	must.Len(t, 1, w.held)
+	w.release()
+	must.SliceEmpty(t, w.resets)
+	w.refresh()
+	w.release()
+	must.Eq(t, []steer.Key{caller(1)}, w.resets)
+	must.SliceEmpty(t, w.held)
+}
+
+// TestSearchGoesPastAnUpstreamThatEnded has a listed upstream that ended while
+// its sidecar lives: a packet that is delivered there comes back from nowhere.
+func TestSearchGoesPastAnUpstreamThatEnded(t *testing.T) {
+	w := newWorld(1, service, service)
+	at := w.open(0, caller(1))
+	p := w.request(caller(1), at)
+	for i := range w.sites {
+		w.startSidecar(i)
+		w.startUpstream(i)
+	}
+	w.sites[1-at].up = false
+	w.startBalancer(0)
+	w.refresh()
+	must.Eq(t, -1, w.send(0, p))
+	must.SliceEmpty(t, w.resets)
+	ended := w.sites[1-at].sidecar
+	must.False(t, ended.Doubts(w.now))
+	w.now += 150 * time.Millisecond
+	must.True(t, ended.Doubts(w.now))
+	_, known := ended.ConnectionRefused()
+	must.True(t, known)
+	w.refresh()
+	must.Eq(t, -1, w.send(0, p))
+	must.Eq(t, []steer.Key{caller(1)}, w.resets)
+}
+
+// TestFlowsOfAnEndedUpstreamAreReset also covers flows on which nothing is sent.
+func TestFlowsOfAnEndedUpstreamAreReset(t *testing.T) {
+	w := newWorld(1, service, service)
+	at := w.open(0, caller(1))
+	s := w.sites[at].sidecar
+	p := w.request(caller(1), at)
+	s.FromUpstream(w.now, reply(caller(1), steer.ACK, 1, 900))
+	s.Connected()
+	_, ended := s.ConnectionRefused()
+	must.False(t, ended) // it has reacted to all that was delivered
+	p.Sequence += 100
+	p.Acknowledge += 900
+	w.sites[at].up = false
+	w.send(0, p)
+	w.now += 120 * time.Millisecond
+	must.True(t, s.Doubts(w.now))
+	orphans, ended := s.ConnectionRefused()
+	must.True(t, ended)
+	must.Len(t, 1, orphans)
+	must.Eq(t, caller(1), orphans[0].CallerKey())
+	must.Eq(t, p.Acknowledge, orphans[0].Acknowledge)
+	must.True(t, s.Silent(w.now))
+	must.Eq(t, 0, s.Flows())
+	must.Eq(t, 0, s.Active())
+	// An opening passes it by, and one after the upstream runs again does not.
+	w.refresh()
+	must.Eq(t, 1-at, w.send(0, opening(caller(2))))
+	w.startUpstream(at)
+	s.Connected()
+	must.False(t, s.Silent(w.now))
+}
+
+// TestUpstreamThatTakesNoConnectionsKeepsItsFlows has an upstream that serves packets only.
+func TestUpstreamThatTakesNoConnectionsKeepsItsFlows(t *testing.T) {
+	w := newWorld(1, service)
+	at := w.open(0, caller(1))
+	s := w.sites[at].sidecar
+	must.True(t, s.Doubts(w.now)) // nothing is known of its connections yet
+	_, ended := s.ConnectionRefused()
+	must.False(t, ended)
+	w.now += time.Second
+	must.False(t, s.Doubts(w.now))
+	must.Eq(t, 1, s.Flows())
+}
+
+// TestSidecarWithoutUpstreamIsSilent starts beside no upstream, on an instance that the list lacks.
+func TestSidecarWithoutUpstreamIsSilent(t *testing.T) {
+	s := steer.NewSidecar(steer.SidecarConfig{Self: registry.Host{10, 9, 9, 9}, DataCentre: near, Service: service, MaxFlow: maxFlow})
+	must.False(t, s.Silent(time.Hour))
+	_, ended := s.ConnectionRefused()
+	must.True(t, ended)
+	must.True(t, s.Silent(time.Hour))
+	s.Expire(time.Hour + time.Second) // it may take packets nevertheless
+	must.False(t, s.Silent(time.Hour+time.Second))
+}
--- a/steer/world_test.go
+++ b/steer/world_test.go
@@ -28,9 +28,17 @@
 	balancers []*steer.Balancer
 	sites     []*site
 	resets    []steer.Key // flows that callers got a reset for
+	held      []heldPacket
 	sequence  uint32
 }
 
+// heldPacket is a packet that a sidecar holds.
+type heldPacket struct {
+	site   int
+	header steer.Header
+	packet steer.Packet
+}
+
 // site is an upstream with its sidecar.
 type site struct {
 	host    registry.Host
@@ -170,6 +178,11 @@
 
 // follow does what was decided for a packet until it is kept or lost.
 func (w *world) follow(a steer.Action, p steer.Packet) int {
+	return w.followFrom(-1, a, p)
+}
+
+// followFrom is follow for what the sidecar of a site decided; -1 stands for a balancer.
+func (w *world) followFrom(at int, a steer.Action, p steer.Packet) int {
 	for range 4 * steer.MaxVisited {
 		switch d := a.(type) {
 		case steer.Refuse:
@@ -177,8 +190,12 @@
 			return -1
 		case steer.Drop:
 			return -1
+		case *steer.Hold:
+			w.held = append(w.held, heldPacket{site: at, header: d.Header, packet: p})
+			return -1
 		case *steer.Forward:
 			i := slices.IndexFunc(w.sites, func(s *site) bool { return s.host == d.Host })
+			at = i
 			h := d.Header
 			a = w.sites[i].sidecar.FromBalancer(w.now, &h, &p)
 			if deliver, ok := a.(steer.Deliver); ok {
@@ -198,6 +215,15 @@
 	panic("a packet went on for ever")
 }
 
+// release offers held packets again.
+func (w *world) release() {
+	held := w.held
+	w.held = nil
+	for _, h := range held {
+		w.followFrom(h.site, w.sites[h.site].sidecar.Again(w.now, &h.header, &h.packet), h.packet)
+	}
+}
+
 // keeps reports whether the upstream takes a packet, and lets it answer an opening.
 func (w *world) keeps(i int, p steer.Packet) bool {
 	s := w.sites[i]
