List three planned changes that move or break a flow as known red

Of 503008 it is known that the remaining member counts as fenced once the others have left for another service; leaving them out of the vote would need the same change in the vote of those who take over, since majorities must intersect, and was not made.

Only the product's own edge is concerned.

--- a/flow/regression_test.go
+++ b/flow/regression_test.go
@@ -34,3 +34,21 @@
 		c.play(t)
 	}
 }
+
+// TestStreamSurvivesMovesOfItsAddress plays a case that is not mended, see KNOWN-RED.txt.
+func TestStreamSurvivesMovesOfItsAddress(t *testing.T) {
+	t.Parallel()
+	regression{"TestStatefulPlanned", "4145", "a TCP flow broke while its address moved between services"}.play(t)
+}
+
+// TestDatagramFlowStaysBesideLeavingMembers plays a case that is not mended, see KNOWN-RED.txt.
+func TestDatagramFlowStaysBesideLeavingMembers(t *testing.T) {
+	t.Parallel()
+	regression{"TestStatefulPlanned", "503008", "a datagram flow moved after other members had left for another service"}.play(t)
+}
+
+// TestDatagramFlowStaysAfterMembersLeft plays a case that is not mended, see KNOWN-RED.txt.
+func TestDatagramFlowStaysAfterMembersLeft(t *testing.T) {
+	t.Parallel()
+	regression{"TestStatefulPlanned", "884694", "a datagram flow moved during planned changes"}.play(t)
+}
