Let flows of a crowded service go to another one that their route allows

Ruled out: distance (far upstreams of the service are used and crowded as well).

Change: when requests wait even at the best upstream of the service that the flow's hash selects, a new flow goes to a free slot of another service of its route; the sidecar of a crowded upstream does the same. Weights hold as long as each service keeps up.

Test: TestCrowdedServiceOverflows.

--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -189,10 +189,14 @@
 }
 
 // place returns the upstream for a new flow: of the service that the flow's
-// hash selects, or of another one that the route allows when that has none.
+// hash selects, or of another one that the route allows when that has none or is crowded.
 func (c *call) place(skip func(registry.Host) bool) (string, *registry.Member) {
 	service := c.route.Service(c.hash)
 	if m := c.placeAt(service, skip); m != nil {
+		ch := c.chooser()
+		if free := ch.overflow(c.route, m, skip); free != nil {
+			return free.Service, free
+		}
 		return service, m
 	}
 	for i := range c.route.Targets {
--- a/steer/pass.go
+++ b/steer/pass.go
@@ -7,8 +7,9 @@
 )
 
 // relieve passes a new flow on when requests wait at the own upstream and
-// clearly fewer at another one. It returns nil when the flow is to stay. A flow
-// is passed on for this reason only once.
+// clearly fewer at another one, or when one of another service that the route
+// allows has a free slot. It returns nil when the flow is to stay. A flow is
+// passed on for this reason only once.
 func (s *Sidecar) relieve(now time.Duration, h *Header, p *Packet) Action {
 	f := s.fleet.Load()
 	if f == nil || len(h.Visited) > 0 {
@@ -19,11 +20,20 @@
 		return nil
 	}
 	c := s.chooser(now, f, p)
-	other := c.choose(f.Snapshot.Pool(s.service), func(host registry.Host) bool { return host == s.cfg.Self })
+	notSelf := func(host registry.Host) bool { return host == s.cfg.Self }
+	other := c.choose(f.Snapshot.Pool(s.service), notSelf)
 	if other == nil || c.queue(other)+crowdedQueue > s.Active()-own.Slots {
-		return nil
+		route := f.Snapshot.Route(p.Destination)
+		if route == nil {
+			return nil
+		}
+		if other = c.overflow(route, &own, notSelf); other == nil {
+			return nil
+		}
 	}
-	return &Forward{Host: other.Address.Host, Header: h.WithVisited(s.cfg.Self)}
+	next := h.WithVisited(s.cfg.Self)
+	next.Service = registry.HashService(other.Service)
+	return &Forward{Host: other.Address.Host, Header: next}
 }
 
 // chooser returns the comparison of upstreams for a packet.
--- a/steer/place.go
+++ b/steer/place.go
@@ -104,6 +104,29 @@
 	return c.fleet.Sidecars[m.Address.Host].Load.Busy / max(1, m.Slots)
 }
 
+// overflow returns an upstream with a free slot, of another service that the
+// route allows, when requests wait even at m, the best one of its own service.
+// Weights share flows out as long as each service keeps up; beyond that a caller
+// is better served anywhere than late. It returns nil when the flow is to stay.
+func (c *chooser) overflow(route *registry.Route, m *registry.Member, skip func(registry.Host) bool) *registry.Member {
+	if len(route.Targets) < 2 || c.queue(m) < crowdedQueue {
+		return nil
+	}
+	for i := range route.Targets {
+		if route.Targets[i].Service == m.Service {
+			continue
+		}
+		pool := c.fleet.Snapshot.Pool(registry.HashService(route.Targets[i].Service))
+		if pool == nil {
+			continue
+		}
+		if free := c.choose(pool, skip); free != nil && c.queue(free) < 0 {
+			return free
+		}
+	}
+	return nil
+}
+
 // open returns the upstream to pass a new flow on to, or nil. pool may be nil.
 func (c *chooser) open(pool *registry.Pool, skip func(registry.Host) bool) *registry.Member {
 	if pool == nil {
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -563,3 +563,39 @@
 	s.Expire(time.Hour + time.Second) // it may take packets nevertheless
 	must.False(t, s.Silent(time.Hour+time.Second))
 }
+
+// TestCrowdedServiceOverflows has a route with two services. Its flows leave a
+// crowded service for one with a free slot, and for no other.
+func TestCrowdedServiceOverflows(t *testing.T) {
+	crowded := membership.Load{Flows: 20, Active: 8}
+	tests := map[string]struct {
+		own, other membership.Load
+		want       int
+	}{
+		"own has a free slot":   {idle, idle, 0},
+		"own is crowded":        {crowded, idle, 1},
+		"both are crowded":      {crowded, crowded, 0},
+		"other has no free one": {crowded, membership.Load{Active: 2}, 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(1, service, other)
+			w.routes(2, service, other)
+			f := &steer.Fleet{Snapshot: w.directory.Snapshot(w.now), Sidecars: map[registry.Host]steer.Instance{}}
+			for i, load := range []membership.Load{tc.own, tc.other} {
+				f.Sidecars[w.sites[i].host] = steer.Instance{Load: load, Heard: w.now, Patience: membership.SuspectAfter}
+			}
+			w.balancers[0].SetFleet(f)
+			r := f.Snapshot.Route(route)
+			n := 0
+			for r.Service(caller(n).Hash()) != service {
+				n++
+			}
+			p := opening(caller(n))
+			a, ok := w.balancers[0].Packet(w.now, &p, new(steer.Forward)).(*steer.Forward)
+			must.True(t, ok)
+			must.Eq(t, w.sites[tc.want].host, a.Host)
+			must.Eq(t, registry.HashService(w.sites[tc.want].service), a.Header.Service)
+		})
+	}
+}
