Reset the flows of a sidecar that is gone after about a second

Balancers go on sending the packets of open flows to the dead instance, and later callers send non-idempotent requests on flows that were idle meanwhile.

Ruled out: openings (none goes to a silent sidecar after 0.65 s), the crashes of the upstreams alone, which sidecars now notice themselves.

Change: a balancer resets a flow when its sidecar has been absent for 0.35 s: silent for 0.65 s or more without having said that it stops, and heard by no balancer of its data centre that this one hears. It does so for idle flows, too, as far as their packets passed here. A search counts an absent sidecar as asked. A process that was paused leaves its own pause out of the silence of others, and one that hears nobody resets nothing.

Tests: TestFlowsOfLostSidecarAreReset, TestAbsentSidecar, TestOwnPauseIsNoSilence.

--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -160,11 +160,32 @@
 		case <-ctx.Done():
 			return
 		case <-sub.C:
-			b.decide.Expire(b.cfg.Timer.Uptime())
+			now := b.cfg.Timer.Uptime()
+			b.decide.Expire(now)
+			b.resetOrphans(now)
 		}
 	}
 }
 
+// resetOrphans resets flows whose upstreams are lost, so that callers do not
+// send requests on them which can only be lost, too.
+func (b *Balancer) resetOrphans(now time.Duration) {
+	orphans := b.decide.Orphans(now)
+	var out []byte
+	for i := range orphans {
+		out = b.refuse(&orphans[i], steer.ReasonLost, out)
+	}
+}
+
+// refuse resets the flow of a caller's packet, and returns the buffer for the next one.
+func (b *Balancer) refuse(p *steer.Packet, reason steer.Reason, out []byte) []byte {
+	b.counts.refused.Add(1)
+	out = b.cfg.Codec.AppendReset(out[:0], p)
+	b.socket.Send(out, p.Source.Host.Port(b.cfg.CallerPort))
+	logFlow(b.cfg.Log, event.FlowRefused, p, zap.Stringer("reason", reason))
+	return out
+}
+
 // newHandler returns the handler of packets of callers, with buffers of its own.
 func (b *Balancer) newHandler() udp.Handler {
 	var p steer.Packet
@@ -191,10 +212,7 @@
 		b.node.Send(out, a.Host)
 		b.logOpening(p, a)
 	case steer.Refuse:
-		b.counts.refused.Add(1)
-		out = b.cfg.Codec.AppendReset(out, p)
-		b.socket.Send(out, p.Source.Host.Port(b.cfg.CallerPort))
-		logFlow(b.cfg.Log, event.FlowRefused, p, zap.Stringer("reason", a.Reason))
+		out = b.refuse(p, a.Reason, out)
 	case *steer.Hold:
 		if !b.held.add(now, a.Header, d) {
 			b.drop(p, a.Reason)
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -132,6 +132,9 @@
 // what was lost: they tell it again to a process that has started.
 func (n *Node) woke(gap time.Duration) {
 	n.incarnation.Add(1)
+	n.mu.Lock()
+	n.members.Woke(n.cfg.Timer.Uptime(), gap)
+	n.mu.Unlock()
 	n.cfg.Log.Emit(event.ProcessWoke, zap.Duration("gap", gap))
 	n.Hurry()
 }
--- a/exchange/view.go
+++ b/exchange/view.go
@@ -44,6 +44,7 @@
 		Sidecars: make(map[registry.Host]steer.Instance),
 		Unlisted: n.snapshot.Unlisted(n.members.Sidecars(now)),
 		Young:    now-n.informed < settleTime,
+		Alone:    n.members.Alone(now),
 		Settled:  now-n.trouble >= settleTime && n.informed != 0 && now-n.informed >= gatherTime,
 	}
 	for _, p := range n.members.Peers(membership.Sidecar) {
@@ -54,8 +55,9 @@
 			Stopping: p.Beat.Stopping,
 		}
 	}
+	n.members.NoteAbsent(now)
 	for _, h := range n.members.Lost(now) {
-		f.Sidecars[h] = steer.Instance{Stopping: true}
+		f.Sidecars[h] = steer.Instance{Stopping: true, Absent: n.members.Absent(h)}
 	}
 	n.cfg.Refresh(f)
 }
--- /dev/null
+++ b/membership/absence.go
@@ -0,0 +1,56 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/corianderbay/corianderbay/registry"
+)
+
+// NoteAbsent takes note of which sidecars are absent at now. It is to be called
+// whenever heartbeats were taken in, so that Absent tells since when.
+func (t *Table) NoteAbsent(now time.Duration) {
+	for h, p := range t.peers {
+		if p.Beat.Role != Sidecar || !t.absent(now, p) {
+			delete(t.absentSince, h)
+			continue
+		}
+		if _, noted := t.absentSince[h]; !noted {
+			t.absentSince[h] = now
+		}
+	}
+	for h := range t.absentSince {
+		if t.peers[h] == nil {
+			delete(t.absentSince, h)
+		}
+	}
+}
+
+// Absent returns since when the sidecar on a host has been absent: it fell
+// silent without having said that it stops, and no balancer of its data centre
+// that this process hears still hears it. The zero value stands for a sidecar that is not absent.
+func (t *Table) Absent(h registry.Host) time.Duration {
+	return t.absentSince[h]
+}
+
+func (t *Table) absent(now time.Duration, sidecar *Peer) bool {
+	if sidecar.Beat.Stopping || sidecar.alive(now, t.cfg.DataCentre) && !t.gone(now, sidecar) {
+		return false
+	}
+	for _, p := range t.peers {
+		if p.Beat.Role != Balancer || p.Beat.DataCentre != sidecar.Beat.DataCentre || !p.alive(now, t.cfg.DataCentre) {
+			continue
+		}
+		if !slices.Contains(p.Beat.Lost, sidecar.Host) {
+			return false
+		}
+	}
+	return true
+}
+
+// Woke leaves a pause of this process out of the silence of the others.
+func (t *Table) Woke(now, gap time.Duration) {
+	for _, p := range t.peers {
+		p.Heard = min(now, p.Heard+gap)
+	}
+}
--- a/membership/table.go
+++ b/membership/table.go
@@ -66,25 +66,27 @@
 
 // Table holds the other processes. It is not safe for concurrent use.
 type Table struct {
-	cfg       Config
-	peers     map[registry.Host]*Peer
-	named     map[registry.Host]time.Duration // balancers that others named, and when
-	lost      map[registry.Host]time.Duration // sidecars that balancers do not hear, and when they said so
-	unlisted  map[registry.Host]time.Duration // live sidecars that a list lacks, and when balancers said so
-	storeSeen time.Duration                   // when the store last answered anyone; before Started if never
-	selfRead  time.Duration                   // when the store last answered this process
+	cfg         Config
+	peers       map[registry.Host]*Peer
+	named       map[registry.Host]time.Duration // balancers that others named, and when
+	lost        map[registry.Host]time.Duration // sidecars that balancers do not hear, and when they said so
+	unlisted    map[registry.Host]time.Duration // live sidecars that a list lacks, and when balancers said so
+	absentSince map[registry.Host]time.Duration // sidecars that are absent, and since when
+	storeSeen   time.Duration                   // when the store last answered anyone; before Started if never
+	selfRead    time.Duration                   // when the store last answered this process
 }
 
 // New returns a table that knows only the seeds.
 func New(cfg Config) *Table {
 	t := &Table{
-		cfg:       cfg,
-		peers:     make(map[registry.Host]*Peer),
-		named:     make(map[registry.Host]time.Duration),
-		lost:      make(map[registry.Host]time.Duration),
-		unlisted:  make(map[registry.Host]time.Duration),
-		storeSeen: cfg.Started - time.Hour,
-		selfRead:  cfg.Started - time.Hour,
+		cfg:         cfg,
+		peers:       make(map[registry.Host]*Peer),
+		named:       make(map[registry.Host]time.Duration),
+		lost:        make(map[registry.Host]time.Duration),
+		unlisted:    make(map[registry.Host]time.Duration),
+		absentSince: make(map[registry.Host]time.Duration),
+		storeSeen:   cfg.Started - time.Hour,
+		selfRead:    cfg.Started - time.Hour,
 	}
 	return t
 }
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -206,3 +206,52 @@
 	must.SliceEmpty(t, tb.LostSidecars(start))
 	must.SliceEmpty(t, tb.LiveSidecars(start))
 }
+
+// TestAbsentSidecar falls silent while balancers of its data centre hear it or not.
+func TestAbsentSidecar(t *testing.T) {
+	sidecar := membership.Beat{Role: membership.Sidecar, DataCentre: "a", Incarnation: 1}
+	const silent = start + membership.SuspectAfter
+	tests := map[string]struct {
+		beat  func(*membership.Beat) // of the sidecar
+		other func(*membership.Beat) // of another balancer
+		want  time.Duration
+	}{
+		"nobody hears it":            {other: func(b *membership.Beat) { b.Lost = []registry.Host{host(2)} }, want: silent},
+		"another balancer hears it":  {other: func(*membership.Beat) {}},
+		"one elsewhere may not know": {other: func(b *membership.Beat) { b.DataCentre = "b" }, want: silent},
+		"it said that it stops": {
+			beat:  func(b *membership.Beat) { b.Stopping = true },
+			other: func(b *membership.Beat) { b.Lost = []registry.Host{host(2)} },
+		},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			tb := table(1, membership.Balancer)
+			s, b := sidecar, balancerBeat(true)
+			if tc.beat != nil {
+				tc.beat(&s)
+			}
+			tc.other(&b)
+			tb.Heard(start, host(2), s, 0, 0)
+			tb.NoteAbsent(start)
+			must.Eq(t, 0, tb.Absent(host(2)))
+			tb.Heard(silent, host(3), b, 0, 0)
+			tb.NoteAbsent(silent)
+			tb.NoteAbsent(silent + 100*time.Millisecond)
+			must.Eq(t, tc.want, tb.Absent(host(2)))
+			tb.Heard(silent+time.Second, host(2), sidecar, 0, 0)
+			tb.NoteAbsent(silent + time.Second)
+			must.Eq(t, 0, tb.Absent(host(2)))
+		})
+	}
+}
+
+// TestOwnPauseIsNoSilence wakes after four seconds.
+func TestOwnPauseIsNoSilence(t *testing.T) {
+	tb := table(1, membership.Balancer)
+	tb.Heard(start, host(2), membership.Beat{Role: membership.Sidecar, DataCentre: "a", Incarnation: 1}, 0, 0)
+	const pause = 4 * time.Second
+	must.False(t, tb.Alive(start+pause, host(2)))
+	tb.Woke(start+pause, pause)
+	must.True(t, tb.Alive(start+pause, host(2)))
+}
--- a/steer/action.go
+++ b/steer/action.go
@@ -63,6 +63,8 @@
 	ReasonUnknownFlow
 	// ReasonVisits: the packet was passed on too often.
 	ReasonVisits
+	// ReasonLost: the sidecar of the flow's upstream is gone.
+	ReasonLost
 
 	reasons // the number of reasons and 1
 )
@@ -84,6 +86,8 @@
 		return "unknown_flow"
 	case ReasonVisits:
 		return "visits"
+	case ReasonLost:
+		return "lost"
 	}
 	return "unknown"
 }
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -56,6 +56,9 @@
 	// known is true when a sidecar told that its upstream holds the flow.
 	known bool
 	last  time.Duration // when it was last used
+	// acknowledge is the caller's last acknowledgement that passed here; valid with passed.
+	acknowledge uint32
+	passed      bool // a packet passed here after the opening, and the caller's last one did not end the flow
 }
 
 // NewBalancer returns the decisions of a balancer that knows nothing yet.
@@ -84,7 +87,36 @@
 	s := b.shard(k)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.put(k, placed{host: h, known: true, last: now})
+	e := placed{host: h, known: true, last: now}
+	if old := s.flows[k]; old.host == h {
+		e.acknowledge, e.passed = old.acknowledge, old.passed
+	}
+	s.put(k, e)
+}
+
+// Orphans forgets the flows of upstreams whose sidecars are lost, and returns
+// the last packets of callers on those that passed here, to be reset.
+func (b *Balancer) Orphans(now time.Duration) []Packet {
+	f := b.fleet.Load()
+	if f == nil || !f.anyAbsent() {
+		return nil
+	}
+	var list []Packet
+	for i := range b.shards {
+		s := &b.shards[i]
+		s.mu.Lock()
+		for k, e := range s.flows {
+			if !f.lost(now, e.host) {
+				continue
+			}
+			delete(s.flows, k)
+			if e.passed {
+				list = append(list, Packet{Source: k.Caller, Destination: k.Address, Flags: ACK, Acknowledge: e.acknowledge})
+			}
+		}
+		s.mu.Unlock()
+	}
+	return list
 }
 
 // Flows returns how many flows are remembered.
@@ -232,7 +264,12 @@
 func (c *call) follow() Action {
 	service := c.route.Service(c.hash)
 	if e, ok := c.shard.flows[c.key]; ok {
-		e.last = c.now
+		if c.fleet.lost(c.now, e.host) {
+			delete(c.shard.flows, c.key)
+			return Refuse{Reason: ReasonLost}
+		}
+		e.last, e.acknowledge = c.now, c.packet.Acknowledge
+		e.passed = c.packet.Flags&(FIN|RST) == 0
 		c.shard.flows[c.key] = e
 		return c.forward(service, e.host, false)
 	}
--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -7,6 +7,11 @@
 	"github.com/corianderbay/corianderbay/registry"
 )
 
+// lostAfter is how long a sidecar has been absent when its flows are given up:
+// together with the silence before that about a second, in which a process that
+// was killed is back.
+const lostAfter = 350 * time.Millisecond
+
 // Instance is what a Fleet knows of the sidecar on one host.
 type Instance struct {
 	// Load is what the sidecar last told of its upstream.
@@ -15,8 +20,11 @@
 	Heard time.Duration
 	// Patience is the silence after which the sidecar counts as lost.
 	Patience time.Duration
-	// Stopping is true when the sidecar is about to end.
+	// Stopping is true when the sidecar is about to end, or is not heard any more.
 	Stopping bool
+	// Absent is since when the sidecar has been absent without having said that it
+	// stops. 0 when it is not absent.
+	Absent time.Duration
 }
 
 // alive reports whether the sidecar was heard lately and goes on.
@@ -34,6 +42,8 @@
 	// Unlisted has the hosts of live sidecars whose upstreams the list lacks, as
 	// when entries lapsed while the store was away.
 	Unlisted []registry.Host
+	// Alone is true when the process hears no sidecar any more, so that it may be the one that is cut off.
+	Alone bool
 	// Young is true while entries that had lapsed before the first list may still come back.
 	Young bool
 	// Settled is true when the process has heard of all sidecars, and the store has
@@ -53,6 +63,23 @@
 	return known && !i.alive(now)
 }
 
+// lost reports whether the flows of the upstream on a host are lost to callers:
+// its sidecar has been absent for longer than a process takes to start again.
+func (f *Fleet) lost(now time.Duration, h registry.Host) bool {
+	since := f.Sidecars[h].Absent
+	return since != 0 && now-since >= lostAfter && !f.Alone
+}
+
+// anyAbsent reports whether a sidecar is absent.
+func (f *Fleet) anyAbsent() bool {
+	for _, i := range f.Sidecars {
+		if i.Absent != 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // opens reports whether a new flow may be opened at the upstream.
 func (f *Fleet) opens(now time.Duration, m *registry.Member) bool {
 	if m.Standing != registry.Available {
@@ -89,8 +116,9 @@
 func (f *Fleet) allAsked(now time.Duration, p *registry.Pool, h *Header) bool {
 	for i := range p.Members {
 		m := &p.Members[i]
-		gone := m.Standing == registry.Removed && !f.alive(now, m.Address.Host)
-		if !gone && !h.visited(m.Address.Host) {
+		host := m.Address.Host
+		gone := m.Standing == registry.Removed && !f.alive(now, host) || f.lost(now, host)
+		if !gone && !h.visited(host) {
 			return false
 		}
 	}
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -599,3 +599,45 @@
 		})
 	}
 }
+
+// TestFlowsOfLostSidecarAreReset has a sidecar that is absent: for a moment, for
+// longer, and while the balancer hears nobody at all.
+func TestFlowsOfLostSidecarAreReset(t *testing.T) {
+	tests := map[string]struct {
+		absent time.Duration
+		alone  bool
+		reset  bool
+	}{
+		"for a moment": {absent: 300 * time.Millisecond},
+		"for longer":   {absent: 400 * time.Millisecond, reset: true},
+		"hears nobody": {absent: 400 * time.Millisecond, alone: true},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(1, service, service)
+			at := w.open(0, caller(1))
+			busy := w.request(caller(1), at)
+			var idle steer.Key
+			for n := 2; idle == (steer.Key{}); n++ {
+				if w.open(0, caller(n)) == at {
+					idle = caller(n)
+				}
+			}
+			f := &steer.Fleet{Snapshot: w.directory.Snapshot(w.now), Sidecars: map[registry.Host]steer.Instance{}, Alone: tc.alone}
+			f.Sidecars[w.sites[at].host] = steer.Instance{Stopping: true, Absent: w.now}
+			w.balancers[0].SetFleet(f)
+			w.now += tc.absent
+			w.send(0, busy)
+			orphans := w.balancers[0].Orphans(w.now)
+			if !tc.reset {
+				must.SliceEmpty(t, w.resets)
+				must.SliceEmpty(t, orphans)
+				return
+			}
+			must.Eq(t, []steer.Key{caller(1)}, w.resets)
+			must.Len(t, 1, orphans)
+			must.Eq(t, idle, orphans[0].CallerKey())
+			must.Eq(t, w.request(idle, at).Acknowledge, orphans[0].Acknowledge)
+		})
+	}
+}
