Say why and on what knowledge a packet was passed on, held, refused or dropped; histograms

Lines beyond the budget were left out uncounted.

Change: a Forward of a sidecar has a reason; lines about flows carry version, revision and the age of the store's last answer, those of openings the load that was known and its age. Histograms of openings, first answers and calls of the store; counters by reason; lines that were left out are a counter and an event.

--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -155,6 +155,7 @@
 func (b *Balancer) tick(ctx context.Context) {
 	sub := b.cfg.Timer.Every(expireEvery)
 	defer sub.Stop()
+	var left omissions
 	for {
 		select {
 		case <-ctx.Done():
@@ -163,6 +164,7 @@
 			now := b.cfg.Timer.Uptime()
 			b.decide.Expire(now)
 			b.resetOrphans(now)
+			left.report(b.cfg.Log)
 		}
 	}
 }
@@ -179,10 +181,10 @@
 
 // refuse resets the flow of a caller's packet, and returns the buffer for the next one.
 func (b *Balancer) refuse(p *steer.Packet, reason steer.Reason, out []byte) []byte {
-	b.counts.refused.Add(1)
+	b.counts.refused.add(reason)
 	out = b.cfg.Codec.AppendReset(out[:0], p)
 	b.socket.Send(out, p.Source.Host.Port(b.cfg.CallerPort))
-	logFlow(b.cfg.Log, event.FlowRefused, p, zap.Stringer("reason", reason))
+	b.logFlow(event.FlowRefused, p, zap.Stringer("reason", reason))
 	return out
 }
 
@@ -224,8 +226,8 @@
 }
 
 func (b *Balancer) drop(p *steer.Packet, reason steer.Reason) {
-	b.counts.dropped.Add(1)
-	logFlow(b.cfg.Log, event.PacketDropped, p, zap.Stringer("reason", reason))
+	b.counts.dropped.add(reason)
+	b.logFlow(event.PacketDropped, p, zap.Stringer("reason", reason))
 }
 
 // release decides on the packets that were held until routes and upstreams were known.
@@ -238,13 +240,24 @@
 	}
 }
 
+// logFlow writes an event about the flow of a packet.
+func (b *Balancer) logFlow(n event.Number, p *steer.Packet, fields ...zap.Field) {
+	logFlow(b.cfg.Log, n, b.cfg.Timer.Uptime(), b.decide.Fleet(), p, fields...)
+}
+
+// logOpening writes where an opening goes, and what was known of the load there.
 func (b *Balancer) logOpening(p *steer.Packet, a *steer.Forward) {
-	if p.Opens() && b.cfg.Log.Enabled(event.FlowOpened) {
-		logFlow(b.cfg.Log, event.FlowOpened, p,
-			zap.Stringer("upstream", a.Host),
-			zap.Uint64("version", a.Header.Version),
-			zap.Uint64("revision", a.Header.Revision))
+	if !p.Opens() || !b.cfg.Log.Enabled(event.FlowOpened) {
+		return
 	}
+	now := b.cfg.Timer.Uptime()
+	f := b.decide.Fleet()
+	i := f.Sidecars[a.Host]
+	logFlow(b.cfg.Log, event.FlowOpened, now, f, p,
+		zap.Stringer("upstream", a.Host),
+		zap.Int("flows", i.Load.Flows),
+		zap.Int("active", i.Load.Active),
+		zap.Duration("loadage", now-i.Heard))
 }
 
 // balancerHandler takes what other processes send to a balancer.
--- a/edge/counts.go
+++ b/edge/counts.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/corianderbay/corianderbay/event"
 	"github.com/corianderbay/corianderbay/steer"
@@ -16,13 +17,14 @@
 	forwarded atomic.Uint64
 	delivered atomic.Uint64
 	answered  atomic.Uint64
-	refused   atomic.Uint64
-	dropped   atomic.Uint64
+	refused   reasonCounts
+	dropped   reasonCounts
 	invalid   atomic.Uint64
 }
 
-// logFlow writes an event about the flow of a caller's packet.
-func logFlow(log *event.Logger, n event.Number, p *steer.Packet, fields ...zap.Field) {
+// logFlow writes an event about the flow of a caller's packet, and what was
+// known when it was decided on. f is nil when nothing was.
+func logFlow(log *event.Logger, n event.Number, now time.Duration, f *steer.Fleet, p *steer.Packet, fields ...zap.Field) {
 	if !log.Enabled(n) {
 		return
 	}
@@ -32,6 +34,12 @@
 		zap.Uint32("sequence", p.Sequence),
 		zap.Uint8("flags", uint8(p.Flags)),
 	}
+	if f != nil {
+		all = append(all,
+			zap.Uint64("version", f.Snapshot.Version()),
+			zap.Uint64("revision", f.Snapshot.Revision()),
+			zap.Duration("storeage", now-f.StoreSeen))
+	}
 	log.Emit(n, append(all, fields...)...)
 }
 
@@ -42,3 +50,18 @@
 		zap.Stringer("address", p.Source),
 		zap.Uint32("sequence", p.Sequence))
 }
+
+// omissions reports how many lines the log left out. It is not safe for concurrent use.
+type omissions struct {
+	told uint64
+}
+
+// report writes the number of lines left out since the last call, if there are any.
+func (o *omissions) report(log *event.Logger) {
+	n := log.Omitted()
+	if n == o.told {
+		return
+	}
+	log.Emit(event.LinesOmitted, zap.Uint64("lines", n-o.told))
+	o.told = n
+}
--- a/edge/hold.go
+++ b/edge/hold.go
@@ -56,6 +56,13 @@
 	return list
 }
 
+// len returns how many packets are held.
+func (h *holder) len() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.list)
+}
+
 // expired reports whether the packet has been held for long enough.
 func (p *heldPacket) expired(now time.Duration) bool {
 	return now-p.since >= holdFor
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -1,57 +1,138 @@
 package edge
 
 import (
-	"bytes"
-	"fmt"
+	"runtime/metrics"
+	"sync/atomic"
+	"time"
+
+	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/exchange"
+	"github.com/corianderbay/corianderbay/metric"
+	"github.com/corianderbay/corianderbay/steer"
 )
 
-// metric is one line that a scraper reads.
-type metric struct {
-	name  string
-	value float64
+// memorySample is the runtime's name for all memory that it has mapped.
+const memorySample = "/memory/classes/total:bytes"
+
+// The metrics of both roles, and of one of them.
+var (
+	defForwarded  = metric.Definition{Name: "corianderbay_packets_forwarded_total", Kind: metric.Counter, Help: "Packets of callers sent on to another process."}
+	defDelivered  = metric.Definition{Name: "corianderbay_packets_delivered_total", Kind: metric.Counter, Help: "Packets of callers given to the upstream."}
+	defAnswered   = metric.Definition{Name: "corianderbay_packets_answered_total", Kind: metric.Counter, Help: "Packets of the upstream sent to callers."}
+	defRefused    = metric.Definition{Name: "corianderbay_flows_refused_total", Kind: metric.Counter, Help: "Flows that this process reset, by reason.", Label: "reason"}
+	defDropped    = metric.Definition{Name: "corianderbay_packets_dropped_total", Kind: metric.Counter, Help: "Packets that were discarded, by reason.", Label: "reason"}
+	defInvalid    = metric.Definition{Name: "corianderbay_packets_invalid_total", Kind: metric.Counter, Help: "Datagrams that are no packets, or came from the wrong side."}
+	defHeld       = metric.Definition{Name: "corianderbay_packets_held", Kind: metric.Gauge, Help: "Packets that wait for what is missing to decide on them."}
+	defRemembered = metric.Definition{Name: "corianderbay_flows_remembered", Kind: metric.Gauge, Help: "Flows whose upstream the balancer remembers."}
+	defOpen       = metric.Definition{Name: "corianderbay_flows_open", Kind: metric.Gauge, Help: "Flows that are open or opening at the upstream."}
+	defActive     = metric.Definition{Name: "corianderbay_requests_active", Kind: metric.Gauge, Help: "Requests that wait for the upstream's answer."}
+	defVersion    = metric.Definition{Name: "corianderbay_routes_version", Kind: metric.Gauge, Help: "Version of the routes in force."}
+	defRoutesAge  = metric.Definition{Name: "corianderbay_routes_age_seconds", Kind: metric.Gauge, Help: "Time since the routes in force were taken over."}
+	defRevision   = metric.Definition{Name: "corianderbay_upstreams_revision", Kind: metric.Gauge, Help: "Revision of the list of upstreams in force."}
+	defStoreAge   = metric.Definition{Name: "corianderbay_store_age_seconds", Kind: metric.Gauge, Help: "Time since the store is known to have answered any process."}
+	defPeers      = metric.Definition{Name: "corianderbay_peers_alive", Kind: metric.Gauge, Help: "Other processes that are heard."}
+	defOmitted    = metric.Definition{Name: "corianderbay_log_lines_omitted_total", Kind: metric.Counter, Help: "Lines that were left out of the log."}
+	defMemory     = metric.Definition{Name: "corianderbay_memory_bytes", Kind: metric.Gauge, Help: "Memory that the runtime has mapped."}
+	defStoreCalls = metric.Definition{Name: "corianderbay_store_call_seconds", Kind: metric.Latencies, Help: "Duration of calls of the store, without watches."}
+	defOpening    = metric.Definition{Name: "corianderbay_opening_seconds", Kind: metric.Latencies, Help: "Time from an opening's delivery until the upstream accepts it."}
+	defAnswer     = metric.Definition{Name: "corianderbay_answer_seconds", Kind: metric.Latencies, Help: "Time from a request's first packet until the first data of its answer."}
+)
+
+// Definitions returns the metrics of balancers and of sidecars.
+func Definitions() (balancer, sidecar []metric.Definition) {
+	common := []metric.Definition{defForwarded, defRefused, defDropped, defInvalid, defHeld, defVersion, defRoutesAge, defRevision, defStoreAge, defPeers, defOmitted, defMemory, defStoreCalls}
+	balancer = append(append(balancer, common...), defRemembered)
+	sidecar = append(append(sidecar, common...), defDelivered, defAnswered, defOpen, defActive, defOpening, defAnswer)
+	return balancer, sidecar
+}
+
+// reasonCounts counts by reason.
+type reasonCounts [steer.ReasonCount]atomic.Uint64
+
+func (c *reasonCounts) add(r steer.Reason) {
+	c[r].Add(1)
 }
 
-// write writes metrics in the text format of scrapers.
-func write(list []metric) []byte {
-	var b bytes.Buffer
-	for _, m := range list {
-		fmt.Fprintf(&b, "corianderbay_%s %g\n", m.name, m.value)
+func (c *reasonCounts) labelled() []metric.Labelled {
+	var list []metric.Labelled
+	for _, r := range steer.Reasons() {
+		list = append(list, metric.Labelled{Label: r.String(), Value: float64(c[r].Load())})
 	}
-	return b.Bytes()
+	return list
 }
 
-func (c *counts) metrics() []metric {
-	return []metric{
-		{"packets_forwarded_total", float64(c.forwarded.Load())},
-		{"packets_delivered_total", float64(c.delivered.Load())},
-		{"packets_answered_total", float64(c.answered.Load())},
-		{"flows_refused_total", float64(c.refused.Load())},
-		{"packets_dropped_total", float64(c.dropped.Load())},
-		{"packets_invalid_total", float64(c.invalid.Load())},
+// write adds the counters that both roles have.
+func (c *counts) write(p *metric.Page) {
+	p.Value(defForwarded, float64(c.forwarded.Load()))
+	p.Values(defRefused, c.refused.labelled())
+	p.Values(defDropped, c.dropped.labelled())
+	p.Value(defInvalid, float64(c.invalid.Load()))
+}
+
+// writeNode adds what the process knows of the others.
+func writeNode(p *metric.Page, n *exchange.Node, log *event.Logger) {
+	st := n.Status()
+	p.Value(defOmitted, float64(log.Omitted()))
+	p.Value(defVersion, float64(st.Version))
+	p.Value(defRoutesAge, st.RoutesAge.Seconds())
+	p.Value(defRevision, float64(st.Revision))
+	p.Value(defStoreAge, st.StoreAge.Seconds())
+	p.Value(defPeers, float64(st.Peers))
+	p.Value(defMemory, memory())
+	p.Histogram(defStoreCalls, n.StoreCalls())
+}
+
+// memory returns how many bytes the runtime has mapped.
+func memory() float64 {
+	s := []metrics.Sample{{Name: memorySample}}
+	metrics.Read(s)
+	if s[0].Value.Kind() != metrics.KindUint64 {
+		return 0 // a runtime that does not tell
 	}
+	return float64(s[0].Value.Uint64())
 }
 
-// Metrics returns the counters and gauges of the process as text.
+// Metrics returns the counters, gauges and histograms of the process as text.
 func (b *Balancer) Metrics() []byte {
-	st := b.node.Status()
-	list := append(b.counts.metrics(),
-		metric{"flows_remembered", float64(b.decide.Flows())},
-		metric{"routes_version", float64(st.Version)},
-		metric{"store_age_seconds", st.StoreAge.Seconds()},
-		metric{"peers_alive", float64(st.Peers)},
-	)
-	return write(list)
+	var p metric.Page
+	b.counts.write(&p)
+	p.Value(defHeld, float64(b.held.len()))
+	writeNode(&p, b.node, b.cfg.Log)
+	p.Value(defRemembered, float64(b.decide.Flows()))
+	return p.Bytes()
 }
 
-// Metrics returns the counters and gauges of the process as text.
+// Metrics returns the counters, gauges and histograms of the process as text.
 func (s *Sidecar) Metrics() []byte {
-	st := s.node.Status()
-	list := append(s.counts.metrics(),
-		metric{"flows_open", float64(s.decide.Flows())},
-		metric{"requests_active", float64(s.decide.Active())},
-		metric{"routes_version", float64(st.Version)},
-		metric{"store_age_seconds", st.StoreAge.Seconds()},
-		metric{"peers_alive", float64(st.Peers)},
-	)
-	return write(list)
+	var p metric.Page
+	s.counts.write(&p)
+	p.Value(defHeld, float64(s.held.len()))
+	writeNode(&p, s.node, s.cfg.Log)
+	p.Value(defDelivered, float64(s.counts.delivered.Load()))
+	p.Value(defAnswered, float64(s.counts.answered.Load()))
+	p.Value(defOpen, float64(s.decide.Flows()))
+	p.Value(defActive, float64(s.decide.Active()))
+	p.Histogram(defOpening, s.latency.opening)
+	p.Histogram(defAnswer, s.latency.answer)
+	return p.Bytes()
+}
+
+// latencies are what a sidecar measures of its upstream.
+type latencies struct {
+	opening *metric.Histogram
+	answer  *metric.Histogram
+}
+
+func newLatencies() latencies {
+	return latencies{opening: metric.NewHistogram(), answer: metric.NewHistogram()}
+}
+
+// Opened counts the time that the upstream took to accept an opening.
+func (l latencies) Opened(d time.Duration) {
+	l.opening.Observe(d)
+}
+
+// Answered counts the time until the first data of an answer.
+func (l latencies) Answered(d time.Duration) {
+	l.answer.Observe(d)
 }
--- a/edge/sidecar.go
+++ b/edge/sidecar.go
@@ -48,6 +48,7 @@
 	node      *exchange.Node
 	socket    *udp.Socket // for the upstream and for callers
 	counts    counts
+	latency   latencies
 	held      holder
 	checks    chan struct{} // wakes the goroutine that asks whether the upstream runs
 	stopping  atomic.Bool
@@ -69,7 +70,7 @@
 
 // OpenSidecar binds the addresses. It reports *udp.ListenError or *exchange.ListenError.
 func OpenSidecar(cfg SidecarConfig) (*Sidecar, error) {
-	s := &Sidecar{cfg: cfg, heartbeat: timer.NewHeartbeat(cfg.Timer), checks: make(chan struct{}, 1)}
+	s := &Sidecar{cfg: cfg, heartbeat: timer.NewHeartbeat(cfg.Timer), checks: make(chan struct{}, 1), latency: newLatencies()}
 	self, err := registry.HostOf(cfg.Exchange.Addr())
 	if err != nil {
 		return nil, err
@@ -80,6 +81,7 @@
 		DataCentre: cfg.DataCentre,
 		Service:    cfg.Service,
 		MaxFlow:    cfg.MaxFlow,
+		Latency:    s.latency,
 	})
 	s.socket, err = udp.Open(udp.Config{Listen: cfg.Outbound, Workers: 1, Buffer: packetBuffer, Heartbeat: s.heartbeat})
 	if err != nil {
@@ -146,6 +148,7 @@
 	sub := s.cfg.Timer.Every(noticeEvery)
 	defer sub.Stop()
 	var expired time.Duration
+	var left omissions
 	told := 0 // requests that waited when others were last told out of turn
 	silent := false
 	s.wakeCheck() // an instance may start without its upstream
@@ -167,6 +170,7 @@
 		if now-expired >= expireEvery {
 			expired = now
 			s.decide.Expire(now)
+			left.report(s.cfg.Log)
 		}
 		if was := silent; s.decide.Silent(now) != was {
 			silent = !was
@@ -244,7 +248,7 @@
 		b.out = exchange.AppendForward(b.out[:0], &a.Header)
 		b.out = append(b.out, d...)
 		s.node.Send(b.out, a.Host)
-		logFlow(s.cfg.Log, event.PacketPassed, p, zap.Stringer("next", a.Host), zap.Int("visited", len(a.Header.Visited)))
+		s.logFlow(event.PacketPassed, p, zap.Stringer("next", a.Host), zap.Int("visited", len(a.Header.Visited)), zap.Stringer("reason", a.Reason))
 	case steer.Refuse:
 		b.out = s.refuse(p, a.Reason, b.out)
 	case *steer.Hold:
@@ -256,18 +260,23 @@
 	}
 }
 
+// logFlow writes an event about the flow of a packet.
+func (s *Sidecar) logFlow(n event.Number, p *steer.Packet, fields ...zap.Field) {
+	logFlow(s.cfg.Log, n, s.cfg.Timer.Uptime(), s.decide.Fleet(), p, fields...)
+}
+
 // refuse resets the flow of a caller's packet, and returns the buffer for the next one.
 func (s *Sidecar) refuse(p *steer.Packet, reason steer.Reason, out []byte) []byte {
-	s.counts.refused.Add(1)
+	s.counts.refused.add(reason)
 	out = s.cfg.Codec.AppendReset(out[:0], p)
 	s.socket.Send(out, p.Source.Host.Port(s.cfg.CallerPort))
-	logFlow(s.cfg.Log, event.FlowRefused, p, zap.Stringer("reason", reason))
+	s.logFlow(event.FlowRefused, p, zap.Stringer("reason", reason))
 	return out
 }
 
 func (s *Sidecar) drop(p *steer.Packet, reason steer.Reason) {
-	s.counts.dropped.Add(1)
-	logFlow(s.cfg.Log, event.PacketDropped, p, zap.Stringer("reason", reason))
+	s.counts.dropped.add(reason)
+	s.logFlow(event.PacketDropped, p, zap.Stringer("reason", reason))
 }
 
 // release decides again on the packets that are held.
--- a/event/edge.go
+++ b/event/edge.go
@@ -29,6 +29,7 @@
 	UpstreamSilent   Number = 7050
 	UpstreamReacts   Number = 7051
 	UpstreamEnded    Number = 7052
+	LinesOmitted     Number = 7060
 )
 
 func edgeEvents() []Entry {
@@ -58,5 +59,6 @@
 		{UpstreamSilent, "upstream-silent", zapcore.WarnLevel, "The upstream does not react to what is delivered to it; it gets no new flows.", "Look at the upstream."},
 		{UpstreamReacts, "upstream-reacts", zapcore.InfoLevel, "The upstream reacts again.", "None."},
 		{UpstreamEnded, "upstream-ended", zapcore.WarnLevel, "Nothing listens at the upstream's address; its flows are reset.", "Look at the upstream, unless it was to end."},
+		{LinesOmitted, "lines-omitted", zapcore.WarnLevel, "Lines were left out in the last second, beyond what each event may have or for want of a reader.", "Raise --log-lines for a trial, or read metrics."},
 	}
 }
--- a/event/logger.go
+++ b/event/logger.go
@@ -6,6 +6,7 @@
 package event
 
 import (
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -24,6 +25,7 @@
 type Logger struct {
 	zap     *zap.Logger
 	entries map[Number]Entry // never changes after New
+	omitted func() uint64    // nil when every line is written
 }
 
 // New returns a Logger that writes to cfg.Core.
@@ -47,10 +49,19 @@
 	return New(Config{Core: newJSONCore(w, level), Process: process})
 }
 
-// NewSampled is like NewJSON, but leaves out what an event has beyond perSecond lines a second.
-func NewSampled(w zapcore.WriteSyncer, level zapcore.Level, process string, perSecond int) *Logger {
-	core := zapcore.NewSamplerWithOptions(newJSONCore(w, level), time.Second, perSecond, 0)
-	return New(Config{Core: core, Process: process})
+// NewSampled is like NewJSON, but leaves out what an event has beyond perSecond
+// lines a second. Omitted counts these lines and those that w had no room for.
+func NewSampled(w *Writer, level zapcore.Level, process string, perSecond int) *Logger {
+	sampled := new(atomic.Uint64)
+	count := zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
+		if d&zapcore.LogDropped != 0 {
+			sampled.Add(1)
+		}
+	})
+	core := zapcore.NewSamplerWithOptions(newJSONCore(w, level), time.Second, perSecond, 0, count)
+	l := New(Config{Core: core, Process: process})
+	l.omitted = func() uint64 { return sampled.Load() + w.Dropped() }
+	return l
 }
 
 func newJSONCore(w zapcore.WriteSyncer, level zapcore.Level) zapcore.Core {
@@ -79,6 +90,14 @@
 	return !ok || l.zap.Core().Enabled(e.Level)
 }
 
+// Omitted returns how many lines were left out since the start.
+func (l *Logger) Omitted() uint64 {
+	if l.omitted == nil {
+		return 0
+	}
+	return l.omitted()
+}
+
 // Sync flushes what is buffered.
 func (l *Logger) Sync() error {
 	return l.zap.Sync()
--- a/event/writer_test.go
+++ b/event/writer_test.go
@@ -41,11 +41,14 @@
 // TestLinesOfOneEventAreBounded writes more of one event than it may have in a second.
 func TestLinesOfOneEventAreBounded(t *testing.T) {
 	var buf bytes.Buffer
-	log := event.NewSampled(zapcore.AddSync(&buf), zapcore.InfoLevel, "test", 5)
+	w := event.NewWriter(&buf, 200, timer.New(timer.Config{}))
+	log := event.NewSampled(w, zapcore.InfoLevel, "test", 5)
 	for range 100 {
 		log.Emit(event.PacketDropped)
 	}
 	log.Emit(event.FlowRefused)
+	w.Close()
+	must.Eq(t, 100, int(log.Omitted())+strings.Count(buf.String(), "packet-dropped"))
 	must.Between(t, 5, strings.Count(buf.String(), "packet-dropped"), 10) // two seconds may be touched
 	must.Eq(t, 1, strings.Count(buf.String(), "flow-refused"))
 }
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -10,6 +10,7 @@
 
 	"github.com/corianderbay/corianderbay/event"
 	"github.com/corianderbay/corianderbay/membership"
+	"github.com/corianderbay/corianderbay/metric"
 	"github.com/corianderbay/corianderbay/registry"
 	"github.com/corianderbay/corianderbay/steer"
 	"github.com/corianderbay/corianderbay/timer"
@@ -68,6 +69,7 @@
 	incarnation atomic.Uint64
 	pulls       chan struct{} // wakes the goroutine that asks peers
 	urgent      chan struct{} // wakes the goroutine that sends heartbeats
+	storeCalls  *metric.Histogram
 
 	mu        sync.Mutex
 	directory *registry.Directory
@@ -77,6 +79,7 @@
 	stale     bool               // a heartbeat arrived after the last view
 	trouble   time.Duration      // when the store was last out of reach; negative if never
 	informed  time.Duration      // when the first list arrived; 0 if none has
+	adopted   time.Duration      // when the routes in force were taken over
 	stopping  bool
 	beats     int  // heartbeats sent
 	alone     bool // whether the last look at peers found none
@@ -119,8 +122,9 @@
 			Seeds:      cfg.Seeds,
 			Started:    cfg.Timer.Uptime(),
 		}),
-		trouble: -settleTime,
-		silent:  make(map[registry.Host]bool),
+		trouble:    -settleTime,
+		silent:     make(map[registry.Host]bool),
+		storeCalls: metric.NewHistogram(),
 	}
 	n.snapshot = n.directory.Snapshot(0)
 	n.incarnation.Store(cfg.Incarnation)
@@ -167,11 +171,18 @@
 	return n.directory.Version(), n.directory.Revision()
 }
 
+// StoreCalls returns how long calls of the store took, without watches.
+func (n *Node) StoreCalls() *metric.Histogram {
+	return n.storeCalls
+}
+
 // Status is what a Node tells of itself.
 type Status struct {
 	Version  uint64
 	Revision uint64
 	StoreAge time.Duration
+	// RoutesAge is how long ago the routes in force were taken over. 0 before the first.
+	RoutesAge time.Duration
 	// Peers is how many other processes are alive.
 	Peers int
 	// Sidecars is how many sidecars are alive.
@@ -188,6 +199,9 @@
 		Revision: n.directory.Revision(),
 		StoreAge: n.members.StoreAge(now),
 	}
+	if s.Version > 0 {
+		s.RoutesAge = now - n.adopted
+	}
 	for _, p := range n.members.Peers(membership.Sidecar) {
 		if n.members.Alive(now, p.Host) {
 			s.Sidecars++
--- a/exchange/reader.go
+++ b/exchange/reader.go
@@ -80,7 +80,10 @@
 
 func (r *reader) call(ctx context.Context, revision uint64) (registry.Update, error) {
 	if r.whole || revision == 0 {
-		return r.node.cfg.Source.Read(ctx)
+		begin := r.node.cfg.Timer.Uptime()
+		u, err := r.node.cfg.Source.Read(ctx)
+		r.node.storeCalls.Observe(r.node.cfg.Timer.Uptime() - begin)
+		return u, err
 	}
 	return r.node.cfg.Source.Watch(ctx, revision)
 }
--- a/exchange/view.go
+++ b/exchange/view.go
@@ -40,12 +40,13 @@
 // publish hands out the present view. The caller holds the lock.
 func (n *Node) publish(now time.Duration) {
 	f := &steer.Fleet{
-		Snapshot: n.snapshot,
-		Sidecars: make(map[registry.Host]steer.Instance),
-		Unlisted: n.snapshot.Unlisted(n.members.Sidecars(now)),
-		Young:    now-n.informed < settleTime,
-		Alone:    n.members.Alone(now),
-		Settled:  now-n.trouble >= settleTime && n.informed != 0 && now-n.informed >= gatherTime,
+		Snapshot:  n.snapshot,
+		Sidecars:  make(map[registry.Host]steer.Instance),
+		Unlisted:  n.snapshot.Unlisted(n.members.Sidecars(now)),
+		Young:     now-n.informed < settleTime,
+		StoreSeen: now - n.members.StoreAge(now),
+		Alone:     n.members.Alone(now),
+		Settled:   now-n.trouble >= settleTime && n.informed != 0 && now-n.informed >= gatherTime,
 	}
 	for _, p := range n.members.Peers(membership.Sidecar) {
 		f.Sidecars[p.Host] = steer.Instance{
@@ -72,6 +73,9 @@
 	if first && res.Upstreams {
 		n.Hurry() // sidecars learn of this process
 	}
+	if res.Routes {
+		n.adopted = now
+	}
 	if res.Routes || res.Upstreams {
 		n.remake(now)
 		n.stale = false
--- /dev/null
+++ b/metric/histogram.go
@@ -0,0 +1,70 @@
+package metric
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// longest is the highest latency that is told apart; longer ones count as this one.
+	longest = time.Minute
+	// digits is the number of significant decimal digits of a recorded latency.
+	digits = 2
+)
+
+// bounds are the upper bounds of the buckets that are written.
+func bounds() []time.Duration {
+	return []time.Duration{
+		time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond,
+		10 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond,
+		100 * time.Millisecond, 200 * time.Millisecond, 500 * time.Millisecond,
+		time.Second, 2 * time.Second, 5 * time.Second,
+	}
+}
+
+// Histogram counts latencies. It is safe for concurrent use.
+type Histogram struct {
+	mu  sync.Mutex
+	hdr *hdrhistogram.Histogram // in microseconds
+	sum time.Duration
+}
+
+// NewHistogram returns an empty histogram.
+func NewHistogram() *Histogram {
+	return &Histogram{hdr: hdrhistogram.New(1, longest.Microseconds(), digits)}
+}
+
+// Observe counts one latency. A negative one counts as 0.
+func (h *Histogram) Observe(d time.Duration) {
+	d = min(max(d, 0), longest)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sum += d
+	// The value is in range, so that recording cannot fail.
+	_ = h.hdr.RecordValue(d.Microseconds())
+}
+
+// snapshot is a histogram as of one moment.
+type snapshot struct {
+	cumulative []int64 // for each of bounds, how many latencies are at most that long
+	count      int64
+	sum        time.Duration
+}
+
+func (h *Histogram) snapshot() snapshot {
+	limits := bounds()
+	s := snapshot{cumulative: make([]int64, len(limits))}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s.count, s.sum = h.hdr.TotalCount(), h.sum
+	for _, bar := range h.hdr.Distribution() {
+		for i, limit := range limits {
+			if bar.To <= limit.Microseconds() {
+				s.cumulative[i] += bar.Count
+			}
+		}
+	}
+	return s
+}
--- a/steer/action.go
+++ b/steer/action.go
@@ -9,6 +9,8 @@
 type Forward struct {
 	Host   registry.Host
 	Header Header
+	// Reason says why a sidecar passes the packet on. It means nothing at a balancer.
+	Reason Reason
 }
 
 // Deliver gives the packet to the upstream, with Tag written into it.
@@ -44,7 +46,7 @@
 func (*Hold) action()    {}
 func (Drop) action()     {}
 
-// Reason says why a packet was refused or dropped.
+// Reason says why a packet was refused, dropped, held or passed on.
 type Reason uint8
 
 // The reasons.
@@ -66,7 +68,25 @@
 	// ReasonLost: the sidecar of the flow's upstream is gone.
 	ReasonLost
 
-	reasons // the number of reasons and 1
+	// ReasonReturned: the upstream returned the packet.
+	ReasonReturned
+	// ReasonOtherService: the upstream serves another service than the packet is for.
+	ReasonOtherService
+	// ReasonSilent: the upstream does not react or is gone.
+	ReasonSilent
+	// ReasonLeaving: the upstream is draining.
+	ReasonLeaving
+	// ReasonFull: the upstream has as many flows as it may hold.
+	ReasonFull
+	// ReasonRoute: the newer routes of the sidecar do not allow the flow at the upstream.
+	ReasonRoute
+	// ReasonCrowded: requests wait at the upstream, and fewer at another one.
+	ReasonCrowded
+	// ReasonNotConfirmed: the caller confirmed another upstream's answer to its opening.
+	ReasonNotConfirmed
+
+	// ReasonCount is the number of reasons and 1.
+	ReasonCount
 )
 
 // String returns a short name for logs and metrics.
@@ -88,14 +108,30 @@
 		return "visits"
 	case ReasonLost:
 		return "lost"
+	case ReasonReturned:
+		return "returned"
+	case ReasonOtherService:
+		return "other_service"
+	case ReasonSilent:
+		return "silent"
+	case ReasonLeaving:
+		return "leaving"
+	case ReasonFull:
+		return "full"
+	case ReasonRoute:
+		return "route"
+	case ReasonCrowded:
+		return "crowded"
+	case ReasonNotConfirmed:
+		return "not_confirmed"
 	}
 	return "unknown"
 }
 
 // Reasons returns all reasons.
 func Reasons() []Reason {
-	list := make([]Reason, 0, reasons-1)
-	for r := Reason(1); r < reasons; r++ {
+	list := make([]Reason, 0, ReasonCount-1)
+	for r := Reason(1); r < ReasonCount; r++ {
 		list = append(list, r)
 	}
 	return list
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -70,6 +70,11 @@
 	return b
 }
 
+// Fleet returns what the balancer acts on, or nil before SetFleet.
+func (b *Balancer) Fleet() *Fleet {
+	return b.fleet.Load()
+}
+
 // SetFleet replaces what the balancer acts on.
 func (b *Balancer) SetFleet(f *Fleet) {
 	b.fleet.Store(f)
--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -42,6 +42,8 @@
 	// Unlisted has the hosts of live sidecars whose upstreams the list lacks, as
 	// when entries lapsed while the store was away.
 	Unlisted []registry.Host
+	// StoreSeen is when the store is last known to have answered any process.
+	StoreSeen time.Duration
 	// Alone is true when the process hears no sidecar any more, so that it may be the one that is cut off.
 	Alone bool
 	// Young is true while entries that had lapsed before the first list may still come back.
--- a/steer/flow.go
+++ b/steer/flow.go
@@ -43,7 +43,7 @@
 	callerFin   bool
 	ownFin      bool
 	last        time.Duration // of the last packet in either direction
-	asked       time.Duration // when the request that waits arrived
+	asked       time.Duration // when the opening, or the request that waits, was delivered
 }
 
 // live reports whether the flow takes a connection of the upstream.
--- a/steer/pass.go
+++ b/steer/pass.go
@@ -33,7 +33,7 @@
 	}
 	next := h.WithVisited(s.cfg.Self)
 	next.Service = registry.HashService(other.Service)
-	return &Forward{Host: other.Address.Host, Header: next}
+	return &Forward{Host: other.Address.Host, Header: next, Reason: ReasonCrowded}
 }
 
 // chooser returns the comparison of upstreams for a packet.
@@ -47,8 +47,8 @@
 	}
 }
 
-// passOn sends a packet to the next upstream that may take it.
-func (s *Sidecar) passOn(now time.Duration, h *Header, p *Packet) Action {
+// passOn sends a packet to the next upstream that may take it. why says what kept it from the own one.
+func (s *Sidecar) passOn(now time.Duration, h *Header, p *Packet, why Reason) Action {
 	if len(h.Visited) >= MaxVisited {
 		return s.none(p, ReasonVisits)
 	}
@@ -59,10 +59,10 @@
 	next := h.WithVisited(s.cfg.Self)
 	c := s.chooser(now, f, p)
 	if m := s.next(f, &c, &next, p); m != nil {
-		return &Forward{Host: m.Address.Host, Header: next}
+		return &Forward{Host: m.Address.Host, Header: next, Reason: why}
 	}
 	if host, found := f.unlisted(next.visited); found && !p.Opens() {
-		return &Forward{Host: host, Header: next}
+		return &Forward{Host: host, Header: next, Reason: why}
 	}
 	if s.nobody(now, f, &next, p) {
 		return Refuse{Reason: ReasonUnknownFlow}
@@ -75,7 +75,7 @@
 
 // Again decides once more on a packet that was held.
 func (s *Sidecar) Again(now time.Duration, h *Header, p *Packet) Action {
-	return s.passOn(now, h, p)
+	return s.passOn(now, h, p, ReasonUnknownFlow)
 }
 
 // hold returns a Hold with a header of its own.
--- a/steer/presence.go
+++ b/steer/presence.go
@@ -153,5 +153,5 @@
 	if known && l.stage == stageOpen {
 		return Refuse{Reason: ReasonForgotten}
 	}
-	return s.passOn(now, h, p)
+	return s.passOn(now, h, p, ReasonSilent)
 }
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -35,8 +35,24 @@
 	Service string
 	// MaxFlow is how long a flow without packets is remembered. It is required.
 	MaxFlow time.Duration
+	// Latency is told how long the upstream takes. Nil tells nobody.
+	Latency Latency
 }
 
+// Latency takes what a sidecar measures of its upstream.
+type Latency interface {
+	// Opened is called with the time from an opening's delivery until it was accepted.
+	Opened(d time.Duration)
+	// Answered is called with the time from a request until the first data of its answer.
+	Answered(d time.Duration)
+}
+
+// unmeasured is a Latency that tells nobody.
+type unmeasured struct{}
+
+func (unmeasured) Opened(time.Duration)   {}
+func (unmeasured) Answered(time.Duration) {}
+
 // Notice tells balancers that the own upstream holds a flow.
 type Notice struct {
 	Key Key
@@ -71,6 +87,9 @@
 
 // NewSidecar returns the decisions of a sidecar that knows no flow yet.
 func NewSidecar(cfg SidecarConfig) *Sidecar {
+	if cfg.Latency == nil {
+		cfg.Latency = unmeasured{}
+	}
 	s := &Sidecar{cfg: cfg, service: registry.HashService(cfg.Service)}
 	for i := range s.shards {
 		s.shards[i].flows = make(map[Key]local)
@@ -78,6 +97,11 @@
 	return s
 }
 
+// Fleet returns what the sidecar acts on, or nil before SetFleet.
+func (s *Sidecar) Fleet() *Fleet {
+	return s.fleet.Load()
+}
+
 // SetFleet replaces what the sidecar acts on.
 func (s *Sidecar) SetFleet(f *Fleet) {
 	s.fleet.Store(f)
@@ -167,7 +191,7 @@
 		return s.orphaned(now, sh, k, l, known, h, p)
 	}
 	if (!known || l.stage == stageAsked) && s.absent(now) {
-		return s.passOn(now, h, p)
+		return s.passOn(now, h, p, ReasonSilent)
 	}
 	if !known {
 		return s.ask(now, sh, k, h)
@@ -186,42 +210,46 @@
 	if known {
 		s.remove(sh, k, &l)
 	}
-	if !s.takes(now, h, p) {
-		return s.passOn(now, h, p)
+	if why := s.declines(now, h, p); why != 0 {
+		return s.passOn(now, h, p, why)
 	}
 	if a := s.relieve(now, h, p); a != nil {
 		return a
 	}
-	sh.flows[k] = local{stage: stageOpening, balancer: h.Balancer, next: p.Sequence, last: now}
+	sh.flows[k] = local{stage: stageOpening, balancer: h.Balancer, next: p.Sequence, last: now, asked: now}
 	s.flows.Add(1)
 	s.upstream.awaitReaction(now)
 	return Deliver{Tag: s.remember(now, k, h)}
 }
 
-// takes reports whether a new flow may be offered to the own upstream.
-func (s *Sidecar) takes(now time.Duration, h *Header, p *Packet) bool {
-	if h.Service != s.service || s.Silent(now) {
-		return false
+// declines returns why a new flow is not to be offered to the own upstream, or 0.
+func (s *Sidecar) declines(now time.Duration, h *Header, p *Packet) Reason {
+	if h.Service != s.service {
+		return ReasonOtherService
+	}
+	if s.Silent(now) {
+		return ReasonSilent
+	}
+	if s.Flows() >= maxRemembered {
+		return ReasonFull
 	}
 	f := s.fleet.Load()
 	if f == nil {
-		return true
+		return 0
 	}
-	m, listed := f.Snapshot.Member(s.service, s.cfg.Self)
-	if listed && m.Standing == registry.Leaving {
-		return false
+	if m, listed := f.Snapshot.Member(s.service, s.cfg.Self); listed && m.Standing == registry.Leaving {
+		return ReasonLeaving
 	}
 	if limit := f.Snapshot.Connections(s.cfg.Service); limit > 0 && s.Flows() >= limit {
-		return false
-	}
-	if s.Flows() >= maxRemembered {
-		return false
+		return ReasonFull
 	}
 	if f.Snapshot.Version() <= h.Version {
-		return true
+		return 0
+	}
+	if route := f.Snapshot.Route(p.Destination); route == nil || !route.Allows(s.cfg.Service) {
+		return ReasonRoute
 	}
-	route := f.Snapshot.Route(p.Destination)
-	return route != nil && route.Allows(s.cfg.Service)
+	return 0
 }
 
 // absent reports whether there is no upstream beside this sidecar: the list has
@@ -250,7 +278,7 @@
 	if l.stage == stageAnswered {
 		if !confirms(l.confirm, p) {
 			s.remove(sh, k, &l)
-			return s.passOn(now, h, p)
+			return s.passOn(now, h, p, ReasonNotConfirmed)
 		}
 		s.opened(k, &l)
 	}
@@ -335,19 +363,22 @@
 	}
 	l.last = now
 	if p.Flags.Has(SYN) {
-		s.answered(k, &l, p)
+		s.answered(now, k, &l, p)
 	} else {
-		s.fromUpstream(k, &l, p)
+		s.fromUpstream(now, k, &l, p)
 	}
 	sh.flows[k] = l
 	return Answer{}
 }
 
 // answered notes that the upstream accepts an opening.
-func (s *Sidecar) answered(k Key, l *local, p *Packet) {
+func (s *Sidecar) answered(now time.Duration, k Key, l *local, p *Packet) {
 	if l.stage == stageOpen {
 		return
 	}
+	if l.stage == stageOpening {
+		s.cfg.Latency.Opened(now - l.asked)
+	}
 	if !l.live() {
 		s.flows.Add(1)
 	}
@@ -359,7 +390,7 @@
 
 // fromUpstream notes answers and the end of a flow. Any packet but the answer
 // to an opening shows that the upstream holds the flow.
-func (s *Sidecar) fromUpstream(k Key, l *local, p *Packet) {
+func (s *Sidecar) fromUpstream(now time.Duration, k Key, l *local, p *Packet) {
 	if p.Flags.Has(RST) {
 		s.end(l)
 		return
@@ -370,6 +401,7 @@
 	if p.Data > 0 && l.waiting {
 		l.waiting = false
 		s.active.Add(-1)
+		s.cfg.Latency.Answered(now - l.asked)
 	}
 	l.ownFin = l.ownFin || p.Flags.Has(FIN)
 	if l.callerFin && l.ownFin {
@@ -390,7 +422,7 @@
 		if known && l.stage == stageOpening {
 			s.remove(sh, k, &l)
 		}
-		return s.passOn(now, &h, p)
+		return s.passOn(now, &h, p, ReasonReturned)
 	}
 	if known && l.stage == stageOpen {
 		s.remove(sh, k, &l)
@@ -402,7 +434,7 @@
 	if known {
 		s.remove(sh, k, &l)
 	}
-	return s.passOn(now, &h, p)
+	return s.passOn(now, &h, p, ReasonReturned)
 }
 
 func (s *Sidecar) notify(n Notice) {
