Give up flows of a far sidecar only when its heartbeat is overdue here, too

Idle flows are reset only for an absent sidecar; this one is in another data centre.

Ruled out: a reset for an unknown flow or route (balancers send none on a later packet).

Change: a sidecar of another data centre is absent only when its own heartbeat, sent once a second, is overdue here by 0.3 s.

Test: TestAbsenceIsNotBelievedOnHearsay, which fails without the change.

Conclusion: hearsay alone must never end a flow.

--- a/membership/absence.go
+++ b/membership/absence.go
@@ -27,14 +27,14 @@
 }
 
 // Absent returns since when the sidecar on a host has been absent: it fell
-// silent without having said that it stops, and no balancer of its data centre
+// silent here without having said that it stops, and no balancer of its data centre
 // that this process hears still hears it. The zero value stands for a sidecar that is not absent.
 func (t *Table) Absent(h registry.Host) time.Duration {
 	return t.absentSince[h]
 }
 
 func (t *Table) absent(now time.Duration, sidecar *Peer) bool {
-	if sidecar.Beat.Stopping || sidecar.alive(now, t.cfg.DataCentre) && !t.gone(now, sidecar) {
+	if sidecar.Beat.Stopping || !t.missed(now, sidecar) {
 		return false
 	}
 	for _, p := range t.peers {
@@ -48,6 +48,16 @@
 	return true
 }
 
+// missed reports whether a heartbeat of a sidecar is overdue here. What balancers of
+// another data centre say of it does not do alone: they may have missed two heartbeats
+// and hear it again by now.
+func (t *Table) missed(now time.Duration, sidecar *Peer) bool {
+	if sidecar.Beat.DataCentre == t.cfg.DataCentre {
+		return now-sidecar.Heard >= SuspectAfter
+	}
+	return now-sidecar.Heard >= farAlone
+}
+
 // Woke leaves a pause of this process out of the silence of the others.
 func (t *Table) Woke(now, gap time.Duration) {
 	for _, p := range t.peers {
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -255,3 +255,18 @@
 	tb.Woke(start+pause, pause)
 	must.True(t, tb.Alive(start+pause, host(2)))
 }
+
+// TestAbsenceIsNotBelievedOnHearsay has a balancer of the sidecar's data centre that
+// missed heartbeats of it, while this process, elsewhere, had one within its interval.
+func TestAbsenceIsNotBelievedOnHearsay(t *testing.T) {
+	tb := table(1, membership.Balancer)
+	elsewhere := membership.Beat{Role: membership.Sidecar, DataCentre: "b", Incarnation: 1}
+	report := balancerBeat(true)
+	report.DataCentre, report.Lost = "b", []registry.Host{host(2)}
+	tb.Heard(start, host(2), elsewhere, 0, 0)
+	tb.Heard(start+700*time.Millisecond, host(3), report, 0, 0)
+	tb.NoteAbsent(start + 1100*time.Millisecond)
+	must.Eq(t, 0, tb.Absent(host(2)))
+	tb.NoteAbsent(start + 1300*time.Millisecond)
+	must.Eq(t, start+1300*time.Millisecond, tb.Absent(host(2)))
+}
