Explain flows from logs; check settings files; declare the flags of the platform's processes

Cause: on call there were only grep and a page; the flags of the platform's processes stood in no page, and a settings file could be checked only by starting a process.

--- a/ctl/command.go
+++ b/ctl/command.go
@@ -56,9 +56,10 @@
 		"":       root,
 		"key":    {Use: "key", Short: "Make keys", Example: "  corianderctl key new sari"},
 		"flow":   {Use: "flow", Short: "Ask about flows", Example: "  corianderctl flow explain bundle.yaml tcp 10.41.0.9:40000 203.0.113.10:7443"},
+		"log":    {Use: "log", Short: "Read logs of processes", Example: "  corianderctl log explain *.log --caller 100.64.0.7:40001"},
 		"bundle": {Use: "bundle", Short: "Check, sign, compare and roll bundles", Example: "  corianderctl bundle check bundle.yaml"},
 	}
-	root.AddCommand(groups["key"], groups["bundle"], groups["flow"], report.NewCommand())
+	root.AddCommand(groups["key"], groups["bundle"], groups["flow"], groups["log"], report.NewCommand())
 	for _, p := range programs(cfg) {
 		groups[p.group].AddCommand(p.command())
 	}
@@ -101,6 +102,7 @@
 		newRollbackProgram(),
 		newPublishProgram(),
 		newExplainProgram(cfg),
+		newLogProgram(),
 		newStatusProgram(cfg),
 		newVersionProgram(cfg),
 	}
--- /dev/null
+++ b/ctl/log.go
@@ -0,0 +1,118 @@
+package ctl
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/corianderbay/corianderbay/eventlog"
+	"github.com/corianderbay/corianderbay/setting"
+	"github.com/spf13/cobra"
+)
+
+// maxContext bounds how far around a flow's lines others are shown.
+const maxContext = time.Hour
+
+// story is the output of "log explain".
+type story struct {
+	Lines []eventlog.Line `json:"lines"`
+	// Unreadable is how many lines were passed over.
+	Unreadable int `json:"unreadable"`
+}
+
+func newLogProgram() program {
+	set := setting.NewSet()
+	caller := set.String("caller", "", "Caller's host, or host and port.")
+	address := set.String("address", "", "Address and port of the route.")
+	from := set.String("from", "", "Start of the span, as 2006-01-02T15:04:05Z.")
+	to := set.String("to", "", "End of the span.")
+	around := set.Duration("context", 3*time.Second, 0, maxContext, "How long before and after the flow's lines others are shown.")
+	asJSON := set.Bool("json", false, "Print JSON.")
+	return program{
+		group:   "log",
+		use:     "explain [FILE...]",
+		short:   "Tell from logs what happened to a flow, and what the processes knew",
+		example: "log explain front-1.log side-*.log --caller 100.64.0.7:40001",
+		args:    cobra.ArbitraryArgs,
+		set:     set,
+		run: func(_ context.Context, s stream, args []string) error {
+			q := eventlog.Query{Caller: *caller, Address: *address, Context: *around}
+			var err error
+			if q.From, err = parseTime(*from); err != nil {
+				return &setting.UsageError{Cause: err}
+			}
+			if q.To, err = parseTime(*to); err != nil {
+				return &setting.UsageError{Cause: err}
+			}
+			out, err := s.readLogs(args, q)
+			if err != nil {
+				return err
+			}
+			if *asJSON {
+				return s.printJSON(out)
+			}
+			return s.printStory(out)
+		},
+	}
+}
+
+// parseTime reads a time; empty text is the zero value.
+func parseTime(text string) (time.Time, error) {
+	if text == "" {
+		return time.Time{}, nil
+	}
+	return time.Parse(time.RFC3339Nano, text)
+}
+
+// readLogs reads the files, or standard input when there are none, and selects from them.
+func (s stream) readLogs(files []string, q eventlog.Query) (story, error) {
+	if len(files) == 0 {
+		files = []string{standard}
+	}
+	var all []eventlog.Line
+	out := story{Lines: []eventlog.Line{}}
+	for _, file := range files {
+		lines, bad, err := s.readLog(file)
+		if err != nil {
+			return out, err
+		}
+		all = append(all, lines...)
+		out.Unreadable += bad
+	}
+	out.Lines = append(out.Lines, eventlog.Select(all, q)...)
+	return out, nil
+}
+
+func (s stream) readLog(file string) ([]eventlog.Line, int, error) {
+	if file == standard {
+		return eventlog.Read(s.in, standard)
+	}
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return nil, 0, &ReadError{File: file, Cause: err}
+	}
+	name := strings.TrimSuffix(filepath.Base(file), filepath.Ext(file))
+	return eventlog.Read(io.Reader(bytes.NewReader(raw)), name)
+}
+
+// printStory prints a line for each event.
+func (s stream) printStory(out story) error {
+	if out.Unreadable > 0 {
+		if err := s.printf("%d lines could not be read and were passed over\n", out.Unreadable); err != nil {
+			return err
+		}
+	}
+	if len(out.Lines) == 0 {
+		return s.printf("no line fits: see whether the span and the address are right, and whether lines were left out (lines-omitted)\n")
+	}
+	for _, l := range out.Lines {
+		if err := s.printf("%s %s %s\n", l.Time.Format("15:04:05.000"), l.Instance, eventlog.Text(l)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/daemon/command.go
+++ b/daemon/command.go
@@ -10,6 +10,7 @@
 	"os"
 
 	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/platform"
 	"github.com/corianderbay/corianderbay/setting"
 	"github.com/spf13/cobra"
 	"go.uber.org/zap/zapcore"
@@ -18,6 +19,12 @@
 // Version is the release that the programs belong to.
 const Version = "0.1.0"
 
+// The commands that have others below them.
+const (
+	groupStandin  = "standin"
+	groupPlatform = "platform"
+)
+
 // NewCommand returns the root command of corianderbay.
 func NewCommand() *cobra.Command {
 	root := &cobra.Command{
@@ -32,14 +39,17 @@
 		Short:   "Run a stand-in of what surrounds the system, for trials",
 		Example: "  corianderbay standin platform --listen-address 127.0.0.1:8500",
 	}
+	users := &cobra.Command{
+		Use:     "platform",
+		Short:   "Run a process on the users' platform",
+		Long:    "Run a process on the users' platform. What the platform lays out comes from the file that " + platform.SettingsVariable + " names.",
+		Example: "  corianderbay platform balancer",
+	}
+	groups := map[string]*cobra.Command{"": root, groupStandin: standins, groupPlatform: users}
 	for _, p := range programs() {
-		parent := root
-		if p.standin {
-			parent = standins
-		}
-		parent.AddCommand(p.command())
+		groups[p.group].AddCommand(p.command())
 	}
-	root.AddCommand(standins, newPlatformCommand(), newVersionCommand())
+	root.AddCommand(standins, users, newVersionCommand())
 	return root
 }
 
@@ -61,7 +71,7 @@
 	name    string
 	short   string
 	example string
-	standin bool
+	group   string // the command above; empty for the root
 	set     *setting.Set
 	run     func(ctx context.Context, w io.Writer) error
 }
@@ -76,6 +86,9 @@
 		newUpstreamProgram(),
 		newCallerProgram(),
 		newDemoProgram(),
+		newUsersProgram("balancer", "Take callers' packets and forward them to sidecars", platform.RunBalancer),
+		newUsersProgram("sidecar", "Serve the flows of the upstream beside it", platform.RunSidecar),
+		newCheckProgram(),
 	}
 }
 
@@ -84,8 +97,8 @@
 	all := make(map[string][]setting.Declaration)
 	for _, p := range programs() {
 		name := p.name
-		if p.standin {
-			name = "standin " + name
+		if p.group != "" {
+			name = p.group + " " + name
 		}
 		all[name] = p.set.Declarations()
 	}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -4,62 +4,78 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"fmt"
+	"io"
 
 	"github.com/corianderbay/corianderbay/event"
 	"github.com/corianderbay/corianderbay/platform"
+	"github.com/corianderbay/corianderbay/setting"
 	"github.com/corianderbay/corianderbay/timer"
-	"github.com/spf13/cobra"
 	"go.uber.org/zap/zapcore"
 )
 
-// defaultLines is how many lines a second each event may have in the log.
-const defaultLines = 20
-
-// keptLines is how many lines wait for a reader of standard output that is slow.
-const keptLines = 512
-
-// newPlatformCommand returns the processes that run on the users' platform.
-// Their settings come from a file that the platform lays out.
-func newPlatformCommand() *cobra.Command {
-	cmd := &cobra.Command{
-		Use:     "platform",
-		Short:   "Run a process on the users' platform",
-		Long:    "Run a process on the users' platform. Its settings come from the file that " + platform.SettingsVariable + " names.",
-		Example: "  corianderbay platform balancer",
-	}
-	cmd.AddCommand(
-		platformRole("balancer", "Take callers' packets and forward them to sidecars", platform.RunBalancer),
-		platformRole("sidecar", "Serve the flows of the upstream beside it", platform.RunSidecar),
-	)
-	return cmd
-}
+const (
+	// defaultLines is how many lines a second each event may have in the log.
+	defaultLines = 20
+	maxLines     = 1_000_000
+	// keptLines is how many lines wait for a reader of standard output that is slow.
+	keptLines = 512
+)
 
-func platformRole(name, short string, run func(context.Context, platform.Config) error) *cobra.Command {
-	level, lines := "info", defaultLines
-	cmd := &cobra.Command{
-		Use:     name,
-		Short:   short,
-		Example: "  corianderbay platform " + name + " --log-level debug",
-		Args:    cobra.NoArgs,
-		RunE: func(cmd *cobra.Command, _ []string) error {
-			l, err := zapcore.ParseLevel(level)
+// newUsersProgram returns a process that runs on the users' platform. Its
+// settings come from a file that the platform lays out.
+func newUsersProgram(name, short string, run func(context.Context, platform.Config) error) program {
+	s := setting.NewSet()
+	level := s.Choice("log-level", "info", logLevels(), "least level of the events that are logged")
+	lines := s.Int("log-lines", defaultLines, 1, maxLines, "lines a second", "lines that each event may have in the log")
+	return program{
+		name:    name,
+		group:   groupPlatform,
+		short:   short,
+		example: "corianderbay platform " + name + " --log-level debug",
+		set:     s,
+		run: func(ctx context.Context, w io.Writer) error {
+			l, err := zapcore.ParseLevel(*level)
 			if err != nil {
 				return err
 			}
 			t := timer.New(timer.Config{Suspended: timer.Suspended})
-			out := event.NewWriter(cmd.OutOrStdout(), keptLines, t)
+			out := event.NewWriter(w, keptLines, t)
 			defer out.Close()
-			return run(cmd.Context(), platform.Config{
+			return run(ctx, platform.Config{
 				Path:        platform.SettingsPath(),
 				Incarnation: newIncarnation(),
 				Timer:       t,
-				Log:         event.NewSampled(out, l, name, lines),
+				Log:         event.NewSampled(out, l, name, *lines),
 			})
 		},
 	}
-	cmd.Flags().StringVar(&level, "log-level", level, "least level of the events that are logged")
-	cmd.Flags().IntVar(&lines, "log-lines", lines, "lines that each event may have in the log (lines a second)")
-	return cmd
+}
+
+// newCheckProgram returns a command that reads a settings file of the users'
+// platform as a process would, and names the first field that cannot be used.
+func newCheckProgram() program {
+	s := setting.NewSet()
+	file := s.String("file", "", "settings file; empty selects the one that a process would read")
+	return program{
+		name:    "check",
+		group:   groupPlatform,
+		short:   "Check a settings file of the users' platform",
+		example: "corianderbay platform check --file boot.json",
+		set:     s,
+		run: func(_ context.Context, w io.Writer) error {
+			path := *file
+			if path == "" {
+				path = platform.SettingsPath()
+			}
+			found, err := platform.Load(path)
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(w, "%s: usable, for %s in %s\n", path, found.Name, found.DataCentre)
+			return err
+		},
+	}
 }
 
 // newIncarnation returns a number that no other start of a process has.
--- a/daemon/standins.go
+++ b/daemon/standins.go
@@ -30,7 +30,7 @@
 		name:    "platform",
 		short:   "Stand in for the configuration service and the instance list",
 		example: "corianderbay standin platform --listen-address 127.0.0.1:8500 --admin-address 127.0.0.1:8501",
-		standin: true,
+		group:   groupStandin,
 		set:     s,
 		run: func(ctx context.Context, _ io.Writer) error {
 			p := standin.NewPlatform(standin.PlatformConfig{})
@@ -78,7 +78,7 @@
 		name:    "fabric",
 		short:   "Stand in for the fabric: spray packets over balancers",
 		example: "corianderbay standin fabric --balancers 127.0.0.1:6081,127.0.0.1:6181",
-		standin: true,
+		group:   groupStandin,
 		set:     s,
 		run: func(ctx context.Context, _ io.Writer) error {
 			f, err := standin.NewFabric(standin.FabricConfig{
@@ -115,7 +115,7 @@
 		name:    "upstream",
 		short:   "Stand in for an upstream; prints what it ran when it stops",
 		example: "corianderbay standin upstream --name fitting-1 --service fitting --tunnel-address 127.0.0.1:7001",
-		standin: true,
+		group:   groupStandin,
 		set:     s,
 		run: func(ctx context.Context, w io.Writer) error {
 			u, err := standin.NewUpstream(standin.UpstreamConfig{
@@ -154,7 +154,7 @@
 		name:    "caller",
 		short:   "Stand in for callers; prints what came of their requests as JSON",
 		example: "corianderbay standin caller --targets fitting=tcp:198.51.100.1:7000 --flows 100",
-		standin: true,
+		group:   groupStandin,
 		set:     s,
 		run: func(ctx context.Context, w io.Writer) error {
 			list, err := parseTargets(*targets)
--- /dev/null
+++ b/eventlog/eventlog_test.go
@@ -0,0 +1,54 @@
+package eventlog_test
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/eventlog"
+	"github.com/corianderbay/corianderbay/steer"
+	"github.com/shoenig/test/must"
+)
+
+// TestStories reads the lines of each case and tells of the flow that its arguments name.
+func TestStories(t *testing.T) {
+	datadriven.RunTest(t, "testdata/stories.txt", func(t *testing.T, d *datadriven.TestData) string {
+		var q eventlog.Query
+		var around string
+		d.MaybeScanArgs(t, "caller", &q.Caller)
+		d.MaybeScanArgs(t, "address", &q.Address)
+		if d.MaybeScanArgs(t, "context", &around); around != "" {
+			var err error
+			q.Context, err = time.ParseDuration(around)
+			must.NoError(t, err)
+		}
+		lines, bad, err := eventlog.Read(strings.NewReader(d.Input), "standard")
+		must.NoError(t, err)
+		var b strings.Builder
+		for _, l := range eventlog.Select(lines, q) {
+			fmt.Fprintf(&b, "%s %s %s\n", l.Time.Format("05.000"), l.Instance, eventlog.Text(l))
+		}
+		fmt.Fprintf(&b, "unreadable: %d\n", bad)
+		return b.String()
+	})
+}
+
+// TestEveryReasonHasWords fails for a reason that the text does not know.
+func TestEveryReasonHasWords(t *testing.T) {
+	for _, r := range steer.Reasons() {
+		text := eventlog.Text(eventlog.Line{Event: event.PacketDropped, Reason: r.String()})
+		must.StrNotContains(t, text, "since of ", must.Sprint(r))
+	}
+}
+
+// TestLongLineIsReported has a line that is longer than any event.
+func TestLongLineIsReported(t *testing.T) {
+	_, _, err := eventlog.Read(strings.NewReader(strings.Repeat("x", 2<<20)), "a")
+	var bad *eventlog.ReadError
+	must.True(t, errors.As(err, &bad))
+	must.Eq(t, "a", bad.Instance)
+}
--- /dev/null
+++ b/eventlog/line.go
@@ -0,0 +1,153 @@
+package eventlog
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/corianderbay/corianderbay/event"
+)
+
+// maxLine is the length of a line in bytes that is read at most.
+const maxLine = 1 << 20
+
+// timeLayout is how processes write times.
+const timeLayout = "2006-01-02T15:04:05.000Z0700"
+
+// Line is one event that a process logged. Fields that the event does not have are zero.
+type Line struct {
+	// Instance is where the process ran: the name of its log file, or what stands before the line.
+	Instance string `json:"instance"`
+	Time     Time   `json:"ts"`
+	// Process is the role.
+	Process string       `json:"process"`
+	Event   event.Number `json:"event"`
+	Name    string       `json:"msg"`
+
+	Caller   string `json:"caller,omitempty"`
+	Address  string `json:"address,omitempty"`
+	Sequence uint32 `json:"sequence,omitempty"`
+	Flags    uint8  `json:"flags,omitempty"`
+	// Upstream is the host that a balancer chose, Next the one that a sidecar passed a packet on to.
+	Upstream string `json:"upstream,omitempty"`
+	Next     string `json:"next,omitempty"`
+	Visited  int    `json:"visited,omitempty"`
+	Reason   string `json:"reason,omitempty"`
+
+	// Version and Revision are the routes and upstreams that were known.
+	Version  uint64 `json:"version,omitempty"`
+	Revision uint64 `json:"revision,omitempty"`
+	// StoreAge, LoadAge, Age and Gap are in seconds.
+	StoreAge float64 `json:"storeage,omitempty"`
+	LoadAge  float64 `json:"loadage,omitempty"`
+	Age      float64 `json:"age,omitempty"`
+	Gap      float64 `json:"gap,omitempty"`
+	Flows    int     `json:"flows,omitempty"`
+	Active   int     `json:"active,omitempty"`
+	Lines    uint64  `json:"lines,omitempty"`
+
+	Peer     string `json:"peer,omitempty"`
+	Role     string `json:"role,omitempty"`
+	Stopping bool   `json:"stopping,omitempty"`
+	Alone    bool   `json:"alone,omitempty"`
+	Exchange string `json:"exchange,omitempty"`
+	Error    string `json:"error,omitempty"`
+}
+
+// Check reports *LineError when the line is no event of a process.
+func (l *Line) Check() error {
+	if l.Event == 0 || l.Name == "" || l.Time.IsZero() {
+		return &LineError{Text: "it names no event and time"}
+	}
+	return nil
+}
+
+// Time is the time of a line.
+type Time struct{ time.Time }
+
+// UnmarshalJSON reads the form in which processes write times.
+func (t *Time) UnmarshalJSON(b []byte) error {
+	var s string
+	if err := json.Unmarshal(b, &s); err != nil {
+		return err
+	}
+	at, err := time.Parse(timeLayout, s)
+	if err != nil {
+		return err
+	}
+	t.Time = at
+	return nil
+}
+
+// MarshalJSON writes the same form.
+func (t Time) MarshalJSON() ([]byte, error) {
+	return json.Marshal(t.Format(timeLayout))
+}
+
+// parse reads one line. Before the JSON object may stand other words, the last
+// of which names the instance; otherwise instance does.
+func parse(raw []byte, instance string) (Line, error) {
+	at := bytes.IndexByte(raw, '{')
+	if at < 0 {
+		return Line{}, &LineError{Text: "it holds no object"}
+	}
+	l := Line{}
+	if err := json.Unmarshal(raw[at:], &l); err != nil {
+		return Line{}, &LineError{Text: err.Error()}
+	}
+	l.Instance = instance
+	if words := strings.Fields(string(raw[:at])); len(words) > 0 {
+		l.Instance = words[len(words)-1]
+	}
+	return l, l.Check()
+}
+
+// Read returns the lines of a log and how many could not be read, which are
+// passed over. It reports *ReadError.
+func Read(r io.Reader, instance string) (lines []Line, bad int, err error) {
+	sc := bufio.NewScanner(r)
+	sc.Buffer(nil, maxLine)
+	for sc.Scan() {
+		if len(bytes.TrimSpace(sc.Bytes())) == 0 {
+			continue
+		}
+		l, err := parse(sc.Bytes(), instance)
+		if err != nil {
+			bad++
+			continue
+		}
+		lines = append(lines, l)
+	}
+	if err := sc.Err(); err != nil {
+		return lines, bad, &ReadError{Instance: instance, Cause: err}
+	}
+	return lines, bad, nil
+}
+
+// LineError reports a line that is no event.
+type LineError struct {
+	Text string
+}
+
+// Error returns what is wrong.
+func (e *LineError) Error() string {
+	return "the line is no event of a process: " + e.Text
+}
+
+// ReadError reports a log that cannot be read to its end.
+type ReadError struct {
+	Instance string
+	Cause    error
+}
+
+// Error returns the instance and the cause.
+func (e *ReadError) Error() string {
+	return fmt.Sprintf("log of %s: %v", e.Instance, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *ReadError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/eventlog/text.go
@@ -0,0 +1,120 @@
+package eventlog
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/corianderbay/corianderbay/event"
+)
+
+// Text says in a sentence what a line tells.
+func Text(l Line) string {
+	switch l.Event {
+	case event.FlowOpened:
+		return fmt.Sprintf("sends the opening of %s to %s, which has %d flows and %d requests as of %s ago; %s",
+			flow(l), l.Upstream, l.Flows, l.Active, seconds(l.LoadAge), known(l))
+	case event.PacketPassed:
+		return fmt.Sprintf("passes a packet of %s on to %s since %s, after %d hosts; %s", flow(l), l.Next, reason(l.Reason), l.Visited, known(l))
+	case event.FlowRefused:
+		return fmt.Sprintf("resets %s since %s; %s", flow(l), reason(l.Reason), known(l))
+	case event.PacketDropped:
+		return fmt.Sprintf("drops a packet of %s since %s; %s", flow(l), reason(l.Reason), known(l))
+	case event.UpstreamReset:
+		return fmt.Sprintf("hands on a reset of %s by the upstream itself", flow(l))
+	case event.RoutesAdopted:
+		return fmt.Sprintf("takes over routes %d and upstreams of revision %d%s", l.Version, l.Revision, from(l))
+	case event.PeerSilent:
+		if l.Stopping {
+			return fmt.Sprintf("learns that %s %s stops", l.Role, l.Peer)
+		}
+		return fmt.Sprintf("has not heard %s %s for %s", l.Role, l.Peer, seconds(l.Age))
+	case event.PeerHeard:
+		return fmt.Sprintf("hears %s %s again", l.Role, l.Peer)
+	case event.PeerStarted:
+		return fmt.Sprintf("hears that %s %s has started", l.Role, l.Peer)
+	case event.ProcessWoke:
+		return fmt.Sprintf("wakes from a pause of %s", seconds(l.Gap))
+	case event.ProcessAlone:
+		if l.Alone {
+			return "hears no sidecar any more"
+		}
+		return "hears sidecars again"
+	case event.LinesOmitted:
+		return fmt.Sprintf("left %d lines out of its log", l.Lines)
+	}
+	return other(l)
+}
+
+// other says what a line tells by its name.
+func other(l Line) string {
+	text := strings.ReplaceAll(l.Name, "-", " ")
+	if l.Flows > 0 {
+		text += fmt.Sprintf(" (%d flows)", l.Flows)
+	}
+	if l.Error != "" {
+		text += ": " + l.Error
+	}
+	return text
+}
+
+func flow(l Line) string {
+	return l.Caller + " > " + l.Address
+}
+
+// known says what the decision rested on.
+func known(l Line) string {
+	if l.Version == 0 && l.Revision == 0 {
+		return "nothing was known yet"
+	}
+	return fmt.Sprintf("known: routes %d, upstreams of revision %d, store heard of %s ago", l.Version, l.Revision, seconds(l.StoreAge))
+}
+
+func from(l Line) string {
+	if l.Peer == "" {
+		return " from the store"
+	}
+	return " from " + l.Peer
+}
+
+func seconds(s float64) string {
+	return fmt.Sprintf("%.3f s", s)
+}
+
+// reason says in words why a packet was not delivered.
+func reason(name string) string {
+	switch name {
+	case "starting":
+		return "routes and upstreams are not known yet"
+	case "invalid":
+		return "it cannot come from this side"
+	case "no_route":
+		return "no route leads to the address"
+	case "no_upstream":
+		return "no upstream of the service can take it"
+	case "forgotten":
+		return "the upstream no longer holds it"
+	case "unknown_flow":
+		return "no upstream that can be reached holds it"
+	case "visits":
+		return "it was passed on too often"
+	case "lost":
+		return "the sidecar of its upstream is gone"
+	case "returned":
+		return "the upstream returned it"
+	case "other_service":
+		return "the upstream serves another service"
+	case "silent":
+		return "the upstream does not react"
+	case "leaving":
+		return "the upstream is draining"
+	case "full":
+		return "the upstream has as many flows as it may hold"
+	case "route":
+		return "newer routes do not allow it here"
+	case "crowded":
+		return "requests wait here and fewer there"
+	case "not_confirmed":
+		return "the caller confirmed another upstream's answer"
+	}
+	return "of " + name
+}
