--- a/eventlog/text.go
+++ b/eventlog/text.go
@@ -113,6 +113,8 @@
 		return "newer routes do not allow it here"
 	case "crowded":
 		return "requests wait here and fewer there"
+	case "passed":
+		return "its opening was passed on to there"
 	case "not_confirmed":
 		return "the caller confirmed another upstream's answer"
 	}
--- a/steer/action.go
+++ b/steer/action.go
@@ -82,6 +82,8 @@
 	ReasonRoute
 	// ReasonCrowded: requests wait at the upstream, and fewer at another one.
 	ReasonCrowded
+	// ReasonPassed: the flow's opening was passed on to there.
+	ReasonPassed
 	// ReasonNotConfirmed: the caller confirmed another upstream's answer to its opening.
 	ReasonNotConfirmed
 
@@ -122,6 +124,8 @@
 		return "route"
 	case ReasonCrowded:
 		return "crowded"
+	case ReasonPassed:
+		return "passed"
 	case ReasonNotConfirmed:
 		return "not_confirmed"
 	}
--- a/steer/flow.go
+++ b/steer/flow.go
@@ -12,6 +12,8 @@
 const (
 	// stageAsked: a packet of an unknown flow was delivered, and may come back.
 	stageAsked stage = iota + 1
+	// stagePassed: an opening was passed on to another sidecar.
+	stagePassed
 	// stageOpening: an opening was delivered.
 	stageOpening
 	// stageAnswered: the upstream accepted the opening; the caller has not confirmed it here.
@@ -33,9 +35,12 @@
 type local struct {
 	stage    stage
 	balancer registry.Host // that took the last packet
+	// target and service are where an opening was passed on to; valid in stagePassed.
+	target  registry.Host
+	service registry.ServiceHash
 	// confirm is the acknowledgement with which the caller confirms the upstream's answer to the opening.
 	confirm uint32
-	// next is the sequence number after the caller's last data.
+	// next is the sequence number after the caller's last data, or that of the opening.
 	next uint32
 	// acknowledge is the caller's last acknowledgement.
 	acknowledge uint32
--- a/steer/pass.go
+++ b/steer/pass.go
@@ -142,3 +142,27 @@
 	}
 	return !f.Young || f.listed(s.cfg.Self) || s.Silent(now)
 }
+
+// trace remembers where an opening is passed on to, so that its copies and the
+// packets that follow it before balancers know go the same way. It returns the action.
+func (s *Sidecar) trace(now time.Duration, sh *sidecarShard, k Key, p *Packet, a Action) Action {
+	f, passed := a.(*Forward)
+	if passed && len(sh.flows) < maxRemembered {
+		sh.flows[k] = local{stage: stagePassed, target: f.Host, service: f.Header.Service, next: p.Sequence, last: now}
+	}
+	return a
+}
+
+// leads reports whether a packet with the header goes on to where the flow's opening went.
+func (l *local) leads(h *Header) bool {
+	return l.stage == stagePassed && !h.visited(l.target)
+}
+
+// follow sends a packet to where the flow's opening was passed on to.
+func (s *Sidecar) follow(now time.Duration, sh *sidecarShard, k Key, l local, h *Header) Action {
+	l.last = now
+	sh.flows[k] = l
+	next := *h
+	next.Service = l.service
+	return &Forward{Host: l.target, Header: next, Reason: ReasonPassed}
+}
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -193,7 +193,10 @@
 	if (!known || l.stage == stageAsked) && s.absent(now) {
 		return s.passOn(now, h, p, ReasonSilent)
 	}
-	if !known {
+	if known && l.leads(h) {
+		return s.follow(now, sh, k, l, h)
+	}
+	if !known || l.stage == stagePassed {
 		return s.ask(now, sh, k, h)
 	}
 	return s.later(now, sh, k, l, h, p)
@@ -207,14 +210,17 @@
 		s.upstream.awaitReaction(now)
 		return Deliver{Tag: s.remember(now, k, h)}
 	}
+	if known && l.leads(h) && l.next == p.Sequence {
+		return s.follow(now, sh, k, l, h)
+	}
 	if known {
 		s.remove(sh, k, &l)
 	}
 	if why := s.declines(now, h, p); why != 0 {
-		return s.passOn(now, h, p, why)
+		return s.trace(now, sh, k, p, s.passOn(now, h, p, why))
 	}
 	if a := s.relieve(now, h, p); a != nil {
-		return a
+		return s.trace(now, sh, k, p, a)
 	}
 	sh.flows[k] = local{stage: stageOpening, balancer: h.Balancer, next: p.Sequence, last: now, asked: now}
 	s.flows.Add(1)
@@ -422,7 +428,7 @@
 		if known && l.stage == stageOpening {
 			s.remove(sh, k, &l)
 		}
-		return s.passOn(now, &h, p, ReasonReturned)
+		return s.trace(now, sh, k, p, s.passOn(now, &h, p, ReasonReturned))
 	}
 	if known && l.stage == stageOpen {
 		s.remove(sh, k, &l)
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -641,3 +641,48 @@
 		})
 	}
 }
+
+// TestPacketsFollowAnOpeningThatWasPassedOn sends a copy of the opening and the
+// first packet of the flow before balancers have learned where it went.
+func TestPacketsFollowAnOpeningThatWasPassedOn(t *testing.T) {
+	w := newWorld(1, service, service, service)
+	k := caller(1)
+	p := opening(k)
+	first, ok := w.balancers[0].Packet(w.now, &p, new(steer.Forward)).(*steer.Forward)
+	must.True(t, ok)
+	h := first.Header
+	for n, s := range w.sites {
+		s.full = s.host == first.Host
+		if s.full {
+			must.NotEq(t, n, w.send(0, p))
+		}
+	}
+	taken := 0
+	at := -1
+	for n, s := range w.sites {
+		s.full = false
+		taken += s.taken
+		if s.taken > 0 {
+			at = n
+		}
+	}
+	must.Eq(t, 1, taken)
+	w.forget()
+	must.Eq(t, at, w.send(0, p))
+	must.Eq(t, 1, len(w.sites[at].answered))
+	// The first packet after it is not offered to the upstream that returned the opening.
+	later := w.request(k, at)
+	i := 0
+	for w.sites[i].host != first.Host {
+		i++
+	}
+	a, ok := w.sites[i].sidecar.FromBalancer(w.now, &h, &later).(*steer.Forward)
+	must.True(t, ok)
+	must.Eq(t, w.sites[at].host, a.Host)
+	must.SliceEmpty(t, a.Header.Visited)
+	// A new opening on the same port is decided anew.
+	again := opening(k)
+	again.Sequence += 1000
+	_, ok = w.sites[i].sidecar.FromBalancer(w.now, &h, &again).(steer.Deliver)
+	must.True(t, ok)
+}
