--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -10,6 +10,7 @@
 	"github.com/corianderbay/corianderbay/event"
 	"github.com/corianderbay/corianderbay/platform"
 	"github.com/corianderbay/corianderbay/setting"
+	"github.com/corianderbay/corianderbay/steer"
 	"github.com/corianderbay/corianderbay/timer"
 	"go.uber.org/zap/zapcore"
 )
@@ -28,6 +29,7 @@
 	s := setting.NewSet()
 	level := s.Choice("log-level", "info", logLevels(), "least level of the events that are logged")
 	lines := s.Int("log-lines", defaultLines, 1, maxLines, "lines a second", "lines that each event may have in the log")
+	placing := s.Choice("placing", string(steer.PlaceByLoad), steer.Placings(), "how upstreams of new flows are chosen; all but load are for comparisons")
 	return program{
 		name:    name,
 		group:   groupPlatform,
@@ -45,6 +47,7 @@
 			return run(ctx, platform.Config{
 				Path:        platform.SettingsPath(),
 				Incarnation: newIncarnation(),
+				Placing:     steer.Placing(*placing),
 				Timer:       t,
 				Log:         event.NewSampled(out, l, name, *lines),
 			})
--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -62,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b.decide = steer.NewBalancer(steer.BalancerConfig{Self: self, DataCentre: cfg.DataCentre, MaxFlow: cfg.MaxFlow})
+	b.decide = steer.NewBalancer(steer.BalancerConfig{Self: self, DataCentre: cfg.DataCentre, MaxFlow: cfg.MaxFlow, Placing: cfg.Placing})
 	b.socket, err = udp.Open(udp.Config{Listen: cfg.Callers, Workers: 1, Buffer: packetBuffer, Heartbeat: b.heartbeat})
 	if err != nil {
 		return nil, err
--- a/edge/config.go
+++ b/edge/config.go
@@ -22,7 +22,7 @@
 	AppendReset(b []byte, p *steer.Packet) []byte
 }
 
-// Config holds what balancers and sidecars share. All fields but Seeds are required.
+// Config holds what balancers and sidecars share. All fields but Seeds and Placing are required.
 type Config struct {
 	DataCentre string
 	// Exchange is where other processes reach this one, over UDP and TCP.
@@ -35,10 +35,12 @@
 	MaxFlow time.Duration
 	// CallerPort is the port at which callers take packets.
 	CallerPort uint16
-	Codec      Codec
-	Source     exchange.Source
-	Timer      *timer.Service
-	Log        *event.Logger
+	// Placing is how upstreams of new flows are chosen. Empty selects steer.PlaceByLoad.
+	Placing steer.Placing
+	Codec   Codec
+	Source  exchange.Source
+	Timer   *timer.Service
+	Log     *event.Logger
 }
 
 // node returns the configuration of the process among the others.
--- a/edge/sidecar.go
+++ b/edge/sidecar.go
@@ -81,6 +81,7 @@
 		DataCentre: cfg.DataCentre,
 		Service:    cfg.Service,
 		MaxFlow:    cfg.MaxFlow,
+		Placing:    cfg.Placing,
 		Latency:    s.latency,
 	})
 	s.socket, err = udp.Open(udp.Config{Listen: cfg.Outbound, Workers: 1, Buffer: packetBuffer, Heartbeat: s.heartbeat})
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -25,6 +25,8 @@
 	DataCentre string
 	// MaxFlow is how long a flow is remembered. It is required.
 	MaxFlow time.Duration
+	// Placing is how upstreams of new flows are chosen. Empty selects PlaceByLoad.
+	Placing Placing
 }
 
 // Balancer decides where the packets of callers go. It is safe for concurrent use.
@@ -35,6 +37,7 @@
 
 	mu      sync.Mutex
 	pending map[registry.Host]int // flows placed since the sidecar last told its load
+	given   map[registry.Host]int // flows placed since the start; nil unless Placing is PlaceByTwo
 }
 
 type balancerShard struct {
@@ -64,6 +67,9 @@
 // NewBalancer returns the decisions of a balancer that knows nothing yet.
 func NewBalancer(cfg BalancerConfig) *Balancer {
 	b := &Balancer{cfg: cfg, pending: make(map[registry.Host]int)}
+	if cfg.Placing == PlaceByTwo {
+		b.given = make(map[registry.Host]int)
+	}
 	for i := range b.shards {
 		b.shards[i].flows = make(map[Key]placed)
 	}
@@ -262,7 +268,7 @@
 }
 
 func (c *call) chooser() chooser {
-	return chooser{fleet: c.fleet, now: c.now, hash: c.hash, dataCentre: c.b.cfg.DataCentre, pending: c.b.placedOn}
+	return chooser{fleet: c.fleet, now: c.now, hash: c.hash, dataCentre: c.b.cfg.DataCentre, pending: c.b.placedOn, placing: c.b.cfg.Placing, given: c.b.givenTo}
 }
 
 // follow sends a later packet to the upstream that holds its flow, or begins a search for it.
@@ -319,6 +325,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.pending[h]++
+	if b.given != nil {
+		b.given[h]++
+	}
 }
 
 func (b *Balancer) placedOn(h registry.Host) int {
@@ -327,6 +336,12 @@
 	return b.pending[h]
 }
 
+func (b *Balancer) givenTo(h registry.Host) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.given[h]
+}
+
 func (b *Balancer) shard(k Key) *balancerShard {
 	return &b.shards[(k.Caller.Port^uint16(k.Caller.Host[3]))%shards]
 }
--- a/steer/pass.go
+++ b/steer/pass.go
@@ -12,7 +12,7 @@
 // passed on for this reason only once.
 func (s *Sidecar) relieve(now time.Duration, h *Header, p *Packet) Action {
 	f := s.fleet.Load()
-	if f == nil || len(h.Visited) > 0 {
+	if f == nil || len(h.Visited) > 0 || !s.cfg.Placing.weighs() {
 		return nil
 	}
 	own, listed := f.Snapshot.Member(s.service, s.cfg.Self)
@@ -44,6 +44,8 @@
 		hash:       p.CallerKey().Hash(),
 		dataCentre: s.cfg.DataCentre,
 		pending:    func(registry.Host) int { return 0 },
+		placing:    s.cfg.Placing,
+		given:      func(registry.Host) int { return 0 },
 	}
 }
 
--- a/steer/place.go
+++ b/steer/place.go
@@ -33,6 +33,9 @@
 	dataCentre string
 	// pending returns how many flows were placed on a host since its sidecar last told its load.
 	pending func(registry.Host) int
+	placing Placing
+	// given returns how many flows were placed on a host in all; valid for PlaceByTwo.
+	given func(registry.Host) int
 }
 
 // choice is the best upstream so far.
@@ -44,6 +47,9 @@
 
 // choose returns the upstream for a new flow, or nil. skip leaves hosts out.
 func (c *chooser) choose(p *registry.Pool, skip func(registry.Host) bool) *registry.Member {
+	if !c.placing.weighs() {
+		return c.chooseBlind(p, skip)
+	}
 	var near, far choice
 	for i := range p.Members {
 		m := &p.Members[i]
@@ -109,7 +115,7 @@
 // Weights share flows out as long as each service keeps up; beyond that a caller
 // is better served anywhere than late. It returns nil when the flow is to stay.
 func (c *chooser) overflow(route *registry.Route, m *registry.Member, skip func(registry.Host) bool) *registry.Member {
-	if len(route.Targets) < 2 || c.queue(m) < crowdedQueue {
+	if len(route.Targets) < 2 || !c.placing.weighs() || c.queue(m) < crowdedQueue {
 		return nil
 	}
 	for i := range route.Targets {
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -35,6 +35,8 @@
 	Service string
 	// MaxFlow is how long a flow without packets is remembered. It is required.
 	MaxFlow time.Duration
+	// Placing is how upstreams are chosen for new flows that are passed on. Empty selects PlaceByLoad.
+	Placing Placing
 	// Latency is told how long the upstream takes. Nil tells nobody.
 	Latency Latency
 }
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -686,3 +686,31 @@
 	_, ok = w.sites[i].sidecar.FromBalancer(w.now, &h, &again).(steer.Deliver)
 	must.True(t, ok)
 }
+
+// TestPlacingWithoutLoads places flows by their hash alone, and by two choices.
+func TestPlacingWithoutLoads(t *testing.T) {
+	for _, placing := range []steer.Placing{steer.PlaceByHash, steer.PlaceByTwo} {
+		t.Run(string(placing), func(t *testing.T) {
+			w := newWorld(0, service, service, service, service, service) // three of them near
+			b := steer.NewBalancer(steer.BalancerConfig{Self: balancerHost(0), DataCentre: near, MaxFlow: maxFlow, Placing: placing})
+			w.balancers = append(w.balancers, b)
+			w.refresh()
+			for n := range 300 {
+				w.send(0, opening(caller(n)))
+			}
+			most, least, far := 0, 300, 0
+			for i, s := range w.sites {
+				if dataCentreOf(i) != near {
+					far += s.taken
+					continue
+				}
+				most, least = max(most, s.taken), min(least, s.taken)
+			}
+			must.Eq(t, 0, far)
+			if placing == steer.PlaceByTwo {
+				must.LessEq(t, 20, most-least)
+			}
+			must.Positive(t, least)
+		})
+	}
+}
