--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -270,3 +270,21 @@
 	tb.NoteAbsent(start + 1300*time.Millisecond)
 	must.Eq(t, start+1300*time.Millisecond, tb.Absent(host(2)))
 }
+
+// TestLateHeartbeatsAreNoSilence has a choked instance: its heartbeats wait for
+// 700 ms at its link and arrive with up to 300 ms between them.
+func TestLateHeartbeatsAreNoSilence(t *testing.T) {
+	tb := table(1, membership.Balancer)
+	beat := membership.Beat{Role: membership.Sidecar, DataCentre: "a", Incarnation: 1}
+	const late = 700 * time.Millisecond
+	for i := range 100 {
+		jitter := time.Duration(i%7) * 50 * time.Millisecond
+		at := start + time.Duration(i)*membership.BeatInterval + late + jitter
+		tb.Heard(at, host(2), beat, 0, 0)
+		for _, after := range []time.Duration{0, 200 * time.Millisecond, membership.BeatInterval} {
+			tb.NoteAbsent(at + after)
+			must.True(t, tb.Alive(at+after, host(2)))
+			must.Eq(t, 0, tb.Absent(host(2)))
+		}
+	}
+}
