Keep urgent heartbeats about loads within the data centre

Cause: a change of four requests at an upstream made its sidecar send a heartbeat to all processes, those of other data centres included, and moved the regular ones with it.

Ruled out: announced flows (12 bytes each, once a flow).

Change: HurryNear for loads; heartbeats to other data centres are due by time, once a second.

--- a/edge/sidecar.go
+++ b/edge/sidecar.go
@@ -163,7 +163,7 @@
 		s.measure()
 		if active := s.decide.Active(); active-told >= hurryBy || told-active >= hurryBy {
 			told = active
-			s.node.Hurry()
+			s.node.HurryNear()
 		}
 		s.sendNotices()
 		s.release(now)
--- a/exchange/beats.go
+++ b/exchange/beats.go
@@ -11,13 +11,15 @@
 )
 
 // beat sends a heartbeat to the processes of this data centre, and to all when
-// that is due or urgent.
-func (n *Node) beat(urgent bool) {
+// that is due or everywhere is true.
+func (n *Node) beat(everywhere bool) {
 	now := n.cfg.Timer.Uptime()
 	n.mu.Lock()
 	b := n.ownBeat(now, n.beats%listEvery == 0)
 	targets := n.members.Targets(now, n.sidecars())
-	if !urgent && n.beats%membership.FarEvery != 0 {
+	if everywhere || now-n.beatFar >= membership.FarEvery*membership.BeatInterval-tick/2 {
+		n.beatFar = now
+	} else {
 		targets = n.members.Near(targets)
 	}
 	n.beats++
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -69,6 +69,7 @@
 	incarnation atomic.Uint64
 	pulls       chan struct{} // wakes the goroutine that asks peers
 	urgent      chan struct{} // wakes the goroutine that sends heartbeats
+	everywhere  atomic.Bool   // the next urgent heartbeat goes to all data centres
 	storeCalls  *metric.Histogram
 
 	mu        sync.Mutex
@@ -81,8 +82,9 @@
 	informed  time.Duration      // when the first list arrived; 0 if none has
 	adopted   time.Duration      // when the routes in force were taken over
 	stopping  bool
-	beats     int  // heartbeats sent
-	alone     bool // whether the last look at peers found none
+	beats     int           // heartbeats sent
+	beatFar   time.Duration // when one last went to all data centres
+	alone     bool          // whether the last look at peers found none
 	silent    map[registry.Host]bool
 }
 
@@ -238,8 +240,15 @@
 	n.members.SetSeeds(seeds)
 }
 
-// Hurry sends a heartbeat soon, since the load has changed much.
+// Hurry sends a heartbeat to all processes soon, since something changed that each has to know.
 func (n *Node) Hurry() {
+	n.everywhere.Store(true)
+	n.HurryNear()
+}
+
+// HurryNear sends a heartbeat to the processes of this data centre soon, since
+// the load has changed much: other data centres get few of its flows, and each byte costs more.
+func (n *Node) HurryNear() {
 	select {
 	case n.urgent <- struct{}{}:
 	default:
@@ -351,7 +360,7 @@
 		now := n.cfg.Timer.Uptime()
 		if hurry || now-last >= membership.BeatInterval-tick/2 {
 			last = now
-			n.beat(hurry)
+			n.beat(hurry && n.everywhere.Swap(false))
 			n.watchPeers(now)
 		}
 		n.refresh(now)
