Give both roles of the users' platform one frame

Cause: edge/balancer.go and edge/sidecar.go opened their sockets, ran, refused, dropped and logged in the same words twice. Change: package edge has one process with what both have in common; nothing else changes.

--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -11,9 +11,7 @@
 	"github.com/corianderbay/corianderbay/membership"
 	"github.com/corianderbay/corianderbay/registry"
 	"github.com/corianderbay/corianderbay/steer"
-	"github.com/corianderbay/corianderbay/timer"
 	"github.com/corianderbay/corianderbay/udp"
-	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 )
 
@@ -27,8 +25,6 @@
 	minDrain = 1200 * time.Millisecond
 	// quietDrain is the silence of callers after which a stopping balancer ends.
 	quietDrain = 500 * time.Millisecond
-	// packetBuffer bounds what waits in a socket for packets, in bytes.
-	packetBuffer = 2 << 20
 )
 
 // BalancerConfig holds the settings of a balancer.
@@ -42,38 +38,28 @@
 
 // Balancer takes the packets of callers and forwards them to sidecars.
 type Balancer struct {
-	cfg       BalancerConfig
-	heartbeat *timer.Heartbeat
-	decide    *steer.Balancer
-	node      *exchange.Node
-	socket    *udp.Socket
-	counts    counts
-	held      holder // packets that arrived before routes and upstreams were known
-	stopping  atomic.Bool
-	ready     atomic.Bool
-	informed  atomic.Int64 // nanoseconds of uptime since when routes and upstreams are known; 0 if not
-	last      atomic.Int64 // nanoseconds of uptime of the last packet of a caller
+	*process
+	maxDrain time.Duration
+	decide   *steer.Balancer
+	ready    atomic.Bool
+	informed atomic.Int64 // nanoseconds of uptime since when routes and upstreams are known; 0 if not
+	last     atomic.Int64 // nanoseconds of uptime of the last packet of a caller
 }
 
 // OpenBalancer binds the addresses. It reports *udp.ListenError or *exchange.ListenError.
 func OpenBalancer(cfg BalancerConfig) (*Balancer, error) {
-	b := &Balancer{cfg: cfg, heartbeat: timer.NewHeartbeat(cfg.Timer)}
-	self, err := registry.HostOf(cfg.Exchange.Addr())
-	if err != nil {
-		return nil, err
-	}
-	b.decide = steer.NewBalancer(steer.BalancerConfig{Self: self, DataCentre: cfg.DataCentre, MaxFlow: cfg.MaxFlow, Placing: cfg.Placing})
-	b.socket, err = udp.Open(udp.Config{Listen: cfg.Callers, Workers: 1, Buffer: packetBuffer, Heartbeat: b.heartbeat})
+	p, err := newProcess(cfg.Config)
 	if err != nil {
 		return nil, err
 	}
+	b := &Balancer{process: p, maxDrain: cfg.MaxDrain}
+	b.decide = steer.NewBalancer(steer.BalancerConfig{Self: p.self, DataCentre: cfg.DataCentre, MaxFlow: cfg.MaxFlow, Placing: cfg.Placing})
+	b.fleet = b.decide.Fleet
 	nc := cfg.node(membership.Balancer, b.heartbeat)
 	nc.Handler = (*balancerHandler)(b)
 	nc.Refresh = b.refresh
 	nc.Load = func(time.Duration) membership.Load { return membership.Load{} }
-	b.node, err = exchange.Open(nc)
-	if err != nil {
-		b.socket.Close()
+	if err := b.open(cfg.Callers, nc); err != nil {
 		return nil, err
 	}
 	return b, nil
@@ -81,17 +67,7 @@
 
 // Run serves until ctx is done, and then on until callers are quiet.
 func (b *Balancer) Run(ctx context.Context) {
-	inner, end := context.WithCancel(context.WithoutCancel(ctx))
-	defer end()
-	var wg conc.WaitGroup
-	wg.Go(func() { b.heartbeat.Run(inner) })
-	wg.Go(func() { b.node.Run(inner) })
-	wg.Go(func() { b.socket.Run(inner, b.newHandler) })
-	wg.Go(func() { b.tick(inner) })
-	<-ctx.Done()
-	b.drain(inner)
-	end()
-	wg.Wait()
+	b.run(ctx, b.newHandler, b.drain, b.tick)
 }
 
 // Ready reports whether routers should send packets here: not before routes and
@@ -101,21 +77,15 @@
 	return b.ready.Load() && !b.stopping.Load() && !b.node.Alone()
 }
 
-// SetSeeds replaces the seeds.
-func (b *Balancer) SetSeeds(seeds []registry.Host) {
-	b.node.SetSeeds(seeds)
-}
-
-// drain serves until callers have been quiet, and at most for MaxDrain.
+// drain serves until callers have been quiet, and at most for maxDrain.
 func (b *Balancer) drain(ctx context.Context) {
 	begin := b.cfg.Timer.Uptime()
-	b.stopping.Store(true)
 	b.cfg.Log.Emit(event.ProcessStopping)
 	for {
 		_ = b.cfg.Timer.Sleep(ctx, quietDrain/5) // ctx is not done before drain returns
 		now := b.cfg.Timer.Uptime()
 		quiet := now - time.Duration(b.last.Load())
-		if now-begin >= b.cfg.MaxDrain || now-begin >= minDrain && quiet >= quietDrain {
+		if now-begin >= b.maxDrain || now-begin >= minDrain && quiet >= quietDrain {
 			break
 		}
 	}
@@ -179,15 +149,6 @@
 	}
 }
 
-// refuse resets the flow of a caller's packet, and returns the buffer for the next one.
-func (b *Balancer) refuse(p *steer.Packet, reason steer.Reason, out []byte) []byte {
-	b.counts.refused.add(reason)
-	out = b.cfg.Codec.AppendReset(out[:0], p)
-	b.socket.Send(out, p.Source.Host.Port(b.cfg.CallerPort))
-	b.logFlow(event.FlowRefused, p, zap.Stringer("reason", reason))
-	return out
-}
-
 // newHandler returns the handler of packets of callers, with buffers of its own.
 func (b *Balancer) newHandler() udp.Handler {
 	var p steer.Packet
@@ -208,28 +169,18 @@
 	}
 	switch a := b.decide.Packet(now, p, fw).(type) {
 	case *steer.Forward:
-		b.counts.forwarded.Add(1)
-		out = exchange.AppendForward(out, &a.Header)
-		out = append(out, d...)
-		b.node.Send(out, a.Host)
+		out = b.forward(a, d, out)
 		b.logOpening(p, a)
 	case steer.Refuse:
 		out = b.refuse(p, a.Reason, out)
 	case *steer.Hold:
-		if !b.held.add(now, a.Header, d) {
-			b.drop(p, a.Reason)
-		}
+		b.hold(a, p, d)
 	case steer.Drop:
 		b.drop(p, a.Reason)
 	}
 	return out
 }
 
-func (b *Balancer) drop(p *steer.Packet, reason steer.Reason) {
-	b.counts.dropped.add(reason)
-	b.logFlow(event.PacketDropped, p, zap.Stringer("reason", reason))
-}
-
 // release decides on the packets that were held until routes and upstreams were known.
 func (b *Balancer) release(now time.Duration) {
 	handle := b.newHandler()
@@ -240,24 +191,17 @@
 	}
 }
 
-// logFlow writes an event about the flow of a packet.
-func (b *Balancer) logFlow(n event.Number, p *steer.Packet, fields ...zap.Field) {
-	logFlow(b.cfg.Log, n, b.cfg.Timer.Uptime(), b.decide.Fleet(), p, fields...)
-}
-
 // logOpening writes where an opening goes, and what was known of the load there.
 func (b *Balancer) logOpening(p *steer.Packet, a *steer.Forward) {
 	if !p.Opens() || !b.cfg.Log.Enabled(event.FlowOpened) {
 		return
 	}
-	now := b.cfg.Timer.Uptime()
-	f := b.decide.Fleet()
-	i := f.Sidecars[a.Host]
-	logFlow(b.cfg.Log, event.FlowOpened, now, f, p,
+	i := b.decide.Fleet().Sidecars[a.Host]
+	b.logFlow(event.FlowOpened, p,
 		zap.Stringer("upstream", a.Host),
 		zap.Int("flows", i.Load.Flows),
 		zap.Int("active", i.Load.Active),
-		zap.Duration("loadage", now-i.Heard))
+		zap.Duration("loadage", b.cfg.Timer.Uptime()-i.Heard))
 }
 
 // balancerHandler takes what other processes send to a balancer.
--- a/edge/counts.go
+++ b/edge/counts.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync/atomic"
-	"time"
 
 	"github.com/corianderbay/corianderbay/event"
 	"github.com/corianderbay/corianderbay/steer"
@@ -22,27 +21,6 @@
 	invalid   atomic.Uint64
 }
 
-// logFlow writes an event about the flow of a caller's packet, and what was
-// known when it was decided on. f is nil when nothing was.
-func logFlow(log *event.Logger, n event.Number, now time.Duration, f *steer.Fleet, p *steer.Packet, fields ...zap.Field) {
-	if !log.Enabled(n) {
-		return
-	}
-	all := []zap.Field{
-		zap.Stringer("caller", p.Source),
-		zap.Stringer("address", p.Destination),
-		zap.Uint32("sequence", p.Sequence),
-		zap.Uint8("flags", uint8(p.Flags)),
-	}
-	if f != nil {
-		all = append(all,
-			zap.Uint64("version", f.Snapshot.Version()),
-			zap.Uint64("revision", f.Snapshot.Revision()),
-			zap.Duration("storeage", now-f.StoreSeen))
-	}
-	log.Emit(n, append(all, fields...)...)
-}
-
 // logReset writes an event about a flow that the upstream reset with packet p.
 func logReset(log *event.Logger, p *steer.Packet) {
 	log.Emit(event.UpstreamReset,
--- a/edge/presence.go
+++ b/edge/presence.go
@@ -57,7 +57,7 @@
 			return
 		case <-s.checks:
 		}
-		conn, err := d.DialContext(ctx, "tcp4", s.cfg.Upstream.String())
+		conn, err := d.DialContext(ctx, "tcp4", s.upstream.String())
 		switch {
 		case err == nil:
 			conn.Close()
--- a/edge/sidecar.go
+++ b/edge/sidecar.go
@@ -7,13 +7,10 @@
 	"time"
 
 	"github.com/corianderbay/corianderbay/event"
-	"github.com/corianderbay/corianderbay/exchange"
 	"github.com/corianderbay/corianderbay/membership"
 	"github.com/corianderbay/corianderbay/registry"
 	"github.com/corianderbay/corianderbay/steer"
-	"github.com/corianderbay/corianderbay/timer"
 	"github.com/corianderbay/corianderbay/udp"
-	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 )
 
@@ -41,17 +38,12 @@
 
 // Sidecar moves packets between balancers, the upstream beside it and callers.
 type Sidecar struct {
-	cfg       SidecarConfig
-	self      registry.Host
-	heartbeat *timer.Heartbeat
+	*process
+	upstream  netip.AddrPort // where the upstream takes packets
+	maxDrain  time.Duration
 	decide    *steer.Sidecar
-	node      *exchange.Node
-	socket    *udp.Socket // for the upstream and for callers
-	counts    counts
 	latency   latencies
-	held      holder
 	checks    chan struct{} // wakes the goroutine that asks whether the upstream runs
-	stopping  atomic.Bool
 	goneSince time.Duration // when the upstream was first found to be gone; 0 while it runs
 	goneTicks int           // since the process started, while the upstream was gone
 	busy      atomic.Int64  // mean number of requests that wait, in thousandths
@@ -70,32 +62,26 @@
 
 // OpenSidecar binds the addresses. It reports *udp.ListenError or *exchange.ListenError.
 func OpenSidecar(cfg SidecarConfig) (*Sidecar, error) {
-	s := &Sidecar{cfg: cfg, heartbeat: timer.NewHeartbeat(cfg.Timer), checks: make(chan struct{}, 1), latency: newLatencies()}
-	self, err := registry.HostOf(cfg.Exchange.Addr())
+	p, err := newProcess(cfg.Config)
 	if err != nil {
 		return nil, err
 	}
-	s.self = self
+	s := &Sidecar{process: p, upstream: cfg.Upstream, maxDrain: cfg.MaxDrain, checks: make(chan struct{}, 1), latency: newLatencies()}
 	s.decide = steer.NewSidecar(steer.SidecarConfig{
-		Self:       self,
+		Self:       p.self,
 		DataCentre: cfg.DataCentre,
 		Service:    cfg.Service,
 		MaxFlow:    cfg.MaxFlow,
 		Placing:    cfg.Placing,
 		Latency:    s.latency,
 	})
-	s.socket, err = udp.Open(udp.Config{Listen: cfg.Outbound, Workers: 1, Buffer: packetBuffer, Heartbeat: s.heartbeat})
-	if err != nil {
-		return nil, err
-	}
+	s.fleet = s.decide.Fleet
 	nc := cfg.node(membership.Sidecar, s.heartbeat)
 	nc.Service = registry.HashService(cfg.Service)
 	nc.Handler = (*sidecarHandler)(s)
 	nc.Refresh = s.decide.SetFleet
 	nc.Load = s.load
-	s.node, err = exchange.Open(nc)
-	if err != nil {
-		s.socket.Close()
+	if err := s.open(cfg.Outbound, nc); err != nil {
 		return nil, err
 	}
 	return s, nil
@@ -103,18 +89,7 @@
 
 // Run serves until ctx is done.
 func (s *Sidecar) Run(ctx context.Context) {
-	inner, end := context.WithCancel(context.WithoutCancel(ctx))
-	defer end()
-	var wg conc.WaitGroup
-	wg.Go(func() { s.heartbeat.Run(inner) })
-	wg.Go(func() { s.node.Run(inner) })
-	wg.Go(func() { s.socket.Run(inner, func() udp.Handler { return s.upstreamPacket }) })
-	wg.Go(func() { s.tick(inner) })
-	wg.Go(func() { s.watchUpstream(inner) })
-	<-ctx.Done()
-	s.drain(inner)
-	end()
-	wg.Wait()
+	s.run(ctx, func() udp.Handler { return s.upstreamPacket }, s.drain, s.tick, s.watchUpstream)
 }
 
 // Ready reports whether the sidecar serves.
@@ -122,19 +97,13 @@
 	return !s.stopping.Load()
 }
 
-// SetSeeds replaces the seeds.
-func (s *Sidecar) SetSeeds(seeds []registry.Host) {
-	s.node.SetSeeds(seeds)
-}
-
 // drain tells balancers to open no flows here, and waits until no request is
 // under way. Flows stay open: the next process of this instance serves them.
 func (s *Sidecar) drain(ctx context.Context) {
 	begin := s.cfg.Timer.Uptime()
-	s.stopping.Store(true)
 	s.cfg.Log.Emit(event.ProcessStopping, zap.Int("flows", s.decide.Flows()), zap.Int("active", s.decide.Active()))
 	s.node.Stop()
-	for s.decide.Active() > 0 && s.cfg.Timer.Uptime()-begin < s.cfg.MaxDrain {
+	for s.decide.Active() > 0 && s.cfg.Timer.Uptime()-begin < s.maxDrain {
 		_ = s.cfg.Timer.Sleep(ctx, 10*time.Millisecond) // ctx is not done before drain returns
 	}
 }
@@ -217,7 +186,7 @@
 
 // upstreamPacket handles one packet that the upstream sent or returned.
 func (s *Sidecar) upstreamPacket(d []byte, from netip.AddrPort) {
-	if from.Addr() != s.cfg.Upstream.Addr() && !from.Addr().IsLoopback() {
+	if from.Addr() != s.upstream.Addr() && !from.Addr().IsLoopback() {
 		s.counts.invalid.Add(1)
 		return // only the own upstream sends here
 	}
@@ -239,47 +208,23 @@
 	case steer.Deliver:
 		s.counts.delivered.Add(1)
 		s.cfg.Codec.SetTag(d, a.Tag)
-		s.socket.Send(d, s.cfg.Upstream)
+		s.socket.Send(d, s.upstream)
 	case steer.Answer:
 		s.counts.answered.Add(1)
 		s.socket.Send(d, p.Destination.Host.Port(s.cfg.CallerPort))
 	case *steer.Forward:
-		s.counts.forwarded.Add(1)
 		s.cfg.Codec.SetTag(d, 0)
-		b.out = exchange.AppendForward(b.out[:0], &a.Header)
-		b.out = append(b.out, d...)
-		s.node.Send(b.out, a.Host)
+		b.out = s.forward(a, d, b.out)
 		s.logFlow(event.PacketPassed, p, zap.Stringer("next", a.Host), zap.Int("visited", len(a.Header.Visited)), zap.Stringer("reason", a.Reason))
 	case steer.Refuse:
 		b.out = s.refuse(p, a.Reason, b.out)
 	case *steer.Hold:
-		if !s.held.add(s.cfg.Timer.Uptime(), a.Header, d) {
-			s.drop(p, a.Reason)
-		}
+		s.hold(a, p, d)
 	case steer.Drop:
 		s.drop(p, a.Reason)
 	}
 }
 
-// logFlow writes an event about the flow of a packet.
-func (s *Sidecar) logFlow(n event.Number, p *steer.Packet, fields ...zap.Field) {
-	logFlow(s.cfg.Log, n, s.cfg.Timer.Uptime(), s.decide.Fleet(), p, fields...)
-}
-
-// refuse resets the flow of a caller's packet, and returns the buffer for the next one.
-func (s *Sidecar) refuse(p *steer.Packet, reason steer.Reason, out []byte) []byte {
-	s.counts.refused.add(reason)
-	out = s.cfg.Codec.AppendReset(out[:0], p)
-	s.socket.Send(out, p.Source.Host.Port(s.cfg.CallerPort))
-	s.logFlow(event.FlowRefused, p, zap.Stringer("reason", reason))
-	return out
-}
-
-func (s *Sidecar) drop(p *steer.Packet, reason steer.Reason) {
-	s.counts.dropped.add(reason)
-	s.logFlow(event.PacketDropped, p, zap.Stringer("reason", reason))
-}
-
 // release decides again on the packets that are held.
 func (s *Sidecar) release(now time.Duration) {
 	p := &s.fromHeld.packet
