Take an upstream that was never heard for gone only when its reaction is long overdue

The machine was busy, the upstream's first reaction took more than 20 ms, its connections are refused by the test's design, and a refused connection with any reaction pending counted as its end.

Ruled out: the balancer (it had the upstream listed and forwarded); a flow that was open.

Change: an upstream that was never heard and is listed counts as ended only after 150 ms without a reaction, as it counts as silent then anyway.

Test: TestSlowUpstreamThatTakesNoConnections, which fails without the change.

--- a/edge/presence.go
+++ b/edge/presence.go
@@ -71,7 +71,7 @@
 // upstreamEnded resets the flows that ended with the upstream, so that callers
 // do not send requests on them which can only be lost.
 func (s *Sidecar) upstreamEnded() {
-	orphans, ended := s.decide.ConnectionRefused()
+	orphans, ended := s.decide.ConnectionRefused(s.cfg.Timer.Uptime())
 	if !ended {
 		return
 	}
--- a/steer/presence.go
+++ b/steer/presence.go
@@ -53,6 +53,11 @@
 	return u.gone.Load() || overdue(now, u.asked.Load(), silentAfter)
 }
 
+// overdue reports whether any packet has waited for a reaction for longer than it ever takes to an opening.
+func (u *presence) overdue(now time.Duration) bool {
+	return overdue(now, u.asked.Load(), silentAfter) || overdue(now, u.tried.Load(), silentAfter)
+}
+
 // retry lets a silent upstream be tried again after a while, and one whose end
 // cannot be told from refused connections.
 func (u *presence) retry(now time.Duration) {
@@ -104,7 +109,7 @@
 // ConnectionRefused notes that nothing listens at the upstream's address. When
 // that means that the upstream has ended, it returns the last packets of callers
 // whose flows ended with it, to be reset.
-func (s *Sidecar) ConnectionRefused() (orphans []Packet, ended bool) {
+func (s *Sidecar) ConnectionRefused(now time.Duration) (orphans []Packet, ended bool) {
 	u := &s.upstream
 	heard := u.heard.Load()
 	if heard && u.listens.Load() != listensYes {
@@ -112,8 +117,11 @@
 		return nil, false
 	}
 	pending := u.pending()
-	if !pending && (heard || s.listed()) {
-		return nil, false // it has reacted since the question, or need not have
+	switch {
+	case heard && !pending:
+		return nil, false // it has reacted since the question
+	case !heard && s.listed() && !u.overdue(now):
+		return nil, false // it may take packets though it takes no connections
 	}
 	u.untried.Store(!pending)
 	if u.gone.Swap(true) {
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -501,7 +501,7 @@
 	must.False(t, ended.Doubts(w.now))
 	w.now += 150 * time.Millisecond
 	must.True(t, ended.Doubts(w.now))
-	_, known := ended.ConnectionRefused()
+	_, known := ended.ConnectionRefused(w.now)
 	must.True(t, known)
 	w.refresh()
 	must.Eq(t, -1, w.send(0, p))
@@ -516,7 +516,7 @@
 	p := w.request(caller(1), at)
 	s.FromUpstream(w.now, reply(caller(1), steer.ACK, 1, 900))
 	s.Connected()
-	_, ended := s.ConnectionRefused()
+	_, ended := s.ConnectionRefused(w.now)
 	must.False(t, ended) // it has reacted to all that was delivered
 	p.Sequence += 100
 	p.Acknowledge += 900
@@ -524,7 +524,7 @@
 	w.send(0, p)
 	w.now += 120 * time.Millisecond
 	must.True(t, s.Doubts(w.now))
-	orphans, ended := s.ConnectionRefused()
+	orphans, ended := s.ConnectionRefused(w.now)
 	must.True(t, ended)
 	must.Len(t, 1, orphans)
 	must.Eq(t, caller(1), orphans[0].CallerKey())
@@ -546,7 +546,7 @@
 	at := w.open(0, caller(1))
 	s := w.sites[at].sidecar
 	must.True(t, s.Doubts(w.now)) // nothing is known of its connections yet
-	_, ended := s.ConnectionRefused()
+	_, ended := s.ConnectionRefused(w.now)
 	must.False(t, ended)
 	w.now += time.Second
 	must.False(t, s.Doubts(w.now))
@@ -557,7 +557,7 @@
 func TestSidecarWithoutUpstreamIsSilent(t *testing.T) {
 	s := steer.NewSidecar(steer.SidecarConfig{Self: registry.Host{10, 9, 9, 9}, DataCentre: near, Service: service, MaxFlow: maxFlow})
 	must.False(t, s.Silent(time.Hour))
-	_, ended := s.ConnectionRefused()
+	_, ended := s.ConnectionRefused(time.Hour)
 	must.True(t, ended)
 	must.True(t, s.Silent(time.Hour))
 	s.Expire(time.Hour + time.Second) // it may take packets nevertheless
@@ -714,3 +714,20 @@
 		})
 	}
 }
+
+// TestSlowUpstreamThatTakesNoConnections reacts to its first opening late, as on
+// a busy instance: nothing is known of it yet but that connections are refused.
+func TestSlowUpstreamThatTakesNoConnections(t *testing.T) {
+	w := newWorld(1, service)
+	s := w.sites[0].sidecar
+	p := opening(caller(1))
+	h := steer.Header{Service: registry.HashService(service), Revision: w.revision}
+	s.FromBalancer(w.now, &h, &p)
+	w.now += 50 * time.Millisecond
+	must.True(t, s.Doubts(w.now))
+	_, ended := s.ConnectionRefused(w.now)
+	must.False(t, ended)
+	w.now += 150 * time.Millisecond
+	_, ended = s.ConnectionRefused(w.now)
+	must.True(t, ended)
+}
