Give failing upstreams few flows

Change: a sidecar weighs what becomes of requests: one that the upstream resets, or that its caller gives up after 0.5 s, is a failure; an answer is none. From three failures in a row the upstream is failing for two seconds after its last outcome: balancers take it only when there is no other, its sidecar passes openings on but for one every 0.3 s, and one answer makes it trusted again.

Tests: TestFailingUpstream, TestUnansweredRequests.

--- a/eventlog/text.go
+++ b/eventlog/text.go
@@ -105,6 +105,8 @@
 		return "the upstream serves another service"
 	case "silent":
 		return "the upstream does not react"
+	case "failing":
+		return "the upstream resets or does not answer requests"
 	case "leaving":
 		return "the upstream is draining"
 	case "full":
--- a/membership/beat.go
+++ b/membership/beat.go
@@ -39,6 +39,8 @@
 	Silent bool `msgpack:"s,omitempty"`
 	// Refusing is true when the upstream lately returned openings.
 	Refusing bool `msgpack:"r,omitempty"`
+	// Failing is true when the upstream resets or does not answer requests.
+	Failing bool `msgpack:"e,omitempty"`
 }
 
 // Beat is a heartbeat.
--- a/steer/action.go
+++ b/steer/action.go
@@ -74,6 +74,8 @@
 	ReasonOtherService
 	// ReasonSilent: the upstream does not react or is gone.
 	ReasonSilent
+	// ReasonFailing: the upstream resets or does not answer requests.
+	ReasonFailing
 	// ReasonLeaving: the upstream is draining.
 	ReasonLeaving
 	// ReasonFull: the upstream has as many flows as it may hold.
@@ -116,6 +118,8 @@
 		return "other_service"
 	case ReasonSilent:
 		return "silent"
+	case ReasonFailing:
+		return "failing"
 	case ReasonLeaving:
 		return "leaving"
 	case ReasonFull:
--- a/steer/answer.go
+++ b/steer/answer.go
@@ -47,6 +47,9 @@
 // to an opening shows that the upstream holds the flow.
 func (s *Sidecar) fromUpstream(now time.Duration, k Key, l *local, p *Packet) {
 	if p.Flags.Has(RST) {
+		if l.waiting {
+			s.outcomes.failed(now)
+		}
 		s.end(l)
 		return
 	}
@@ -56,6 +59,7 @@
 	if p.Data > 0 && l.waiting {
 		l.waiting = false
 		s.active.Add(-1)
+		s.outcomes.answered(now)
 		s.cfg.Latency.Answered(now - l.asked)
 	}
 	l.ownFin = l.ownFin || p.Flags.Has(FIN)
--- a/steer/place.go
+++ b/steer/place.go
@@ -41,8 +41,23 @@
 // choice is the best upstream so far.
 type choice struct {
 	member *registry.Member // nil when there is none
-	cost   int
-	rank   uint64
+	// failing is true when the upstream fails requests: it is taken only when there is no other.
+	failing bool
+	cost    int
+	rank    uint64
+}
+
+// better reports whether n goes before o.
+func (n *choice) better(o *choice) bool {
+	switch {
+	case o.member == nil:
+		return true
+	case n.failing != o.failing:
+		return o.failing
+	case n.cost != o.cost:
+		return n.cost < o.cost
+	}
+	return n.rank < o.rank
 }
 
 // choose returns the upstream for a new flow, or nil. skip leaves hosts out.
@@ -62,25 +77,30 @@
 			c.offer(&far, m)
 		}
 	}
-	if near.member == nil || far.member != nil && c.relieves(far.member, near.member) {
+	if near.member == nil || far.member != nil && c.relieves(&far, &near) {
 		return far.member
 	}
 	return near.member
 }
 
 // relieves reports whether an upstream of another data centre serves a new flow
-// better than the best near one: that one is crowded, and this one is less so.
-func (c *chooser) relieves(far, near *registry.Member) bool {
-	if c.busy(near) >= crowdedBusy && c.busy(far)+farMargin <= c.busy(near) {
+// better than the best near one: that one fails or is crowded, and this one is less so.
+func (c *chooser) relieves(far, near *choice) bool {
+	if near.failing != far.failing {
+		return near.failing
+	}
+	f, n := far.member, near.member
+	if c.busy(n) >= crowdedBusy && c.busy(f)+farMargin <= c.busy(n) {
 		return true
 	}
-	return c.queue(near) >= crowdedQueue && c.queue(far)+crowdedQueue <= c.queue(near)
+	return c.queue(n) >= crowdedQueue && c.queue(f)+crowdedQueue <= c.queue(n)
 }
 
 // offer replaces the best upstream when m is better.
 func (c *chooser) offer(best *choice, m *registry.Member) {
-	n := choice{member: m, cost: c.cost(m), rank: rank(c.hash, m.Address.Host)}
-	if best.member == nil || n.cost < best.cost || n.cost == best.cost && n.rank < best.rank {
+	host := m.Address.Host
+	n := choice{member: m, failing: c.fleet.Sidecars[host].Load.Failing, cost: c.cost(m), rank: rank(c.hash, host)}
+	if n.better(best) {
 		*best = n
 	}
 }
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -70,6 +70,7 @@
 	fleet    atomic.Pointer[Fleet] // nil until SetFleet
 	shards   [shards]sidecarShard
 	upstream presence
+	outcomes outcomes
 
 	flows   atomic.Int64 // that are live
 	active  atomic.Int64 // requests that wait for an answer
@@ -241,6 +242,9 @@
 	if s.Flows() >= maxRemembered {
 		return ReasonFull
 	}
+	if !s.outcomes.admits(now) {
+		return ReasonFailing
+	}
 	f := s.fleet.Load()
 	if f == nil {
 		return 0
@@ -318,6 +322,9 @@
 			s.active.Add(1)
 		}
 	}
+	if l.waiting && p.Flags&(FIN|RST) != 0 && now-l.asked >= unansweredAfter {
+		s.outcomes.failed(now)
+	}
 	l.callerFin = l.callerFin || p.Flags.Has(FIN)
 	if p.Flags.Has(RST) || l.callerFin && l.ownFin {
 		s.end(l)
@@ -373,5 +380,6 @@
 		Busy:     busy,
 		Silent:   s.Silent(now),
 		Refusing: s.Refusing(now),
+		Failing:  s.outcomes.failing(now),
 	}
 }
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -731,3 +731,69 @@
 	_, ended = s.ConnectionRefused(w.now)
 	must.True(t, ended)
 }
+
+// TestFailingUpstream resets each request: it draws few flows although it has the
+// fewest, gets one now and then, and is trusted again once it answers.
+func TestFailingUpstream(t *testing.T) {
+	w := newWorld(1, service, service)
+	bad := w.sites[0]
+	n := 0
+	// ask opens a flow and sends a request, which the bad upstream resets while fails is true.
+	ask := func(fails bool) int {
+		n++
+		k := caller(n)
+		at := w.send(0, opening(k))
+		must.NotEq(t, -1, at)
+		w.send(0, w.request(k, at))
+		if at == 0 && fails {
+			bad.sidecar.FromUpstream(w.now, reply(k, steer.RST, 1, 0))
+			delete(bad.held, k)
+		} else {
+			w.sites[at].sidecar.FromUpstream(w.now, reply(k, steer.ACK, 1, 900))
+		}
+		w.tell()
+		return at
+	}
+	failed := 0
+	for range 200 {
+		w.advance(10 * time.Millisecond)
+		if ask(true) == 0 {
+			failed++
+		}
+	}
+	must.Between(t, 3, failed, 12)
+	must.True(t, bad.sidecar.Load(w.now, 0).Failing)
+	// It works again.
+	w.advance(3 * time.Second)
+	served := 0
+	for range 200 {
+		w.advance(10 * time.Millisecond)
+		if ask(false) == 0 {
+			served++
+		}
+	}
+	must.False(t, bad.sidecar.Load(w.now, 0).Failing)
+	must.Greater(t, 50, served)
+}
+
+// TestUnansweredRequests has callers that give up, early and late.
+func TestUnansweredRequests(t *testing.T) {
+	for _, tc := range []struct {
+		after   time.Duration
+		failing bool
+	}{{100 * time.Millisecond, false}, {600 * time.Millisecond, true}} {
+		w := newWorld(1, service)
+		for n := range 4 {
+			k := caller(n)
+			at := w.send(0, opening(k))
+			p := w.request(k, at)
+			w.send(0, p)
+			w.tell()
+			w.now += tc.after
+			p.Sequence += uint32(p.Data)
+			p.Data, p.Flags = 0, steer.RST
+			w.send(0, p)
+		}
+		must.Eq(t, tc.failing, w.sites[0].sidecar.Load(w.now, 0).Failing, must.Sprint(tc.after))
+	}
+}
