Let starting sidecars wait for balancers before they read the store

Sidecars need none: a balancer answers their first heartbeat, and they ask it for what is newer.

Change: a sidecar reads only when nobody has told it of an answer for 1.5 to 2.5 seconds since its start; before, a start counted as no answer for ever.

Test: TestStartingSidecarWaitsForBalancers.

--- a/membership/table.go
+++ b/membership/table.go
@@ -339,9 +339,14 @@
 // ShouldRead reports whether this process should read the store: a balancer
 // that ranks among the first of those alive, or any process when none of those
 // that it hears has had an answer lately. patience differs from process to
-// process, so that they do not all ask at the same moment.
+// process, so that they do not all ask at the same moment. A sidecar that has
+// just started first waits for a balancer to answer its heartbeat.
 func (t *Table) ShouldRead(now, patience time.Duration) bool {
-	if t.StoreAge(now) >= FreshStore+patience {
+	age := t.StoreAge(now)
+	if t.cfg.Role == Sidecar {
+		age = min(age, now-t.cfg.Started)
+	}
+	if age >= FreshStore+patience {
 		return true
 	}
 	if t.cfg.Role != Balancer {
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -288,3 +288,12 @@
 		}
 	}
 }
+
+// TestStartingSidecarWaitsForBalancers asks the store itself only when nobody told it anything for a while.
+func TestStartingSidecarWaitsForBalancers(t *testing.T) {
+	tb := table(1, membership.Sidecar)
+	must.False(t, tb.ShouldRead(start, 0))
+	must.False(t, tb.ShouldRead(start+membership.FreshStore-1, 0))
+	must.True(t, tb.ShouldRead(start+membership.FreshStore, 0))
+	must.True(t, table(2, membership.Balancer).ShouldRead(start, 0))
+}
