Do not give up a flow with a request that must not be repeated under way

A sidecar that is absent for a second has its flows reset; callers repeat idempotent requests elsewhere, but must not repeat an edit, which its upstream might have answered half a second later, before its deadline of two.

Change: on a route that is not idempotent a balancer keeps forwarding on a flow whose caller's last packets had data, for as long as the route gives a request; then it is reset like others.

Test: TestRequestThatMustNotBeRepeatedIsNotGivenUp.

--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -62,6 +62,25 @@
 	// acknowledge is the caller's last acknowledgement that passed here; valid with passed.
 	acknowledge uint32
 	passed      bool // a packet passed here after the opening, and the caller's last one did not end the flow
+	// asking is true while the caller's last packets had data, and asked is since when.
+	asking bool
+	asked  time.Duration
+}
+
+// note takes in a packet of the flow that the caller sent.
+func (e *placed) note(now time.Duration, p *Packet) {
+	e.last, e.acknowledge = now, p.Acknowledge
+	e.passed = p.Flags&(FIN|RST) == 0
+	if p.Data > 0 && !e.asking {
+		e.asked = now
+	}
+	e.asking = p.Data > 0
+}
+
+// bound reports whether a request that its caller must not repeat may be under
+// way: a reset would end it for certain, while its upstream may yet answer.
+func (e *placed) bound(now time.Duration, r *registry.Route) bool {
+	return e.asking && r != nil && !r.Idempotent && now-e.asked < r.Timeout
 }
 
 // NewBalancer returns the decisions of a balancer that knows nothing yet.
@@ -101,6 +120,7 @@
 	e := placed{host: h, known: true, last: now}
 	if old := s.flows[k]; old.host == h {
 		e.acknowledge, e.passed = old.acknowledge, old.passed
+		e.asking, e.asked = old.asking, old.asked
 	}
 	s.put(k, e)
 }
@@ -117,7 +137,7 @@
 		s := &b.shards[i]
 		s.mu.Lock()
 		for k, e := range s.flows {
-			if !f.lost(now, e.host) {
+			if !f.lost(now, e.host) || e.bound(now, f.Snapshot.Route(k.Address)) {
 				continue
 			}
 			delete(s.flows, k)
@@ -275,12 +295,11 @@
 func (c *call) follow() Action {
 	service := c.route.Service(c.hash)
 	if e, ok := c.shard.flows[c.key]; ok {
-		if c.fleet.lost(c.now, e.host) {
+		if c.fleet.lost(c.now, e.host) && !e.bound(c.now, c.route) {
 			delete(c.shard.flows, c.key)
 			return Refuse{Reason: ReasonLost}
 		}
-		e.last, e.acknowledge = c.now, c.packet.Acknowledge
-		e.passed = c.packet.Flags&(FIN|RST) == 0
+		e.note(c.now, c.packet)
 		c.shard.flows[c.key] = e
 		return c.forward(service, e.host, false)
 	}
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -797,3 +797,24 @@
 		must.Eq(t, tc.failing, w.sites[0].sidecar.Load(w.now, 0).Failing, must.Sprint(tc.after))
 	}
 }
+
+// TestRequestThatMustNotBeRepeatedIsNotGivenUp has one under way when its
+// sidecar is lost: its flow is reset only once its time is over.
+func TestRequestThatMustNotBeRepeatedIsNotGivenUp(t *testing.T) {
+	w := newWorld(1, service, service)
+	at := w.open(0, caller(1))
+	r := registry.Route{
+		Name: "r", Address: route, Timeout: 2 * time.Second,
+		Targets: []registry.Target{{Service: service, Weight: 1}},
+	}
+	w.directory.Apply(w.now, registry.Update{Routes: &registry.Routes{Version: 2, List: []registry.Route{r}}})
+	f := &steer.Fleet{Snapshot: w.directory.Snapshot(w.now), Sidecars: map[registry.Host]steer.Instance{}}
+	f.Sidecars[w.sites[at].host] = steer.Instance{Stopping: true, Absent: w.now - time.Second}
+	w.balancers[0].SetFleet(f)
+	w.now += time.Second
+	must.Eq(t, at, w.send(0, w.request(caller(1), at))) // repeated by the caller, the first was sent a second ago
+	must.SliceEmpty(t, w.balancers[0].Orphans(w.now))
+	w.now += 1500 * time.Millisecond
+	must.Len(t, 1, w.balancers[0].Orphans(w.now))
+	must.SliceEmpty(t, w.resets)
+}
