Let a balancer that is cut off give nobody up

Change: a sidecar is absent only when at least half of the other processes of its data centre (all of them for a sidecar elsewhere) were heard after its next heartbeat was due.

Tests: TestCutOffBalancerGivesNobodyUp, which fails without the change; TestAbsenceIsNotBelievedOnHearsay now also has the other balancer heard again, its bound is the same.

--- a/membership/absence.go
+++ b/membership/absence.go
@@ -7,6 +7,10 @@
 	"github.com/corianderbay/corianderbay/registry"
 )
 
+// linkSlack is how much later than its interval a heartbeat arrives at most
+// while the link is whole.
+const linkSlack = 150 * time.Millisecond
+
 // NoteAbsent takes note of which sidecars are absent at now. It is to be called
 // whenever heartbeats were taken in, so that Absent tells since when.
 func (t *Table) NoteAbsent(now time.Duration) {
@@ -34,7 +38,7 @@
 }
 
 func (t *Table) absent(now time.Duration, sidecar *Peer) bool {
-	if sidecar.Beat.Stopping || !t.missed(now, sidecar) {
+	if sidecar.Beat.Stopping || !t.missed(now, sidecar) || !t.heardAfter(sidecar) {
 		return false
 	}
 	for _, p := range t.peers {
@@ -58,6 +62,38 @@
 	return now-sidecar.Heard >= farAlone
 }
 
+// heardAfter reports whether at least half of the others were heard after the
+// sidecar's next heartbeat was due: those of this data centre for a sidecar of it,
+// all for one of another, or when there are no others here. Otherwise this process
+// may be the one that is cut off.
+func (t *Table) heardAfter(sidecar *Peer) bool {
+	if sidecar.Beat.DataCentre != t.cfg.DataCentre {
+		heard, others := t.countHeard(sidecar, sidecar.Heard+FarEvery*BeatInterval+linkSlack, false)
+		return heard > 0 && 2*heard >= others
+	}
+	due := sidecar.Heard + BeatInterval + linkSlack
+	heard, others := t.countHeard(sidecar, due, true)
+	if others == 0 {
+		heard, others = t.countHeard(sidecar, due, false)
+	}
+	return heard > 0 && 2*heard >= others
+}
+
+// countHeard returns how many processes other than the given one there are, and
+// how many of them were heard at since or later; only those of this data centre when near is true.
+func (t *Table) countHeard(than *Peer, since time.Duration, near bool) (heard, others int) {
+	for _, p := range t.peers {
+		if p == than || p.Beat.Stopping || near && p.Beat.DataCentre != t.cfg.DataCentre {
+			continue
+		}
+		others++
+		if p.Heard >= since {
+			heard++
+		}
+	}
+	return heard, others
+}
+
 // Woke leaves a pause of this process out of the silence of the others.
 func (t *Table) Woke(now, gap time.Duration) {
 	for _, p := range t.peers {
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -267,6 +267,7 @@
 	tb.Heard(start+700*time.Millisecond, host(3), report, 0, 0)
 	tb.NoteAbsent(start + 1100*time.Millisecond)
 	must.Eq(t, 0, tb.Absent(host(2)))
+	tb.Heard(start+1200*time.Millisecond, host(3), report, 0, 0)
 	tb.NoteAbsent(start + 1300*time.Millisecond)
 	must.Eq(t, start+1300*time.Millisecond, tb.Absent(host(2)))
 }
@@ -297,3 +298,34 @@
 	must.True(t, tb.ShouldRead(start+membership.FreshStore, 0))
 	must.True(t, table(2, membership.Balancer).ShouldRead(start, 0))
 }
+
+// TestCutOffBalancerGivesNobodyUp hears everyone until it is cut off, and then only a
+// balancer of another data centre that is cut off with it.
+func TestCutOffBalancerGivesNobodyUp(t *testing.T) {
+	tb := table(1, membership.Balancer)
+	near := membership.Beat{Role: membership.Sidecar, DataCentre: "a", Incarnation: 1}
+	far := membership.Beat{Role: membership.Sidecar, DataCentre: "b", Incarnation: 1}
+	fellow := balancerBeat(true)
+	fellow.DataCentre = "b"
+	tb.Heard(start-240*time.Millisecond, host(2), near, 0, 0)
+	tb.Heard(start-100*time.Millisecond, host(3), near, 0, 0)
+	tb.Heard(start-100*time.Millisecond, host(4), balancerBeat(true), 0, 0)
+	tb.Heard(start-900*time.Millisecond, host(5), far, 0, 0)
+	tb.Heard(start, host(6), far, 0, 0)
+	for after := time.Duration(0); after < 4*time.Second; after += 50 * time.Millisecond {
+		tb.Heard(start+after, host(7), fellow, 0, 0)
+		tb.NoteAbsent(start + after)
+		for n := byte(2); n <= 6; n++ {
+			must.Eq(t, 0, tb.Absent(host(n)), must.Sprintf("host %d, %v after the cut", n, after))
+		}
+	}
+	// The link is whole again, but one sidecar stays silent.
+	const healed = start + 4*time.Second
+	tb.Heard(healed, host(3), near, 0, 0)
+	report := balancerBeat(true)
+	report.Lost = []registry.Host{host(2)}
+	tb.Heard(healed, host(4), report, 0, 0)
+	tb.NoteAbsent(healed)
+	must.Eq(t, healed, tb.Absent(host(2)))
+	must.Eq(t, 0, tb.Absent(host(3)))
+}
