--- a/eventlog/eventlog_test.go
+++ b/eventlog/eventlog_test.go
@@ -26,6 +26,10 @@
 			q.Context, err = time.ParseDuration(around)
 			must.NoError(t, err)
 		}
+		var from, to string
+		d.MaybeScanArgs(t, "from", &from)
+		d.MaybeScanArgs(t, "to", &to)
+		q.From, q.To = clock(t, from), clock(t, to)
 		lines, bad, err := eventlog.Read(strings.NewReader(d.Input), "standard")
 		must.NoError(t, err)
 		var b strings.Builder
@@ -37,6 +41,17 @@
 	})
 }
 
+// clock returns a time of the day of the stories, or the zero value for empty text.
+func clock(t *testing.T, text string) time.Time {
+	t.Helper()
+	if text == "" {
+		return time.Time{}
+	}
+	at, err := time.Parse(time.RFC3339, "2026-06-10T"+text+"Z")
+	must.NoError(t, err)
+	return at
+}
+
 // TestEveryReasonHasWords fails for a reason that the text does not know.
 func TestEveryReasonHasWords(t *testing.T) {
 	for _, r := range steer.Reasons() {
--- a/eventlog/select.go
+++ b/eventlog/select.go
@@ -8,6 +8,10 @@
 	"github.com/corianderbay/corianderbay/event"
 )
 
+// openFor is how long before the span an opening is still shown: its flow may be
+// in use in the span without a line of its own.
+const openFor = time.Minute
+
 // defaultContext is how long before and after a flow's lines other lines are shown.
 const defaultContext = 3 * time.Second
 
@@ -17,7 +21,8 @@
 	Caller string
 	// Address is the route's address and port. Empty selects every one.
 	Address string
-	// From and To bound the time. The zero value is no bound.
+	// From and To bound the time. The zero value is no bound. Openings up to a minute
+	// before From are selected, too: their flows may be open.
 	From, To time.Time
 	// Context is how long before and after the lines of the selected flows those are
 	// shown that say what the processes concerned knew. Zero selects 3 s.
@@ -34,11 +39,11 @@
 	if q.Caller == "" && q.Address == "" {
 		return ordered(keep(lines, func(l *Line) bool { return q.within(l) }))
 	}
-	own := keep(lines, func(l *Line) bool { return l.Caller != "" && q.names(l) && q.within(l) })
+	own := keep(lines, func(l *Line) bool { return l.Caller != "" && q.names(l) && (q.within(l) || q.before(l)) })
 	if len(own) == 0 {
 		return nil
 	}
-	c := newConcern(lines, own, q.Context)
+	c := newConcern(lines, own, q)
 	return ordered(append(own, keep(lines, c.concerns)...))
 }
 
@@ -67,17 +72,27 @@
 	return (q.From.IsZero() || !l.Time.Before(q.From)) && (q.To.IsZero() || !l.Time.After(q.To))
 }
 
+// before reports whether the line is an opening shortly before the span.
+func (q *Query) before(l *Line) bool {
+	return l.Event == event.FlowOpened && l.Time.Before(q.From) && q.From.Sub(l.Time.Time) <= openFor
+}
+
+// spans reports whether the query names a span, and t is in it.
+func (q *Query) spans(t time.Time) bool {
+	return !q.From.IsZero() && !q.To.IsZero() && !t.Before(q.From) && !t.After(q.To)
+}
+
 // concern is what the lines of some flows have to do with other lines.
 type concern struct {
 	times     []time.Time // of the flows' own lines, in order
-	around    time.Duration
+	query     Query
 	instances map[string]bool // that handled the flows
 	hosts     map[string]bool // of these, as peers call them
 }
 
 // newConcern returns the concern of the flows' own lines among all lines.
-func newConcern(all, own []Line, around time.Duration) concern {
-	c := concern{around: around, instances: make(map[string]bool), hosts: make(map[string]bool)}
+func newConcern(all, own []Line, q Query) concern {
+	c := concern{query: q, instances: make(map[string]bool), hosts: make(map[string]bool)}
 	for i := range own {
 		l := &own[i]
 		c.instances[l.Instance] = true
@@ -110,10 +125,14 @@
 	}
 }
 
-// near reports whether a line of the flows is at most around away from t.
+// near reports whether t is in the span, or a line of the flows is close to it.
 func (c *concern) near(t time.Time) bool {
-	i, _ := slices.BinarySearchFunc(c.times, t.Add(-c.around), time.Time.Compare)
-	return i < len(c.times) && !c.times[i].After(t.Add(c.around))
+	if c.query.spans(t) {
+		return true
+	}
+	around := c.query.Context
+	i, _ := slices.BinarySearchFunc(c.times, t.Add(-around), time.Time.Compare)
+	return i < len(c.times) && !c.times[i].After(t.Add(around))
 }
 
 // concerns reports whether a line that is not about the flows tells what a
