Call a sidecar ready once the others of its service know of it

Cause: the script waited until a bundle was in force everywhere and sent its callers at once. A sidecar passes new flows on until each other member has reported that it knows of the bundle that added it. Reports leave with the next tick of 100 ms, so that for up to that long one sidecar of two could know the other's report and not the reverse; a process that is built with the race detector ends 1 s after its work, which is why the failed run looked as if the callers had come a second later. The status said 'ready' during that time.

Change: a sidecar is ready once it takes new flows as far as the others of its service are concerned, /health and /status say so, and the scripts wait for it.

TestIntroducedOnceTheOthersKnow holds the state.

--- a/cmd/corianderbay/script_test.go
+++ b/cmd/corianderbay/script_test.go
@@ -147,7 +147,7 @@
 	})
 }
 
-// awaitVersion waits until each process has a bundle in force: await SEQUENCE OPERATOR-ADDRESS...
+// awaitVersion waits until each process has a bundle in force and does its work: await SEQUENCE OPERATOR-ADDRESS...
 func awaitVersion(ts *testscript.TestScript, _ bool, args []string) {
 	want, err := strconv.ParseUint(args[0], 10, 64)
 	ts.Check(err)
@@ -159,7 +159,7 @@
 			}
 			defer resp.Body.Close()
 			var s operator.Status
-			return json.NewDecoder(resp.Body).Decode(&s) == nil && s.Version >= want
+			return json.NewDecoder(resp.Body).Decode(&s) == nil && s.Version >= want && s.Ready
 		})
 	}
 }
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -216,6 +216,13 @@
 	return now.UnixNano()-s.born.Load() < int64(st.settings.Repeat+MaxPacketLife)
 }
 
+// Introduced reports whether the sidecar may take new flows as far as the other
+// members are concerned: each knows of the bundle that added this one, or is silent.
+func (s *Sidecar) Introduced(now time.Time) bool {
+	st := s.state.Load()
+	return st != nil && s.introduced(st, now)
+}
+
 // introduced reports whether each member knows of the bundle that added this
 // sidecar. Before that, a packet with an older order could not find its flows.
 func (s *Sidecar) introduced(st *state, now time.Time) bool {
--- a/flow/silent_test.go
+++ b/flow/silent_test.go
@@ -33,3 +33,30 @@
 	alone := later.Add(2 * flow.SuspectTime)
 	must.Eq(t, []bundle.UpstreamID(nil), s.Silent(alone))
 }
+
+// TestIntroducedOnceTheOthersKnow checks that a sidecar says that it takes new
+// flows only once each other member reported that it knows of the bundle, or
+// has been silent for too long to be waited for.
+func TestIntroducedOnceTheOthersKnow(t *testing.T) {
+	p, now := newPlan(3, 1), time.Unix(1, 0)
+	start := func() *flow.Sidecar { return flow.NewSidecar(flow.SidecarConfig{Upstream: 1}, now) }
+	s := start()
+	must.False(t, s.Introduced(now))
+	s.BundleAccepted(now, view{plan: p, self: 1})
+	must.False(t, s.Introduced(now))
+	var others []bundle.UpstreamID
+	for _, c := range (view{plan: p, self: 1}).Members(fitting) {
+		if c.Upstream != 1 {
+			others = append(others, c.Upstream)
+		}
+	}
+	for _, u := range others {
+		must.False(t, s.Introduced(now))
+		s.PeerReported(now, flow.PeerReport{Upstream: u, Service: fitting, Version: 1, Highest: 1})
+	}
+	must.True(t, s.Introduced(now))
+
+	unheard := start()
+	unheard.BundleAccepted(now, view{plan: p, self: 1})
+	must.True(t, unheard.Introduced(now.Add(flow.SuspectTime)))
+}
--- a/instance/balancer.go
+++ b/instance/balancer.go
@@ -60,6 +60,7 @@
 
 func (b *Balancer) status() operator.Status {
 	return operator.Status{
+		Ready: b.balancer.Version() > 0,
 		Addresses: map[string]netip.AddrPort{
 			"fabric":  b.balancer.FabricAddress(),
 			"forward": b.balancer.ForwardAddress(),
--- a/instance/process.go
+++ b/instance/process.go
@@ -195,7 +195,6 @@
 	s.Version = p.worker.Version()
 	s.Hash = p.node.Status().Hash.String()
 	s.Uptime = p.cfg.Timer.Uptime().Seconds()
-	s.Ready = s.Version > 0
 	s.Draining = p.draining.Load()
 	s.Addresses["control"] = p.node.Address()
 	s.Addresses["operator"] = p.server.Address()
--- a/instance/sidecar.go
+++ b/instance/sidecar.go
@@ -57,6 +57,7 @@
 	c := s.sidecar.Counts()
 	return operator.Status{
 		Flows: c.Open,
+		Ready: s.sidecar.Ready(),
 		Addresses: map[string]netip.AddrPort{
 			"forward": s.sidecar.ForwardAddress(),
 		},
--- a/operator/server.go
+++ b/operator/server.go
@@ -49,7 +49,8 @@
 	Uptime float64 `json:"uptime"`
 	// Flows is how many flows the process owns.
 	Flows int `json:"flows"`
-	// Ready is true when the process does its work.
+	// Ready is true when the process does its work: a bundle is in force, and the other
+	// sidecars of a sidecar's service know of it, so that it takes new flows.
 	Ready bool `json:"ready"`
 	// Draining is true when the process is stopping.
 	Draining bool `json:"draining"`
--- a/sidecar/sidecar.go
+++ b/sidecar/sidecar.go
@@ -171,6 +171,11 @@
 	return v.Version()
 }
 
+// Ready reports whether the sidecar takes new flows as far as the others of its service are concerned.
+func (s *Sidecar) Ready() bool {
+	return s.flows.Introduced(s.cfg.Timer.Now())
+}
+
 // Owner reports whether the upstream owns the flow, and the name of the
 // upstream that owns it or that it was handed to, "" when none is known.
 func (s *Sidecar) Owner(k flow.Key) (owned bool, name string) {
