Let a service that gets an address wait until its former one knows

A balancer with bundle 11 had a stream opened at an upstream of 'fitting'; another balancer with bundle 9 sent a segment of it to the upstream of 'report', the only candidate there, which did not know that bundle 11 exists and reset the stream as one that nobody owns. A sidecar waits until each other member knows of the bundle that added it; here no member was new, so it did not wait.

Ruled out: the move of upstreams (none moved), loss and silence (none).

Change: a sidecar waits as well when other addresses have come to its service from another one (View.Moved). Price: for up to one report interval of 1 s after such a bundle new streams of the service are passed on or opened by the caller's next copy; changes of weights and new addresses that had no former service cost nothing.

--- a/flow/events.go
+++ b/flow/events.go
@@ -51,7 +51,9 @@
 		n.generation++
 		n.changed = s.stamp(now)
 		n.ordered = v.Version()
-		if s.peers.reordered(now, v.Version(), v.Members(service), service) {
+		linked := s.peers.reordered(now, v.Version(), v.Members(service), service)
+		// Those who served a moved address would refuse its flows until they know that it moved.
+		if linked || old != nil && old.view.Moved(service) != v.Moved(service) {
 			n.joined = v.Version()
 		}
 		s.lastReport = time.Time{}
--- a/flow/plan_test.go
+++ b/flow/plan_test.go
@@ -141,6 +141,20 @@
 	return xxhash.Sum64(b)
 }
 
+func (v view) Moved(s bundle.ServiceID) uint64 {
+	var b []byte
+	for _, a := range slices.SortedFunc(maps.Keys(v.addresses), netip.AddrPort.Compare) {
+		if o := v.addresses[a]; o.service == s && o.former != 0 {
+			b = a.AppendTo(b)
+			b = binary.BigEndian.AppendUint32(b, uint32(o.former))
+		}
+	}
+	if len(b) == 0 {
+		return 0
+	}
+	return xxhash.Sum64(b)
+}
+
 func (v view) Candidates(dst []forward.Candidate, k flow.Key) (bundle.ServiceID, []forward.Candidate) {
 	o, ok := v.addresses[k.Address()]
 	if !ok {
--- a/flow/regression_test.go
+++ b/flow/regression_test.go
@@ -31,14 +31,9 @@
 		{"TestStatefulFaults", "6609507", "a sidecar that had been alone took itself for fenced when upstreams of another service joined"},
 		{"TestStatefulPlanned", "503008", "a new upstream raised the majority, and an owner took itself for fenced"},
 		{"TestStatefulPlanned", "884694", "a sidecar behind the packet's bundle took a flow that it had passed on"},
+		{"TestStatefulPlanned", "4145", "a flow was opened at an address that its former service did not know to have moved"},
 	}
 	for _, c := range cases {
 		c.play(t)
 	}
 }
-
-// TestStreamSurvivesMovesOfItsAddress plays a case that is not mended, see KNOWN-RED.txt.
-func TestStreamSurvivesMovesOfItsAddress(t *testing.T) {
-	t.Parallel()
-	regression{"TestStatefulPlanned", "4145", "a TCP flow broke while its address moved between services"}.play(t)
-}
--- a/flow/silent_test.go
+++ b/flow/silent_test.go
@@ -1,6 +1,7 @@
 package flow_test
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -60,3 +61,37 @@
 	unheard.BundleAccepted(now, view{plan: p, self: 1})
 	must.True(t, unheard.Introduced(now.Add(flow.SuspectTime)))
 }
+
+// TestIntroducedAnewWhenAnotherAddressMoves checks that a sidecar whose service
+// gets one more address of a linked service takes no new flows until the other
+// members know of it: they would refuse packets of these flows that follow the
+// older bundle.
+func TestIntroducedAnewWhenAnotherAddressMoves(t *testing.T) {
+	second := netip.MustParseAddrPort("198.51.100.9:80")
+	first := newPlan(2, 1).with(func(p *plan) {
+		p.addresses[second] = owner{service: report}
+		p.addresses[serviceAddr(report)] = owner{service: fitting, former: report}
+	})
+	now := time.Unix(1, 0)
+	s := flow.NewSidecar(flow.SidecarConfig{Upstream: 1}, now)
+	hear := func(p *plan) {
+		for _, c := range (view{plan: p, self: 1}).Members(fitting) {
+			if c.Upstream != 1 {
+				s.PeerReported(now, flow.PeerReport{Upstream: c.Upstream, Service: c.Service, Version: p.version, Highest: p.version})
+			}
+		}
+	}
+	s.BundleAccepted(now, view{plan: first, self: 1})
+	hear(first)
+	must.True(t, s.Introduced(now))
+
+	heavier := first.with(func(p *plan) { p.set(fitting, member{upstream: 2, weight: 2}) })
+	s.BundleAccepted(now, view{plan: heavier, self: 1})
+	must.True(t, s.Introduced(now))
+
+	moved := heavier.with(func(p *plan) { p.addresses[second] = owner{service: fitting, former: report} })
+	s.BundleAccepted(now, view{plan: moved, self: 1})
+	must.False(t, s.Introduced(now))
+	hear(moved)
+	must.True(t, s.Introduced(now))
+}
--- a/flow/view.go
+++ b/flow/view.go
@@ -25,6 +25,8 @@
 	Members(service bundle.ServiceID) []forward.Candidate
 	// Fingerprint differs whenever the order of candidates of the service may differ.
 	Fingerprint(service bundle.ServiceID) uint64
+	// Moved differs whenever other addresses have come to the service from another one; 0 for none.
+	Moved(service bundle.ServiceID) uint64
 	// Settings returns how flows of the service are kept, and false for an unknown service.
 	Settings(service bundle.ServiceID) (Settings, bool)
 }
--- a/route/service.go
+++ b/route/service.go
@@ -23,6 +23,8 @@
 	equal  bool     // whether all members weigh the same
 	// fingerprint differs whenever the order of candidates may differ.
 	fingerprint uint64
+	// moved differs whenever other addresses have come from another service; 0 for none.
+	moved uint64
 }
 
 // member is one upstream of a service's pool. What ranking reads stands together.
@@ -47,6 +49,7 @@
 	}
 	s.equal = allWeighTheSame(s.pool)
 	s.fingerprint = fingerprintOf(s, dcs)
+	s.moved = movedOf(s)
 	return s
 }
 
--- a/route/sidecarview.go
+++ b/route/sidecarview.go
@@ -111,6 +111,15 @@
 	return svc.fingerprint
 }
 
+// Moved differs whenever other addresses have come to the service from another one; 0 for none.
+func (s *SidecarView) Moved(id bundle.ServiceID) uint64 {
+	svc := s.view.Service(id)
+	if svc == nil {
+		return 0
+	}
+	return svc.moved
+}
+
 // Settings returns how flows of the service are kept, and false for an unknown service.
 func (s *SidecarView) Settings(id bundle.ServiceID) (flow.Settings, bool) {
 	svc := s.view.Service(id)
@@ -134,10 +143,7 @@
 		}
 	}
 	for _, a := range s.config.Addresses {
-		writeString(h, a.IP.String())
-		writeString(h, a.Protocol)
-		writeUint(h, uint64(a.Port))
-		writeString(h, a.Former)
+		writeAddress(h, a)
 	}
 	for _, dc := range dcs {
 		writeString(h, dc.Name)
@@ -152,6 +158,28 @@
 	return h.Sum64()
 }
 
+// movedOf hashes the service's addresses that came from another service.
+func movedOf(s *Service) uint64 {
+	h, any := xxhash.New(), false
+	for _, a := range s.config.Addresses {
+		if a.Former != "" {
+			writeAddress(h, a)
+			any = true
+		}
+	}
+	if !any {
+		return 0
+	}
+	return h.Sum64()
+}
+
+func writeAddress(h *xxhash.Digest, a bundle.Address) {
+	writeString(h, a.IP.String())
+	writeString(h, a.Protocol)
+	writeUint(h, uint64(a.Port))
+	writeString(h, a.Former)
+}
+
 func writeUint(h *xxhash.Digest, v uint64) {
 	var b [8]byte
 	binary.LittleEndian.PutUint64(b[:], v)
--- a/route/view_test.go
+++ b/route/view_test.go
@@ -185,3 +185,24 @@
 	apart := route.NewSidecarView(route.NewView(exampleBundle()), bundle.UpstreamIDOf("report-0"))
 	must.SliceLen(t, upstreamsPerService, apart.Members(apart.Self().Service))
 }
+
+// TestMovedFollowsAddressesThatCame checks that Moved changes with the addresses
+// that came from another service, and with nothing else.
+func TestMovedFollowsAddressesThatCame(t *testing.T) {
+	address := func(port uint16, former string) bundle.Address {
+		return bundle.Address{IP: netip.MustParseAddr("198.51.100.1"), Port: port, Protocol: "tcp", Former: former}
+	}
+	moved := func(weight int, as ...bundle.Address) uint64 {
+		b := &bundle.Bundle{Sequence: 1, Services: []bundle.Service{
+			{Name: "fitting", Addresses: as, Places: []bundle.Place{{Upstreams: []bundle.Upstream{{Name: "a", Weight: weight}}}}},
+			{Name: "report"},
+		}}
+		return route.NewSidecarView(route.NewView(b), bundle.UpstreamIDOf("a")).Moved(bundle.ServiceIDOf("fitting"))
+	}
+	must.Zero(t, moved(1, address(1, "")))
+	must.Zero(t, moved(1, address(1, ""), address(2, "")))
+	came := moved(1, address(1, "report"))
+	must.NotEq(t, 0, came)
+	must.Eq(t, came, moved(2, address(2, ""), address(1, "report")))
+	must.NotEq(t, came, moved(1, address(1, "report"), address(2, "report")))
+}
