Harm what processes send each other in the soak

In the soak each process is bound to an address of its own, and a network of the test owns the known one: it cuts links one way or both, cuts a process off, parts the processes into two groups, and loses, delays, reorders and doubles a part of the datagrams.

Ruled out: a switch in the processes themselves that drops datagrams (code that serves nobody), filters of the machine (they need rights that tests do not have).

Before: no such faults.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -30,6 +30,7 @@
 	level := s.Choice("log-level", "info", logLevels(), "least level of the events that are logged")
 	lines := s.Int("log-lines", defaultLines, 1, maxLines, "lines a second", "lines that each event may have in the log")
 	placing := s.Choice("placing", string(steer.PlaceByLoad), steer.Placings(), "how upstreams of new flows are chosen; all but load are for comparisons")
+	bind := s.Address("bind-address", "", "what is bound for the other processes, when something that translates addresses stands before it; empty binds the address that the platform names")
 	return program{
 		name:    name,
 		group:   groupPlatform,
@@ -48,6 +49,7 @@
 				Path:        platform.SettingsPath(),
 				Incarnation: newIncarnation(),
 				Placing:     steer.Placing(*placing),
+				Bind:        *bind,
 				Timer:       t,
 				Log:         event.NewSampled(out, l, name, *lines),
 			})
--- a/edge/config.go
+++ b/edge/config.go
@@ -22,11 +22,14 @@
 	AppendReset(b []byte, p *steer.Packet) []byte
 }
 
-// Config holds what balancers and sidecars share. All fields but Seeds and Placing are required.
+// Config holds what balancers and sidecars share. All fields but Bind, Seeds and Placing are required.
 type Config struct {
 	DataCentre string
 	// Exchange is where other processes reach this one, over UDP and TCP.
 	Exchange netip.AddrPort
+	// Bind is what is bound when others reach Exchange through something that
+	// translates addresses. The zero value binds Exchange.
+	Bind netip.AddrPort
 	// Incarnation differs each time the process starts.
 	Incarnation uint64
 	// Seeds are hosts of balancers to begin with.
@@ -49,6 +52,7 @@
 		Role:        role,
 		DataCentre:  cfg.DataCentre,
 		Listen:      cfg.Exchange,
+		Bind:        cfg.Bind,
 		Incarnation: cfg.Incarnation,
 		Seeds:       cfg.Seeds,
 		Source:      cfg.Source,
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -35,12 +35,15 @@
 	gatherTime = 2 * membership.BeatInterval
 )
 
-// Config holds the settings of a Node. All fields but Seeds are required.
+// Config holds the settings of a Node. All fields but Bind and Seeds are required.
 type Config struct {
 	Role       membership.Role
 	DataCentre string
 	// Listen is where other processes reach this one, over UDP and TCP. The port is the same on all hosts.
-	Listen      netip.AddrPort
+	Listen netip.AddrPort
+	// Bind is what is bound when others reach Listen through something that
+	// translates addresses. The zero value binds Listen.
+	Bind        netip.AddrPort
 	Incarnation uint64
 	// Seeds are hosts of balancers to begin with.
 	Seeds []registry.Host
@@ -94,8 +97,12 @@
 	if err != nil {
 		return nil, err
 	}
+	bind := cfg.Bind
+	if !bind.IsValid() {
+		bind = cfg.Listen
+	}
 	socket, err := udp.Open(udp.Config{
-		Listen:    cfg.Listen,
+		Listen:    bind,
 		Workers:   1,
 		Buffer:    socketBuffer,
 		Heartbeat: cfg.Heartbeat,
@@ -106,9 +113,11 @@
 	listener, err := net.Listen("tcp4", socket.Address().String())
 	if err != nil {
 		socket.Close()
-		return nil, &ListenError{Address: cfg.Listen, Cause: err}
+		return nil, &ListenError{Address: bind, Cause: err}
+	}
+	if !cfg.Bind.IsValid() {
+		cfg.Listen = socket.Address() // the port is chosen when the setting has none
 	}
-	cfg.Listen = socket.Address()
 	n := &Node{
 		cfg:       cfg,
 		self:      self,
--- a/exchange/node_test.go
+++ b/exchange/node_test.go
@@ -278,6 +278,29 @@
 	must.Error(t, err)
 }
 
+// TestBoundElsewhere has a node that others know by an address that it does not bind.
+func TestBoundElsewhere(t *testing.T) {
+	known, bound := hostOf(11), hostOf(12)
+	tm := timer.New(timer.Config{})
+	cfg := exchange.Config{
+		Listen:    netip.AddrPortFrom(known.Addr(), port),
+		Bind:      netip.AddrPortFrom(bound.Addr(), port),
+		Timer:     tm,
+		Heartbeat: timer.NewHeartbeat(tm),
+	}
+	n, err := exchange.Open(cfg)
+	must.NoError(t, err)
+	must.Eq(t, known, n.Self())
+
+	free, err := net.Listen("tcp4", cfg.Listen.String())
+	must.NoError(t, err)
+	must.NoError(t, free.Close())
+	cfg.Listen = netip.AddrPortFrom(hostOf(13).Addr(), port)
+	_, err = exchange.Open(cfg)
+	must.Error(t, err)
+	must.StrContains(t, err.Error(), cfg.Bind.String())
+}
+
 // TestReaderRetries has a store that comes back.
 func TestReaderRetries(t *testing.T) {
 	m := &memory{down: true}
--- a/soak/actions_test.go
+++ b/soak/actions_test.go
@@ -36,6 +36,11 @@
 		(*world).forgetHistory,
 		(*world).harmLink,
 		(*world).harmLink,
+		(*world).cutLink,
+		(*world).cutLink,
+		(*world).isolate,
+		(*world).disturb,
+		(*world).divide,
 	}
 }
 
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -34,15 +35,16 @@
 type process struct {
 	host     standin.Host
 	role     string
-	settings string // the environment variable that names the settings file
+	bind     netip.AddrPort // what it binds for the other processes
+	settings string         // the environment variable that names the settings file
 
 	cmd  *exec.Cmd
 	done chan struct{} // closed when cmd has ended
 	log  *bytes.Buffer // of all its incarnations
 }
 
-func newProcess(h standin.Host, role, settings string) *process {
-	return &process{host: h, role: role, settings: settings, log: new(bytes.Buffer)}
+func newProcess(h standin.Host, role string, bind netip.AddrPort, settings string) *process {
+	return &process{host: h, role: role, bind: bind, settings: settings, log: new(bytes.Buffer)}
 }
 
 func (p *process) start() error {
@@ -50,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	p.cmd = exec.Command(path, "platform", p.role, "--log-lines", "2000")
+	p.cmd = exec.Command(path, "platform", p.role, "--log-lines", "2000", "--bind-address", p.bind.String())
 	p.cmd.Env = append(os.Environ(), p.settings)
 	p.cmd.Stdout, p.cmd.Stderr = p.log, p.log
 	if err := p.cmd.Start(); err != nil {
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -24,7 +24,7 @@
 // proxyDelay is how late answers are on a delayed link.
 const proxyDelay = 300 * time.Millisecond
 
-// proxy stands between one process and the store. It is safe for concurrent use.
+// proxy stands before the store for one process, or before one process for the others. It is safe for concurrent use.
 type proxy struct {
 	listener net.Listener
 	to       netip.AddrPort
@@ -35,8 +35,8 @@
 	conns map[net.Conn]bool
 }
 
-func newProxy(at netip.Addr, to netip.AddrPort) (*proxy, error) {
-	l, err := net.Listen("tcp4", netip.AddrPortFrom(at, 0).String())
+func newProxy(at, to netip.AddrPort) (*proxy, error) {
+	l, err := net.Listen("tcp4", at.String())
 	if err != nil {
 		return nil, err
 	}
@@ -92,7 +92,7 @@
 	}
 }
 
-// serve copies between a process and the store until either side ends.
+// serve copies between the two sides until either side ends.
 func (p *proxy) serve(c net.Conn) {
 	up, err := net.Dial("tcp4", p.to.String())
 	if err != nil {
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -40,6 +40,8 @@
 	kindSidecar  = 2
 	kindCaller   = 3
 	kindProxy    = 4
+	// kindBound is added to the kind of a process for the address that it is bound to.
+	kindBound = 10
 )
 
 // steady has one service for good; changing moves between services with versions.
@@ -48,6 +50,9 @@
 	changing = netip.MustParseAddrPort("198.18.0.2:8443")
 )
 
+// exchangePort is where processes reach each other.
+const exchangePort = 21720
+
 // site is an instance with an upstream and its sidecar.
 type site struct {
 	host     standin.Host
@@ -71,6 +76,7 @@
 	router  *standin.Router
 	callers []*standin.Caller
 	proxies []*proxy
+	network *network
 	actions conc.WaitGroup
 
 	mu        sync.Mutex
@@ -96,8 +102,9 @@
 func newWorld(t *testing.T, seed uint64, planned bool) *world {
 	w := &world{
 		t: t, seed: seed, planned: planned,
-		random: rand.New(rand.NewPCG(seed, 1)),
-		store:  standin.NewStore(), ledger: standin.NewLedger(),
+		random:  rand.New(rand.NewPCG(seed, 1)),
+		network: newNetwork(exchangePort, seed),
+		store:   standin.NewStore(), ledger: standin.NewLedger(),
 		resting: make(map[*process]bool), began: time.Now(),
 	}
 	l, err := net.Listen("tcp4", netip.AddrPortFrom(loopback(seed, kindProxy, 250), 0).String())
@@ -136,18 +143,28 @@
 	return standin.Host{
 		Name: fmt.Sprintf("n-%d-%d", kind, n), Address: loopback(w.seed, kind, n),
 		DataCentre: []string{"a", "b"}[n%2], Service: service,
-		Ports: standin.Ports{Packets: 21172, Ready: 21167, Outbound: 21162, Upstream: 21165, Exchange: 21720},
+		Ports: standin.Ports{Packets: 21172, Ready: 21167, Outbound: 21162, Upstream: 21165, Exchange: exchangePort},
 	}
 }
 
-// process returns a process that reaches the store through a proxy of its own.
+// boundTo returns the address that a process binds for the others, which know it by another one.
+func boundTo(known netip.Addr) netip.Addr {
+	b := known.As4()
+	b[2] += kindBound
+	return netip.AddrFrom4(b)
+}
+
+// process returns a process that reaches the store through a proxy of its own,
+// and the other processes through the network.
 func (w *world) process(h standin.Host, role string, store netip.AddrPort, seeds []standin.Host) *process {
-	px, err := newProxy(loopback(w.seed, kindProxy, len(w.proxies)+1), store)
+	px, err := newProxy(netip.AddrPortFrom(loopback(w.seed, kindProxy, len(w.proxies)+1), 0), store)
 	must.NoError(w.t, err)
 	w.proxies = append(w.proxies, px)
 	variable, err := h.WriteSettings(w.t.TempDir(), px.address(), seeds)
 	must.NoError(w.t, err)
-	return newProcess(h, role, variable)
+	bound := boundTo(h.Address)
+	must.NoError(w.t, w.network.add(h.Address, bound))
+	return newProcess(h, role, netip.AddrPortFrom(bound, h.Ports.Exchange), variable)
 }
 
 // publish writes the next version of the routes; the changing route goes to service.
@@ -233,6 +250,7 @@
 	for _, px := range w.proxies {
 		px.close()
 	}
+	w.network.close()
 }
 
 func (w *world) processes() []*process {
