Add a load tool for the users' platform

'corianderbay platform load' stands in for store, upstreams, routers and callers on loopback, writes a settings file for each process, names the commands that start them, waits until all balancers are in rotation and sends requests that come independently of each other. It prints what came of them as JSON and fails when a promise was broken. Upstreams of the stand-in have slots.

Ruled out: starting the processes from the tool (a process starts no process).

--- a/cmd/corianderbay/script_test.go
+++ b/cmd/corianderbay/script_test.go
@@ -27,6 +27,8 @@
 	scriptPorts  = 60
 	firstPort    = 20_000
 	lastPort     = 29_999
+	firstNetwork = 200
+	networks     = 50
 	awaitTimeout = time.Minute
 	awaitEvery   = 20 * time.Millisecond
 )
@@ -53,6 +55,7 @@
 			"publish":   publishFile,
 			"instances": listInstances,
 			"await":     awaitVersion,
+			"awaitfile": awaitFile,
 			"sleep":     sleepFor,
 			"audit":     auditRuns,
 			"keyenv":    keyToEnv,
@@ -71,10 +74,11 @@
 	next int // guarded by mu
 }
 
-// give sets P1 to P60.
+// give sets P1 to P60, and NETWORK to the second number of loopback addresses.
 func (r *portRange) give(env *testscript.Env) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	env.Setenv("NETWORK", strconv.Itoa(firstNetwork+os.Getpid()%networks))
 	for i := range scriptPorts {
 		for !isFree(r.next) {
 			r.next = after(r.next)
@@ -164,6 +168,14 @@
 	}
 }
 
+// awaitFile waits until a file is there: awaitfile FILE.
+func awaitFile(ts *testscript.TestScript, _ bool, args []string) {
+	poll(ts, args[0], func() bool {
+		_, err := os.Stat(ts.MkAbs(args[0]))
+		return err == nil
+	})
+}
+
 // sprayOver tells the fabric which balancers are left: spray STATUS-ADDRESS BALANCER...
 func sprayOver(ts *testscript.TestScript, _ bool, args []string) {
 	body, err := json.Marshal(args[1:])
--- a/daemon/command.go
+++ b/daemon/command.go
@@ -89,6 +89,7 @@
 		newUsersProgram("balancer", "Take callers' packets and forward them to sidecars", platform.RunBalancer),
 		newUsersProgram("sidecar", "Serve the flows of the upstream beside it", platform.RunSidecar),
 		newCheckProgram(),
+		newLoadProgram(),
 	}
 }
 
--- a/daemon/errors.go
+++ b/daemon/errors.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"time"
 
 	"github.com/corianderbay/corianderbay/setting"
 )
@@ -96,3 +97,19 @@
 func (e *SourceError) ExitCode() int {
 	return setting.ExitUsage
 }
+
+// UnreadyError reports that the balancers of a load did not become ready in time.
+type UnreadyError struct {
+	Wait  time.Duration
+	Cause error
+}
+
+// Error returns how long they had.
+func (e *UnreadyError) Error() string {
+	return fmt.Sprintf("not all balancers became ready within %s: %v", e.Wait, e.Cause)
+}
+
+// Unwrap returns the cause.
+func (e *UnreadyError) Unwrap() error {
+	return e.Cause
+}
--- /dev/null
+++ b/daemon/load.go
@@ -0,0 +1,109 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/corianderbay/corianderbay/platform/standin"
+	"github.com/corianderbay/corianderbay/setting"
+	"github.com/sourcegraph/conc"
+)
+
+const (
+	loadService = "fitting"
+	// loadNetwork is the second number of the addresses when the setting is not given.
+	loadNetwork = 90
+	loadCallers = 2
+)
+
+// loadRoute is the address that callers of a load open flows to.
+var loadRoute = netip.MustParseAddrPort("198.18.0.1:8443")
+
+// newLoadProgram returns a command that stands in for all that surrounds the
+// system on the users' platform, and plays callers. Whoever runs it starts the
+// processes that it names.
+func newLoadProgram() program {
+	s := setting.NewSet()
+	directory := s.String("directory", "", "folder for the settings files of the processes; it must exist")
+	network := s.Int("network", loadNetwork, 2, 254, "", "second number of all addresses, 127.N.x.y")
+	centres := s.Int("datacentres", 1, 1, 9, "", "data centres over which hosts are spread in turn")
+	balancers := s.Int("balancers", 2, 1, 99, "", "balancers to be started")
+	upstreams := s.Int("upstreams", 4, 1, 200, "", "upstreams, each with a sidecar to be started")
+	slots := s.Int("slots", 2, 0, 1000, "requests", "requests that an upstream works on at the same time; 0 is any number")
+	work := s.Duration("work", 10*time.Millisecond, 0, time.Minute, "how long a request takes at its upstream")
+	rate := s.Float("rate", 200, 1, 100_000, "requests/s", "requests that begin a second")
+	perFlow := s.Int("per-flow", 10, 1, 1_000_000, "requests", "requests that a flow carries")
+	deadline := s.Duration("deadline", 250*time.Millisecond, time.Millisecond, time.Minute, "within which an answer counts as in time")
+	duration := s.Duration("duration", 10*time.Second, time.Millisecond, 24*time.Hour, "how long requests begin")
+	wait := s.Duration("wait", time.Minute, time.Second, time.Hour, "how long the processes may take to become ready")
+	idempotent := s.Bool("idempotent", false, "whether requests may run more than once")
+	seed := s.Int("seed", 1, 0, 1<<30, "", "starts all choices")
+	s.Require("directory")
+	return program{
+		name:    "load",
+		group:   groupPlatform,
+		short:   "Stand in for the users' platform and play callers; prints what came of their requests as JSON",
+		example: "corianderbay platform load --directory settings --rate 500",
+		set:     s,
+		run: func(ctx context.Context, w io.Writer) error {
+			d, err := standin.NewDeployment(standin.DeploymentConfig{
+				Network:     byte(*network),
+				Directory:   *directory,
+				DataCentres: *centres,
+				Balancers:   *balancers,
+				Upstreams:   *upstreams,
+				Callers:     loadCallers,
+				Service:     loadService,
+				Slots:       *slots,
+				Work:        *work,
+				Seed:        uint64(*seed),
+			})
+			if err != nil {
+				return err
+			}
+			defer d.Close()
+			d.Publish(1, standin.Route{Address: loadRoute, Service: loadService, Idempotent: *idempotent})
+			l := standin.NewLoad(d, standin.LoadConfig{
+				Route:      loadRoute,
+				Idempotent: *idempotent,
+				Rate:       *rate,
+				PerFlow:    *perFlow,
+				Deadline:   *deadline,
+				Duration:   *duration,
+				Seed:       uint64(*seed),
+			})
+			return runLoad(ctx, w, d, l, *wait)
+		},
+	}
+}
+
+// runLoad names the processes to start, waits for them and plays the load. It
+// reports *UncleanError when a promise was broken.
+func runLoad(ctx context.Context, w io.Writer, d *standin.Deployment, l *standin.Load, wait time.Duration) error {
+	for _, p := range d.Processes() {
+		fmt.Fprintf(os.Stderr, "start: %s corianderbay platform %s\n", p.Variable, p.Role)
+	}
+	ctx, end := context.WithCancel(ctx)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer end()
+	wg.Go(func() { d.Run(ctx) })
+	ready, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	if err := d.Await(ready); err != nil {
+		return &UnreadyError{Wait: wait, Cause: err}
+	}
+	r := l.Run(ctx)
+	if err := json.NewEncoder(w).Encode(r); err != nil {
+		return err
+	}
+	if len(r.Failures) > 0 {
+		return &UncleanError{}
+	}
+	return nil
+}
