Count the silence of a member from when it became one

A sidecar waits with new streams until each member knows of the bundle, but not for one that has been silent for 3 s; silence counted from the start of the process, minutes ago, for members that had never been linked and so never reported here. It took a stream at once, and an upstream of the former service, which had not heard of the bundle, reset it.

Change: silence counts from the last report or from when the upstream became a member, the later one.

--- a/flow/peers.go
+++ b/flow/peers.go
@@ -35,6 +35,7 @@
 type peer struct {
 	report   PeerReport
 	heard    time.Time // zero until the first report
+	joined   time.Time // when it became a member; before that it may have had no reason to report
 	hears    time.Time // when a report last said that the peer hears this sidecar
 	gone     bool      // missing from the platform's list
 	goneFrom time.Time // valid with gone
@@ -42,8 +43,7 @@
 
 // peers holds what a sidecar knows of the others of its service. It is safe for concurrent use.
 type peers struct {
-	self  bundle.UpstreamID
-	start time.Time
+	self bundle.UpstreamID
 
 	mu      sync.RWMutex
 	byID    map[bundle.UpstreamID]peer
@@ -58,8 +58,8 @@
 	anyGone atomic.Bool
 }
 
-func newPeers(self bundle.UpstreamID, now time.Time) *peers {
-	return &peers{self: self, start: now, byID: make(map[bundle.UpstreamID]peer)}
+func newPeers(self bundle.UpstreamID) *peers {
+	return &peers{self: self, byID: make(map[bundle.UpstreamID]peer)}
 }
 
 // reset forgets which members there were, when the upstream serves another service.
@@ -90,6 +90,9 @@
 			continue
 		}
 		ps.members = append(ps.members, u)
+		if !containsUpstream(old, u) {
+			ps.join(u, now)
+		}
 		if members[i].Service == service {
 			ps.voters = append(ps.voters, u)
 		}
@@ -107,6 +110,13 @@
 	return linked
 }
 
+// join notes that the upstream became a member. The caller holds the lock.
+func (ps *peers) join(u bundle.UpstreamID, now time.Time) {
+	p := ps.byID[u]
+	p.joined = now
+	ps.byID[u] = p
+}
+
 // ended reports whether the upstream said that it is leaving and owns no flow.
 func (ps *peers) ended(u bundle.UpstreamID) bool {
 	p := ps.byID[u]
@@ -295,11 +305,11 @@
 	return silent
 }
 
-// silent reports whether no report arrived for SuspectTime. The caller holds the lock.
+// silent reports whether no report of a member arrived for SuspectTime. The caller holds the lock.
 func (ps *peers) silent(now time.Time, p peer) bool {
 	last := p.heard
-	if last.IsZero() {
-		last = ps.start
+	if last.Before(p.joined) {
+		last = p.joined
 	}
 	return now.Sub(last) >= SuspectTime
 }
--- a/flow/regression_test.go
+++ b/flow/regression_test.go
@@ -32,6 +32,8 @@
 		{"TestStatefulPlanned", "503008", "a new upstream raised the majority, and an owner took itself for fenced"},
 		{"TestStatefulPlanned", "884694", "a sidecar behind the packet's bundle took a flow that it had passed on"},
 		{"TestStatefulPlanned", "4145", "a flow was opened at an address that its former service did not know to have moved"},
+		{"TestStatefulPlanned", "34668", "a member that a bundle had just added was taken for silent, so that nobody waited for it"},
+		{"TestStatefulPlanned", "128306", "as before, with one upstream of each service"},
 	}
 	for _, c := range cases {
 		c.play(t)
--- a/flow/sidecar.go
+++ b/flow/sidecar.go
@@ -93,7 +93,7 @@
 		cfg:    cfg,
 		start:  now,
 		table:  newTable(cfg.Shards),
-		peers:  newPeers(cfg.Upstream, now),
+		peers:  newPeers(cfg.Upstream),
 		outbox: newOutbox(cfg.HintBudget),
 	}
 	s.born.Store(now.UnixNano())
--- a/flow/silent_test.go
+++ b/flow/silent_test.go
@@ -35,6 +35,29 @@
 	must.Eq(t, []bundle.UpstreamID(nil), s.Silent(alone))
 }
 
+// TestNewMemberIsNotSilentYet checks that an upstream that a bundle adds is not
+// taken for silent at once by a sidecar that has run for long, as it had no
+// reason to report before: it is neither named silent nor left out of those that
+// have to know of the bundle.
+func TestNewMemberIsNotSilentYet(t *testing.T) {
+	first, now := newPlan(1, 1), time.Unix(1, 0)
+	s := flow.NewSidecar(flow.SidecarConfig{Upstream: 1}, now)
+	s.BundleAccepted(now, view{plan: first, self: 1})
+	must.True(t, s.Introduced(now))
+
+	now = now.Add(time.Hour)
+	moved := first.with(func(p *plan) {
+		p.set(fitting, member{upstream: 3})
+		p.addresses[serviceAddr(report)] = owner{service: fitting, former: report}
+	})
+	s.BundleAccepted(now, view{plan: moved, self: 1})
+	must.SliceEmpty(t, s.Silent(now))
+	must.False(t, s.Introduced(now))
+
+	now = now.Add(flow.SuspectTime)
+	must.True(t, s.Introduced(now))
+}
+
 // TestIntroducedOnceTheOthersKnow checks that a sidecar says that it takes new
 // flows only once each other member reported that it knows of the bundle, or
 // has been silent for too long to be waited for.
