Be sure of a flow only for the service that the upstream serves

Change: a sidecar is sure that nobody else owns a flow, and that nothing has run, only for packets of the service that its upstream serves now; else it searches.

--- a/flow/regression_test.go
+++ b/flow/regression_test.go
@@ -34,6 +34,7 @@
 		{"TestStatefulPlanned", "4145", "a flow was opened at an address that its former service did not know to have moved"},
 		{"TestStatefulPlanned", "34668", "a member that a bundle had just added was taken for silent, so that nobody waited for it"},
 		{"TestStatefulPlanned", "128306", "as before, with one upstream of each service"},
+		{"TestStatefulPlanned", "42090", "a sidecar of another service was sure of a refusal while the flow was owned"},
 	}
 	for _, c := range cases {
 		c.play(t)
--- a/flow/told_test.go
+++ b/flow/told_test.go
@@ -53,3 +53,26 @@
 	must.Eq[flow.Action](t, flow.Forward{}, s.Packet(now, h, flow.Packet{Key: k}))
 	must.Eq(t, 2, h.At)
 }
+
+// TestSidecarOfAnotherServiceIsNotSure checks that a sidecar that is to serve a
+// service, but does not yet, searches for a flow of it before it refuses: what
+// its own service agreed on says nothing of the order of the other one.
+func TestSidecarOfAnotherServiceIsNotSure(t *testing.T) {
+	now := time.Unix(1000, 0)
+	first := newPlan(1, 1)
+	s := flow.NewSidecar(flow.SidecarConfig{Upstream: 1}, now)
+	s.BundleAccepted(now, view{plan: first, self: 1})
+	moving := first.with(func(p *plan) {
+		p.set(fitting, member{upstream: 1, leaving: true})
+		p.set(report, member{upstream: 1})
+		p.set(report, member{upstream: 2, leaving: true})
+	})
+	s.BundleAccepted(now, view{plan: moving, self: 1})
+	now = now.Add(time.Hour)
+
+	k := testKey(flow.UDP, 1, report)
+	h := header(moving, k, 1)
+	must.Eq[flow.Action](t, flow.Forward{}, s.Packet(now, h, flow.Packet{Key: k}))
+	must.Eq(t, forward.PhaseFind, h.Phase)
+	must.Eq(t, 2, h.Candidates[h.At].Upstream)
+}
--- a/flow/udp.go
+++ b/flow/udp.go
@@ -172,7 +172,7 @@
 	if j := c.follow(e); j != none {
 		return aim(c.h, j)
 	}
-	if e.kind == 0 && c.s.sure(c.st, c.now, c.h.Version) && !c.anyOver() {
+	if e.kind == 0 && c.sure() && !c.anyOver() {
 		return c.udpTake()
 	}
 	return c.udpSearch(e)
@@ -198,6 +198,13 @@
 	return j
 }
 
+// sure reports whether no other sidecar can own a flow that this one, the first
+// candidate, does not know. Of a service that the upstream does not serve, or
+// not yet, it cannot know when the order was agreed on.
+func (c *call) sure() bool {
+	return c.h.Service == c.st.service && c.s.sure(c.st, c.now, c.h.Version)
+}
+
 // anyOver reports whether a candidate before this one was skipped because it is gone.
 func (c *call) anyOver() bool {
 	for i := range int(c.h.At) {
@@ -396,7 +403,7 @@
 // or run it later: a copy that is still on its way under another order of
 // candidates may be accepted elsewhere.
 func (c *call) certain() bool {
-	if !c.s.sure(c.st, c.now, c.h.Version) {
+	if !c.sure() {
 		return false
 	}
 	if c.st.settings.Idempotent || c.s.restarted(c.st, c.now) || c.s.fenced(c.st, c.now) {
