Keep a flow for its whole idle time after its last packet

A datagram 0.4 s after the one before did not count, and 39.7 s later, within the idle time of 40 s, the flow was forgotten and opened elsewhere.

Ruled out: the move of the address in that case (the owner stood among the candidates and was asked), a restart (none).

Change: entries whose last use is written so coarsely are kept for one step longer.

--- a/flow/call.go
+++ b/flow/call.go
@@ -44,21 +44,24 @@
 	c.shard.entries[c.p.Key] = e
 }
 
-// life returns how long an entry is kept after its last use.
+// life returns how long an entry is kept after entry.last. That is up to
+// touchInterval before the last use of an entry that touch keeps alive.
 func (st *state) life(p Protocol, e entry) stamp {
 	switch {
 	case e.kind == kindRefused:
 		return ticks(RetryAfter)
-	case e.kind == kindHalfOpen, e.kind == kindPassed && p == TCP:
+	case e.kind == kindHalfOpen:
 		return ticks(halfOpenLife)
+	case e.kind == kindPassed && p == TCP:
+		return ticks(halfOpenLife + touchInterval)
 	case e.kind == kindPassed:
-		return ticks(st.settings.guard())
+		return ticks(st.settings.guard() + touchInterval)
 	case e.flags&closing != 0:
 		return ticks(closingLife)
 	case p == TCP:
-		return ticks(st.settings.Idle)
+		return ticks(st.settings.Idle + touchInterval)
 	}
-	return ticks(st.settings.keep())
+	return ticks(st.settings.keep() + touchInterval)
 }
 
 // upstream returns the upstream of candidate i.
--- a/flow/fence_test.go
+++ b/flow/fence_test.go
@@ -9,6 +9,26 @@
 	"github.com/corianderbay/corianderbay/flow"
 )
 
+// TestIdleTimeCountsFromTheLastPacket checks that a flow is kept for its whole
+// idle time after its last packet, also when that came right after another one.
+func TestIdleTimeCountsFromTheLastPacket(t *testing.T) {
+	for _, protocol := range []flow.Protocol{flow.TCP, flow.UDP} {
+		p, now := newPlan(1, 1), time.Unix(1000, 0)
+		s := loneSidecar(p, now)
+		now = now.Add(time.Hour)
+		q := flow.Packet{Key: testKey(protocol, 0, fitting), Sequence: 2, Acknowledged: 101, HasAck: true}
+		if protocol == flow.TCP {
+			establish(s, p, now, 1)
+		}
+		must.Eq[flow.Action](t, flow.Deliver{}, s.Packet(now, header(p, q.Key, 1), q))
+		now = now.Add(400 * time.Millisecond)
+		must.Eq[flow.Action](t, flow.Deliver{}, s.Packet(now, header(p, q.Key, 1), q))
+		now = now.Add(testIdle - 10*time.Millisecond)
+		must.Eq[flow.Action](t, flow.Deliver{}, s.Packet(now, header(p, q.Key, 1), q))
+		must.Eq(t, 1, s.Counters().Accepted.Load(), must.Sprint(protocol))
+	}
+}
+
 // TestOwnerStaysWhenTheMajorityGrows checks that a datagram flow keeps its
 // upstream when a new upstream raises the majority that must hear its owner:
 // one of the others moved to another service and hears it no more, and the new
--- a/flow/regression_test.go
+++ b/flow/regression_test.go
@@ -35,6 +35,7 @@
 		{"TestStatefulPlanned", "34668", "a member that a bundle had just added was taken for silent, so that nobody waited for it"},
 		{"TestStatefulPlanned", "128306", "as before, with one upstream of each service"},
 		{"TestStatefulPlanned", "42090", "a sidecar of another service was sure of a refusal while the flow was owned"},
+		{"TestStatefulFaults", "100753", "a flow was forgotten a moment before its idle time was over"},
 	}
 	for _, c := range cases {
 		c.play(t)
