Place flows by the load that is expected, not by the last one told

Cause, found with the load tool: where flows are short, the load that a sidecar told at its last heartbeat is chance, and over before the next one.

Change: a balancer averages what sidecars tell over a second, and adds the flows that were placed meanwhile, which fade at the same rate, times the number of live balancers of the data centre, since all place alike. Passing on, which rests on what a sidecar sees itself, is as before.

--- a/exchange/view.go
+++ b/exchange/view.go
@@ -45,6 +45,7 @@
 		Unlisted:  n.snapshot.Unlisted(n.members.Sidecars(now)),
 		Young:     now-n.informed < settleTime,
 		StoreSeen: now - n.members.StoreAge(now),
+		Placers:   n.placers(now),
 		Alone:     n.members.Alone(now),
 		Settled:   now-n.trouble >= settleTime && n.informed != 0 && now-n.informed >= gatherTime,
 	}
@@ -63,6 +64,21 @@
 	n.cfg.Refresh(f)
 }
 
+// placers returns how many balancers of the data centre are alive, this process
+// included when it is one. The caller holds the lock.
+func (n *Node) placers(now time.Duration) int {
+	count := 0
+	if n.cfg.Role == membership.Balancer {
+		count++
+	}
+	for _, p := range n.members.Peers(membership.Balancer) {
+		if p.Beat.DataCentre == n.cfg.DataCentre && n.members.Alive(now, p.Host) {
+			count++
+		}
+	}
+	return count
+}
+
 // apply merges an update and hands out the new view at once.
 func (n *Node) apply(u registry.Update, from zap.Field) registry.Result {
 	now := n.cfg.Timer.Uptime()
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -35,9 +35,10 @@
 	fleet  atomic.Pointer[Fleet] // nil until SetFleet
 	shards [shards]balancerShard
 
-	mu      sync.Mutex
-	pending map[registry.Host]int // flows placed since the sidecar last told its load
-	given   map[registry.Host]int // flows placed since the start; nil unless Placing is PlaceByTwo
+	mu       sync.Mutex
+	expected *expectations
+	pending  map[registry.Host]int // flows placed since the sidecar last told its load
+	given    map[registry.Host]int // flows placed since the start; nil unless Placing is PlaceByTwo
 }
 
 type balancerShard struct {
@@ -85,7 +86,7 @@
 
 // NewBalancer returns the decisions of a balancer that knows nothing yet.
 func NewBalancer(cfg BalancerConfig) *Balancer {
-	b := &Balancer{cfg: cfg, pending: make(map[registry.Host]int)}
+	b := &Balancer{cfg: cfg, expected: newExpectations(), pending: make(map[registry.Host]int)}
 	if cfg.Placing == PlaceByTwo {
 		b.given = make(map[registry.Host]int)
 	}
@@ -288,7 +289,21 @@
 }
 
 func (c *call) chooser() chooser {
-	return chooser{fleet: c.fleet, now: c.now, hash: c.hash, dataCentre: c.b.cfg.DataCentre, pending: c.b.placedOn, placing: c.b.cfg.Placing, given: c.b.givenTo}
+	return chooser{
+		fleet:      c.fleet,
+		now:        c.now,
+		hash:       c.hash,
+		dataCentre: c.b.cfg.DataCentre,
+		expected:   c.expected,
+		pending:    c.b.placedOn,
+		placing:    c.b.cfg.Placing,
+		given:      c.b.givenTo,
+	}
+}
+
+// expected returns the load that is expected of an upstream.
+func (c *call) expected(h registry.Host, told int, heard time.Duration) float64 {
+	return c.b.expected.of(c.now, h, told, heard, c.fleet.Placers)
 }
 
 // follow sends a later packet to the upstream that holds its flow, or begins a search for it.
@@ -343,6 +358,7 @@
 func (b *Balancer) count(h registry.Host) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.expected.place(h)
 	b.pending[h]++
 	if b.given != nil {
 		b.given[h]++
--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -44,6 +44,8 @@
 	Unlisted []registry.Host
 	// StoreSeen is when the store is last known to have answered any process.
 	StoreSeen time.Duration
+	// Placers is how many live balancers of the data centre place new flows; 0 is not known.
+	Placers int
 	// Alone is true when the process hears no sidecar any more, so that it may be the one that is cut off.
 	Alone bool
 	// Young is true while entries that had lapsed before the first list may still come back.
--- a/steer/load_test.go
+++ b/steer/load_test.go
@@ -1,6 +1,7 @@
 package steer_test
 
 import (
+	"cmp"
 	"container/heap"
 	"math/rand/v2"
 	"testing"
@@ -17,7 +18,7 @@
 	waiting   = 8 // requests that wait at an upstream at most
 	work      = 15 * time.Millisecond
 	objective = 120 * time.Millisecond
-	requests  = 8 // a flow
+	requests  = 8 // a flow, unless it is said
 	thinking  = 60 * time.Millisecond
 )
 
@@ -42,13 +43,18 @@
 // served is what callers got in a span.
 type served struct {
 	inTime, late, refused int
-	longest               time.Duration
+	longest, sum          time.Duration
 }
 
 func (s served) share() float64 {
 	return float64(s.inTime) / float64(max(1, s.inTime+s.late+s.refused))
 }
 
+// mean returns how long answers took.
+func (s served) mean() time.Duration {
+	return s.sum / time.Duration(max(1, s.inTime+s.late))
+}
+
 // desk is an upstream that works on requests in its slots and lets others wait.
 type desk struct {
 	busy  int
@@ -66,12 +72,13 @@
 	desks  []desk
 	spans  map[time.Duration]*served // by the second in which the request was sent
 	began  time.Duration
+	each   int // requests that each flow carries
 	next   int // number of the next flow
 }
 
 // play returns what callers got in each second. rate says how many flows begin
-// a second; slow makes the first upstream that many times slower.
-func play(seed uint64, placing steer.Placing, length time.Duration, rate func(time.Duration) float64, slow int) map[time.Duration]*served {
+// a second, of each requests; slow makes the first upstream that many times slower.
+func play(seed uint64, placing steer.Placing, length time.Duration, rate func(time.Duration) float64, each, slow int) map[time.Duration]*served {
 	w := newWorld(0, service, service, service, service, service, service, service)
 	for i, s := range w.sites {
 		s.sidecar = steer.NewSidecar(steer.SidecarConfig{Self: s.host, DataCentre: dataCentreOf(i), Service: service, MaxFlow: maxFlow, Placing: placing})
@@ -81,7 +88,7 @@
 	}
 	t := &traffic{
 		w: w, random: rand.New(rand.NewPCG(seed, 7)), desks: make([]desk, len(w.sites)),
-		spans: make(map[time.Duration]*served), began: w.now,
+		spans: make(map[time.Duration]*served), began: w.now, each: each,
 	}
 	for i := range t.desks {
 		t.desks[i].slow = 1
@@ -136,7 +143,7 @@
 
 // request sends the nth request of a flow, and the next one some time after its answer.
 func (t *traffic) request(balancer int, k steer.Key, at, n int) {
-	if n == requests {
+	if n == t.each {
 		p := t.w.request(k, at)
 		p.Flags |= steer.RST
 		t.w.send(balancer, p)
@@ -172,6 +179,7 @@
 	t.w.sites[at].sidecar.FromUpstream(t.w.now, reply(k, steer.ACK, 1, 900))
 	took := t.w.now - sent
 	span.longest = max(span.longest, took)
+	span.sum += took
 	if took <= objective {
 		span.inTime++
 	} else {
@@ -202,7 +210,7 @@
 
 // tell gives everyone the present loads.
 func (t *traffic) tell() {
-	f := &steer.Fleet{Snapshot: t.w.directory.Snapshot(t.w.now), Sidecars: make(map[registry.Host]steer.Instance), Settled: true}
+	f := &steer.Fleet{Snapshot: t.w.directory.Snapshot(t.w.now), Sidecars: make(map[registry.Host]steer.Instance), Placers: 2, Settled: true}
 	for i, s := range t.w.sites {
 		t.desks[i].told = s.sidecar.Active()
 		f.Sidecars[s.host] = steer.Instance{Load: s.sidecar.Load(t.w.now, t.desks[i].mean), Heard: t.w.now, Patience: membership.SuspectAfter}
@@ -227,6 +235,7 @@
 			all.late += s.late
 			all.refused += s.refused
 			all.longest = max(all.longest, s.longest)
+			all.sum += s.sum
 		}
 	}
 	return all
@@ -239,6 +248,7 @@
 	steady := func(perSecond float64) func(time.Duration) float64 {
 		return func(time.Duration) float64 { return perSecond / requests }
 	}
+	alone := func(time.Duration) float64 { return 700 }
 	burst := func(since time.Duration) float64 {
 		if since >= 4*time.Second && since < 7*time.Second {
 			return 2 * 430.0 / requests
@@ -247,6 +257,7 @@
 	}
 	tests := map[string]struct {
 		rate func(time.Duration) float64
+		each int // requests a flow; 0 is the usual number
 		slow int
 		// least is the share of requests that are served in time by loads, over the whole day.
 		least float64
@@ -256,15 +267,16 @@
 		"two fifths busy":         {rate: steady(400), least: 0.99},
 		"two thirds busy":         {rate: steady(620), least: 0.99},
 		"twice as many for 3 s":   {rate: burst, least: 0.95, heavy: true},
+		"one request a flow":      {rate: alone, each: 1, least: 0.95, heavy: true},
 		"one is six times slower": {rate: steady(400), slow: 6, least: 0.95, heavy: true},
 	}
 	for name, tc := range tests {
 		t.Run(name, func(t *testing.T) {
 			by := make(map[steer.Placing]served)
 			for _, placing := range []steer.Placing{steer.PlaceByHash, steer.PlaceByTwo, steer.PlaceByLoad} {
-				spans := play(3, placing, length, tc.rate, tc.slow)
+				spans := play(3, placing, length, tc.rate, cmp.Or(tc.each, requests), tc.slow)
 				by[placing] = total(spans, 0, length)
-				t.Logf("%s: %+v, %.3f in time", placing, by[placing], by[placing].share())
+				t.Logf("%s: %+v, %.3f in time, mean %v", placing, by[placing], by[placing].share(), by[placing].mean())
 				if placing == steer.PlaceByLoad && tc.slow == 0 {
 					calm := total(spans, 9*time.Second, length)
 					must.GreaterEq(t, 0.99, calm.share(), must.Sprint("two seconds after the burst"))
--- a/steer/pass.go
+++ b/steer/pass.go
@@ -43,6 +43,7 @@
 		now:        now,
 		hash:       p.CallerKey().Hash(),
 		dataCentre: s.cfg.DataCentre,
+		expected:   asTold,
 		pending:    func(registry.Host) int { return 0 },
 		placing:    s.cfg.Placing,
 		given:      func(registry.Host) int { return 0 },
--- a/steer/place.go
+++ b/steer/place.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/corianderbay/corianderbay/membership"
 	"github.com/corianderbay/corianderbay/registry"
 )
 
@@ -31,6 +32,9 @@
 	now        time.Duration
 	hash       uint64
 	dataCentre string
+	// expected returns the load that is expected of an upstream, in flows, from
+	// what its sidecar told.
+	expected func(h registry.Host, told int, heard time.Duration) float64
 	// pending returns how many flows were placed on a host since its sidecar last told its load.
 	pending func(registry.Host) int
 	placing Placing
@@ -43,7 +47,7 @@
 	member *registry.Member // nil when there is none
 	// failing is true when the upstream fails requests: it is taken only when there is no other.
 	failing bool
-	cost    int
+	cost    float64
 	rank    uint64
 }
 
@@ -105,20 +109,27 @@
 	}
 }
 
-// cost returns the load of an upstream in flows for each slot, in thousandths.
-func (c *chooser) cost(m *registry.Member) int {
-	host := m.Address.Host
-	load := c.fleet.Sidecars[host].Load
-	flows := load.Flows + c.pending(host) + waitingWeight*max(0, c.queue(m))
+// cost returns the load of an upstream in flows for each slot.
+func (c *chooser) cost(m *registry.Member) float64 {
+	i := c.fleet.Sidecars[m.Address.Host]
+	flows := c.expected(m.Address.Host, told(i.Load, m), i.Heard)
 	if m.Warmup > 0 {
 		flows += warmupFlows
 	}
-	if load.Refusing {
+	if i.Load.Refusing {
 		flows += refusingFlows
 	}
-	return 1000 * flows / max(1, m.Slots)
+	return flows / float64(max(1, m.Slots))
+}
+
+// told returns the load of an upstream, in flows, by what its sidecar told last.
+func told(l membership.Load, m *registry.Member) int {
+	return l.Flows + waitingWeight*max(0, l.Active-m.Slots)
 }
 
+// asTold expects what sidecars told.
+func asTold(_ registry.Host, told int, _ time.Duration) float64 { return float64(told) }
+
 // queue returns how many requests wait beyond the slots of an upstream. Each new flow brings one.
 func (c *chooser) queue(m *registry.Member) int {
 	host := m.Address.Host
