Do not search again for a flow that was passed on, on a newer bundle

A packet came by bundle 20, which was not in force there for another 50 ms. The first candidate may not follow its memory under an order that it does not know, and searched again, which replaced the memory. A copy that belonged to the first search, and had asked the new owner before that took the flow, came back, counted for the new search, and the first candidate took the flow as well.

Change: the first candidate drops such a packet as 'unsure', as the one that it told already does; the caller's next copy finds the bundle in force.

--- a/flow/regression_test.go
+++ b/flow/regression_test.go
@@ -36,6 +36,7 @@
 		{"TestStatefulPlanned", "128306", "as before, with one upstream of each service"},
 		{"TestStatefulPlanned", "42090", "a sidecar of another service was sure of a refusal while the flow was owned"},
 		{"TestStatefulFaults", "100753", "a flow was forgotten a moment before its idle time was over"},
+		{"TestStatefulPlanned", "1800657", "a first candidate behind the packet's bundle searched again for a flow that it had passed on"},
 	}
 	for _, c := range cases {
 		c.play(t)
--- a/flow/told_test.go
+++ b/flow/told_test.go
@@ -54,6 +54,37 @@
 	must.Eq(t, 2, h.At)
 }
 
+// TestHomeKeepsWhereItPassedAFlow checks that a first candidate that passed a
+// datagram flow on does not search for it again when a packet names a newer
+// bundle than its own: the answers of an earlier search, which asked before the
+// flow was taken, would count for the new one.
+func TestHomeKeepsWhereItPassedAFlow(t *testing.T) {
+	p, now := newPlan(1, 3), time.Unix(1000, 0)
+	k := testKey(flow.UDP, 1, report)
+	_, order := view{plan: p}.Candidates(nil, k)
+	home := order[0].Upstream
+	a := &scriptedAdmitter{choices: []flow.Choice{flow.Pass}}
+	s := flow.NewSidecar(flow.SidecarConfig{Upstream: home, Admitter: a}, now)
+	s.BundleAccepted(now, view{plan: p, self: home})
+	now = now.Add(time.Hour)
+	for _, c := range order[1:] {
+		s.PeerReported(now, flow.PeerReport{Upstream: c.Upstream, Service: report, Version: 1, Highest: 1})
+	}
+	now = now.Add(time.Hour)
+
+	h := header(p, k, home)
+	must.Eq[flow.Action](t, flow.Forward{}, s.Packet(now, h, flow.Packet{Key: k}))
+	must.Eq(t, forward.PhaseAccept, h.Phase)
+	must.Eq(t, 1, h.At)
+	newer := p.with(func(*plan) {})
+	must.Eq[flow.Action](t, flow.Drop{Reason: flow.ReasonUnsure}, s.Packet(now, header(newer, k, home), flow.Packet{Key: k}))
+
+	s.BundleAccepted(now, view{plan: newer, self: home})
+	h = header(newer, k, home)
+	must.Eq[flow.Action](t, flow.Forward{}, s.Packet(now, h, flow.Packet{Key: k}))
+	must.Eq(t, 1, h.At)
+}
+
 // TestSidecarOfAnotherServiceIsNotSure checks that a sidecar that is to serve a
 // service, but does not yet, searches for a flow of it before it refuses: what
 // its own service agreed on says nothing of the order of the other one.
--- a/flow/udp.go
+++ b/flow/udp.go
@@ -172,6 +172,9 @@
 	if j := c.follow(e); j != none {
 		return aim(c.h, j)
 	}
+	if c.unfollowed(e) {
+		return c.drop(ReasonUnsure)
+	}
 	if e.kind == 0 && c.sure() && !c.anyOver() {
 		return c.udpTake()
 	}
@@ -329,9 +332,9 @@
 		if e.version > c.h.Version || e.flags&asking != 0 && c.at.since(e.seen) <= ticks(searchLife) {
 			return c.drop(ReasonUnsure)
 		}
-		if c.unfollowed(e) {
-			return c.drop(ReasonUnsure)
-		}
+	}
+	if c.unfollowed(e) {
+		return c.drop(ReasonUnsure)
 	}
 	return c.udpTake()
 }
@@ -340,7 +343,7 @@
 // still own it, but the packet follows a newer bundle, whose order this sidecar
 // does not know yet.
 func (c *call) unfollowed(e entry) bool {
-	if e.flags&(asking|promised) != 0 || e.version < c.st.ordered {
+	if e.kind != kindPassed || e.flags&(asking|promised) != 0 || e.version < c.st.ordered {
 		return false
 	}
 	return c.h.Version > c.st.view.Version()
