--- a/flow/regression_test.go
+++ b/flow/regression_test.go
@@ -29,6 +29,12 @@
 	regression{"TestStatefulPlanned", "3908", "a datagram flow moved after all others had left for another service"}.play(t)
 }
 
+// TestFlowStaysWhileItsAddressAndUpstreamsMove plays a case that is not mended, see KNOWN-RED.txt.
+func TestFlowStaysWhileItsAddressAndUpstreamsMove(t *testing.T) {
+	t.Parallel()
+	regression{"TestStatefulFaults", "24595", "a datagram flow moved while its address and upstreams moved"}.play(t)
+}
+
 // TestRegressionSeeds plays the cases that were mended.
 func TestRegressionSeeds(t *testing.T) {
 	t.Parallel()
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -34,14 +34,14 @@
 	applyTime = 3 * time.Second
 )
 
-// The kinds of hosts: the third number of their addresses.
+// The kinds of hosts: the upper half of the third number of their addresses.
 const (
 	kindBalancer = 1
 	kindSidecar  = 2
 	kindCaller   = 3
 	kindProxy    = 4
 	// kindBound is added to the kind of a process for the address that it is bound to.
-	kindBound = 10
+	kindBound = 8
 )
 
 // steady has one service for good; changing moves between services with versions.
@@ -94,9 +94,11 @@
 	began     time.Time
 }
 
-// loopback returns an address of this world.
+// loopback returns an address of this world. Two soaks that run at the same time
+// differ in the lower half of the third number, with few exceptions.
 func loopback(seed uint64, kind, n int) netip.Addr {
-	return netip.AddrFrom4([4]byte{127, byte(100 + (uint64(os.Getpid())+seed)%100), byte(kind), byte(n)})
+	pid := uint64(os.Getpid())
+	return netip.AddrFrom4([4]byte{127, byte(100 + (pid+seed)%100), byte(kind<<4) | byte(pid%16), byte(n)})
 }
 
 func newWorld(t *testing.T, seed uint64, planned bool) *world {
@@ -150,7 +152,7 @@
 // boundTo returns the address that a process binds for the others, which know it by another one.
 func boundTo(known netip.Addr) netip.Addr {
 	b := known.As4()
-	b[2] += kindBound
+	b[2] += kindBound << 4
 	return netip.AddrFrom4(b)
 }
 
