--- a/flow/stateful_test.go
+++ b/flow/stateful_test.go
@@ -253,17 +253,22 @@
 	m.w.moveAddress(m.service(t))
 }
 
-func (m *machine) upstream(t *rapid.T) {
-	s := m.service(t)
-	us := m.w.active(s)
+func (m *machine) upstream(t *rapid.T) { m.moveUpstream(t) }
+
+// moveUpstream moves an upstream to the other service, and returns both.
+func (m *machine) moveUpstream(t *rapid.T) (bundle.UpstreamID, bundle.ServiceID) {
+	from := m.service(t)
+	us := m.w.active(from)
 	if len(us) < 2 {
 		t.Skip("none to spare")
 	}
 	u := rapid.SampledFrom(us).Draw(t, "upstream")
-	if m.w.elsewhere(s, u) {
+	if m.w.elsewhere(from, u) {
 		t.Skip("moves already")
 	}
-	m.w.moveUpstream(s, 3-s, u)
+	to := 3 - from
+	m.w.moveUpstream(from, to, u)
+	return u, to
 }
 
 // balancer kills a balancer and lets another join.
@@ -383,20 +388,11 @@
 // arrive opens flows at a service that an upstream is about to serve and would
 // go first for, while it still serves another one.
 func (m *machine) arrive(t *rapid.T) {
-	from := m.service(t)
-	us := m.w.active(from)
-	if len(us) < 2 {
-		t.Skip("none to spare")
-	}
-	u := rapid.SampledFrom(us).Draw(t, "upstream")
-	if m.w.elsewhere(from, u) {
-		t.Skip("moves already")
-	}
-	m.w.moveUpstream(from, 3-from, u)
-	m.w.publish(func(p *plan) { p.set(3-from, member{upstream: u, weight: 4000}) })
+	u, to := m.moveUpstream(t)
+	m.w.publish(func(p *plan) { p.set(to, member{upstream: u, weight: 4000}) })
 	m.replaceBalancers()
 	for range 2 {
-		m.w.open(flow.UDP, 3-from, nil).request()
+		m.w.open(flow.UDP, to, nil).request()
 	}
 	m.w.run(10 * time.Second)
 }
--- a/flow/told_test.go
+++ b/flow/told_test.go
@@ -85,22 +85,28 @@
 	must.Eq(t, 1, h.At)
 }
 
-// TestSidecarOfAnotherServiceIsNotSure checks that a sidecar that is to serve a
-// service, but does not yet, searches for a flow of it before it refuses: what
-// its own service agreed on says nothing of the order of the other one.
-func TestSidecarOfAnotherServiceIsNotSure(t *testing.T) {
+// movingSidecar returns the sidecar of upstream 1, which serves fitting, and the
+// bundle by which it is to serve report: it has been in force for an hour.
+func movingSidecar(first *plan, change func(*plan)) (*flow.Sidecar, *plan, time.Time) {
 	now := time.Unix(1000, 0)
-	first := newPlan(1, 1)
 	s := flow.NewSidecar(flow.SidecarConfig{Upstream: 1}, now)
 	s.BundleAccepted(now, view{plan: first, self: 1})
 	moving := first.with(func(p *plan) {
 		p.set(fitting, member{upstream: 1, leaving: true})
-		p.set(report, member{upstream: 1})
-		p.set(report, member{upstream: 2, leaving: true})
+		change(p)
 	})
 	s.BundleAccepted(now, view{plan: moving, self: 1})
-	now = now.Add(time.Hour)
+	return s, moving, now.Add(time.Hour)
+}
 
+// TestSidecarOfAnotherServiceIsNotSure checks that a sidecar that is to serve a
+// service, but does not yet, searches for a flow of it before it refuses: what
+// its own service agreed on says nothing of the order of the other one.
+func TestSidecarOfAnotherServiceIsNotSure(t *testing.T) {
+	s, moving, now := movingSidecar(newPlan(1, 1), func(p *plan) {
+		p.set(report, member{upstream: 1})
+		p.set(report, member{upstream: 2, leaving: true})
+	})
 	k := testKey(flow.UDP, 1, report)
 	h := header(moving, k, 1)
 	must.Eq[flow.Action](t, flow.Forward{}, s.Packet(now, h, flow.Packet{Key: k}))
@@ -112,17 +118,9 @@
 // serve a service, but does not yet, follows no memory of an older bundle: the
 // order of that service may have changed since.
 func TestMemoryOfAnotherServiceEndsWithTheBundle(t *testing.T) {
-	now := time.Unix(1000, 0)
-	first := newPlan(1, 2)
-	s := flow.NewSidecar(flow.SidecarConfig{Upstream: 1}, now)
-	s.BundleAccepted(now, view{plan: first, self: 1})
-	moving := first.with(func(p *plan) {
-		p.set(fitting, member{upstream: 1, leaving: true})
+	s, moving, now := movingSidecar(newPlan(1, 2), func(p *plan) {
 		p.set(report, member{upstream: 1, weight: 4000})
 	})
-	s.BundleAccepted(now, view{plan: moving, self: 1})
-	now = now.Add(time.Hour)
-
 	k := testKey(flow.UDP, 1, report)
 	h := header(moving, k, 1)
 	must.Eq(t, 0, h.At)
