--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -35,10 +35,11 @@
 	fleet  atomic.Pointer[Fleet] // nil until SetFleet
 	shards [shards]balancerShard
 
-	mu       sync.Mutex
 	expected *expectations
-	pending  map[registry.Host]int // flows placed since the sidecar last told its load
-	given    map[registry.Host]int // flows placed since the start; nil unless Placing is PlaceByTwo
+
+	mu      sync.Mutex
+	pending map[registry.Host]int // flows placed since the sidecar last told its load
+	given   map[registry.Host]int // flows placed since the start; nil unless Placing is PlaceByTwo
 }
 
 type balancerShard struct {
