--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -50,9 +50,6 @@
 	changing = netip.MustParseAddrPort("198.18.0.2:8443")
 )
 
-// exchangePort is where processes reach each other.
-const exchangePort = 21720
-
 // site is an instance with an upstream and its sidecar.
 type site struct {
 	host     standin.Host
@@ -105,7 +102,7 @@
 	w := &world{
 		t: t, seed: seed, planned: planned,
 		random:  rand.New(rand.NewPCG(seed, 1)),
-		network: newNetwork(exchangePort, seed),
+		network: newNetwork(standin.DefaultPorts.Exchange, seed),
 		store:   standin.NewStore(), ledger: standin.NewLedger(),
 		resting: make(map[*process]bool), began: time.Now(),
 	}
@@ -145,7 +142,7 @@
 	return standin.Host{
 		Name: fmt.Sprintf("n-%d-%d", kind, n), Address: loopback(w.seed, kind, n),
 		DataCentre: []string{"a", "b"}[n%2], Service: service,
-		Ports: standin.Ports{Packets: 21172, Ready: 21167, Outbound: 21162, Upstream: 21165, Exchange: exchangePort},
+		Ports: standin.DefaultPorts,
 	}
 }
 
