--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -111,9 +111,10 @@
 	}
 }
 
-// heardAll reports whether each listed sidecar was heard, so that it knows of this balancer.
+// heardAll reports whether each listed sidecar of the data centre was heard, so
+// that it knows of this balancer and has told its flows.
 func (b *Balancer) heardAll(f *steer.Fleet) bool {
-	for _, h := range f.Snapshot.Hosts("") {
+	for _, h := range f.Snapshot.Hosts(b.cfg.DataCentre) {
 		if _, known := f.Sidecars[h]; !known {
 			return false
 		}
--- a/edge/sidecar.go
+++ b/edge/sidecar.go
@@ -165,23 +165,29 @@
 	s.busy.Store(mean + (sample-mean)*int64(noticeEvery)/int64(busyWindow))
 }
 
-// sendNotices tells balancers which flows the upstream holds.
+// sendNotices tells balancers which flows the upstream holds: the one that asked,
+// or those of the data centre whose balancer took the flow's packets, since
+// routers send the next ones there, too.
 func (s *Sidecar) sendNotices() {
 	notices := s.decide.Notices()
 	if len(notices) == 0 {
 		return
 	}
 	only := make(map[registry.Host][]steer.Key)
+	beside := make(map[registry.Host][]steer.Key)
 	for _, n := range notices {
-		only[n.Only] = append(only[n.Only], n.Key)
+		if n.All {
+			beside[n.Balancer] = append(beside[n.Balancer], n.Key)
+		} else {
+			only[n.Balancer] = append(only[n.Balancer], n.Key)
+		}
 	}
 	for h, keys := range only {
-		if h.IsZero() {
-			s.node.TellFlows(keys, s.node.Balancers())
-			continue
-		}
 		s.node.TellFlows(keys, []registry.Host{h})
 	}
+	for h, keys := range beside {
+		s.node.TellFlows(keys, s.node.Beside(h))
+	}
 }
 
 // upstreamPacket handles one packet that the upstream sent or returned.
@@ -262,10 +268,12 @@
 // Held does nothing: sidecars ask upstreams, not each other.
 func (h *sidecarHandler) Held(steer.Key, registry.Host) {}
 
-// Restarted tells a balancer that has just started which flows the upstream holds.
+// Restarted tells a balancer that has just started which flows the upstream holds
+// that balancers of its data centre took.
 func (h *sidecarHandler) Restarted(balancer registry.Host) {
 	s := (*Sidecar)(h)
-	s.node.TellFlows(s.decide.Open(), []registry.Host{balancer})
+	keys := s.decide.Open(func(h registry.Host) bool { return s.node.Together(h, balancer) })
+	s.node.TellFlows(keys, []registry.Host{balancer})
 }
 
 // Told does nothing: sidecars learn loads with each view.
--- a/exchange/beats.go
+++ b/exchange/beats.go
@@ -10,38 +10,55 @@
 	"go.uber.org/zap"
 )
 
-// beat sends a heartbeat to the processes of this data centre, and to all when
-// that is due or everywhere is true.
-func (n *Node) beat(everywhere bool) {
+// beat sends a heartbeat as far as is asked for, and further when that is due.
+func (n *Node) beat(reach membership.Reach) {
 	now := n.cfg.Timer.Uptime()
 	n.mu.Lock()
-	b := n.ownBeat(now, n.beats%listEvery == 0)
-	targets := n.members.Targets(now, n.sidecars())
-	if everywhere || now-n.beatFar >= membership.FarEvery*membership.BeatInterval-tick/2 {
-		n.beatFar = now
-	} else {
-		targets = n.members.Near(targets)
+	b := n.ownBeat(now)
+	if n.beats%listEvery == 0 {
+		b.Balancers = n.members.Contacts(now, n.cfg.DataCentre)
 	}
 	n.beats++
+	var guests []registry.Host
+	if reach > membership.ReachNear || now-n.beatWide >= membership.FarEvery*membership.BeatInterval-tick/2 {
+		n.beatWide = now
+		reach = max(reach, membership.ReachWide)
+		guests = n.members.Guests(now)
+	}
+	targets := n.members.Targets(now, reach, n.snapshot.Hosts(n.cfg.DataCentre))
 	n.mu.Unlock()
 	n.sendBeat(&b, targets)
+	for _, h := range guests {
+		n.greet(h)
+	}
 }
 
-// greet sends a heartbeat to a process that has just started, so that it need not wait for the next one.
+// greet sends a heartbeat to a process that has just started, or that hears no
+// balancer of its data centre. It names the balancers to send heartbeats to, and
+// a delegate tells a near one all that it knows, so that it need not wait for news.
 func (n *Node) greet(h registry.Host) {
 	now := n.cfg.Timer.Uptime()
 	n.mu.Lock()
-	b := n.ownBeat(now, true)
+	b := n.ownBeat(now)
+	dataCentre := n.members.DataCentre(h)
+	b.Balancers = n.members.Contacts(now, dataCentre)
+	var all []membership.Digest
+	if n.members.Speaks(now) && dataCentre == n.cfg.DataCentre {
+		all = fillDigests(now, n.emptyDigest(now), n.members.Learned(0))
+	}
 	n.mu.Unlock()
 	n.sendBeat(&b, []registry.Host{h})
+	n.sendDigests(all, []registry.Host{h})
 }
 
-// ownBeat returns what this process tells; it names balancers when list is true. The caller holds the lock.
-func (n *Node) ownBeat(now time.Duration, list bool) membership.Beat {
+// ownBeat returns what this process tells. The caller holds the lock.
+func (n *Node) ownBeat(now time.Duration) membership.Beat {
+	n.sequence++
 	b := membership.Beat{
 		Role:        n.cfg.Role,
 		DataCentre:  n.cfg.DataCentre,
 		Incarnation: n.incarnation.Load(),
+		Sequence:    n.sequence,
 		Version:     n.directory.Version(),
 		Revision:    n.directory.Revision(),
 		StoreAge:    n.members.StoreAge(now),
@@ -49,11 +66,8 @@
 		Stopping:    n.stopping,
 		Load:        n.cfg.Load(now),
 	}
-	if list {
-		b.Balancers = n.members.Balancers(now)
-	}
 	if n.cfg.Role == membership.Balancer {
-		b.Lost = n.members.LostSidecars(now)
+		b.Lost = n.members.LostNear(now)
 		b.Unlisted = n.snapshot.Unlisted(n.members.LiveSidecars(now))
 	}
 	return b
@@ -61,31 +75,25 @@
 
 // sendBeat sends a heartbeat to the processes on hosts.
 func (n *Node) sendBeat(b *membership.Beat, hosts []registry.Host) {
-	body, err := wire.Encode(b)
+	if len(hosts) == 0 {
+		return
+	}
+	n.sendAll(kindBeat, b, hosts)
+}
+
+// sendAll sends one datagram with the encoding of v to the processes on hosts.
+func (n *Node) sendAll(k kind, v any, hosts []registry.Host) {
+	body, err := wire.Encode(v)
 	if err != nil {
 		n.cfg.Log.Emit(event.DatagramUnusable, zap.Error(err))
 		return
 	}
-	datagram := append([]byte{byte(kindBeat)}, body...)
+	datagram := append([]byte{byte(k)}, body...)
 	for _, h := range hosts {
 		n.Send(datagram, h)
 	}
 }
 
-// sidecars returns the sidecars that are to hear of this process: for a
-// balancer all, for a sidecar those that it passes flows on to first. The
-// caller holds the lock.
-func (n *Node) sidecars() []registry.Host {
-	if n.cfg.Role == membership.Balancer {
-		return n.snapshot.Hosts("")
-	}
-	hosts := n.snapshot.Hosts(n.cfg.DataCentre)
-	if pool := n.snapshot.Pool(n.cfg.Service); pool != nil {
-		hosts = append(hosts, pool.Hosts()...)
-	}
-	return hosts
-}
-
 // watchPeers logs which processes fell silent or are heard again.
 func (n *Node) watchPeers(now time.Duration) {
 	n.mu.Lock()
@@ -98,7 +106,7 @@
 			}
 			n.silent[p.Host] = silent
 			n.logSilence(now, p, silent)
-			if silent && role == membership.Sidecar {
+			if silent && role == membership.Sidecar && n.cfg.Role == membership.Balancer && p.Beat.DataCentre == n.cfg.DataCentre {
 				n.Hurry()
 			}
 		}
--- a/exchange/datagram.go
+++ b/exchange/datagram.go
@@ -12,6 +12,7 @@
 	kindBeat    kind = 1 // a membership.Beat in msgpack
 	kindForward kind = 2 // a steer.Header and a packet
 	kindFlows   kind = 3 // keys of flows that the sender's upstream holds
+	kindDigest  kind = 4 // a membership.Digest in msgpack
 )
 
 // ForwardRoom is how many bytes a packet must leave free before it for a
@@ -56,7 +57,7 @@
 	return batches
 }
 
-// Handler receives what other processes send. Its methods are called by one goroutine.
+// Handler receives what other processes send. Its methods but Told are called by one goroutine.
 type Handler interface {
 	// Forwarded is called with a packet and its header; b is valid until it returns.
 	Forwarded(h *steer.Header, b []byte)
@@ -64,6 +65,7 @@
 	Held(k steer.Key, host registry.Host)
 	// Restarted is called when a balancer has started.
 	Restarted(balancer registry.Host)
-	// Told is called when a sidecar has told its load.
+	// Told is called when the newest view has what a sidecar told of its load. It
+	// may be called at any time.
 	Told(sidecar registry.Host)
 }
--- /dev/null
+++ b/exchange/digest.go
@@ -0,0 +1,178 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/membership"
+	"github.com/corianderbay/corianderbay/registry"
+	"github.com/corianderbay/corianderbay/wire"
+	"go.uber.org/zap"
+)
+
+const (
+	// digestNear is the time between two digests for the own data centre.
+	digestNear = 2 * membership.BeatInterval
+	// digestFar is the time between two digests for other data centres.
+	digestFar = membership.FarEvery * membership.BeatInterval
+	// digestPause is the time between two digests while there is news that cannot wait.
+	digestPause = 2 * tick
+	// maxReports is how many reports fit into one datagram.
+	maxReports = 30
+)
+
+// digests is when a delegate last sent what. The node's lock guards it.
+type digests struct {
+	near, far time.Duration
+	pressNear bool // there is news for the own data centre that cannot wait
+	pressFar  bool // there is news for the others that cannot wait
+}
+
+// press notes news of a process that the others should know soon.
+func (d *digests) press(near bool) {
+	d.pressNear = true
+	d.pressFar = d.pressFar || near
+}
+
+// due reports which digests are to be sent now.
+func (d *digests) due(now time.Duration) (near, far bool) {
+	near = now-d.near >= digestNear || d.pressNear && now-d.near >= digestPause
+	far = now-d.far >= digestFar || d.pressFar && now-d.far >= digestPause
+	return near, far
+}
+
+// tellDigests sends the digests that are due, if this process is a delegate.
+func (n *Node) tellDigests(now time.Duration) {
+	n.mu.Lock()
+	if !n.members.Speaks(now) {
+		n.digests = digests{}
+		n.mu.Unlock()
+		return
+	}
+	near, far := n.digests.due(now)
+	empty := n.emptyDigest(now)
+	var forNear, forFar []membership.Digest
+	var nearHosts, farHosts []registry.Host
+	if near {
+		forNear = fillDigests(now, empty, n.members.Learned(n.digests.near))
+		nearHosts = n.members.Near(now, n.snapshot.Hosts(n.cfg.DataCentre))
+		n.digests.near, n.digests.pressNear = now, false
+	}
+	if far {
+		own := n.ownBeat(now)
+		forFar = fillDigests(now, empty.WithReport(n.self, &own, 0), n.members.HeardItself(n.digests.far))
+		farHosts = n.members.Partners(now)
+		n.digests.far, n.digests.pressFar = now, false
+	}
+	n.mu.Unlock()
+	n.sendDigests(forNear, nearHosts)
+	n.sendDigests(forFar, farHosts)
+}
+
+// emptyDigest returns a digest without reports. The caller holds the lock.
+func (n *Node) emptyDigest(now time.Duration) membership.Digest {
+	return membership.Digest{
+		DataCentre: n.cfg.DataCentre,
+		Version:    n.directory.Version(),
+		Revision:   n.directory.Revision(),
+		StoreAge:   n.members.StoreAge(now),
+	}
+}
+
+// fillDigests returns digests that tell of processes, each of which fits into one
+// datagram. They begin with what first has.
+func fillDigests(now time.Duration, first membership.Digest, peers []*membership.Peer) []membership.Digest {
+	empty := first
+	empty.Reports = nil
+	list := []membership.Digest{first}
+	for _, p := range peers {
+		last := &list[len(list)-1]
+		if len(last.Reports) >= maxReports {
+			list = append(list, empty)
+			last = &list[len(list)-1]
+		}
+		*last = last.WithReport(p.Host, &p.Beat, now-p.Heard)
+	}
+	return list
+}
+
+// sendDigests sends digests that hold reports to the processes on hosts.
+func (n *Node) sendDigests(list []membership.Digest, hosts []registry.Host) {
+	for i := range list {
+		if len(list[i].Reports) > 0 && len(hosts) > 0 {
+			n.sendAll(kindDigest, &list[i], hosts)
+		}
+	}
+}
+
+// digested takes in a digest.
+func (n *Node) digested(body []byte, from registry.Host) {
+	var d membership.Digest
+	err := wire.Decode(body, &d)
+	if err == nil {
+		err = d.Check()
+	}
+	if err != nil {
+		n.cfg.Log.Emit(event.DatagramUnusable, zap.Stringer("peer", from), zap.Error(err))
+		return
+	}
+	now := n.cfg.Timer.Uptime()
+	n.mu.Lock()
+	n.members.StoreHeard(now, d.StoreAge)
+	n.members.NoteSpeaker(now, from, d.DataCentre)
+	var all membership.News
+	var restarted []int
+	for i := range d.Reports {
+		news := n.heardOf(now, &d, i)
+		all = all.Or(news)
+		if news.Restarted {
+			restarted = append(restarted, i)
+		}
+	}
+	if all.Changed {
+		n.digests.press(false)
+	}
+	n.stale = true
+	n.mu.Unlock()
+	n.act(now, all)
+	for _, i := range restarted {
+		b := d.Beat(i)
+		n.started(d.Reports[i].Host, &b)
+	}
+}
+
+// heardOf takes in one report. The caller holds the lock.
+func (n *Node) heardOf(now time.Duration, d *membership.Digest, i int) membership.News {
+	r, b := &d.Reports[i], d.Beat(i)
+	age := time.Duration(r.Age) * time.Millisecond
+	news := n.members.HeardOf(now, age, r.Host, b, n.directory.Version(), n.directory.Revision())
+	if news.Known && b.Role == membership.Sidecar {
+		n.told = append(n.told, r.Host)
+	}
+	return news
+}
+
+// act does what is to be done at once after something was heard.
+func (n *Node) act(now time.Duration, news membership.News) {
+	if news.Ahead {
+		n.askPeers()
+	}
+	if news.Named {
+		n.Hurry()
+	}
+	if news.Changed {
+		n.refresh(now)
+	}
+}
+
+// started notes that another process has started.
+func (n *Node) started(h registry.Host, b *membership.Beat) {
+	n.logStart(h, b)
+	if b.Role == membership.Balancer {
+		n.cfg.Handler.Restarted(h)
+	}
+}
+
+func (n *Node) logStart(h registry.Host, b *membership.Beat) {
+	n.cfg.Log.Emit(event.PeerStarted, zap.Stringer("peer", h), zap.Stringer("role", b.Role), zap.Uint32("incarnation", b.Incarnation))
+}
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -33,6 +33,9 @@
 	// gatherTime is how long after its first list a process may not have heard of
 	// all sidecars: two heartbeats.
 	gatherTime = 2 * membership.BeatInterval
+	// gatherLimit is gatherTime while sidecars that are listed were not heard: a
+	// heartbeat to a delegate, and two digests on their way here.
+	gatherLimit = membership.BeatInterval + 2*digestNear
 )
 
 // Config holds the settings of a Node. All fields but Bind and Seeds are required.
@@ -69,10 +72,11 @@
 	socket   *udp.Socket
 	listener net.Listener
 	// incarnation differs after each start and each pause.
-	incarnation atomic.Uint64
+	incarnation atomic.Uint32
 	pulls       chan struct{} // wakes the goroutine that asks peers
 	urgent      chan struct{} // wakes the goroutine that sends heartbeats
-	everywhere  atomic.Bool   // the next urgent heartbeat goes to all data centres
+	everywhere  atomic.Bool   // the next urgent heartbeat goes to all who are to know at once
+	wide        atomic.Bool   // the next urgent heartbeat goes further than to the balancers of the data centre
 	storeCalls  *metric.Histogram
 
 	mu        sync.Mutex
@@ -81,13 +85,16 @@
 	snapshot  *registry.Snapshot // never nil
 	made      time.Duration      // when snapshot was made
 	stale     bool               // a heartbeat arrived after the last view
+	told      []registry.Host    // sidecars whose loads arrived after the last view
 	trouble   time.Duration      // when the store was last out of reach; negative if never
 	informed  time.Duration      // when the first list arrived; 0 if none has
 	adopted   time.Duration      // when the routes in force were taken over
 	stopping  bool
+	sequence  uint32        // of the last heartbeat
 	beats     int           // heartbeats sent
-	beatFar   time.Duration // when one last went to all data centres
-	alone     bool          // whether the last look at peers found none
+	beatWide  time.Duration // when one last went further than to balancers of the data centre
+	digests   digests
+	alone     bool // whether the last look at peers found none
 	silent    map[registry.Host]bool
 }
 
@@ -138,7 +145,7 @@
 		storeCalls: metric.NewHistogram(),
 	}
 	n.snapshot = n.directory.Snapshot(0)
-	n.incarnation.Store(cfg.Incarnation)
+	n.incarnation.Store(uint32(cfg.Incarnation ^ cfg.Incarnation>>32))
 	cfg.Heartbeat.OnWake(n.woke)
 	return n, nil
 }
@@ -148,7 +155,9 @@
 func (n *Node) woke(gap time.Duration) {
 	n.incarnation.Add(1)
 	n.mu.Lock()
-	n.members.Woke(n.cfg.Timer.Uptime(), gap)
+	now := n.cfg.Timer.Uptime()
+	n.members.Woke(now, gap)
+	n.digests.near, n.digests.far = now, now // what was heard before the pause is old
 	n.mu.Unlock()
 	n.cfg.Log.Emit(event.ProcessWoke, zap.Duration("gap", gap))
 	n.Hurry()
@@ -239,7 +248,7 @@
 	n.mu.Lock()
 	n.stopping = true
 	n.mu.Unlock()
-	n.beat(true)
+	n.beat(membership.ReachAll)
 }
 
 // SetSeeds replaces the seeds.
@@ -249,14 +258,14 @@
 	n.members.SetSeeds(seeds)
 }
 
-// Hurry sends a heartbeat to all processes soon, since something changed that each has to know.
+// Hurry sends a heartbeat to the data centre and to the delegates of the others
+// soon, since something changed that all have to know.
 func (n *Node) Hurry() {
 	n.everywhere.Store(true)
 	n.HurryNear()
 }
 
-// HurryNear sends a heartbeat to the processes of this data centre soon, since
-// the load has changed much: other data centres get few of its flows, and each byte costs more.
+// HurryNear sends a heartbeat to the balancers of this data centre soon, since the load has changed much.
 func (n *Node) HurryNear() {
 	select {
 	case n.urgent <- struct{}{}:
@@ -264,18 +273,20 @@
 	}
 }
 
-// Balancers returns the other balancers that are believed to be alive.
-func (n *Node) Balancers() []registry.Host {
+// Beside returns the other live balancers of the data centre that a host is in:
+// those that routers may send the packets of a flow to which the host took.
+func (n *Node) Beside(h registry.Host) []registry.Host {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	hosts := n.members.Balancers(n.cfg.Timer.Uptime())
-	others := hosts[:0]
-	for _, h := range hosts {
-		if h != n.self {
-			others = append(others, h)
-		}
-	}
-	return others
+	return n.members.Beside(n.cfg.Timer.Uptime(), h)
+}
+
+// Together reports whether two hosts are in one data centre, as far as is known.
+func (n *Node) Together(a, b registry.Host) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	x, y := n.members.DataCentre(a), n.members.DataCentre(b)
+	return x == y || x == "" || y == ""
 }
 
 // TellFlows tells balancers that the own upstream holds flows.
@@ -303,6 +314,8 @@
 		n.forwarded(body, host)
 	case kindFlows:
 		parseFlows(body, func(k steer.Key) { n.cfg.Handler.Held(k, host) })
+	case kindDigest:
+		n.digested(body, host)
 	}
 }
 
@@ -330,32 +343,29 @@
 	now := n.cfg.Timer.Uptime()
 	n.mu.Lock()
 	news := n.members.Heard(now, from, b, n.directory.Version(), n.directory.Revision())
-	n.stale = true
-	n.mu.Unlock()
-	if news.Ahead {
-		n.askPeers()
+	if news.Changed {
+		n.digests.press(true)
 	}
-	if news.Named {
-		n.Hurry()
+	if news.StoreFresh && n.members.Speaks(now) {
+		n.passFreshness(b.DataCentre)
 	}
+	if b.Role == membership.Sidecar {
+		n.told = append(n.told, from)
+	}
+	n.stale = true
+	n.mu.Unlock()
+	n.act(now, news)
 	if news.Restarted {
 		n.greet(from)
-		n.cfg.Log.Emit(event.PeerStarted, zap.Stringer("peer", from), zap.Stringer("role", b.Role), zap.Uint64("incarnation", b.Incarnation))
-	}
-	switch {
-	case b.Role == membership.Sidecar:
-		n.refresh(now)
-		n.cfg.Handler.Told(from)
-	case news.Restarted:
-		n.cfg.Handler.Restarted(from)
+		n.started(from, &b)
 	}
 }
 
-// tick refreshes views and sends heartbeats.
+// tick refreshes views and sends heartbeats and digests.
 func (n *Node) tick(ctx context.Context) {
 	sub := n.cfg.Timer.Every(tick)
 	defer sub.Stop()
-	n.beat(true) // others learn at once that this process has started
+	n.beat(membership.ReachAll) // others learn at once that this process has started
 	last := n.cfg.Timer.Uptime()
 	for {
 		hurry := false
@@ -369,9 +379,35 @@
 		now := n.cfg.Timer.Uptime()
 		if hurry || now-last >= membership.BeatInterval-tick/2 {
 			last = now
-			n.beat(hurry && n.everywhere.Swap(false))
+			n.beat(n.reach(hurry))
 			n.watchPeers(now)
 		}
+		n.tellDigests(now)
 		n.refresh(now)
 	}
 }
+
+// passFreshness lets a delegate tell others soon that the store has answered:
+// its own data centre, and the others when it was heard here first.
+func (n *Node) passFreshness(heardFrom string) {
+	n.wide.Store(true)
+	if heardFrom == n.cfg.DataCentre {
+		n.everywhere.Store(true)
+	}
+	n.HurryNear()
+}
+
+// reach returns how far the next heartbeat goes.
+func (n *Node) reach(hurry bool) membership.Reach {
+	if !hurry {
+		return membership.ReachNear
+	}
+	wide := n.wide.Swap(false)
+	if n.everywhere.Swap(false) {
+		return membership.ReachAll
+	}
+	if wide {
+		return membership.ReachWide
+	}
+	return membership.ReachNear
+}
--- a/exchange/view.go
+++ b/exchange/view.go
@@ -47,13 +47,13 @@
 		StoreSeen: now - n.members.StoreAge(now),
 		Placers:   n.placers(now),
 		Alone:     n.members.Alone(now),
-		Settled:   now-n.trouble >= settleTime && n.informed != 0 && now-n.informed >= gatherTime,
+		Settled:   now-n.trouble >= settleTime && n.gathered(now),
 	}
 	for _, p := range n.members.Peers(membership.Sidecar) {
 		f.Sidecars[p.Host] = steer.Instance{
 			Load:     p.Beat.Load,
 			Heard:    p.Heard,
-			Patience: membership.Patience(p.Beat.DataCentre, n.cfg.DataCentre),
+			Patience: n.members.Patience(p),
 			Stopping: p.Beat.Stopping,
 		}
 	}
@@ -62,6 +62,29 @@
 		f.Sidecars[h] = steer.Instance{Stopping: true, Absent: n.members.Absent(h)}
 	}
 	n.cfg.Refresh(f)
+	for _, h := range n.told {
+		n.cfg.Handler.Told(h)
+	}
+	n.told = n.told[:0]
+}
+
+// gathered reports whether this process has heard of all live sidecars, also of
+// those that the list lacks: digests name them together with the listed ones.
+// The caller holds the lock.
+func (n *Node) gathered(now time.Duration) bool {
+	age := now - n.informed
+	switch {
+	case n.informed == 0 || age < gatherTime:
+		return false
+	case age >= gatherLimit:
+		return true
+	}
+	for _, h := range n.snapshot.Hosts("") {
+		if h != n.self && n.members.Peer(h) == nil {
+			return false
+		}
+	}
+	return true
 }
 
 // placers returns how many balancers of the data centre are alive, this process
@@ -86,8 +109,8 @@
 	defer n.mu.Unlock()
 	first := n.directory.Revision() == 0
 	res := n.directory.Apply(now, u)
-	if first && res.Upstreams {
-		n.Hurry() // sidecars learn of this process
+	if first && res.Upstreams || (res.Routes || res.Upstreams) && n.members.Speaks(now) {
+		n.Hurry() // sidecars learn of this process, and the data centre of what its delegate learned
 	}
 	if res.Routes {
 		n.adopted = now
--- a/membership/absence.go
+++ b/membership/absence.go
@@ -42,7 +42,7 @@
 		return false
 	}
 	for _, p := range t.peers {
-		if p.Beat.Role != Balancer || p.Beat.DataCentre != sidecar.Beat.DataCentre || !p.alive(now, t.cfg.DataCentre) {
+		if p.Beat.Role != Balancer || p.Beat.DataCentre != sidecar.Beat.DataCentre || !t.alive(now, p) {
 			continue
 		}
 		if !slices.Contains(p.Beat.Lost, sidecar.Host) {
@@ -56,18 +56,18 @@
 // another data centre say of it does not do alone: they may have missed two heartbeats
 // and hear it again by now.
 func (t *Table) missed(now time.Duration, sidecar *Peer) bool {
-	if sidecar.Beat.DataCentre == t.cfg.DataCentre {
+	if t.often(sidecar) {
 		return now-sidecar.Heard >= SuspectAfter
 	}
 	return now-sidecar.Heard >= farAlone
 }
 
 // heardAfter reports whether at least half of the others were heard after the
-// sidecar's next heartbeat was due: those of this data centre for a sidecar of it,
-// all for one of another, or when there are no others here. Otherwise this process
-// may be the one that is cut off.
+// sidecar's next heartbeat was due: those of this data centre for a sidecar that
+// is heard itself, all for one that is known by digests, or when there are no others
+// here. Otherwise this process may be the one that is cut off.
 func (t *Table) heardAfter(sidecar *Peer) bool {
-	if sidecar.Beat.DataCentre != t.cfg.DataCentre {
+	if !t.often(sidecar) {
 		heard, others := t.countHeard(sidecar, sidecar.Heard+FarEvery*BeatInterval+linkSlack, false)
 		return heard > 0 && 2*heard >= others
 	}
@@ -99,4 +99,5 @@
 	for _, p := range t.peers {
 		p.Heard = min(now, p.Heard+gap)
 	}
+	t.sidecarNews = min(now, t.sidecarNews+gap)
 }
--- a/membership/beat.go
+++ b/membership/beat.go
@@ -48,7 +48,10 @@
 	Role       Role   `msgpack:"r,omitempty"`
 	DataCentre string `msgpack:"d,omitempty"`
 	// Incarnation differs each time the process starts.
-	Incarnation uint64 `msgpack:"i,omitempty"`
+	Incarnation uint32 `msgpack:"i,omitempty"`
+	// Sequence grows with each beat of an incarnation, so that one that arrives
+	// late or by a longer way does not replace a newer one.
+	Sequence uint32 `msgpack:"q,omitempty"`
 	// Version and Revision are what the sender has of routes and upstreams.
 	Version  uint64 `msgpack:"v,omitempty"`
 	Revision uint64 `msgpack:"n,omitempty"`
@@ -60,11 +63,12 @@
 	Stopping bool `msgpack:"s,omitempty"`
 	// Load is valid in beats of sidecars.
 	Load Load `msgpack:"l,omitempty"`
-	// Balancers lists balancers that the sender believes to be alive. It is empty in most beats.
+	// Balancers lists balancers that the sender believes to be alive: those of the
+	// receiver's data centre, and the delegates of the others. It is empty in most beats.
 	Balancers []registry.Host `msgpack:"b,omitempty"`
 	// Unlisted lists live sidecars that a balancer hears and whose upstreams its list lacks.
 	Unlisted []registry.Host `msgpack:"u,omitempty"`
-	// Lost lists sidecars that a balancer heard once and does not hear any more.
+	// Lost lists sidecars of its data centre that a balancer heard once and does not hear any more.
 	Lost []registry.Host `msgpack:"x,omitempty"`
 }
 
--- /dev/null
+++ b/membership/digest.go
@@ -0,0 +1,187 @@
+package membership
+
+import (
+	"slices"
+	"time"
+
+	"github.com/corianderbay/corianderbay/registry"
+)
+
+// Report is what a delegate tells of another process. It is encoded as an array,
+// since a digest holds many.
+type Report struct {
+	//lint:ignore U1000 msgpack reads the tag: the fields travel without names
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Host registry.Host
+	// Age is how many milliseconds ago the process sent its heartbeat, as far as the delegate knows.
+	Age int
+	// DataCentre is empty when it is that of the digest.
+	DataCentre  string
+	Role        Role
+	Incarnation uint32
+	Sequence    uint32
+	// Version and Revision are relative to those of the digest.
+	Version  int64
+	Revision int64
+	Reading  bool
+	Stopping bool
+	Flows    int
+	Active   int
+	Busy     int
+	// Trouble has the bits of Load that are rarely set.
+	Trouble uint8
+	// Lost is that of the beat.
+	Lost []registry.Host
+}
+
+// The bits of Report.Trouble.
+const (
+	troubleSilent = 1 << iota
+	troubleRefusing
+	troubleFailing
+)
+
+// Digest is what a delegate tells of many processes in one datagram.
+type Digest struct {
+	// DataCentre is that of the delegate, and of the reports that name none.
+	DataCentre string `msgpack:"d"`
+	// Version and Revision are what the delegate has of routes and upstreams.
+	Version  uint64 `msgpack:"v,omitempty"`
+	Revision uint64 `msgpack:"n,omitempty"`
+	// StoreAge is how long ago the delegate, or a process that it heard of, had an answer of the store.
+	StoreAge time.Duration `msgpack:"s,omitempty"`
+	Reports  []Report      `msgpack:"r"`
+}
+
+// Check reports *BeatError when the digest cannot be used.
+func (d *Digest) Check() error {
+	if d.StoreAge < 0 {
+		return &BeatError{Text: "negative age of the store"}
+	}
+	for i := range d.Reports {
+		if d.Reports[i].Age < 0 {
+			return &BeatError{Text: "negative age"}
+		}
+		b := d.Beat(i)
+		if err := b.Check(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WithReport returns a digest that also tells of a process whose beat was sent the given time ago.
+func (d Digest) WithReport(h registry.Host, b *Beat, age time.Duration) Digest {
+	r := Report{
+		Host:        h,
+		Age:         int(age / time.Millisecond),
+		Role:        b.Role,
+		Incarnation: b.Incarnation,
+		Sequence:    b.Sequence,
+		Version:     int64(b.Version - d.Version),
+		Revision:    int64(b.Revision - d.Revision),
+		Reading:     b.Reading,
+		Stopping:    b.Stopping,
+		Flows:       b.Load.Flows,
+		Active:      b.Load.Active,
+		Busy:        b.Load.Busy,
+		Trouble:     troubleOf(b.Load),
+		Lost:        b.Lost,
+	}
+	if b.DataCentre != d.DataCentre {
+		r.DataCentre = b.DataCentre
+	}
+	d.Reports = append(slices.Clip(d.Reports), r)
+	return d
+}
+
+// Beat returns what a report tells, without what reports leave out: the age of
+// the store, and the lists of balancers and of unlisted sidecars.
+func (d *Digest) Beat(i int) Beat {
+	r := &d.Reports[i]
+	b := Beat{
+		Role:        r.Role,
+		DataCentre:  r.DataCentre,
+		Incarnation: r.Incarnation,
+		Sequence:    r.Sequence,
+		Version:     d.Version + uint64(r.Version),
+		Revision:    d.Revision + uint64(r.Revision),
+		Reading:     r.Reading,
+		Stopping:    r.Stopping,
+		Load: Load{
+			Flows:    r.Flows,
+			Active:   r.Active,
+			Busy:     r.Busy,
+			Silent:   r.Trouble&troubleSilent != 0,
+			Refusing: r.Trouble&troubleRefusing != 0,
+			Failing:  r.Trouble&troubleFailing != 0,
+		},
+		Lost: r.Lost,
+	}
+	if b.DataCentre == "" {
+		b.DataCentre = d.DataCentre
+	}
+	return b
+}
+
+func troubleOf(l Load) uint8 {
+	var bits uint8
+	if l.Silent {
+		bits |= troubleSilent
+	}
+	if l.Refusing {
+		bits |= troubleRefusing
+	}
+	if l.Failing {
+		bits |= troubleFailing
+	}
+	return bits
+}
+
+// relaySlack is how much older than it says a report may be: the time on its way is not counted.
+const relaySlack = 100 * time.Millisecond
+
+// HeardItself returns the processes that this one heard itself after since. Other
+// data centres are told of these alone, so that nothing goes round.
+func (t *Table) HeardItself(since time.Duration) []*Peer {
+	return t.sorted(func(p *Peer) bool { return p.Direct > since })
+}
+
+// Learned returns the processes that this one heard, itself or by a delegate,
+// after since. Its own data centre is told of these.
+func (t *Table) Learned(since time.Duration) []*Peer {
+	return t.sorted(func(p *Peer) bool { return p.learned > since })
+}
+
+// HeardOf takes in what a delegate told of a process, and how long ago that process
+// had sent it. version and revision are what this process has.
+func (t *Table) HeardOf(now, age time.Duration, h registry.Host, b Beat, version, revision uint64) News {
+	if h == t.cfg.Self {
+		return News{}
+	}
+	sent := now - age
+	if p := t.peers[h]; p != nil && !p.supersedes(&b, sent) {
+		return News{}
+	}
+	if b.Role == Sidecar {
+		t.sidecarNews = now
+	}
+	return t.take(now, sent, h, b, version, revision)
+}
+
+// supersedes reports whether a reported beat is newer than the one that is known.
+func (p *Peer) supersedes(b *Beat, sent time.Duration) bool {
+	if b.Incarnation == p.Beat.Incarnation {
+		return b.Sequence > p.Beat.Sequence
+	}
+	return sent-relaySlack > p.Heard
+}
+
+// StoreHeard notes how long ago the store answered some process, as a delegate
+// told. It reports whether that is clearly newer than the newest answer known before.
+func (t *Table) StoreHeard(now, age time.Duration) (fresh bool) {
+	fresh = now-age > t.storeSeen+freshBy
+	t.storeSeen = max(t.storeSeen, now-age)
+	return fresh
+}
--- /dev/null
+++ b/membership/digest_test.go
@@ -0,0 +1,172 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/corianderbay/corianderbay/membership"
+	"github.com/corianderbay/corianderbay/registry"
+	"github.com/corianderbay/corianderbay/wire"
+	"github.com/shoenig/test/must"
+)
+
+// in returns a beat of a process in a data centre.
+func in(dataCentre string, role membership.Role) membership.Beat {
+	return membership.Beat{Role: role, DataCentre: dataCentre, Incarnation: 1, Sequence: 1, StoreAge: time.Hour}
+}
+
+// TestDigestTravels encodes a digest as delegates do, and refuses nonsense.
+func TestDigestTravels(t *testing.T) {
+	beats := []membership.Beat{
+		{
+			Role: membership.Sidecar, DataCentre: "a", Incarnation: 1 << 31, Sequence: 7, Version: 4, Revision: 90, Stopping: true,
+			Load: membership.Load{Flows: 3, Active: 2, Busy: 900, Silent: true, Refusing: true, Failing: true},
+		},
+		{Role: membership.Balancer, DataCentre: "b", Incarnation: 2, Version: 6, Revision: 101, Reading: true, Lost: []registry.Host{host(9)}},
+	}
+	d := membership.Digest{DataCentre: "a", Version: 5, Revision: 100, StoreAge: time.Second}
+	d = d.WithReport(host(1), &beats[0], 250*time.Millisecond).WithReport(host(2), &beats[1], 0)
+	raw, err := wire.Encode(d)
+	must.NoError(t, err)
+	var got membership.Digest
+	must.NoError(t, wire.Decode(raw, &got))
+	must.NoError(t, got.Check())
+	must.Eq(t, 250, got.Reports[0].Age)
+	for i := range beats {
+		must.Eq(t, beats[i], got.Beat(i))
+	}
+	got.Reports[1].Role = 9
+	must.Error(t, got.Check())
+	got.Reports[1].Role, got.Reports[0].Age = membership.Balancer, -1
+	must.Error(t, got.Check())
+	must.Error(t, (&membership.Digest{StoreAge: -1}).Check())
+}
+
+// TestReportsDoNotReplaceNewerBeats has reports arrive late and twice.
+func TestReportsDoNotReplaceNewerBeats(t *testing.T) {
+	const far = 2
+	tb := table(1, membership.Balancer)
+	b := in("b", membership.Sidecar)
+	must.True(t, tb.HeardOf(start, 300*time.Millisecond, host(far), b, 0, 0).Restarted)
+	must.Eq(t, start-300*time.Millisecond, tb.Peer(host(far)).Heard)
+	must.False(t, tb.HeardOf(start, 0, host(far), b, 0, 0).Known, must.Sprint("the same beat by another way"))
+
+	newer := b
+	newer.Sequence, newer.Stopping = 3, true
+	must.True(t, tb.Heard(start, host(far), newer, 0, 0).Changed)
+	older := b
+	older.Sequence = 2
+	must.False(t, tb.HeardOf(start+time.Millisecond, 0, host(far), older, 0, 0).Known)
+	must.False(t, tb.Heard(start+time.Millisecond, host(far), older, 0, 0).Known)
+	must.True(t, tb.Peer(host(far)).Beat.Stopping)
+
+	again := b
+	again.Incarnation, again.Sequence = 2, 1
+	must.True(t, tb.Heard(start+time.Second, host(far), again, 0, 0).Restarted)
+	must.False(t, tb.HeardOf(start+time.Second, 50*time.Millisecond, host(far), newer, 0, 0).Known, must.Sprint("of the incarnation before"))
+}
+
+// TestDelegatesAreAgreedOn lets all balancers of a data centre name the same two.
+func TestDelegatesAreAgreedOn(t *testing.T) {
+	const n = 6
+	var want []registry.Host
+	speaking := 0
+	for self := byte(1); self <= n; self++ {
+		tb := table(self, membership.Balancer)
+		for other := byte(1); other <= n; other++ {
+			tb.Heard(start, host(other), in("a", membership.Balancer), 0, 0)
+		}
+		got := tb.Delegates(start, "a")
+		must.Len(t, 2, got)
+		if want == nil {
+			want = got
+		}
+		must.Eq(t, want, got)
+		if tb.Speaks(start) {
+			speaking++
+		}
+	}
+	must.Eq(t, 2, speaking)
+	must.False(t, table(1, membership.Sidecar).Speaks(start))
+}
+
+// TestDelegateIsReplaced loses a delegate, and a partner in another data centre.
+func TestDelegateIsReplaced(t *testing.T) {
+	tb := table(1, membership.Balancer)
+	for n := byte(2); n <= 4; n++ {
+		tb.Heard(start, host(n), in("b", membership.Balancer), 0, 0)
+	}
+	must.Len(t, 1, tb.Partners(start))
+	partner := tb.Partners(start)[0]
+	must.SliceContains(t, tb.FarDelegates(start), partner)
+
+	// Another one of there sends digests, and the partner does not.
+	var other registry.Host
+	for n := byte(2); n <= 4; n++ {
+		if host(n) != partner {
+			other = host(n)
+		}
+	}
+	tb.NoteSpeaker(start, other, "b")
+	must.Eq(t, []registry.Host{other}, tb.Partners(start))
+	tb.NoteSpeaker(start, partner, "b")
+	must.Eq(t, []registry.Host{partner}, tb.Partners(start))
+}
+
+// TestHeartbeatsStayInTheDataCentre counts whom processes of a large fleet send
+// heartbeats to: balancers of the data centre, whatever the size of the others.
+func TestHeartbeatsStayInTheDataCentre(t *testing.T) {
+	balancer, sidecar := table(1, membership.Balancer), table(101, membership.Sidecar)
+	for n := byte(1); n <= 60; n++ {
+		for _, tb := range []*membership.Table{balancer, sidecar} {
+			centre := string('a' + rune(n%5))
+			tb.Heard(start, host(n), in(centre, membership.Balancer), 0, 0)
+			tb.HeardOf(start, 0, host(100+n), in(centre, membership.Sidecar), 0, 0)
+		}
+	}
+	must.Len(t, 12, balancer.Targets(start, membership.ReachNear, nil))
+	must.Len(t, 12, sidecar.Targets(start, membership.ReachNear, nil))
+	must.Len(t, 12, sidecar.Targets(start, membership.ReachAll, nil))
+	// All of its own data centre, the delegates of four others, and a seed.
+	reached := len(balancer.Targets(start, membership.ReachAll, nil))
+	must.Between(t, 12+12+4*2, reached, 12+12+4*2+1)
+}
+
+// TestSidecarWithoutBalancers tells those of other data centres of itself, and
+// gets their heartbeats as a guest.
+func TestSidecarWithoutBalancers(t *testing.T) {
+	sidecar := table(1, membership.Sidecar)
+	sidecar.Heard(start, host(2), in("a", membership.Balancer), 0, 0)
+	sidecar.HeardOf(start, 0, host(3), in("b", membership.Balancer), 0, 0)
+	must.Eq(t, []registry.Host{host(2)}, sidecar.Targets(start, membership.ReachWide, nil))
+	const silent = start + 4*membership.SuspectAfter
+	sidecar.HeardOf(silent, 0, host(3), membership.Beat{Role: membership.Balancer, DataCentre: "b", Incarnation: 1, Sequence: 2}, 0, 0)
+	must.Eq(t, []registry.Host{host(2), host(3), host(9)}, sidecar.Targets(silent, membership.ReachWide, nil))
+
+	balancer := table(3, membership.Balancer)
+	balancer.HeardOf(start, 0, host(4), in("b", membership.Sidecar), 0, 0)
+	must.SliceEmpty(t, balancer.Guests(start))
+	balancer.Heard(start, host(5), in("b", membership.Sidecar), 0, 0)
+	must.Eq(t, []registry.Host{host(5)}, balancer.Guests(start))
+	must.SliceEmpty(t, balancer.Guests(start+time.Minute))
+}
+
+// TestPullsAreLeftToDelegates has news of another data centre reach a sidecar
+// before its delegates have fetched them.
+func TestPullsAreLeftToDelegates(t *testing.T) {
+	tb := table(1, membership.Sidecar)
+	tb.Heard(start, host(2), in("a", membership.Balancer), 0, 0)
+	far := in("b", membership.Balancer)
+	far.Version = 5
+	tb.HeardOf(start, 0, host(3), far, 0, 0)
+	must.Nil(t, tb.Newest(start, 4, 0, registry.Host{}))
+	near := in("a", membership.Balancer)
+	near.Version, near.Sequence = 5, 2
+	tb.Heard(start+100*time.Millisecond, host(2), near, 4, 0)
+	must.Eq(t, host(2), tb.Newest(start+100*time.Millisecond, 4, 0, registry.Host{}).Host)
+
+	late := table(1, membership.Sidecar)
+	late.Heard(start, host(2), in("a", membership.Balancer), 0, 0)
+	late.HeardOf(start, 0, host(3), far, 0, 0)
+	must.Eq(t, host(3), late.Newest(start+time.Second, 4, 0, registry.Host{}).Host)
+}
--- a/membership/table.go
+++ b/membership/table.go
@@ -13,14 +13,18 @@
 	BeatInterval = 250 * time.Millisecond
 	// SuspectAfter is the silence after which a process gets no new flows: two beats lost in a row.
 	SuspectAfter = 650 * time.Millisecond
-	// FarEvery is how many heartbeats go by between two to other data centres,
-	// where each byte costs more.
+	// FarEvery is how many heartbeats go by between two digests for other data
+	// centres, where each byte costs more.
 	FarEvery = 4
-	// farSuspectAfter is SuspectAfter for processes of other data centres.
+	// farSuspectAfter is SuspectAfter for processes that are known by digests: one
+	// digest lost, and the way over two delegates.
 	farSuspectAfter = FarEvery*SuspectAfter - BeatInterval
-	// farAlone is the silence of sidecars of other data centres after which a
-	// process that hears no near one is alone: one heartbeat and what it may be late.
+	// farAlone is the silence of digests after which a process that hears no
+	// sidecar itself is alone: one digest and what it may be late.
 	farAlone = FarEvery*BeatInterval + 300*time.Millisecond
+	// farPullAfter is for how long a process that is no delegate leaves it to the
+	// delegates to bring news from other data centres.
+	farPullAfter = time.Second
 	// forgetAfter is the silence after which a process is forgotten.
 	forgetAfter = 20 * time.Second
 
@@ -45,23 +49,14 @@
 
 // Peer is what is known of another process.
 type Peer struct {
-	Host  registry.Host
-	Beat  Beat
+	Host registry.Host
+	Beat Beat
+	// Heard is when Beat was sent, as far as is known.
 	Heard time.Duration
-}
-
-// alive reports whether the process was heard lately and goes on.
-func (p *Peer) alive(now time.Duration, dataCentre string) bool {
-	return now-p.Heard < Patience(p.Beat.DataCentre, dataCentre) && !p.Beat.Stopping
-}
-
-// Patience returns after how much silence a process of data centre a counts as
-// lost in data centre b.
-func Patience(a, b string) time.Duration {
-	if a == b {
-		return SuspectAfter
-	}
-	return farSuspectAfter
+	// Direct is when a beat last came from the process itself; 0 if never.
+	Direct  time.Duration
+	learned time.Duration // when Beat arrived here
+	news    time.Duration // when the process first told its present version and revision
 }
 
 // Table holds the other processes. It is not safe for concurrent use.
@@ -72,6 +67,8 @@
 	lost        map[registry.Host]time.Duration // sidecars that balancers do not hear, and when they said so
 	unlisted    map[registry.Host]time.Duration // live sidecars that a list lacks, and when balancers said so
 	absentSince map[registry.Host]time.Duration // sidecars that are absent, and since when
+	speakers    map[registry.Host]time.Duration // delegates of other data centres, and when they last sent a digest
+	sidecarNews time.Duration                   // when something was last heard of a sidecar of another data centre
 	storeSeen   time.Duration                   // when the store last answered anyone; before Started if never
 	selfRead    time.Duration                   // when the store last answered this process
 }
@@ -85,6 +82,7 @@
 		lost:        make(map[registry.Host]time.Duration),
 		unlisted:    make(map[registry.Host]time.Duration),
 		absentSince: make(map[registry.Host]time.Duration),
+		speakers:    make(map[registry.Host]time.Duration),
 		storeSeen:   cfg.Started - time.Hour,
 		selfRead:    cfg.Started - time.Hour,
 	}
@@ -98,54 +96,120 @@
 
 // News says what a heartbeat told.
 type News struct {
+	// Known is true when the beat is newer than what was known of its sender.
+	Known bool
 	// Restarted is true for the first beat of an incarnation.
 	Restarted bool
 	// Ahead is true when the sender has newer routes or upstreams than the given ones.
 	Ahead bool
 	// Named is true when the beat names balancers that were not known before.
 	Named bool
+	// Changed is true when all others should know soon: the process has started,
+	// stops, lost or regained the store, or its upstream fell silent or reacts again.
+	Changed bool
+	// StoreFresh is true when the beat tells of an answer of the store that is
+	// clearly newer than the newest one known before.
+	StoreFresh bool
+}
+
+// Or returns what either of two tells.
+func (n News) Or(o News) News {
+	return News{
+		Known:      n.Known || o.Known,
+		Restarted:  n.Restarted || o.Restarted,
+		Ahead:      n.Ahead || o.Ahead,
+		Named:      n.Named || o.Named,
+		Changed:    n.Changed || o.Changed,
+		StoreFresh: n.StoreFresh || o.StoreFresh,
+	}
 }
 
-// Heard takes in a beat. version and revision are what this process has.
+// freshBy is by how much an answer of the store must be newer to be passed on at once.
+const freshBy = 500 * time.Millisecond
+
+// Heard takes in a beat that the process itself sent. version and revision are what this process has.
 func (t *Table) Heard(now time.Duration, from registry.Host, b Beat, version, revision uint64) News {
 	if from == t.cfg.Self {
 		return News{}
 	}
+	if p := t.peers[from]; p != nil && p.Beat.Incarnation == b.Incarnation && b.Sequence < p.Beat.Sequence {
+		return News{} // it was overtaken
+	}
+	news := t.take(now, now, from, b, version, revision)
+	t.peers[from].Direct = now
+	if b.Role == Sidecar && b.DataCentre != t.cfg.DataCentre {
+		t.sidecarNews = now
+	}
+	news.StoreFresh = t.StoreHeard(now, b.StoreAge)
+	news.Named = t.noteNamed(now, b.Balancers)
+	for _, h := range b.Unlisted {
+		t.unlisted[h] = now
+	}
+	return news
+}
+
+// take replaces what is known of a process by a newer beat, sent at the given time.
+func (t *Table) take(now, sent time.Duration, from registry.Host, b Beat, version, revision uint64) News {
 	p := t.peers[from]
 	if p == nil {
 		p = &Peer{Host: from}
 		t.peers[from] = p
 	}
 	news := News{
+		Known:     true,
 		Restarted: p.Beat.Incarnation != b.Incarnation,
 		Ahead:     b.Version > version || b.Revision > revision,
 	}
-	p.Beat, p.Heard = b, now
-	t.storeSeen = max(t.storeSeen, now-b.StoreAge)
-	for _, h := range b.Balancers {
+	news.Changed = news.Restarted || p.Beat.Stopping != b.Stopping || p.Beat.Reading != b.Reading || p.Beat.Load.Silent != b.Load.Silent
+	if p.Beat.Version != b.Version || p.Beat.Revision != b.Revision {
+		p.news = now
+	}
+	p.Beat, p.Heard, p.learned = b, max(p.Heard, sent), now
+	for _, h := range b.Lost {
+		t.noteLost(sent, h, &b)
+	}
+	return news
+}
+
+// noteNamed notes balancers that a beat names, and reports whether any was not known.
+func (t *Table) noteNamed(now time.Duration, hosts []registry.Host) bool {
+	unknown := false
+	for _, h := range hosts {
 		if h == t.cfg.Self {
 			continue
 		}
 		_, known := t.named[h]
-		news.Named = news.Named || !known && t.peers[h] == nil
+		unknown = unknown || !known && t.peers[h] == nil
 		t.named[h] = now
 	}
-	for _, h := range b.Lost {
-		t.noteLost(now, h, &b)
-	}
-	for _, h := range b.Unlisted {
-		t.unlisted[h] = now
+	return unknown
+}
+
+// often reports whether the heartbeats of a process come here themselves, each of them.
+func (t *Table) often(p *Peer) bool {
+	return t.cfg.Role == Balancer && p.Beat.DataCentre == t.cfg.DataCentre
+}
+
+// Patience returns after how much silence a process counts as lost.
+func (t *Table) Patience(p *Peer) time.Duration {
+	if t.often(p) {
+		return SuspectAfter
 	}
-	return news
+	return farSuspectAfter
+}
+
+// alive reports whether the process was heard lately and goes on.
+func (t *Table) alive(now time.Duration, p *Peer) bool {
+	return now-p.Heard < t.Patience(p) && !p.Beat.Stopping
 }
 
 // noteLost notes that a balancer does not hear a sidecar any more. Of a sidecar
 // that this process hears, it believes that only to balancers of the sidecar's
 // own data centre, who hear it most often.
-func (t *Table) noteLost(now time.Duration, h registry.Host, b *Beat) {
+func (t *Table) noteLost(at time.Duration, h registry.Host, b *Beat) {
 	p := t.peers[h]
 	if p == nil || p.Beat.DataCentre == b.DataCentre {
-		t.lost[h] = now
+		t.lost[h] = max(t.lost[h], at)
 	}
 }
 
@@ -161,7 +225,7 @@
 func (t *Table) LiveSidecars(now time.Duration) []registry.Host {
 	var hosts []registry.Host
 	for _, p := range t.peers {
-		if p.Beat.Role == Sidecar && p.alive(now, t.cfg.DataCentre) && !t.gone(now, p) && !p.Beat.Load.Silent {
+		if p.Beat.Role == Sidecar && t.alive(now, p) && !t.gone(now, p) && !p.Beat.Load.Silent {
 			hosts = append(hosts, p.Host)
 		}
 	}
@@ -181,12 +245,16 @@
 	return slices.Compact(hosts)
 }
 
-// LostSidecars returns the sidecars that this process itself heard once and does
-// not hear any more. Heartbeats tell of these alone.
-func (t *Table) LostSidecars(now time.Duration) []registry.Host {
+// LostNear returns the sidecars of the data centre that this process itself heard
+// once and does not hear any more. Heartbeats tell of these alone.
+func (t *Table) LostNear(now time.Duration) []registry.Host {
+	return t.lostOf(now, t.often)
+}
+
+func (t *Table) lostOf(now time.Duration, counts func(*Peer) bool) []registry.Host {
 	var hosts []registry.Host
 	for _, p := range t.peers {
-		if p.Beat.Role == Sidecar && !p.alive(now, t.cfg.DataCentre) {
+		if p.Beat.Role == Sidecar && counts(p) && !t.alive(now, p) {
 			hosts = append(hosts, p.Host)
 		}
 	}
@@ -194,10 +262,10 @@
 	return hosts
 }
 
-// Lost returns LostSidecars and those that balancers called lost, which this
-// process has not heard since.
+// Lost returns the sidecars that were heard once and are not heard any more, and
+// those that balancers called lost, which this process has not heard of since.
 func (t *Table) Lost(now time.Duration) []registry.Host {
-	hosts := t.LostSidecars(now)
+	hosts := t.lostOf(now, func(*Peer) bool { return true })
 	for h, at := range t.lost {
 		p := t.peers[h]
 		if now-at < farSuspectAfter && (p == nil || p.Heard < at) {
@@ -232,22 +300,21 @@
 // Alive reports whether the process on a host was heard lately and goes on.
 func (t *Table) Alive(now time.Duration, h registry.Host) bool {
 	p := t.peers[h]
-	return p != nil && p.alive(now, t.cfg.DataCentre)
+	return p != nil && t.alive(now, p)
 }
 
 // Alone reports whether this process has heard sidecars, and hears none of them
-// any more: nothing that it takes can be served.
+// any more, nor of any: nothing that it takes can be served.
 func (t *Table) Alone(now time.Duration) bool {
 	known := false
 	for _, p := range t.peers {
 		if p.Beat.Role != Sidecar {
 			continue
 		}
-		limit := SuspectAfter
-		if p.Beat.DataCentre != t.cfg.DataCentre {
-			limit = farAlone
+		if t.often(p) && now-p.Heard < SuspectAfter {
+			return false
 		}
-		if now-p.Heard < limit {
+		if !t.often(p) && now-max(t.sidecarNews, p.Direct) < farAlone {
 			return false
 		}
 		known = true
@@ -262,9 +329,14 @@
 
 // Peers returns all known processes of a role, in the order of their hosts.
 func (t *Table) Peers(role Role) []*Peer {
+	return t.sorted(func(p *Peer) bool { return p.Beat.Role == role })
+}
+
+// sorted returns the processes that count, in the order of their hosts.
+func (t *Table) sorted(counts func(*Peer) bool) []*Peer {
 	var list []*Peer
 	for _, p := range t.peers {
-		if p.Beat.Role == role {
+		if counts(p) {
 			list = append(list, p)
 		}
 	}
@@ -279,7 +351,7 @@
 		hosts = append(hosts, t.cfg.Self)
 	}
 	for _, p := range t.peers {
-		if p.Beat.Role == Balancer && p.alive(now, t.cfg.DataCentre) {
+		if p.Beat.Role == Balancer && t.alive(now, p) {
 			hosts = append(hosts, p.Host)
 		}
 	}
@@ -287,34 +359,6 @@
 	return hosts
 }
 
-// Near leaves processes out that are known to be in another data centre.
-func (t *Table) Near(hosts []registry.Host) []registry.Host {
-	return slices.DeleteFunc(hosts, func(h registry.Host) bool {
-		p := t.peers[h]
-		return p != nil && p.Beat.DataCentre != t.cfg.DataCentre
-	})
-}
-
-// Targets returns the hosts to send heartbeats to: seeds, known processes and
-// the given sidecars.
-func (t *Table) Targets(now time.Duration, sidecars []registry.Host) []registry.Host {
-	targets := slices.Clone(t.cfg.Seeds)
-	for h, at := range t.named {
-		if now-at < forgetAfter {
-			targets = append(targets, h)
-		}
-	}
-	for _, p := range t.peers {
-		if now-p.Heard < forgetAfter {
-			targets = append(targets, p.Host)
-		}
-	}
-	targets = append(targets, sidecars...)
-	slices.SortFunc(targets, registry.Host.Compare)
-	targets = slices.Compact(targets)
-	return slices.DeleteFunc(targets, func(h registry.Host) bool { return h == t.cfg.Self })
-}
-
 // Expire forgets processes that have been silent for long.
 func (t *Table) Expire(now time.Duration) {
 	for h, p := range t.peers {
@@ -327,7 +371,7 @@
 			delete(t.named, h)
 		}
 	}
-	for _, reports := range []map[registry.Host]time.Duration{t.lost, t.unlisted} {
+	for _, reports := range []map[registry.Host]time.Duration{t.lost, t.unlisted, t.speakers} {
 		for h, at := range reports {
 			if now-at >= farSuspectAfter {
 				delete(reports, h)
@@ -358,29 +402,35 @@
 // rank returns how many live balancers go before this one as readers. A
 // balancer whose reads fail goes behind those whose reads succeed.
 func (t *Table) rank(now time.Duration) int {
-	own := readerHash(t.cfg.Self)
+	own := hostHash(t.cfg.Self)
 	before := 0
 	for _, p := range t.peers {
-		if p.Beat.Role != Balancer || !p.alive(now, t.cfg.DataCentre) {
+		if p.Beat.Role != Balancer || !t.alive(now, p) {
 			continue
 		}
-		if p.Beat.Reading && readerHash(p.Host) < own {
+		if p.Beat.Reading && hostHash(p.Host) < own {
 			before++
 		}
 	}
 	return before
 }
 
-func readerHash(h registry.Host) uint64 {
+// hostHash returns the number by which all processes order balancers.
+func hostHash(h registry.Host) uint64 {
 	return xxhash.Sum64(h[:])
 }
 
 // Newest returns the peer to ask for what is newer than version and revision:
-// one of the same data centre if possible. It returns nil when none has more.
+// one of the same data centre if possible. It returns nil when none has more, or
+// when the delegates are about to bring it from another data centre.
 func (t *Table) Newest(now time.Duration, version, revision uint64, failed registry.Host) *Peer {
 	var best *Peer
+	waits := !t.Speaks(now) && len(t.Delegates(now, t.cfg.DataCentre)) > 0
 	for _, p := range t.peers {
-		if now-p.Heard >= Patience(p.Beat.DataCentre, t.cfg.DataCentre) || p.Beat.Version <= version && p.Beat.Revision <= revision {
+		if now-p.Heard >= t.Patience(p) || p.Beat.Version <= version && p.Beat.Revision <= revision {
+			continue
+		}
+		if waits && p.Beat.DataCentre != t.cfg.DataCentre && now-p.news < farPullAfter {
 			continue
 		}
 		if best == nil || t.better(p, best, failed) {
--- a/steer/answer.go
+++ b/steer/answer.go
@@ -39,7 +39,7 @@
 	}
 	l.stage, l.confirm = stageAnswered, p.Sequence
 	if !l.balancer.IsZero() {
-		s.notify(Notice{Key: k, Only: l.balancer})
+		s.notify(Notice{Key: k, Balancer: l.balancer})
 	}
 }
 
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -58,8 +58,10 @@
 // Notice tells balancers that the own upstream holds a flow.
 type Notice struct {
 	Key Key
-	// Only is the balancer to tell. The zero host stands for all.
-	Only registry.Host
+	// Balancer is the one to tell, which took the flow's last packet.
+	Balancer registry.Host
+	// All is true when the other balancers of its data centre are to be told as well.
+	All bool
 }
 
 // Sidecar decides what happens to packets for the upstream beside it, and to
@@ -139,14 +141,15 @@
 	return n
 }
 
-// Open returns the flows that the upstream holds, for a balancer that has just started.
-func (s *Sidecar) Open() []Key {
+// Open returns the flows that the upstream holds and whose last packet a balancer
+// took that counts.
+func (s *Sidecar) Open(counts func(balancer registry.Host) bool) []Key {
 	var keys []Key
 	for i := range s.shards {
 		sh := &s.shards[i]
 		sh.mu.Lock()
 		for k, l := range sh.flows {
-			if l.stage == stageOpen {
+			if l.stage == stageOpen && counts(l.balancer) {
 				keys = append(keys, k)
 			}
 		}
@@ -297,7 +300,7 @@
 	if l.stage == stageOpen {
 		s.fromCaller(now, &l, p)
 		if h.Unknown {
-			s.notify(Notice{Key: k, Only: h.Balancer})
+			s.notify(Notice{Key: k, Balancer: h.Balancer, All: true})
 		}
 	}
 	sh.flows[k] = l
@@ -337,7 +340,7 @@
 		s.flows.Add(1)
 	}
 	l.stage = stageOpen
-	s.notify(Notice{Key: k})
+	s.notify(Notice{Key: k, Balancer: l.balancer, All: true})
 }
 
 // end notes that the flow is over.
