Send only what changed in digests that cannot wait

Cause: a delegate with news sent all that it had heard since its last digest, up to ten times a second, and every balancer told all far delegates of any change itself.

Change: digests out of turn hold only processes that started, stop, lost or regained the store or whose upstream fell silent; only delegates speak to delegates.

--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -23,22 +23,36 @@
 
 // digests is when a delegate last sent what. The node's lock guards it.
 type digests struct {
-	near, far time.Duration
-	pressNear bool // there is news for the own data centre that cannot wait
-	pressFar  bool // there is news for the others that cannot wait
+	near, far schedule
 }
 
-// press notes news of a process that the others should know soon.
-func (d *digests) press(near bool) {
-	d.pressNear = true
-	d.pressFar = d.pressFar || near
+// schedule is when digests go to one side.
+type schedule struct {
+	all     time.Duration // when a digest last told of all processes that were heard
+	some    time.Duration // when one last told of those that changed
+	pressed bool          // there is news that cannot wait
 }
 
-// due reports which digests are to be sent now.
-func (d *digests) due(now time.Duration) (near, far bool) {
-	near = now-d.near >= digestNear || d.pressNear && now-d.near >= digestPause
-	far = now-d.far >= digestFar || d.pressFar && now-d.far >= digestPause
-	return near, far
+// press notes news of a process that others should know soon: the own data centre,
+// and the others when this process heard it itself.
+func (d *digests) press(itself bool) {
+	d.near.pressed = true
+	d.far.pressed = d.far.pressed || itself
+}
+
+// due returns what to tell now of the processes that were heard after a time, or nothing.
+func (s *schedule) due(now, interval time.Duration, heard func(since time.Duration) []*membership.Peer) []*membership.Peer {
+	switch {
+	case now-s.all >= interval:
+		list := heard(s.all)
+		*s = schedule{all: now, some: now}
+		return list
+	case s.pressed && now-s.some >= digestPause:
+		list := membership.Changed(heard(s.all), s.some)
+		s.some, s.pressed = now, false
+		return list
+	}
+	return nil
 }
 
 // tellDigests sends the digests that are due, if this process is a delegate.
@@ -49,24 +63,19 @@
 		n.mu.Unlock()
 		return
 	}
-	near, far := n.digests.due(now)
 	empty := n.emptyDigest(now)
-	var forNear, forFar []membership.Digest
-	var nearHosts, farHosts []registry.Host
-	if near {
-		forNear = fillDigests(now, empty, n.members.Learned(n.digests.near))
-		nearHosts = n.members.Near(now, n.snapshot.Hosts(n.cfg.DataCentre))
-		n.digests.near, n.digests.pressNear = now, false
-	}
-	if far {
+	first := empty
+	if now-n.digests.far.all >= digestFar {
 		own := n.ownBeat(now)
-		forFar = fillDigests(now, empty.WithReport(n.self, &own, 0), n.members.HeardItself(n.digests.far))
-		farHosts = n.members.Partners(now)
-		n.digests.far, n.digests.pressFar = now, false
+		first = empty.WithReport(n.self, &own, 0)
 	}
+	near := fillDigests(now, empty, n.digests.near.due(now, digestNear, n.members.Learned))
+	far := fillDigests(now, first, n.digests.far.due(now, digestFar, n.members.HeardItself))
+	nearHosts := n.members.Near(now, n.snapshot.Hosts(n.cfg.DataCentre))
+	farHosts := n.members.Partners(now)
 	n.mu.Unlock()
-	n.sendDigests(forNear, nearHosts)
-	n.sendDigests(forFar, farHosts)
+	n.sendDigests(near, nearHosts)
+	n.sendDigests(far, farHosts)
 }
 
 // emptyDigest returns a digest without reports. The caller holds the lock.
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -157,7 +157,7 @@
 	n.mu.Lock()
 	now := n.cfg.Timer.Uptime()
 	n.members.Woke(now, gap)
-	n.digests.near, n.digests.far = now, now // what was heard before the pause is old
+	n.digests.near.all, n.digests.far.all = now, now // what was heard before the pause is old
 	n.mu.Unlock()
 	n.cfg.Log.Emit(event.ProcessWoke, zap.Duration("gap", gap))
 	n.Hurry()
--- a/membership/delegate.go
+++ b/membership/delegate.go
@@ -136,7 +136,7 @@
 	ReachNear Reach = iota
 	// ReachWide is all processes that count on hearing this one itself.
 	ReachWide
-	// ReachAll is ReachWide and the delegates of other data centres.
+	// ReachAll is ReachWide and, from delegates, those of the other data centres.
 	ReachAll
 )
 
@@ -163,7 +163,7 @@
 			targets = append(targets, t.cfg.Seeds...)
 		}
 	}
-	if reach == ReachAll && t.cfg.Role == Balancer {
+	if reach == ReachAll && t.Speaks(now) {
 		targets = append(targets, t.FarDelegates(now)...)
 	}
 	slices.SortFunc(targets, registry.Host.Compare)
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -154,6 +154,11 @@
 	return t.sorted(func(p *Peer) bool { return p.learned > since })
 }
 
+// Changed returns those of the processes that changed after since in a way that others should know soon.
+func Changed(peers []*Peer, since time.Duration) []*Peer {
+	return slices.DeleteFunc(peers, func(p *Peer) bool { return p.changed <= since })
+}
+
 // HeardOf takes in what a delegate told of a process, and how long ago that process
 // had sent it. version and revision are what this process has.
 func (t *Table) HeardOf(now, age time.Duration, h registry.Host, b Beat, version, revision uint64) News {
--- a/membership/table.go
+++ b/membership/table.go
@@ -56,6 +56,7 @@
 	// Direct is when a beat last came from the process itself; 0 if never.
 	Direct  time.Duration
 	learned time.Duration // when Beat arrived here
+	changed time.Duration // when News.Changed was last true of the process
 	news    time.Duration // when the process first told its present version and revision
 }
 
@@ -161,6 +162,9 @@
 		Ahead:     b.Version > version || b.Revision > revision,
 	}
 	news.Changed = news.Restarted || p.Beat.Stopping != b.Stopping || p.Beat.Reading != b.Reading || p.Beat.Load.Silent != b.Load.Silent
+	if news.Changed {
+		p.changed = now
+	}
 	if p.Beat.Version != b.Version || p.Beat.Revision != b.Revision {
 		p.news = now
 	}
