Search for flows data centre by data centre, in all of them

Cause: the search for a flow that nobody remembers ended after 64 upstreams (steer.MaxVisited), and the large deployment has 136. One packet went through 64 sidecars with a growing list of visited hosts, four of five hops between data centres.

Change: a packet visits the upstreams of one data centre, all of them; then its last sidecar sends a copy to each other data centre, where it goes round alike. Each data centre without the flow reports to the balancer that took the packet, which resets the flow when all listed upstreams have returned it within a second, no sidecar had a newer list, and the state is settled. A balancer does not search again for a second when that is so but for the last condition.

TestNoResetBehindTheBalancersList is replaced by TestNoResetOnAnOlderList: the list that counts is the balancer's now, and it has to be at least as new as those of all sidecars on the way; both ways round are tested.

--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -102,6 +102,7 @@
 	if b.informed.CompareAndSwap(0, int64(now)) {
 		b.release(now)
 	}
+	b.resetAll(b.decide.Unheld(now), steer.ReasonUnknownFlow)
 	if b.ready.Load() {
 		return
 	}
@@ -143,10 +144,14 @@
 // resetOrphans resets flows whose upstreams are lost, so that callers do not
 // send requests on them which can only be lost, too.
 func (b *Balancer) resetOrphans(now time.Duration) {
-	orphans := b.decide.Orphans(now)
+	b.resetAll(b.decide.Orphans(now), steer.ReasonLost)
+}
+
+// resetAll resets the flows of callers' packets.
+func (b *Balancer) resetAll(list []steer.Packet, reason steer.Reason) {
 	var out []byte
-	for i := range orphans {
-		out = b.refuse(&orphans[i], steer.ReasonLost, out)
+	for i := range list {
+		out = b.refuse(&list[i], reason, out)
 	}
 }
 
@@ -216,6 +221,13 @@
 	h.decide.Learn(h.cfg.Timer.Uptime(), k, host)
 }
 
+// Missing resets a flow that no upstream holds.
+func (h *balancerHandler) Missing(m *steer.Missing) {
+	if p, reset := h.decide.Missing(h.cfg.Timer.Uptime(), m); reset {
+		(*Balancer)(h).refuse(&p, steer.ReasonUnknownFlow, nil)
+	}
+}
+
 // Restarted does nothing: balancers hold nothing that another one needs.
 func (h *balancerHandler) Restarted(registry.Host) {}
 
--- a/edge/sidecar.go
+++ b/edge/sidecar.go
@@ -219,9 +219,19 @@
 		s.counts.answered.Add(1)
 		s.socket.Send(d, p.Destination.Host.Port(s.cfg.CallerPort))
 	case *steer.Forward:
-		s.cfg.Codec.SetTag(d, 0)
-		b.out = s.forward(a, d, b.out)
-		s.logFlow(event.PacketPassed, p, zap.Stringer("next", a.Host), zap.Int("visited", len(a.Header.Visited)), zap.Stringer("reason", a.Reason))
+		s.pass(a, d, b)
+	case *steer.Branch:
+		for i := range a.Forwards {
+			s.pass(&a.Forwards[i], d, b)
+		}
+		if a.Report != nil {
+			s.node.TellMissing(&a.Report.Missing, a.Report.Balancer)
+		}
+		if a.Hold != nil {
+			s.hold(a.Hold, p, d)
+		}
+	case *steer.Report:
+		s.node.TellMissing(&a.Missing, a.Balancer)
 	case steer.Refuse:
 		b.out = s.refuse(p, a.Reason, b.out)
 	case *steer.Hold:
@@ -231,6 +241,13 @@
 	}
 }
 
+// pass sends a packet on to another sidecar.
+func (s *Sidecar) pass(a *steer.Forward, d []byte, b *buffers) {
+	s.cfg.Codec.SetTag(d, 0)
+	b.out = s.forward(a, d, b.out)
+	s.logFlow(event.PacketPassed, &b.packet, zap.Stringer("next", a.Host), zap.Int("visited", len(a.Header.Visited)), zap.Stringer("reason", a.Reason))
+}
+
 // release decides again on the packets that are held.
 func (s *Sidecar) release(now time.Duration) {
 	p := &s.fromHeld.packet
@@ -238,19 +255,32 @@
 		if err := s.cfg.Codec.Decode(h.data, p); err != nil {
 			continue // it was decoded before it was held
 		}
-		a := s.decide.Again(now, &h.header, p)
-		again, held := a.(*steer.Hold)
-		switch {
-		case held && h.expired(now):
-			s.drop(p, again.Reason)
-		case held:
-			s.held.keep(h)
+		switch a := s.decide.Again(now, &h.header, p).(type) {
+		case *steer.Hold:
+			s.keep(a, h, p, now)
+		case *steer.Branch:
+			again := a.Hold
+			a.Hold = nil
+			s.act(a, h.data, &s.fromHeld)
+			if again != nil {
+				s.keep(again, h, p, now)
+			}
 		default:
 			s.act(a, h.data, &s.fromHeld)
 		}
 	}
 }
 
+// keep goes on holding a packet, unless it was held for long enough.
+func (s *Sidecar) keep(a *steer.Hold, h heldPacket, p *steer.Packet, now time.Duration) {
+	if h.expired(now) {
+		s.drop(p, a.Reason)
+		return
+	}
+	h.header = a.Header
+	s.held.keep(h)
+}
+
 // sidecarHandler takes what other processes send to a sidecar.
 type sidecarHandler Sidecar
 
@@ -268,6 +298,9 @@
 // Held does nothing: sidecars ask upstreams, not each other.
 func (h *sidecarHandler) Held(steer.Key, registry.Host) {}
 
+// Missing does nothing: balancers search.
+func (h *sidecarHandler) Missing(*steer.Missing) {}
+
 // Restarted tells a balancer that has just started which flows the upstream holds
 // that balancers of its data centre took.
 func (h *sidecarHandler) Restarted(balancer registry.Host) {
--- a/exchange/datagram.go
+++ b/exchange/datagram.go
@@ -13,6 +13,7 @@
 	kindForward kind = 2 // a steer.Header and a packet
 	kindFlows   kind = 3 // keys of flows that the sender's upstream holds
 	kindDigest  kind = 4 // a membership.Digest in msgpack
+	kindMissing kind = 5 // a steer.Missing
 )
 
 // ForwardRoom is how many bytes a packet must leave free before it for a
@@ -63,6 +64,8 @@
 	Forwarded(h *steer.Header, b []byte)
 	// Held is called for each flow that the upstream on a host holds.
 	Held(k steer.Key, host registry.Host)
+	// Missing is called when a sidecar tells that upstreams do not hold a flow.
+	Missing(m *steer.Missing)
 	// Restarted is called when a balancer has started.
 	Restarted(balancer registry.Host)
 	// Told is called when the newest view has what a sidecar told of its load. It
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -316,6 +316,8 @@
 		parseFlows(body, func(k steer.Key) { n.cfg.Handler.Held(k, host) })
 	case kindDigest:
 		n.digested(body, host)
+	case kindMissing:
+		n.missing(body, host)
 	}
 }
 
@@ -329,6 +331,20 @@
 	n.cfg.Handler.Forwarded(&h, rest)
 }
 
+func (n *Node) missing(body []byte, from registry.Host) {
+	m, err := steer.ParseMissing(body)
+	if err != nil {
+		n.cfg.Log.Emit(event.DatagramUnusable, zap.Stringer("peer", from), zap.Error(err))
+		return
+	}
+	n.cfg.Handler.Missing(&m)
+}
+
+// TellMissing tells a balancer that upstreams do not hold a flow.
+func (n *Node) TellMissing(m *steer.Missing, balancer registry.Host) {
+	n.Send(m.Append([]byte{byte(kindMissing)}), balancer)
+}
+
 // heard takes in a heartbeat.
 func (n *Node) heard(body []byte, from registry.Host) {
 	var b membership.Beat
--- a/exchange/node_test.go
+++ b/exchange/node_test.go
@@ -97,6 +97,7 @@
 	held      map[steer.Key]registry.Host
 	restarted map[registry.Host]int
 	forwarded []string
+	missing   []steer.Missing
 }
 
 func hostOf(n int) registry.Host {
@@ -165,6 +166,12 @@
 	p.restarted[h]++
 }
 
+func (p *process) Missing(m *steer.Missing) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.missing = append(p.missing, *m)
+}
+
 func (p *process) Told(registry.Host) {}
 
 // await waits until cond holds.
@@ -288,7 +295,7 @@
 	})
 	h := steer.Header{Balancer: hostOf(1), Visited: []registry.Host{hostOf(9)}}
 	b.node.Send(append(exchange.AppendForward(nil, &h), "packet"...), hostOf(2))
-	for _, junk := range []string{"", "\x01", "\x01\xc1", "\x02short", "\x03", "\x04", "\x04\x81\xa1r\x91\xc0", "\x09what"} {
+	for _, junk := range []string{"", "\x01", "\x01\xc1", "\x02short", "\x03", "\x04", "\x04\x81\xa1r\x91\xc0", "\x05", "\x09what"} {
 		b.node.Send([]byte(junk), hostOf(2))
 	}
 	await(t, "the packet arrives", func() bool {
@@ -296,6 +303,14 @@
 		defer s.mu.Unlock()
 		return len(s.forwarded) == 1 && s.forwarded[0] == "packet"
 	})
+	lost := steer.Missing{Key: keys[3], Revision: 4, Hosts: []registry.Host{hostOf(2)}}
+	s.node.TellMissing(&lost, hostOf(1))
+	await(t, "the balancer hears that a flow is missing", func() bool {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		return len(b.missing) == 1
+	})
+	must.Eq(t, lost, b.missing[0])
 }
 
 // TestProcessThatWokeIsToldAgain pauses a balancer, as far as its clock can tell.
--- a/exchange/view.go
+++ b/exchange/view.go
@@ -51,15 +51,16 @@
 	}
 	for _, p := range n.members.Peers(membership.Sidecar) {
 		f.Sidecars[p.Host] = steer.Instance{
-			Load:     p.Beat.Load,
-			Heard:    p.Heard,
-			Patience: n.members.Patience(p),
-			Stopping: p.Beat.Stopping,
+			DataCentre: p.Beat.DataCentre,
+			Load:       p.Beat.Load,
+			Heard:      p.Heard,
+			Patience:   n.members.Patience(p),
+			Stopping:   p.Beat.Stopping,
 		}
 	}
 	n.members.NoteAbsent(now)
 	for _, h := range n.members.Lost(now) {
-		f.Sidecars[h] = steer.Instance{Stopping: true, Absent: n.members.Absent(h)}
+		f.Sidecars[h] = steer.Instance{DataCentre: n.members.DataCentre(h), Stopping: true, Absent: n.members.Absent(h)}
 	}
 	n.cfg.Refresh(f)
 	for _, h := range n.told {
--- a/registry/address.go
+++ b/registry/address.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"bytes"
 	"fmt"
 	"net/netip"
 	"strconv"
@@ -42,7 +43,7 @@
 
 // Compare orders hosts by address.
 func (h Host) Compare(o Host) int {
-	return h.Addr().Compare(o.Addr())
+	return bytes.Compare(h[:], o[:])
 }
 
 // EncodeMsgpack writes the host as 4 bytes.
--- a/steer/action.go
+++ b/steer/action.go
@@ -2,7 +2,7 @@
 
 import "github.com/corianderbay/corianderbay/registry"
 
-// An Action is what is done with one packet: *Forward, Deliver, Answer, Refuse, *Hold or Drop.
+// An Action is what is done with one packet: *Forward, *Branch, *Report, Deliver, Answer, Refuse, *Hold or Drop.
 type Action interface{ action() }
 
 // Forward sends the packet to the sidecar on Host, behind Header.
@@ -13,6 +13,21 @@
 	Reason Reason
 }
 
+// Branch sends copies of the packet to other data centres, and reports which
+// upstreams of this one do not hold its flow.
+type Branch struct {
+	Forwards []Forward // may be empty
+	Report   *Report   // nil when there is nothing to tell
+	// Hold is nil, or keeps the packet as well: upstreams may yet become known.
+	Hold *Hold
+}
+
+// Report tells the balancer that took the packet which upstreams returned it.
+type Report struct {
+	Balancer registry.Host
+	Missing  Missing
+}
+
 // Deliver gives the packet to the upstream, with Tag written into it.
 type Deliver struct {
 	Tag uint32
@@ -40,6 +55,8 @@
 }
 
 func (*Forward) action() {}
+func (*Branch) action()  {}
+func (*Report) action()  {}
 func (Deliver) action()  {}
 func (Answer) action()   {}
 func (Refuse) action()   {}
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -36,6 +36,7 @@
 	shards [shards]balancerShard
 
 	expected *expectations
+	searches searches
 
 	mu      sync.Mutex
 	pending map[registry.Host]int // flows placed since the sidecar last told its load
@@ -88,6 +89,7 @@
 // NewBalancer returns the decisions of a balancer that knows nothing yet.
 func NewBalancer(cfg BalancerConfig) *Balancer {
 	b := &Balancer{cfg: cfg, expected: newExpectations(), pending: make(map[registry.Host]int)}
+	b.searches.byFlow = make(map[Key]search)
 	if cfg.Placing == PlaceByTwo {
 		b.given = make(map[registry.Host]int)
 	}
@@ -239,6 +241,7 @@
 	if m == nil {
 		return Refuse{Reason: ReasonNoUpstream}
 	}
+	c.b.searches.forget(c.key)
 	c.shard.put(c.key, placed{host: m.Address.Host, sequence: c.packet.Sequence, last: c.now})
 	c.b.count(m.Address.Host)
 	return c.forward(service, m.Address.Host, false)
@@ -319,10 +322,13 @@
 		c.shard.flows[c.key] = e
 		return c.forward(service, e.host, false)
 	}
+	if c.b.hopeless(c.now, c.fleet, c.key) {
+		return Drop{Reason: ReasonUnknownFlow}
+	}
 	if m := c.search(service); m != nil {
 		return c.forward(m.Service, m.Address.Host, true)
 	}
-	if host, found := c.fleet.unlisted(nobody); found {
+	if host, found := c.fleet.unlisted("", nobody); found {
 		return c.forward(service, host, true)
 	}
 	return Drop{Reason: ReasonNoUpstream}
--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/corianderbay/corianderbay/membership"
@@ -14,6 +15,8 @@
 
 // Instance is what a Fleet knows of the sidecar on one host.
 type Instance struct {
+	// DataCentre is where the sidecar runs; empty when it is not known.
+	DataCentre string
 	// Load is what the sidecar last told of its upstream.
 	Load membership.Load
 	// Heard is when the sidecar was last heard.
@@ -105,24 +108,61 @@
 	return false
 }
 
-// unlisted returns the first unlisted host that is not left out; found is false when there is none.
-func (f *Fleet) unlisted(skip func(registry.Host) bool) (h registry.Host, found bool) {
+// unlisted returns the first unlisted host that is not left out, of one data
+// centre and those that are in no known one; found is false when there is none.
+func (f *Fleet) unlisted(dataCentre string, skip func(registry.Host) bool) (h registry.Host, found bool) {
 	for _, h := range f.Unlisted {
-		if !skip(h) {
+		at := f.Sidecars[h].DataCentre
+		if !skip(h) && (at == dataCentre || at == "" || dataCentre == "") {
 			return h, true
 		}
 	}
 	return registry.Host{}, false
 }
 
-// allAsked reports whether each upstream of the pool that may hold a flow has
-// passed the packet on. One that was removed and whose sidecar is not heard is gone.
-func (f *Fleet) allAsked(now time.Duration, p *registry.Pool, h *Header) bool {
-	for i := range p.Members {
-		m := &p.Members[i]
-		host := m.Address.Host
-		gone := m.Standing == registry.Removed && !f.alive(now, host) || f.lost(now, host)
-		if !gone && !h.visited(host) {
+// centres returns the names of the data centres with upstreams, listed or not, in order.
+func (f *Fleet) centres() []string {
+	var names []string
+	for _, p := range f.Snapshot.Pools() {
+		for i := range p.Members {
+			names = append(names, p.Members[i].DataCentre)
+		}
+	}
+	for _, h := range f.Unlisted {
+		if at := f.Sidecars[h].DataCentre; at != "" {
+			names = append(names, at)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// lacks reports whether the list lacks an upstream on any of the hosts, unless
+// that one is known not to react.
+func (f *Fleet) lacks(hosts []registry.Host) bool {
+	for _, h := range f.Snapshot.Unlisted(hosts) {
+		if !f.Sidecars[h].Load.Silent {
+			return true
+		}
+	}
+	return false
+}
+
+// allAsked reports whether each upstream that may hold a flow has returned a
+// packet of it. One that was removed and whose sidecar is not heard is gone.
+func (f *Fleet) allAsked(now time.Duration, s *search) bool {
+	for _, p := range f.Snapshot.Pools() {
+		for i := range p.Members {
+			m := &p.Members[i]
+			host := m.Address.Host
+			gone := m.Standing == registry.Removed && !f.alive(now, host) || f.lost(now, host)
+			if !gone && !s.asked(host) {
+				return false
+			}
+		}
+	}
+	for _, h := range f.Unlisted {
+		if f.alive(now, h) && !s.asked(h) {
 			return false
 		}
 	}
--- a/steer/header.go
+++ b/steer/header.go
@@ -8,13 +8,14 @@
 )
 
 const (
-	// MaxVisited is how many upstreams are asked for one packet.
-	MaxVisited = 64
+	// MaxVisited is how many upstreams of a data centre are asked for one packet.
+	MaxVisited = 1024
 
 	headerSize = 28 // bytes before the list of visited hosts
 	hostSize   = 4  // bytes
 
 	flagUnknown = 1 // the balancer did not know the flow
+	flagAway    = 2 // the search began in another data centre
 )
 
 // Header goes before a packet from a balancer to a sidecar, and from one
@@ -30,8 +31,14 @@
 	Revision uint64
 	// Unknown is true when the balancer did not know the flow.
 	Unknown bool
+	// Away is true when the search for the flow began in another data centre, from
+	// where the others are asked.
+	Away bool
 	// Visited lists the hosts that have passed the packet on; at most MaxVisited.
 	Visited []registry.Host
+	// Branched names the data centres that the packet was sent to from here. It is
+	// kept with a packet that is held, and not sent.
+	Branched []string
 }
 
 // Size returns the length of the encoded header in bytes.
@@ -45,7 +52,11 @@
 	if h.Unknown {
 		flags |= flagUnknown
 	}
-	b = append(b, flags, byte(len(h.Visited)), 0, 0)
+	if h.Away {
+		flags |= flagAway
+	}
+	b = append(b, flags, 0)
+	b = binary.BigEndian.AppendUint16(b, uint16(len(h.Visited)))
 	b = append(b, h.Balancer[:]...)
 	b = binary.BigEndian.AppendUint32(b, uint32(h.Service))
 	b = binary.BigEndian.AppendUint64(b, h.Version)
@@ -62,12 +73,13 @@
 	if len(b) < headerSize {
 		return nil, &HeaderError{Length: len(b)}
 	}
-	n := int(b[1])
+	n := int(binary.BigEndian.Uint16(b[2:]))
 	end := headerSize + hostSize*n
 	if n > MaxVisited || len(b) < end {
 		return nil, &HeaderError{Length: len(b), Visited: n}
 	}
 	h.Unknown = b[0]&flagUnknown != 0
+	h.Away = b[0]&flagAway != 0
 	copy(h.Balancer[:], b[4:8])
 	h.Service = registry.ServiceHash(binary.BigEndian.Uint32(b[8:]))
 	h.Version = binary.BigEndian.Uint64(b[12:])
--- a/steer/pass.go
+++ b/steer/pass.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"slices"
 	"time"
 
 	"github.com/corianderbay/corianderbay/registry"
@@ -61,48 +62,90 @@
 	}
 	next := h.WithVisited(s.cfg.Self)
 	c := s.chooser(now, f, p)
-	if m := s.next(f, &c, &next, p); m != nil {
+	if !p.Opens() {
+		return s.search(f, &c, &next, p, why, false)
+	}
+	if m := s.nextOpening(f, &c, &next, p); m != nil {
 		return &Forward{Host: m.Address.Host, Header: next, Reason: why}
 	}
-	if host, found := f.unlisted(next.visited); found && !p.Opens() {
-		return &Forward{Host: host, Header: next, Reason: why}
+	return s.none(p, ReasonNoUpstream)
+}
+
+// search sends a later packet to the next upstream of the data centre that may
+// hold its flow. When all of them returned it, it goes to each other data centre
+// at the same time, unless it came from one; the balancer is told of each data
+// centre that does not hold the flow. held is true when the packet was held here after that.
+func (s *Sidecar) search(f *Fleet, c *chooser, h *Header, p *Packet, why Reason, held bool) Action {
+	if host, found := c.seek(h.Service, s.cfg.DataCentre, h.visited); found {
+		return &Forward{Host: host, Header: *h, Reason: why}
+	}
+	h.Revision = max(h.Revision, f.Snapshot.Revision())
+	wait := !f.Settled && !p.Flags.Has(RST) // a flow that ends needs no reset
+	var report *Report
+	if !p.Flags.Has(RST) && !(held && wait) {
+		report = missing(h, p)
+	}
+	if h.Away {
+		if report == nil {
+			return Drop{Reason: ReasonUnknownFlow}
+		}
+		return report
 	}
-	if s.nobody(now, f, &next, p) {
-		return Refuse{Reason: ReasonUnknownFlow}
+	b := &Branch{Report: report, Forwards: s.branches(f, c, h, why)}
+	if wait {
+		b.Hold = hold(h, ReasonUnknownFlow)
 	}
-	if !p.Opens() && !p.Flags.Has(RST) && (!f.Settled || f.Snapshot.Revision() < h.Revision) {
-		return hold(h, ReasonUnknownFlow)
+	return b
+}
+
+// missing returns the report that the upstreams which the header names do not hold a packet's flow.
+func missing(h *Header, p *Packet) *Report {
+	m := Missing{Key: p.CallerKey(), Acknowledge: p.Acknowledge, Revision: h.Revision, Hosts: h.Visited}
+	return &Report{Balancer: h.Balancer, Missing: m}
+}
+
+// branches returns copies for the data centres that the packet was not sent to
+// yet, and notes in the header that it was.
+func (s *Sidecar) branches(f *Fleet, c *chooser, h *Header, why Reason) []Forward {
+	var list []Forward
+	for _, dataCentre := range f.centres() {
+		if dataCentre == s.cfg.DataCentre || slices.Contains(h.Branched, dataCentre) {
+			continue
+		}
+		host, found := c.seek(h.Service, dataCentre, h.visited)
+		if !found {
+			continue
+		}
+		h.Branched = append(slices.Clip(h.Branched), dataCentre)
+		away := *h
+		away.Away, away.Visited, away.Branched = true, nil, nil
+		list = append(list, Forward{Host: host, Header: away, Reason: why})
 	}
-	return s.none(p, ReasonUnknownFlow)
+	return list
 }
 
-// Again decides once more on a packet that was held.
+// Again decides once more on a packet that was held: upstreams may have become
+// known since, or it may be certain by now that none holds the flow.
 func (s *Sidecar) Again(now time.Duration, h *Header, p *Packet) Action {
-	return s.passOn(now, h, p, ReasonUnknownFlow)
+	f := s.fleet.Load()
+	if f == nil {
+		return hold(h, ReasonStarting)
+	}
+	if p.Opens() || !h.visited(s.cfg.Self) {
+		return s.passOn(now, h, p, ReasonUnknownFlow)
+	}
+	c := s.chooser(now, f, p)
+	return s.search(f, &c, h, p, ReasonUnknownFlow, true)
 }
 
 // hold returns a Hold with a header of its own.
 func hold(h *Header, reason Reason) *Hold {
 	c := *h
 	c.Visited = append([]registry.Host(nil), h.Visited...)
+	c.Branched = append([]string(nil), h.Branched...)
 	return &Hold{Header: c, Reason: reason}
 }
 
-// next returns the upstream to pass a packet on to. A new flow goes to the
-// services that its route allows. A later packet goes on to all others: its
-// flow may have been opened under an older version of the route.
-func (s *Sidecar) next(f *Fleet, c *chooser, h *Header, p *Packet) *registry.Member {
-	if p.Opens() {
-		return s.nextOpening(f, c, h, p)
-	}
-	if pool := f.Snapshot.Pool(h.Service); pool != nil {
-		if m := c.walk(pool, h.visited); m != nil {
-			return m
-		}
-	}
-	return c.walkAll(f.Snapshot.Pools(), h.visited)
-}
-
 // nextOpening returns the upstream to offer a new flow to.
 func (s *Sidecar) nextOpening(f *Fleet, c *chooser, h *Header, p *Packet) *registry.Member {
 	if m := c.open(f.Snapshot.Pool(h.Service), h.visited); m != nil {
@@ -131,21 +174,6 @@
 	return Drop{Reason: reason}
 }
 
-// nobody reports whether it is certain that no upstream holds the flow of a
-// packet: each one that may was asked and returned the packet. A young list that
-// lacks the own upstream may lack others, too.
-func (s *Sidecar) nobody(now time.Duration, f *Fleet, h *Header, p *Packet) bool {
-	if !f.Settled || p.Opens() || p.Flags.Has(RST) || h.Revision == 0 || f.Snapshot.Revision() < h.Revision {
-		return false
-	}
-	for _, pool := range f.Snapshot.Pools() {
-		if !f.allAsked(now, pool, h) {
-			return false
-		}
-	}
-	return !f.Young || f.listed(s.cfg.Self) || s.Silent(now)
-}
-
 // trace remembers where an opening is passed on to, so that its copies and the
 // packets that follow it before balancers know go the same way. It returns the action.
 func (s *Sidecar) trace(now time.Duration, sh *sidecarShard, k Key, p *Packet, a Action) Action {
--- a/steer/place.go
+++ b/steer/place.go
@@ -186,12 +186,16 @@
 // class in the flow's own order. Sidecars that fell silent are left out. It
 // returns nil when all were asked.
 func (c *chooser) walk(p *registry.Pool, skip func(registry.Host) bool) *registry.Member {
+	return c.walkMembers(p, func(m *registry.Member) bool { return skip(m.Address.Host) })
+}
+
+func (c *chooser) walkMembers(p *registry.Pool, skip func(*registry.Member) bool) *registry.Member {
 	var best *registry.Member
 	var bestRank uint64
 	for i := range p.Members {
 		m := &p.Members[i]
 		host := m.Address.Host
-		if skip(host) || c.fleet.silent(c.now, host) {
+		if skip(m) || c.fleet.silent(c.now, host) {
 			continue
 		}
 		r := rank(c.hash, host) >> 3
@@ -221,6 +225,24 @@
 	return nil
 }
 
+// seek returns the next upstream of a data centre to ask for a flow that nobody
+// remembers: those of a service first, then all others, since a newer version
+// may have taken the service out of the route, and at last those that the list lacks.
+func (c *chooser) seek(service registry.ServiceHash, dataCentre string, skip func(registry.Host) bool) (h registry.Host, found bool) {
+	elsewhere := func(m *registry.Member) bool { return m.DataCentre != dataCentre || skip(m.Address.Host) }
+	if pool := c.fleet.Snapshot.Pool(service); pool != nil {
+		if m := c.walkMembers(pool, elsewhere); m != nil {
+			return m.Address.Host, true
+		}
+	}
+	for _, p := range c.fleet.Snapshot.Pools() {
+		if m := c.walkMembers(p, elsewhere); m != nil {
+			return m.Address.Host, true
+		}
+	}
+	return c.fleet.unlisted(dataCentre, skip)
+}
+
 // unheard returns an upstream when none takes new flows for sure: one that is
 // not known to be leaving, and whose sidecar was never heard. That sidecar
 // passes the flow on if it must.
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -165,9 +165,12 @@
 	empty.Apply(w.now, registry.Update{Revision: w.revision, Whole: true})
 	empty.Apply(w.now, w.directory.Since(0, w.revision))
 	w.startSidecar(at)
-	h := steer.Header{Service: registry.HashService(service), Revision: w.revision}
+	h := steer.Header{Balancer: balancerHost(0), Service: registry.HashService(service), Revision: w.revision}
+	w.startBalancer(0)
 	for _, young := range []bool{true, false} {
-		w.sites[at].sidecar.SetFleet(&steer.Fleet{Snapshot: empty.Snapshot(w.now), Settled: true, Young: young})
+		f := &steer.Fleet{Snapshot: empty.Snapshot(w.now), Settled: true, Young: young}
+		w.balancers[0].SetFleet(f)
+		w.sites[at].sidecar.SetFleet(f)
 		must.Eq(t, -1, w.follow(&steer.Forward{Host: w.sites[at].host, Header: h}, p))
 		must.Eq(t, young, len(w.resets) == 0)
 	}
@@ -203,19 +206,32 @@
 	must.Eq(t, []steer.Key{caller(1)}, w.resets)
 }
 
-// TestNoResetBehindTheBalancersList has a sidecar whose list is older than the balancer's.
-func TestNoResetBehindTheBalancersList(t *testing.T) {
-	w := newWorld(1, service, service)
-	old := &steer.Fleet{Snapshot: w.directory.Snapshot(w.now), Sidecars: map[registry.Host]steer.Instance{}, Settled: true}
-	p := opening(caller(1))
-	p.Flags = steer.ACK
-	w.publish(0, w.entry(0, false))
-	w.refresh()
-	for _, s := range w.sites {
-		s.sidecar.SetFleet(old)
+// TestNoResetOnAnOlderList has sidecars whose list lacks an upstream that the
+// balancer's has, and the other way round.
+func TestNoResetOnAnOlderList(t *testing.T) {
+	for _, behind := range []string{"sidecars", "balancer"} {
+		t.Run(behind, func(t *testing.T) {
+			w := newWorld(1, service, service, service)
+			older := registry.NewDirectory()
+			older.Apply(w.now, registry.Update{Revision: 2, Whole: true, Changes: []registry.Change{
+				{Key: w.sites[0].host.String(), Revision: 1, Upstream: w.entry(0, false)},
+				{Key: w.sites[1].host.String(), Revision: 2, Upstream: w.entry(1, false)},
+			}})
+			older.Apply(w.now, w.directory.Since(0, w.revision))
+			old := &steer.Fleet{Snapshot: older.Snapshot(w.now), Sidecars: map[registry.Host]steer.Instance{}, Settled: true}
+			if behind == "balancer" {
+				w.balancers[0].SetFleet(old)
+			} else {
+				for _, s := range w.sites {
+					s.sidecar.SetFleet(old)
+				}
+			}
+			p := opening(caller(1))
+			p.Flags = steer.ACK
+			must.Eq(t, -1, w.send(0, p))
+			must.SliceEmpty(t, w.resets)
+		})
 	}
-	must.Eq(t, -1, w.send(0, p))
-	must.SliceEmpty(t, w.resets)
 }
 
 // TestOpeningThatNobodyTakesIsRefused fills every upstream.
--- a/steer/world_test.go
+++ b/steer/world_test.go
@@ -132,7 +132,7 @@
 		Settled:  true,
 	}
 	for _, s := range w.sites {
-		f.Sidecars[s.host] = steer.Instance{Load: s.sidecar.Load(w.now, 0), Heard: w.now, Patience: membership.SuspectAfter}
+		f.Sidecars[s.host] = steer.Instance{DataCentre: dataCentreOf(slices.Index(w.sites, s)), Load: s.sidecar.Load(w.now, 0), Heard: w.now, Patience: membership.SuspectAfter}
 	}
 	for _, b := range w.balancers {
 		b.SetFleet(f)
@@ -183,7 +183,8 @@
 
 // followFrom is follow for what the sidecar of a site decided; -1 stands for a balancer.
 func (w *world) followFrom(at int, a steer.Action, p steer.Packet) int {
-	for range 4 * steer.MaxVisited {
+	const mostHops = 1000
+	for range mostHops {
 		switch d := a.(type) {
 		case steer.Refuse:
 			w.resets = append(w.resets, p.CallerKey())
@@ -193,6 +194,11 @@
 		case *steer.Hold:
 			w.held = append(w.held, heldPacket{site: at, header: d.Header, packet: p})
 			return -1
+		case *steer.Report:
+			w.report(d)
+			return -1
+		case *steer.Branch:
+			return w.branch(at, d, p)
 		case *steer.Forward:
 			i := slices.IndexFunc(w.sites, func(s *site) bool { return s.host == d.Host })
 			at = i
@@ -215,8 +221,42 @@
 	panic("a packet went on for ever")
 }
 
+// branch follows the copies of a packet, and returns the upstream that kept one, or -1.
+func (w *world) branch(at int, d *steer.Branch, p steer.Packet) int {
+	kept := -1
+	for i := range d.Forwards {
+		if k := w.followFrom(at, &d.Forwards[i], p); k >= 0 {
+			kept = k
+		}
+	}
+	if d.Report != nil {
+		w.report(d.Report)
+	}
+	if d.Hold != nil {
+		w.held = append(w.held, heldPacket{site: at, header: d.Hold.Header, packet: p})
+	}
+	return kept
+}
+
+// report tells a balancer which upstreams do not hold a flow, and notes what it resets.
+func (w *world) report(r *steer.Report) {
+	for i, b := range w.balancers {
+		if balancerHost(i) != r.Balancer {
+			continue
+		}
+		if p, reset := b.Missing(w.now, &r.Missing); reset {
+			w.resets = append(w.resets, p.CallerKey())
+		}
+	}
+}
+
 // release offers held packets again.
 func (w *world) release() {
+	for _, b := range w.balancers {
+		for _, p := range b.Unheld(w.now) {
+			w.resets = append(w.resets, p.CallerKey())
+		}
+	}
 	held := w.held
 	w.held = nil
 	for _, h := range held {
