Tell no guests by digests whose data centre has balancers

Cause: at a start each process tells all balancers of itself until it hears one of its data centre, and each balancer takes itself for a delegate until it hears others.

Change: digests go to sidecars of another data centre only while it has no live balancer; a guest is one that sent its heartbeat here within 1.5 s, not 3.

--- a/exchange/node.go
+++ b/exchange/node.go
@@ -222,17 +222,17 @@
 	if s.Version > 0 {
 		s.RoutesAge = now - n.adopted
 	}
-	for _, p := range n.members.Peers(membership.Sidecar) {
+	n.members.Each(membership.Sidecar, func(p *membership.Peer) {
 		if n.members.Alive(now, p.Host) {
 			s.Sidecars++
 		}
-	}
+	})
 	s.Peers = s.Sidecars
-	for _, p := range n.members.Peers(membership.Balancer) {
+	n.members.Each(membership.Balancer, func(p *membership.Peer) {
 		if n.members.Alive(now, p.Host) {
 			s.Peers++
 		}
-	}
+	})
 	return s
 }
 
--- a/exchange/view.go
+++ b/exchange/view.go
@@ -41,7 +41,7 @@
 func (n *Node) publish(now time.Duration) {
 	f := &steer.Fleet{
 		Snapshot:  n.snapshot,
-		Sidecars:  make(map[registry.Host]steer.Instance),
+		Sidecars:  make(map[registry.Host]steer.Instance, n.members.Known()),
 		Unlisted:  n.snapshot.Unlisted(n.members.Sidecars(now)),
 		Young:     now-n.informed < settleTime,
 		StoreSeen: now - n.members.StoreAge(now),
@@ -49,7 +49,7 @@
 		Alone:     n.members.Alone(now),
 		Settled:   now-n.trouble >= settleTime && n.gathered(now),
 	}
-	for _, p := range n.members.Peers(membership.Sidecar) {
+	n.members.Each(membership.Sidecar, func(p *membership.Peer) {
 		f.Sidecars[p.Host] = steer.Instance{
 			DataCentre: p.Beat.DataCentre,
 			Load:       p.Beat.Load,
@@ -57,7 +57,7 @@
 			Patience:   n.members.Patience(p),
 			Stopping:   p.Beat.Stopping,
 		}
-	}
+	})
 	n.members.NoteAbsent(now)
 	for _, h := range n.members.Lost(now) {
 		f.Sidecars[h] = steer.Instance{DataCentre: n.members.DataCentre(h), Stopping: true, Absent: n.members.Absent(h)}
@@ -95,11 +95,11 @@
 	if n.cfg.Role == membership.Balancer {
 		count++
 	}
-	for _, p := range n.members.Peers(membership.Balancer) {
+	n.members.Each(membership.Balancer, func(p *membership.Peer) {
 		if p.Beat.DataCentre == n.cfg.DataCentre && n.members.Alive(now, p.Host) {
 			count++
 		}
-	}
+	})
 	return count
 }
 
--- a/membership/delegate.go
+++ b/membership/delegate.go
@@ -12,8 +12,8 @@
 	// delegates is how many balancers speak for a data centre, so that the loss of one costs nothing.
 	delegates = 2
 	// directFor is for how long after it was heard a process counts as one that
-	// sends its heartbeats here.
-	directFor = 3 * time.Second
+	// sends its heartbeats here: one and a half of those that go far.
+	directFor = 1500 * time.Millisecond
 	// speakerFor is for how long after its last digest a process surely is a delegate.
 	speakerFor = 1500 * time.Millisecond // a digest and a half
 )
@@ -172,9 +172,10 @@
 }
 
 // Near returns the processes that this one, as a delegate, tells of all others:
-// those of its data centre and its guests. sidecars are those that are listed.
+// those of its data centre, and sidecars of those that have no live balancer.
+// sidecars are those that are listed.
 func (t *Table) Near(now time.Duration, sidecars []registry.Host) []registry.Host {
-	hosts := append(t.Guests(now), sidecars...)
+	hosts := append(t.orphans(now), sidecars...)
 	for _, p := range t.peers {
 		if p.Beat.DataCentre == t.cfg.DataCentre && now-p.Heard < forgetAfter {
 			hosts = append(hosts, p.Host)
@@ -243,6 +244,14 @@
 	return hosts
 }
 
+// orphans returns those of the guests whose data centre has no live balancer, so
+// that nobody else tells them of the others.
+func (t *Table) orphans(now time.Duration) []registry.Host {
+	return slices.DeleteFunc(t.Guests(now), func(h registry.Host) bool {
+		return len(t.balancersOf(now, t.DataCentre(h))) > 0
+	})
+}
+
 // DataCentre returns the data centre of a process, or nothing when it is not known.
 func (t *Table) DataCentre(h registry.Host) string {
 	if h == t.cfg.Self {
--- a/membership/digest_test.go
+++ b/membership/digest_test.go
@@ -156,6 +156,9 @@
 	must.SliceEmpty(t, balancer.Guests(start))
 	balancer.Heard(start, host(5), in("b", membership.Sidecar), 0, 0)
 	must.Eq(t, []registry.Host{host(5)}, balancer.Guests(start))
+	must.Eq(t, []registry.Host{host(5)}, balancer.Near(start, nil))
+	balancer.HeardOf(start, 0, host(6), in("b", membership.Balancer), 0, 0)
+	must.SliceEmpty(t, balancer.Near(start, nil), must.Sprint("the balancer there tells it"))
 	must.SliceEmpty(t, balancer.Guests(start+time.Minute))
 }
 
--- a/membership/table.go
+++ b/membership/table.go
@@ -336,6 +336,20 @@
 	return t.sorted(func(p *Peer) bool { return p.Beat.Role == role })
 }
 
+// Known returns how many other processes are known.
+func (t *Table) Known() int {
+	return len(t.peers)
+}
+
+// Each calls f with all known processes of a role, in no order.
+func (t *Table) Each(role Role, f func(*Peer)) {
+	for _, p := range t.peers {
+		if p.Beat.Role == role {
+			f(p)
+		}
+	}
+}
+
 // sorted returns the processes that count, in the order of their hosts.
 func (t *Table) sorted(counts func(*Peer) bool) []*Peer {
 	var list []*Peer
--- a/registry/snapshot.go
+++ b/registry/snapshot.go
@@ -54,6 +54,7 @@
 	routes   map[Endpoint]*Route
 	pools    map[ServiceHash]*Pool
 	list     []*Pool // the pools in the order of their services
+	hosts    map[Host]struct{}
 	caps     map[string]int
 }
 
@@ -64,6 +65,7 @@
 		revision: d.revision,
 		routes:   make(map[Endpoint]*Route),
 		pools:    make(map[ServiceHash]*Pool),
+		hosts:    make(map[Host]struct{}, len(d.records)),
 	}
 	if d.routes != nil {
 		s.idle, s.caps = d.routes.Idle, d.routes.Connections
@@ -98,6 +100,7 @@
 
 // add puts an upstream into its pool. Of two on one host the younger one stays.
 func (s *Snapshot) add(u Upstream, st Standing) {
+	s.hosts[u.Address.Host] = struct{}{}
 	hash := HashService(u.Service)
 	p := s.pools[hash]
 	if p == nil {
@@ -179,17 +182,17 @@
 	return slices.Compact(hosts)
 }
 
+// Listed reports whether the list has an upstream on the host, removed ones included.
+func (s *Snapshot) Listed(h Host) bool {
+	_, listed := s.hosts[h]
+	return listed
+}
+
 // Unlisted returns those of the hosts on which the list has no upstream, removed ones included.
 func (s *Snapshot) Unlisted(hosts []Host) []Host {
-	listed := make(map[Host]bool)
-	for _, p := range s.list {
-		for i := range p.Members {
-			listed[p.Members[i].Address.Host] = true
-		}
-	}
 	var missing []Host
 	for _, h := range hosts {
-		if !listed[h] {
+		if !s.Listed(h) {
 			missing = append(missing, h)
 		}
 	}
--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -96,18 +96,6 @@
 	return known && i.alive(now) && !i.Load.Silent
 }
 
-// listed reports whether the list has an upstream on the host, removed ones included.
-func (f *Fleet) listed(h registry.Host) bool {
-	for _, p := range f.Snapshot.Pools() {
-		for i := range p.Members {
-			if p.Members[i].Address.Host == h {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // unlisted returns the first unlisted host that is not left out, of one data
 // centre and those that are in no known one; found is false when there is none.
 func (f *Fleet) unlisted(dataCentre string, skip func(registry.Host) bool) (h registry.Host, found bool) {
--- a/steer/presence.go
+++ b/steer/presence.go
@@ -133,7 +133,7 @@
 // listed reports whether the list has an upstream on this host.
 func (s *Sidecar) listed() bool {
 	f := s.fleet.Load()
-	return f != nil && f.listed(s.cfg.Self)
+	return f != nil && f.Snapshot.Listed(s.cfg.Self)
 }
 
 // orphans forgets all flows and returns the last packets of callers on those that were open.
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -110,7 +110,7 @@
 // SetFleet replaces what the sidecar acts on.
 func (s *Sidecar) SetFleet(f *Fleet) {
 	s.fleet.Store(f)
-	if s.upstream.untried.Load() && f.listed(s.cfg.Self) {
+	if s.upstream.untried.Load() && f.Snapshot.Listed(s.cfg.Self) {
 		s.upstream.untried.Store(false)
 		s.upstream.gone.Store(false) // it may take packets though it took no connection
 	}
@@ -271,12 +271,12 @@
 // none, and nothing reacts to what is delivered.
 func (s *Sidecar) absent(now time.Duration) bool {
 	f := s.fleet.Load()
-	return f != nil && !f.listed(s.cfg.Self) && s.Silent(now)
+	return f != nil && !f.Snapshot.Listed(s.cfg.Self) && s.Silent(now)
 }
 
 // ask delivers a packet of an unknown flow: the upstream returns it when it does not hold the flow.
 func (s *Sidecar) ask(now time.Duration, sh *sidecarShard, k Key, h *Header) Action {
-	if f := s.fleet.Load(); f != nil && !f.listed(s.cfg.Self) {
+	if f := s.fleet.Load(); f != nil && !f.Snapshot.Listed(s.cfg.Self) {
 		s.upstream.awaitReaction(now) // a packet of a flow that it does not hold comes back at once
 	}
 	if len(sh.flows) < maxRemembered {
