Follow no memory from before an order that was skipped

Bundles 18 and 19 came within 50 ms: 18 gave the flow's address to the other service, 19 gave it back. Upstream 3 accepted the flow under 18. Upstream 2, which went from 17 to 19 and so saw the same order before and after, was asked in that search by a header of version 18, and kept what it remembered from 17, under version 18. As the first candidate of 19 it followed that to upstream 1, which knew of no search and refused.

Ruled out: the refusal itself (upstream 1 serves the service and agreed on its order); a lost promise (upstream 2 was asked and noted it).

Change: a sidecar that is asked under a newer bundle than its own notes the promise to the asker in place of what it remembered; it still passes that search on to where it had sent the flow.

--- a/flow/udp.go
+++ b/flow/udp.go
@@ -250,13 +250,18 @@
 		h.Doubt = true
 	}
 	pass(h, int(h.At))
-	if e.kind != kindPassed || e.flags&(asking|promised) != 0 {
+	j, remembered := none, e.kind == kindPassed && e.flags&(asking|promised) == 0
+	if remembered {
+		j = indexOf(h, e.target)
+	}
+	if !remembered || h.Version > c.st.view.Version() {
+		// Under an order that this sidecar does not know, the asker may accept the
+		// flow elsewhere: what was remembered is not followed any more.
 		e = entry{kind: kindPassed, flags: promised, target: asker, version: e.version}
 	}
 	e.version = max(e.version, h.Version)
 	e.last, e.seen = c.at, c.at
 	c.put(e)
-	j := indexOf(h, e.target)
 	if j != none && !passed(h, j) {
 		return aim(h, j)
 	}
