Search again for a flow whose memory was overtaken

A sidecar that is told of the flow by its first candidate did not find its memory and accepted the flow.

Ruled out: leaving the memory with its old version, as the order before and after the skipped bundle is the same and the version would count as known.

Change: what was remembered stays, with a mark; the first candidate does not follow a marked memory but searches, all others use it as before. The flags of an entry take 16 bits, its size is the same.

--- a/flow/regression_test.go
+++ b/flow/regression_test.go
@@ -38,6 +38,7 @@
 		{"TestStatefulFaults", "100753", "a flow was forgotten a moment before its idle time was over"},
 		{"TestStatefulPlanned", "1800657", "a first candidate behind the packet's bundle searched again for a flow that it had passed on"},
 		{"TestStatefulPlanned", "148967433", "a sidecar followed a memory from before an order that it skipped, under which the flow was opened elsewhere"},
+		{"TestStatefulPlanned", "128756", "a sidecar forgot where it had passed a flow on to when it was asked under a newer bundle"},
 		{"TestStatefulPlanned", "26336", "a sidecar of another service followed a memory of an older order"},
 	}
 	for _, c := range cases {
--- a/flow/table.go
+++ b/flow/table.go
@@ -66,7 +66,7 @@
 }
 
 // flags are the marks of an entry.
-type flags uint8
+type flags uint16
 
 const (
 	answered     flags = 1 << iota // the upstream has answered the opening
@@ -77,6 +77,9 @@
 	promised                       // target searches for the owner; only for kindPassed
 	callerDone                     // the caller has sent FIN, or either side RST
 	upstreamDone                   // the upstream has sent FIN, or either side RST
+	// overtaken: another one searched for the flow under a newer bundle, whose order
+	// this sidecar did not know, and may have accepted it elsewhere; only for kindPassed.
+	overtaken
 )
 
 // ended reports whether nothing more is to come in either direction.
--- a/flow/udp.go
+++ b/flow/udp.go
@@ -169,6 +169,9 @@
 
 // udpHome decides at the first candidate on a flow that it does not own.
 func (c *call) udpHome(e entry) Action {
+	if e.flags&overtaken != 0 {
+		return c.udpSearch(e)
+	}
 	if j := c.follow(e); j != none {
 		return aim(c.h, j)
 	}
@@ -250,18 +253,16 @@
 		h.Doubt = true
 	}
 	pass(h, int(h.At))
-	j, remembered := none, e.kind == kindPassed && e.flags&(asking|promised) == 0
-	if remembered {
-		j = indexOf(h, e.target)
-	}
-	if !remembered || h.Version > c.st.view.Version() {
-		// Under an order that this sidecar does not know, the asker may accept the
-		// flow elsewhere: what was remembered is not followed any more.
+	if e.kind != kindPassed || e.flags&(asking|promised) != 0 {
 		e = entry{kind: kindPassed, flags: promised, target: asker, version: e.version}
 	}
+	if h.Version > c.st.view.Version() {
+		e.flags |= overtaken
+	}
 	e.version = max(e.version, h.Version)
 	e.last, e.seen = c.at, c.at
 	c.put(e)
+	j := indexOf(h, e.target)
 	if j != none && !passed(h, j) {
 		return aim(h, j)
 	}
