--- a/membership/digest.go
+++ b/membership/digest.go
@@ -60,8 +60,8 @@
 		return &BeatError{Text: "negative age of the store"}
 	}
 	for i := range d.Reports {
-		if d.Reports[i].Age < 0 {
-			return &BeatError{Text: "negative age"}
+		if age := d.Reports[i].Age; age < 0 || age > maxAge {
+			return &BeatError{Text: "impossible age"}
 		}
 		b := d.Beat(i)
 		if err := b.Check(); err != nil {
@@ -139,6 +139,9 @@
 	return bits
 }
 
+// maxAge is how old a report may be, in milliseconds: older ones are forgotten by delegates.
+const maxAge = int(2 * forgetAfter / time.Millisecond)
+
 // relaySlack is how much older than it says a report may be: the time on its way is not counted.
 const relaySlack = 100 * time.Millisecond
 
--- a/membership/digest_test.go
+++ b/membership/digest_test.go
@@ -39,9 +39,38 @@
 	must.Error(t, got.Check())
 	got.Reports[1].Role, got.Reports[0].Age = membership.Balancer, -1
 	must.Error(t, got.Check())
+	got.Reports[0].Age = 1 << 62
+	must.Error(t, got.Check())
 	must.Error(t, (&membership.Digest{StoreAge: -1}).Check())
 }
 
+// FuzzDigest takes in whatever decodes as a digest.
+func FuzzDigest(f *testing.F) {
+	b := in("b", membership.Sidecar)
+	b.Lost = []registry.Host{host(9)}
+	raw, err := wire.Encode(membership.Digest{DataCentre: "a", Version: 5}.WithReport(host(2), &b, time.Second))
+	must.NoError(f, err)
+	f.Add(raw)
+	f.Add([]byte("\x81\xa1r\x91\xc0"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		var d membership.Digest
+		if wire.Decode(raw, &d) != nil || d.Check() != nil {
+			return
+		}
+		tb := table(1, membership.Balancer)
+		for i := range d.Reports {
+			r := &d.Reports[i]
+			tb.HeardOf(start, time.Duration(r.Age)*time.Millisecond, r.Host, d.Beat(i), 1, 1)
+			if p := tb.Peer(r.Host); p != nil && p.Heard > start {
+				t.Fatalf("%s is heard at %v, which is yet to come", r.Host, p.Heard)
+			}
+		}
+		tb.NoteAbsent(start)
+		tb.Partners(start)
+		tb.Newest(start, 1, 1, registry.Host{})
+	})
+}
+
 // TestReportsDoNotReplaceNewerBeats has reports arrive late and twice.
 func TestReportsDoNotReplaceNewerBeats(t *testing.T) {
 	const far = 2
