--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -64,7 +64,7 @@
 	}
 	empty := n.emptyDigest(now)
 	first := empty
-	if now-n.digests.far.all >= digestFar {
+	if now-n.digests.far.all >= digestFar { // those out of turn lack this process, which has not changed
 		own := n.ownBeat(now)
 		first = empty.WithReport(n.self, &own, 0)
 	}
