Give no sidecar up on the silence of delegates, and spread digests over balancers

Two data centres that were silent for each other sent no more digests, as neither knew a live balancer of the other. Digests to a balancer that is no delegate were told to nobody.

Change: a sidecar of another data centre is absent only when a balancer there that is heard says so; one that fell silent without that is doubtful, and no flow is given up past it. Each balancer tells the sidecars for which it is among the first two by hash, delegates tell the other balancers of other data centres alone. Silent data centres are told by digests to all their known balancers. A digest that came to no delegate is sent on to them. A datagram has 18 reports at most, which fits one packet of a link. Sidecars wait a second longer for what they know by two steps.

--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -16,13 +16,16 @@
 	digestFar = membership.FarEvery * membership.BeatInterval
 	// digestPause is the time between two digests while there is news that cannot wait.
 	digestPause = 2 * tick
-	// maxReports is how many reports fit into one datagram.
-	maxReports = 30
+	// maxReports is how many reports fit into one datagram that no link has to split,
+	// with names of data centres of 20 bytes.
+	maxReports = 18
 )
 
-// digests is when a delegate last sent what. The node's lock guards it.
+// digests is when a balancer last sent what. The node's lock guards it.
 type digests struct {
-	near, far schedule
+	sidecars schedule // those that the balancer is to tell
+	near     schedule // the other balancers of the data centre; only from delegates
+	far      schedule // the delegates of other data centres; only from delegates
 }
 
 // schedule is when digests go to one side.
@@ -35,7 +38,8 @@
 // press notes news of a process that others should know soon: the own data centre,
 // and the others when this process heard it itself.
 func (d *digests) press(itself bool) {
-	d.near.pressed = true
+	d.sidecars.pressed = true
+	d.near.pressed = d.near.pressed || !itself
 	d.far.pressed = d.far.pressed || itself
 }
 
@@ -54,27 +58,31 @@
 	return nil
 }
 
-// tellDigests sends the digests that are due, if this process is a delegate.
+// tellDigests sends the digests that are due.
 func (n *Node) tellDigests(now time.Duration) {
-	n.mu.Lock()
-	if !n.members.Speaks(now) {
-		n.digests = digests{}
-		n.mu.Unlock()
+	if n.cfg.Role != membership.Balancer {
 		return
 	}
+	n.mu.Lock()
 	empty := n.emptyDigest(now)
-	first := empty
-	if now-n.digests.far.all >= digestFar { // those out of turn lack this process, which has not changed
-		own := n.ownBeat(now)
-		first = empty.WithReport(n.self, &own, 0)
-	}
-	near := fillDigests(now, empty, n.digests.near.due(now, digestNear, n.members.Learned))
-	far := fillDigests(now, first, n.digests.far.due(now, digestFar, n.members.HeardItself))
-	nearHosts := n.members.Near(now, n.snapshot.Hosts(n.cfg.DataCentre))
-	farHosts := n.members.Partners(now)
+	forSidecars := fillDigests(now, empty, n.digests.sidecars.due(now, digestNear, n.members.Learned))
+	sidecars := n.members.Charges(now)
+	var forNear, forFar []membership.Digest
+	var near, far []registry.Host
+	if n.members.Speaks(now) {
+		first := empty
+		if now-n.digests.far.all >= digestFar { // those out of turn lack this process, which has not changed
+			own := n.ownBeat(now)
+			first = empty.WithReport(n.self, &own, 0)
+		}
+		forNear = fillDigests(now, empty, n.digests.near.due(now, digestNear, n.members.LearnedFar))
+		forFar = fillDigests(now, first, n.digests.far.due(now, digestFar, n.members.HeardItself))
+		near, far = n.members.Fellows(now), n.members.Partners(now)
+	}
 	n.mu.Unlock()
-	n.sendDigests(near, nearHosts)
-	n.sendDigests(far, farHosts)
+	n.sendDigests(forSidecars, sidecars)
+	n.sendDigests(forNear, near)
+	n.sendDigests(forFar, far)
 }
 
 // emptyDigest returns a digest without reports. The caller holds the lock.
@@ -121,6 +129,7 @@
 	}
 	now := n.cfg.Timer.Uptime()
 	n.mu.Lock()
+	delegates := n.misdirected(now, &d, from)
 	n.members.StoreHeard(now, d.StoreAge)
 	n.members.NoteSpeaker(now, from, d.DataCentre)
 	var all membership.News
@@ -137,6 +146,9 @@
 	}
 	n.stale = true
 	n.mu.Unlock()
+	for _, h := range delegates {
+		n.Send(append([]byte{byte(kindDigest)}, body...), h)
+	}
 	n.act(now, all)
 	for _, i := range restarted {
 		b := d.Beat(i)
@@ -144,6 +156,17 @@
 	}
 }
 
+// misdirected returns the delegates of this data centre when a digest of another
+// one came here by mistake: the sender knows others as delegates, as after a time
+// of silence, and only these tell the data centre. The caller holds the lock.
+func (n *Node) misdirected(now time.Duration, d *membership.Digest, from registry.Host) []registry.Host {
+	far := d.DataCentre != n.cfg.DataCentre && n.members.DataCentre(from) != n.cfg.DataCentre
+	if !far || n.cfg.Role != membership.Balancer || n.members.Speaks(now) {
+		return nil
+	}
+	return n.members.Delegates(now, n.cfg.DataCentre)
+}
+
 // heardOf takes in one report. The caller holds the lock.
 func (n *Node) heardOf(now time.Duration, d *membership.Digest, i int) membership.News {
 	r, b := &d.Reports[i], d.Beat(i)
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -156,7 +156,8 @@
 	n.mu.Lock()
 	now := n.cfg.Timer.Uptime()
 	n.members.Woke(now, gap)
-	n.digests.near.all, n.digests.far.all = now, now // what was heard before the pause is old
+	// What was heard before the pause is old.
+	n.digests.sidecars.all, n.digests.near.all, n.digests.far.all = now, now, now
 	n.mu.Unlock()
 	n.cfg.Log.Emit(event.ProcessWoke, zap.Duration("gap", gap))
 	n.Hurry()
--- a/exchange/node_test.go
+++ b/exchange/node_test.go
@@ -276,6 +276,31 @@
 	})
 }
 
+// TestDigestsToOthersThanDelegatesArrive has another data centre send its digests
+// to each balancer in turn, as it does when it does not know the delegates.
+func TestDigestsToOthersThanDelegatesArrive(t *testing.T) {
+	m := new(memory)
+	m.set(1)
+	var balancers []*process
+	for n := 1; n <= 4; n++ {
+		balancers = append(balancers, start(t, n, membership.Balancer, m, 0))
+	}
+	sidecar := start(t, 101, membership.Sidecar, m, 0)
+	await(t, "all hear each other", func() bool { return len(sidecar.node.Beside(hostOf(1))) == len(balancers) })
+	far, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(hostOf(50).Addr(), port)))
+	must.NoError(t, err)
+	t.Cleanup(func() { far.Close() })
+	for n := range balancers {
+		told := hostOf(60 + n)
+		b := membership.Beat{Role: membership.Sidecar, DataCentre: "b", Incarnation: 1, Sequence: 1}
+		raw, err := wire.Encode(membership.Digest{DataCentre: "b"}.WithReport(told, &b, 0))
+		must.NoError(t, err)
+		_, err = far.WriteToUDPAddrPort(append([]byte{4}, raw...), netip.AddrPortFrom(hostOf(n+1).Addr(), port))
+		must.NoError(t, err)
+		await(t, "the sidecar knows what one balancer was told", func() bool { return sidecar.alive(told) })
+	}
+}
+
 // TestFlowsAndPacketsTravel sends each kind of datagram.
 func TestFlowsAndPacketsTravel(t *testing.T) {
 	m := new(memory)
--- a/exchange/view.go
+++ b/exchange/view.go
@@ -60,7 +60,12 @@
 	})
 	n.members.NoteAbsent(now)
 	for _, h := range n.members.Lost(now) {
-		f.Sidecars[h] = steer.Instance{DataCentre: n.members.DataCentre(h), Stopping: true, Absent: n.members.Absent(h)}
+		f.Sidecars[h] = steer.Instance{
+			DataCentre: n.members.DataCentre(h),
+			Stopping:   true,
+			Absent:     n.members.Absent(h),
+			Doubtful:   n.members.Doubtful(now, h),
+		}
 	}
 	n.cfg.Refresh(f)
 	for _, h := range n.told {
--- a/membership/absence.go
+++ b/membership/absence.go
@@ -32,7 +32,9 @@
 
 // Absent returns since when the sidecar on a host has been absent: it fell
 // silent here without having said that it stops, and no balancer of its data centre
-// that this process hears still hears it. The zero value stands for a sidecar that is not absent.
+// that this process hears still hears it. Of another data centre, at least one has
+// to say so, since silence may be that of the delegates. The zero value stands for
+// a sidecar that is not absent.
 func (t *Table) Absent(h registry.Host) time.Duration {
 	return t.absentSince[h]
 }
@@ -41,6 +43,7 @@
 	if sidecar.Beat.Stopping || !t.missed(now, sidecar) || !t.heardAfter(sidecar) {
 		return false
 	}
+	confirmed := t.often(sidecar)
 	for _, p := range t.peers {
 		if p.Beat.Role != Balancer || p.Beat.DataCentre != sidecar.Beat.DataCentre || !t.alive(now, p) {
 			continue
@@ -48,8 +51,17 @@
 		if !slices.Contains(p.Beat.Lost, sidecar.Host) {
 			return false
 		}
+		confirmed = true
 	}
-	return true
+	return confirmed
+}
+
+// Doubtful reports whether the sidecar on a host fell silent here, did not say
+// that it stops, and nobody who hears it itself confirms that it is gone: the
+// digests that tell of it may be late or lost.
+func (t *Table) Doubtful(now time.Duration, h registry.Host) bool {
+	p := t.peers[h]
+	return p != nil && !t.often(p) && !p.Beat.Stopping && !t.alive(now, p) && t.absentSince[h] == 0
 }
 
 // missed reports whether a heartbeat of a sidecar is overdue here. What balancers of
--- a/membership/delegate.go
+++ b/membership/delegate.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/corianderbay/corianderbay/registry"
 )
 
@@ -30,25 +31,45 @@
 	return t.cfg.Role == Balancer && slices.Contains(t.Delegates(now, t.cfg.DataCentre), t.cfg.Self)
 }
 
-// FarDelegates returns the delegates of all other data centres.
+// FarDelegates returns the delegates of all other data centres. Where no balancer
+// is heard of, it returns all that are known: both sides may have fallen silent for
+// each other, and one has to speak first.
 func (t *Table) FarDelegates(now time.Duration) []registry.Host {
 	var hosts []registry.Host
 	for _, dataCentre := range t.farCentres() {
-		hosts = append(hosts, t.Delegates(now, dataCentre)...)
+		list := t.Delegates(now, dataCentre)
+		if len(list) == 0 {
+			list = t.knownBalancers(now, dataCentre)
+		}
+		hosts = append(hosts, list...)
 	}
 	return hosts
 }
 
+// knownBalancers returns the other balancers of a data centre, silent ones included.
+func (t *Table) knownBalancers(now time.Duration, dataCentre string) []registry.Host {
+	var hosts []registry.Host
+	for _, p := range t.peers {
+		if p.Beat.Role == Balancer && p.Beat.DataCentre == dataCentre && now-p.Heard < forgetAfter {
+			hosts = append(hosts, p.Host)
+		}
+	}
+	slices.SortFunc(hosts, registry.Host.Compare)
+	return hosts
+}
+
 // Partners returns the delegate of each other data centre that this one sends its
 // digests to: the one with its own place in the order there, so that two digests
-// go different ways.
+// go different ways. Where no balancer is heard of, it returns all that are known.
 func (t *Table) Partners(now time.Duration) []registry.Host {
 	place := max(0, slices.Index(t.Delegates(now, t.cfg.DataCentre), t.cfg.Self))
 	var hosts []registry.Host
 	for _, dataCentre := range t.farCentres() {
 		if h, ok := t.partner(now, dataCentre, place); ok {
 			hosts = append(hosts, h)
+			continue
 		}
+		hosts = append(hosts, t.knownBalancers(now, dataCentre)...)
 	}
 	return hosts
 }
@@ -171,19 +192,46 @@
 	return slices.DeleteFunc(targets, func(h registry.Host) bool { return h == t.cfg.Self })
 }
 
-// Near returns the processes that this one, as a delegate, tells of all others:
-// those of its data centre, and sidecars of those that have no live balancer.
-// sidecars are those that are listed.
-func (t *Table) Near(now time.Duration, sidecars []registry.Host) []registry.Host {
-	hosts := append(t.unattended(now), sidecars...)
+// Fellows returns the other balancers of the data centre, which a delegate tells of the others.
+func (t *Table) Fellows(now time.Duration) []registry.Host {
+	return t.knownBalancers(now, t.cfg.DataCentre)
+}
+
+// Charges returns the sidecars that this balancer tells of all other processes:
+// those of its data centre for which it is among the first by hash, so that the
+// work is spread evenly, and, as a delegate, those of data centres that have no live balancer.
+func (t *Table) Charges(now time.Duration) []registry.Host {
+	if t.cfg.Role != Balancer {
+		return nil
+	}
+	var hosts []registry.Host
+	if t.Speaks(now) {
+		hosts = t.unattended(now)
+	}
+	balancers := t.balancersOf(now, t.cfg.DataCentre)
 	for _, p := range t.peers {
-		if p.Beat.DataCentre == t.cfg.DataCentre && now-p.Heard < forgetAfter {
+		if p.Beat.Role == Sidecar && t.often(p) && now-p.Heard < forgetAfter && t.charged(p.Host, balancers) {
 			hosts = append(hosts, p.Host)
 		}
 	}
 	slices.SortFunc(hosts, registry.Host.Compare)
-	hosts = slices.Compact(hosts)
-	return slices.DeleteFunc(hosts, func(h registry.Host) bool { return h == t.cfg.Self })
+	return hosts
+}
+
+// charged reports whether this balancer is among the first for a sidecar.
+func (t *Table) charged(sidecar registry.Host, balancers []registry.Host) bool {
+	own, before := pairHash(sidecar, t.cfg.Self), 0
+	for _, h := range balancers {
+		if h != t.cfg.Self && pairHash(sidecar, h) < own {
+			before++
+		}
+	}
+	return before < delegates
+}
+
+// pairHash returns the number by which all processes order balancers for a sidecar.
+func pairHash(sidecar, balancer registry.Host) uint64 {
+	return xxhash.Sum64(append(sidecar[:], balancer[:]...))
 }
 
 // targeted reports whether heartbeats of a reach go to a known process: balancers
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -152,11 +152,17 @@
 }
 
 // Learned returns the processes that this one heard, itself or by a delegate,
-// after since. Its own data centre is told of these.
+// after since. Sidecars are told of these.
 func (t *Table) Learned(since time.Duration) []*Peer {
 	return t.sorted(func(p *Peer) bool { return p.learned > since })
 }
 
+// LearnedFar returns those of other data centres. Balancers are told of these, as
+// they hear their own data centre themselves.
+func (t *Table) LearnedFar(since time.Duration) []*Peer {
+	return t.sorted(func(p *Peer) bool { return p.learned > since && p.Beat.DataCentre != t.cfg.DataCentre })
+}
+
 // Changed returns those of the processes that changed after since in a way that others should know soon.
 func Changed(peers []*Peer, since time.Duration) []*Peer {
 	return slices.DeleteFunc(peers, func(p *Peer) bool { return p.changed <= since })
--- a/membership/table.go
+++ b/membership/table.go
@@ -18,6 +18,8 @@
 	// farSuspectAfter is SuspectAfter for processes that are known by digests: one
 	// digest lost, and the way over two delegates.
 	farSuspectAfter = FarEvery*SuspectAfter - BeatInterval
+	// sidecarSuspectAfter is that for sidecars, which a balancer tells what it was told.
+	sidecarSuspectAfter = farSuspectAfter + FarEvery*BeatInterval
 	// farAlone is the silence of digests after which a process that hears no
 	// sidecar itself is alone: one digest and what it may be late.
 	farAlone = FarEvery*BeatInterval + 300*time.Millisecond
@@ -195,8 +197,11 @@
 
 // Patience returns after how much silence a process counts as lost.
 func (t *Table) Patience(p *Peer) time.Duration {
-	if t.often(p) {
+	switch {
+	case t.often(p):
 		return SuspectAfter
+	case t.cfg.Role == Sidecar:
+		return sidecarSuspectAfter
 	}
 	return farSuspectAfter
 }
--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -28,6 +28,9 @@
 	// Absent is since when the sidecar has been absent without having said that it
 	// stops. 0 when it is not absent.
 	Absent time.Duration
+	// Doubtful is true when the sidecar is not heard of any more and nobody who
+	// heard it itself says that it is gone.
+	Doubtful bool
 }
 
 // alive reports whether the sidecar was heard lately and goes on.
@@ -148,13 +151,15 @@
 }
 
 // allAsked reports whether each upstream that may hold a flow has returned a
-// packet of it. One that was removed and whose sidecar is not heard is gone.
+// packet of it. One that was removed and whose sidecar is not heard is gone, unless
+// that is doubtful.
 func (f *Fleet) allAsked(now time.Duration, s *search) bool {
 	for _, p := range f.Snapshot.Pools() {
 		for i := range p.Members {
 			m := &p.Members[i]
 			host := m.Address.Host
-			gone := m.Standing == registry.Removed && !f.alive(now, host) || f.lost(now, host)
+			left := m.Standing == registry.Removed && !f.alive(now, host) && !f.Sidecars[host].Doubtful
+			gone := left || f.lost(now, host)
 			if !gone && !s.asked(host) {
 				return false
 			}
--- a/steer/missing_test.go
+++ b/steer/missing_test.go
@@ -144,6 +144,24 @@
 	})
 }
 
+// TestNoResetPastADoubtfulSidecar has an upstream that was removed from the list
+// and whose sidecar is not heard of; only when that is not doubtful is it gone.
+func TestNoResetPastADoubtfulSidecar(t *testing.T) {
+	for _, doubtful := range []bool{true, false} {
+		w := newWorld(1, service, service, service)
+		w.publish(2, nil)
+		w.now += registry.MissingGrace
+		w.refresh()
+		f := &steer.Fleet{Snapshot: w.directory.Snapshot(w.now), Sidecars: map[registry.Host]steer.Instance{
+			w.sites[2].host: {Stopping: true, Doubtful: doubtful},
+		}, Settled: true}
+		w.balancers[0].SetFleet(f)
+		m := steer.Missing{Key: caller(1), Revision: w.revision, Hosts: []registry.Host{w.sites[0].host, w.sites[1].host}}
+		_, reset := w.balancers[0].Missing(w.now, &m)
+		must.Eq(t, !doubtful, reset)
+	}
+}
+
 // TestMissingTravels encodes a report as sidecars do, and refuses nonsense.
 func TestMissingTravels(t *testing.T) {
 	want := steer.Missing{Key: caller(7), Acknowledge: 1 << 31, Revision: 1 << 40, Hosts: []registry.Host{{10, 0, 0, 1}, {10, 0, 0, 2}}}
