--- a/sidecar/sidecar_test.go
+++ b/sidecar/sidecar_test.go
@@ -231,6 +231,9 @@
 	}
 	must.Eq(t, want, b.sidecar.Counts().Dropped)
 	_, _ = readFrame(t, b.upstream, false)
+	for b.sidecar.Counts().Delivered == 0 { // a packet is counted after it was sent
+		must.NoError(t, clock.Sleep(t.Context(), time.Millisecond))
+	}
 	must.Eq(t, uint64(1), b.sidecar.Counts().Delivered)
 }
 
