Count no flow as broken of which no balancer took a packet for its idle time

Cause: KNOWN-RED.txt, TestFlowStaysWithoutPackets (TestStatefulFaults): a flow broke that its upstream had forgotten.

Traced, with lines that this commit adds to the trace: balancer 1 is paused from 0.00 s on and balancer 2 from 200.25 s on, to 246.25 s, when both are replaced. There is no third one. The flow's packets, one each 2 s, waited in paused processes; no balancer took one for 47.3 s, longer than the idle time of 40 s, after which a flow may be forgotten. So the case is allowed.

Ruled out: a lost packet (the draw loses none); a packet that a balancer took and no sidecar got (the check still fails on that: it asks when balancers took packets, not when the upstream got them).

Change: the check. A flow counts as idle when no balancer took a packet of it for the idle time, and may break then, as a datagram flow may move after the idle time already.

--- a/flow/balancer_test.go
+++ b/flow/balancer_test.go
@@ -35,6 +35,7 @@
 
 // receive forwards a caller's packet.
 func (b *balancer) receive(p flow.Packet, bd body) {
+	bd.flow.arrived(b.w.now)
 	s, cs := view{plan: b.plan}.Candidates(nil, p.Key)
 	if len(cs) == 0 {
 		return
--- a/flow/caller_test.go
+++ b/flow/caller_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"time"
 
 	"github.com/corianderbay/corianderbay/bundle"
@@ -35,6 +36,10 @@
 	received    uint32 // parts of answers
 	requests    []*request
 	lastSent    time.Time
+	lastArrived time.Time // when a balancer last took a packet of it; zero until the first
+	// idle is true once no balancer took a packet of it for the idle time, as when
+	// all are paused: upstreams may forget it, however often its caller sends.
+	idle bool
 }
 
 // A request is one piece of work that a caller asks for.
@@ -83,6 +88,16 @@
 	f.w.send(fabric, b.id, func() { b.receive(p, bd) })
 }
 
+// arrived notes that a balancer took a packet of the flow.
+func (f *callerFlow) arrived(now time.Time) {
+	gap := now.Sub(f.lastArrived)
+	if !f.lastArrived.IsZero() && gap >= testIdle {
+		f.idle = true
+		f.w.log(func() string { return fmt.Sprintf("%v was idle for %v", f.key, gap) })
+	}
+	f.lastArrived = now
+}
+
 func (f *callerFlow) syn() {
 	f.packet(flow.Packet{Opening: true, Sequence: f.isn}, body{})
 }
--- a/flow/stateful_test.go
+++ b/flow/stateful_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"testing"
 	"time"
 
@@ -378,6 +379,7 @@
 // pauseBalancer pauses a balancer, or wakes it.
 func (m *machine) pauseBalancer(t *rapid.T) {
 	b := m.w.balancers[rapid.IntRange(0, len(m.w.balancers)-1).Draw(t, "balancer")]
+	m.w.log(func() string { return fmt.Sprintf("balancer %d is paused or wakes", b.id) })
 	if b.paused {
 		b.wake()
 		return
