--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -97,7 +97,7 @@
 // refresh takes over a new view.
 func (b *Balancer) refresh(f *steer.Fleet) {
 	b.decide.SetFleet(f)
-	if f.Snapshot.Version() == 0 || f.Snapshot.Revision() == 0 {
+	if f.Snapshot.Version() == 0 || f.Snapshot.State().IsZero() {
 		return
 	}
 	now := b.cfg.Timer.Uptime()
@@ -111,7 +111,7 @@
 	}
 	if b.heardAll(f) || now-time.Duration(b.informed.Load()) >= readyWait {
 		b.ready.Store(true)
-		b.cfg.Log.Emit(event.ProcessReady, zap.Uint64("version", f.Snapshot.Version()), zap.Uint64("revision", f.Snapshot.Revision()))
+		b.cfg.Log.Emit(event.ProcessReady, zap.Uint64("version", f.Snapshot.Version()), zap.Uint32("era", uint32(f.Snapshot.State().Era)), zap.Uint64("revision", f.Snapshot.State().Revision))
 	}
 }
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -75,7 +75,7 @@
 	p.Value(defOmitted, float64(log.Omitted()))
 	p.Value(defVersion, float64(st.Version))
 	p.Value(defRoutesAge, st.RoutesAge.Seconds())
-	p.Value(defRevision, float64(st.Revision))
+	p.Value(defRevision, float64(st.State.Revision))
 	p.Value(defStoreAge, st.StoreAge.Seconds())
 	p.Value(defPeers, float64(st.Peers))
 	p.Value(defMemory, memory())
--- a/edge/process.go
+++ b/edge/process.go
@@ -125,7 +125,8 @@
 	if f := p.fleet(); f != nil {
 		all = append(all,
 			zap.Uint64("version", f.Snapshot.Version()),
-			zap.Uint64("revision", f.Snapshot.Revision()),
+			zap.Uint32("era", uint32(f.Snapshot.State().Era)),
+			zap.Uint64("revision", f.Snapshot.State().Revision),
 			zap.Duration("storeage", p.cfg.Timer.Uptime()-f.StoreSeen))
 	}
 	p.cfg.Log.Emit(n, append(all, fields...)...)
--- a/exchange/beats.go
+++ b/exchange/beats.go
@@ -60,7 +60,7 @@
 		Incarnation: n.incarnation.Load(),
 		Sequence:    n.sequence,
 		Version:     n.directory.Version(),
-		Revision:    n.directory.Revision(),
+		State:       n.directory.State(),
 		StoreAge:    n.members.StoreAge(now),
 		Reading:     n.members.Reading(now),
 		Stopping:    n.stopping,
--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -90,7 +90,7 @@
 	return membership.Digest{
 		DataCentre: n.cfg.DataCentre,
 		Version:    n.directory.Version(),
-		Revision:   n.directory.Revision(),
+		State:      n.directory.State(),
 		StoreAge:   n.members.StoreAge(now),
 	}
 }
@@ -171,7 +171,7 @@
 func (n *Node) heardOf(now time.Duration, d *membership.Digest, i int) membership.News {
 	r, b := &d.Reports[i], d.Beat(i)
 	age := time.Duration(r.Age) * time.Millisecond
-	news := n.members.HeardOf(now, age, r.Host, b, n.directory.Version(), n.directory.Revision())
+	news := n.members.HeardOf(now, age, r.Host, b, n.knowledge())
 	if news.Known && b.Role == membership.Sidecar {
 		n.told = append(n.told, r.Host)
 	}
--- a/exchange/frame.go
+++ b/exchange/frame.go
@@ -21,8 +21,8 @@
 
 // query asks for what is newer than what the sender has.
 type query struct {
-	Version  uint64 `msgpack:"v"`
-	Revision uint64 `msgpack:"r"`
+	Version uint64         `msgpack:"v"`
+	State   registry.State `msgpack:"s"`
 }
 
 // writeFrame writes v as one frame: a big-endian length and its compressed msgpack encoding.
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -184,11 +184,16 @@
 	n.socket.Send(b, h.Port(n.cfg.Listen.Port()))
 }
 
-// Version returns the version of the routes and the revision of the list of upstreams.
-func (n *Node) Version() (version, revision uint64) {
+// Knowledge returns what this process has of routes and upstreams.
+func (n *Node) Knowledge() membership.Knowledge {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.directory.Version(), n.directory.Revision()
+	return n.knowledge()
+}
+
+// knowledge is Knowledge for a caller that holds the lock.
+func (n *Node) knowledge() membership.Knowledge {
+	return membership.Knowledge{Version: n.directory.Version(), State: n.directory.State()}
 }
 
 // StoreCalls returns how long calls of the store took, without watches.
@@ -198,8 +203,8 @@
 
 // Status is what a Node tells of itself.
 type Status struct {
-	Version  uint64
-	Revision uint64
+	membership.Knowledge
+
 	StoreAge time.Duration
 	// RoutesAge is how long ago the routes in force were taken over. 0 before the first.
 	RoutesAge time.Duration
@@ -215,9 +220,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	s := Status{
-		Version:  n.directory.Version(),
-		Revision: n.directory.Revision(),
-		StoreAge: n.members.StoreAge(now),
+		Knowledge: n.knowledge(),
+		StoreAge:  n.members.StoreAge(now),
 	}
 	if s.Version > 0 {
 		s.RoutesAge = now - n.adopted
--- a/exchange/node_test.go
+++ b/exchange/node_test.go
@@ -49,7 +49,7 @@
 	return m.now, nil
 }
 
-func (m *memory) Watch(ctx context.Context, after uint64) (registry.Update, error) {
+func (m *memory) Watch(ctx context.Context, after registry.State) (registry.Update, error) {
 	for range 20 {
 		m.mu.Lock()
 		u, down := m.now, m.down
@@ -57,7 +57,7 @@
 		if down {
 			return registry.Update{}, downError{}
 		}
-		if u.Revision > after {
+		if u.State.After(after) {
 			return registry.Update{}, &exchange.HistoryError{After: after}
 		}
 		select {
@@ -66,14 +66,14 @@
 		case <-time.After(10 * time.Millisecond):
 		}
 	}
-	return registry.Update{From: after, Revision: after}, nil
+	return registry.Update{From: after, State: after}, nil
 }
 
 // set publishes a version with upstreams on hosts.
 func (m *memory) set(version uint64, hosts ...registry.Host) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.now = registry.Update{Whole: true, Revision: version, Routes: &registry.Routes{Version: version}}
+	m.now = registry.Update{Whole: true, State: registry.State{Revision: version}, Routes: &registry.Routes{Version: version}}
 	for _, h := range hosts {
 		m.now.Changes = append(m.now.Changes, registry.Change{Key: h.String(), Revision: version, Upstream: &registry.Upstream{
 			ID: h.String(), Service: service, Address: registry.Endpoint{Host: h, Port: 80}, DataCentre: "a", Slots: 2,
@@ -208,7 +208,7 @@
 }
 
 func (p *process) version() uint64 {
-	v, _ := p.node.Version()
+	v := p.node.Knowledge().Version
 	return v
 }
 
@@ -227,7 +227,7 @@
 	await(t, "all have version 4", func() bool {
 		return second.version() == 4 && sidecar.version() == 4
 	})
-	_, revision := sidecar.node.Version()
+	revision := sidecar.node.Knowledge().State.Revision
 	must.Eq(t, uint64(4), revision)
 }
 
@@ -328,7 +328,7 @@
 		defer s.mu.Unlock()
 		return len(s.forwarded) == 1 && s.forwarded[0] == "packet"
 	})
-	lost := steer.Missing{Key: keys[3], Revision: 4, Hosts: []registry.Host{hostOf(2)}}
+	lost := steer.Missing{Key: keys[3], State: registry.State{Revision: 4}, Hosts: []registry.Host{hostOf(2)}}
 	s.node.TellMissing(&lost, hostOf(1))
 	await(t, "the balancer hears that a flow is missing", func() bool {
 		b.mu.Lock()
@@ -430,7 +430,7 @@
 	beats, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(hostOf(5).Addr(), port)))
 	must.NoError(t, err)
 	t.Cleanup(func() { beats.Close() })
-	raw, err := wire.Encode(membership.Beat{Role: membership.Balancer, DataCentre: "a", Incarnation: 1, Version: 9, Revision: 9})
+	raw, err := wire.Encode(membership.Beat{Role: membership.Balancer, DataCentre: "a", Incarnation: 1, Version: 9, State: registry.State{Revision: 9}})
 	must.NoError(t, err)
 	lie := func() {
 		_, err := beats.WriteToUDPAddrPort(append([]byte{1}, raw...), netip.AddrPortFrom(hostOf(2).Addr(), port))
--- a/exchange/pull.go
+++ b/exchange/pull.go
@@ -57,8 +57,9 @@
 	now := n.cfg.Timer.Uptime()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	q := query{Version: n.directory.Version(), Revision: n.directory.Revision()}
-	p := n.members.Newest(now, q.Version, q.Revision, failed)
+	own := n.knowledge()
+	q := query{Version: own.Version, State: own.State}
+	p := n.members.Newest(now, own, failed)
 	if p == nil {
 		return registry.Host{}, q, false
 	}
@@ -84,7 +85,7 @@
 		return err
 	}
 	res := n.apply(u, zap.Stringer("peer", host))
-	if res.Gap || u.Routes == nil && u.Revision == 0 {
+	if res.Gap || u.Routes == nil && u.State.IsZero() {
 		return &NothingNewError{Host: host}
 	}
 	return nil
@@ -120,7 +121,7 @@
 	var q query
 	if err = readFrame(conn, &q); err == nil {
 		n.mu.Lock()
-		u := n.directory.Since(q.Version, q.Revision)
+		u := n.directory.Since(q.Version, q.State)
 		n.mu.Unlock()
 		err = writeFrame(conn, u)
 	}
--- a/exchange/reader.go
+++ b/exchange/reader.go
@@ -54,8 +54,7 @@
 // step makes one call and returns the pause after it.
 func (r *reader) step(ctx context.Context) time.Duration {
 	n := r.node
-	_, revision := n.Version()
-	u, err := r.call(ctx, revision)
+	u, err := r.call(ctx, n.Knowledge().State)
 	if ctx.Err() != nil {
 		return 0
 	}
@@ -78,14 +77,14 @@
 	return readPause
 }
 
-func (r *reader) call(ctx context.Context, revision uint64) (registry.Update, error) {
-	if r.whole || revision == 0 {
+func (r *reader) call(ctx context.Context, after registry.State) (registry.Update, error) {
+	if r.whole || after.IsZero() {
 		begin := r.node.cfg.Timer.Uptime()
 		u, err := r.node.cfg.Source.Read(ctx)
 		r.node.storeCalls.Observe(r.node.cfg.Timer.Uptime() - begin)
 		return u, err
 	}
-	return r.node.cfg.Source.Watch(ctx, revision)
+	return r.node.cfg.Source.Watch(ctx, after)
 }
 
 // noteTrouble notes that a call failed while no other process has an answer.
@@ -103,7 +102,7 @@
 	n := r.node
 	if history := (*HistoryError)(nil); errors.As(err, &history) {
 		r.whole = true
-		n.cfg.Log.Emit(event.HistoryLost, zap.Uint64("after", history.After))
+		n.cfg.Log.Emit(event.HistoryLost, zap.Stringer("after", history.After))
 		return 0
 	}
 	n.noteTrouble()
--- a/exchange/receive.go
+++ b/exchange/receive.go
@@ -79,7 +79,7 @@
 	}
 	now := n.cfg.Timer.Uptime()
 	n.mu.Lock()
-	news := n.members.Heard(now, from, b, n.directory.Version(), n.directory.Revision())
+	news := n.members.Heard(now, from, b, n.knowledge())
 	if news.Changed {
 		n.digests.press(true)
 	}
--- a/exchange/view.go
+++ b/exchange/view.go
@@ -27,7 +27,7 @@
 // remake makes the snapshot anew. The caller holds the lock.
 func (n *Node) remake(now time.Duration) {
 	n.snapshot = n.directory.Snapshot(now)
-	if n.informed == 0 && n.snapshot.Revision() > 0 {
+	if n.informed == 0 && !n.snapshot.State().IsZero() {
 		n.informed = now
 	}
 	n.made = now
@@ -113,7 +113,7 @@
 	now := n.cfg.Timer.Uptime()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	first := n.directory.Revision() == 0
+	first := n.directory.State().IsZero()
 	res := n.directory.Apply(now, u)
 	if first && res.Upstreams || (res.Routes || res.Upstreams) && n.members.Speaks(now) {
 		n.Hurry() // sidecars learn of this process, and the data centre of what its delegate learned
@@ -127,7 +127,8 @@
 		n.publish(now)
 		n.cfg.Log.Emit(event.RoutesAdopted, from,
 			zap.Uint64("version", n.directory.Version()),
-			zap.Uint64("revision", n.directory.Revision()),
+			zap.Uint32("era", uint32(n.directory.State().Era)),
+			zap.Uint64("revision", n.directory.State().Revision),
 			zap.Bool("routes", res.Routes),
 			zap.Bool("upstreams", res.Upstreams),
 			zap.Int("changes", len(u.Changes)))
--- a/membership/beat.go
+++ b/membership/beat.go
@@ -43,6 +43,14 @@
 	Failing bool `msgpack:"e,omitempty"`
 }
 
+// Knowledge is what a process has of routes and upstreams.
+type Knowledge struct {
+	// Version is that of the routes. 0 before the first.
+	Version uint64
+	// State is the state of the store that the upstreams stand for. Zero before the first.
+	State registry.State
+}
+
 // Beat is a heartbeat.
 type Beat struct {
 	Role       Role   `msgpack:"r,omitempty"`
@@ -52,9 +60,9 @@
 	// Sequence grows with each beat of an incarnation, so that one that arrives
 	// late or by a longer way does not replace a newer one.
 	Sequence uint32 `msgpack:"q,omitempty"`
-	// Version and Revision are what the sender has of routes and upstreams.
-	Version  uint64 `msgpack:"v,omitempty"`
-	Revision uint64 `msgpack:"n,omitempty"`
+	// Version and State are what the sender has of routes and upstreams.
+	Version uint64         `msgpack:"v,omitempty"`
+	State   registry.State `msgpack:"n,omitempty"`
 	// StoreAge is how long ago the sender, or a process that it heard of, had an answer of the store.
 	StoreAge time.Duration `msgpack:"a,omitempty"`
 	// Reading is true when the sender itself had an answer of the store within FreshStore.
@@ -72,6 +80,11 @@
 	Lost []registry.Host `msgpack:"x,omitempty"`
 }
 
+// ahead reports whether the sender has newer routes or upstreams than this process.
+func (b *Beat) ahead(own Knowledge) bool {
+	return b.Version > own.Version || b.State.After(own.State)
+}
+
 // Check reports *BeatError when the beat cannot be used.
 func (b *Beat) Check() error {
 	if b.Role != Balancer && b.Role != Sidecar {
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -21,8 +21,9 @@
 	Role        Role
 	Incarnation uint32
 	Sequence    uint32
-	// Version and Revision are relative to those of the digest.
+	// Version, Era and Revision are relative to those of the digest.
 	Version  int64
+	Era      int64
 	Revision int64
 	Reading  bool
 	Stopping bool
@@ -46,9 +47,9 @@
 type Digest struct {
 	// DataCentre is that of the delegate, and of the reports that name none.
 	DataCentre string `msgpack:"d"`
-	// Version and Revision are what the delegate has of routes and upstreams.
-	Version  uint64 `msgpack:"v,omitempty"`
-	Revision uint64 `msgpack:"n,omitempty"`
+	// Version and State are what the delegate has of routes and upstreams.
+	Version uint64         `msgpack:"v,omitempty"`
+	State   registry.State `msgpack:"n,omitempty"`
 	// StoreAge is how long ago the delegate, or a process that it heard of, had an answer of the store.
 	StoreAge time.Duration `msgpack:"s,omitempty"`
 	Reports  []Report      `msgpack:"r"`
@@ -80,7 +81,8 @@
 		Incarnation: b.Incarnation,
 		Sequence:    b.Sequence,
 		Version:     int64(b.Version - d.Version),
-		Revision:    int64(b.Revision - d.Revision),
+		Era:         int64(b.State.Era) - int64(d.State.Era),
+		Revision:    int64(b.State.Revision - d.State.Revision),
 		Reading:     b.Reading,
 		Stopping:    b.Stopping,
 		Flows:       b.Load.Flows,
@@ -106,9 +108,12 @@
 		Incarnation: r.Incarnation,
 		Sequence:    r.Sequence,
 		Version:     d.Version + uint64(r.Version),
-		Revision:    d.Revision + uint64(r.Revision),
-		Reading:     r.Reading,
-		Stopping:    r.Stopping,
+		State: registry.State{
+			Era:      registry.Era(int64(d.State.Era) + r.Era),
+			Revision: d.State.Revision + uint64(r.Revision),
+		},
+		Reading:  r.Reading,
+		Stopping: r.Stopping,
 		Load: Load{
 			Flows:    r.Flows,
 			Active:   r.Active,
@@ -169,8 +174,8 @@
 }
 
 // HeardOf takes in what a delegate told of a process, and how long ago that process
-// had sent it. version and revision are what this process has.
-func (t *Table) HeardOf(now, age time.Duration, h registry.Host, b Beat, version, revision uint64) News {
+// had sent it.
+func (t *Table) HeardOf(now, age time.Duration, h registry.Host, b Beat, own Knowledge) News {
 	if h == t.cfg.Self {
 		return News{}
 	}
@@ -181,7 +186,7 @@
 	if b.Role == Sidecar {
 		t.sidecarNews = now
 	}
-	return t.take(now, sent, h, b, version, revision)
+	return t.take(now, sent, h, b, own)
 }
 
 // supersedes reports whether a reported beat is newer than the one that is known.
--- a/membership/digest_test.go
+++ b/membership/digest_test.go
@@ -19,12 +19,12 @@
 func TestDigestTravels(t *testing.T) {
 	beats := []membership.Beat{
 		{
-			Role: membership.Sidecar, DataCentre: "a", Incarnation: 1 << 31, Sequence: 7, Version: 4, Revision: 90, Stopping: true,
+			Role: membership.Sidecar, DataCentre: "a", Incarnation: 1 << 31, Sequence: 7, Version: 4, State: registry.State{Revision: 90}, Stopping: true,
 			Load: membership.Load{Flows: 3, Active: 2, Busy: 900, Silent: true, Refusing: true, Failing: true},
 		},
-		{Role: membership.Balancer, DataCentre: "b", Incarnation: 2, Version: 6, Revision: 101, Reading: true, Lost: []registry.Host{host(9)}},
+		{Role: membership.Balancer, DataCentre: "b", Incarnation: 2, Version: 6, State: registry.State{Era: 2, Revision: 101}, Reading: true, Lost: []registry.Host{host(9)}},
 	}
-	d := membership.Digest{DataCentre: "a", Version: 5, Revision: 100, StoreAge: time.Second}
+	d := membership.Digest{DataCentre: "a", Version: 5, State: registry.State{Era: 1, Revision: 100}, StoreAge: time.Second}
 	d = d.WithReport(host(1), &beats[0], 250*time.Millisecond).WithReport(host(2), &beats[1], 0)
 	raw, err := wire.Encode(d)
 	must.NoError(t, err)
@@ -60,14 +60,14 @@
 		tb := table(1, membership.Balancer)
 		for i := range d.Reports {
 			r := &d.Reports[i]
-			tb.HeardOf(start, time.Duration(r.Age)*time.Millisecond, r.Host, d.Beat(i), 1, 1)
+			tb.HeardOf(start, time.Duration(r.Age)*time.Millisecond, r.Host, d.Beat(i), has(1, 1))
 			if p := tb.Peer(r.Host); p != nil && p.Heard > start {
 				t.Fatalf("%s is heard at %v, which is yet to come", r.Host, p.Heard)
 			}
 		}
 		tb.NoteAbsent(start)
 		tb.Partners(start)
-		tb.Newest(start, 1, 1, registry.Host{})
+		tb.Newest(start, has(1, 1), registry.Host{})
 	})
 }
 
@@ -76,23 +76,23 @@
 	const far = 2
 	tb := table(1, membership.Balancer)
 	b := in("b", membership.Sidecar)
-	must.True(t, tb.HeardOf(start, 300*time.Millisecond, host(far), b, 0, 0).Restarted)
+	must.True(t, tb.HeardOf(start, 300*time.Millisecond, host(far), b, has(0, 0)).Restarted)
 	must.Eq(t, start-300*time.Millisecond, tb.Peer(host(far)).Heard)
-	must.False(t, tb.HeardOf(start, 0, host(far), b, 0, 0).Known, must.Sprint("the same beat by another way"))
+	must.False(t, tb.HeardOf(start, 0, host(far), b, has(0, 0)).Known, must.Sprint("the same beat by another way"))
 
 	newer := b
 	newer.Sequence, newer.Stopping = 3, true
-	must.True(t, tb.Heard(start, host(far), newer, 0, 0).Changed)
+	must.True(t, tb.Heard(start, host(far), newer, has(0, 0)).Changed)
 	older := b
 	older.Sequence = 2
-	must.False(t, tb.HeardOf(start+time.Millisecond, 0, host(far), older, 0, 0).Known)
-	must.False(t, tb.Heard(start+time.Millisecond, host(far), older, 0, 0).Known)
+	must.False(t, tb.HeardOf(start+time.Millisecond, 0, host(far), older, has(0, 0)).Known)
+	must.False(t, tb.Heard(start+time.Millisecond, host(far), older, has(0, 0)).Known)
 	must.True(t, tb.Peer(host(far)).Beat.Stopping)
 
 	again := b
 	again.Incarnation, again.Sequence = 2, 1
-	must.True(t, tb.Heard(start+time.Second, host(far), again, 0, 0).Restarted)
-	must.False(t, tb.HeardOf(start+time.Second, 50*time.Millisecond, host(far), newer, 0, 0).Known, must.Sprint("of the incarnation before"))
+	must.True(t, tb.Heard(start+time.Second, host(far), again, has(0, 0)).Restarted)
+	must.False(t, tb.HeardOf(start+time.Second, 50*time.Millisecond, host(far), newer, has(0, 0)).Known, must.Sprint("of the incarnation before"))
 }
 
 // TestDelegatesAreAgreedOn lets all balancers of a data centre name the same two.
@@ -103,7 +103,7 @@
 	for self := byte(1); self <= n; self++ {
 		tb := table(self, membership.Balancer)
 		for other := byte(1); other <= n; other++ {
-			tb.Heard(start, host(other), in("a", membership.Balancer), 0, 0)
+			tb.Heard(start, host(other), in("a", membership.Balancer), has(0, 0))
 		}
 		got := tb.Delegates(start, "a")
 		must.Len(t, 2, got)
@@ -123,7 +123,7 @@
 func TestDelegateIsReplaced(t *testing.T) {
 	tb := table(1, membership.Balancer)
 	for n := byte(2); n <= 4; n++ {
-		tb.Heard(start, host(n), in("b", membership.Balancer), 0, 0)
+		tb.Heard(start, host(n), in("b", membership.Balancer), has(0, 0))
 	}
 	must.Len(t, 1, tb.Partners(start))
 	partner := tb.Partners(start)[0]
@@ -147,7 +147,7 @@
 func TestDataCentresSpeakAgain(t *testing.T) {
 	tb := table(1, membership.Balancer)
 	for n := byte(2); n <= 4; n++ {
-		tb.HeardOf(start, 0, host(n), in("b", membership.Balancer), 0, 0)
+		tb.HeardOf(start, 0, host(n), in("b", membership.Balancer), has(0, 0))
 	}
 	const silent = start + 5*time.Second
 	must.SliceEmpty(t, tb.Delegates(silent, "b"))
@@ -167,8 +167,8 @@
 		for n := byte(1); n <= 60; n++ {
 			for _, tb := range []*membership.Table{balancer, sidecar} {
 				centre := string('a' + rune(n%5))
-				tb.Heard(start, host(n), in(centre, membership.Balancer), 0, 0)
-				tb.HeardOf(start, 0, host(100+n), in(centre, membership.Sidecar), 0, 0)
+				tb.Heard(start, host(n), in(centre, membership.Balancer), has(0, 0))
+				tb.HeardOf(start, 0, host(100+n), in(centre, membership.Sidecar), has(0, 0))
 			}
 		}
 		must.Len(t, near, balancer.Targets(start, membership.ReachNear, nil))
@@ -191,10 +191,10 @@
 	for self := byte(1); self <= balancers; self++ {
 		tb := table(self, membership.Balancer)
 		for n := byte(1); n <= balancers; n++ {
-			tb.Heard(start, host(n), in("a", membership.Balancer), 0, 0)
+			tb.Heard(start, host(n), in("a", membership.Balancer), has(0, 0))
 		}
 		for n := byte(100); n < 100+sidecars; n++ {
-			tb.Heard(start, host(n), in("a", membership.Sidecar), 0, 0)
+			tb.Heard(start, host(n), in("a", membership.Sidecar), has(0, 0))
 		}
 		charges := tb.Charges(start)
 		must.Less(t, sidecars/2, len(charges))
@@ -212,20 +212,20 @@
 // gets their heartbeats as a guest.
 func TestSidecarWithoutBalancers(t *testing.T) {
 	sidecar := table(1, membership.Sidecar)
-	sidecar.Heard(start, host(2), in("a", membership.Balancer), 0, 0)
-	sidecar.HeardOf(start, 0, host(3), in("b", membership.Balancer), 0, 0)
+	sidecar.Heard(start, host(2), in("a", membership.Balancer), has(0, 0))
+	sidecar.HeardOf(start, 0, host(3), in("b", membership.Balancer), has(0, 0))
 	must.Eq(t, []registry.Host{host(2)}, sidecar.Targets(start, membership.ReachWide, nil))
 	const silent = start + 6*membership.SuspectAfter
-	sidecar.HeardOf(silent, 0, host(3), membership.Beat{Role: membership.Balancer, DataCentre: "b", Incarnation: 1, Sequence: 2}, 0, 0)
+	sidecar.HeardOf(silent, 0, host(3), membership.Beat{Role: membership.Balancer, DataCentre: "b", Incarnation: 1, Sequence: 2}, has(0, 0))
 	must.Eq(t, []registry.Host{host(2), host(3), host(9)}, sidecar.Targets(silent, membership.ReachWide, nil))
 
 	balancer := table(3, membership.Balancer)
-	balancer.HeardOf(start, 0, host(4), in("b", membership.Sidecar), 0, 0)
+	balancer.HeardOf(start, 0, host(4), in("b", membership.Sidecar), has(0, 0))
 	must.SliceEmpty(t, balancer.Guests(start))
-	balancer.Heard(start, host(5), in("b", membership.Sidecar), 0, 0)
+	balancer.Heard(start, host(5), in("b", membership.Sidecar), has(0, 0))
 	must.Eq(t, []registry.Host{host(5)}, balancer.Guests(start))
 	must.Eq(t, []registry.Host{host(5)}, balancer.Charges(start))
-	balancer.HeardOf(start, 0, host(6), in("b", membership.Balancer), 0, 0)
+	balancer.HeardOf(start, 0, host(6), in("b", membership.Balancer), has(0, 0))
 	must.SliceEmpty(t, balancer.Charges(start), must.Sprint("the balancer there tells it"))
 	must.SliceEmpty(t, balancer.Guests(start+time.Minute))
 }
@@ -236,7 +236,7 @@
 	tb := table(1, membership.Balancer)
 	beat := func(at time.Duration, n byte, b membership.Beat, lost ...registry.Host) {
 		b.Sequence, b.Lost = uint32(at/time.Millisecond), lost
-		tb.HeardOf(at, 0, host(n), b, 0, 0)
+		tb.HeardOf(at, 0, host(n), b, has(0, 0))
 		tb.NoteAbsent(at)
 	}
 	beat(start, 2, in("b", membership.Sidecar))
@@ -259,18 +259,18 @@
 // before its delegates have fetched them.
 func TestPullsAreLeftToDelegates(t *testing.T) {
 	tb := table(1, membership.Sidecar)
-	tb.Heard(start, host(2), in("a", membership.Balancer), 0, 0)
+	tb.Heard(start, host(2), in("a", membership.Balancer), has(0, 0))
 	far := in("b", membership.Balancer)
 	far.Version = 5
-	tb.HeardOf(start, 0, host(3), far, 0, 0)
-	must.Nil(t, tb.Newest(start, 4, 0, registry.Host{}))
+	tb.HeardOf(start, 0, host(3), far, has(0, 0))
+	must.Nil(t, tb.Newest(start, has(4, 0), registry.Host{}))
 	near := in("a", membership.Balancer)
 	near.Version, near.Sequence = 5, 2
-	tb.Heard(start+100*time.Millisecond, host(2), near, 4, 0)
-	must.Eq(t, host(2), tb.Newest(start+100*time.Millisecond, 4, 0, registry.Host{}).Host)
+	tb.Heard(start+100*time.Millisecond, host(2), near, has(4, 0))
+	must.Eq(t, host(2), tb.Newest(start+100*time.Millisecond, has(4, 0), registry.Host{}).Host)
 
 	late := table(1, membership.Sidecar)
-	late.Heard(start, host(2), in("a", membership.Balancer), 0, 0)
-	late.HeardOf(start, 0, host(3), far, 0, 0)
-	must.Eq(t, host(3), late.Newest(start+time.Second, 4, 0, registry.Host{}).Host)
+	late.Heard(start, host(2), in("a", membership.Balancer), has(0, 0))
+	late.HeardOf(start, 0, host(3), far, has(0, 0))
+	must.Eq(t, host(3), late.Newest(start+time.Second, has(4, 0), registry.Host{}).Host)
 }
--- a/membership/reader.go
+++ b/membership/reader.go
@@ -68,14 +68,14 @@
 	return xxhash.Sum64(h[:])
 }
 
-// Newest returns the peer to ask for what is newer than version and revision:
+// Newest returns the peer to ask for what is newer than what this process knows:
 // one of the same data centre if possible. It returns nil when none has more, or
 // when the delegates are about to bring it from another data centre.
-func (t *Table) Newest(now time.Duration, version, revision uint64, failed registry.Host) *Peer {
+func (t *Table) Newest(now time.Duration, own Knowledge, failed registry.Host) *Peer {
 	var best *Peer
 	waits := !t.Speaks(now) && len(t.Delegates(now, t.cfg.DataCentre)) > 0
 	for _, p := range t.peers {
-		if now-p.Heard >= t.Patience(p) || p.Beat.Version <= version && p.Beat.Revision <= revision {
+		if now-p.Heard >= t.Patience(p) || !p.Beat.ahead(own) {
 			continue
 		}
 		if waits && p.Beat.DataCentre != t.cfg.DataCentre && now-p.news < farPullAfter {
@@ -100,5 +100,5 @@
 	if a.Beat.Version != b.Beat.Version {
 		return a.Beat.Version > b.Beat.Version
 	}
-	return a.Beat.Revision > b.Beat.Revision
+	return a.Beat.State.After(b.Beat.State)
 }
--- a/membership/table.go
+++ b/membership/table.go
@@ -58,7 +58,7 @@
 	Direct  time.Duration
 	learned time.Duration // when Beat arrived here
 	changed time.Duration // when News.Changed was last true of the process
-	news    time.Duration // when the process first told its present version and revision
+	news    time.Duration // when the process first told its present version and state
 }
 
 // Table holds the other processes. It is not safe for concurrent use.
@@ -129,15 +129,15 @@
 // freshBy is by how much an answer of the store must be newer to be passed on at once.
 const freshBy = 500 * time.Millisecond
 
-// Heard takes in a beat that the process itself sent. version and revision are what this process has.
-func (t *Table) Heard(now time.Duration, from registry.Host, b Beat, version, revision uint64) News {
+// Heard takes in a beat that the process itself sent.
+func (t *Table) Heard(now time.Duration, from registry.Host, b Beat, own Knowledge) News {
 	if from == t.cfg.Self {
 		return News{}
 	}
 	if p := t.peers[from]; p != nil && p.Beat.Incarnation == b.Incarnation && b.Sequence < p.Beat.Sequence {
 		return News{} // it was overtaken
 	}
-	news := t.take(now, now, from, b, version, revision)
+	news := t.take(now, now, from, b, own)
 	t.peers[from].Direct = now
 	if b.Role == Sidecar && b.DataCentre != t.cfg.DataCentre {
 		t.sidecarNews = now
@@ -151,7 +151,7 @@
 }
 
 // take replaces what is known of a process by a newer beat, sent at the given time.
-func (t *Table) take(now, sent time.Duration, from registry.Host, b Beat, version, revision uint64) News {
+func (t *Table) take(now, sent time.Duration, from registry.Host, b Beat, own Knowledge) News {
 	p := t.peers[from]
 	if p == nil {
 		p = &Peer{Host: from}
@@ -160,13 +160,13 @@
 	news := News{
 		Known:     true,
 		Restarted: p.Beat.Incarnation != b.Incarnation,
-		Ahead:     b.Version > version || b.Revision > revision,
+		Ahead:     b.ahead(own),
 	}
 	news.Changed = news.Restarted || p.Beat.Stopping != b.Stopping || p.Beat.Reading != b.Reading || p.Beat.Load.Silent != b.Load.Silent
 	if news.Changed {
 		p.changed = now
 	}
-	if p.Beat.Version != b.Version || p.Beat.Revision != b.Revision {
+	if p.Beat.Version != b.Version || p.Beat.State != b.State {
 		p.news = now
 	}
 	p.Beat, p.Heard, p.learned = b, max(p.Heard, sent), now
--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -18,6 +18,11 @@
 	return membership.New(membership.Config{Self: host(self), Role: role, DataCentre: "a", Seeds: []registry.Host{host(9)}, Started: start})
 }
 
+// has returns what a process has of routes and upstreams.
+func has(version, revision uint64) membership.Knowledge {
+	return membership.Knowledge{Version: version, State: registry.State{Revision: revision}}
+}
+
 func balancerBeat(reading bool) membership.Beat {
 	age := time.Hour
 	if reading {
@@ -34,7 +39,7 @@
 		tb := table(self, membership.Balancer)
 		tb.StoreAnswered(start)
 		for other := byte(1); other <= n; other++ {
-			tb.Heard(start, host(other), balancerBeat(true), 0, 0)
+			tb.Heard(start, host(other), balancerBeat(true), has(0, 0))
 		}
 		if tb.ShouldRead(start, 0) {
 			reading++
@@ -47,7 +52,7 @@
 func TestOthersReadForThoseTurnedAway(t *testing.T) {
 	tb := table(1, membership.Balancer)
 	for other := byte(2); other <= 6; other++ {
-		tb.Heard(start, host(other), balancerBeat(false), 0, 0)
+		tb.Heard(start, host(other), balancerBeat(false), has(0, 0))
 	}
 	must.True(t, tb.ShouldRead(start, 0))
 }
@@ -55,7 +60,7 @@
 // TestSidecarReadsOnlyWhenNobodyElseDoes waits out its patience.
 func TestSidecarReadsOnlyWhenNobodyElseDoes(t *testing.T) {
 	tb := table(1, membership.Sidecar)
-	tb.Heard(start, host(2), balancerBeat(true), 0, 0)
+	tb.Heard(start, host(2), balancerBeat(true), has(0, 0))
 	must.False(t, tb.ShouldRead(start+time.Second, 500*time.Millisecond))
 	must.False(t, tb.ShouldRead(start+1900*time.Millisecond, 500*time.Millisecond))
 	must.True(t, tb.ShouldRead(start+2*time.Second, 500*time.Millisecond))
@@ -66,16 +71,16 @@
 func TestSilenceAndStopping(t *testing.T) {
 	tb := table(1, membership.Balancer)
 	b := membership.Beat{Role: membership.Sidecar, DataCentre: "a", Incarnation: 1}
-	must.True(t, tb.Heard(start, host(2), b, 0, 0).Restarted)
-	must.False(t, tb.Heard(start, host(2), b, 0, 0).Restarted)
+	must.True(t, tb.Heard(start, host(2), b, has(0, 0)).Restarted)
+	must.False(t, tb.Heard(start, host(2), b, has(0, 0)).Restarted)
 	must.True(t, tb.Alive(start+membership.SuspectAfter-1, host(2)))
 	must.False(t, tb.Alive(start+membership.SuspectAfter, host(2)))
 	must.Eq(t, []registry.Host{host(2)}, tb.Lost(start+membership.SuspectAfter))
 	b.Stopping = true
-	tb.Heard(start, host(2), b, 0, 0)
+	tb.Heard(start, host(2), b, has(0, 0))
 	must.False(t, tb.Alive(start, host(2)))
 	b.Stopping, b.Incarnation = false, 2
-	must.True(t, tb.Heard(start, host(2), b, 0, 0).Restarted)
+	must.True(t, tb.Heard(start, host(2), b, has(0, 0)).Restarted)
 	must.True(t, tb.Alive(start, host(2)))
 }
 
@@ -84,10 +89,10 @@
 	tb := table(1, membership.Sidecar)
 	b := balancerBeat(true)
 	b.Lost = []registry.Host{host(5)}
-	tb.Heard(start, host(2), b, 0, 0)
+	tb.Heard(start, host(2), b, has(0, 0))
 	must.Eq(t, []registry.Host{host(5)}, tb.Lost(start))
 	must.SliceEmpty(t, tb.Lost(start+10*membership.SuspectAfter))
-	tb.Heard(start, host(5), membership.Beat{Role: membership.Sidecar, Incarnation: 1}, 0, 0)
+	tb.Heard(start, host(5), membership.Beat{Role: membership.Sidecar, Incarnation: 1}, has(0, 0))
 	must.SliceEmpty(t, tb.Lost(start))
 }
 
@@ -97,8 +102,8 @@
 	must.Eq(t, []registry.Host{host(9)}, tb.Targets(start, membership.ReachWide, nil))
 	b := balancerBeat(true)
 	b.Balancers = []registry.Host{host(1), host(3), host(9)}
-	must.True(t, tb.Heard(start, host(9), b, 0, 0).Named)
-	must.False(t, tb.Heard(start, host(9), b, 0, 0).Named)
+	must.True(t, tb.Heard(start, host(9), b, has(0, 0)).Named)
+	must.False(t, tb.Heard(start, host(9), b, has(0, 0)).Named)
 	must.Eq(t, []registry.Host{host(3), host(4), host(9)}, tb.Targets(start, membership.ReachWide, []registry.Host{host(4), host(9)}))
 	must.Eq(t, []registry.Host{host(9)}, tb.Targets(start, membership.ReachNear, nil))
 	tb.Expire(start + time.Minute)
@@ -108,16 +113,16 @@
 // TestNewestPeer prefers the own data centre, and another peer after a failure.
 func TestNewestPeer(t *testing.T) {
 	tb := table(1, membership.Balancer)
-	must.Nil(t, tb.Newest(start, 0, 0, registry.Host{}))
+	must.Nil(t, tb.Newest(start, has(0, 0), registry.Host{}))
 	near, far := balancerBeat(true), balancerBeat(true)
-	near.Revision, far.Revision, far.DataCentre = 5, 6, "b"
-	must.True(t, tb.Heard(start, host(2), near, 0, 4).Ahead)
-	tb.Heard(start, host(3), far, 0, 4)
-	must.Eq(t, host(2), tb.Newest(start, 0, 4, registry.Host{}).Host)
-	must.Eq(t, host(3), tb.Newest(start, 0, 4, host(2)).Host)
-	must.Eq(t, host(3), tb.Newest(start, 0, 5, registry.Host{}).Host)
-	must.Nil(t, tb.Newest(start, 0, 6, registry.Host{}))
-	must.Nil(t, tb.Newest(start+time.Minute, 0, 4, registry.Host{}))
+	near.State.Revision, far.State.Revision, far.DataCentre = 5, 6, "b"
+	must.True(t, tb.Heard(start, host(2), near, has(0, 4)).Ahead)
+	tb.Heard(start, host(3), far, has(0, 4))
+	must.Eq(t, host(2), tb.Newest(start, has(0, 4), registry.Host{}).Host)
+	must.Eq(t, host(3), tb.Newest(start, has(0, 4), host(2)).Host)
+	must.Eq(t, host(3), tb.Newest(start, has(0, 5), registry.Host{}).Host)
+	must.Nil(t, tb.Newest(start, has(0, 6), registry.Host{}))
+	must.Nil(t, tb.Newest(start+time.Minute, has(0, 4), registry.Host{}))
 }
 
 // TestBeatTravels encodes a heartbeat as peers do, and refuses nonsense.
@@ -144,11 +149,11 @@
 func TestFarProcessesAreHeardLessOften(t *testing.T) {
 	tb := table(1, membership.Balancer)
 	b := membership.Beat{Role: membership.Sidecar, DataCentre: "b", Incarnation: 1}
-	tb.Heard(start, host(2), b, 0, 0)
+	tb.Heard(start, host(2), b, has(0, 0))
 	must.True(t, tb.Alive(start+membership.FarEvery*membership.BeatInterval*2, host(2)))
 	must.False(t, tb.Alive(start+membership.FarEvery*membership.SuspectAfter, host(2)))
 	b.DataCentre = "a"
-	tb.Heard(start, host(3), b, 0, 0)
+	tb.Heard(start, host(3), b, has(0, 0))
 	must.False(t, tb.Alive(start+membership.SuspectAfter, host(3)))
 }
 
@@ -159,23 +164,23 @@
 	must.False(t, tb.Alone(start+time.Hour))
 	near := membership.Beat{Role: membership.Sidecar, DataCentre: "a", Incarnation: 1}
 	far := membership.Beat{Role: membership.Sidecar, DataCentre: "b", Incarnation: 1}
-	tb.Heard(start, host(2), near, 0, 0)
-	tb.Heard(start, host(3), far, 0, 0)
+	tb.Heard(start, host(2), near, has(0, 0))
+	tb.Heard(start, host(3), far, has(0, 0))
 	must.False(t, tb.Alone(start+membership.FarEvery*membership.BeatInterval))
 	must.True(t, tb.Alone(start+1300*time.Millisecond))
-	tb.Heard(start+time.Second, host(4), balancerBeat(true), 0, 0)
+	tb.Heard(start+time.Second, host(4), balancerBeat(true), has(0, 0))
 	must.True(t, tb.Alone(start+1300*time.Millisecond))
-	tb.Heard(start+time.Second, host(3), far, 0, 0)
+	tb.Heard(start+time.Second, host(3), far, has(0, 0))
 	must.False(t, tb.Alone(start+1300*time.Millisecond))
 }
 
 // TestUnlistedSidecarsTravel tells a sidecar of a live one that it does not hear.
 func TestUnlistedSidecarsTravel(t *testing.T) {
 	tb := table(1, membership.Sidecar)
-	tb.Heard(start, host(3), membership.Beat{Role: membership.Sidecar, DataCentre: "a", Incarnation: 1}, 0, 0)
+	tb.Heard(start, host(3), membership.Beat{Role: membership.Sidecar, DataCentre: "a", Incarnation: 1}, has(0, 0))
 	b := balancerBeat(true)
 	b.Unlisted = []registry.Host{host(1), host(5)}
-	tb.Heard(start, host(2), b, 0, 0)
+	tb.Heard(start, host(2), b, has(0, 0))
 	must.Eq(t, []registry.Host{host(3), host(5)}, tb.Sidecars(start))
 	must.SliceEmpty(t, tb.Sidecars(start+time.Minute))
 }
@@ -184,17 +189,17 @@
 func TestLossIsBelievedToNearBalancers(t *testing.T) {
 	tb := table(1, membership.Balancer)
 	side := membership.Beat{Role: membership.Sidecar, DataCentre: "b", Incarnation: 1}
-	tb.Heard(start, host(5), side, 0, 0)
+	tb.Heard(start, host(5), side, has(0, 0))
 	b := balancerBeat(true)
 	b.Lost = []registry.Host{host(5)}
-	tb.Heard(start+1, host(2), b, 0, 0) // of data centre a
+	tb.Heard(start+1, host(2), b, has(0, 0)) // of data centre a
 	must.SliceEmpty(t, tb.Lost(start+1))
 	must.Eq(t, []registry.Host{host(5)}, tb.Sidecars(start+1))
 	b.DataCentre = "b"
-	tb.Heard(start+2, host(3), b, 0, 0)
+	tb.Heard(start+2, host(3), b, has(0, 0))
 	must.Eq(t, []registry.Host{host(5)}, tb.Lost(start+2))
 	must.SliceEmpty(t, tb.Sidecars(start+2))
-	tb.Heard(start+3, host(5), side, 0, 0)
+	tb.Heard(start+3, host(5), side, has(0, 0))
 	must.SliceEmpty(t, tb.Lost(start+3))
 }
 
@@ -203,7 +208,7 @@
 	tb := table(1, membership.Balancer)
 	b := balancerBeat(true)
 	b.Lost, b.Unlisted = []registry.Host{host(5)}, []registry.Host{host(6)}
-	tb.Heard(start, host(2), b, 0, 0)
+	tb.Heard(start, host(2), b, has(0, 0))
 	must.SliceEmpty(t, tb.LostNear(start))
 	must.SliceEmpty(t, tb.LiveSidecars(start))
 }
@@ -233,14 +238,14 @@
 				tc.beat(&s)
 			}
 			tc.other(&b)
-			tb.Heard(start, host(2), s, 0, 0)
+			tb.Heard(start, host(2), s, has(0, 0))
 			tb.NoteAbsent(start)
 			must.Eq(t, 0, tb.Absent(host(2)))
-			tb.Heard(silent, host(3), b, 0, 0)
+			tb.Heard(silent, host(3), b, has(0, 0))
 			tb.NoteAbsent(silent)
 			tb.NoteAbsent(silent + 100*time.Millisecond)
 			must.Eq(t, tc.want, tb.Absent(host(2)))
-			tb.Heard(silent+time.Second, host(2), sidecar, 0, 0)
+			tb.Heard(silent+time.Second, host(2), sidecar, has(0, 0))
 			tb.NoteAbsent(silent + time.Second)
 			must.Eq(t, 0, tb.Absent(host(2)))
 		})
@@ -250,7 +255,7 @@
 // TestOwnPauseIsNoSilence wakes after four seconds.
 func TestOwnPauseIsNoSilence(t *testing.T) {
 	tb := table(1, membership.Balancer)
-	tb.Heard(start, host(2), membership.Beat{Role: membership.Sidecar, DataCentre: "a", Incarnation: 1}, 0, 0)
+	tb.Heard(start, host(2), membership.Beat{Role: membership.Sidecar, DataCentre: "a", Incarnation: 1}, has(0, 0))
 	const pause = 4 * time.Second
 	must.False(t, tb.Alive(start+pause, host(2)))
 	tb.Woke(start+pause, pause)
@@ -264,11 +269,11 @@
 	elsewhere := membership.Beat{Role: membership.Sidecar, DataCentre: "b", Incarnation: 1}
 	report := balancerBeat(true)
 	report.DataCentre, report.Lost = "b", []registry.Host{host(2)}
-	tb.Heard(start, host(2), elsewhere, 0, 0)
-	tb.Heard(start+700*time.Millisecond, host(3), report, 0, 0)
+	tb.Heard(start, host(2), elsewhere, has(0, 0))
+	tb.Heard(start+700*time.Millisecond, host(3), report, has(0, 0))
 	tb.NoteAbsent(start + 1100*time.Millisecond)
 	must.Eq(t, 0, tb.Absent(host(2)))
-	tb.Heard(start+1200*time.Millisecond, host(3), report, 0, 0)
+	tb.Heard(start+1200*time.Millisecond, host(3), report, has(0, 0))
 	tb.NoteAbsent(start + 1300*time.Millisecond)
 	must.Eq(t, start+1300*time.Millisecond, tb.Absent(host(2)))
 }
@@ -282,7 +287,7 @@
 	for i := range 100 {
 		jitter := time.Duration(i%7) * 50 * time.Millisecond
 		at := start + time.Duration(i)*membership.BeatInterval + late + jitter
-		tb.Heard(at, host(2), beat, 0, 0)
+		tb.Heard(at, host(2), beat, has(0, 0))
 		for _, after := range []time.Duration{0, 200 * time.Millisecond, membership.BeatInterval} {
 			tb.NoteAbsent(at + after)
 			must.True(t, tb.Alive(at+after, host(2)))
@@ -308,13 +313,13 @@
 	far := membership.Beat{Role: membership.Sidecar, DataCentre: "b", Incarnation: 1}
 	fellow := balancerBeat(true)
 	fellow.DataCentre = "b"
-	tb.Heard(start-240*time.Millisecond, host(2), near, 0, 0)
-	tb.Heard(start-100*time.Millisecond, host(3), near, 0, 0)
-	tb.Heard(start-100*time.Millisecond, host(4), balancerBeat(true), 0, 0)
-	tb.Heard(start-900*time.Millisecond, host(5), far, 0, 0)
-	tb.Heard(start, host(6), far, 0, 0)
+	tb.Heard(start-240*time.Millisecond, host(2), near, has(0, 0))
+	tb.Heard(start-100*time.Millisecond, host(3), near, has(0, 0))
+	tb.Heard(start-100*time.Millisecond, host(4), balancerBeat(true), has(0, 0))
+	tb.Heard(start-900*time.Millisecond, host(5), far, has(0, 0))
+	tb.Heard(start, host(6), far, has(0, 0))
 	for after := time.Duration(0); after < 4*time.Second; after += 50 * time.Millisecond {
-		tb.Heard(start+after, host(7), fellow, 0, 0)
+		tb.Heard(start+after, host(7), fellow, has(0, 0))
 		tb.NoteAbsent(start + after)
 		for n := byte(2); n <= 6; n++ {
 			must.Eq(t, 0, tb.Absent(host(n)), must.Sprintf("host %d, %v after the cut", n, after))
@@ -322,10 +327,10 @@
 	}
 	// The link is whole again, but one sidecar stays silent.
 	const healed = start + 4*time.Second
-	tb.Heard(healed, host(3), near, 0, 0)
+	tb.Heard(healed, host(3), near, has(0, 0))
 	report := balancerBeat(true)
 	report.Lost = []registry.Host{host(2)}
-	tb.Heard(healed, host(4), report, 0, 0)
+	tb.Heard(healed, host(4), report, has(0, 0))
 	tb.NoteAbsent(healed)
 	must.Eq(t, healed, tb.Absent(host(2)))
 	must.Eq(t, 0, tb.Absent(host(3)))
--- a/registry/directory.go
+++ b/registry/directory.go
@@ -28,9 +28,9 @@
 
 // Directory merges updates. It is not safe for concurrent use.
 type Directory struct {
-	routes   *Routes // nil before the first version
-	revision uint64  // of the store, that every record is as new as
-	records  map[string]record
+	routes  *Routes // nil before the first version
+	state   State   // of the store, that every record is as new as
+	records map[string]record
 	// horizon is the revision up to which removed keys may be unknown: they were
 	// forgotten, or came and went between two updates.
 	horizon uint64
@@ -49,9 +49,9 @@
 	return d.routes.Version
 }
 
-// Revision returns the state of the store that the list of upstreams stands for, 0 before the first.
-func (d *Directory) Revision() uint64 {
-	return d.revision
+// State returns the state of the store that the list of upstreams stands for, zero before the first.
+func (d *Directory) State() State {
+	return d.state
 }
 
 // Result says what an update changed.
@@ -71,10 +71,10 @@
 		d.routes = u.Routes
 		res.Routes = true
 	}
-	if u.Revision == 0 {
+	if u.State.IsZero() {
 		return res
 	}
-	if !u.Whole && u.From > d.revision {
+	if !u.Whole && u.From.After(d.state) {
 		res.Gap = true
 		return res
 	}
@@ -83,9 +83,9 @@
 	}
 	if u.Whole {
 		res.Upstreams = d.removeAbsent(now, u) || res.Upstreams
-		d.horizon = max(d.horizon, u.Revision)
+		d.horizon = max(d.horizon, u.State.Revision)
 	}
-	d.revision = max(d.revision, u.Revision)
+	d.state = Latest(d.state, u.State)
 	return res
 }
 
@@ -113,10 +113,10 @@
 	}
 	changed := false
 	for key, r := range d.records {
-		if listed[key] || r.revision > u.Revision || !r.present {
+		if listed[key] || r.revision > u.State.Revision || !r.present {
 			continue
 		}
-		r.revision, r.present, r.missing = u.Revision, false, now
+		r.revision, r.present, r.missing = u.State.Revision, false, now
 		d.records[key] = r
 		changed = true
 	}
@@ -134,20 +134,20 @@
 	}
 }
 
-// Since returns what is newer than a version and a revision, for a peer that has those.
-func (d *Directory) Since(version, revision uint64) Update {
+// Since returns what is newer than a version and a state, for a peer that has those.
+func (d *Directory) Since(version uint64, state State) Update {
 	var u Update
 	if d.Version() > version {
 		u.Routes = d.routes
 	}
-	if d.revision <= revision {
+	if !d.state.After(state) {
 		return u
 	}
-	u.Revision = d.revision
-	u.From = revision
-	u.Whole = revision < d.horizon || revision == 0
+	u.State = d.state
+	u.From = state
+	u.Whole = state.Era != d.state.Era || state.Revision < d.horizon || state.IsZero()
 	for key, r := range d.records {
-		if !u.Whole && r.revision <= revision || u.Whole && !r.present {
+		if !u.Whole && r.revision <= state.Revision || u.Whole && !r.present {
 			continue
 		}
 		c := Change{Key: key, Revision: r.revision}
--- a/registry/directory_test.go
+++ b/registry/directory_test.go
@@ -26,7 +26,7 @@
 }
 
 func whole(revision uint64, changes ...registry.Change) registry.Update {
-	return registry.Update{Revision: revision, Whole: true, Changes: changes}
+	return registry.Update{State: registry.State{Revision: revision}, Whole: true, Changes: changes}
 }
 
 func standings(d *registry.Directory, now time.Duration) map[string]registry.Standing {
@@ -46,7 +46,7 @@
 	d := registry.NewDirectory()
 	d.Apply(0, whole(5, registry.Change{Key: "a", Revision: 4, Upstream: upstream(1, 1)}))
 	must.Eq(t, map[string]registry.Standing{"u1": registry.Available}, standings(d, 0))
-	d.Apply(time.Second, registry.Update{From: 5, Revision: 6, Changes: []registry.Change{{Key: "a", Revision: 6}}})
+	d.Apply(time.Second, registry.Update{From: registry.State{Revision: 5}, State: registry.State{Revision: 6}, Changes: []registry.Change{{Key: "a", Revision: 6}}})
 	must.Eq(t, map[string]registry.Standing{"u1": registry.Available}, standings(d, 2900*time.Millisecond))
 	must.Eq(t, map[string]registry.Standing{"u1": registry.Removed}, standings(d, 3*time.Second))
 	d.Apply(4*time.Second, whole(9, registry.Change{Key: "a", Revision: 8, Upstream: upstream(1, 1)}))
@@ -72,15 +72,15 @@
 	res = d.Apply(0, registry.Update{Routes: &registry.Routes{Version: 6}})
 	must.False(t, res.Routes)
 	must.Eq(t, uint64(7), d.Version())
-	must.Eq(t, uint64(9), d.Revision())
+	must.Eq(t, uint64(9), d.State().Revision)
 }
 
 // TestGapIsNotApplied reports an update that does not follow on what is known.
 func TestGapIsNotApplied(t *testing.T) {
 	d := registry.NewDirectory()
-	res := d.Apply(0, registry.Update{From: 3, Revision: 4, Changes: []registry.Change{{Key: "a", Revision: 4, Upstream: upstream(1, 1)}}})
+	res := d.Apply(0, registry.Update{From: registry.State{Revision: 3}, State: registry.State{Revision: 4}, Changes: []registry.Change{{Key: "a", Revision: 4, Upstream: upstream(1, 1)}}})
 	must.True(t, res.Gap)
-	must.Eq(t, uint64(0), d.Revision())
+	must.Eq(t, uint64(0), d.State().Revision)
 }
 
 // TestYoungestOfOneHostStands has two incarnations on one host.
@@ -90,7 +90,7 @@
 	d := registry.NewDirectory()
 	d.Apply(0, whole(2, registry.Change{Key: "old", Revision: 1, Upstream: old}, registry.Change{Key: "young", Revision: 2, Upstream: young}))
 	must.Eq(t, map[string]registry.Standing{"young": registry.Available}, standings(d, 0))
-	d.Apply(0, registry.Update{From: 2, Revision: 3, Changes: []registry.Change{{Key: "old", Revision: 3}}})
+	d.Apply(0, registry.Update{From: registry.State{Revision: 2}, State: registry.State{Revision: 3}, Changes: []registry.Change{{Key: "old", Revision: 3}}})
 	must.Eq(t, map[string]registry.Standing{"young": registry.Available}, standings(d, time.Hour))
 }
 
@@ -134,17 +134,17 @@
 				d.Apply(now, whole(uint64(len(history)), slices.Collect(maps.Values(store))...))
 			case 2:
 				d := rapid.SampledFrom(dirs).Draw(t, "watcher")
-				from := min(d.Revision(), uint64(rapid.IntRange(0, len(history)).Draw(t, "from")))
-				d.Apply(now, registry.Update{From: from, Revision: uint64(len(history)), Changes: history[from:]})
+				from := min(d.State().Revision, uint64(rapid.IntRange(0, len(history)).Draw(t, "from")))
+				d.Apply(now, registry.Update{From: registry.State{Revision: from}, State: registry.State{Revision: uint64(len(history))}, Changes: history[from:]})
 			case 3:
 				a, b := rapid.SampledFrom(dirs).Draw(t, "asker"), rapid.SampledFrom(dirs).Draw(t, "teller")
-				a.Apply(now, b.Since(a.Version(), a.Revision()))
+				a.Apply(now, b.Since(a.Version(), a.State()))
 			}
 		}
 		last := dirs[0]
 		last.Apply(now, whole(uint64(len(history)), slices.Collect(maps.Values(store))...))
 		for _, d := range dirs[1:] {
-			d.Apply(now, last.Since(d.Version(), d.Revision()))
+			d.Apply(now, last.Since(d.Version(), d.State()))
 		}
 		want := make(map[string]registry.Standing)
 		for _, c := range store {
@@ -174,14 +174,14 @@
 			Targets: []registry.Target{{Service: fitting, Weight: 9}, {Service: "report", Weight: 1}},
 		}},
 	}})
-	raw, err := wire.Encode(d.Since(0, 0))
+	raw, err := wire.Encode(d.Since(0, registry.State{}))
 	must.NoError(t, err)
 	var u registry.Update
 	must.NoError(t, wire.Decode(raw, &u))
 	must.NoError(t, u.Check())
 	other := registry.NewDirectory()
 	other.Apply(0, u)
-	must.Eq(t, d.Since(0, 0), other.Since(0, 0))
+	must.Eq(t, d.Since(0, registry.State{}), other.Since(0, registry.State{}))
 	must.NotNil(t, other.Snapshot(0).Route(registry.Endpoint{Host: registry.Host{198, 18, 0, 1}, Port: 443}))
 }
 
--- a/registry/snapshot.go
+++ b/registry/snapshot.go
@@ -48,24 +48,24 @@
 // Snapshot is what a process acts on until the next one. It is immutable and
 // safe for concurrent use.
 type Snapshot struct {
-	version  uint64
-	revision uint64
-	idle     time.Duration
-	routes   map[Endpoint]*Route
-	pools    map[ServiceHash]*Pool
-	list     []*Pool // the pools in the order of their services
-	hosts    map[Host]struct{}
-	caps     map[string]int
+	version uint64
+	state   State
+	idle    time.Duration
+	routes  map[Endpoint]*Route
+	pools   map[ServiceHash]*Pool
+	list    []*Pool // the pools in the order of their services
+	hosts   map[Host]struct{}
+	caps    map[string]int
 }
 
 // Snapshot returns the view at now.
 func (d *Directory) Snapshot(now time.Duration) *Snapshot {
 	s := &Snapshot{
-		version:  d.Version(),
-		revision: d.revision,
-		routes:   make(map[Endpoint]*Route),
-		pools:    make(map[ServiceHash]*Pool),
-		hosts:    make(map[Host]struct{}, len(d.records)),
+		version: d.Version(),
+		state:   d.state,
+		routes:  make(map[Endpoint]*Route),
+		pools:   make(map[ServiceHash]*Pool),
+		hosts:   make(map[Host]struct{}, len(d.records)),
 	}
 	if d.routes != nil {
 		s.idle, s.caps = d.routes.Idle, d.routes.Connections
@@ -136,9 +136,9 @@
 	return s.version
 }
 
-// Revision returns the state of the store that the upstreams stand for, 0 before the first.
-func (s *Snapshot) Revision() uint64 {
-	return s.revision
+// State returns the state of the store that the upstreams stand for, zero before the first.
+func (s *Snapshot) State() State {
+	return s.state
 }
 
 // Idle returns after how much silence a flow may be forgotten. 0 before the first routes.
--- a/registry/upstream.go
+++ b/registry/upstream.go
@@ -23,7 +23,8 @@
 
 // Change is one key of the store as of a revision: an upstream, or that there is none.
 type Change struct {
-	Key      string `msgpack:"key"`
+	Key string `msgpack:"key"`
+	// Revision is within the era of the update.
 	Revision uint64 `msgpack:"revision"`
 	// Upstream is nil when the key was removed or names no usable upstream.
 	Upstream *Upstream `msgpack:"upstream"`
@@ -33,13 +34,13 @@
 type Update struct {
 	// Routes is nil when the update says nothing of routes.
 	Routes *Routes `msgpack:"routes"`
-	// Revision is the state of the store that the changes lead to. 0 when the update says nothing of upstreams.
-	Revision uint64 `msgpack:"revision"`
-	// Whole is true when keys that Changes lacks do not exist at Revision. Otherwise Changes
+	// State is the state of the store that the changes lead to. Zero when the update says nothing of upstreams.
+	State State `msgpack:"state"`
+	// Whole is true when keys that Changes lacks do not exist at State. Otherwise Changes
 	// holds what changed after From.
 	Whole bool `msgpack:"whole"`
-	// From is the revision that Changes follow on. It means nothing when Whole is true.
-	From    uint64   `msgpack:"from"`
+	// From is the state that Changes follow on. It means nothing when Whole is true.
+	From    State    `msgpack:"from"`
 	Changes []Change `msgpack:"changes"`
 }
 
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -362,7 +362,7 @@
 		Balancer: c.b.cfg.Self,
 		Service:  registry.HashService(service),
 		Version:  c.fleet.Snapshot.Version(),
-		Revision: c.fleet.Snapshot.Revision(),
+		State:    c.fleet.Snapshot.State(),
 		Unknown:  unknown,
 	}
 }
--- a/steer/header.go
+++ b/steer/header.go
@@ -11,8 +11,8 @@
 	// MaxVisited is how many upstreams of a data centre are asked for one packet.
 	MaxVisited = 1024
 
-	headerSize = 28 // bytes before the list of visited hosts
-	hostSize   = 4  // bytes
+	headerSize = 20 + registry.StateSize // bytes before the list of visited hosts
+	hostSize   = 4                       // bytes
 
 	flagUnknown = 1 // the balancer did not know the flow
 	flagAway    = 2 // the search began in another data centre
@@ -27,8 +27,8 @@
 	Service registry.ServiceHash
 	// Version is that of the routes that the balancer acted on.
 	Version uint64
-	// Revision is that of the list of upstreams that the balancer acted on.
-	Revision uint64
+	// State is that of the newest list of upstreams that the balancer, or a sidecar on the way, acted on.
+	State registry.State
 	// Unknown is true when the balancer did not know the flow.
 	Unknown bool
 	// Away is true when the search for the flow began in another data centre, from
@@ -60,7 +60,7 @@
 	b = append(b, h.Balancer[:]...)
 	b = binary.BigEndian.AppendUint32(b, uint32(h.Service))
 	b = binary.BigEndian.AppendUint64(b, h.Version)
-	b = binary.BigEndian.AppendUint64(b, h.Revision)
+	b = h.State.Append(b)
 	for i := range h.Visited {
 		b = append(b, h.Visited[i][:]...)
 	}
@@ -83,7 +83,7 @@
 	copy(h.Balancer[:], b[4:8])
 	h.Service = registry.ServiceHash(binary.BigEndian.Uint32(b[8:]))
 	h.Version = binary.BigEndian.Uint64(b[12:])
-	h.Revision = binary.BigEndian.Uint64(b[20:])
+	h.State = registry.ParseState(b[20:])
 	h.Visited = h.Visited[:0]
 	for i := range n {
 		h.Visited = append(h.Visited, registry.Host(b[headerSize+hostSize*i:]))
--- a/steer/header_test.go
+++ b/steer/header_test.go
@@ -14,7 +14,7 @@
 		Balancer: registry.Host{10, 1, 0, 9},
 		Service:  registry.HashService("fitting"),
 		Version:  1 << 40,
-		Revision: 77,
+		State:    registry.State{Era: 3, Revision: 77},
 		Unknown:  true,
 		Visited:  []registry.Host{{10, 1, 0, 1}, {10, 2, 0, 1}},
 	}
--- a/steer/missing.go
+++ b/steer/missing.go
@@ -19,7 +19,7 @@
 	// maxMissing bounds how many flows are searched for at the same time.
 	maxMissing = 1 << 14
 
-	missingSize = KeySize + 12 // bytes before the list of hosts
+	missingSize = KeySize + 4 + registry.StateSize // bytes before the list of hosts
 )
 
 // Missing says that upstreams returned a packet of a flow.
@@ -27,8 +27,8 @@
 	Key Key
 	// Acknowledge is that of the packet.
 	Acknowledge uint32
-	// Revision is that of the newest list of upstreams that any sidecar on the way acted on.
-	Revision uint64
+	// State is that of the newest list of upstreams that any process on the way acted on.
+	State registry.State
 	// Hosts lists the upstreams.
 	Hosts []registry.Host
 }
@@ -37,7 +37,7 @@
 func (m *Missing) Append(b []byte) []byte {
 	b = m.Key.Append(b)
 	b = binary.BigEndian.AppendUint32(b, m.Acknowledge)
-	b = binary.BigEndian.AppendUint64(b, m.Revision)
+	b = m.State.Append(b)
 	for i := range m.Hosts {
 		b = append(b, m.Hosts[i][:]...)
 	}
@@ -52,7 +52,7 @@
 	m := Missing{
 		Key:         ParseKey(b),
 		Acknowledge: binary.BigEndian.Uint32(b[KeySize:]),
-		Revision:    binary.BigEndian.Uint64(b[KeySize+4:]),
+		State:       registry.ParseState(b[KeySize+4:]),
 	}
 	for b = b[missingSize:]; len(b) > 0; b = b[hostSize:] {
 		m.Hosts = append(m.Hosts, registry.Host(b))
@@ -74,7 +74,7 @@
 // search is what a balancer knows of a flow that it searches for.
 type search struct {
 	hosts       []registry.Host // that returned a packet of the flow, in order
-	revision    uint64
+	state       registry.State  // of the newest list that those who reported acted on
 	acknowledge uint32
 	first       time.Duration // when the first report arrived
 	last        time.Duration // when the last one did
@@ -117,7 +117,7 @@
 		s = search{first: now}
 	}
 	s.acknowledge, s.last = m.Acknowledge, now
-	s.revision = max(s.revision, m.Revision)
+	s.state = registry.Latest(s.state, m.State)
 	for _, h := range m.Hosts {
 		s = s.with(h)
 	}
@@ -220,7 +220,7 @@
 func (b *Balancer) givenUp(now time.Duration, k Key) (Packet, bool) {
 	f := b.fleet.Load()
 	s, searched := b.searches.get(now, k)
-	if f == nil || !searched || !f.Settled || s.revision == 0 || f.Snapshot.Revision() < s.revision {
+	if f == nil || !searched || !f.Settled || s.state.IsZero() || s.state.After(f.Snapshot.State()) {
 		return Packet{}, false
 	}
 	if !f.allAsked(now, &s) || f.Young && f.lacks(s.hosts) {
--- a/steer/missing_test.go
+++ b/steer/missing_test.go
@@ -26,7 +26,7 @@
 func TestSearchReachesEveryUpstream(t *testing.T) {
 	w := largeWorld()
 	for n := range 150 {
-		h := steer.Header{Balancer: balancerHost(0), Service: registry.HashService(service), Version: 1, Revision: w.revision}
+		h := steer.Header{Balancer: balancerHost(0), Service: registry.HashService(service), Version: 1, State: registry.State{Revision: w.revision}}
 		if w.sites[n].service == other {
 			h.Service = registry.HashService(other)
 		}
@@ -84,7 +84,7 @@
 func TestSearchGoesOnWhereItWasLost(t *testing.T) {
 	w := newWorld(1, service, service, service, service, other, service)
 	for n := range w.sites {
-		h := steer.Header{Balancer: balancerHost(0), Service: registry.HashService(w.sites[n].service), Version: 1, Revision: w.revision}
+		h := steer.Header{Balancer: balancerHost(0), Service: registry.HashService(w.sites[n].service), Version: 1, State: registry.State{Revision: w.revision}}
 		must.Eq(t, n, w.follow(&steer.Forward{Host: w.sites[n].host, Header: h}, opening(caller(n))))
 		w.forget()
 		w.startBalancer(0)
@@ -119,7 +119,7 @@
 		}
 	}
 	must.SliceEmpty(t, w.resets)
-	m := steer.Missing{Key: caller(1), Revision: w.revision, Hosts: []registry.Host{w.sites[0].host, w.sites[2].host}}
+	m := steer.Missing{Key: caller(1), State: registry.State{Revision: w.revision}, Hosts: []registry.Host{w.sites[0].host, w.sites[2].host}}
 	_, reset := w.balancers[0].Missing(w.now, &m)
 	must.False(t, reset)
 	list, again := w.balancers[0].Continue(w.now, &p)
@@ -133,7 +133,7 @@
 
 // FuzzMissing encodes again what decodes as a report.
 func FuzzMissing(f *testing.F) {
-	m := steer.Missing{Key: caller(7), Acknowledge: 9, Revision: 3, Hosts: []registry.Host{{10, 0, 0, 1}}}
+	m := steer.Missing{Key: caller(7), Acknowledge: 9, State: registry.State{Revision: 3}, Hosts: []registry.Host{{10, 0, 0, 1}}}
 	f.Add(m.Append(nil))
 	f.Add([]byte("short"))
 	f.Fuzz(func(t *testing.T, b []byte) {
@@ -156,7 +156,7 @@
 			w.sites[2].host: {Stopping: true, Doubtful: doubtful},
 		}, Settled: true}
 		w.balancers[0].SetFleet(f)
-		m := steer.Missing{Key: caller(1), Revision: w.revision, Hosts: []registry.Host{w.sites[0].host, w.sites[1].host}}
+		m := steer.Missing{Key: caller(1), State: registry.State{Revision: w.revision}, Hosts: []registry.Host{w.sites[0].host, w.sites[1].host}}
 		_, reset := w.balancers[0].Missing(w.now, &m)
 		must.Eq(t, !doubtful, reset)
 	}
@@ -164,14 +164,14 @@
 
 // TestMissingTravels encodes a report as sidecars do, and refuses nonsense.
 func TestMissingTravels(t *testing.T) {
-	want := steer.Missing{Key: caller(7), Acknowledge: 1 << 31, Revision: 1 << 40, Hosts: []registry.Host{{10, 0, 0, 1}, {10, 0, 0, 2}}}
+	want := steer.Missing{Key: caller(7), Acknowledge: 1 << 31, State: registry.State{Era: 1 << 20, Revision: 1 << 40}, Hosts: []registry.Host{{10, 0, 0, 1}, {10, 0, 0, 2}}}
 	b := want.Append(nil)
 	got, err := steer.ParseMissing(b)
 	must.NoError(t, err)
 	must.Eq(t, want, got)
 	for n := range b {
 		_, err := steer.ParseMissing(b[:n])
-		if !slices.Contains([]int{24, 28}, n) {
+		if !slices.Contains([]int{28, 32}, n) {
 			must.Error(t, err)
 		}
 	}
--- a/steer/pass.go
+++ b/steer/pass.go
@@ -79,7 +79,7 @@
 	if host, found := c.seek(h.Service, s.cfg.DataCentre, h.visited); found {
 		return &Forward{Host: host, Header: *h, Reason: why}
 	}
-	h.Revision = max(h.Revision, f.Snapshot.Revision())
+	h.State = registry.Latest(h.State, f.Snapshot.State())
 	wait := !f.Settled && !p.Flags.Has(RST) // a flow that ends needs no reset
 	var report *Report
 	if !p.Flags.Has(RST) && !(held && wait) {
@@ -100,7 +100,7 @@
 
 // missing returns the report that the upstreams which the header names do not hold a packet's flow.
 func missing(h *Header, p *Packet) *Report {
-	m := Missing{Key: p.CallerKey(), Acknowledge: p.Acknowledge, Revision: h.Revision, Hosts: h.Visited}
+	m := Missing{Key: p.CallerKey(), Acknowledge: p.Acknowledge, State: h.State, Hosts: h.Visited}
 	return &Report{Balancer: h.Balancer, Missing: m}
 }
 
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -124,14 +124,14 @@
 	for n := range 20 {
 		at := w.open(0, caller(n))
 		partial := registry.NewDirectory()
-		list := registry.Update{Revision: w.revision, Whole: true}
+		list := registry.Update{State: registry.State{Revision: w.revision}, Whole: true}
 		for i, s := range w.sites {
 			if i != at {
 				list.Changes = append(list.Changes, registry.Change{Key: s.host.String(), Revision: 1, Upstream: w.entry(i, false)})
 			}
 		}
 		partial.Apply(w.now, list)
-		partial.Apply(w.now, w.directory.Since(0, w.revision))
+		partial.Apply(w.now, w.directory.Since(0, registry.State{Revision: w.revision}))
 		f := &steer.Fleet{
 			Snapshot: partial.Snapshot(w.now),
 			Sidecars: map[registry.Host]steer.Instance{},
@@ -158,10 +158,10 @@
 	p := w.request(caller(1), at)
 	w.startUpstream(at)
 	empty := registry.NewDirectory()
-	empty.Apply(w.now, registry.Update{Revision: w.revision, Whole: true})
-	empty.Apply(w.now, w.directory.Since(0, w.revision))
+	empty.Apply(w.now, registry.Update{State: registry.State{Revision: w.revision}, Whole: true})
+	empty.Apply(w.now, w.directory.Since(0, registry.State{Revision: w.revision}))
 	w.startSidecar(at)
-	h := steer.Header{Balancer: balancerHost(0), Service: registry.HashService(service), Revision: w.revision}
+	h := steer.Header{Balancer: balancerHost(0), Service: registry.HashService(service), State: registry.State{Revision: w.revision}}
 	w.startBalancer(0)
 	for _, young := range []bool{true, false} {
 		f := &steer.Fleet{Snapshot: empty.Snapshot(w.now), Settled: true, Young: young}
@@ -209,11 +209,11 @@
 		t.Run(behind, func(t *testing.T) {
 			w := newWorld(1, service, service, service)
 			older := registry.NewDirectory()
-			older.Apply(w.now, registry.Update{Revision: 2, Whole: true, Changes: []registry.Change{
+			older.Apply(w.now, registry.Update{State: registry.State{Revision: 2}, Whole: true, Changes: []registry.Change{
 				{Key: w.sites[0].host.String(), Revision: 1, Upstream: w.entry(0, false)},
 				{Key: w.sites[1].host.String(), Revision: 2, Upstream: w.entry(1, false)},
 			}})
-			older.Apply(w.now, w.directory.Since(0, w.revision))
+			older.Apply(w.now, w.directory.Since(0, registry.State{Revision: w.revision}))
 			old := &steer.Fleet{Snapshot: older.Snapshot(w.now), Sidecars: map[registry.Host]steer.Instance{}, Settled: true}
 			if behind == "balancer" {
 				w.balancers[0].SetFleet(old)
@@ -368,7 +368,7 @@
 // TestSilentUpstream passes openings on until the upstream reacts, and tries it again after a while.
 func TestSilentUpstream(t *testing.T) {
 	w := newWorld(1, service, service)
-	h := steer.Header{Service: registry.HashService(service), Revision: w.revision}
+	h := steer.Header{Service: registry.HashService(service), State: registry.State{Revision: w.revision}}
 	p := opening(caller(1))
 	s := w.sites[0].sidecar
 	_, ok := s.FromBalancer(w.now, &h, &p).(steer.Deliver)
@@ -733,7 +733,7 @@
 	w := newWorld(1, service)
 	s := w.sites[0].sidecar
 	p := opening(caller(1))
-	h := steer.Header{Service: registry.HashService(service), Revision: w.revision}
+	h := steer.Header{Service: registry.HashService(service), State: registry.State{Revision: w.revision}}
 	s.FromBalancer(w.now, &h, &p)
 	w.now += 50 * time.Millisecond
 	must.True(t, s.Doubts(w.now))
--- a/steer/world_test.go
+++ b/steer/world_test.go
@@ -88,7 +88,7 @@
 func (w *world) publish(i int, u *registry.Upstream) {
 	w.revision++
 	c := registry.Change{Key: w.sites[i].host.String(), Revision: w.revision, Upstream: u}
-	w.directory.Apply(w.now, registry.Update{Revision: w.revision, From: w.revision - 1, Changes: []registry.Change{c}})
+	w.directory.Apply(w.now, registry.Update{State: registry.State{Revision: w.revision}, From: registry.State{Revision: w.revision - 1}, Changes: []registry.Change{c}})
 }
 
 func (w *world) startUpstream(i int) {
