Refuse nothing as not run after a search that skipped an upstream

Upstream 6, the first candidate, had skipped 7 as gone, was full, and handed the flow on. Upstream 5 was asked last; it still heard 7, and so knew of nobody who had been skipped.

Change: a sidecar that hands a flow on after it skipped candidates marks the packet as doubtful, and a refusal of a doubtful packet does not say that the request has not run.

--- a/flow/regression_test.go
+++ b/flow/regression_test.go
@@ -41,6 +41,7 @@
 		{"TestStatefulPlanned", "128756", "a sidecar forgot where it had passed a flow on to when it was asked under a newer bundle"},
 		{"TestStatefulPlanned", "26336", "a sidecar of another service followed a memory of an older order"},
 		{"TestStatefulPlanned", "198956381", "an upstream that changed its service took flows on the word of those of the former one, and gave them up as fenced"},
+		{"TestStatefulFaults", "159808504", "a sidecar to which a flow was handed on refused it as not run, though the search had skipped its owner"},
 		{"TestStatefulFaults", "191155132", "a flow was forgotten while all balancers were paused for longer than its idle time, which is allowed"},
 	}
 	for _, c := range cases {
--- a/flow/udp.go
+++ b/flow/udp.go
@@ -379,6 +379,9 @@
 		h.Phase, h.Passed = forward.PhaseAccept, 0
 	}
 	pass(h, int(h.At))
+	// Those to whom the packet is handed on may still hear who is gone here, and
+	// would take the request for one that has not run.
+	h.Doubt = h.Doubt || c.skipped()
 	may, i := c.may(), c.nextTaker()
 	fenced := c.s.fenced(c.st, c.now)
 	verdict := Verdict{Choice: Pass}
@@ -398,6 +401,16 @@
 	return c.udpRefuse(ReasonNoUpstream)
 }
 
+// skipped reports whether a candidate was not asked because it is gone.
+func (c *call) skipped() bool {
+	for i := range c.h.Candidates {
+		if c.over(i) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *call) udpAccept() Action {
 	c.s.counters.Accepted.Add(1)
 	e := entry{kind: kindOwner, version: c.h.Version, last: c.at, seen: c.at, generation: c.st.generation}
@@ -429,13 +442,5 @@
 	if c.st.settings.Idempotent || c.s.restarted(c.st, c.now) || c.s.fenced(c.st, c.now) {
 		return false
 	}
-	if c.s.peers.lost(c.now, c.st.takeover()) {
-		return false
-	}
-	for i := range c.h.Candidates {
-		if c.over(i) {
-			return false
-		}
-	}
-	return true
+	return !c.h.Doubt && !c.skipped() && !c.s.peers.lost(c.now, c.st.takeover())
 }
