Count the doubt on what a copy lacks from the era's beginning here

Change: what the list of the era lacks counts as missed since the era became known here, whenever a peer tells of it. TestLateDoubtIsNotBegunAnew fails without.

--- a/registry/era_test.go
+++ b/registry/era_test.go
@@ -174,6 +174,18 @@
 	must.Eq(t, map[string]registry.Standing{"u1": registry.Leaving, "u2": registry.Removed, "u3": registry.Available}, standings(started, now))
 }
 
+// TestLateDoubtIsNotBegunAnew lets a process that hears of the era long after the
+// others tell them of an upstream that the copy lacks.
+func TestLateDoubtIsNotBegunAnew(t *testing.T) {
+	late := rewound()
+	d := registry.NewDirectory()
+	copied := list(at(1, 80), change("a", 50, said(1, 1, 1)))
+	d.Apply(0, list(at(0, 70), change("a", 50, said(1, 1, 1))))
+	d.Apply(30*time.Second, copied)
+	d.Apply(time.Minute, late.Since(time.Minute, 0, d.State()))
+	must.Eq(t, map[string]registry.Standing{"u1": registry.Available, "u2": registry.Removed}, standings(d, time.Minute))
+}
+
 // TestFormerIsChecked refuses knowledge that makes no sense.
 func TestFormerIsChecked(t *testing.T) {
 	for _, f := range []registry.Former{{}, {Key: "a"}, {Upstream: said(1, 1, 1)}, {Key: "a", Upstream: said(1, 1, 1), Missing: -1}} {
--- a/registry/former.go
+++ b/registry/former.go
@@ -123,7 +123,7 @@
 		return false
 	}
 	n := &former{upstream: f.Upstream, learned: now, left: f.Left}
-	since := now - f.Missing
+	since := min(now-f.Missing, d.began) // the list has lacked it for as long
 	if has := r.former; has != nil && !f.Upstream.newer(has.upstream) {
 		if has.upstream.newer(f.Upstream) {
 			return false
