Let the store come back from copies in the soak

Cause: the soak played a store that fails and forgets its history, and never one that loses what it had acknowledged.

Change: action rewindStore takes a copy, lets the deployment go on for 0.5 to 4 s, turns the store away for up to 1.5 s and restores the copy. Operators and upstreams write again after delays of their own; entries of upstreams that ended lapse.

The action is drawn three times as often from here on.

--- a/soak/actions_test.go
+++ b/soak/actions_test.go
@@ -9,6 +9,9 @@
 	"github.com/corianderbay/corianderbay/platform/standin"
 )
 
+// rewriteTime is after how long all who live have written again what the store lost.
+const rewriteTime = 3 * time.Second
+
 // action is something that happens to the deployment. It reports false when it
 // does not fit now; the rest of it runs in the background.
 type action func(*world) bool
@@ -34,6 +37,9 @@
 		(*world).crashUpstream,
 		(*world).failStore,
 		(*world).forgetHistory,
+		(*world).rewindStore,
+		(*world).rewindStore,
+		(*world).rewindStore,
 		(*world).harmLink,
 		(*world).harmLink,
 		(*world).cutLink,
@@ -180,7 +186,8 @@
 		return false
 	}
 	st.busy = true
-	w.register(st, true)
+	st.draining = true
+	w.register(st)
 	st.drained = time.Now()
 	st.upstream.Drain()
 	w.note("upstream %s at %s drains", st.id, st.host.Name)
@@ -291,6 +298,52 @@
 	return true
 }
 
+// rewindStore lets the store come back from a copy some seconds old, after it was
+// away for a moment. Operators and upstreams write again what it lost, in any order.
+func (w *world) rewindStore() bool {
+	if w.rewinding {
+		return false
+	}
+	w.rewinding = true
+	copied := w.store.Copy()
+	w.later(w.between(500*time.Millisecond, 4*time.Second), func() {
+		w.note("the store is away, and comes back from a copy")
+		w.store.Fail(standin.StoreFault{Status: http.StatusServiceUnavailable})
+		w.strike(w.between(100*time.Millisecond, 1500*time.Millisecond), func() {
+			w.rewinds++
+			w.note("the copy lacks %v", w.store.Restore(copied))
+			w.store.Fail(standin.StoreFault{})
+			w.writeAgain()
+		})
+	})
+	return true
+}
+
+// writeAgain writes what the store lost, each after a delay of its own. Entries of
+// upstreams that are gone lapse.
+func (w *world) writeAgain() {
+	w.later(w.between(0, time.Second), w.publishAgain)
+	for _, st := range w.sites {
+		w.later(w.between(0, 1500*time.Millisecond), func() {
+			if st.upstream != nil {
+				w.register(st)
+			}
+		})
+	}
+	w.later(rewriteTime, func() {
+		living := make(map[string]bool)
+		for _, st := range w.sites {
+			living[st.id] = st.upstream != nil
+		}
+		for _, id := range w.store.Upstreams() {
+			if !living[id] {
+				w.store.RemoveUpstream(id)
+			}
+		}
+		w.rewinding = false
+	})
+}
+
 func (w *world) harmLink() bool {
 	px := w.proxies[w.random.IntN(len(w.proxies))]
 	mode := link(1 + w.random.IntN(int(linkSilent)))
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -45,7 +45,7 @@
 	w.actions.Go(func() { w.router.Run(router) })
 	w.recovers(t.Context())
 	cancel()
-	t.Logf("%+v", w.ledger.Totals())
+	t.Logf("%+v, the store came back from a copy %d times", w.ledger.Totals(), w.rewinds)
 	if failures := w.ledger.Failures(); len(failures) > 0 {
 		w.report(failures)
 	}
@@ -67,7 +67,7 @@
 func (w *world) heal() {
 	for {
 		w.mu.Lock()
-		busy := len(w.resting) > 0
+		busy := len(w.resting) > 0 || w.rewinding
 		for _, st := range w.sites {
 			busy = busy || st.busy
 		}
--- a/soak/world_test.go
+++ b/soak/world_test.go
@@ -56,10 +56,13 @@
 	sidecar  *process
 	upstream *standin.Upstream // nil while there is none
 	id       string            // of the upstream's present incarnation
-	drained  time.Time         // when the store took the report that it drains; zero while it does not
-	openings int               // taken until applyTime after drained
-	counted  bool              // openings is valid
-	busy     bool              // a change or fault is under way here
+	born     time.Time         // when that started
+	said     int               // how often it wrote its entry
+	draining bool
+	drained  time.Time // when the store took the report that it drains; zero while it does not
+	openings int       // taken until applyTime after drained
+	counted  bool      // openings is valid
+	busy     bool      // a change or fault is under way here
 }
 
 // world is a whole deployment on loopback addresses.
@@ -85,6 +88,8 @@
 	versioned time.Time // when the store took the newest version
 	service   string    // of the changing route
 	before    string    // its service under the version before
+	rewinding bool      // the store is about to come back from a copy, or did lately
+	rewinds   int       // how often it did
 	trouble   time.Time // when unplanned trouble last began or ended
 	born      int       // upstreams started
 	notes     []string  // what was done, and when
@@ -169,10 +174,15 @@
 // publish writes the next version of the routes; the changing route goes to service.
 func (w *world) publish(service string) {
 	w.version += 1 + w.random.Uint64N(4)
+	w.before, w.service, w.versioned = w.service, service, time.Now()
+	w.publishAgain()
+}
+
+// publishAgain writes the newest version of the routes, as when the store has lost it.
+func (w *world) publishAgain() {
 	w.store.PublishRoutes(w.version, idleTime,
 		standin.Route{Address: steady, Service: fitting},
-		standin.Route{Address: changing, Service: service, Idempotent: true})
-	w.before, w.service, w.versioned = w.service, service, time.Now()
+		standin.Route{Address: changing, Service: w.service, Idempotent: true})
 }
 
 // startUpstream starts a new upstream at a site, and registers it. The caller holds the lock, or nobody else runs.
@@ -185,13 +195,16 @@
 	})
 	must.NoError(w.t, err)
 	st.upstream, st.drained, st.counted = u, time.Time{}, false
-	w.register(st, false)
+	st.born, st.said, st.draining = time.Now(), 0, false
+	w.register(st)
 }
 
-func (w *world) register(st *site, draining bool) {
+// register writes what an upstream says of itself.
+func (w *world) register(st *site) {
+	st.said++
 	w.store.PublishUpstream(standin.Entry{
 		ID: st.id, Service: st.host.Service, Address: st.host.At(st.host.Ports.Upstream),
-		DataCentre: st.host.DataCentre, Draining: draining, Born: time.Now(),
+		DataCentre: st.host.DataCentre, Draining: st.draining, Born: st.born, Sequence: st.said,
 	})
 }
 
