Reset remembered flows, too, when no upstream holds them

The balancers live, and remember where each flow was.

Change: what a balancer remembers of a flow is disproved when the upstream there has returned a packet of it after that was learned, and the search decides. TestRememberedFlowThatNobodyHoldsIsReset fails without; TestFlowThatIsToldDuringASearchIsKept holds the reason for the rule of before.

--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -61,7 +61,9 @@
 	sequence uint32 // of the opening, valid while known is false
 	// known is true when a sidecar told that its upstream holds the flow.
 	known bool
-	last  time.Duration // when it was last used
+	// learned is when the opening was first sent there, or the sidecar last told.
+	learned time.Duration
+	last    time.Duration // when it was last used
 	// acknowledge is the caller's last acknowledgement that passed here; valid with passed.
 	acknowledge uint32
 	passed      bool // a packet passed here after the opening, and the caller's last one did not end the flow
@@ -121,7 +123,7 @@
 	s := b.shard(k)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := placed{host: h, known: true, last: now}
+	e := placed{host: h, known: true, learned: now, last: now}
 	if old := s.flows[k]; old.host == h {
 		e.acknowledge, e.passed = old.acknowledge, old.passed
 		e.asking, e.asked = old.asking, old.asked
@@ -242,7 +244,7 @@
 		return Refuse{Reason: ReasonNoUpstream}
 	}
 	c.b.searches.forget(c.key)
-	c.shard.put(c.key, placed{host: m.Address.Host, sequence: c.packet.Sequence, last: c.now})
+	c.shard.put(c.key, placed{host: m.Address.Host, sequence: c.packet.Sequence, learned: c.now, last: c.now})
 	c.b.count(m.Address.Host)
 	return c.forward(service, m.Address.Host, false)
 }
--- a/steer/missing.go
+++ b/steer/missing.go
@@ -91,6 +91,12 @@
 	return found
 }
 
+// disproves reports whether the upstream where a flow was remembered to be has
+// returned a packet of it since that was learned.
+func (s *search) disproves(e *placed) bool {
+	return s.asked(e.host) && e.learned < s.first
+}
+
 // with returns s with one more host that returned a packet.
 func (s search) with(h registry.Host) search {
 	if i, found := slices.BinarySearchFunc(s.hosts, h, registry.Host.Compare); !found {
@@ -173,11 +179,11 @@
 // has not returned the packet and whose sidecar is heard. again is false when the search is over.
 func (b *Balancer) Continue(now time.Duration, p *Packet) (list []Forward, again bool) {
 	f, k := b.fleet.Load(), p.CallerKey()
-	if f == nil || b.knows(k) {
+	s, _ := b.searches.get(now, k)
+	if f == nil || b.knows(k, &s) {
 		return nil, false
 	}
 	route := f.Snapshot.Route(p.Destination)
-	s, _ := b.searches.get(now, k)
 	if route == nil || f.allAsked(now, &s) {
 		return nil, false
 	}
@@ -197,13 +203,24 @@
 	return list, true
 }
 
-// knows reports whether the balancer remembers where the flow is.
-func (b *Balancer) knows(k Key) bool {
+// knows reports whether the balancer remembers where the flow is, and the
+// upstream there has not returned a packet of it since.
+func (b *Balancer) knows(k Key, s *search) bool {
+	sh := b.shard(k)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	e, known := sh.flows[k]
+	return known && !s.disproves(&e)
+}
+
+// forget forgets where a flow was that no upstream holds, unless it has become known since.
+func (b *Balancer) forget(k Key, s *search) {
 	sh := b.shard(k)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	_, known := sh.flows[k]
-	return known
+	if e, known := sh.flows[k]; known && s.disproves(&e) {
+		delete(sh.flows, k)
+	}
 }
 
 // Unheld returns packets, to be reset, of flows that no upstream holds by what was reported lately.
@@ -230,7 +247,8 @@
 		return Packet{}, false
 	}
 	b.searches.forget(k)
-	return Packet{Source: k.Caller, Destination: k.Address, Flags: ACK, Acknowledge: s.acknowledge}, !b.knows(k)
+	b.forget(k, &s)
+	return Packet{Source: k.Caller, Destination: k.Address, Flags: ACK, Acknowledge: s.acknowledge}, !b.knows(k, &s)
 }
 
 // hopeless reports whether each upstream that may hold the flow has just returned
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -88,6 +88,40 @@
 	must.Eq(t, []steer.Key{caller(1)}, w.resets)
 }
 
+// TestRememberedFlowThatNobodyHoldsIsReset restarts all upstreams and sidecars at
+// once, while the balancer lives and remembers where the flow was.
+func TestRememberedFlowThatNobodyHoldsIsReset(t *testing.T) {
+	w := newWorld(1, service, service, other)
+	at := w.open(0, caller(1))
+	p := w.request(caller(1), at)
+	must.Eq(t, at, w.send(0, p))
+	for i := range w.sites {
+		w.startSidecar(i)
+		w.startUpstream(i)
+	}
+	w.now += time.Second
+	w.refresh()
+	must.Eq(t, -1, w.send(0, p))
+	must.Eq(t, []steer.Key{caller(1)}, w.resets)
+}
+
+// TestFlowThatIsToldDuringASearchIsKept has a sidecar tell that its upstream holds
+// the flow after it had returned a packet of an earlier one with the same key.
+func TestFlowThatIsToldDuringASearchIsKept(t *testing.T) {
+	w := newWorld(1, service, service)
+	at := w.open(0, caller(1))
+	returned := func(site int) bool {
+		m := steer.Missing{Key: caller(1), State: registry.State{Revision: w.revision}, Hosts: []registry.Host{w.sites[site].host}}
+		_, reset := w.balancers[0].Missing(w.now, &m)
+		return reset
+	}
+	w.now += time.Second
+	must.False(t, returned(at))
+	w.now += 10 * time.Millisecond
+	w.balancers[0].Learn(w.now, caller(1), w.sites[at].host)
+	must.False(t, returned(1-at))
+}
+
 // TestNoResetWhileOneMayHoldTheFlow keeps the reset back for each reason to doubt.
 func TestNoResetWhileOneMayHoldTheFlow(t *testing.T) {
 	doubts := map[string]func(f *steer.Fleet, w *world, at int){
