Trust a list from before an outage of the store

While the store is away, and 2.2 s after, no search ended with a reset, as a list may lack upstreams whose entries lapsed. That can only be so for a list that was first read in or after the outage.

Ruled out: resetting while the list may lack somebody: without the store nobody can leave the list of a process that had it before; entries that lapsed and are found missing on its return are kept for two seconds, and then asked for as long as their sidecars are heard; who is new is heard of by its sidecar; and a search that passes a sidecar with a newer list gives nothing up, which covers a process that was cut off while others could read.

Change: Fleet.Settled holds through an outage when the list was whole for 2.2 s before it began and the process was not paused since. An era still suspends it.

--- a/exchange/node.go
+++ b/exchange/node.go
@@ -26,8 +26,9 @@
 	listEvery = 4
 	// socketBuffer bounds what waits in the socket, in bytes; it counts as memory of the process.
 	socketBuffer = 1 << 20
-	// settleTime is how long after trouble with the store the list of upstreams
-	// may lack some that live: their entries are back within about two seconds.
+	// settleTime is how long after trouble with the store a list that was first read
+	// then may lack some upstreams that live: their entries are back within about
+	// two seconds.
 	settleTime = 2200 * time.Millisecond
 	// gatherTime is how long after its first list a process may not have heard of
 	// all sidecars: two heartbeats.
@@ -85,9 +86,11 @@
 	made      time.Duration      // when snapshot was made
 	stale     bool               // a heartbeat arrived after the last view
 	told      []registry.Host    // sidecars whose loads arrived after the last view
-	trouble   time.Duration      // when the store was last out of reach; negative if never
-	informed  time.Duration      // when the first list arrived; 0 if none has
-	adopted   time.Duration      // when the routes in force were taken over
+	outage    outage
+	rewound   time.Duration // when an era of the store last began; negative if none did
+	informed  time.Duration // when the first list arrived; 0 if none has
+	woken     time.Duration // when the last pause ended; 0 if there was none
+	adopted   time.Duration // when the routes in force were taken over
 	stopping  bool
 	sequence  uint32        // of the last heartbeat
 	beats     int           // heartbeats sent
@@ -139,7 +142,8 @@
 			Seeds:      cfg.Seeds,
 			Started:    cfg.Timer.Uptime(),
 		}),
-		trouble:    -settleTime,
+		outage:     outage{last: -settleTime},
+		rewound:    -settleTime,
 		silent:     make(map[registry.Host]bool),
 		storeCalls: metric.NewHistogram(),
 	}
@@ -156,6 +160,7 @@
 	n.mu.Lock()
 	now := n.cfg.Timer.Uptime()
 	n.members.Woke(now, gap)
+	n.woken = now
 	// What was heard before the pause is old.
 	n.digests.sidecars.all, n.digests.near.all, n.digests.far.all = now, now, now
 	n.mu.Unlock()
--- a/exchange/reader.go
+++ b/exchange/reader.go
@@ -96,7 +96,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.members.StoreAge(now) >= membership.FreshStore {
-		n.trouble = now
+		n.outage = n.outage.with(now)
 	}
 }
 
--- a/exchange/view.go
+++ b/exchange/view.go
@@ -33,7 +33,7 @@
 	n.made = now
 	n.stale = true
 	if n.members.StoreKnown() && n.members.StoreAge(now) >= membership.FreshStore {
-		n.trouble = now
+		n.outage = n.outage.with(now)
 	}
 }
 
@@ -47,7 +47,7 @@
 		StoreSeen: now - n.members.StoreAge(now),
 		Placers:   n.placers(now),
 		Alone:     n.members.Alone(now),
-		Settled:   now-n.trouble >= settleTime && n.gathered(now),
+		Settled:   n.settled(now),
 	}
 	n.members.Each(membership.Sidecar, func(p *membership.Peer) {
 		f.Sidecars[p.Host] = steer.Instance{
@@ -74,6 +74,34 @@
 	n.told = n.told[:0]
 }
 
+// outage is the last span in which the store was out of reach.
+type outage struct {
+	began time.Duration
+	last  time.Duration // when it was last out of reach; negative if never
+}
+
+// with returns the outage after the store was out of reach at now. One that goes
+// on after less than settleTime is the same one.
+func (o outage) with(now time.Duration) outage {
+	if now-o.last >= settleTime {
+		o.began = now
+	}
+	o.last = now
+	return o
+}
+
+// settled reports whether the list lacks no upstream that lives: the store has not
+// been out of reach lately, or the list was whole before it was. Without the
+// store nobody can leave the list, and who is new is heard of by its sidecar; a
+// search ends at a sidecar with a newer list in any case. The caller holds the lock.
+func (n *Node) settled(now time.Duration) bool {
+	if now-n.rewound < settleTime || !n.gathered(now) {
+		return false
+	}
+	whole := n.outage.began-max(n.informed, n.woken) >= settleTime
+	return whole || now-n.outage.last >= settleTime
+}
+
 // gathered reports whether this process has heard of all live sidecars, also of
 // those that the list lacks: digests name them together with the listed ones.
 // The caller holds the lock.
@@ -112,7 +140,7 @@
 // copy lacks may live, so that no flow is reset for as long as these may write
 // again. The caller holds the lock.
 func (n *Node) eraBegan(now time.Duration, before registry.State, from zap.Field) {
-	n.trouble = now
+	n.rewound = now
 	n.Hurry()
 	after := n.directory.State()
 	n.cfg.Log.Emit(event.EraBegan, from,
