--- a/registry/era_stateful_test.go
+++ b/registry/era_stateful_test.go
@@ -270,10 +270,12 @@
 
 // check compares what a process shows with what it showed before.
 func (w *eraWorld) check(l *learner) {
-	if w.now-l.began >= unusedFor {
-		clear(l.removed) // what the store goes on having lives, also where another upstream of the host stands for it
-	}
-	maps.DeleteFunc(l.removed, func(_ incarnation, r removal) bool { return w.now-r.at >= forgottenAfter })
+	now := l.view(w.now)
+	maps.DeleteFunc(l.removed, func(i incarnation, r removal) bool {
+		// What the store goes on having lives, also where another upstream of the host stands for it.
+		lives := w.now-l.began >= unusedFor && now[i] != registry.Removed
+		return lives || w.now-r.at >= forgottenAfter
+	})
 	for _, m := range l.members(w.now) {
 		i := incarnation{key: m.ID, born: m.Born}
 		before, shown := l.shown[i]
