Give the oracle of eras the time between two looks

Ruled out: a fault of the merging; the process had been cut off for 79 s.

Change: the test, by these four seconds.

--- a/registry/era_stateful_test.go
+++ b/registry/era_stateful_test.go
@@ -12,8 +12,11 @@
 	"pgregory.net/rapid"
 )
 
-// forgottenAfter is after how long processes forget what left.
-const forgottenAfter = time.Minute - registry.MissingGrace
+// longestStep is how much time passes at most between two looks at what processes show.
+const longestStep = 4 * time.Second
+
+// forgottenAfter is how long after it was first shown as removed an upstream may be forgotten.
+const forgottenAfter = time.Minute - registry.MissingGrace - longestStep
 
 // copyAge is how old a copy may be when the store comes back from it.
 const copyAge = 30 * time.Second
