Let openings wait for entries that lapsed, while the list is young

When the store is back at 37.0 s, balancers read a list without upstreams, and reset 1,390 openings within half a second as no_upstream, though all upstreams live and their sidecars are heard. Callers spend their retries on that, and 202 requests end without an answer.

Ruled out: lost flows (their upstreams held them); upstreams that were full, before the first entries came back.

Change: an opening for which there is no upstream is held, for at most 0.8 s as other packets in doubt, when the list was first read less than 2.2 s ago and lacks upstreams whose sidecars live. It is decided on with each new view; after that it is reset.

--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -101,9 +101,8 @@
 		return
 	}
 	now := b.cfg.Timer.Uptime()
-	if b.informed.CompareAndSwap(0, int64(now)) {
-		b.release(now)
-	}
+	b.informed.CompareAndSwap(0, int64(now))
+	b.release(now)
 	b.resetAll(b.decide.Unheld(now), steer.ReasonUnknownFlow)
 	b.searchOn(now)
 	if b.ready.Load() {
@@ -194,7 +193,12 @@
 		b.counts.invalid.Add(1)
 		return out
 	}
-	switch a := b.decide.Packet(now, p, fw).(type) {
+	return b.act(now, b.decide.Packet(now, p, fw), d, p, out)
+}
+
+// act does what was decided on a packet, and returns the buffer for the next one.
+func (b *Balancer) act(now time.Duration, decision steer.Action, d []byte, p *steer.Packet, out []byte) []byte {
+	switch a := decision.(type) {
 	case *steer.Forward:
 		if a.Header.Unknown && !b.searched.add(now, p, d) {
 			b.drop(p, steer.ReasonUnknownFlow) // the search goes on with the first copy
@@ -212,12 +216,27 @@
 	return out
 }
 
-// release decides on the packets that were held until routes and upstreams were known.
+// release decides once more on the packets that are held. Those that have been
+// held for long enough are given up.
 func (b *Balancer) release(now time.Duration) {
-	handle := b.newHandler()
+	var p steer.Packet
+	var fw steer.Forward
+	var out []byte
 	for _, h := range b.held.take() {
-		if !h.expired(now) {
-			handle(h.data, netip.AddrPort{})
+		if err := b.cfg.Codec.Decode(h.data, &p); err != nil {
+			continue // it was decoded before it was held
+		}
+		decision := b.decide.Packet(now, &p, &fw)
+		hold, again := decision.(*steer.Hold)
+		switch {
+		case again && !h.expired(now):
+			b.held.keep(h)
+		case again && p.Opens():
+			out = b.refuse(&p, hold.Reason, out)
+		case again || h.expired(now):
+			b.drop(&p, steer.ReasonStarting)
+		default:
+			out = b.act(now, decision, h.data, &p, out)
 		}
 	}
 }
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -240,6 +240,9 @@
 	}
 	skip := func(h registry.Host) bool { return repeated && h == e.host }
 	service, m := c.place(skip)
+	if m == nil && c.fleet.Young && len(c.fleet.Unlisted) > 0 {
+		return &Hold{Reason: ReasonNoUpstream} // the entry of one that lives may be back in a moment
+	}
 	if m == nil {
 		return Refuse{Reason: ReasonNoUpstream}
 	}
--- a/steer/steer_test.go
+++ b/steer/steer_test.go
@@ -88,6 +88,30 @@
 	must.Eq(t, []steer.Key{caller(1)}, w.resets)
 }
 
+// TestOpeningWaitsForAnEntryThatLapsed has a young list without an upstream of the
+// service, while a sidecar lives whose upstream it lacks.
+func TestOpeningWaitsForAnEntryThatLapsed(t *testing.T) {
+	w := newWorld(1, service)
+	lapsed := registry.NewDirectory()
+	lapsed.Apply(w.now, registry.Update{Routes: &registry.Routes{Version: 1, List: []registry.Route{{
+		Name: "r", Address: route, Targets: []registry.Target{{Service: service, Weight: 1}},
+	}}}})
+	lapsed.Apply(w.now, registry.Update{State: registry.State{Revision: w.revision}, Whole: true})
+	p := opening(caller(1))
+	for _, c := range []struct {
+		young    bool
+		unlisted []registry.Host
+		want     steer.Action
+	}{
+		{true, []registry.Host{w.sites[0].host}, &steer.Hold{Reason: steer.ReasonNoUpstream}},
+		{true, nil, steer.Refuse{Reason: steer.ReasonNoUpstream}},
+		{false, []registry.Host{w.sites[0].host}, steer.Refuse{Reason: steer.ReasonNoUpstream}},
+	} {
+		w.balancers[0].SetFleet(&steer.Fleet{Snapshot: lapsed.Snapshot(w.now), Young: c.young, Unlisted: c.unlisted})
+		must.Eq(t, c.want, w.balancers[0].Packet(w.now, &p, new(steer.Forward)))
+	}
+}
+
 // TestRememberedFlowThatNobodyHoldsIsReset restarts all upstreams and sidecars at
 // once, while the balancer lives and remembers where the flow was.
 func TestRememberedFlowThatNobodyHoldsIsReset(t *testing.T) {
