Split the tests of packet decisions by what they are about

Change: the tests stand in files for searches, resets, openings, placing and the presence of upstreams.

--- /dev/null
+++ b/steer/place_test.go
@@ -0,0 +1,224 @@
+package steer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/corianderbay/corianderbay/membership"
+	"github.com/corianderbay/corianderbay/registry"
+	"github.com/corianderbay/corianderbay/steer"
+	"github.com/shoenig/test/must"
+)
+
+// TestPlacement compares loads of upstreams for one new flow.
+func TestPlacement(t *testing.T) {
+	tests := map[string]struct {
+		loads []membership.Load // of sites 0 and 1 (near) and 2 (far)
+		want  int
+	}{
+		"fewer flows":             {[]membership.Load{{Flows: 5}, {Flows: 3}, {}}, 1},
+		"fewer waiting":           {[]membership.Load{{Flows: 3, Active: 8}, {Flows: 5, Active: 1}, {}}, 1},
+		"silent upstream":         {[]membership.Load{{Silent: true}, {Flows: 50}, {}}, 1},
+		"refusing upstream":       {[]membership.Load{{Refusing: true}, {Flows: 50}, {}}, 1},
+		"near before far":         {[]membership.Load{{Flows: 50, Busy: 1500}, {Flows: 50, Busy: 1500}, {}}, 0},
+		"far when near is filled": {[]membership.Load{{Flows: 50, Busy: 2500}, {Flows: 51, Busy: 2500}, {Flows: 60, Busy: 100}}, 2},
+		"near when far is filled": {[]membership.Load{{Flows: 50, Busy: 2500}, {Flows: 51, Busy: 2500}, {Flows: 9, Busy: 2400}}, 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(1, service, service, service)
+			f := &steer.Fleet{Snapshot: w.directory.Snapshot(w.now), Sidecars: map[registry.Host]steer.Instance{}}
+			for i, s := range w.sites {
+				f.Sidecars[s.host] = steer.Instance{Load: tc.loads[i], Heard: w.now, Patience: membership.SuspectAfter}
+			}
+			w.balancers[0].SetFleet(f)
+			p := opening(caller(1))
+			a, ok := w.balancers[0].Packet(w.now, &p, new(steer.Forward)).(*steer.Forward)
+			must.True(t, ok)
+			must.Eq(t, w.sites[tc.want].host, a.Host)
+		})
+	}
+}
+
+// TestLoadCounts follows one flow through its stages.
+func TestLoadCounts(t *testing.T) {
+	w := newWorld(1, service)
+	s := w.sites[0].sidecar
+	k := caller(1)
+	at := w.send(0, opening(k))
+	must.Eq(t, 1, s.Flows())
+	p := w.request(k, at)
+	w.send(0, p)
+	must.Eq(t, 1, s.Active())
+	w.send(0, p) // a retransmission is no second request
+	must.Eq(t, 1, s.Active())
+	s.FromUpstream(w.now, reply(k, steer.ACK, 1, 900))
+	must.Eq(t, 0, s.Active())
+	p.Sequence += 100
+	p.Flags |= steer.FIN
+	w.send(0, p)
+	s.FromUpstream(w.now, reply(k, steer.ACK|steer.FIN, 1, 900))
+	must.Eq(t, 0, s.Flows())
+	must.Eq(t, 0, s.Active())
+}
+
+// TestBurstLeavesACrowdedUpstream opens many flows at once through one balancer
+// that hears no load in between: requests in time depend on how deep the deepest queue is.
+func TestBurstLeavesACrowdedUpstream(t *testing.T) {
+	w := newWorld(1, service, service, service) // two near, one far
+	for n := range 60 {
+		w.send(0, opening(caller(n)))
+	}
+	for i, s := range w.sites {
+		must.Between(t, 15, s.taken, 25, must.Sprintf("site %d took %d of 60", i, s.taken))
+	}
+}
+
+// TestCrowdedSidecarPassesNewFlowsOn has a balancer that does not know yet how many requests wait.
+func TestCrowdedSidecarPassesNewFlowsOn(t *testing.T) {
+	w := newWorld(1, service, service)
+	stale := &steer.Fleet{
+		Snapshot: w.directory.Snapshot(w.now),
+		Sidecars: map[registry.Host]steer.Instance{w.sites[0].host: {Heard: w.now, Patience: membership.SuspectAfter}},
+		Settled:  true,
+	}
+	for n := range 10 {
+		w.balancers[0].SetFleet(stale)
+		w.balancers[0].LoadHeard(w.sites[0].host)
+		at := w.send(0, opening(caller(n)))
+		w.send(0, w.request(caller(n), at))
+		w.refresh()
+	}
+	must.Eq(t, 10, w.sites[0].sidecar.Active()+w.sites[1].sidecar.Active())
+	must.Between(t, 2, w.sites[1].sidecar.Active(), 5)
+}
+
+// TestCrowdedServiceOverflows has a route with two services. Its flows leave a
+// crowded service for one with a free slot, and for no other.
+func TestCrowdedServiceOverflows(t *testing.T) {
+	crowded := membership.Load{Flows: 20, Active: 8}
+	tests := map[string]struct {
+		own, other membership.Load
+		want       int
+	}{
+		"own has a free slot":   {idle, idle, 0},
+		"own is crowded":        {crowded, idle, 1},
+		"both are crowded":      {crowded, crowded, 0},
+		"other has no free one": {crowded, membership.Load{Active: 2}, 0},
+	}
+	for name, tc := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(1, service, other)
+			w.routes(2, service, other)
+			f := &steer.Fleet{Snapshot: w.directory.Snapshot(w.now), Sidecars: map[registry.Host]steer.Instance{}}
+			for i, load := range []membership.Load{tc.own, tc.other} {
+				f.Sidecars[w.sites[i].host] = steer.Instance{Load: load, Heard: w.now, Patience: membership.SuspectAfter}
+			}
+			w.balancers[0].SetFleet(f)
+			r := f.Snapshot.Route(route)
+			n := 0
+			for r.Service(caller(n).Hash()) != service {
+				n++
+			}
+			p := opening(caller(n))
+			a, ok := w.balancers[0].Packet(w.now, &p, new(steer.Forward)).(*steer.Forward)
+			must.True(t, ok)
+			must.Eq(t, w.sites[tc.want].host, a.Host)
+			must.Eq(t, registry.HashService(w.sites[tc.want].service), a.Header.Service)
+		})
+	}
+}
+
+// TestPlacingWithoutLoads places flows by their hash alone, and by two choices.
+func TestPlacingWithoutLoads(t *testing.T) {
+	for _, placing := range []steer.Placing{steer.PlaceByHash, steer.PlaceByTwo} {
+		t.Run(string(placing), func(t *testing.T) {
+			w := newWorld(0, service, service, service, service, service) // three of them near
+			b := steer.NewBalancer(steer.BalancerConfig{Self: balancerHost(0), DataCentre: near, MaxFlow: maxFlow, Placing: placing})
+			w.balancers = append(w.balancers, b)
+			w.refresh()
+			for n := range 300 {
+				w.send(0, opening(caller(n)))
+			}
+			most, least, far := 0, 300, 0
+			for i, s := range w.sites {
+				if dataCentreOf(i) != near {
+					far += s.taken
+					continue
+				}
+				most, least = max(most, s.taken), min(least, s.taken)
+			}
+			must.Eq(t, 0, far)
+			if placing == steer.PlaceByTwo {
+				must.LessEq(t, 20, most-least)
+			}
+			must.Positive(t, least)
+		})
+	}
+}
+
+// TestFailingUpstream resets each request: it draws few flows although it has the
+// fewest, gets one now and then, and is trusted again once it answers.
+func TestFailingUpstream(t *testing.T) {
+	w := newWorld(1, service, service)
+	bad := w.sites[0]
+	n := 0
+	// ask opens a flow and sends a request, which the bad upstream resets while fails is true.
+	ask := func(fails bool) int {
+		n++
+		k := caller(n)
+		at := w.send(0, opening(k))
+		must.NotEq(t, -1, at)
+		w.send(0, w.request(k, at))
+		if at == 0 && fails {
+			bad.sidecar.FromUpstream(w.now, reply(k, steer.RST, 1, 0))
+			delete(bad.held, k)
+		} else {
+			w.sites[at].sidecar.FromUpstream(w.now, reply(k, steer.ACK, 1, 900))
+		}
+		w.tell()
+		return at
+	}
+	failed := 0
+	for range 200 {
+		w.advance(10 * time.Millisecond)
+		if ask(true) == 0 {
+			failed++
+		}
+	}
+	must.Between(t, 3, failed, 12)
+	must.True(t, bad.sidecar.Load(w.now, 0).Failing)
+	// It works again.
+	w.advance(3 * time.Second)
+	served := 0
+	for range 200 {
+		w.advance(10 * time.Millisecond)
+		if ask(false) == 0 {
+			served++
+		}
+	}
+	must.False(t, bad.sidecar.Load(w.now, 0).Failing)
+	must.Greater(t, 50, served)
+}
+
+// TestUnansweredRequests has callers that give up, early and late.
+func TestUnansweredRequests(t *testing.T) {
+	for _, tc := range []struct {
+		after   time.Duration
+		failing bool
+	}{{100 * time.Millisecond, false}, {600 * time.Millisecond, true}} {
+		w := newWorld(1, service)
+		for n := range 4 {
+			k := caller(n)
+			at := w.send(0, opening(k))
+			p := w.request(k, at)
+			w.send(0, p)
+			w.tell()
+			w.now += tc.after
+			p.Sequence += uint32(p.Data)
+			p.Data, p.Flags = 0, steer.RST
+			w.send(0, p)
+		}
+		must.Eq(t, tc.failing, w.sites[0].sidecar.Load(w.now, 0).Failing, must.Sprint(tc.after))
+	}
+}
