Name what stands for knowledge of an earlier era a hash

Cause: on reading the change again, three things were called former: a wire type, what a record holds of it, and a number in heartbeats.

Change: names and comments only: FormerHash in heartbeats and digests, unsettled for what a list does not settle.

Ruled out and figures: nothing is decided otherwise; go vet and the tests of registry and membership pass.

--- a/exchange/beats.go
+++ b/exchange/beats.go
@@ -61,7 +61,7 @@
 		Sequence:    n.sequence,
 		Version:     n.directory.Version(),
 		State:       n.directory.State(),
-		Former:      n.directory.FormerHash(),
+		FormerHash:  n.directory.FormerHash(),
 		StoreAge:    n.members.StoreAge(now),
 		Reading:     n.members.Reading(now),
 		Stopping:    n.stopping,
--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -91,7 +91,7 @@
 		DataCentre: n.cfg.DataCentre,
 		Version:    n.directory.Version(),
 		State:      n.directory.State(),
-		Former:     n.directory.FormerHash(),
+		FormerHash: n.directory.FormerHash(),
 		StoreAge:   n.members.StoreAge(now),
 	}
 }
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -198,7 +198,7 @@
 
 // knowledge is Knowledge for a caller that holds the lock.
 func (n *Node) knowledge() membership.Knowledge {
-	return membership.Knowledge{Version: n.directory.Version(), State: n.directory.State(), Former: n.directory.FormerHash()}
+	return membership.Knowledge{Version: n.directory.Version(), State: n.directory.State(), FormerHash: n.directory.FormerHash()}
 }
 
 // StoreCalls returns how long calls of the store took, without watches.
--- a/membership/beat.go
+++ b/membership/beat.go
@@ -49,8 +49,8 @@
 	Version uint64
 	// State is the state of the store that the upstreams stand for. Zero before the first.
 	State registry.State
-	// Former stands for what is known of the time before the era; 0 for nothing.
-	Former uint32
+	// FormerHash stands for what is known of the time before the era; 0 for nothing.
+	FormerHash uint32
 }
 
 // Beat is a heartbeat.
@@ -65,8 +65,8 @@
 	// Version and State are what the sender has of routes and upstreams.
 	Version uint64         `msgpack:"v,omitempty"`
 	State   registry.State `msgpack:"n,omitempty"`
-	// Former stands for what the sender knows of the time before the era of State; 0 for nothing.
-	Former uint32 `msgpack:"o,omitempty"`
+	// FormerHash stands for what the sender knows of the time before the era of State; 0 for nothing.
+	FormerHash uint32 `msgpack:"o,omitempty"`
 	// StoreAge is how long ago the sender, or a process that it heard of, had an answer of the store.
 	StoreAge time.Duration `msgpack:"a,omitempty"`
 	// Reading is true when the sender itself had an answer of the store within FreshStore.
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -50,8 +50,8 @@
 	// Version and State are what the delegate has of routes and upstreams.
 	Version uint64         `msgpack:"v,omitempty"`
 	State   registry.State `msgpack:"n,omitempty"`
-	// Former stands for what the delegate knows of the time before the era of State; 0 for nothing.
-	Former uint32 `msgpack:"o,omitempty"`
+	// FormerHash stands for what the delegate knows of the time before the era of State; 0 for nothing.
+	FormerHash uint32 `msgpack:"o,omitempty"`
 	// StoreAge is how long ago the delegate, or a process that it heard of, had an answer of the store.
 	StoreAge time.Duration `msgpack:"s,omitempty"`
 	Reports  []Report      `msgpack:"r"`
--- a/membership/reader.go
+++ b/membership/reader.go
@@ -95,7 +95,7 @@
 	if p == nil {
 		return false
 	}
-	p.former = d.Former
+	p.former = d.FormerHash
 	return d.State == own.State && p.ahead(own)
 }
 
--- a/membership/table.go
+++ b/membership/table.go
@@ -69,7 +69,7 @@
 	if p.Beat.Version > own.Version || p.Beat.State.After(own.State) {
 		return true
 	}
-	return p.Beat.State == own.State && p.former != 0 && p.former != own.Former && p.former != p.asked
+	return p.Beat.State == own.State && p.former != 0 && p.former != own.FormerHash && p.former != p.asked
 }
 
 // Table holds the other processes. It is not safe for concurrent use.
@@ -150,7 +150,7 @@
 	}
 	news := t.take(now, now, from, b, own)
 	p := t.peers[from]
-	p.Direct, p.former = now, b.Former
+	p.Direct, p.former = now, b.FormerHash
 	news.Ahead = p.ahead(own)
 	if b.Role == Sidecar && b.DataCentre != t.cfg.DataCentre {
 		t.sidecarNews = now
--- a/registry/directory.go
+++ b/registry/directory.go
@@ -186,7 +186,7 @@
 		u.Routes = d.routes
 	}
 	if d.state.Era >= state.Era {
-		u.Former = d.former(now)
+		u.Former = d.unsettled(now)
 	}
 	if !d.state.After(state) {
 		if len(u.Former) > 0 {
--- a/registry/former.go
+++ b/registry/former.go
@@ -44,7 +44,7 @@
 	return fmt.Sprintf("what is said of key %q before the era has no upstream or a negative time", e.Key)
 }
 
-// former is a Former within a record.
+// former is what a Former says, within a record.
 type former struct {
 	upstream *Upstream // never nil
 	learned  time.Duration
@@ -159,8 +159,8 @@
 	d.formerHash = d.hashFormer()
 }
 
-// former returns what the list does not settle, in the order of keys.
-func (d *Directory) former(now time.Duration) []Former {
+// unsettled returns what was known before the era and the list does not settle, in the order of keys.
+func (d *Directory) unsettled(now time.Duration) []Former {
 	var list []Former
 	for key, r := range d.records {
 		if r.former == nil {
@@ -179,7 +179,7 @@
 // hashFormer returns a number that is equal in processes that know the same
 // before the era, and 0 when that is nothing.
 func (d *Directory) hashFormer() uint32 {
-	list := d.former(0)
+	list := d.unsettled(0)
 	if len(list) == 0 {
 		return 0
 	}
