Test an era that a sidecar sees first

Cause: no test had the store turn balancers away while an era begins.

Change: TestEraIsSeenByASidecarFirst, two processes over loopback.

--- a/exchange/era_test.go
+++ b/exchange/era_test.go
@@ -157,3 +157,34 @@
 	must.True(t, known)
 	must.Eq(t, registry.Available, s)
 }
+
+// turnedAway is the store to a process that it serves no more.
+type turnedAway struct{}
+
+func (turnedAway) Read(context.Context) (registry.Update, error) {
+	return registry.Update{}, downError{}
+}
+
+func (turnedAway) Watch(context.Context, registry.State) (registry.Update, error) {
+	return registry.Update{}, downError{}
+}
+
+// TestEraIsSeenByASidecarFirst begins an era while the store turns balancers away:
+// the sidecar reads it, and the balancer learns of it from there, with what it
+// knew itself kept.
+func TestEraIsSeenByASidecarFirst(t *testing.T) {
+	store := &memory{}
+	drains := hostOf(20)
+	store.set(10, drains)
+	copied := store.present()
+	store.change(15, drains, func(u *registry.Upstream) { u.Draining, u.Sequence = true, 7 })
+	sidecar := start(t, 30, membership.Sidecar, store, 0)
+	balancer := start(t, 1, membership.Balancer, turnedAway{}, 0)
+	await(t, "the balancer knows of the drain", func() bool { s, _ := balancer.standing(drains); return s == registry.Leaving })
+	store.rewind(1, copied)
+	await(t, "the sidecar knows the era", func() bool { return sidecar.node.Knowledge().State.Era == 1 })
+	await(t, "the balancer knows the era", func() bool { return balancer.node.Knowledge().State.Era == 1 })
+	s, known := balancer.standing(drains)
+	must.True(t, known)
+	must.Eq(t, registry.Leaving, s)
+}
