--- a/layout_test.go
+++ b/layout_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -129,6 +130,19 @@
 	return all
 }
 
+// TestNoDeploymentIsNamed holds the code to what it observes: no name of a
+// deployment of the users, or of one of their days, stands in it.
+func TestNoDeploymentIsNamed(t *testing.T) {
+	names := regexp.MustCompile(`langkah|jateng|rg-central|cr-central|sprm|gt-centro|\b(quiet|trouble|scale)-[0-9]|fleetbench`)
+	for pkg := range importsInCode(t) {
+		for _, name := range goFiles(t, pkg) {
+			raw, err := os.ReadFile(name)
+			must.NoError(t, err)
+			must.Eq(t, "", names.FindString(string(raw)), must.Sprint(name))
+		}
+	}
+}
+
 // importsOf returns what the files of a directory import, tests left out.
 func importsOf(t *testing.T, dir string) []string {
 	t.Helper()
