Search for a flow whose passed-on target is lost

Cause: a sidecar between the home and the owner of a datagram flow remembered that it had passed the flow on to an upstream. When that upstream was due for takeover, the sidecar passed the flow on to another one, which accepted it.

Ruled out: the partition, the pause and the older bundle of the accepting upstream, and the shorter takeover delay of a sidecar of an idempotent service, which only made the fault happen 8 s earlier.

Change: the sidecar returns the packet to the home, marked as passed, so that the home searches before it accepts. An answer to a search no longer goes to a lost upstream first.

--- a/flow/passed_test.go
+++ b/flow/passed_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/corianderbay/corianderbay/bundle"
 	"github.com/corianderbay/corianderbay/flow"
 	"github.com/corianderbay/corianderbay/forward"
 )
@@ -85,6 +86,44 @@
 	must.Eq(t, 1, h.Current)
 }
 
+// TestFlowPassedToLostUpstreamIsSearchedFor checks that a sidecar that passed a flow on
+// to an upstream that is now due for takeover returns the next packet to the home
+// instead of passing the flow on again: the lost upstream may have passed it on to
+// another one, which owns it. The answer to the home's search skips the lost upstream.
+func TestFlowPassedToLostUpstreamIsSearchedFor(t *testing.T) {
+	p, now := newPlan(1, 4), time.Unix(1000, 0)
+	k := testKey(flow.UDP, 1, report)
+	_, order := view{plan: p}.Candidates(nil, k)
+	second, third := order[1].Upstream, order[2].Upstream
+	fromHome := func() *forward.Header {
+		h := header(p, k, second)
+		h.Passed = 1
+		return h
+	}
+	a := &scriptedAdmitter{choices: []flow.Choice{flow.Pass, flow.Pass}}
+	s := flow.NewSidecar(flow.SidecarConfig{Upstream: second, Admitter: a}, now)
+	s.BundleAccepted(now, view{plan: p, self: second})
+	now = now.Add(time.Hour)
+	for _, c := range order {
+		s.PeerReported(now, flow.PeerReport{Upstream: c.Upstream, Service: report, Version: 1, Highest: 1})
+	}
+	h := fromHome()
+	must.Eq[flow.Action](t, flow.Forward{}, s.Packet(now, h, flow.Packet{Key: k}))
+	must.Eq(t, 2, h.Current)
+
+	s.InstancesListed(now, []bundle.UpstreamID{third})
+	now = now.Add(flow.Settings{Idempotent: true}.TakeoverDelay())
+	h = fromHome()
+	must.Eq[flow.Action](t, flow.Forward{}, s.Packet(now, h, flow.Packet{Key: k}))
+	must.Eq(t, 0, h.Current)
+	must.Eq(t, 0b11, h.Passed)
+
+	h = header(p, k, second)
+	h.Phase, h.Initiator, h.Passed = forward.PhaseFind, 0, 1
+	must.Eq[flow.Action](t, flow.Forward{}, s.Packet(now, h, flow.Packet{Key: k}))
+	must.Eq(t, 3, h.Current)
+}
+
 // movingSidecar returns the sidecar of upstream 1, which serves fitting, the plan in
 // force for an hour that assigns it to report, and the time.
 func movingSidecar(first *plan, change func(*plan)) (*flow.Sidecar, *plan, time.Time) {
--- a/flow/regression_test.go
+++ b/flow/regression_test.go
@@ -23,10 +23,10 @@
 	must.NoError(t, err, must.Sprintf("%s seed %s: %s\n%.2000s", r.test, r.seed, r.cause, out))
 }
 
-// TestRequestRunsOnceInAPartition runs a case that still fails, see KNOWN-RED.txt.
-func TestRequestRunsOnceInAPartition(t *testing.T) {
+// TestFlowStaysWhenItsOnlyPeerLeaves runs a case that still fails, see KNOWN-RED.txt.
+func TestFlowStaysWhenItsOnlyPeerLeaves(t *testing.T) {
 	t.Parallel()
-	regression{"TestStatefulFaults", "155242", "a request ran at two upstreams during a partition"}.run(t)
+	regression{"TestStatefulPlanned", "4278755", "a sidecar whose only peer moved to another service gave its flows up before it received the bundle"}.run(t)
 }
 
 // TestRegressionSeeds runs the cases that have been fixed.
@@ -49,6 +49,7 @@
 		{"TestStatefulPlanned", "198956381", "an upstream that switched services accepted flows because members of the former service confirmed its reports, and was then fenced"},
 		{"TestStatefulFaults", "159808504", "a sidecar that a flow was passed on to refused it as not run, although the search had skipped its owner"},
 		{"TestStatefulFaults", "22561688", "an owner that had taken over did not detect, without a newer list, that the home was back, and the home removed its entry of the flow"},
+		{"TestStatefulFaults", "155242", "a sidecar passed a flow on again after the upstream that it had passed it to was lost, although that one had passed it on to a live owner"},
 		{"TestStatefulFaults", "191155132", "a flow was removed while all balancers were paused for longer than its idle time, which is allowed"},
 	}
 	for _, c := range cases {
--- a/flow/udp.go
+++ b/flow/udp.go
@@ -267,7 +267,7 @@
 	e.lastUsed, e.lastRefresh = c.at, c.at
 	c.put(e)
 	j := indexOf(h, e.target)
-	if j != none && !passed(h, j) {
+	if j != none && !passed(h, j) && !c.takeoverDue(j) {
 		return forwardTo(h, j)
 	}
 	if j = c.nextCandidate(); j != none {
@@ -351,6 +351,10 @@
 	if j := c.passedTarget(e); j != none {
 		return forwardTo(c.h, j)
 	}
+	if c.targetLost(e) {
+		markPassed(c.h, int(c.h.Current))
+		return forwardTo(c.h, c.home()) // which searches for the flow, since this candidate has passed it
+	}
 	if e.kind == kindPassed {
 		if e.version > c.h.Version || e.flags&searching != 0 && c.at.since(e.lastRefresh) <= ticks(searchTimeout) {
 			return c.drop(ReasonUnsure)
@@ -372,6 +376,16 @@
 	return c.h.Version > c.st.view.Version()
 }
 
+// targetLost reports whether the flow was passed on to an upstream that is due for
+// takeover. That upstream may have passed it on as well, so that its owner may be alive.
+func (c *call) targetLost(e entry) bool {
+	if e.kind != kindPassed || e.flags&(searching|promised) != 0 || e.version < c.orderVersion() {
+		return false
+	}
+	j := indexOf(c.h, e.target)
+	return j != none && !passed(c.h, j) && c.takeoverDue(j)
+}
+
 // udpAdmit submits a flow that no other sidecar owns to the admission policy. A
 // fenced sidecar passes it on instead: a sidecar that has just joined is fenced
 // until a majority confirms its reports.
