Keep to the rates of cold upstreams and to homes of routes

Change: the sidecar counts the openings of the last second exactly and passes on what is above the rate and its bounds; balancers take an upstream for refusing once they have placed as many as its rate permits; an opening is refused at the third cold upstream. Balancers, sidecars and searches keep flows of a route with homes to their regions.

--- a/edge/config.go
+++ b/edge/config.go
@@ -23,10 +23,12 @@
 	AppendReset(b []byte, p *steer.Packet) []byte
 }
 
-// Config holds the settings that balancers and sidecars share. All fields except Bind,
-// Seeds and Placing are required.
+// Config holds the settings that balancers and sidecars share. All fields except Regions,
+// Bind, Seeds and Placing are required.
 type Config struct {
 	DataCentre string
+	// Regions holds the region of each data centre by its name. It may be empty.
+	Regions map[string]string
 	// Exchange is the address at which other processes reach this one, over UDP and TCP.
 	Exchange netip.AddrPort
 	// Bind is the local address to bind if other processes reach Exchange through
@@ -53,6 +55,7 @@
 	return exchange.Config{
 		Role:          role,
 		DataCentre:    cfg.DataCentre,
+		Regions:       cfg.Regions,
 		Listen:        cfg.Exchange,
 		Bind:          cfg.Bind,
 		Incarnation:   cfg.Incarnation,
--- a/edge/sidecar.go
+++ b/edge/sidecar.go
@@ -33,6 +33,8 @@
 	Outbound netip.AddrPort
 	// Upstream is the address at which the upstream receives packets.
 	Upstream netip.AddrPort
+	// Cold limits the openings at the upstream while it is cold.
+	Cold steer.ColdLimit
 	// MaxDrain is the maximum time that a stopping sidecar waits for active requests.
 	MaxDrain time.Duration
 }
@@ -76,6 +78,7 @@
 		Service:    cfg.Service,
 		MaxFlow:    cfg.MaxFlow,
 		Placing:    cfg.Placing,
+		Cold:       cfg.Cold,
 		Latency:    s.latency,
 	})
 	s.fleet = s.steering.Fleet
--- a/eventlog/describe.go
+++ b/eventlog/describe.go
@@ -133,6 +133,10 @@
 		return "its opening was passed on there"
 	case "evacuated":
 		return "its data centre, or each one with upstreams of the service, is evacuated"
+	case "cold":
+		return "the upstream is cold and has as many new flows as its service's rate permits"
+	case "home":
+		return "the upstream, or each one that would take it, is outside the route's home regions"
 	case "not_confirmed":
 		return "the caller confirmed another upstream's answer"
 	}
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -43,6 +43,8 @@
 type Config struct {
 	Role       membership.Role
 	DataCentre string
+	// Regions holds the region of each data centre by its name. It may be empty.
+	Regions map[string]string
 	// Listen is the address at which other processes reach this one over UDP and
 	// TCP. The port is the same on all hosts.
 	Listen netip.AddrPort
--- a/exchange/view.go
+++ b/exchange/view.go
@@ -70,6 +70,7 @@
 	f := &steer.Fleet{
 		Snapshot:         n.snapshot,
 		Sidecars:         make(map[registry.Host]steer.SidecarStatus, n.members.PeerCount()),
+		Regions:          n.cfg.Regions,
 		Unlisted:         n.snapshot.Unlisted(n.members.Sidecars(now)),
 		Recovering:       now-n.firstList < settleTime,
 		LastStoreContact: now - n.members.StoreAge(now),
--- a/registry/route.go
+++ b/registry/route.go
@@ -28,6 +28,8 @@
 	Objective time.Duration `msgpack:"objective"`
 	// Priority is 0 for the most important requests.
 	Priority int `msgpack:"priority"`
+	// Homes are the regions whose upstreams may receive the route's flows. Empty permits all.
+	Homes []string `msgpack:"homes,omitempty"`
 }
 
 // Allows reports whether the route may send flows to the service.
@@ -71,6 +73,9 @@
 	Idle time.Duration `msgpack:"idle"`
 	// Connections is the maximum number of flows of one upstream, by service.
 	Connections map[string]int `msgpack:"connections"`
+	// ColdRates is the number of openings per second that a cold upstream can serve, by
+	// service. A service without an entry has no such limit.
+	ColdRates map[string]float64 `msgpack:"coldrates,omitempty"`
 }
 
 // Check reports *RoutesError when the version is 0, or a route has no targets or a target
--- a/registry/snapshot.go
+++ b/registry/snapshot.go
@@ -61,6 +61,7 @@
 	sortedPools []*Pool // in the order of their services
 	hosts       map[Host]struct{}
 	connections map[string]int
+	coldRates   map[string]float64
 	evacuated   map[string]struct{} // names of data centres
 }
 
@@ -76,7 +77,7 @@
 		evacuated: d.evacuatedAt(now),
 	}
 	if d.routes != nil {
-		s.idle, s.connections = d.routes.Idle, d.routes.Connections
+		s.idle, s.connections, s.coldRates = d.routes.Idle, d.routes.Connections, d.routes.ColdRates
 		for i := range d.routes.List {
 			s.routes[d.routes.List[i].Address] = &d.routes.List[i]
 		}
@@ -196,6 +197,13 @@
 	return s.connections[service]
 }
 
+// ColdRate returns the number of openings per second that a cold upstream of the service
+// can serve. limited is false when there is no limit for it.
+func (s *Snapshot) ColdRate(service string) (rate float64, limited bool) {
+	rate, limited = s.coldRates[service]
+	return rate, limited
+}
+
 // Hosts returns the hosts of all upstreams that are not removed, in order. When
 // dataCentre is not empty, only its hosts are returned.
 func (s *Snapshot) Hosts(dataCentre string) []Host {
--- a/steer/action.go
+++ b/steer/action.go
@@ -114,6 +114,12 @@
 	// ReasonEvacuated: the data centre of the upstream, or of all upstreams of the service,
 	// is evacuated.
 	ReasonEvacuated
+	// ReasonCold: the upstream is cold and has received as many new flows as its service's
+	// rate permits.
+	ReasonCold
+	// ReasonHome: the upstream, or each one that would accept the flow, is outside the
+	// regions that the route permits.
+	ReasonHome
 	// ReasonNotConfirmed: the caller confirmed another upstream's answer to its
 	// opening.
 	ReasonNotConfirmed
@@ -161,6 +167,10 @@
 		return "passed"
 	case ReasonEvacuated:
 		return "evacuated"
+	case ReasonCold:
+		return "cold"
+	case ReasonHome:
+		return "home"
 	case ReasonNotConfirmed:
 		return "not_confirmed"
 	}
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -310,14 +310,16 @@
 
 func (d *decision) chooser() chooser {
 	return chooser{
-		fleet:       d.fleet,
-		now:         d.now,
-		hash:        d.hash,
-		dataCentre:  d.b.cfg.DataCentre,
-		estimate:    d.estimateLoad,
-		unreported:  d.b.unreportedOn,
-		placing:     d.b.cfg.Placing,
-		totalPlaced: d.b.totalPlacedOn,
+		fleet:           d.fleet,
+		now:             d.now,
+		hash:            d.hash,
+		dataCentre:      d.b.cfg.DataCentre,
+		route:           d.route,
+		estimate:        d.estimateLoad,
+		placedPerSecond: d.placedPerSecond,
+		unreported:      d.b.unreportedOn,
+		placing:         d.b.cfg.Placing,
+		totalPlaced:     d.b.totalPlacedOn,
 	}
 }
 
@@ -326,6 +328,11 @@
 	return d.b.estimates.estimate(d.now, h, reported, reportedAt, d.fleet.LiveBalancers)
 }
 
+// placedPerSecond returns the estimated number of flows placed on an upstream in the last second.
+func (d *decision) placedPerSecond(h registry.Host) float64 {
+	return d.b.estimates.placedPerSecond(d.now, h, d.fleet.LiveBalancers)
+}
+
 // follow forwards a later packet to the upstream that holds its flow, or starts a
 // search for it.
 func (d *decision) follow() Action {
@@ -339,13 +346,13 @@
 		d.shard.flows[d.key] = e
 		return d.forward(service, e.host, false)
 	}
-	if d.b.recentlyExhausted(d.now, d.fleet, d.key) {
+	if d.b.recentlyExhausted(d.now, d.fleet, d.route, d.key) {
 		return Drop{Reason: ReasonUnknownFlow}
 	}
 	if m := d.firstToSearch(service); m != nil {
 		return d.forward(m.Service, m.Address.Host, true)
 	}
-	if host, found := d.fleet.firstUnlisted("", excludeNone); found {
+	if host, found := d.fleet.firstUnlisted(d.route, "", excludeNone); found {
 		return d.forward(service, host, true)
 	}
 	return Drop{Reason: ReasonNoUpstream}
--- a/steer/estimate.go
+++ b/steer/estimate.go
@@ -54,6 +54,19 @@
 	return e.reported + e.placed*float64(max(1, balancers))
 }
 
+// placedPerSecond returns the estimated number of flows that the given number of balancers
+// placed on an upstream in the last second.
+func (es *loadEstimates) placedPerSecond(now time.Duration, h registry.Host, balancers int) float64 {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	e := es.byHost[h]
+	if e == nil {
+		return 0
+	}
+	e.decay(now)
+	return e.placed * float64(max(1, balancers)) * float64(time.Second) / float64(loadTimeConstant)
+}
+
 // recordPlaced counts a flow that was placed on an upstream. Upstreams that have not
 // been estimated yet are ignored.
 func (es *loadEstimates) recordPlaced(h registry.Host) {
--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -47,6 +47,9 @@
 	Snapshot *registry.Snapshot
 	// Sidecars has every sidecar that ever sent a heartbeat.
 	Sidecars map[registry.Host]SidecarStatus
+	// Regions holds the region of each data centre by its name. It may be empty when no
+	// route has homes.
+	Regions map[string]string
 	// Unlisted has the hosts of live sidecars whose upstreams are missing from the
 	// upstream list, for example because entries expired while the store was
 	// unavailable.
@@ -108,28 +111,48 @@
 	return known && i.alive(now) && !i.Load.Silent
 }
 
+// permits reports whether flows of the route may reach upstreams of a data centre: the
+// route has no homes, or the region of the data centre is one of them. r may be nil.
+func (f *Fleet) permits(r *registry.Route, dataCentre string) bool {
+	if r == nil || len(r.Homes) == 0 {
+		return true
+	}
+	region, known := f.Regions[dataCentre]
+	return known && slices.Contains(r.Homes, region)
+}
+
 // refusalReason returns why no upstream of the route accepts a new flow: those that would
-// are in evacuated data centres, or there are none.
+// are in evacuated data centres or outside the route's homes, or there are none.
 func (f *Fleet) refusalReason(r *registry.Route) Reason {
 	if r == nil {
 		return ReasonNoUpstream
 	}
+	reason := ReasonNoUpstream
 	for i := range r.Targets {
 		pool := f.Snapshot.Pool(registry.HashService(r.Targets[i].Service))
-		if pool != nil && slices.ContainsFunc(pool.Members, func(m registry.Member) bool { return m.Status == registry.Evacuated }) {
-			return ReasonEvacuated
+		if pool == nil {
+			continue
+		}
+		for k := range pool.Members {
+			m := &pool.Members[k]
+			switch {
+			case m.Status == registry.Evacuated && f.permits(r, m.DataCentre):
+				return ReasonEvacuated
+			case m.Status == registry.Available && !f.permits(r, m.DataCentre):
+				reason = ReasonHome
+			}
 		}
 	}
-	return ReasonNoUpstream
+	return reason
 }
 
-// firstUnlisted returns the first unlisted host that is not excluded, either in one
-// data centre or in an unknown one. An empty name matches all data centres. found is
-// false when there is none.
-func (f *Fleet) firstUnlisted(dataCentre string, exclude func(registry.Host) bool) (h registry.Host, found bool) {
+// firstUnlisted returns the first unlisted host that is not excluded, that the route
+// permits, and that is either in one data centre or in an unknown one. An empty name
+// matches all data centres. found is false when there is none.
+func (f *Fleet) firstUnlisted(r *registry.Route, dataCentre string, exclude func(registry.Host) bool) (h registry.Host, found bool) {
 	for _, h := range f.Unlisted {
 		at := f.Sidecars[h].DataCentre
-		if !exclude(h) && (at == dataCentre || at == "" || dataCentre == "") {
+		if !exclude(h) && f.permits(r, at) && (at == dataCentre || at == "" || dataCentre == "") {
 			return h, true
 		}
 	}
@@ -176,23 +199,23 @@
 	return false
 }
 
-// allReturned reports whether each upstream that may hold a flow has returned a packet
-// of it. Upstreams that are gone cannot hold it: those with a lost sidecar, and removed
-// ones whose sidecar is not alive, unless it is only suspected to be gone.
-func (f *Fleet) allReturned(now time.Duration, s *search) bool {
+// allReturned reports whether each upstream that may hold a flow of the route has returned
+// a packet of it. Upstreams that are gone cannot hold it: those with a lost sidecar, and
+// removed ones whose sidecar is not alive, unless it is only suspected to be gone.
+func (f *Fleet) allReturned(now time.Duration, r *registry.Route, s *search) bool {
 	for _, p := range f.Snapshot.Pools() {
 		for i := range p.Members {
 			m := &p.Members[i]
 			host := m.Address.Host
 			left := m.Status == registry.Removed && !f.alive(now, host) && !f.Sidecars[host].Suspected
 			gone := left || f.lost(now, host)
-			if !gone && !s.returnedBy(host) {
+			if !gone && !s.returnedBy(host) && f.permits(r, m.DataCentre) {
 				return false
 			}
 		}
 	}
 	for _, h := range f.Unlisted {
-		if f.alive(now, h) && !s.returnedBy(h) {
+		if f.alive(now, h) && !s.returnedBy(h) && f.permits(r, f.Sidecars[h].DataCentre) {
 			return false
 		}
 	}
--- a/steer/pass.go
+++ b/steer/pass.go
@@ -7,6 +7,10 @@
 	"github.com/corianderbay/corianderbay/registry"
 )
 
+// maxColdPasses is the number of cold upstreams after which an opening is refused when the
+// next one is cold as well: all are likely to have as many openings as they can serve.
+const maxColdPasses = 2
+
 // offload passes a new flow on when requests are queued at the local upstream and
 // another upstream of the service has a clearly shorter queue, or one of another
 // service of the route has a free slot. It returns nil when the flow stays. Only the
@@ -40,14 +44,16 @@
 // chooser returns the chooser of upstreams for a packet.
 func (s *Sidecar) chooser(now time.Duration, f *Fleet, p *Packet) chooser {
 	return chooser{
-		fleet:       f,
-		now:         now,
-		hash:        p.CallerKey().Hash(),
-		dataCentre:  s.cfg.DataCentre,
-		estimate:    asReported,
-		unreported:  func(registry.Host) int { return 0 },
-		placing:     s.cfg.Placing,
-		totalPlaced: func(registry.Host) int { return 0 },
+		fleet:           f,
+		now:             now,
+		hash:            p.CallerKey().Hash(),
+		dataCentre:      s.cfg.DataCentre,
+		route:           f.Snapshot.Route(p.Destination),
+		estimate:        asReported,
+		placedPerSecond: func(registry.Host) float64 { return 0 },
+		unreported:      func(registry.Host) int { return 0 },
+		placing:         s.cfg.Placing,
+		totalPlaced:     func(registry.Host) int { return 0 },
 	}
 }
 
@@ -67,6 +73,9 @@
 		return s.search(f, &c, &next, p, reason, false)
 	}
 	if m := s.nextForOpening(f, &c, &next, p); m != nil {
+		if reason == ReasonCold && m.Warmup > 0 && len(next.Visited) > maxColdPasses {
+			return Refuse{Reason: ReasonCold}
+		}
 		return &Forward{Host: m.Address.Host, Header: next, Reason: reason}
 	}
 	return Refuse{Reason: f.refusalReason(f.Snapshot.Route(p.Destination))}
--- a/steer/place.go
+++ b/steer/place.go
@@ -35,9 +35,13 @@
 	now        time.Duration
 	hash       uint64
 	dataCentre string
+	route      *registry.Route // nil when the packet's address has none
 	// estimate returns the estimated load of an upstream in flows. reported is the last
 	// load that its sidecar reported, at reportedAt.
 	estimate func(h registry.Host, reported int, reportedAt time.Duration) float64
+	// placedPerSecond returns the estimated number of flows that all balancers of the data
+	// centre placed on a host in the last second.
+	placedPerSecond func(registry.Host) float64
 	// unreported returns the number of flows placed on a host since the last load
 	// report of its sidecar.
 	unreported func(registry.Host) int
@@ -78,7 +82,7 @@
 	var near, far candidate
 	for i := range p.Members {
 		m := &p.Members[i]
-		if exclude(m.Address.Host) || !c.fleet.acceptsNewFlows(c.now, m) {
+		if exclude(m.Address.Host) || !c.accepts(m) {
 			continue
 		}
 		if m.DataCentre == c.dataCentre {
@@ -93,6 +97,11 @@
 	return near.member
 }
 
+// accepts reports whether a new flow may be opened at the upstream.
+func (c *chooser) accepts(m *registry.Member) bool {
+	return c.fleet.acceptsNewFlows(c.now, m) && c.fleet.permits(c.route, m.DataCentre)
+}
+
 // prefersFar reports whether a new flow goes to an upstream of another data centre: the
 // best near one is failing and this one is not, or the near one is crowded and this one
 // is clearly less busy.
@@ -124,12 +133,25 @@
 	if m.Warmup > 0 {
 		flows += warmupFlows
 	}
+	if c.coldRateReached(m) {
+		flows += refusingFlows
+	}
 	if i.Load.Refusing {
 		flows += refusingFlows
 	}
 	return flows / float64(max(1, m.Slots))
 }
 
+// coldRateReached reports whether the upstream is cold and gets as many new flows as its
+// service's rate permits, so that its sidecar would pass further ones on.
+func (c *chooser) coldRateReached(m *registry.Member) bool {
+	if m.Warmup == 0 {
+		return false
+	}
+	rate, limited := c.fleet.Snapshot.ColdRate(m.Service)
+	return limited && c.placedPerSecond(m.Address.Host) >= rate
+}
+
 // reportedLoad returns the load of an upstream, in flows, from the last report of its
 // sidecar.
 func reportedLoad(l membership.Load, m *registry.Member) int {
@@ -206,7 +228,7 @@
 	for i := range p.Members {
 		m := &p.Members[i]
 		host := m.Address.Host
-		if exclude(m) || c.fleet.silent(c.now, host) {
+		if exclude(m) || c.fleet.silent(c.now, host) || !c.fleet.permits(c.route, m.DataCentre) {
 			continue
 		}
 		r := rank(c.hash, host) >> 3
@@ -251,7 +273,7 @@
 			return m.Address.Host, true
 		}
 	}
-	return c.fleet.firstUnlisted(dataCentre, exclude)
+	return c.fleet.firstUnlisted(c.route, dataCentre, exclude)
 }
 
 // chooseWithoutHeartbeat returns an upstream for a new flow when none is certain to
@@ -270,7 +292,7 @@
 	var best *registry.Member
 	for i := range p.Members {
 		m := &p.Members[i]
-		if m.Status != registry.Available || exclude(m.Address.Host) {
+		if m.Status != registry.Available || exclude(m.Address.Host) || !c.fleet.permits(c.route, m.DataCentre) {
 			continue
 		}
 		if best == nil || rank(c.hash, m.Address.Host) < rank(c.hash, best.Address.Host) {
--- a/steer/placing.go
+++ b/steer/placing.go
@@ -44,7 +44,7 @@
 	var first, second candidate
 	for i := range p.Members {
 		m := &p.Members[i]
-		if exclude(m.Address.Host) || !c.fleet.acceptsNewFlows(c.now, m) || (m.DataCentre == c.dataCentre) != near {
+		if exclude(m.Address.Host) || !c.accepts(m) || (m.DataCentre == c.dataCentre) != near {
 			continue
 		}
 		n := candidate{member: m, rank: rank(c.hash, m.Address.Host)}
--- a/steer/search.go
+++ b/steer/search.go
@@ -185,7 +185,7 @@
 		return nil, false
 	}
 	route := f.Snapshot.Route(p.Destination)
-	if route == nil || f.allReturned(now, &s) {
+	if route == nil || f.allReturned(now, route, &s) {
 		return nil, false
 	}
 	d := decision{b: b, now: now, fleet: f, route: route, key: k, hash: k.Hash(), packet: p}
@@ -247,7 +247,7 @@
 	if f == nil || !searched || !f.Settled || s.state.IsZero() || s.state.After(f.Snapshot.State()) {
 		return Packet{}, false
 	}
-	if !f.allReturned(now, &s) || f.Recovering && f.listLacks(s.hosts) {
+	if !f.allReturned(now, f.Snapshot.Route(k.Address), &s) || f.Recovering && f.listLacks(s.hosts) {
 		return Packet{}, false
 	}
 	b.searches.remove(k)
@@ -257,7 +257,7 @@
 
 // recentlyExhausted reports whether every upstream that may hold the flow has just
 // returned a packet of it, so that another search would find nothing.
-func (b *Balancer) recentlyExhausted(now time.Duration, f *Fleet, k Key) bool {
+func (b *Balancer) recentlyExhausted(now time.Duration, f *Fleet, r *registry.Route, k Key) bool {
 	s, searched := b.searches.get(now, k)
-	return searched && f.allReturned(now, &s)
+	return searched && f.allReturned(now, r, &s)
 }
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -43,6 +43,8 @@
 	// Placing selects how upstreams are chosen for new flows that are passed on. Empty
 	// selects PlaceByLoad.
 	Placing Placing
+	// Cold limits the openings at the upstream while it is cold.
+	Cold ColdLimit
 	// Latency receives the response times of the upstream. It may be nil.
 	Latency Latency
 }
@@ -82,6 +84,7 @@
 	shards   [shardCount]sidecarShard
 	liveness liveness
 	failures failureDetector
+	openings openingWindow
 
 	flows       atomic.Int64 // live flows
 	active      atomic.Int64 // requests without an answer
@@ -239,6 +242,10 @@
 	if a := s.offload(now, h, p); a != nil {
 		return s.recordPassedOn(now, sh, k, p, a)
 	}
+	if !s.admitsCold(now, h) {
+		s.lastRefusal.Store(int64(now)) // so that balancers choose others
+		return s.recordPassedOn(now, sh, k, p, s.passOn(now, h, p, ReasonCold))
+	}
 	sh.flows[k] = localFlow{stage: stageOpening, balancer: h.Balancer, nextSequence: p.Sequence, lastPacket: now, deliveredAt: now}
 	s.flows.Add(1)
 	s.liveness.awaitReaction(now)
@@ -272,10 +279,11 @@
 	if limit := f.Snapshot.Connections(s.cfg.Service); limit > 0 && s.Flows() >= limit {
 		return ReasonFull
 	}
-	if f.Snapshot.Version() <= h.Version {
-		return 0
+	route := f.Snapshot.Route(p.Destination)
+	if !f.permits(route, s.cfg.DataCentre) {
+		return ReasonHome
 	}
-	if route := f.Snapshot.Route(p.Destination); route == nil || !route.Allows(s.cfg.Service) {
+	if f.Snapshot.Version() > h.Version && (route == nil || !route.Allows(s.cfg.Service)) {
 		return ReasonRoute
 	}
 	return 0
--- a/steer/simulation_test.go
+++ b/steer/simulation_test.go
@@ -140,6 +140,7 @@
 	f := &steer.Fleet{
 		Snapshot: sim.directory.Snapshot(sim.now),
 		Sidecars: make(map[registry.Host]steer.SidecarStatus),
+		Regions:  map[string]string{near: nearRegion, far: farRegion},
 		Settled:  true,
 	}
 	for _, s := range sim.instances {
