Reset flows of upstreams that ended while their sidecars stopped

Ruled out: sidecars that were never heard (all listed ones were, within 0.5 s); entries of other incarnations on the same host (the pool has one member a host); lists that are not settled (settled from 35.65 s on); a loss of packets.

Change: a stopping sidecar connects to its upstream once more. Its last heartbeat says that the upstream has ended when nothing listens and the upstream was draining, or no list had arrived. Balancers reset its flows and their searches do not wait for it. Settings of services are one type in registry, which also says whether upstreams accept connections.

--- a/edge/probe.go
+++ b/edge/probe.go
@@ -15,6 +15,9 @@
 const (
 	// connectTimeout bounds a probe of the upstream, which runs on the same instance.
 	connectTimeout = 200 * time.Millisecond
+	// stopConnectTimeout bounds the last probe of a sidecar that stops. A connection is
+	// refused at once when no process listens.
+	stopConnectTimeout = 50 * time.Millisecond
 	// fastProbeWindow is the time for which an upstream that ended is probed on each
 	// tick. After that it is probed on every slowProbeTicks-th tick.
 	fastProbeWindow = 2 * time.Second
@@ -68,6 +71,19 @@
 	}
 }
 
+// probeAtStop checks whether the upstream has ended, which the last heartbeat reports.
+func (s *Sidecar) probeAtStop(ctx context.Context) {
+	d := net.Dialer{Timeout: stopConnectTimeout}
+	conn, err := d.DialContext(ctx, "tcp4", s.upstream.String())
+	switch {
+	case err == nil:
+		conn.Close()
+		s.steering.Connected()
+	case errors.Is(err, syscall.ECONNREFUSED):
+		s.steering.RefusedAtStop()
+	}
+}
+
 // upstreamEnded resets the flows that ended with the upstream, so that callers do not
 // send further requests on them, which would be lost.
 func (s *Sidecar) upstreamEnded() {
--- a/exchange/view.go
+++ b/exchange/view.go
@@ -94,6 +94,7 @@
 			Stopping:    true,
 			AbsentSince: n.members.AbsentSince(h),
 			Suspected:   n.members.Suspected(now, h),
+			Ended:       n.members.Ended(h),
 		}
 	}
 	n.cfg.Refresh(f)
--- a/membership/absence.go
+++ b/membership/absence.go
@@ -64,6 +64,12 @@
 	return p != nil && !t.isDirect(p) && !p.Heartbeat.Stopping && !t.alive(now, p) && t.absentSince[h] == 0
 }
 
+// Ended reports whether a sidecar announced that it stops after its upstream had ended.
+func (t *Table) Ended(h registry.Host) bool {
+	p := t.peers[h]
+	return p != nil && p.Heartbeat.Stopping && p.Heartbeat.Load.Ended
+}
+
 // overdue reports whether a heartbeat or report of a sidecar is overdue. A report by
 // balancers of another data centre that it is lost is not sufficient: they may have
 // missed two heartbeats and received the next one since.
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -41,6 +41,7 @@
 	loadFlagSilent = 1 << iota
 	loadFlagRefusing
 	loadFlagFailing
+	loadFlagEnded
 )
 
 // Digest holds the reports of a balancer on many processes in one datagram.
@@ -124,6 +125,7 @@
 			Silent:   r.LoadFlags&loadFlagSilent != 0,
 			Refusing: r.LoadFlags&loadFlagRefusing != 0,
 			Failing:  r.LoadFlags&loadFlagFailing != 0,
+			Ended:    r.LoadFlags&loadFlagEnded != 0,
 		},
 		Lost: r.Lost,
 	}
@@ -144,6 +146,9 @@
 	if l.Failing {
 		bits |= loadFlagFailing
 	}
+	if l.Ended {
+		bits |= loadFlagEnded
+	}
 	return bits
 }
 
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -41,6 +41,9 @@
 	Refusing bool `msgpack:"r,omitempty"`
 	// Failing is true when the upstream resets requests or does not answer them.
 	Failing bool `msgpack:"e,omitempty"`
+	// Ended is true when the upstream has ended and holds no flow. It is only valid in
+	// heartbeats of sidecars that are stopping.
+	Ended bool `msgpack:"z,omitempty"`
 }
 
 // Versions identifies the routes and upstreams that a process has.
--- a/registry/directory_test.go
+++ b/registry/directory_test.go
@@ -170,9 +170,9 @@
 	d := registry.NewDirectory()
 	d.Apply(0, fullUpdate(4, registry.Change{Key: "a", Revision: 4, Upstream: upstream(1, 9)}))
 	d.Apply(0, registry.Update{Routes: &registry.Routes{
-		Version:     3,
-		Idle:        15 * time.Second,
-		Connections: map[string]int{testService: 2000},
+		Version:  3,
+		Idle:     15 * time.Second,
+		Services: map[string]registry.Service{testService: {MaxFlows: 2000}},
 		List: []registry.Route{{
 			Name:    "r",
 			Address: registry.Endpoint{Host: registry.Host{198, 18, 0, 1}, Port: 443},
--- a/registry/route.go
+++ b/registry/route.go
@@ -14,6 +14,18 @@
 	Weight uint32 `msgpack:"weight"`
 }
 
+// Service holds the settings of a service. The zero value sets no limit.
+type Service struct {
+	// MaxFlows is the maximum number of flows of one upstream. 0 means no limit.
+	MaxFlows int `msgpack:"flows"`
+	// ColdRate is the number of openings per second that a cold upstream can serve. 0
+	// means no limit.
+	ColdRate float64 `msgpack:"coldrate,omitempty"`
+	// Listens is true when each upstream accepts connections for health checks while it
+	// runs, so that a refused connection shows that it does not.
+	Listens bool `msgpack:"listens,omitempty"`
+}
+
 // Route maps an address to the services that receive its flows.
 type Route struct {
 	Name    string   `msgpack:"name"`
@@ -71,11 +83,8 @@
 	List []Route `msgpack:"routes"`
 	// Idle is the idle time after which the state of a flow may be dropped.
 	Idle time.Duration `msgpack:"idle"`
-	// Connections is the maximum number of flows of one upstream, by service.
-	Connections map[string]int `msgpack:"connections"`
-	// ColdRates is the number of openings per second that a cold upstream can serve, by
-	// service. A service without an entry has no such limit.
-	ColdRates map[string]float64 `msgpack:"coldrates,omitempty"`
+	// Services holds the settings of services, by name.
+	Services map[string]Service `msgpack:"services"`
 }
 
 // Check reports *RoutesError when the version is 0, or a route has no targets or a target
--- a/registry/snapshot.go
+++ b/registry/snapshot.go
@@ -60,8 +60,7 @@
 	pools       map[ServiceHash]*Pool
 	sortedPools []*Pool // in the order of their services
 	hosts       map[Host]struct{}
-	connections map[string]int
-	coldRates   map[string]float64
+	services    map[string]Service
 	evacuated   map[string]struct{} // names of data centres
 }
 
@@ -77,7 +76,7 @@
 		evacuated: d.evacuatedAt(now),
 	}
 	if d.routes != nil {
-		s.idle, s.connections, s.coldRates = d.routes.Idle, d.routes.Connections, d.routes.ColdRates
+		s.idle, s.services = d.routes.Idle, d.routes.Services
 		for i := range d.routes.List {
 			s.routes[d.routes.List[i].Address] = &d.routes.List[i]
 		}
@@ -192,16 +191,9 @@
 	return slices.Sorted(maps.Keys(s.evacuated))
 }
 
-// Connections returns the maximum number of flows of one upstream of the service, 0 when there is no limit for it.
-func (s *Snapshot) Connections(service string) int {
-	return s.connections[service]
-}
-
-// ColdRate returns the number of openings per second that a cold upstream of the service
-// can serve. limited is false when there is no limit for it.
-func (s *Snapshot) ColdRate(service string) (rate float64, limited bool) {
-	rate, limited = s.coldRates[service]
-	return rate, limited
+// Service returns the settings of a service, the zero value when it has none.
+func (s *Snapshot) Service(name string) Service {
+	return s.services[name]
 }
 
 // Hosts returns the hosts of all upstreams that are not removed, in order. When
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -142,7 +142,7 @@
 // last acknowledgement number for each flow that has to be reset.
 func (b *Balancer) EvictOrphans(now time.Duration) []Packet {
 	f := b.fleet.Load()
-	if f == nil || !f.anyAbsent() {
+	if f == nil || !f.anyLost() {
 		return nil
 	}
 	var list []Packet
--- a/steer/cold.go
+++ b/steer/cold.go
@@ -71,8 +71,8 @@
 	if f == nil {
 		return true
 	}
-	rate, limited := f.Snapshot.ColdRate(s.cfg.Service)
-	if !limited {
+	rate := f.Snapshot.Service(s.cfg.Service).ColdRate
+	if rate == 0 {
 		return true
 	}
 	m, listed := f.Snapshot.Member(s.service, s.cfg.Self)
--- a/steer/cold_test.go
+++ b/steer/cold_test.go
@@ -30,7 +30,7 @@
 		sim.publish(i, u)
 	}
 	r := registry.Route{Name: "r", Address: routeAddress, Targets: []registry.Target{{Service: service, Weight: 1}}}
-	sim.directory.Apply(sim.now, registry.Update{Routes: &registry.Routes{Version: 2, List: []registry.Route{r}, ColdRates: map[string]float64{service: coldRate}}})
+	sim.directory.Apply(sim.now, registry.Update{Routes: &registry.Routes{Version: 2, List: []registry.Route{r}, Services: map[string]registry.Service{service: {ColdRate: coldRate}}}})
 	sim.publishFleet()
 	return sim
 }
@@ -170,7 +170,7 @@
 	d := registry.NewDirectory()
 	u := sim.directory.Since(sim.now, 0, registry.State{})
 	routes := *u.Routes
-	routes.ColdRates = nil
+	routes.Services = nil
 	u.Routes = &routes
 	d.Apply(sim.now, u)
 	return d.Snapshot(sim.now)
--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -32,6 +32,8 @@
 	// Suspected is true when heartbeats of the sidecar have stopped here, but no
 	// process that receives its heartbeats directly confirms that it is gone.
 	Suspected bool
+	// Ended is true when the sidecar announced that it stops after its upstream had ended.
+	Ended bool
 }
 
 // alive reports whether the last heartbeat is recent enough and the sidecar is not
@@ -84,18 +86,21 @@
 	return known && !i.alive(now)
 }
 
-// lost reports whether the flows of the upstream on a host are lost: its sidecar has
-// been absent for longer than a process takes to restart. It is false while this
-// process is isolated.
+// lost reports whether the flows of the upstream on a host are lost: it has ended, or its
+// sidecar has been absent for longer than a process takes to restart. The latter does not
+// count while this process is isolated.
 func (f *Fleet) lost(now time.Duration, h registry.Host) bool {
+	if f.Sidecars[h].Ended {
+		return true
+	}
 	since := f.Sidecars[h].AbsentSince
 	return since != 0 && now-since >= lostAfter && !f.Isolated
 }
 
-// anyAbsent reports whether a sidecar is absent.
-func (f *Fleet) anyAbsent() bool {
+// anyLost reports whether a sidecar is absent, or stopped after its upstream had ended.
+func (f *Fleet) anyLost() bool {
 	for _, i := range f.Sidecars {
-		if i.AbsentSince != 0 {
+		if i.AbsentSince != 0 || i.Ended {
 			return true
 		}
 	}
--- a/steer/liveness.go
+++ b/steer/liveness.go
@@ -3,6 +3,8 @@
 import (
 	"sync/atomic"
 	"time"
+
+	"github.com/corianderbay/corianderbay/registry"
 )
 
 // liveness tracks whether the process of the local upstream is running, independently
@@ -15,6 +17,9 @@
 	// downUnverified is true when down was concluded although no packet had been
 	// delivered.
 	downUnverified atomic.Bool
+	// refusedAtStop is true when the upstream's address refused the last connection before
+	// the sidecar stopped.
+	refusedAtStop atomic.Bool
 	// listens records whether the upstream accepts connections while it is running. If
 	// it does not, a refused connection does not show that the upstream is down.
 	listens atomic.Int32
@@ -138,6 +143,44 @@
 	return s.evictOrphans(), true
 }
 
+// RefusedAtStop records that the upstream's address refused a connection while the sidecar
+// is about to stop.
+func (s *Sidecar) RefusedAtStop() {
+	s.liveness.refusedAtStop.Store(true)
+}
+
+// Ended reports whether the upstream has ended and holds no flow, so that balancers need
+// not wait for its entry to expire. Without packets that were left without a reaction, a
+// connection that is refused while the sidecar stops shows this only for an upstream that
+// is expected to end, by the list or because the instance stops before a list arrived,
+// and either accepts connections while it runs or has sent nothing since the sidecar
+// started.
+func (s *Sidecar) Ended() bool {
+	u := &s.liveness
+	if u.down.Load() && !u.downUnverified.Load() {
+		return true
+	}
+	return u.refusedAtStop.Load() && s.selfLeaving() && (s.serviceListens() || !u.hasSent.Load())
+}
+
+// serviceListens reports whether upstreams of the local service accept connections while
+// they run.
+func (s *Sidecar) serviceListens() bool {
+	f := s.fleet.Load()
+	return f != nil && f.Snapshot.Service(s.cfg.Service).Listens
+}
+
+// selfLeaving reports whether the local upstream is draining or missing from the list, or
+// no list has arrived.
+func (s *Sidecar) selfLeaving() bool {
+	f := s.fleet.Load()
+	if f == nil {
+		return true
+	}
+	m, listed := f.Snapshot.Member(s.service, s.cfg.Self)
+	return !listed || m.Status == registry.Leaving || m.Status == registry.Removed
+}
+
 // selfListed reports whether the upstream list has an upstream on this host.
 func (s *Sidecar) selfListed() bool {
 	f := s.fleet.Load()
--- a/steer/place.go
+++ b/steer/place.go
@@ -148,8 +148,8 @@
 	if m.Warmup == 0 {
 		return false
 	}
-	rate, limited := c.fleet.Snapshot.ColdRate(m.Service)
-	return limited && c.placedPerSecond(m.Address.Host) >= rate
+	rate := c.fleet.Snapshot.Service(m.Service).ColdRate
+	return rate > 0 && c.placedPerSecond(m.Address.Host) >= rate
 }
 
 // reportedLoad returns the load of an upstream, in flows, from the last report of its
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -276,7 +276,7 @@
 	if m, listed := f.Snapshot.Member(s.service, s.cfg.Self); listed && m.Status == registry.Leaving {
 		return ReasonLeaving
 	}
-	if limit := f.Snapshot.Connections(s.cfg.Service); limit > 0 && s.Flows() >= limit {
+	if limit := f.Snapshot.Service(s.cfg.Service).MaxFlows; limit > 0 && s.Flows() >= limit {
 		return ReasonFull
 	}
 	route := f.Snapshot.Route(p.Destination)
@@ -409,5 +409,6 @@
 		Silent:   s.Silent(now),
 		Refusing: s.Refusing(now),
 		Failing:  s.failures.failing(now),
+		Ended:    s.Ended(),
 	}
 }
