Read the clock under the lock, so that no age is negative

Cause: heartbeats, digests and merges read the uptime before they acquired the node's lock. While they waited for it, others recorded later times, such as an answer of the store or a heartbeat; the age of these was then negative, and receivers discarded the whole datagram: "report age is out of range", "negative store age or load".

Ruled out: two clocks (both are the uptime of one timer service, which does not go back); a wrong format (the same build sends and receives).

Change: Node.lock acquires the lock and returns the uptime as of then; nothing that works under the lock takes a time from outside.

Conclusion: mended at the source.

--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -61,11 +61,11 @@
 }
 
 // sendDueDigests sends the digests that are due.
-func (n *Node) sendDueDigests(now time.Duration) {
+func (n *Node) sendDueDigests() {
 	if n.cfg.Role != membership.Balancer {
 		return
 	}
-	n.mu.Lock()
+	now := n.lock()
 	empty := n.emptyDigest(now)
 	forSidecars := fillDigests(now, empty, n.digests.sidecars.due(now, digestNearInterval, n.members.UpdatedSince))
 	sidecars := n.members.AssignedSidecars(now)
@@ -131,8 +131,7 @@
 	if !n.decode(body, &d, from) {
 		return
 	}
-	now := n.cfg.Timer.Uptime()
-	n.mu.Lock()
+	now := n.lock()
 	relayTo := n.relayTargets(now, &d, from)
 	n.members.RecordStoreAge(now, d.StoreAge)
 	n.members.RecordDigestSender(now, from, d.DataCentre)
@@ -153,7 +152,7 @@
 	for _, h := range relayTo {
 		n.Send(append([]byte{byte(kindDigest)}, body...), h)
 	}
-	n.followUp(now, changes)
+	n.followUp(changes)
 	for _, i := range restarted {
 		b := d.Heartbeat(i)
 		n.peerStarted(d.Reports[i].Host, &b)
@@ -185,7 +184,7 @@
 
 // followUp acts at once on changes in a heartbeat or digest: it starts a pull, sends
 // a heartbeat, or publishes a new view.
-func (n *Node) followUp(now time.Duration, result membership.Result) {
+func (n *Node) followUp(result membership.Result) {
 	if result.Ahead {
 		n.triggerPull()
 	}
@@ -193,7 +192,7 @@
 		n.TriggerHeartbeat()
 	}
 	if result.Changed {
-		n.refresh(now)
+		n.refresh()
 	}
 }
 
--- a/exchange/heartbeat.go
+++ b/exchange/heartbeat.go
@@ -13,8 +13,7 @@
 // sendHeartbeat sends a heartbeat to at least the given scope. It extends the scope to
 // membership.ScopeDataCentre when such a heartbeat is due.
 func (n *Node) sendHeartbeat(scope membership.Scope) {
-	now := n.cfg.Timer.Uptime()
-	n.mu.Lock()
+	now := n.lock()
 	b := n.ownHeartbeat(now)
 	if n.heartbeats%heartbeatsPerBalancerList == 0 {
 		b.Balancers = n.members.AdvertisedBalancers(now, n.cfg.DataCentre)
@@ -39,8 +38,7 @@
 // balancers to contact. A delegate also sends full digests to a process of its own
 // data centre, so that the process need not wait for the next regular ones.
 func (n *Node) sendBootstrap(h registry.Host) {
-	now := n.cfg.Timer.Uptime()
-	n.mu.Lock()
+	now := n.lock()
 	b := n.ownHeartbeat(now)
 	dataCentre := n.members.DataCentre(h)
 	b.Balancers = n.members.AdvertisedBalancers(now, dataCentre)
@@ -99,8 +97,8 @@
 
 // checkPeers logs which processes became silent or resumed their heartbeats, and
 // drops expired entries.
-func (n *Node) checkPeers(now time.Duration) {
-	n.mu.Lock()
+func (n *Node) checkPeers() {
+	now := n.lock()
 	defer n.mu.Unlock()
 	for _, role := range []membership.Role{membership.Balancer, membership.Sidecar} {
 		for _, p := range n.members.Peers(role) {
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -162,8 +162,7 @@
 // during the pause may be lost; peers repeat them to a process that has started.
 func (n *Node) onResume(gap time.Duration) {
 	n.incarnation.Add(1)
-	n.mu.Lock()
-	now := n.cfg.Timer.Uptime()
+	now := n.lock()
 	n.members.AdjustForPause(now, gap)
 	n.pauseEnd = now
 	// Digests leave out what was received before the pause, since it is outdated.
@@ -184,6 +183,13 @@
 	wg.Wait()
 }
 
+// lock acquires n.mu and returns the uptime as of then. No time that was recorded under
+// the lock is later, so that ages are not negative.
+func (n *Node) lock() time.Duration {
+	n.mu.Lock()
+	return n.cfg.Timer.Uptime()
+}
+
 // Self returns the host of this process.
 func (n *Node) Self() registry.Host {
 	return n.self
@@ -233,8 +239,7 @@
 
 // Status returns the current status of the node.
 func (n *Node) Status() Status {
-	now := n.cfg.Timer.Uptime()
-	n.mu.Lock()
+	now := n.lock()
 	defer n.mu.Unlock()
 	s := Status{
 		Versions:  n.versions(),
@@ -345,10 +350,10 @@
 		if urgent || now-last >= membership.HeartbeatInterval-tickInterval/2 {
 			last = now
 			n.sendHeartbeat(n.nextScope(urgent))
-			n.checkPeers(now)
+			n.checkPeers()
 		}
-		n.sendDueDigests(now)
-		n.refresh(now)
+		n.sendDueDigests()
+		n.refresh()
 	}
 }
 
--- a/exchange/node_test.go
+++ b/exchange/node_test.go
@@ -1,12 +1,13 @@
 package exchange_test
 
 import (
+	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/netip"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -101,6 +102,30 @@
 	restarted map[registry.Host]int
 	forwarded []string
 	missing   []steer.MissReport
+
+	log lockedBuffer
+	// slow makes each publication of a view take this long, in nanoseconds.
+	slow atomic.Int64
+}
+
+// lockedBuffer is a buffer that is safe for concurrent use.
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+// Write appends to the buffer.
+func (l *lockedBuffer) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(b)
+}
+
+// String returns what was written.
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
 }
 
 func hostOf(n int) registry.Host {
@@ -128,6 +153,7 @@
 		Service:     registry.HashService(service),
 		Load:        func(time.Duration) membership.Load { return membership.Load{Flows: n} },
 		Refresh: func(f *steer.Fleet) {
+			time.Sleep(time.Duration(p.slow.Load()))
 			p.mu.Lock()
 			defer p.mu.Unlock()
 			p.fleet = f
@@ -135,7 +161,7 @@
 		Handler:       p,
 		Timer:         tm,
 		PauseDetector: detector,
-		Log:           event.NewJSON(zapcore.AddSync(io.Discard), zapcore.DebugLevel, "test"),
+		Log:           event.NewJSON(zapcore.AddSync(&p.log), zapcore.DebugLevel, "test"),
 	})
 	must.NoError(t, err)
 	p.node = node
--- a/exchange/pull.go
+++ b/exchange/pull.go
@@ -55,8 +55,7 @@
 // nextPull returns the peer to pull from, other than failed if possible, and the
 // query to send. It returns false when no peer is ahead.
 func (n *Node) nextPull(failed registry.Host) (registry.Host, query, bool) {
-	now := n.cfg.Timer.Uptime()
-	n.mu.Lock()
+	now := n.lock()
 	defer n.mu.Unlock()
 	own := n.versions()
 	q := query{Version: own.Version, State: own.State}
--- a/exchange/reader.go
+++ b/exchange/reader.go
@@ -45,9 +45,8 @@
 }
 
 func (n *Node) shouldRead() bool {
-	now := n.cfg.Timer.Uptime()
 	takeoverDelay := time.Duration(n.cfg.Incarnation % uint64(maxTakeoverDelay))
-	n.mu.Lock()
+	now := n.lock()
 	defer n.mu.Unlock()
 	return n.members.ShouldRead(now, takeoverDelay)
 }
@@ -66,8 +65,8 @@
 		return r.handleFailure(err)
 	}
 	r.backoff = 0
-	n.mu.Lock()
-	n.members.RecordStoreAnswer(n.cfg.Timer.Uptime())
+	now := n.lock()
+	n.members.RecordStoreAnswer(now)
 	n.mu.Unlock()
 	if r.failing {
 		r.failing = false
@@ -94,8 +93,7 @@
 // extendOutage records a store outage if a call failed and no other process
 // has had an answer within membership.MaxStoreAge.
 func (n *Node) extendOutage() {
-	now := n.cfg.Timer.Uptime()
-	n.mu.Lock()
+	now := n.lock()
 	defer n.mu.Unlock()
 	if n.members.StoreAge(now) >= membership.MaxStoreAge {
 		n.outage = n.outage.extend(now)
--- a/exchange/receive.go
+++ b/exchange/receive.go
@@ -78,8 +78,7 @@
 	if !n.decode(body, &b, from) {
 		return
 	}
-	now := n.cfg.Timer.Uptime()
-	n.mu.Lock()
+	now := n.lock()
 	result := n.members.MergeHeartbeat(now, from, b, n.versions())
 	if result.Changed {
 		n.digests.markUrgent(true)
@@ -92,7 +91,7 @@
 	}
 	n.stale = true
 	n.mu.Unlock()
-	n.followUp(now, result)
+	n.followUp(result)
 	if result.Restarted {
 		n.sendBootstrap(from)
 		n.peerStarted(from, &b)
--- a/exchange/view.go
+++ b/exchange/view.go
@@ -12,8 +12,8 @@
 
 // refresh publishes a new view if anything changed since the last one. Ordinary
 // heartbeats only mark the view as stale, so that their changes are batched per tick.
-func (n *Node) refresh(now time.Duration) {
-	n.mu.Lock()
+func (n *Node) refresh() {
+	now := n.lock()
 	defer n.mu.Unlock()
 	if now-n.snapshotTime >= registry.MissingGrace/4 {
 		n.rebuildSnapshot(now)
@@ -184,8 +184,7 @@
 
 // apply merges an update and publishes the new view immediately.
 func (n *Node) apply(u registry.Update, from zap.Field) registry.Result {
-	now := n.cfg.Timer.Uptime()
-	n.mu.Lock()
+	now := n.lock()
 	defer n.mu.Unlock()
 	before := n.directory.State()
 	first := before.IsZero()
