--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -44,6 +44,12 @@
 	// Ended is true when the upstream has ended and holds no flow. It is only valid in
 	// heartbeats of sidecars that are stopping.
 	Ended bool `msgpack:"z,omitempty"`
+	// Work is the mean time in tenths of a millisecond for which a request occupies a slot
+	// of the upstream; 0 when it is not known.
+	Work int `msgpack:"w,omitempty"`
+	// Window is the maximum number of concurrent requests while the upstream ramps up; 0
+	// when there is no such limit.
+	Window int `msgpack:"c,omitempty"`
 }
 
 // Versions identifies the routes and upstreams that a process has.
@@ -85,6 +91,11 @@
 	Unlisted []registry.Host `msgpack:"u,omitempty"`
 	// Lost lists sidecars of a balancer's data centre whose heartbeats stopped.
 	Lost []registry.Host `msgpack:"x,omitempty"`
+	// Placed is the number of flows that a balancer placed in the last second.
+	Placed int `msgpack:"p,omitempty"`
+	// Lossy is true when the sender misses so many heartbeats that others may be alive
+	// although it does not receive them.
+	Lossy bool `msgpack:"y,omitempty"`
 }
 
 // Check reports *HeartbeatError when the heartbeat is invalid.
@@ -95,6 +106,9 @@
 	if b.StoreAge < 0 || b.Load.Flows < 0 || b.Load.Active < 0 || b.Load.Busy < 0 {
 		return &HeartbeatError{Text: "negative store age or load"}
 	}
+	if b.Load.Work < 0 || b.Load.Window < 0 || b.Placed < 0 {
+		return &HeartbeatError{Text: "negative work, window or number of placed flows"}
+	}
 	return nil
 }
 
