Send version 2 of messages to the processes that read it

Cause: version 1 has no room for work, windows, placed flows and bad reception, and its processes reject messages with unknown fields. A build that sends such fields to all others could not be rolled out one process at a time.

Ruled out: a version in the header of every datagram, since the packet path would pay for it; sending both versions always, since that doubles the heartbeats; an entry in the store that names the fleet's version, since the store is only read.

A process sends version 1 to a host until that host's incarnation has sent an offer (0x26) or version 2, and again while the host has stopped or is silent: an older build may start there, and could not read the heartbeats that tell it whom to contact. A digest of version 2 has the sender's incarnation, so that a late one proves nothing about a later process. Offers are answered, at most once a second, for hosts that receive nothing else from this process. A pull whose connection is closed without an answer is repeated in version 1. A digest of version 2 has at most 15 reports: with 18 it needs IP fragments when names of data centres have 20 bytes. Messages of unknown versions are counted and logged; their senders are alive but unreadable: they are not lost, absent or stopping, and no delegates.

Before this change the fleet has one version.

--- a/event/edge.go
+++ b/event/edge.go
@@ -24,6 +24,7 @@
 	PeerHeard        Number = 7022
 	PullFailed       Number = 7023
 	DatagramUnusable Number = 7024
+	PeerUnreadable   Number = 7025
 	RoutesAdopted    Number = 7030
 	FlowOpened       Number = 7040
 	FlowRefused      Number = 7041
@@ -57,6 +58,7 @@
 		{PeerHeard, "peer-heard", zapcore.InfoLevel, "Heartbeats arrive again from a process that was silent.", "None."},
 		{PullFailed, "pull-failed", zapcore.WarnLevel, "A request to a peer, or its response, failed; the process sends the request to another peer.", "If it repeats, check the network between both instances."},
 		{DatagramUnusable, "datagram-unusable", zapcore.WarnLevel, "A datagram from another process cannot be decoded.", "Check whether both processes run the same release."},
+		{PeerUnreadable, "peer-unreadable", zapcore.WarnLevel, "A process sends messages of a version that this one does not read; it counts as alive, and its flows are kept. At most one line per process and minute.", "Upgrade this process, or roll the other one back; see docs/OPERATIONS.md."},
 		{RoutesAdopted, "routes-adopted", zapcore.InfoLevel, "Newer routes or upstreams are in force in this process.", "None."},
 		{FlowOpened, "flow-opened", zapcore.InfoLevel, "A new flow was placed; the fields hold the chosen upstream and the version of the routes.", "None."},
 		{FlowRefused, "flow-refused", zapcore.WarnLevel, "A flow was reset; the fields hold the flow and the reason.", "See docs/OPERATIONS.md for the reasons."},
--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -16,9 +16,10 @@
 	digestFarInterval = membership.HeartbeatsPerRemoteDigest * membership.HeartbeatInterval
 	// urgentDigestInterval is the minimum time between two digests while urgent changes are pending.
 	urgentDigestInterval = 2 * tickInterval
-	// maxReports is the number of reports that fit into one datagram without IP
-	// fragmentation when the names of data centres have 20 bytes.
-	maxReports = 18
+	// maxReports1 and maxReports2 are the numbers of reports that fit into one datagram of
+	// version 1 and 2 without IP fragmentation when the names of data centres have 20 bytes.
+	maxReports1 = 18
+	maxReports2 = 15
 )
 
 // digests holds the schedules of the digests that a balancer sends. It is guarded by Node.mu.
@@ -90,23 +91,33 @@
 // emptyDigest returns a digest without reports. The caller holds n.mu.
 func (n *Node) emptyDigest(now time.Duration) membership.Digest {
 	return membership.Digest{
-		DataCentre: n.cfg.DataCentre,
-		Version:    n.directory.Version(),
-		State:      n.directory.State(),
-		FormerHash: n.directory.FormerHash(),
-		StoreAge:   n.members.StoreAge(now),
+		DataCentre:  n.cfg.DataCentre,
+		Version:     n.directory.Version(),
+		State:       n.directory.State(),
+		FormerHash:  n.directory.FormerHash(),
+		StoreAge:    n.members.StoreAge(now),
+		Incarnation: n.incarnation.Load(),
+		Format:      n.newest,
 	}
 }
 
+// maxReports returns the number of reports for one datagram of a version.
+func maxReports(f membership.Format) int {
+	if f < membership.Format2 {
+		return maxReports1
+	}
+	return maxReports2
+}
+
 // fillDigests returns digests that report the given processes, each of which fits
 // into one datagram. The first one starts with the reports of first.
 func fillDigests(now time.Duration, first membership.Digest, peers []*membership.Peer) []membership.Digest {
 	empty := first
-	empty.Reports = nil
+	empty.Reports, empty.Details = nil, nil
 	list := []membership.Digest{first}
 	for _, p := range peers {
 		last := &list[len(list)-1]
-		if len(last.Reports) >= maxReports {
+		if len(last.Reports) >= maxReports(first.Format) {
 			list = append(list, empty)
 			last = &list[len(list)-1]
 		}
@@ -119,19 +130,22 @@
 func (n *Node) sendDigests(list []membership.Digest, hosts []registry.Host) {
 	for i := range list {
 		if len(list[i].Reports) > 0 && len(hosts) > 0 {
-			n.sendAll(kindDigest, &list[i], hosts)
+			n.sendAll(&list[i], hosts)
 		}
 	}
 }
 
 // receiveDigest applies a digest, and relays it to the delegates when it comes from
 // another data centre and this process is not a delegate.
-func (n *Node) receiveDigest(body []byte, from registry.Host) {
+func (n *Node) receiveDigest(body []byte, f membership.Format, from registry.Host) {
 	var d membership.Digest
-	if !n.decode(body, &d, from) {
+	if !n.decode(body, &d, f, from) {
 		return
 	}
 	now := n.lock()
+	if f > membership.Format1 {
+		n.formats.RecordReads(now, from, d.Incarnation, f)
+	}
 	relayTo := n.relayTargets(now, &d, from)
 	n.members.RecordStoreAge(now, d.StoreAge)
 	n.members.RecordDigestSender(now, from, d.DataCentre)
@@ -149,9 +163,8 @@
 	}
 	n.stale = true
 	n.mu.Unlock()
-	for _, h := range relayTo {
-		n.Send(append([]byte{byte(kindDigest)}, body...), h)
-	}
+	relayed := d.WithIncarnation(n.incarnation.Load())
+	n.sendAll(&relayed, relayTo)
 	n.followUp(changes)
 	for _, i := range restarted {
 		b := d.Heartbeat(i)
@@ -176,6 +189,9 @@
 	r, b := &d.Reports[i], d.Heartbeat(i)
 	age := time.Duration(r.Age) * time.Millisecond
 	result := n.members.MergeReport(now, age, r.Host, b, n.versions())
+	if result.Restarted {
+		n.formats.RecordIncarnation(now, r.Host, b.Incarnation)
+	}
 	if result.Newer && b.Role == membership.Sidecar {
 		n.loadsUpdated = append(n.loadsUpdated, r.Host)
 	}
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 
+	"github.com/corianderbay/corianderbay/membership"
 	"github.com/corianderbay/corianderbay/registry"
 )
 
@@ -32,3 +33,15 @@
 func (e *NoUpdateError) Error() string {
 	return fmt.Sprintf("peer %s sent no newer routes or upstreams", e.Host)
 }
+
+// VersionError reports a message of a version that this process does not read.
+type VersionError struct {
+	// Have is the newest version that this process reads.
+	Have membership.Format
+	Got  membership.Format
+}
+
+// Error returns both versions.
+func (e *VersionError) Error() string {
+	return fmt.Sprintf("message of version %d, but version %d is the newest that this process reads", e.Got, e.Have)
+}
--- a/exchange/frame.go
+++ b/exchange/frame.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 
+	"github.com/corianderbay/corianderbay/membership"
 	"github.com/corianderbay/corianderbay/registry"
 	"github.com/corianderbay/corianderbay/wire"
 )
@@ -16,7 +17,10 @@
 	maxFrameSize = 4 << 20
 	// maxContentSize is the maximum length of a decompressed frame in bytes.
 	maxContentSize = 32 << 20
-	lengthSize     = 4 // bytes of the length prefix
+	// prefixSize is the size of the prefix in bytes: the version, where 0 stands for
+	// membership.Format1, and the length in 3 bytes. Lengths in the frames of commit
+	// 524ed58 have 4 bytes, of which the first is always 0.
+	prefixSize = 4
 )
 
 // query requests the routes newer than Version and the upstreams newer than State.
@@ -25,14 +29,15 @@
 	State   registry.State `msgpack:"s"`
 }
 
-// writeFrame writes v as one frame: a big-endian length and the compressed msgpack encoding of v.
-func writeFrame(w io.Writer, v any) error {
+// writeFrame writes v as one frame of a version: the prefix and the compressed msgpack
+// encoding of v.
+func writeFrame(w io.Writer, f membership.Format, v any) error {
 	body, err := wire.Encode(v)
 	if err != nil {
 		return err
 	}
 	var buf bytes.Buffer
-	buf.Write(make([]byte, lengthSize))
+	buf.Write(make([]byte, prefixSize))
 	fw, err := flate.NewWriter(&buf, flate.BestSpeed)
 	if err != nil {
 		return err
@@ -44,33 +49,42 @@
 		return err
 	}
 	frame := buf.Bytes()
-	binary.BigEndian.PutUint32(frame, uint32(len(frame)-lengthSize))
+	binary.BigEndian.PutUint32(frame, uint32(len(frame)-prefixSize))
+	if f > membership.Format1 {
+		frame[0] = byte(f)
+	}
 	_, err = w.Write(frame)
 	return err
 }
 
-// readFrame reads one frame into v. It returns *FrameError, or an error of package wire or of r.
-func readFrame(r io.Reader, v any) error {
-	var prefix [lengthSize]byte
+// readFrame reads one frame of a version up to newest into v and returns the version. It
+// returns *VersionError, *FrameError, or an error of package wire or of r.
+func readFrame(r io.Reader, newest membership.Format, v any) (membership.Format, error) {
+	var prefix [prefixSize]byte
 	if _, err := io.ReadFull(r, prefix[:]); err != nil {
-		return err
+		return 0, err
 	}
+	f := max(membership.Format1, membership.Format(prefix[0]))
+	if f > newest {
+		return 0, &VersionError{Have: newest, Got: f}
+	}
+	prefix[0] = 0
 	n := binary.BigEndian.Uint32(prefix[:])
 	if n > maxFrameSize {
-		return &FrameError{Length: n}
+		return 0, &FrameError{Length: n}
 	}
 	fr := flate.NewReader(io.LimitReader(r, int64(n)))
 	body, err := io.ReadAll(io.LimitReader(fr, maxContentSize))
 	if err != nil {
-		return err
+		return 0, err
 	}
-	return wire.Decode(body, v)
+	return f, wire.Decode(body, v)
 }
 
-// readUpdate reads an update from one frame and validates it.
-func readUpdate(r io.Reader) (registry.Update, error) {
+// readUpdate reads an update from one frame of a version up to newest and validates it.
+func readUpdate(r io.Reader, newest membership.Format) (registry.Update, error) {
 	var u registry.Update
-	if err := readFrame(r, &u); err != nil {
+	if _, err := readFrame(r, newest, &u); err != nil {
 		return registry.Update{}, err
 	}
 	return u, u.Check()
--- a/exchange/heartbeat.go
+++ b/exchange/heartbeat.go
@@ -6,7 +6,6 @@
 	"github.com/corianderbay/corianderbay/event"
 	"github.com/corianderbay/corianderbay/membership"
 	"github.com/corianderbay/corianderbay/registry"
-	"github.com/corianderbay/corianderbay/wire"
 	"go.uber.org/zap"
 )
 
@@ -66,6 +65,7 @@
 		Reading:     n.members.Reading(now),
 		Stopping:    n.stopping,
 		Load:        n.cfg.Load(now),
+		Format:      n.newest,
 	}
 	if n.cfg.Role == membership.Balancer {
 		b.Lost = n.members.LocalLost(now)
@@ -79,20 +79,7 @@
 	if len(hosts) == 0 {
 		return
 	}
-	n.sendAll(kindHeartbeat, b, hosts)
-}
-
-// sendAll encodes v into one datagram and sends it to the processes on the given hosts.
-func (n *Node) sendAll(k kind, v any, hosts []registry.Host) {
-	body, err := wire.Encode(v)
-	if err != nil {
-		n.cfg.Log.Emit(event.DatagramUnusable, zap.Error(err))
-		return
-	}
-	datagram := append([]byte{byte(k)}, body...)
-	for _, h := range hosts {
-		n.Send(datagram, h)
-	}
+	n.sendAll(b, hosts)
 }
 
 // checkPeers logs which processes became silent or resumed their heartbeats, and
@@ -118,6 +105,8 @@
 		n.cfg.Log.Emit(event.ProcessAlone, zap.Bool("alone", alone))
 	}
 	n.members.Expire(now)
+	n.formats.Expire(now)
+	n.unreadable.expire(now)
 	n.directory.Expire(now)
 }
 
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -67,12 +67,16 @@
 	Timer         *timer.Service
 	PauseDetector *timer.PauseDetector
 	Log           *event.Logger
+
+	// newest replaces newestFormat in tests.
+	newest membership.Format
 }
 
 // Node exchanges heartbeats, digests and updates with other processes. It is safe for concurrent use.
 type Node struct {
 	cfg      Config
 	self     registry.Host
+	newest   membership.Format // the newest version that this process reads and sends
 	socket   *udp.Socket
 	listener net.Listener
 	// incarnation changes at each start and after each pause.
@@ -86,6 +90,8 @@
 	mu           sync.Mutex
 	directory    *registry.Directory
 	members      *membership.Table
+	formats      *membership.Formats
+	unreadable   unreadable
 	snapshot     *registry.Snapshot // never nil
 	snapshotTime time.Duration      // when snapshot was built
 	stale        bool               // the members or the snapshot changed after the last view
@@ -132,9 +138,15 @@
 	if !cfg.Bind.IsValid() {
 		cfg.Listen = socket.Address() // has the port that was chosen if the configured one is 0
 	}
+	newest := newestFormat
+	if cfg.newest != 0 {
+		newest = cfg.newest
+	}
 	n := &Node{
 		cfg:       cfg,
 		self:      self,
+		newest:    newest,
+		formats:   membership.NewFormats(newest),
 		socket:    socket,
 		listener:  listener,
 		pulls:     make(chan struct{}, 1),
--- a/exchange/node_test.go
+++ b/exchange/node_test.go
@@ -95,6 +95,7 @@
 type process struct {
 	node *exchange.Node
 	stop context.CancelFunc
+	wait func() // waits until the node has ended
 
 	mu        sync.Mutex
 	fleet     *steer.Fleet
@@ -139,11 +140,17 @@
 
 // startIn starts process n in a data centre. It is stopped when the test ends.
 func startIn(t *testing.T, dataCentre string, n int, role membership.Role, source exchange.Source, pauseAfter time.Duration) *process {
+	t.Helper()
+	return startWith(t, dataCentre, n, role, source, pauseAfter, func(cfg exchange.Config) exchange.Config { return cfg })
+}
+
+// startWith is startIn with a change to the configuration.
+func startWith(t *testing.T, dataCentre string, n int, role membership.Role, source exchange.Source, pauseAfter time.Duration, change func(exchange.Config) exchange.Config) *process {
 	t.Helper()
 	p := &process{held: make(map[steer.Key]registry.Host), restarted: make(map[registry.Host]int)}
 	tm := timer.New(timer.Config{PauseThreshold: pauseAfter})
 	detector := timer.NewPauseDetector(tm)
-	node, err := exchange.Open(exchange.Config{
+	node, err := exchange.Open(change(exchange.Config{
 		Role:        role,
 		DataCentre:  dataCentre,
 		Listen:      netip.AddrPortFrom(hostOf(n).Addr(), port),
@@ -162,12 +169,13 @@
 		Timer:         tm,
 		PauseDetector: detector,
 		Log:           event.NewJSON(zapcore.AddSync(&p.log), zapcore.DebugLevel, "test"),
-	})
+	}))
 	must.NoError(t, err)
 	p.node = node
 	ctx, cancel := context.WithCancel(context.Background())
 	p.stop = cancel
 	var wg conc.WaitGroup
+	p.wait = wg.Wait
 	wg.Go(func() { detector.Run(ctx) })
 	wg.Go(func() { node.Run(ctx) })
 	t.Cleanup(func() {
--- a/exchange/pull.go
+++ b/exchange/pull.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/corianderbay/corianderbay/event"
+	"github.com/corianderbay/corianderbay/membership"
 	"github.com/corianderbay/corianderbay/registry"
 	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
@@ -43,7 +47,7 @@
 				break
 			}
 			failed = registry.Host{}
-			if err := n.pullFrom(ctx, host, q); err != nil {
+			if err := n.pullFrom(ctx, n.formatOf(host), host, q); err != nil {
 				failed = host
 				n.cfg.Log.Emit(event.PullFailed, zap.Stringer("peer", host), zap.Error(err))
 				_ = n.cfg.Timer.Sleep(ctx, pullPause) // fails only when ctx is done, which the loop checks
@@ -66,8 +70,27 @@
 	return p.Host, q, true
 }
 
-// pullFrom requests newer routes and upstreams from a peer and applies them.
-func (n *Node) pullFrom(ctx context.Context, host registry.Host, q query) error {
+// pullFrom requests newer routes and upstreams from a peer in a version and applies them. When the peer
+// closes the connection without an answer in a later version, it may have been replaced
+// by an older build, and the request is repeated in version 1.
+func (n *Node) pullFrom(ctx context.Context, f membership.Format, host registry.Host, q query) error {
+	err := n.pullIn(ctx, f, host, q)
+	if err == nil || f == membership.Format1 || !closedByPeer(err) {
+		return err
+	}
+	n.mu.Lock()
+	n.formats.Reset(host)
+	n.mu.Unlock()
+	return n.pullIn(ctx, membership.Format1, host, q)
+}
+
+// closedByPeer reports whether a peer closed the connection before it sent a whole frame.
+func closedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
+}
+
+// pullIn is pullFrom in one version.
+func (n *Node) pullIn(ctx context.Context, f membership.Format, host registry.Host, q query) error {
 	d := net.Dialer{Timeout: pullTimeout}
 	conn, err := d.DialContext(ctx, "tcp4", host.Port(n.cfg.Listen.Port()).String())
 	if err != nil {
@@ -77,10 +100,10 @@
 	if err := conn.SetDeadline(n.cfg.Timer.Now().Add(pullTimeout)); err != nil {
 		return err
 	}
-	if err := writeFrame(conn, q); err != nil {
+	if err := writeFrame(conn, f, q); err != nil {
 		return err
 	}
-	u, err := readUpdate(conn)
+	u, err := readUpdate(conn, n.newest)
 	if err != nil {
 		return err
 	}
@@ -122,11 +145,16 @@
 		return // the connection is closed
 	}
 	var q query
-	if err = readFrame(conn, &q); err == nil {
+	f, err := readFrame(conn, n.newest, &q)
+	if err == nil {
 		n.mu.Lock()
 		u := n.directory.Since(n.cfg.Timer.Uptime(), q.Version, q.State)
 		n.mu.Unlock()
-		err = writeFrame(conn, u)
+		err = writeFrame(conn, f, u)
+	}
+	if version := (*VersionError)(nil); errors.As(err, &version) {
+		n.receiveUnreadablePull(conn.RemoteAddr(), version)
+		return
 	}
 	if err != nil {
 		n.cfg.Log.Emit(event.PullFailed, zap.Stringer("peer", conn.RemoteAddr()), zap.Error(err))
--- a/exchange/receive.go
+++ b/exchange/receive.go
@@ -7,7 +7,6 @@
 	"github.com/corianderbay/corianderbay/membership"
 	"github.com/corianderbay/corianderbay/registry"
 	"github.com/corianderbay/corianderbay/steer"
-	"github.com/corianderbay/corianderbay/wire"
 	"go.uber.org/zap"
 )
 
@@ -17,18 +16,24 @@
 	if err != nil || len(b) == 0 {
 		return // processes send over IPv4 only
 	}
-	body := b[1:]
-	switch kind(b[0]) {
-	case kindHeartbeat:
-		n.receiveHeartbeat(body, host)
+	k, body := kind(b[0]), b[1:]
+	if k.format() > n.newest {
+		n.receiveUnreadable(host, &VersionError{Have: n.newest, Got: k.format()})
+		return
+	}
+	switch k {
+	case kindHeartbeat, kindHeartbeat2:
+		n.receiveHeartbeat(body, k.format(), host)
 	case kindForward:
 		n.receiveForward(body, host)
 	case kindFlows:
 		parseFlows(body, func(k steer.Key) { n.cfg.Handler.FlowHeld(k, host) })
-	case kindDigest:
-		n.receiveDigest(body, host)
+	case kindDigest, kindDigest2:
+		n.receiveDigest(body, k.format(), host)
 	case kindMissing:
 		n.receiveMissing(body, host)
+	case kindOffer2:
+		n.receiveOffer(body, host)
 	}
 }
 
@@ -56,16 +61,10 @@
 	n.Send(m.Append([]byte{byte(kindMissing)}), balancer)
 }
 
-// validator is a message that can validate its content.
-type validator interface{ Check() error }
-
-// decode decodes a message into v and validates it. It logs the error and returns
+// decode decodes and validates a message of a version. It logs the error and returns
 // false when the message is unusable.
-func (n *Node) decode(body []byte, v validator, from registry.Host) bool {
-	err := wire.Decode(body, v)
-	if err == nil {
-		err = v.Check()
-	}
+func (n *Node) decode(body []byte, m message, f membership.Format, from registry.Host) bool {
+	err := decodeMessage(body, m, f)
 	if err != nil {
 		n.cfg.Log.Emit(event.DatagramUnusable, zap.Stringer("peer", from), zap.Error(err))
 	}
@@ -73,12 +72,16 @@
 }
 
 // receiveHeartbeat applies a heartbeat.
-func (n *Node) receiveHeartbeat(body []byte, from registry.Host) {
+func (n *Node) receiveHeartbeat(body []byte, f membership.Format, from registry.Host) {
 	var b membership.Heartbeat
-	if !n.decode(body, &b, from) {
+	if !n.decode(body, &b, f, from) {
 		return
 	}
 	now := n.lock()
+	n.formats.RecordIncarnation(now, from, b.Incarnation)
+	if f > membership.Format1 {
+		n.formats.RecordReads(now, from, b.Incarnation, f)
+	}
 	result := n.members.MergeHeartbeat(now, from, b, n.versions())
 	if result.Changed {
 		n.digests.markUrgent(true)
--- a/exchange/view.go
+++ b/exchange/view.go
@@ -82,11 +82,12 @@
 		f.Sidecars[p.Host] = steer.SidecarStatus{
 			DataCentre:       p.Heartbeat.DataCentre,
 			Load:             p.Heartbeat.Load,
-			LastSeen:         p.LastSeen,
+			LastSeen:         p.Seen(),
 			HeartbeatTimeout: n.members.HeartbeatTimeout(p),
-			Stopping:         p.Heartbeat.Stopping,
+			Stopping:         p.Stopping(),
 		}
 	})
+	n.addUnreadable(now, f.Sidecars)
 	n.members.UpdateAbsent(now)
 	for _, h := range n.members.Lost(now) {
 		f.Sidecars[h] = steer.SidecarStatus{
--- a/membership/absence.go
+++ b/membership/absence.go
@@ -40,7 +40,7 @@
 }
 
 func (t *Table) isAbsent(now time.Duration, sidecar *Peer) bool {
-	if sidecar.Heartbeat.Stopping || !t.overdue(now, sidecar) || !t.othersSeenAfterDue(sidecar) {
+	if sidecar.Stopping() || !t.overdue(now, sidecar) || !t.othersSeenAfterDue(sidecar) {
 		return false
 	}
 	confirmed := t.isDirect(sidecar)
@@ -61,13 +61,13 @@
 // the loss: the digests may be late or lost.
 func (t *Table) Suspected(now time.Duration, h registry.Host) bool {
 	p := t.peers[h]
-	return p != nil && !t.isDirect(p) && !p.Heartbeat.Stopping && !t.alive(now, p) && t.absentSince[h] == 0
+	return p != nil && !t.isDirect(p) && !p.Stopping() && !t.alive(now, p) && t.absentSince[h] == 0
 }
 
 // Ended reports whether a sidecar announced that it stops after its upstream had ended.
 func (t *Table) Ended(h registry.Host) bool {
 	p := t.peers[h]
-	return p != nil && p.Heartbeat.Stopping && p.Heartbeat.Load.Ended
+	return p != nil && p.Stopping() && p.Heartbeat.Load.Ended
 }
 
 // overdue reports whether a heartbeat or report of a sidecar is overdue. A report by
@@ -75,9 +75,9 @@
 // missed two heartbeats and received the next one since.
 func (t *Table) overdue(now time.Duration, sidecar *Peer) bool {
 	if t.isDirect(sidecar) {
-		return now-sidecar.LastSeen >= LocalHeartbeatTimeout
+		return now-sidecar.Seen() >= LocalHeartbeatTimeout
 	}
-	return now-sidecar.LastSeen >= remoteIsolatedAfter
+	return now-sidecar.Seen() >= remoteIsolatedAfter
 }
 
 // othersSeenAfterDue reports whether at least half of the other processes were seen
@@ -86,10 +86,10 @@
 // centre count, unless there are no others; for one known through digests all count.
 func (t *Table) othersSeenAfterDue(sidecar *Peer) bool {
 	if !t.isDirect(sidecar) {
-		seen, others := t.countSeen(sidecar, sidecar.LastSeen+HeartbeatsPerRemoteDigest*HeartbeatInterval+maxHeartbeatDelay, false)
+		seen, others := t.countSeen(sidecar, sidecar.Seen()+HeartbeatsPerRemoteDigest*HeartbeatInterval+maxHeartbeatDelay, false)
 		return seen > 0 && 2*seen >= others
 	}
-	due := sidecar.LastSeen + HeartbeatInterval + maxHeartbeatDelay
+	due := sidecar.Seen() + HeartbeatInterval + maxHeartbeatDelay
 	seen, others := t.countSeen(sidecar, due, true)
 	if others == 0 {
 		seen, others = t.countSeen(sidecar, due, false)
@@ -102,11 +102,11 @@
 // of this data centre count.
 func (t *Table) countSeen(except *Peer, since time.Duration, local bool) (seen, others int) {
 	for _, p := range t.peers {
-		if p == except || p.Heartbeat.Stopping || local && p.Heartbeat.DataCentre != t.cfg.DataCentre {
+		if p == except || p.Stopping() || local && p.Heartbeat.DataCentre != t.cfg.DataCentre {
 			continue
 		}
 		others++
-		if p.LastSeen >= since {
+		if p.Seen() >= since {
 			seen++
 		}
 	}
@@ -118,6 +118,12 @@
 func (t *Table) AdjustForPause(now, pause time.Duration) {
 	for _, p := range t.peers {
 		p.LastSeen = min(now, p.LastSeen+pause)
+		if p.unreadableAt != 0 {
+			p.unreadableAt = min(now, p.unreadableAt+pause)
+		}
+	}
+	for h, at := range t.unreadable {
+		t.unreadable[h] = min(now, at+pause)
 	}
 	t.remoteSidecarSeen = min(now, t.remoteSidecarSeen+pause)
 }
--- a/membership/delegate.go
+++ b/membership/delegate.go
@@ -52,7 +52,7 @@
 func (t *Table) knownBalancers(now time.Duration, dataCentre string) []registry.Host {
 	var hosts []registry.Host
 	for _, p := range t.peers {
-		if p.Heartbeat.Role == Balancer && p.Heartbeat.DataCentre == dataCentre && now-p.LastSeen < forgetAfter {
+		if p.Heartbeat.Role == Balancer && p.Heartbeat.DataCentre == dataCentre && now-p.Seen() < forgetAfter {
 			hosts = append(hosts, p.Host)
 		}
 	}
@@ -122,14 +122,15 @@
 	}
 }
 
-// liveBalancers returns the live balancers of a data centre, this process included.
+// liveBalancers returns the live balancers of a data centre, this process included and
+// those without that send an unknown version: they cannot act as delegates for this one.
 func (t *Table) liveBalancers(now time.Duration, dataCentre string) []registry.Host {
 	var hosts []registry.Host
 	if t.cfg.Role == Balancer && dataCentre == t.cfg.DataCentre {
 		hosts = append(hosts, t.cfg.Self)
 	}
 	for _, p := range t.peers {
-		if p.Heartbeat.Role == Balancer && p.Heartbeat.DataCentre == dataCentre && t.alive(now, p) {
+		if p.Heartbeat.Role == Balancer && p.Heartbeat.DataCentre == dataCentre && t.alive(now, p) && !p.unreadable() {
 			hosts = append(hosts, p.Host)
 		}
 	}
@@ -176,7 +177,7 @@
 	var targets []registry.Host
 	localBalancer := false // whether a live balancer of the data centre is among the targets
 	for _, p := range t.peers {
-		if now-p.LastSeen >= forgetAfter || !t.inScope(p, scope) {
+		if now-p.Seen() >= forgetAfter || !t.inScope(p, scope) {
 			continue
 		}
 		targets = append(targets, p.Host)
@@ -222,7 +223,7 @@
 	}
 	balancers := t.liveBalancers(now, t.cfg.DataCentre)
 	for _, p := range t.peers {
-		if p.Heartbeat.Role == Sidecar && t.isDirect(p) && now-p.LastSeen < forgetAfter && t.isAssigned(p.Host, balancers) {
+		if p.Heartbeat.Role == Sidecar && t.isDirect(p) && now-p.Seen() < forgetAfter && t.isAssigned(p.Host, balancers) {
 			hosts = append(hosts, p.Host)
 		}
 	}
@@ -260,7 +261,7 @@
 func (t *Table) allBalancers(now time.Duration) []registry.Host {
 	hosts := slices.Clone(t.cfg.Seeds)
 	for _, p := range t.peers {
-		if p.Heartbeat.Role == Balancer && now-p.LastSeen < forgetAfter {
+		if p.Heartbeat.Role == Balancer && now-p.Seen() < forgetAfter {
 			hosts = append(hosts, p.Host)
 		}
 	}
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -36,6 +36,19 @@
 	Lost []registry.Host
 }
 
+// Detail holds what version 2 adds to a report.
+type Detail struct {
+	//lint:ignore U1000 msgpack reads the tag: the fields are encoded without names
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Format is that of the reported heartbeat. The other fields are zero when it is Format1.
+	Format Format
+	Work   int
+	Window int
+	Placed int
+	Lossy  bool
+}
+
 // The bits of Report.LoadFlags.
 const (
 	loadFlagSilent = 1 << iota
@@ -56,6 +69,12 @@
 	// StoreAge is the time since the newest answer of the store to any process that the sender has a report of.
 	StoreAge time.Duration `msgpack:"s,omitempty"`
 	Reports  []Report      `msgpack:"r"`
+	// Incarnation is that of the sender. It is 0 in version 1.
+	Incarnation uint32 `msgpack:"i,omitempty"`
+	// Details has one element for each report. It is empty in version 1.
+	Details []Detail `msgpack:"x,omitempty"`
+	// Format is the version in which the digest was received or is to be sent; 0 stands for Format1.
+	Format Format `msgpack:"-"`
 }
 
 // Check reports *HeartbeatError when the digest or any report in it is invalid.
@@ -63,6 +82,9 @@
 	if d.StoreAge < 0 {
 		return &HeartbeatError{Text: "negative store age"}
 	}
+	if err := d.checkDetails(); err != nil {
+		return err
+	}
 	for i := range d.Reports {
 		if age := d.Reports[i].Age; age < 0 || age > maxReportAge {
 			return &HeartbeatError{Text: "report age is out of range"}
@@ -75,6 +97,46 @@
 	return nil
 }
 
+// checkDetails reports *HeartbeatError when the details do not fit the version and the reports.
+func (d *Digest) checkDetails() error {
+	if d.Format < Format2 {
+		if len(d.Details) > 0 || d.Incarnation != 0 {
+			return &HeartbeatError{Text: "field of a later version"}
+		}
+		return nil
+	}
+	if len(d.Details) != len(d.Reports) {
+		return &HeartbeatError{Text: "number of details differs from that of reports"}
+	}
+	for i := range d.Details {
+		if d.Details[i].Format == 0 {
+			return &HeartbeatError{Text: "detail without a version"}
+		}
+	}
+	return nil
+}
+
+// WithFormat returns a copy of the digest with the fields of a version. What the digest
+// does not have is marked as unknown.
+func (d Digest) WithFormat(f Format) Digest {
+	d.Format = f
+	if f < Format2 {
+		d.Incarnation, d.Details = 0, nil
+		return d
+	}
+	d.Details = slices.Clip(d.Details)
+	for len(d.Details) < len(d.Reports) {
+		d.Details = append(d.Details, Detail{Format: Format1})
+	}
+	return d
+}
+
+// WithIncarnation returns a copy of the digest with another incarnation of the sender.
+func (d Digest) WithIncarnation(incarnation uint32) Digest {
+	d.Incarnation = incarnation
+	return d
+}
+
 // WithReport returns a copy of the digest with a report of a process whose heartbeat b
 // has the given age.
 func (d Digest) WithReport(h registry.Host, b *Heartbeat, age time.Duration) Digest {
@@ -99,9 +161,20 @@
 		r.DataCentre = b.DataCentre
 	}
 	d.Reports = append(slices.Clip(d.Reports), r)
+	if d.Format >= Format2 {
+		d.Details = append(slices.Clip(d.Details), detailOf(b))
+	}
 	return d
 }
 
+// detailOf returns what version 2 adds to the report of a heartbeat.
+func detailOf(b *Heartbeat) Detail {
+	if b.Format < Format2 {
+		return Detail{Format: Format1}
+	}
+	return Detail{Format: b.Format, Work: b.Load.Work, Window: b.Load.Window, Placed: b.Placed, Lossy: b.Lossy}
+}
+
 // Heartbeat returns the heartbeat of report i. StoreAge, FormerHash, Balancers and
 // Unlisted are zero because reports do not include them.
 func (d *Digest) Heartbeat(i int) Heartbeat {
@@ -132,6 +205,12 @@
 	if b.DataCentre == "" {
 		b.DataCentre = d.DataCentre
 	}
+	b.Format = d.Format
+	if i < len(d.Details) {
+		x := &d.Details[i]
+		b.Format = x.Format
+		b.Load.Work, b.Load.Window, b.Placed, b.Lossy = x.Work, x.Window, x.Placed, x.Lossy
+	}
 	return b
 }
 
@@ -163,20 +242,22 @@
 // DirectSince returns the processes with a direct heartbeat after since. Digests to
 // other data centres contain only these, so that no report circulates.
 func (t *Table) DirectSince(since time.Duration) []*Peer {
-	return t.sorted(func(p *Peer) bool { return p.LastDirect > since })
+	return t.sorted(func(p *Peer) bool { return p.LastDirect > since && !p.unreadable() })
 }
 
 // UpdatedSince returns the processes with a direct or reported heartbeat after since.
 // Digests to sidecars contain these.
 func (t *Table) UpdatedSince(since time.Duration) []*Peer {
-	return t.sorted(func(p *Peer) bool { return p.updatedAt > since })
+	return t.sorted(func(p *Peer) bool { return p.updatedAt > since && !p.unreadable() })
 }
 
 // RemoteUpdatedSince returns the processes of UpdatedSince in other data centres.
 // Digests to balancers of this data centre contain these, because balancers receive
 // the heartbeats of their own data centre directly.
 func (t *Table) RemoteUpdatedSince(since time.Duration) []*Peer {
-	return t.sorted(func(p *Peer) bool { return p.updatedAt > since && p.Heartbeat.DataCentre != t.cfg.DataCentre })
+	return t.sorted(func(p *Peer) bool {
+		return p.updatedAt > since && !p.unreadable() && p.Heartbeat.DataCentre != t.cfg.DataCentre
+	})
 }
 
 // ChangedSince returns the peers with an urgent change after since, as in
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -96,6 +96,24 @@
 	// Lossy is true when the sender misses so many heartbeats that others may be alive
 	// although it does not receive them.
 	Lossy bool `msgpack:"y,omitempty"`
+	// Format is the version in which the heartbeat was received, or in which its sender was
+	// received by the process that reports it. Load.Work, Load.Window, Placed and Lossy are
+	// unknown unless it is at least Format2. 0 when the heartbeat was not received.
+	Format Format `msgpack:"-"`
+}
+
+// WithFormat returns a copy of the heartbeat with only the fields of a version.
+func (b Heartbeat) WithFormat(f Format) Heartbeat {
+	b.Format = f
+	if f < Format2 {
+		b.Load.Work, b.Load.Window, b.Placed, b.Lossy = 0, 0, 0, false
+	}
+	return b
+}
+
+// laterFields reports whether the heartbeat has fields that version 1 does not have.
+func (b *Heartbeat) laterFields() bool {
+	return b.Load.Work != 0 || b.Load.Window != 0 || b.Placed != 0 || b.Lossy
 }
 
 // Check reports *HeartbeatError when the heartbeat is invalid.
@@ -109,6 +127,9 @@
 	if b.Load.Work < 0 || b.Load.Window < 0 || b.Placed < 0 {
 		return &HeartbeatError{Text: "negative work, window or number of placed flows"}
 	}
+	if b.Format == Format1 && b.laterFields() {
+		return &HeartbeatError{Text: "field of a later version"}
+	}
 	return nil
 }
 
--- a/membership/reader.go
+++ b/membership/reader.go
@@ -55,7 +55,7 @@
 	own := hostHash(t.cfg.Self)
 	before := 0
 	for _, p := range t.peers {
-		if p.Heartbeat.Role != Balancer || !t.alive(now, p) {
+		if p.Heartbeat.Role != Balancer || !t.alive(now, p) || p.unreadable() {
 			continue
 		}
 		if p.Heartbeat.Reading && hostHash(p.Host) < own {
--- a/membership/table.go
+++ b/membership/table.go
@@ -59,7 +59,10 @@
 	// LastSeen is the estimated time at which Heartbeat was sent.
 	LastSeen time.Duration
 	// LastDirect is when the last heartbeat arrived from the process itself; 0 if never.
-	LastDirect       time.Duration
+	LastDirect time.Duration
+	// unreadableAt is when the last message of an unknown version arrived from the process
+	// itself; 0 if never.
+	unreadableAt     time.Duration
 	updatedAt        time.Duration // when Heartbeat arrived here
 	changedAt        time.Duration // when Result.Changed was last true for the process
 	versionsSince    time.Duration // when its present version and state were first received
@@ -85,6 +88,7 @@
 	unlisted          map[registry.Host]time.Duration // time of the last report of the live sidecar as not in a list
 	absentSince       map[registry.Host]time.Duration // start of the present absence of the sidecar
 	digestSenders     map[registry.Host]time.Duration // time of the last digest of the delegate of another data centre
+	unreadable        map[registry.Host]time.Duration // time of the last message of an unknown version from the host
 	remoteSidecarSeen time.Duration                   // when a remote or reported heartbeat of a sidecar last arrived
 	storeSeen         time.Duration                   // newest answer of the store to any process; before Started if none
 	lastOwnRead       time.Duration                   // newest answer of the store to this process; before Started if none
@@ -100,6 +104,7 @@
 		unlisted:      make(map[registry.Host]time.Duration),
 		absentSince:   make(map[registry.Host]time.Duration),
 		digestSenders: make(map[registry.Host]time.Duration),
+		unreadable:    make(map[registry.Host]time.Duration),
 		storeSeen:     cfg.Started - time.Hour,
 		lastOwnRead:   cfg.Started - time.Hour,
 	}
@@ -217,7 +222,7 @@
 	return t.cfg.Role == Balancer && p.Heartbeat.DataCentre == t.cfg.DataCentre
 }
 
-// HeartbeatTimeout returns the time since LastSeen after which a process counts as lost.
+// HeartbeatTimeout returns the time since Peer.Seen after which a process counts as lost.
 func (t *Table) HeartbeatTimeout(p *Peer) time.Duration {
 	switch {
 	case t.isDirect(p):
@@ -230,7 +235,7 @@
 
 // alive reports whether the process has not timed out and is not stopping.
 func (t *Table) alive(now time.Duration, p *Peer) bool {
-	return now-p.LastSeen < t.HeartbeatTimeout(p) && !p.Heartbeat.Stopping
+	return now-p.Seen() < t.HeartbeatTimeout(p) && !p.Stopping()
 }
 
 // recordLost records that a balancer reports a sidecar as lost. For a sidecar in the
@@ -247,7 +252,7 @@
 // last heartbeat.
 func (t *Table) reportedLost(now time.Duration, p *Peer) bool {
 	at, ok := t.lost[p.Host]
-	return ok && p.LastSeen < at && now-at < remoteHeartbeatTimeout
+	return ok && p.Seen() < at && now-at < remoteHeartbeatTimeout
 }
 
 // LiveSidecars returns the live sidecars of the table, except those whose upstreams do
@@ -300,7 +305,7 @@
 	hosts := t.lostMatching(now, func(*Peer) bool { return true })
 	for h, at := range t.lost {
 		p := t.peers[h]
-		if now-at < remoteHeartbeatTimeout && (p == nil || p.LastSeen < at) {
+		if now-at < remoteHeartbeatTimeout && (p == nil || p.Seen() < at) {
 			hosts = append(hosts, h)
 		}
 	}
@@ -322,7 +327,7 @@
 		if p.Heartbeat.Role != Sidecar {
 			continue
 		}
-		if t.isDirect(p) && now-p.LastSeen < LocalHeartbeatTimeout {
+		if t.isDirect(p) && now-p.Seen() < LocalHeartbeatTimeout {
 			return false
 		}
 		if !t.isDirect(p) && now-max(t.remoteSidecarSeen, p.LastDirect) < remoteIsolatedAfter {
@@ -387,7 +392,7 @@
 // Expire drops processes and reports that have timed out.
 func (t *Table) Expire(now time.Duration) {
 	for h, p := range t.peers {
-		if now-p.LastSeen >= forgetAfter {
+		if now-p.Seen() >= forgetAfter {
 			delete(t.peers, h)
 		}
 	}
@@ -396,7 +401,7 @@
 			delete(t.advertised, h)
 		}
 	}
-	for _, reports := range []map[registry.Host]time.Duration{t.lost, t.unlisted, t.digestSenders} {
+	for _, reports := range []map[registry.Host]time.Duration{t.lost, t.unlisted, t.digestSenders, t.unreadable} {
 		for h, at := range reports {
 			if now-at >= remoteHeartbeatTimeout {
 				delete(reports, h)
