Let balancers with small links stand by while these are nearly full

Cause: routers give equal shares to all ready balancers, so that uploads fill links of 10 Mbit/s while others of 200 Mbit/s are nearly idle. Packets of all routes are lost there, and heartbeats, too.

Ruled out: dropping packets of uploads first, since the link is full before the process sees them, and placing, which comes after the packets have arrived.

Change: package rotation decides from the own traffic and from what the other balancers of the data centre report (Heartbeat.Ingress) whether a balancer answers the readiness check with 503.

--- a/daemon/command.go
+++ b/daemon/command.go
@@ -88,8 +88,8 @@
 		newUpstreamProgram(),
 		newCallerProgram(),
 		newDemoProgram(),
-		newUserPlatformProgram("balancer", "Receive callers' packets and forward them to sidecars", platform.RunBalancer),
-		newUserPlatformProgram("sidecar", "Serve the flows of the upstream on the same instance", platform.RunSidecar),
+		newUserPlatformProgram("balancer", "Receive callers' packets and forward them to sidecars", balancerOptions, platform.RunBalancer),
+		newUserPlatformProgram("sidecar", "Serve the flows of the upstream on the same instance", sidecarOptions, platform.RunSidecar),
 		newCheckProgram(),
 		newLoadProgram(),
 	}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -23,13 +23,31 @@
 	logBufferLines = 512
 )
 
+// roleOptions adds the flags of one role to a set, and returns a function that applies
+// their values.
+type roleOptions func(*setting.Set) func(*platform.Config)
+
+// balancerOptions adds the flags that only balancers have.
+func balancerOptions(s *setting.Set) func(*platform.Config) {
+	standby := s.Bool("standby", false, "report as not ready while the link is nearly full and other balancers have larger ones")
+	return func(cfg *platform.Config) {
+		cfg.Standby = *standby
+	}
+}
+
+// sidecarOptions adds the flags that only sidecars have.
+func sidecarOptions(*setting.Set) func(*platform.Config) {
+	return func(*platform.Config) {}
+}
+
 // newUserPlatformProgram returns the command of a process that runs on the users'
 // platform. The process reads its settings from a file that the platform provides.
-func newUserPlatformProgram(name, short string, run func(context.Context, platform.Config) error) program {
+func newUserPlatformProgram(name, short string, options roleOptions, run func(context.Context, platform.Config) error) program {
 	s := setting.NewSet()
 	level := s.Choice("log-level", "info", logLevels(), "lowest level of the events that are logged")
 	lines := s.Int("log-lines", defaultLogLines, 1, maxLogLines, "lines a second", "limit of log lines per second for each event")
 	placing := s.Choice("placing", string(steer.PlaceByLoad), steer.Placings(), "how upstreams are selected for new flows; all values except load are for comparisons only")
+	apply := options(s)
 	bind := s.Address("bind-address", "", "address to bind for the traffic of other processes if an address translation is in front of it; empty binds the address from the settings of the platform")
 	return program{
 		name:    name,
@@ -45,14 +63,16 @@
 			t := timer.New(timer.Config{Suspended: timer.Suspended})
 			out := event.NewWriter(w, logBufferLines, t)
 			defer out.Close()
-			return run(ctx, platform.Config{
+			cfg := platform.Config{
 				Path:        platform.SettingsPath(),
 				Incarnation: newIncarnation(),
 				Placing:     steer.Placing(*placing),
 				Bind:        *bind,
 				Timer:       t,
 				Log:         event.NewSampled(out, l, name, *lines),
-			})
+			}
+			apply(&cfg)
+			return run(ctx, cfg)
 		},
 	}
 }
--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -34,6 +34,11 @@
 	Callers netip.AddrPort
 	// MaxDrain is the maximum time that a stopping balancer keeps serving.
 	MaxDrain time.Duration
+	// Link is the capacity of the instance's link in kbit/s; 0 when it is not known.
+	Link int
+	// Standby lets the balancer leave the rotation of the routers while its link is nearly
+	// full and larger ones are available; see package rotation.
+	Standby bool
 }
 
 // Balancer receives the packets of callers and forwards them to sidecars.
@@ -42,6 +47,7 @@
 	maxDrain   time.Duration
 	steering   *steer.Balancer
 	searches   searchQueue
+	ingress    ingress
 	ready      atomic.Bool
 	firstView  atomic.Int64 // uptime in nanoseconds when routes and upstreams were first received; 0 before that
 	lastPacket atomic.Int64 // uptime in nanoseconds of the last packet of a caller
@@ -54,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &Balancer{process: p, maxDrain: cfg.MaxDrain}
+	b := &Balancer{process: p, maxDrain: cfg.MaxDrain, ingress: ingress{link: cfg.Link, enabled: cfg.Standby}}
 	b.searches.byFlow = make(map[steer.Key]searchPacket)
 	b.steering = steer.NewBalancer(steer.BalancerConfig{Self: p.self, DataCentre: cfg.DataCentre, MaxFlow: cfg.MaxFlow, Placing: cfg.Placing})
 	b.fleet = b.steering.Fleet
@@ -62,6 +68,7 @@
 	nc.Handler = (*balancerHandler)(b)
 	nc.Refresh = b.refresh
 	nc.Load = func(time.Duration) membership.Load { return membership.Load{} }
+	nc.Ingress = b.ingress.report
 	if err := b.open(cfg.Callers, nc); err != nil {
 		return nil, err
 	}
@@ -70,16 +77,16 @@
 
 // Run serves until ctx is done and the balancer has drained.
 func (b *Balancer) Run(ctx context.Context) {
-	b.run(ctx, b.newHandler, b.drain, b.tick)
+	b.run(ctx, b.newHandler, b.drain, b.tick, b.watchLink)
 }
 
 // Ready reports whether routers should send packets here. It returns false until routes
 // and upstreams have arrived and either all listed sidecars of the data centre have
 // reported their flows or readyTimeout has passed. It also returns false while the process
-// is stopping, and while it has lost contact with all sidecars, since other balancers may
-// still be able to serve callers.
+// is stopping, while it has lost contact with all sidecars, since other balancers may
+// still be able to serve callers, and while it stands by.
 func (b *Balancer) Ready() bool {
-	return b.ready.Load() && !b.stopping.Load() && !b.node.Isolated()
+	return b.ready.Load() && !b.stopping.Load() && !b.node.Isolated() && !b.ingress.standby()
 }
 
 // drain keeps serving for at least minDrain and until no caller has sent a packet for
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -24,6 +24,9 @@
 	defInvalid    = metric.Definition{Name: "corianderbay_packets_invalid_total", Kind: metric.Counter, Help: "Datagrams that are no packets, or came from the wrong side."}
 	defHeld       = metric.Definition{Name: "corianderbay_packets_held", Kind: metric.Gauge, Help: "Packets that wait for what is missing to decide on them."}
 	defRemembered = metric.Definition{Name: "corianderbay_flows_remembered", Kind: metric.Gauge, Help: "Flows whose upstream the balancer remembers."}
+	defLink       = metric.Definition{Name: "corianderbay_link_kilobits", Kind: metric.Gauge, Help: "Capacity of the instance's link in kbit/s; 0 when it is not known."}
+	defTraffic    = metric.Definition{Name: "corianderbay_link_traffic_kilobits", Kind: metric.Gauge, Help: "Mean traffic over about a second in kbit/s, of the direction with more."}
+	defStandby    = metric.Definition{Name: "corianderbay_standby", Kind: metric.Gauge, Help: "1 while the balancer reports as not ready because its link is nearly full."}
 	defOpen       = metric.Definition{Name: "corianderbay_flows_open", Kind: metric.Gauge, Help: "Flows that are open or opening at the upstream."}
 	defActive     = metric.Definition{Name: "corianderbay_requests_active", Kind: metric.Gauge, Help: "Requests that wait for the upstream's answer."}
 	defVersion    = metric.Definition{Name: "corianderbay_routes_version", Kind: metric.Gauge, Help: "Version of the routes in force."}
@@ -44,7 +47,7 @@
 // Definitions returns the definitions of all metrics of a balancer and of a sidecar.
 func Definitions() (balancer, sidecar []metric.Definition) {
 	common := []metric.Definition{defForwarded, defRefused, defDropped, defInvalid, defHeld, defVersion, defRoutesAge, defRevision, defEra, defDoubtful, defEvacuated, defStoreAge, defPeers, defOmitted, defMemory, defStoreCalls}
-	balancer = append(append(balancer, common...), defRemembered)
+	balancer = append(append(balancer, common...), defRemembered, defLink, defTraffic, defStandby)
 	sidecar = append(append(sidecar, common...), defDelivered, defAnswered, defOpen, defActive, defOpening, defAnswer)
 	return balancer, sidecar
 }
@@ -105,6 +108,7 @@
 	p.Value(defHeld, float64(b.held.len()))
 	writeNode(&p, b.node, b.cfg.Log)
 	p.Value(defRemembered, float64(b.steering.Flows()))
+	b.ingress.write(&p)
 	return p.Bytes()
 }
 
--- a/event/edge.go
+++ b/event/edge.go
@@ -19,6 +19,8 @@
 	EraBegan         Number = 7014
 	EvacuationBegan  Number = 7015
 	EvacuationEnded  Number = 7016
+	StandbyBegan     Number = 7017
+	StandbyEnded     Number = 7018
 	PeerStarted      Number = 7020
 	PeerSilent       Number = 7021
 	PeerHeard        Number = 7022
@@ -52,6 +54,8 @@
 		{EraBegan, "era-began", zapcore.WarnLevel, "The store was restored from an older copy. The fields hold the era and revision before and after, and the number of keys for which this process had newer data than the copy.", "Find out why the store was restored; see docs/OPERATIONS.md for what the copy may lack."},
 		{EvacuationBegan, "evacuation-began", zapcore.WarnLevel, "A data centre is evacuated: this process opens no flows there. The fields hold the data centre, the state of the store and the age of its last answer.", "None; see docs/OPERATIONS.md for what follows."},
 		{EvacuationEnded, "evacuation-ended", zapcore.InfoLevel, "Flows are opened in a data centre again that was evacuated.", "None."},
+		{StandbyBegan, "standby-began", zapcore.WarnLevel, "The link of this balancer is nearly full and those of others are larger, so it reports that it is not ready; it still forwards what arrives. The fields hold the capacity and the traffic in kbit/s and the number of other balancers.", "None; if it repeats, give the instance a larger link."},
+		{StandbyEnded, "standby-ended", zapcore.InfoLevel, "This balancer reports that it is ready again: its share of the traffic fits its link, or too few other balancers are left.", "None."},
 		{PeerStarted, "peer-started", zapcore.InfoLevel, "The first heartbeat arrived from a process that is new or was restarted.", "None."},
 		{PeerSilent, "peer-silent", zapcore.WarnLevel, "Heartbeats of a process timed out, or it announced that it is stopping; it gets no new flows.", "Check the instance if it stays silent."},
 		{PeerHeard, "peer-heard", zapcore.InfoLevel, "Heartbeats arrive again from a process that was silent.", "None."},
--- a/exchange/heartbeat.go
+++ b/exchange/heartbeat.go
@@ -71,6 +71,9 @@
 		b.Lost = n.members.LocalLost(now)
 		b.Unlisted = n.snapshot.Unlisted(n.members.LiveSidecars(now))
 	}
+	if n.cfg.Ingress != nil {
+		b.Ingress = n.cfg.Ingress(now)
+	}
 	return b
 }
 
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -60,6 +60,8 @@
 	Service registry.ServiceHash
 	// Load returns the load that a sidecar reports for its upstream.
 	Load func(now time.Duration) membership.Load
+	// Ingress returns what a balancer reports of its link; nil when it reports nothing.
+	Ingress func(now time.Duration) membership.Ingress
 	// Refresh is called with each new view.
 	Refresh func(*steer.Fleet)
 	Handler Handler
@@ -200,6 +202,11 @@
 	n.socket.Send(b, h.Port(n.cfg.Listen.Port()))
 }
 
+// Traffic returns the totals of the socket for other processes.
+func (n *Node) Traffic() udp.Counts {
+	return n.socket.Counts()
+}
+
 // Versions returns the version of the routes and the state of the upstreams that this
 // process has received.
 func (n *Node) Versions() membership.Versions {
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -52,6 +52,25 @@
 	Window int `msgpack:"c,omitempty"`
 }
 
+// Ingress is a balancer's report of its link to the routers. The zero value means that the
+// link is not known.
+type Ingress struct {
+	// Link is the capacity of the link in kbit/s; 0 when it is not known.
+	Link int `msgpack:"k,omitempty"`
+	// Traffic is the mean traffic over about a second in kbit/s, of the direction with more.
+	Traffic int `msgpack:"t,omitempty"`
+	// Standby is true when the balancer keeps itself out of the rotation of the routers.
+	Standby bool `msgpack:"h,omitempty"`
+}
+
+// UsedPercent returns the used part of the link in percent; 0 when the link is not known.
+func (g Ingress) UsedPercent() int {
+	if g.Link == 0 {
+		return 0
+	}
+	return 100 * g.Traffic / g.Link
+}
+
 // Versions identifies the routes and upstreams that a process has.
 type Versions struct {
 	// Version is the version of the routes. 0 before the first.
@@ -93,6 +112,9 @@
 	Lost []registry.Host `msgpack:"x,omitempty"`
 	// Placed is the number of flows that a balancer placed in the last second.
 	Placed int `msgpack:"p,omitempty"`
+	// Ingress is only valid in heartbeats of balancers. Digests do not include it, since
+	// only the balancers of the data centre need it.
+	Ingress Ingress `msgpack:"j,omitempty"`
 	// Lossy is true when the sender misses so many heartbeats that others may be alive
 	// although it does not receive them.
 	Lossy bool `msgpack:"y,omitempty"`
@@ -106,8 +128,8 @@
 	if b.StoreAge < 0 || b.Load.Flows < 0 || b.Load.Active < 0 || b.Load.Busy < 0 {
 		return &HeartbeatError{Text: "negative store age or load"}
 	}
-	if b.Load.Work < 0 || b.Load.Window < 0 || b.Placed < 0 {
-		return &HeartbeatError{Text: "negative work, window or number of placed flows"}
+	if b.Load.Work < 0 || b.Load.Window < 0 || b.Placed < 0 || b.Ingress.Link < 0 || b.Ingress.Traffic < 0 {
+		return &HeartbeatError{Text: "negative work, window, number of placed flows, link or traffic"}
 	}
 	return nil
 }
--- a/udp/socket.go
+++ b/udp/socket.go
@@ -21,6 +21,7 @@
 	defaultWorkers    = 2
 	defaultBufferSize = 4 << 20 // bytes
 	maxDatagramSize   = 65535   // bytes
+	headerBytes       = 28      // UDP and IPv4 headers of a datagram
 )
 
 // Config holds the settings of a Socket. Listen and PauseDetector are required.
@@ -47,6 +48,9 @@
 	Stale uint64 `json:"stale"`
 	// Unsent counts datagrams that the system did not accept for sending.
 	Unsent uint64 `json:"unsent"`
+	// ReceivedBytes and SentBytes count the bytes of datagrams with their UDP and IPv4 headers.
+	ReceivedBytes uint64 `json:"receivedbytes"`
+	SentBytes     uint64 `json:"sentbytes"`
 }
 
 // Socket is a bound UDP socket. It is safe for concurrent use.
@@ -58,6 +62,9 @@
 	sent     atomic.Uint64
 	stale    atomic.Uint64
 	unsent   atomic.Uint64
+
+	receivedBytes atomic.Uint64
+	sentBytes     atomic.Uint64
 }
 
 // Open binds a Socket. It returns a *ListenError if the address cannot be bound.
@@ -90,6 +97,9 @@
 		Sent:     s.sent.Load(),
 		Stale:    s.stale.Load(),
 		Unsent:   s.unsent.Load(),
+
+		ReceivedBytes: s.receivedBytes.Load(),
+		SentBytes:     s.sentBytes.Load(),
 	}
 }
 
@@ -101,6 +111,7 @@
 		return
 	}
 	s.sent.Add(1)
+	s.sentBytes.Add(uint64(len(b) + headerBytes))
 }
 
 // Run receives until ctx is done and then closes the socket. Each worker has its
@@ -133,6 +144,7 @@
 			continue // an ICMP error about an earlier datagram
 		}
 		s.received.Add(1)
+		s.receivedBytes.Add(uint64(n + headerBytes))
 		if current := s.cfg.PauseDetector.Epoch(); current != epoch {
 			epoch = current
 			s.stale.Add(1)
