Take no sidecar for absent on the evidence of a saturated link

Cause: a balancer whose link loses or delays heartbeats considers the other balancers silent, and so needs no confirmation to take a live sidecar for absent. 350 ms later it resets open flows.

Ruled out: longer timeouts, since a killed process is to be given up within 1.3 s; gaps in sequence numbers as a measure of loss, since urgent heartbeats and answers use numbers, too.

Change: any datagram counts as contact. A balancer whose reception is bad is lossy, lists no sidecar as lost and takes none for absent. Balancers that are overdue do not count as gone unless the reception of this process is clean and the sidecar leaves queries unanswered.

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -34,6 +34,9 @@
 	defEvacuated  = metric.Definition{Name: "corianderbay_datacentres_evacuated", Kind: metric.Gauge, Help: "Data centres in which no flows are opened."}
 	defStoreAge   = metric.Definition{Name: "corianderbay_store_age_seconds", Kind: metric.Gauge, Help: "Time since the store is known to have answered any process."}
 	defPeers      = metric.Definition{Name: "corianderbay_peers_alive", Kind: metric.Gauge, Help: "Other processes that are heard."}
+	defQueries    = metric.Definition{Name: "corianderbay_presence_queries_total", Kind: metric.Counter, Help: "Presence queries sent to processes whose heartbeats were due."}
+	defAnswers    = metric.Definition{Name: "corianderbay_presence_answers_total", Kind: metric.Counter, Help: "Presence queries of other processes that were answered."}
+	defLossy      = metric.Definition{Name: "corianderbay_reception_lossy", Kind: metric.Gauge, Help: "1 while so many heartbeats are missing that no process is taken for lost."}
 	defOmitted    = metric.Definition{Name: "corianderbay_log_lines_omitted_total", Kind: metric.Counter, Help: "Lines that were left out of the log."}
 	defMemory     = metric.Definition{Name: "corianderbay_memory_bytes", Kind: metric.Gauge, Help: "Memory that the runtime has mapped."}
 	defStoreCalls = metric.Definition{Name: "corianderbay_store_call_seconds", Kind: metric.Latencies, Help: "Duration of calls of the store, without watches."}
@@ -43,7 +46,7 @@
 
 // Definitions returns the definitions of all metrics of a balancer and of a sidecar.
 func Definitions() (balancer, sidecar []metric.Definition) {
-	common := []metric.Definition{defForwarded, defRefused, defDropped, defInvalid, defHeld, defVersion, defRoutesAge, defRevision, defEra, defDoubtful, defEvacuated, defStoreAge, defPeers, defOmitted, defMemory, defStoreCalls}
+	common := []metric.Definition{defForwarded, defRefused, defDropped, defInvalid, defHeld, defVersion, defRoutesAge, defRevision, defEra, defDoubtful, defEvacuated, defStoreAge, defPeers, defQueries, defAnswers, defLossy, defOmitted, defMemory, defStoreCalls}
 	balancer = append(append(balancer, common...), defRemembered)
 	sidecar = append(append(sidecar, common...), defDelivered, defAnswered, defOpen, defActive, defOpening, defAnswer)
 	return balancer, sidecar
@@ -84,10 +87,22 @@
 	p.Value(defEvacuated, float64(st.Evacuated))
 	p.Value(defStoreAge, st.StoreAge.Seconds())
 	p.Value(defPeers, float64(st.Peers))
+	pr := n.Presence()
+	p.Value(defQueries, float64(pr.Sent))
+	p.Value(defAnswers, float64(pr.Answered))
+	p.Value(defLossy, flag(pr.Lossy))
 	p.Value(defMemory, memory())
 	p.Histogram(defStoreCalls, n.StoreCalls())
 }
 
+// flag returns 1 for true and 0 for false.
+func flag(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // memory returns the memory that the runtime has mapped, in bytes.
 func memory() float64 {
 	s := []metrics.Sample{{Name: memorySample}}
--- a/exchange/heartbeat.go
+++ b/exchange/heartbeat.go
@@ -68,7 +68,7 @@
 		Load:        n.cfg.Load(now),
 	}
 	if n.cfg.Role == membership.Balancer {
-		b.Lost = n.members.LocalLost(now)
+		b.Lost, b.Lossy = n.members.LocalLost(now), n.members.Lossy(now)
 		b.Unlisted = n.snapshot.Unlisted(n.members.LiveSidecars(now))
 	}
 	return b
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -100,6 +100,7 @@
 	heartbeats   int           // heartbeats sent
 	lastWide     time.Duration // when a heartbeat of at least membership.ScopeDataCentre was last sent
 	digests      digests
+	presence     presence
 	isolated     bool // the last result of members.Isolated
 	silent       map[registry.Host]bool
 }
@@ -352,6 +353,7 @@
 			n.sendHeartbeat(n.nextScope(urgent))
 			n.checkPeers()
 		}
+		n.checkPresence()
 		n.sendDueDigests()
 		n.refresh()
 	}
--- a/exchange/receive.go
+++ b/exchange/receive.go
@@ -18,7 +18,10 @@
 		return // processes send over IPv4 only
 	}
 	body := b[1:]
+	n.recordContact(host)
 	switch kind(b[0]) {
+	case kindQuery:
+		n.answerQuery(host)
 	case kindHeartbeat:
 		n.receiveHeartbeat(body, host)
 	case kindForward:
--- a/exchange/view.go
+++ b/exchange/view.go
@@ -93,6 +93,7 @@
 			DataCentre:  n.members.DataCentre(h),
 			Stopping:    true,
 			AbsentSince: n.members.AbsentSince(h),
+			LastContact: n.members.DirectContact(h),
 			Suspected:   n.members.Suspected(now, h),
 			Ended:       n.members.Ended(h),
 		}
--- a/membership/absence.go
+++ b/membership/absence.go
@@ -11,9 +11,14 @@
 // while the link works.
 const maxHeartbeatDelay = 150 * time.Millisecond
 
+// witnessTimeout is the silence after which the confirmation of a balancer that has not
+// stopped is no longer required to take a sidecar for absent.
+const witnessTimeout = 5 * time.Second
+
 // UpdateAbsent records which sidecars are absent at now. It must be called after
 // heartbeats and digests are merged, so that AbsentSince is accurate.
 func (t *Table) UpdateAbsent(now time.Duration) {
+	t.clean = t.cleanReception(now)
 	for h, p := range t.peers {
 		if p.Heartbeat.Role != Sidecar || !t.isAbsent(now, p) {
 			delete(t.absentSince, h)
@@ -31,37 +36,78 @@
 }
 
 // AbsentSince returns the time since which the sidecar on a host has been absent,
-// or 0 when it is not absent. A sidecar is absent when its heartbeats are overdue
-// without an announced stop, and each live balancer of its data centre reports it
-// as lost. For a sidecar of another data centre at least one such report is
-// required, because the missing digests may be the fault of the delegates.
+// or 0 when it is not absent. A sidecar is absent when nothing arrived from it for its
+// timeout without an announced stop, this process is not lossy, and each balancer of the
+// sidecar's data centre that was seen within witnessTimeout reports it as lost in a recent
+// heartbeat. Balancers that stop, that are lossy, or that are certainly absent themselves
+// need not. At least one report is required, except that a balancer which has no other
+// one to confirm the loss decides by its own unanswered queries. A sidecar of another
+// data centre always needs a report, because the missing digests may be the fault of
+// the delegates.
 func (t *Table) AbsentSince(h registry.Host) time.Duration {
 	return t.absentSince[h]
 }
 
 func (t *Table) isAbsent(now time.Duration, sidecar *Peer) bool {
-	if sidecar.Heartbeat.Stopping || !t.overdue(now, sidecar) || !t.othersSeenAfterDue(sidecar) {
+	if sidecar.Heartbeat.Stopping || t.Lossy(now) || !t.overdue(now, sidecar) || !t.othersSeenAfterDue(sidecar) {
 		return false
 	}
-	confirmed := t.isDirect(sidecar)
+	confirmed, denied, excused := false, false, false
 	for _, p := range t.peers {
-		if p.Heartbeat.Role != Balancer || p.Heartbeat.DataCentre != sidecar.Heartbeat.DataCentre || !t.alive(now, p) {
+		if p.Heartbeat.Role != Balancer || p.Heartbeat.DataCentre != sidecar.Heartbeat.DataCentre {
 			continue
 		}
-		if !slices.Contains(p.Heartbeat.Lost, sidecar.Host) {
-			return false
+		switch t.verdict(now, p, sidecar) {
+		case verdictLost:
+			confirmed = true
+		case verdictOpen:
+			p.presence.wantedAt = now
+			denied = true
+		case verdictExcused:
+			excused = true
 		}
-		confirmed = true
 	}
-	return confirmed
+	if denied {
+		return false
+	}
+	if confirmed && !excused {
+		return true
+	}
+	return t.isDirect(sidecar) && t.clean && t.unansweredEnough(sidecar)
+}
+
+// verdict is what a balancer contributes to the decision whether a sidecar is absent.
+type verdict int
+
+const (
+	verdictNone    verdict = iota // the balancer is no witness
+	verdictLost                   // it confirms the loss
+	verdictOpen                   // it does not confirm the loss, or its report is outdated
+	verdictExcused                // it is gone or its link is bad, as measured by this process
+)
+
+// verdict returns that of a balancer of the sidecar's data centre.
+func (t *Table) verdict(now time.Duration, balancer, sidecar *Peer) verdict {
+	switch {
+	case balancer.Heartbeat.Stopping || balancer.Heartbeat.Lossy || now-balancer.LastContact() >= witnessTimeout:
+		return verdictNone
+	case t.alive(now, balancer) && slices.Contains(balancer.Heartbeat.Lost, sidecar.Host):
+		return verdictLost
+	}
+	switch {
+	case t.isDirect(balancer) && t.clean && balancer.irregular(now):
+		return verdictExcused
+	case t.isDirect(balancer) || t.alive(now, balancer):
+		return verdictOpen
+	}
+	return verdictNone
 }
 
-// Suspected reports whether a sidecar of which only digests are received timed out
-// without an announced stop, and no balancer that receives its heartbeats confirms
-// the loss: the digests may be late or lost.
+// Suspected reports whether a sidecar timed out without an announced stop, but its
+// absence is not certain: its heartbeats or the digests may be late or lost.
 func (t *Table) Suspected(now time.Duration, h registry.Host) bool {
 	p := t.peers[h]
-	return p != nil && !t.isDirect(p) && !p.Heartbeat.Stopping && !t.alive(now, p) && t.absentSince[h] == 0
+	return p != nil && !p.Heartbeat.Stopping && !t.alive(now, p) && t.absentSince[h] == 0
 }
 
 // Ended reports whether a sidecar announced that it stops after its upstream had ended.
@@ -75,9 +121,9 @@
 // missed two heartbeats and received the next one since.
 func (t *Table) overdue(now time.Duration, sidecar *Peer) bool {
 	if t.isDirect(sidecar) {
-		return now-sidecar.LastSeen >= LocalHeartbeatTimeout
+		return now-sidecar.LastContact() >= LocalHeartbeatTimeout
 	}
-	return now-sidecar.LastSeen >= remoteIsolatedAfter
+	return now-sidecar.LastContact() >= remoteIsolatedAfter
 }
 
 // othersSeenAfterDue reports whether at least half of the other processes were seen
@@ -86,10 +132,10 @@
 // centre count, unless there are no others; for one known through digests all count.
 func (t *Table) othersSeenAfterDue(sidecar *Peer) bool {
 	if !t.isDirect(sidecar) {
-		seen, others := t.countSeen(sidecar, sidecar.LastSeen+HeartbeatsPerRemoteDigest*HeartbeatInterval+maxHeartbeatDelay, false)
+		seen, others := t.countSeen(sidecar, sidecar.LastContact()+HeartbeatsPerRemoteDigest*HeartbeatInterval+maxHeartbeatDelay, false)
 		return seen > 0 && 2*seen >= others
 	}
-	due := sidecar.LastSeen + HeartbeatInterval + maxHeartbeatDelay
+	due := sidecar.LastContact() + HeartbeatInterval + maxHeartbeatDelay
 	seen, others := t.countSeen(sidecar, due, true)
 	if others == 0 {
 		seen, others = t.countSeen(sidecar, due, false)
@@ -106,7 +152,7 @@
 			continue
 		}
 		others++
-		if p.LastSeen >= since {
+		if p.LastContact() >= since {
 			seen++
 		}
 	}
@@ -118,6 +164,7 @@
 func (t *Table) AdjustForPause(now, pause time.Duration) {
 	for _, p := range t.peers {
 		p.LastSeen = min(now, p.LastSeen+pause)
+		p.presence = presence{lastContact: min(now, p.presence.lastContact+pause)}
 	}
 	t.remoteSidecarSeen = min(now, t.remoteSidecarSeen+pause)
 }
--- a/membership/table.go
+++ b/membership/table.go
@@ -65,6 +65,7 @@
 	versionsSince    time.Duration // when its present version and state were first received
 	formerHash       uint32        // FormerHash that it last sent itself
 	pulledFormerHash uint32        // formerHash as of the last pull from it
+	presence         presence
 }
 
 // ahead reports whether the process has newer routes or upstreams than this one,
@@ -88,6 +89,9 @@
 	remoteSidecarSeen time.Duration                   // when a remote or reported heartbeat of a sidecar last arrived
 	storeSeen         time.Duration                   // newest answer of the store to any process; before Started if none
 	lastOwnRead       time.Duration                   // newest answer of the store to this process; before Started if none
+	lossyUntil        time.Duration                   // until when this process counts as lossy
+	clean             bool                            // cleanReception as of the last UpdateAbsent
+	unansweredNeeded  int                             // unanswered queries that make an absence certain, as of the last DueQueries
 }
 
 // New returns a table without peers.
@@ -102,6 +106,8 @@
 		digestSenders: make(map[registry.Host]time.Duration),
 		storeSeen:     cfg.Started - time.Hour,
 		lastOwnRead:   cfg.Started - time.Hour,
+
+		unansweredNeeded: maxUnanswered,
 	}
 	return t
 }
@@ -154,11 +160,13 @@
 		return Result{}
 	}
 	if p := t.peers[from]; p != nil && p.Heartbeat.Incarnation == b.Incarnation && b.Sequence < p.Heartbeat.Sequence {
+		t.recordDirect(now, p, false)
 		return Result{} // a newer heartbeat arrived first
 	}
 	res := t.merge(now, now, from, b, own)
 	p := t.peers[from]
 	p.LastDirect, p.formerHash = now, b.FormerHash
+	t.recordDirect(now, p, res.Restarted)
 	res.Ahead = p.ahead(own)
 	if b.Role == Sidecar && b.DataCentre != t.cfg.DataCentre {
 		t.remoteSidecarSeen = now
@@ -171,6 +179,14 @@
 	return res
 }
 
+// recordDirect records that a heartbeat, which may be outdated, arrived from the process itself.
+func (t *Table) recordDirect(now time.Duration, p *Peer, restarted bool) {
+	p.recordContact(now)
+	if t.isDirect(p) {
+		t.recordArrival(now, p, restarted)
+	}
+}
+
 // merge replaces the heartbeat of a process by a newer one that was sent at the given time.
 func (t *Table) merge(now, sent time.Duration, from registry.Host, b Heartbeat, own Versions) Result {
 	p := t.peers[from]
@@ -277,10 +293,16 @@
 }
 
 // LocalLost returns the sidecars of the data centre that sent heartbeats to this process
-// and are not alive any more. Heartbeats report only these as lost, and not those that
-// others reported as lost, so that no report circulates forever.
+// and from which no datagram arrives any more. Heartbeats report only these as lost, and
+// not those that others reported as lost, so that no report circulates forever. There
+// are none while this process is lossy.
 func (t *Table) LocalLost(now time.Duration) []registry.Host {
-	return t.lostMatching(now, t.isDirect)
+	if t.Lossy(now) {
+		return nil
+	}
+	return t.lostMatching(now, func(p *Peer) bool {
+		return t.isDirect(p) && (p.Heartbeat.Stopping || now-p.LastContact() >= LocalHeartbeatTimeout)
+	})
 }
 
 func (t *Table) lostMatching(now time.Duration, match func(*Peer) bool) []registry.Host {
--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -13,6 +13,14 @@
 // which a killed process has restarted.
 const lostAfter = 350 * time.Millisecond
 
+// A sidecar of the own data centre that was silent for silentLostAfter is lost after it has been
+// absent for silentAbsence. The confirmation of a balancer with a slow link may come late,
+// and a killed process is given up within 1.3 s of its end.
+const (
+	silentLostAfter = time.Second
+	silentAbsence   = 100 * time.Millisecond
+)
+
 // SidecarStatus is what is known about the sidecar on one host.
 type SidecarStatus struct {
 	// DataCentre is the data centre of the sidecar; empty when it is not known.
@@ -29,8 +37,11 @@
 	// AbsentSince is when the sidecar became absent without having announced that it
 	// stops. 0 when it is not absent.
 	AbsentSince time.Duration
-	// Suspected is true when heartbeats of the sidecar have stopped here, but no
-	// process that receives its heartbeats directly confirms that it is gone.
+	// LastContact is when a datagram last arrived from a sidecar whose heartbeats all come
+	// directly to this process. 0 for others.
+	LastContact time.Duration
+	// Suspected is true when heartbeats of the sidecar have stopped here, but it is not
+	// certain that it is gone.
 	Suspected bool
 	// Ended is true when the sidecar announced that it stops after its upstream had ended.
 	Ended bool
@@ -93,8 +104,11 @@
 	if f.Sidecars[h].Ended {
 		return true
 	}
-	since := f.Sidecars[h].AbsentSince
-	return since != 0 && now-since >= lostAfter && !f.Isolated
+	since, contact := f.Sidecars[h].AbsentSince, f.Sidecars[h].LastContact
+	if since == 0 || f.Isolated {
+		return false
+	}
+	return now-since >= lostAfter || contact != 0 && now-contact >= silentLostAfter && now-since >= silentAbsence
 }
 
 // anyLost reports whether a sidecar is absent, or stopped after its upstream had ended.
