--- a/exchange/ingress.go
+++ b/exchange/ingress.go
@@ -20,7 +20,7 @@
 	var list []rotation.Peer
 	n.members.Each(membership.Balancer, func(p *membership.Peer) {
 		if p.Heartbeat.DataCentre == n.cfg.DataCentre {
-			alive := !p.Heartbeat.Stopping && now-p.LastSeen < rotationTimeout
+			alive := !p.Stopping() && now-p.LastContact() < rotationTimeout
 			list = append(list, rotation.Peer{Host: p.Host, Ingress: p.Heartbeat.Ingress, Alive: alive})
 		}
 	})
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -108,6 +108,7 @@
 	heartbeats   int           // heartbeats sent
 	lastWide     time.Duration // when a heartbeat of at least membership.ScopeDataCentre was last sent
 	digests      digests
+	presence     presence
 	isolated     bool // the last result of members.Isolated
 	silent       map[registry.Host]bool
 }
@@ -371,6 +372,7 @@
 			n.sendHeartbeat(n.nextScope(urgent))
 			n.checkPeers()
 		}
+		n.checkPresence()
 		n.sendDueDigests()
 		n.refresh()
 	}
--- a/exchange/receive.go
+++ b/exchange/receive.go
@@ -17,11 +17,14 @@
 		return // processes send over IPv4 only
 	}
 	k, body := kind(b[0]), b[1:]
+	n.recordContact(host)
 	if k.format() > n.newest {
 		n.receiveUnreadable(host, &VersionError{Have: n.newest, Got: k.format()})
 		return
 	}
 	switch k {
+	case kindQuery:
+		n.answerQuery(host)
 	case kindHeartbeat, kindHeartbeat2:
 		n.receiveHeartbeat(body, k.format(), host)
 	case kindForward:
--- a/membership/format.go
+++ b/membership/format.go
@@ -13,7 +13,7 @@
 const (
 	// Format1 is the version of commit 524ed58. All processes read it.
 	Format1 Format = 1
-	// Format2 adds Load.Work, Load.Window, Heartbeat.Placed and Heartbeat.Lossy, and the
+	// Format2 adds Load.Work, Load.Window, Heartbeat.Placed, Heartbeat.Lossy and Heartbeat.Ingress, and the
 	// negotiation of versions.
 	Format2 Format = 2
 )
--- a/membership/format_test.go
+++ b/membership/format_test.go
@@ -129,6 +129,7 @@
 	var absent time.Duration
 	for at := end; absent == 0 && at < end+5*time.Second; at += 50 * time.Millisecond {
 		beat(at, 5, false)
+		tb.DueQueries(at) // without another balancer, a loss needs unanswered queries
 		tb.UpdateAbsent(at)
 		absent = tb.AbsentSince(host(2))
 	}
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -119,7 +119,7 @@
 	// although it does not receive them.
 	Lossy bool `msgpack:"y,omitempty"`
 	// Format is the version in which the heartbeat was received, or in which its sender was
-	// received by the process that reports it. Load.Work, Load.Window, Placed and Lossy are
+	// received by the process that reports it. Load.Work, Load.Window, Placed, Lossy and Ingress are
 	// unknown unless it is at least Format2. 0 when the heartbeat was not received.
 	Format Format `msgpack:"-"`
 }
@@ -129,13 +129,14 @@
 	b.Format = f
 	if f < Format2 {
 		b.Load.Work, b.Load.Window, b.Placed, b.Lossy = 0, 0, 0, false
+		b.Ingress = Ingress{}
 	}
 	return b
 }
 
 // laterFields reports whether the heartbeat has fields that version 1 does not have.
 func (b *Heartbeat) laterFields() bool {
-	return b.Load.Work != 0 || b.Load.Window != 0 || b.Placed != 0 || b.Lossy
+	return b.Load.Work != 0 || b.Load.Window != 0 || b.Placed != 0 || b.Lossy || b.Ingress != Ingress{}
 }
 
 // Check reports *HeartbeatError when the heartbeat is invalid.
