Query unreadable peers that are due, too

Cause: presence queries skipped a peer whose last readable heartbeat was older than the time after which peers are dropped, although messages of an unknown version arrived since. Its later loss was never certain.

Change: the age counts from any message of the peer.

Result: go test ./membership -run Unreadable passes; it failed before.

--- a/membership/presence.go
+++ b/membership/presence.go
@@ -73,10 +73,10 @@
 	silent := 0
 	var due []*Peer
 	for _, p := range t.peers {
-		if !t.isDirect(p) || p.Stopping() || now-p.LastSeen >= forgetAfter {
+		if !t.isDirect(p) || p.Stopping() || now-p.Seen() >= forgetAfter {
 			continue
 		}
-		overdue := now-p.LastSeen >= HeartbeatInterval+maxHeartbeatDelay
+		overdue := now-p.Seen() >= HeartbeatInterval+maxHeartbeatDelay
 		if overdue {
 			silent++
 		}
