--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -29,7 +29,7 @@
 	s := setting.NewSet()
 	level := s.Choice("log-level", "info", logLevels(), "lowest level of the events that are logged")
 	lines := s.Int("log-lines", defaultLogLines, 1, maxLogLines, "lines a second", "limit of log lines per second for each event")
-	placing := s.Choice("placing", string(steer.PlaceByLoad), steer.Placings(), "how upstreams are selected for new flows; all values except load are for comparisons only")
+	placing := s.Choice("placing", string(steer.PlaceByLoad), steer.Placings(), "how upstreams are selected for new flows: load compares loads, time the expected time until a request is answered; hash and two are for comparisons only")
 	bind := s.Address("bind-address", "", "address to bind for the traffic of other processes if an address translation is in front of it; empty binds the address from the settings of the platform")
 	return program{
 		name:    name,
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -35,6 +35,7 @@
 type Balancer struct {
 	cfg    BalancerConfig
 	fleet  atomic.Pointer[Fleet] // nil until SetFleet
+	paces  atomic.Pointer[paces] // valid for PlaceByTime; nil until SetFleet
 	shards [shardCount]balancerShard
 
 	estimates *loadEstimates
@@ -114,6 +115,11 @@
 
 // SetFleet replaces the fleet that decisions are based on.
 func (b *Balancer) SetFleet(f *Fleet) {
+	if b.cfg.Placing == PlaceByTime {
+		s := newPaces(f, b.paces.Load())
+		b.paces.Store(s)
+		b.estimates.mergeAll(f, s)
+	}
 	b.fleet.Store(f)
 }
 
@@ -320,6 +326,7 @@
 		unreported:      d.b.unreportedOn,
 		placing:         d.b.cfg.Placing,
 		totalPlaced:     d.b.totalPlacedOn,
+		paces:           d.b.paces.Load(),
 	}
 }
 
--- /dev/null
+++ b/steer/completion.go
@@ -0,0 +1,218 @@
+package steer
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/corianderbay/corianderbay/registry"
+)
+
+const (
+	// defaultWork is the work of the upstreams of a service of which none has reported its
+	// work, in tenths of a millisecond, the unit of membership.Load.Work.
+	defaultWork = 200
+	// alikePercent is the difference from the service's median up to which the work of an
+	// upstream counts as the median.
+	alikePercent = 25
+	// minWorkShare and maxWorkFactor bound a reported work relative to the service's
+	// median, so that a wrong report neither attracts all flows nor makes an upstream
+	// unusable.
+	minWorkShare  = 0.25
+	maxWorkFactor = 8
+	// sampleSize is the number of upstreams that are compared for a flow where upstreams
+	// are not alike. All balancers see the same reports, which are a quarter of a second
+	// old: with the least of all upstreams, they would all place their flows on the same
+	// few until the next report.
+	sampleSize = 2
+	// maxReliefPasses is the maximum number of sidecars that pass an opening on to an
+	// upstream with an earlier expected completion. Each of them sees its own queue as it
+	// is at that moment.
+	maxReliefPasses = 4
+)
+
+// servicePace is the work of the upstreams of one service.
+type servicePace struct {
+	median float64 // in tenths of a millisecond; positive
+	alike  bool    // the work of each upstream counts as the median
+}
+
+// averageWork is the moving average of the work that one sidecar reported.
+type averageWork struct {
+	work       float64       // in tenths of a millisecond; 0 when it is not known
+	reportedAt time.Duration // when the last report in work was sent
+}
+
+// paces holds the work of all upstreams as of one Fleet. It is immutable. Reports are
+// averaged, since the mean of a few requests with a heavy tail is noise.
+type paces struct {
+	byHost    map[registry.Host]averageWork
+	byService map[registry.ServiceHash]servicePace
+}
+
+// newPaces returns the paces as of a fleet. previous is nil for the first one.
+func newPaces(f *Fleet, previous *paces) *paces {
+	s := &paces{
+		byHost:    make(map[registry.Host]averageWork, len(f.Sidecars)),
+		byService: make(map[registry.ServiceHash]servicePace),
+	}
+	for h, status := range f.Sidecars {
+		if status.Load.Work == 0 {
+			continue
+		}
+		a := averageWork{work: float64(status.Load.Work), reportedAt: status.LastSeen}
+		if previous != nil {
+			a = previous.byHost[h].next(a)
+		}
+		s.byHost[h] = a
+	}
+	for _, p := range f.Snapshot.Pools() {
+		s.byService[p.Hash] = s.servicePace(p)
+	}
+	return s
+}
+
+// next returns the average after one more report.
+func (a averageWork) next(report averageWork) averageWork {
+	if a.work == 0 {
+		return report
+	}
+	if report.reportedAt > a.reportedAt {
+		a.work += (report.work - a.work) * (1 - decayFactor(report.reportedAt-a.reportedAt))
+		a.reportedAt = report.reportedAt
+	}
+	return a
+}
+
+// servicePace returns the pace of the upstreams of a pool that are not removed.
+func (s *paces) servicePace(p *registry.Pool) servicePace {
+	var list []float64
+	for i := range p.Members {
+		w := s.byHost[p.Members[i].Address.Host].work
+		if w > 0 && p.Members[i].Status != registry.Removed {
+			list = append(list, w)
+		}
+	}
+	if len(list) == 0 {
+		return servicePace{median: defaultWork, alike: true}
+	}
+	slices.Sort(list)
+	median := list[len(list)/2]
+	alike := isAlike(list[0], median) && isAlike(list[len(list)-1], median)
+	return servicePace{median: median, alike: alike}
+}
+
+// isAlike reports whether work counts as the median.
+func isAlike(work, median float64) bool {
+	return math.Abs(work-median)*100 <= alikePercent*median
+}
+
+// work returns the work of an upstream in tenths of a millisecond: the median where it is
+// unknown or differs little.
+func (s *paces) work(h registry.Host, p servicePace) float64 {
+	w := s.byHost[h].work
+	if w == 0 || isAlike(w, p.median) {
+		return p.median
+	}
+	return min(max(w, minWorkShare*p.median), maxWorkFactor*p.median)
+}
+
+// service returns the pace of a service.
+func (s *paces) service(h registry.ServiceHash) servicePace {
+	if p, known := s.byService[h]; known {
+		return p
+	}
+	return servicePace{median: defaultWork, alike: true}
+}
+
+// completion returns the expected time until the first request of a new flow is answered
+// by an upstream, in tenths of a millisecond. load is the load of the upstream in flows, of
+// which waitingWeight bring as much work as one queued request.
+func (c *chooser) completion(m *registry.Member, p servicePace, load float64) float64 {
+	width := max(1, m.Slots)
+	if window := c.fleet.Sidecars[m.Address.Host].Load.Window; window > 0 {
+		width = min(width, window)
+	}
+	return c.paces.work(m.Address.Host, p) * (1 + load/waitingWeight/float64(width))
+}
+
+// sampled is an upstream of a sample.
+type sampled struct {
+	member *registry.Member
+	// class is 0 for an ordinary upstream, 1 for one that would pass the flow on, and 2
+	// for a failing one.
+	class int
+	key   float64
+}
+
+// before reports whether n comes before o in the order of a sample.
+func (n *sampled) before(o *sampled) bool {
+	switch {
+	case o.member == nil:
+		return true
+	case n.class != o.class:
+		return n.class < o.class
+	}
+	return n.key < o.key
+}
+
+// sample is a pseudo-random selection of upstreams by the hash of a flow, in the order of
+// their keys. An upstream twice as fast is selected twice as often.
+type sample [sampleSize]sampled
+
+// add adds an upstream when it comes before another one of the sample.
+func (s *sample) add(n sampled) {
+	for i := range s {
+		if n.before(&s[i]) {
+			s[i], n = n, s[i]
+			if n.member == nil {
+				return
+			}
+		}
+	}
+}
+
+// sampledOf returns an upstream with its place in the order of a sample.
+func (c *chooser) sampledOf(m *registry.Member, p servicePace) sampled {
+	host := m.Address.Host
+	n := sampled{member: m}
+	load := c.fleet.Sidecars[host].Load
+	switch {
+	case load.Failing:
+		n.class = 2
+	case load.Refusing || c.coldRateReached(m):
+		n.class = 1
+	}
+	uniform := (float64(rank(c.hash, host)>>11) + 0.5) / (1 << 53)
+	n.key = -math.Log(uniform) * c.paces.work(host, p) / float64(max(1, m.Slots))
+	return n
+}
+
+// leastOf returns the upstream of a sample with the least expected completion.
+func (c *chooser) leastOf(s *sample) candidate {
+	var best candidate
+	for i := range s {
+		if s[i].member != nil {
+			c.consider(&best, s[i].member)
+		}
+	}
+	return best
+}
+
+// chooseByTime returns the upstreams of the own data centre and of others with the least
+// expected completion. Where upstreams are not alike, it compares only a sample of them.
+func (c *chooser) chooseByTime(p *registry.Pool, exclude func(registry.Host) bool) (near, far candidate) {
+	pace := c.paces.service(p.Hash)
+	var nearSample, farSample sample
+	for i := range p.Members {
+		m := &p.Members[i]
+		switch {
+		case exclude(m.Address.Host) || !c.accepts(m):
+		case m.DataCentre == c.dataCentre:
+			nearSample.add(c.sampledOf(m, pace))
+		default:
+			farSample.add(c.sampledOf(m, pace))
+		}
+	}
+	return c.leastOf(&nearSample), c.leastOf(&farSample)
+}
--- a/steer/estimate.go
+++ b/steer/estimate.go
@@ -41,17 +41,42 @@
 func (es *loadEstimates) estimate(now time.Duration, h registry.Host, reported int, reportedAt time.Duration, balancers int) float64 {
 	es.mu.Lock()
 	defer es.mu.Unlock()
+	e := es.merge(h, reported, reportedAt)
+	e.decay(now)
+	return e.reported + e.placed*float64(max(1, balancers))
+}
+
+// merge adds a report to the moving average unless it is in it already, and returns the
+// estimate. The caller holds es.mu.
+func (es *loadEstimates) merge(h registry.Host, reported int, reportedAt time.Duration) *loadEstimate {
 	e := es.byHost[h]
 	if e == nil {
-		e = &loadEstimate{reported: float64(reported), reportedAt: reportedAt, decayedAt: now}
+		e = &loadEstimate{reported: float64(reported), reportedAt: reportedAt}
 		es.byHost[h] = e
 	}
-	e.decay(now)
 	if reportedAt > e.reportedAt {
 		e.reported += (float64(reported) - e.reported) * (1 - decayFactor(reportedAt-e.reportedAt))
 		e.reportedAt = reportedAt
 	}
-	return e.reported + e.placed*float64(max(1, balancers))
+	return e
+}
+
+// mergeAll adds the reports of the upstreams of those services that are compared by
+// sample, since a flow's choice merges only those of its sample.
+func (es *loadEstimates) mergeAll(f *Fleet, s *paces) {
+	es.mu.Lock()
+	defer es.mu.Unlock()
+	for _, p := range f.Snapshot.Pools() {
+		if s.service(p.Hash).alike {
+			continue
+		}
+		for i := range p.Members {
+			m := &p.Members[i]
+			if status, known := f.Sidecars[m.Address.Host]; known {
+				es.merge(m.Address.Host, reportedLoad(status.Load, m), status.LastSeen)
+			}
+		}
+	}
 }
 
 // placedPerSecond returns the estimated number of flows that the given number of balancers
--- a/steer/load_test.go
+++ b/steer/load_test.go
@@ -99,13 +99,17 @@
 	t.publishLoads()
 	t.after(0, func() { t.startFlow(rate, length) })
 	t.after(0, t.updateLoads)
-	end := sim.now + length + 3*time.Second
+	t.run(sim.now + length + 3*time.Second)
+	return t.bySecond
+}
+
+// run performs the events that are due before end.
+func (t *loadSimulation) run(end time.Duration) {
 	for len(t.events) > 0 && t.events[0].at < end {
 		s := heap.Pop(&t.events).(event)
-		sim.now = s.at
+		t.sim.now = s.at
 		s.do()
 	}
-	return t.bySecond
 }
 
 func (t *loadSimulation) after(d time.Duration, do func()) {
@@ -216,7 +220,9 @@
 	f := &steer.Fleet{Snapshot: t.sim.directory.Snapshot(t.sim.now), Sidecars: make(map[registry.Host]steer.SidecarStatus), LiveBalancers: 2, Settled: true}
 	for i, s := range t.sim.instances {
 		t.servers[i].reportedActive = s.sidecar.Active()
-		f.Sidecars[s.host] = steer.SidecarStatus{Load: s.sidecar.Load(t.sim.now, t.servers[i].meanActive), LastSeen: t.sim.now, HeartbeatTimeout: membership.LocalHeartbeatTimeout}
+		load := s.sidecar.Load(t.sim.now, t.servers[i].meanActive)
+		load.Work = 150 + 5*i // within 25% of the median, so that upstreams count as alike
+		f.Sidecars[s.host] = steer.SidecarStatus{Load: load, LastSeen: t.sim.now, HeartbeatTimeout: membership.LocalHeartbeatTimeout}
 	}
 	for _, b := range t.sim.balancers {
 		b.SetFleet(f)
@@ -244,6 +250,18 @@
 	return all
 }
 
+// TestPlacementByTimeAlike guards against PlaceByTime deciding differently from
+// PlaceByLoad where upstreams are alike.
+func TestPlacementByTimeAlike(t *testing.T) {
+	const length = 6 * time.Second
+	for _, perSecond := range []float64{400, 620, 860} {
+		rate := func(time.Duration) float64 { return perSecond / requestsPerFlow }
+		byLoad := simulateLoad(4, steer.PlaceByLoad, length, rate, requestsPerFlow, 1)
+		byTime := simulateLoad(4, steer.PlaceByTime, length, rate, requestsPerFlow, 1)
+		must.Eq(t, byLoad, byTime, must.Sprint(perSecond))
+	}
+}
+
 // TestPlacementUnderLoad runs the same load with each placing method. It guards against
 // placement by load that serves fewer requests in time than the simpler methods. Seven
 // upstreams with two slots each process at most 933 requests per second.
--- a/steer/pass.go
+++ b/steer/pass.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/corianderbay/corianderbay/membership"
 	"github.com/corianderbay/corianderbay/registry"
 )
 
@@ -17,7 +18,13 @@
 // first sidecar that receives the opening passes it on for this reason.
 func (s *Sidecar) offload(now time.Duration, h *Header, p *Packet) Action {
 	f := s.fleet.Load()
-	if f == nil || len(h.Visited) > 0 || !s.cfg.Placing.comparesLoad() {
+	if f == nil || !s.cfg.Placing.comparesLoad() {
+		return nil
+	}
+	if s.cfg.Placing == PlaceByTime && !s.paces.Load().service(s.service).alike {
+		return s.relieve(now, f, h, p)
+	}
+	if len(h.Visited) > 0 {
 		return nil
 	}
 	self, listed := f.Snapshot.Member(s.service, s.cfg.Self)
@@ -41,6 +48,27 @@
 	return &Forward{Host: other.Address.Host, Header: next, Reason: ReasonCrowded}
 }
 
+// relieve passes a new flow on to an upstream of the service whose expected completion is
+// earlier by more than one request. It returns nil when the flow stays.
+func (s *Sidecar) relieve(now time.Duration, f *Fleet, h *Header, p *Packet) Action {
+	self, listed := f.Snapshot.Member(s.service, s.cfg.Self)
+	if !listed || len(h.Visited) >= maxReliefPasses {
+		return nil
+	}
+	c := s.chooser(now, f, p)
+	c.hash = rank(c.hash, s.cfg.Self) // so that the sample differs from that of the sender
+	other := c.choose(f.Snapshot.Pool(s.service), func(host registry.Host) bool { return host == s.cfg.Self || h.hasVisited(host) })
+	if other == nil {
+		return nil
+	}
+	pace := c.paces.service(s.service)
+	own := reportedLoad(membership.Load{Flows: s.Flows(), Active: s.Active()}, &self)
+	if c.cost(other) >= c.completion(&self, pace, float64(own-waitingWeight)) {
+		return nil
+	}
+	return &Forward{Host: other.Address.Host, Header: h.WithVisited(s.cfg.Self), Reason: ReasonCrowded}
+}
+
 // chooser returns the chooser of upstreams for a packet.
 func (s *Sidecar) chooser(now time.Duration, f *Fleet, p *Packet) chooser {
 	return chooser{
@@ -54,6 +82,7 @@
 		unreported:      func(registry.Host) int { return 0 },
 		placing:         s.cfg.Placing,
 		totalPlaced:     func(registry.Host) int { return 0 },
+		paces:           s.paces.Load(),
 	}
 }
 
--- a/steer/place.go
+++ b/steer/place.go
@@ -49,6 +49,7 @@
 	// totalPlaced returns the total number of flows placed on a host; valid for
 	// PlaceByTwoChoices.
 	totalPlaced func(registry.Host) int
+	paces       *paces // valid for PlaceByTime
 }
 
 // candidate is an upstream with its rating for a new flow.
@@ -79,7 +80,18 @@
 	if !c.placing.comparesLoad() {
 		return c.chooseWithoutLoad(p, exclude)
 	}
-	var near, far candidate
+	near, far := c.nearAndFar(p, exclude)
+	if near.member == nil || far.member != nil && c.prefersFar(&far, &near) {
+		return far.member
+	}
+	return near.member
+}
+
+// nearAndFar returns the best upstreams of the own data centre and of others.
+func (c *chooser) nearAndFar(p *registry.Pool, exclude func(registry.Host) bool) (near, far candidate) {
+	if c.placing == PlaceByTime && !c.paces.service(p.Hash).alike {
+		return c.chooseByTime(p, exclude)
+	}
 	for i := range p.Members {
 		m := &p.Members[i]
 		if exclude(m.Address.Host) || !c.accepts(m) {
@@ -91,10 +103,7 @@
 			c.consider(&far, m)
 		}
 	}
-	if near.member == nil || far.member != nil && c.prefersFar(&far, &near) {
-		return far.member
-	}
-	return near.member
+	return near, far
 }
 
 // accepts reports whether a new flow may be opened at the upstream.
@@ -126,11 +135,11 @@
 }
 
 // cost returns the estimated load of an upstream in flows per slot, including
-// penalties.
+// penalties; for PlaceByTime, its expected completion.
 func (c *chooser) cost(m *registry.Member) float64 {
 	i := c.fleet.Sidecars[m.Address.Host]
 	flows := c.estimate(m.Address.Host, reportedLoad(i.Load, m), i.LastSeen)
-	if m.Warmup > 0 {
+	if m.Warmup > 0 && c.placing != PlaceByTime {
 		flows += warmupFlows
 	}
 	if c.coldRateReached(m) {
@@ -139,6 +148,9 @@
 	if i.Load.Refusing {
 		flows += refusingFlows
 	}
+	if c.placing == PlaceByTime {
+		return c.completion(m, c.paces.service(registry.HashService(m.Service)), flows)
+	}
 	return flows / float64(max(1, m.Slots))
 }
 
--- a/steer/placing.go
+++ b/steer/placing.go
@@ -2,8 +2,8 @@
 
 import "github.com/corianderbay/corianderbay/registry"
 
-// Placing selects how the upstream of a new flow is chosen. The values other than
-// PlaceByLoad are for comparisons; with them, sidecars do not pass an opening on to
+// Placing selects how the upstream of a new flow is chosen. PlaceByHash and
+// PlaceByTwoChoices are for comparisons; with them, sidecars do not pass an opening on to
 // relieve an upstream.
 type Placing string
 
@@ -17,16 +17,20 @@
 	// PlaceByTwoChoices uses, of the first two near upstreams in the order of the
 	// flow's hash, the one that this balancer has placed fewer flows on.
 	PlaceByTwoChoices Placing = "two"
+	// PlaceByTime uses an upstream with an early expected completion of the flow's first
+	// request, from the work queued there and the time that each request takes. Where
+	// upstreams are alike, it chooses as PlaceByLoad does.
+	PlaceByTime Placing = "time"
 )
 
 // Placings returns the names of all placing methods.
 func Placings() []string {
-	return []string{string(PlaceByLoad), string(PlaceByHash), string(PlaceByTwoChoices)}
+	return []string{string(PlaceByLoad), string(PlaceByHash), string(PlaceByTwoChoices), string(PlaceByTime)}
 }
 
 // comparesLoad reports whether the method compares loads.
 func (p Placing) comparesLoad() bool {
-	return p == "" || p == PlaceByLoad
+	return p == "" || p == PlaceByLoad || p == PlaceByTime
 }
 
 // chooseWithoutLoad returns the upstream for a new flow without regard to loads, or
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -81,6 +81,7 @@
 	cfg      SidecarConfig
 	service  registry.ServiceHash
 	fleet    atomic.Pointer[Fleet] // nil until SetFleet
+	paces    atomic.Pointer[paces] // valid for PlaceByTime; nil until SetFleet
 	shards   [shardCount]sidecarShard
 	liveness liveness
 	failures failureDetector
@@ -123,6 +124,9 @@
 
 // SetFleet replaces the fleet that decisions are based on.
 func (s *Sidecar) SetFleet(f *Fleet) {
+	if s.cfg.Placing == PlaceByTime {
+		s.paces.Store(newPaces(f, s.paces.Load()))
+	}
 	s.fleet.Store(f)
 	if s.liveness.downUnverified.Load() && f.Snapshot.Listed(s.cfg.Self) {
 		s.liveness.downUnverified.Store(false)
