Use one policy type for placing in balancers and sidecars

Cause: the chooser took five function-valued fields, which balancers and sidecars filled differently, and each new input would add one more.

Ruled out: an interface with one implementation per role. A sidecar places no flows, so its methods would only return zero.

Change: policy (steer/policy.go) holds the placing method, the estimates, the flows placed and the paces; a sidecar's has no estimates. It also averages how many flows the balancer places, and scales its own placements by the ratio of all placements where the fleet contains those of the other balancers. No process fills that in yet, so that each one counts the live balancers as before.

--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -35,15 +35,10 @@
 type Balancer struct {
 	cfg    BalancerConfig
 	fleet  atomic.Pointer[Fleet] // nil until SetFleet
-	paces  atomic.Pointer[paces] // valid for PlaceByTime; nil until SetFleet
 	shards [shardCount]balancerShard
 
-	estimates *loadEstimates
-	searches  searches
-
-	mu          sync.Mutex
-	unreported  map[registry.Host]int // flows placed since the last load report of the sidecar
-	totalPlaced map[registry.Host]int // flows placed since the start; nil unless Placing is PlaceByTwoChoices
+	policy   *policy
+	searches searches
 }
 
 type balancerShard struct {
@@ -97,11 +92,8 @@
 
 // NewBalancer returns a Balancer without routes, upstreams or flows.
 func NewBalancer(cfg BalancerConfig) *Balancer {
-	b := &Balancer{cfg: cfg, estimates: newLoadEstimates(), unreported: make(map[registry.Host]int)}
+	b := &Balancer{cfg: cfg, policy: newBalancerPolicy(cfg.Placing, cfg.DataCentre)}
 	b.searches.byFlow = make(map[Key]search)
-	if cfg.Placing == PlaceByTwoChoices {
-		b.totalPlaced = make(map[registry.Host]int)
-	}
 	for i := range b.shards {
 		b.shards[i].flows = make(map[Key]flowEntry)
 	}
@@ -115,19 +107,23 @@
 
 // SetFleet replaces the fleet that decisions are based on.
 func (b *Balancer) SetFleet(f *Fleet) {
-	if b.cfg.Placing == PlaceByTime {
-		s := newPaces(f, b.paces.Load())
-		b.paces.Store(s)
-		b.estimates.mergeAll(f, s)
-	}
+	b.policy.setFleet(f)
 	b.fleet.Store(f)
 }
 
 // LoadUpdated records that the sidecar on a host reported its load.
 func (b *Balancer) LoadUpdated(h registry.Host) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	delete(b.unreported, h)
+	b.policy.loadUpdated(h)
+}
+
+// Placed returns the number of flows per second that the balancer places, as a moving
+// average, to report to the others. It is at least 1, since 0 stands for unknown, and 0
+// unless Placing is PlaceByTime.
+func (b *Balancer) Placed(now time.Duration) int {
+	if b.cfg.Placing != PlaceByTime {
+		return 0
+	}
+	return max(1, int(b.policy.placedPerSecond(now)+0.5))
 }
 
 // Learn records that the upstream on a host holds the flow.
@@ -263,7 +259,7 @@
 	}
 	d.b.searches.remove(d.key)
 	d.shard.put(d.key, flowEntry{host: m.Address.Host, sequence: d.packet.Sequence, updated: d.now, lastUsed: d.now})
-	d.b.countPlaced(m.Address.Host)
+	d.b.policy.recordPlaced(d.now, m.Address.Host)
 	return d.forward(service, m.Address.Host, false)
 }
 
@@ -315,29 +311,7 @@
 }
 
 func (d *decision) chooser() chooser {
-	return chooser{
-		fleet:           d.fleet,
-		now:             d.now,
-		hash:            d.hash,
-		dataCentre:      d.b.cfg.DataCentre,
-		route:           d.route,
-		estimate:        d.estimateLoad,
-		placedPerSecond: d.placedPerSecond,
-		unreported:      d.b.unreportedOn,
-		placing:         d.b.cfg.Placing,
-		totalPlaced:     d.b.totalPlacedOn,
-		paces:           d.b.paces.Load(),
-	}
-}
-
-// estimateLoad returns the estimated load of an upstream in flows.
-func (d *decision) estimateLoad(h registry.Host, reported int, reportedAt time.Duration) float64 {
-	return d.b.estimates.estimate(d.now, h, reported, reportedAt, d.fleet.LiveBalancers)
-}
-
-// placedPerSecond returns the estimated number of flows placed on an upstream in the last second.
-func (d *decision) placedPerSecond(h registry.Host) float64 {
-	return d.b.estimates.placedPerSecond(d.now, h, d.fleet.LiveBalancers)
+	return d.b.policy.chooser(d.now, d.fleet, d.route, d.hash)
 }
 
 // follow forwards a later packet to the upstream that holds its flow, or starts a
@@ -398,28 +372,6 @@
 	}
 }
 
-func (b *Balancer) countPlaced(h registry.Host) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.estimates.recordPlaced(h)
-	b.unreported[h]++
-	if b.totalPlaced != nil {
-		b.totalPlaced[h]++
-	}
-}
-
-func (b *Balancer) unreportedOn(h registry.Host) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.unreported[h]
-}
-
-func (b *Balancer) totalPlacedOn(h registry.Host) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.totalPlaced[h]
-}
-
 func (b *Balancer) shard(k Key) *balancerShard {
 	return &b.shards[(k.Caller.Port^uint16(k.Caller.Host[3]))%shardCount]
 }
--- a/steer/completion.go
+++ b/steer/completion.go
@@ -208,7 +208,7 @@
 		m := &p.Members[i]
 		switch {
 		case exclude(m.Address.Host) || !c.accepts(m):
-		case m.DataCentre == c.dataCentre:
+		case m.DataCentre == c.policy.dataCentre:
 			nearSample.add(c.sampledOf(m, pace))
 		default:
 			farSample.add(c.sampledOf(m, pace))
--- a/steer/estimate.go
+++ b/steer/estimate.go
@@ -16,8 +16,8 @@
 // loadEstimates holds the estimated loads of upstreams: the moving average of the
 // reported loads, plus the flows placed since, which decay as the average takes them
 // in. All balancers of a data centre receive the same reports and place flows in the
-// same way, so each one assumes that every other one has placed as many flows as
-// itself. It is safe for concurrent use.
+// same way, so each one assumes that the others have placed their flows in the same
+// proportions as itself. It is safe for concurrent use.
 type loadEstimates struct {
 	mu     sync.Mutex
 	byHost map[registry.Host]*loadEstimate // of all sidecars that ever sent a heartbeat
@@ -36,14 +36,14 @@
 }
 
 // estimate returns the estimated load of an upstream in flows. reported is the last
-// load that its sidecar reported, at reportedAt; balancers is the number of balancers
-// that place flows on it.
-func (es *loadEstimates) estimate(now time.Duration, h registry.Host, reported int, reportedAt time.Duration, balancers int) float64 {
+// load that its sidecar reported, at reportedAt; balancers is the number of flows that
+// all balancers have placed for each one of this balancer.
+func (es *loadEstimates) estimate(now time.Duration, h registry.Host, reported int, reportedAt time.Duration, balancers float64) float64 {
 	es.mu.Lock()
 	defer es.mu.Unlock()
 	e := es.merge(h, reported, reportedAt)
 	e.decay(now)
-	return e.reported + e.placed*float64(max(1, balancers))
+	return e.reported + e.placed*balancers
 }
 
 // merge adds a report to the moving average unless it is in it already, and returns the
@@ -79,9 +79,9 @@
 	}
 }
 
-// placedPerSecond returns the estimated number of flows that the given number of balancers
-// placed on an upstream in the last second.
-func (es *loadEstimates) placedPerSecond(now time.Duration, h registry.Host, balancers int) float64 {
+// placedPerSecond returns the estimated number of flows that all balancers placed on an
+// upstream in the last second.
+func (es *loadEstimates) placedPerSecond(now time.Duration, h registry.Host, balancers float64) float64 {
 	es.mu.Lock()
 	defer es.mu.Unlock()
 	e := es.byHost[h]
@@ -89,7 +89,7 @@
 		return 0
 	}
 	e.decay(now)
-	return e.placed * float64(max(1, balancers)) * float64(time.Second) / float64(loadTimeConstant)
+	return e.placed * balancers * float64(time.Second) / float64(loadTimeConstant)
 }
 
 // recordPlaced counts a flow that was placed on an upstream. Upstreams that have not
--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -61,6 +61,10 @@
 	// LiveBalancers is the number of live balancers in the data centre, all of which
 	// place new flows; 0 when it is not known.
 	LiveBalancers int
+	// PlacingPeers is the number of other live balancers in the data centre that report how
+	// many flows they place; PlacedByPeers is the sum of these in flows per second.
+	PlacingPeers  int
+	PlacedByPeers float64
 	// Isolated is true when the process receives no heartbeat from any sidecar any
 	// more, so that the process itself may be cut off.
 	Isolated bool
--- a/steer/pass.go
+++ b/steer/pass.go
@@ -21,7 +21,7 @@
 	if f == nil || !s.cfg.Placing.comparesLoad() {
 		return nil
 	}
-	if s.cfg.Placing == PlaceByTime && !s.paces.Load().service(s.service).alike {
+	if s.cfg.Placing == PlaceByTime && !s.policy.paces.Load().service(s.service).alike {
 		return s.relieve(now, f, h, p)
 	}
 	if len(h.Visited) > 0 {
@@ -71,19 +71,7 @@
 
 // chooser returns the chooser of upstreams for a packet.
 func (s *Sidecar) chooser(now time.Duration, f *Fleet, p *Packet) chooser {
-	return chooser{
-		fleet:           f,
-		now:             now,
-		hash:            p.CallerKey().Hash(),
-		dataCentre:      s.cfg.DataCentre,
-		route:           f.Snapshot.Route(p.Destination),
-		estimate:        asReported,
-		placedPerSecond: func(registry.Host) float64 { return 0 },
-		unreported:      func(registry.Host) int { return 0 },
-		placing:         s.cfg.Placing,
-		totalPlaced:     func(registry.Host) int { return 0 },
-		paces:           s.paces.Load(),
-	}
+	return s.policy.chooser(now, f, f.Snapshot.Route(p.Destination), p.CallerKey().Hash())
 }
 
 // passOn sends a packet to the next upstream that may accept it. reason is why the
--- a/steer/place.go
+++ b/steer/place.go
@@ -31,25 +31,15 @@
 // chooser compares the upstreams of a pool for one new flow, and orders them for
 // searches.
 type chooser struct {
-	fleet      *Fleet
-	now        time.Duration
-	hash       uint64
-	dataCentre string
-	route      *registry.Route // nil when the packet's address has none
-	// estimate returns the estimated load of an upstream in flows. reported is the last
-	// load that its sidecar reported, at reportedAt.
-	estimate func(h registry.Host, reported int, reportedAt time.Duration) float64
-	// placedPerSecond returns the estimated number of flows that all balancers of the data
-	// centre placed on a host in the last second.
-	placedPerSecond func(registry.Host) float64
-	// unreported returns the number of flows placed on a host since the last load
-	// report of its sidecar.
-	unreported func(registry.Host) int
-	placing    Placing
-	// totalPlaced returns the total number of flows placed on a host; valid for
-	// PlaceByTwoChoices.
-	totalPlaced func(registry.Host) int
-	paces       *paces // valid for PlaceByTime
+	policy *policy
+	fleet  *Fleet
+	now    time.Duration
+	hash   uint64
+	route  *registry.Route // nil when the packet's address has none
+	// balancers is the number of flows that all balancers of the data centre are assumed
+	// to have placed for each flow that this one placed.
+	balancers float64
+	paces     *paces // valid for PlaceByTime
 }
 
 // candidate is an upstream with its rating for a new flow.
@@ -77,7 +67,7 @@
 
 // choose returns the upstream for a new flow, or nil.
 func (c *chooser) choose(p *registry.Pool, exclude func(registry.Host) bool) *registry.Member {
-	if !c.placing.comparesLoad() {
+	if !c.policy.placing.comparesLoad() {
 		return c.chooseWithoutLoad(p, exclude)
 	}
 	near, far := c.nearAndFar(p, exclude)
@@ -89,7 +79,7 @@
 
 // nearAndFar returns the best upstreams of the own data centre and of others.
 func (c *chooser) nearAndFar(p *registry.Pool, exclude func(registry.Host) bool) (near, far candidate) {
-	if c.placing == PlaceByTime && !c.paces.service(p.Hash).alike {
+	if c.policy.placing == PlaceByTime && !c.paces.service(p.Hash).alike {
 		return c.chooseByTime(p, exclude)
 	}
 	for i := range p.Members {
@@ -97,7 +87,7 @@
 		if exclude(m.Address.Host) || !c.accepts(m) {
 			continue
 		}
-		if m.DataCentre == c.dataCentre {
+		if m.DataCentre == c.policy.dataCentre {
 			c.consider(&near, m)
 		} else {
 			c.consider(&far, m)
@@ -138,8 +128,8 @@
 // penalties; for PlaceByTime, its expected completion.
 func (c *chooser) cost(m *registry.Member) float64 {
 	i := c.fleet.Sidecars[m.Address.Host]
-	flows := c.estimate(m.Address.Host, reportedLoad(i.Load, m), i.LastSeen)
-	if m.Warmup > 0 && c.placing != PlaceByTime {
+	flows := c.policy.estimate(c.now, m.Address.Host, reportedLoad(i.Load, m), i.LastSeen, c.balancers)
+	if m.Warmup > 0 && c.policy.placing != PlaceByTime {
 		flows += warmupFlows
 	}
 	if c.coldRateReached(m) {
@@ -148,7 +138,7 @@
 	if i.Load.Refusing {
 		flows += refusingFlows
 	}
-	if c.placing == PlaceByTime {
+	if c.policy.placing == PlaceByTime {
 		return c.completion(m, c.paces.service(registry.HashService(m.Service)), flows)
 	}
 	return flows / float64(max(1, m.Slots))
@@ -161,7 +151,7 @@
 		return false
 	}
 	rate := c.fleet.Snapshot.Service(m.Service).ColdRate
-	return rate > 0 && c.placedPerSecond(m.Address.Host) >= rate
+	return rate > 0 && c.policy.placedOn(c.now, m.Address.Host, c.balancers) >= rate
 }
 
 // reportedLoad returns the load of an upstream, in flows, from the last report of its
@@ -170,14 +160,11 @@
 	return l.Flows + waitingWeight*max(0, l.Active-m.Slots)
 }
 
-// asReported uses the reported load as the estimate.
-func asReported(_ registry.Host, reported int, _ time.Duration) float64 { return float64(reported) }
-
 // queueLength returns the number of requests beyond the slots of an upstream; it is
 // negative when slots are free. Each new flow counts as one request.
 func (c *chooser) queueLength(m *registry.Member) int {
 	host := m.Address.Host
-	return c.fleet.Sidecars[host].Load.Active + c.unreported(host) - m.Slots
+	return c.fleet.Sidecars[host].Load.Active + c.policy.unreportedOn(host) - m.Slots
 }
 
 // busyPerSlot returns the mean number of requests per slot in thousandths.
@@ -190,7 +177,7 @@
 // divide flows between services as long as each one keeps up; beyond that, using
 // another service is better than answering late. It returns nil when the flow stays.
 func (c *chooser) overflow(route *registry.Route, m *registry.Member, exclude func(registry.Host) bool) *registry.Member {
-	if len(route.Targets) < 2 || !c.placing.comparesLoad() || c.queueLength(m) < crowdedQueueLength {
+	if len(route.Targets) < 2 || !c.policy.placing.comparesLoad() || c.queueLength(m) < crowdedQueueLength {
 		return nil
 	}
 	for i := range route.Targets {
@@ -244,7 +231,7 @@
 			continue
 		}
 		r := rank(c.hash, host) >> 3
-		if m.DataCentre != c.dataCentre {
+		if m.DataCentre != c.policy.dataCentre {
 			r |= rankFar
 		}
 		if !c.fleet.alive(c.now, host) {
--- a/steer/placing.go
+++ b/steer/placing.go
@@ -48,7 +48,7 @@
 	var first, second candidate
 	for i := range p.Members {
 		m := &p.Members[i]
-		if exclude(m.Address.Host) || !c.accepts(m) || (m.DataCentre == c.dataCentre) != near {
+		if exclude(m.Address.Host) || !c.accepts(m) || (m.DataCentre == c.policy.dataCentre) != near {
 			continue
 		}
 		n := candidate{member: m, rank: rank(c.hash, m.Address.Host)}
@@ -58,7 +58,7 @@
 			second = n
 		}
 	}
-	if c.placing == PlaceByTwoChoices && second.member != nil && c.totalPlaced(second.member.Address.Host) < c.totalPlaced(first.member.Address.Host) {
+	if c.policy.placing == PlaceByTwoChoices && second.member != nil && c.policy.totalPlacedOn(second.member.Address.Host) < c.policy.totalPlacedOn(first.member.Address.Host) {
 		return second.member
 	}
 	return first.member
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -81,7 +81,7 @@
 	cfg      SidecarConfig
 	service  registry.ServiceHash
 	fleet    atomic.Pointer[Fleet] // nil until SetFleet
-	paces    atomic.Pointer[paces] // valid for PlaceByTime; nil until SetFleet
+	policy   *policy
 	shards   [shardCount]sidecarShard
 	liveness liveness
 	failures failureDetector
@@ -110,7 +110,7 @@
 	if cfg.Latency == nil {
 		cfg.Latency = noLatency{}
 	}
-	s := &Sidecar{cfg: cfg, service: registry.HashService(cfg.Service)}
+	s := &Sidecar{cfg: cfg, service: registry.HashService(cfg.Service), policy: newSidecarPolicy(cfg.Placing, cfg.DataCentre)}
 	for i := range s.shards {
 		s.shards[i].flows = make(map[Key]localFlow)
 	}
@@ -124,9 +124,7 @@
 
 // SetFleet replaces the fleet that decisions are based on.
 func (s *Sidecar) SetFleet(f *Fleet) {
-	if s.cfg.Placing == PlaceByTime {
-		s.paces.Store(newPaces(f, s.paces.Load()))
-	}
+	s.policy.setFleet(f)
 	s.fleet.Store(f)
 	if s.liveness.downUnverified.Load() && f.Snapshot.Listed(s.cfg.Self) {
 		s.liveness.downUnverified.Store(false)
