Report the flows that a balancer places, and use the reports of others

Cause: each balancer assumes that every other one of its data centre places as many flows as itself. Balancers with a smaller share then underestimate what is under way, and those with a larger share overestimate it.

Conclusion: unequal shares are taken into account among builds that report.

--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -61,6 +61,7 @@
 	nc := cfg.exchangeConfig(membership.Balancer, b.pauseDetector)
 	nc.Handler = (*balancerHandler)(b)
 	nc.Refresh = b.refresh
+	nc.Placed = b.steering.Placed
 	nc.Load = func(time.Duration) membership.Load { return membership.Load{} }
 	if err := b.open(cfg.Callers, nc); err != nil {
 		return nil, err
--- a/exchange/heartbeat.go
+++ b/exchange/heartbeat.go
@@ -67,6 +67,9 @@
 		Stopping:    n.stopping,
 		Load:        n.cfg.Load(now),
 	}
+	if n.cfg.Placed != nil {
+		b.Placed = n.cfg.Placed(now)
+	}
 	if n.cfg.Role == membership.Balancer {
 		b.Lost = n.members.LocalLost(now)
 		b.Unlisted = n.snapshot.Unlisted(n.members.LiveSidecars(now))
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -60,6 +60,9 @@
 	Service registry.ServiceHash
 	// Load returns the load that a sidecar reports for its upstream.
 	Load func(now time.Duration) membership.Load
+	// Placed returns the number of flows that a balancer placed in the last second; 0
+	// when it is not known. It may be nil.
+	Placed func(now time.Duration) int
 	// Refresh is called with each new view.
 	Refresh func(*steer.Fleet)
 	Handler Handler
--- a/exchange/node_test.go
+++ b/exchange/node_test.go
@@ -152,6 +152,7 @@
 		Source:      source,
 		Service:     registry.HashService(service),
 		Load:        func(time.Duration) membership.Load { return membership.Load{Flows: n} },
+		Placed:      placedBy(role, n),
 		Refresh: func(f *steer.Fleet) {
 			time.Sleep(time.Duration(p.slow.Load()))
 			p.mu.Lock()
--- a/exchange/view.go
+++ b/exchange/view.go
@@ -78,6 +78,7 @@
 		Isolated:         n.members.Isolated(now),
 		Settled:          n.settled(now),
 	}
+	f.PlacingPeers, f.PlacedByPeers = n.placedByPeers(now)
 	n.members.Each(membership.Sidecar, func(p *membership.Peer) {
 		f.Sidecars[p.Host] = steer.SidecarStatus{
 			DataCentre:       p.Heartbeat.DataCentre,
@@ -167,6 +168,19 @@
 	return count
 }
 
+// placedByPeers returns the number of other live balancers in the data centre that report
+// how many flows they place, and the sum of these in flows per second. The caller holds
+// n.mu.
+func (n *Node) placedByPeers(now time.Duration) (peers int, sum float64) {
+	n.members.Each(membership.Balancer, func(p *membership.Peer) {
+		if p.Heartbeat.Placed > 0 && p.Heartbeat.DataCentre == n.cfg.DataCentre && n.members.Alive(now, p.Host) {
+			peers++
+			sum += float64(p.Heartbeat.Placed)
+		}
+	})
+	return peers, sum
+}
+
 // handleNewEra records that the store was restored from an older copy. Upstreams
 // that the copy lacks may still be alive, so no flow is reset until they have had
 // the time to register again. The caller holds n.mu.
