--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -67,6 +67,7 @@
 	nc := cfg.exchangeConfig(membership.Balancer, b.pauseDetector)
 	nc.Handler = (*balancerHandler)(b)
 	nc.Refresh = b.refresh
+	nc.Placed = b.steering.Placed
 	nc.Load = func(time.Duration) membership.Load { return membership.Load{} }
 	nc.Ingress = b.ingress.report
 	if err := b.open(cfg.Callers, nc); err != nil {
--- a/exchange/heartbeat.go
+++ b/exchange/heartbeat.go
@@ -67,6 +67,9 @@
 		Load:        n.cfg.Load(now),
 		Format:      n.newest,
 	}
+	if n.cfg.Placed != nil {
+		b.Placed = n.cfg.Placed(now)
+	}
 	if n.cfg.Role == membership.Balancer {
 		b.Lost, b.Lossy = n.members.LocalLost(now), n.members.Lossy(now)
 		b.Unlisted = n.snapshot.Unlisted(n.members.LiveSidecars(now))
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -62,6 +62,9 @@
 	Load func(now time.Duration) membership.Load
 	// Ingress returns what a balancer reports of its link; nil when it reports nothing.
 	Ingress func(now time.Duration) membership.Ingress
+	// Placed returns the number of flows that a balancer placed in the last second; 0
+	// when it is not known. It may be nil.
+	Placed func(now time.Duration) int
 	// Refresh is called with each new view.
 	Refresh func(*steer.Fleet)
 	Handler Handler
--- a/exchange/node_test.go
+++ b/exchange/node_test.go
@@ -159,6 +159,7 @@
 		Source:      source,
 		Service:     registry.HashService(service),
 		Load:        func(time.Duration) membership.Load { return membership.Load{Flows: n} },
+		Placed:      placedBy(role, n),
 		Refresh: func(f *steer.Fleet) {
 			time.Sleep(time.Duration(p.slow.Load()))
 			p.mu.Lock()
