Measure the time for which a request occupies a slot of an upstream

Balancers compare upstreams by flows and requests alone, so that an upstream that is slower than others by its machine, or that has become slow, gets as many as they do.

The new package pace models the slots and the FIFO queue of the upstream from the times that its sidecar sees, and estimates the work of a request from them: a mean of logarithms over all routes with a level for each route, which a cumulative sum moves at once when the pace changes. steer.Sidecar feeds it and reports Load.Work.

Ruled out: the mean of response times (contains waiting), a mean of ratios (one long request in 33 moves it by 20%), and requests that are still in their slots as evidence for "slow" (long ones are seen there disproportionately often).

--- a/steer/answer.go
+++ b/steer/answer.go
@@ -12,17 +12,19 @@
 	sh := s.shard(k)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	l, known := sh.flows[k]
-	if !known && p.Data == 0 && !p.Flags.Has(SYN) {
+	l := sh.flows[k]
+	if l == nil && p.Data == 0 && !p.Flags.Has(SYN) {
 		return Answer{} // last packets of a flow that is no longer in the table
 	}
+	if l == nil {
+		l = sh.entry(k)
+	}
 	l.lastPacket = now
 	if p.Flags.Has(SYN) {
-		s.recordAccepted(now, k, &l, p)
+		s.recordAccepted(now, k, l, p)
 	} else {
-		s.recordUpstreamPacket(now, k, &l, p)
+		s.recordUpstreamPacket(now, k, l, p)
 	}
-	sh.flows[k] = l
 	return Answer{}
 }
 
@@ -49,6 +51,7 @@
 	if p.Flags.Has(RST) {
 		if l.requestPending {
 			s.failures.recordFailure(now)
+			s.pacing.fail(now, l)
 		}
 		s.markClosed(l)
 		return
@@ -59,6 +62,7 @@
 	if p.Data > 0 && l.requestPending {
 		l.requestPending = false
 		s.active.Add(-1)
+		s.pacing.answer(now, l)
 		s.failures.recordSuccess(now)
 		s.cfg.Latency.Answered(now - l.deliveredAt)
 	}
@@ -75,23 +79,23 @@
 	sh := s.shard(k)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	l, known := sh.flows[k]
+	l := sh.flows[k]
 	if p.Opens() {
 		s.lastRefusal.Store(int64(now))
-		if known && l.stage == stageOpening {
-			s.remove(sh, k, &l)
+		if l != nil && l.stage == stageOpening {
+			s.remove(sh, k, l)
 		}
 		return s.recordPassedOn(now, sh, k, p, s.passOn(now, &h, p, ReasonReturned))
 	}
-	if known && l.stage == stageOpen {
-		s.remove(sh, k, &l)
+	if l != nil && l.stage == stageOpen {
+		s.remove(sh, k, l)
 		return Refuse{Reason: ReasonForgotten}
 	}
-	if known && l.stage == stageClosed {
+	if l != nil && l.stage == stageClosed {
 		return Drop{Reason: ReasonForgotten}
 	}
-	if known {
-		s.remove(sh, k, &l)
+	if l != nil {
+		s.remove(sh, k, l)
 	}
 	return s.passOn(now, &h, p, ReasonReturned)
 }
--- a/steer/flow.go
+++ b/steer/flow.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/corianderbay/corianderbay/pace"
 	"github.com/corianderbay/corianderbay/registry"
 )
 
@@ -49,7 +50,8 @@
 	nextSequence uint32
 	// acknowledged is the caller's last acknowledgement number.
 	acknowledged   uint32
-	requestPending bool // a request has not been answered
+	request        pace.Request // the pending request; 0 if there is none or it is not tracked
+	requestPending bool         // a request has not been answered
 	callerFin      bool
 	upstreamFin    bool
 	lastPacket     time.Duration // in either direction
--- a/steer/liveness.go
+++ b/steer/liveness.go
@@ -198,7 +198,7 @@
 			if l.stage == stageOpen {
 				list = append(list, Packet{Source: k.Caller, Destination: k.Address, Flags: ACK, Sequence: l.nextSequence, Acknowledged: l.acknowledged})
 			}
-			s.remove(sh, k, &l)
+			s.remove(sh, k, l)
 		}
 		sh.mu.Unlock()
 	}
@@ -207,11 +207,13 @@
 
 // handleOrphaned decides on a later packet while the upstream is down. The caller holds
 // the lock of the shard.
-func (s *Sidecar) handleOrphaned(now time.Duration, sh *sidecarShard, k Key, l localFlow, known bool, h *Header, p *Packet) Action {
-	if known {
-		s.remove(sh, k, &l)
+func (s *Sidecar) handleOrphaned(now time.Duration, sh *sidecarShard, k Key, l *localFlow, h *Header, p *Packet) Action {
+	if l == nil {
+		return s.passOn(now, h, p, ReasonSilent)
 	}
-	if known && l.stage == stageOpen {
+	open := l.stage == stageOpen
+	s.remove(sh, k, l)
+	if open {
 		return Refuse{Reason: ReasonForgotten}
 	}
 	return s.passOn(now, h, p, ReasonSilent)
--- a/steer/pass.go
+++ b/steer/pass.go
@@ -194,7 +194,7 @@
 func (s *Sidecar) recordPassedOn(now time.Duration, sh *sidecarShard, k Key, p *Packet, a Action) Action {
 	f, forwarded := a.(*Forward)
 	if forwarded && len(sh.flows) < maxShardFlows {
-		sh.flows[k] = localFlow{stage: stagePassedOn, target: f.Host, service: f.Header.Service, nextSequence: p.Sequence, lastPacket: now}
+		sh.put(k, localFlow{stage: stagePassedOn, target: f.Host, service: f.Header.Service, nextSequence: p.Sequence, lastPacket: now})
 	}
 	return a
 }
@@ -206,9 +206,8 @@
 }
 
 // followPassedOn sends a packet to where the opening of its flow was passed on to.
-func (s *Sidecar) followPassedOn(now time.Duration, sh *sidecarShard, k Key, l localFlow, h *Header) Action {
+func followPassedOn(now time.Duration, l *localFlow, h *Header) Action {
 	l.lastPacket = now
-	sh.flows[k] = l
 	next := *h
 	next.Service = l.service
 	return &Forward{Host: l.target, Header: next, Reason: ReasonPassed}
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/corianderbay/corianderbay/membership"
+	"github.com/corianderbay/corianderbay/pace"
 	"github.com/corianderbay/corianderbay/registry"
 )
 
@@ -85,6 +86,7 @@
 	liveness liveness
 	failures failureDetector
 	openings openingWindow
+	pacing   pacing
 
 	flows       atomic.Int64 // live flows
 	active      atomic.Int64 // requests without an answer
@@ -101,7 +103,36 @@
 	// flows gets entries for unknown flows and openings that were passed on only while it
 	// has fewer than maxShardFlows entries. Live flows are bounded by maxShardFlows for
 	// all shards together.
-	flows map[Key]localFlow
+	flows map[Key]*localFlow
+	// spare holds the entries of removed flows for reuse.
+	spare []*localFlow
+}
+
+// put sets the entry of a flow.
+func (sh *sidecarShard) put(k Key, l localFlow) {
+	*sh.entry(k) = l
+}
+
+// entry returns the entry of a flow. It adds an empty one if there is none.
+func (sh *sidecarShard) entry(k Key) *localFlow {
+	e := sh.flows[k]
+	if e == nil {
+		e = sh.unused()
+		sh.flows[k] = e
+	}
+	return e
+}
+
+// unused returns an empty entry that is not in the table.
+func (sh *sidecarShard) unused() *localFlow {
+	last := len(sh.spare) - 1
+	if last < 0 {
+		return new(localFlow)
+	}
+	e := sh.spare[last]
+	sh.spare = sh.spare[:last]
+	*e = localFlow{}
+	return e
 }
 
 // NewSidecar returns a Sidecar without flows.
@@ -109,9 +140,9 @@
 	if cfg.Latency == nil {
 		cfg.Latency = noLatency{}
 	}
-	s := &Sidecar{cfg: cfg, service: registry.HashService(cfg.Service)}
+	s := &Sidecar{cfg: cfg, service: registry.HashService(cfg.Service), pacing: pacing{meter: pace.NewMeter()}}
 	for i := range s.shards {
-		s.shards[i].flows = make(map[Key]localFlow)
+		s.shards[i].flows = make(map[Key]*localFlow)
 	}
 	return s
 }
@@ -124,6 +155,7 @@
 // SetFleet replaces the fleet that decisions are based on.
 func (s *Sidecar) SetFleet(f *Fleet) {
 	s.fleet.Store(f)
+	s.pacing.setSlots(f, s.service, s.cfg.Self)
 	if s.liveness.downUnverified.Load() && f.Snapshot.Listed(s.cfg.Self) {
 		s.liveness.downUnverified.Store(false)
 		s.liveness.down.Store(false) // it may accept packets although it accepted no connection
@@ -185,7 +217,7 @@
 		sh.mu.Lock()
 		for k, l := range sh.flows {
 			if l.expired(now, idleTimeout) {
-				s.remove(sh, k, &l)
+				s.remove(sh, k, l)
 			}
 		}
 		sh.mu.Unlock()
@@ -203,38 +235,37 @@
 	sh := s.shard(k)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	l, known := sh.flows[k]
+	l := sh.flows[k]
 	if p.Opens() {
-		return s.handleOpening(now, sh, k, l, known, h, p)
+		return s.handleOpening(now, sh, k, l, h, p)
 	}
 	if s.UpstreamDown() {
-		return s.handleOrphaned(now, sh, k, l, known, h, p)
+		return s.handleOrphaned(now, sh, k, l, h, p)
 	}
-	if (!known || l.stage == stageOffered) && s.upstreamAbsent(now) {
+	if (l == nil || l.stage == stageOffered) && s.upstreamAbsent(now) {
 		return s.passOn(now, h, p, ReasonSilent)
 	}
-	if known && l.redirects(h) {
-		return s.followPassedOn(now, sh, k, l, h)
+	if l != nil && l.redirects(h) {
+		return followPassedOn(now, l, h)
 	}
-	if !known || l.stage == stagePassedOn {
+	if l == nil || l.stage == stagePassedOn {
 		return s.offerUnknown(now, sh, k, h)
 	}
 	return s.handleLater(now, sh, k, l, h, p)
 }
 
-// handleOpening decides on a request for a new flow.
-func (s *Sidecar) handleOpening(now time.Duration, sh *sidecarShard, k Key, l localFlow, known bool, h *Header, p *Packet) Action {
-	if known && l.live() && !s.UpstreamDown() && !(l.stage == stageOpening && s.Silent(now)) {
+// handleOpening decides on a request for a new flow. l is nil when the flow is unknown.
+func (s *Sidecar) handleOpening(now time.Duration, sh *sidecarShard, k Key, l *localFlow, h *Header, p *Packet) Action {
+	if l != nil && l.live() && !s.UpstreamDown() && !(l.stage == stageOpening && s.Silent(now)) {
 		l.lastPacket = now
-		sh.flows[k] = l
 		s.liveness.awaitReaction(now)
 		return Deliver{Tag: s.recordDelivery(now, k, h)}
 	}
-	if known && l.redirects(h) && l.nextSequence == p.Sequence {
-		return s.followPassedOn(now, sh, k, l, h)
+	if l != nil && l.redirects(h) && l.nextSequence == p.Sequence {
+		return followPassedOn(now, l, h)
 	}
-	if known {
-		s.remove(sh, k, &l)
+	if l != nil {
+		s.remove(sh, k, l)
 	}
 	if reason := s.declineReason(now, h, p); reason != 0 {
 		return s.recordPassedOn(now, sh, k, p, s.passOn(now, h, p, reason))
@@ -246,7 +277,7 @@
 		s.lastRefusal.Store(int64(now)) // so that balancers choose others
 		return s.recordPassedOn(now, sh, k, p, s.passOn(now, h, p, ReasonCold))
 	}
-	sh.flows[k] = localFlow{stage: stageOpening, balancer: h.Balancer, nextSequence: p.Sequence, lastPacket: now, deliveredAt: now}
+	sh.put(k, localFlow{stage: stageOpening, balancer: h.Balancer, nextSequence: p.Sequence, lastPacket: now, deliveredAt: now})
 	s.flows.Add(1)
 	s.liveness.awaitReaction(now)
 	return Deliver{Tag: s.recordDelivery(now, k, h)}
@@ -303,30 +334,29 @@
 		s.liveness.awaitReaction(now) // a packet of an unknown flow is returned at once
 	}
 	if len(sh.flows) < maxShardFlows {
-		sh.flows[k] = localFlow{stage: stageOffered, balancer: h.Balancer, lastPacket: now}
+		sh.put(k, localFlow{stage: stageOffered, balancer: h.Balancer, lastPacket: now})
 	}
 	s.liveness.awaitPacket(now)
 	return Deliver{Tag: s.recordDelivery(now, k, h)}
 }
 
 // handleLater decides on a packet of a flow that is in the table.
-func (s *Sidecar) handleLater(now time.Duration, sh *sidecarShard, k Key, l localFlow, h *Header, p *Packet) Action {
+func (s *Sidecar) handleLater(now time.Duration, sh *sidecarShard, k Key, l *localFlow, h *Header, p *Packet) Action {
 	l.lastPacket, l.balancer = now, h.Balancer
 	l.acknowledged = p.Acknowledged
 	if l.stage == stageAnswered {
 		if !confirmsAnswer(l.answerSequence, p) {
-			s.remove(sh, k, &l)
+			s.remove(sh, k, l)
 			return s.passOn(now, h, p, ReasonNotConfirmed)
 		}
-		s.markOpen(k, &l)
+		s.markOpen(k, l)
 	}
 	if l.stage == stageOpen {
-		s.recordCallerPacket(now, &l, p)
+		s.recordCallerPacket(now, k, l, p)
 		if h.UnknownFlow {
 			s.queueNotice(Notice{Key: k, Balancer: h.Balancer, All: true})
 		}
 	}
-	sh.flows[k] = l
 	if l.stage == stageOpen || l.stage == stageClosed {
 		return Deliver{}
 	}
@@ -340,13 +370,16 @@
 }
 
 // recordCallerPacket records requests and the end of a flow.
-func (s *Sidecar) recordCallerPacket(now time.Duration, l *localFlow, p *Packet) {
+func (s *Sidecar) recordCallerPacket(now time.Duration, k Key, l *localFlow, p *Packet) {
 	if p.Data > 0 && int32(p.Sequence+uint32(p.Data)-l.nextSequence) > 0 {
 		s.liveness.awaitPacket(now)
 		l.nextSequence = p.Sequence + uint32(p.Data)
 		if !l.requestPending {
 			l.requestPending, l.deliveredAt = true, now
 			s.active.Add(1)
+			s.pacing.begin(now, l, k.Address)
+		} else {
+			s.pacing.extend(now, l)
 		}
 	}
 	if l.requestPending && p.Flags&(FIN|RST) != 0 && now-l.deliveredAt >= abandonThreshold {
@@ -381,12 +414,15 @@
 	if l.requestPending {
 		l.requestPending = false
 		s.active.Add(-1)
+		s.pacing.giveUp(l)
 	}
 }
 
+// remove removes the entry l of a flow. It may be reused for the next new flow.
 func (s *Sidecar) remove(sh *sidecarShard, k Key, l *localFlow) {
 	s.release(l)
 	delete(sh.flows, k)
+	sh.spare = append(sh.spare, l)
 }
 
 func (s *Sidecar) queueNotice(n Notice) {
@@ -410,5 +446,6 @@
 		Refusing: s.Refusing(now),
 		Failing:  s.failures.failing(now),
 		Ended:    s.Ended(),
+		Work:     reportedWork(s.Pace(now)),
 	}
 }
