Require clean reception for every absence in the own data centre

Change: an absence in the own data centre needs clean reception. An absence stays until contact, or until a regular balancer does not confirm it.

--- a/membership/absence.go
+++ b/membership/absence.go
@@ -20,12 +20,14 @@
 func (t *Table) UpdateAbsent(now time.Duration) {
 	t.clean = t.cleanReception(now)
 	for h, p := range t.peers {
-		if p.Heartbeat.Role != Sidecar || !t.isAbsent(now, p) {
+		since, recorded := t.absentSince[h]
+		switch {
+		case p.Heartbeat.Role == Sidecar && t.isAbsent(now, p):
+			if !recorded {
+				t.absentSince[h] = now
+			}
+		case recorded && !t.staysAbsent(now, p, since):
 			delete(t.absentSince, h)
-			continue
-		}
-		if _, recorded := t.absentSince[h]; !recorded {
-			t.absentSince[h] = now
 		}
 	}
 	for h := range t.absentSince {
@@ -52,7 +54,38 @@
 	if sidecar.Heartbeat.Stopping || t.Lossy(now) || !t.overdue(now, sidecar) || !t.othersSeenAfterDue(sidecar) {
 		return false
 	}
-	confirmed, denied, excused := false, false, false
+	confirmed, denied, excused := t.verdicts(now, sidecar)
+	switch {
+	case denied:
+		return false
+	case !t.isDirect(sidecar):
+		return confirmed
+	case !t.clean:
+		return false
+	case confirmed && !excused:
+		return true
+	}
+	return t.unansweredEnough(sidecar) && now-t.cfg.Started >= receptionWindow
+}
+
+// staysAbsent reports whether a sidecar that became absent at since stays so although a
+// report of it is overdue by now: nothing arrived from it, and every balancer
+// whose heartbeats arrive regularly confirms its loss.
+func (t *Table) staysAbsent(now time.Duration, sidecar *Peer, since time.Duration) bool {
+	if !t.isDirect(sidecar) || sidecar.Heartbeat.Stopping || t.Lossy(now) || sidecar.LastContact() >= since || !t.othersSeenAfterDue(sidecar) {
+		return false
+	}
+	for _, p := range t.peers {
+		if p.Heartbeat.Role == Balancer && t.alive(now, p) && !p.irregular(now, witnessWindow) && t.verdict(now, p, sidecar) == verdictOpen {
+			return false
+		}
+	}
+	return true
+}
+
+// verdicts returns whether any balancer of the sidecar's data centre confirms its loss, any
+// one does not, and any one is excused.
+func (t *Table) verdicts(now time.Duration, sidecar *Peer) (confirmed, denied, excused bool) {
 	for _, p := range t.peers {
 		if p.Heartbeat.Role != Balancer || p.Heartbeat.DataCentre != sidecar.Heartbeat.DataCentre {
 			continue
@@ -67,13 +100,7 @@
 			excused = true
 		}
 	}
-	if denied {
-		return false
-	}
-	if confirmed && !excused {
-		return true
-	}
-	return t.isDirect(sidecar) && t.clean && t.unansweredEnough(sidecar)
+	return confirmed, denied, excused
 }
 
 // verdict is what a balancer contributes to the decision whether a sidecar is absent.
@@ -95,7 +122,7 @@
 		return verdictLost
 	}
 	switch {
-	case t.isDirect(balancer) && t.clean && balancer.irregular(now):
+	case t.isDirect(balancer) && t.clean && (balancer.irregular(now, witnessWindow) || !t.alive(now, balancer)):
 		return verdictExcused
 	case t.isDirect(balancer) || t.alive(now, balancer):
 		return verdictOpen
--- a/membership/lossy_test.go
+++ b/membership/lossy_test.go
@@ -130,7 +130,9 @@
 		if p == from || p.table == nil {
 			continue
 		}
-		w.send(now, from, p, func(now time.Duration) { p.table.MergeHeartbeat(now, from.host, b, versions(0, 0)) })
+		w.send(now, from, p, func(now time.Duration) {
+			p.table.MergeHeartbeat(now, from.host, b, versions(0, 0))
+		})
 	}
 }
 
@@ -217,8 +219,9 @@
 }
 
 // runLinks simulates one data centre with the given seed: saturated links at a random
-// share of balancers, then the end of one sidecar, or of half of all processes.
-func runLinks(seed uint64, saturated bool) error {
+// share of balancers, then the end of one sidecar, or of half of all processes. Late
+// absences are errors only with checkLate.
+func runLinks(seed uint64, saturated, checkLate bool) error {
 	shape := rand.New(rand.NewPCG(seed, 2))
 	balancers := []int{1, 2, 3, 5, 8}[shape.IntN(5)]
 	sidecars := 3 + shape.IntN(14)
@@ -227,7 +230,7 @@
 	free := make(map[*linkProcess]bool)
 	for i, p := range w.processes {
 		p.mute = mute
-		free[p] = true
+		free[p] = checkLate
 		if saturated && p.table != nil && (i == 0 || shape.IntN(2) == 0) {
 			w.saturate(p)
 			free[p] = false
@@ -253,10 +256,10 @@
 
 // TestSaturatedLinkMarksNoLiveSidecarAbsent guards against resets of open flows by
 // balancers whose own links lose up to 60% of the datagrams or delay them by up to
-// 900 ms. Sidecars that end are still absent in time at balancers with free links.
+// 900 ms.
 func TestSaturatedLinkMarksNoLiveSidecarAbsent(t *testing.T) {
 	for seed := range uint64(400) {
-		must.NoError(t, runLinks(seed, true), must.Sprintf("seed %d", seed))
+		must.NoError(t, runLinks(seed, true, false), must.Sprintf("seed %d", seed))
 	}
 }
 
@@ -265,6 +268,19 @@
 // once and when it has one or two balancers.
 func TestKilledSidecarsAreAbsentInTime(t *testing.T) {
 	for seed := range uint64(400) {
-		must.NoError(t, runLinks(seed, false), must.Sprintf("seed %d", seed))
+		must.NoError(t, runLinks(seed, false, true), must.Sprintf("seed %d", seed))
+	}
+}
+
+// TestSaturatedPeersDoNotDelayAbsence guards against a detection at balancers with free
+// links that is late because other balancers of the data centre have saturated links.
+func TestSaturatedPeersDoNotDelayAbsence(t *testing.T) {
+	late := 0
+	for seed := range uint64(400) {
+		if err := runLinks(seed, true, true); err != nil {
+			late++
+			t.Logf("seed %d: %v", seed, err)
+		}
 	}
+	must.Zero(t, late)
 }
--- a/membership/presence.go
+++ b/membership/presence.go
@@ -32,7 +32,7 @@
 	nextQuery   time.Duration // when the next presence query may be sent
 	wantedAt    time.Duration // when a newer list of lost sidecars was last needed from the balancer
 	lastArrival time.Duration // when any heartbeat of the process, also an outdated one, last arrived from itself
-	arrivals    []arrival     // heartbeats that arrived within receptionWindow
+	arrivals    []arrival     // heartbeats that arrived within witnessWindow
 }
 
 // RecordContact records that a datagram arrived from the process on a host. It does not
--- a/membership/reception.go
+++ b/membership/reception.go
@@ -8,6 +8,8 @@
 const (
 	// receptionWindow is the time over which the share of missing heartbeats is measured.
 	receptionWindow = time.Second
+	// witnessWindow is the time over which the link of a balancer is judged.
+	witnessWindow = witnessTimeout
 	// lossyHold is how long a process counts as lossy after the share was last too high.
 	// A link is saturated in bursts, and a window of one second has few heartbeats.
 	lossyHold = 2 * time.Second
@@ -19,7 +21,7 @@
 	maxMissing = int(receptionWindow / HeartbeatInterval)
 	// minControls is the number of sidecars from which on the reception is judged by
 	// sidecars alone.
-	minControls = 3
+	minControls = 2
 	// lossyFraction is the inverse of the share of missing heartbeats above which a process
 	// is lossy.
 	lossyFraction = 5
@@ -41,7 +43,7 @@
 		a.missing = min(maxMissing, int((gap-maxReceptionGap+HeartbeatInterval-1)/HeartbeatInterval))
 	}
 	pr.lastArrival = now
-	pr.arrivals = append(slices.DeleteFunc(pr.arrivals, func(a arrival) bool { return now-a.at >= receptionWindow }), a)
+	pr.arrivals = append(slices.DeleteFunc(pr.arrivals, func(a arrival) bool { return now-a.at >= witnessWindow }), a)
 	if a.missing > 0 && t.badReception(now) {
 		t.lossyUntil = now + lossyHold
 	}
@@ -86,7 +88,7 @@
 		if !t.isDirect(p) || p.Heartbeat.Lossy || p.Heartbeat.Stopping || now-p.LastContact() >= LocalHeartbeatTimeout {
 			continue
 		}
-		irregular := p.irregular(now)
+		irregular := p.irregular(now, receptionWindow)
 		for i := range processes {
 			if i == 1 && p.Heartbeat.Role != Sidecar {
 				continue
@@ -104,13 +106,13 @@
 }
 
 // irregular reports whether a heartbeat of the process is late, or one was missing within
-// receptionWindow.
-func (p *Peer) irregular(now time.Duration) bool {
+// window.
+func (p *Peer) irregular(now, window time.Duration) bool {
 	if now-p.LastContact() > maxReceptionGap {
 		return true
 	}
 	return slices.ContainsFunc(p.presence.arrivals, func(a arrival) bool {
-		return a.missing > 0 && now-a.at < receptionWindow
+		return a.missing > 0 && now-a.at < window
 	})
 }
 
