--- a/exchange/node.go
+++ b/exchange/node.go
@@ -25,8 +25,6 @@
 	tickInterval = 50 * time.Millisecond
 	// heartbeatsPerBalancerList is the number of heartbeats of which one lists balancers.
 	heartbeatsPerBalancerList = 4
-	// socketBuffer is the size of the socket's receive buffer in bytes. It counts as memory of the process.
-	socketBuffer = 1 << 20
 	// settleTime is how long after a store outage a list that was first read during
 	// the outage may lack live upstreams: they restore expired entries within about
 	// two seconds.
@@ -70,6 +68,8 @@
 
 	// newest replaces newestFormat in tests.
 	newest membership.Format
+	// network replaces the network of the host in tests.
+	network network
 }
 
 // Node exchanges heartbeats, digests and updates with other processes. It is safe for concurrent use.
@@ -77,7 +77,7 @@
 	cfg      Config
 	self     registry.Host
 	newest   membership.Format // the newest version that this process reads and sends
-	socket   *udp.Socket
+	socket   socket
 	listener net.Listener
 	// incarnation changes at each start and after each pause.
 	incarnation atomic.Uint32
@@ -121,19 +121,12 @@
 	if !bind.IsValid() {
 		bind = cfg.Listen
 	}
-	socket, err := udp.Open(udp.Config{
-		Listen:        bind,
-		Workers:       1,
-		BufferSize:    socketBuffer,
-		PauseDetector: cfg.PauseDetector,
-	})
-	if err != nil {
-		return nil, err
+	if cfg.network == nil {
+		cfg.network = hostNetwork{}
 	}
-	listener, err := net.Listen("tcp4", socket.Address().String())
+	socket, listener, err := cfg.network.open(bind, cfg.PauseDetector)
 	if err != nil {
-		socket.Close()
-		return nil, &ListenError{Address: bind, Cause: err}
+		return nil, err
 	}
 	if !cfg.Bind.IsValid() {
 		cfg.Listen = socket.Address() // has the port that was chosen if the configured one is 0
--- a/exchange/node_test.go
+++ b/exchange/node_test.go
@@ -96,6 +96,8 @@
 	node *exchange.Node
 	stop context.CancelFunc
 	wait func() // waits until the node has ended
+	// started is when the process was started.
+	started time.Time
 
 	mu        sync.Mutex
 	fleet     *steer.Fleet
@@ -147,7 +149,7 @@
 // startWith is startIn with a change to the configuration.
 func startWith(t *testing.T, dataCentre string, n int, role membership.Role, source exchange.Source, pauseAfter time.Duration, change func(exchange.Config) exchange.Config) *process {
 	t.Helper()
-	p := &process{held: make(map[steer.Key]registry.Host), restarted: make(map[registry.Host]int)}
+	p := &process{started: time.Now(), held: make(map[steer.Key]registry.Host), restarted: make(map[registry.Host]int)}
 	tm := timer.New(timer.Config{PauseThreshold: pauseAfter})
 	detector := timer.NewPauseDetector(tm)
 	node, err := exchange.Open(change(exchange.Config{
--- a/exchange/pull.go
+++ b/exchange/pull.go
@@ -91,8 +91,7 @@
 
 // pullIn is pullFrom in one version.
 func (n *Node) pullIn(ctx context.Context, f membership.Format, host registry.Host, q query) error {
-	d := net.Dialer{Timeout: pullTimeout}
-	conn, err := d.DialContext(ctx, "tcp4", host.Port(n.cfg.Listen.Port()).String())
+	conn, err := n.cfg.network.dial(ctx, host.Port(n.cfg.Listen.Port()))
 	if err != nil {
 		return err
 	}
--- a/exchange/recorded_test.go
+++ b/exchange/recorded_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/hex"
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -30,8 +31,51 @@
 
 const (
 	recorded1 = "testdata/version1.txt"
+	recorded2 = "testdata/version2.txt"
 )
 
+// laterSamples returns the samples of version 2: those of version 1 whose encoding
+// differs, and messages with what version 2 adds.
+func laterSamples() []sample {
+	var list []sample
+	for _, s := range samples() {
+		switch v := s.value.(type) {
+		case membership.Heartbeat, query, registry.Update:
+			list = append(list, s)
+		case membership.Digest:
+			s.value = v.WithFormat(membership.Format2).WithIncarnation(1 << 31)
+			list = append(list, s)
+		}
+	}
+	balancer := sampleHeartbeats()[0].value.(membership.Heartbeat)
+	balancer.Placed, balancer.Lossy, balancer.Format = 250, true, membership.Format2
+	sidecar := sampleHeartbeats()[3].value.(membership.Heartbeat)
+	sidecar.Load.Work, sidecar.Load.Window, sidecar.Format = 520, 4, membership.Format2
+	older := sampleHeartbeats()[4].value.(membership.Heartbeat)
+	older.Format = membership.Format1
+	d := membership.Digest{DataCentre: "semarang", Incarnation: 7, Format: membership.Format2}
+	return append(list,
+		sample{"heartbeat-balancer-placed", balancer},
+		sample{"heartbeat-sidecar-work", sidecar},
+		sample{"digest-details", d.WithReport(sampleHost(1), &balancer, 0).WithReport(sampleHost(2), &sidecar, 0).WithReport(sampleHost(3), &older, 0)},
+		sample{"offer", membership.FormatOffer{Oldest: 1, Newest: 2, Incarnation: 1 << 31}},
+	)
+}
+
+// TestRecord writes the messages of the newest version that this build sends to the file
+// of the version, if CORIANDERBAY_RECORD_MESSAGES is set. A version is recorded once, by
+// the build that introduces it.
+func TestRecord(t *testing.T) {
+	if os.Getenv("CORIANDERBAY_RECORD_MESSAGES") == "" {
+		t.Skip("records messages only on demand")
+	}
+	var text strings.Builder
+	for _, s := range laterSamples() {
+		fmt.Fprintf(&text, "%s %x\n", s.name, encodeSample(t, s, membership.Format2))
+	}
+	must.NoError(t, os.WriteFile(recorded2, []byte(text.String()), 0o644))
+}
+
 // encodeSample returns the message that this build sends for a sample in a version.
 func encodeSample(t testing.TB, s sample, f membership.Format) []byte {
 	var raw []byte
@@ -130,11 +174,12 @@
 		samples []sample
 	}{
 		{recorded1, membership.Format1, samples()},
+		{recorded2, membership.Format2, laterSamples()},
 	} {
 		messages := recorded(t, c.path)
 		must.MapLen(t, len(c.samples), messages)
 		for _, s := range c.samples {
-			t.Run(s.name, func(t *testing.T) {
+			t.Run(fmt.Sprint(s.name, c.format), func(t *testing.T) {
 				raw := messages[s.name]
 				must.Eq(t, hex.EncodeToString(raw), hex.EncodeToString(encodeSample(t, s, c.format)))
 				must.Eq(t, normalized(s, c.format), decodeSample(t, s, raw, c.format))
--- a/soak/actions_test.go
+++ b/soak/actions_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"syscall"
 	"time"
 
@@ -156,14 +157,39 @@
 		time.Sleep(gap)
 		tb.mu.Lock()
 		defer tb.mu.Unlock()
+		build := tb.drawBuild(p)
 		if err := p.start(); err != nil {
 			tb.checker.RecordViolation("%s failed to restart: %v", p.host.Name, err)
 		}
-		tb.logAction("%s: restarted", p.host.Name)
+		tb.logAction("%s: restarted with %s", p.host.Name, build)
 		tb.schedule(time.Second, func() { delete(tb.busyProcesses, p) })
 	})
 }
 
+// drawBuild selects the build that a process is started with next, and returns its name.
+// The caller holds the lock unless no other goroutine is running yet.
+func (tb *testbed) drawBuild(p *process) string {
+	if tb.builds.IntN(2) == 0 {
+		p.program = buildProgram
+		return "the present build"
+	}
+	tb.others++
+	p.program = buildOther
+	return "the other build"
+}
+
+// checkLogs fails for lines of processes that could not read what they received: builds
+// that are in use at the same time must be able to.
+func (tb *testbed) checkLogs() {
+	for _, p := range tb.processes() {
+		for line := range strings.Lines(p.log.String()) {
+			if strings.Contains(line, `"datagram-unusable"`) || strings.Contains(line, `"peer-unreadable"`) {
+				tb.checker.RecordViolation("%s cannot read a message: %s", p.host.Name, line)
+			}
+		}
+	}
+}
+
 func (tb *testbed) restartBalancer() bool {
 	p := tb.randomBalancer()
 	if p == nil || tb.plannedOnly && len(tb.busyProcesses) > 0 {
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -14,18 +14,32 @@
 )
 
 // buildProgram builds the program under test once and returns its path.
-var buildProgram = sync.OnceValues(func() (string, error) {
+var buildProgram = sync.OnceValues(func() (string, error) { return build() })
+
+// buildOther returns the path of the other build that processes may be restarted with: the
+// program of flag soak.other, or the present code with a build tag that makes it speak
+// version 1 of the messages.
+var buildOther = sync.OnceValues(func() (string, error) {
+	if *otherProgram != "" {
+		return *otherProgram, nil
+	}
+	return build("-tags", "formatone")
+})
+
+// build builds the program with the given arguments and returns its path.
+func build(args ...string) (string, error) {
 	dir, err := os.MkdirTemp("", "soak")
 	if err != nil {
 		return "", err
 	}
 	path := filepath.Join(dir, "corianderbay")
-	out, err := exec.Command("go", "build", "-o", path, "../cmd/corianderbay").CombinedOutput()
+	args = append([]string{"build", "-o", path}, args...)
+	out, err := exec.Command("go", append(args, "../cmd/corianderbay")...).CombinedOutput()
 	if err != nil {
 		return "", &buildError{output: string(out)}
 	}
 	return path, nil
-})
+}
 
 type buildError struct{ output string }
 
@@ -38,17 +52,18 @@
 	bindAddress netip.AddrPort // the listen address for other processes
 	env         string         // the environment variable with the path of the settings file
 
-	cmd  *exec.Cmd
-	done chan struct{} // closed when cmd has exited
-	log  *bytes.Buffer // the output of all incarnations
+	program func() (string, error) // returns the path of the build to start
+	cmd     *exec.Cmd
+	done    chan struct{} // closed when cmd has exited
+	log     *bytes.Buffer // the output of all incarnations
 }
 
 func newProcess(h standin.Host, role string, bind netip.AddrPort, env string) *process {
-	return &process{host: h, role: role, bindAddress: bind, env: env, log: new(bytes.Buffer)}
+	return &process{host: h, role: role, bindAddress: bind, env: env, program: buildProgram, log: new(bytes.Buffer)}
 }
 
 func (p *process) start() error {
-	path, err := buildProgram()
+	path, err := p.program()
 	if err != nil {
 		return err
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -15,6 +15,8 @@
 	firstSeed = flag.Uint64("soak.first", 1, "first additional seed")
 	duration  = flag.Duration("soak.time", 15*time.Second, "duration of each additional seed")
 	planned   = flag.Bool("soak.planned", false, "run additional seeds with planned changes only, without faults")
+
+	otherProgram = flag.String("soak.other", "", "program of another build that processes are also started with; empty selects the present code with version 1 of the messages")
 )
 
 // shortDuration is the duration of the two default seeds, which run in CI.
@@ -45,7 +47,11 @@
 	tb.actions.Go(func() { tb.router.Run(router) })
 	tb.checkRecovery(t.Context())
 	cancel()
-	t.Logf("%+v; the store was restored from a copy %d times", tb.checker.Totals(), tb.restores)
+	t.Logf("%+v; the store was restored from a copy %d times; the other build was started %d times", tb.checker.Totals(), tb.restores, tb.others)
+	for _, p := range tb.processes() {
+		p.kill() // completes its log
+	}
+	tb.checkLogs()
 	if failures := tb.checker.Violations(); len(failures) > 0 {
 		tb.reportFailures(failures)
 	}
--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -90,10 +90,14 @@
 	previousService string    // its service in the previous version
 	restoring       bool      // a restore of the store and the rewrite of lost data are in progress
 	restores        int       // the number of restores
-	lastFault       time.Time // the end of the latest fault; in the future while it lasts
-	upstreamCount   int       // the number of upstreams started
-	actionLog       []string  // the actions with their times
-	startedAt       time.Time
+	// builds draws the builds of processes. It is not rand, so that the other draws of a
+	// seed do not depend on it.
+	builds        *rand.Rand
+	others        int       // the number of starts with the other build
+	lastFault     time.Time // the end of the latest fault; in the future while it lasts
+	upstreamCount int       // the number of upstreams started
+	actionLog     []string  // the actions with their times
+	startedAt     time.Time
 }
 
 // loopback returns an address of this testbed. The lower half of its third byte
@@ -108,6 +112,7 @@
 	tb := &testbed{
 		t: t, seed: seed, plannedOnly: plannedOnly,
 		rand:    rand.New(rand.NewPCG(seed, 1)),
+		builds:  rand.New(rand.NewPCG(seed, 2)),
 		network: newNetwork(standin.DefaultPorts.Exchange, seed),
 		store:   standin.NewStore(), checker: standin.NewChecker(),
 		busyProcesses: make(map[*process]bool), startedAt: time.Now(),
@@ -128,11 +133,13 @@
 		st := &site{host: h, sidecar: tb.process(h, "sidecar", storeAddr, balancerHosts)}
 		tb.sites = append(tb.sites, st)
 		tb.startUpstream(st)
+		tb.drawBuild(st.sidecar)
 		must.NoError(t, st.sidecar.start())
 	}
 	for _, h := range balancerHosts {
 		p := tb.process(h, "balancer", storeAddr, balancerHosts)
 		tb.balancers = append(tb.balancers, p)
+		tb.drawBuild(p)
 		must.NoError(t, p.start())
 	}
 	tb.router = standin.NewRouter(balancerHosts)
