Admit openings by priority while a service is overloaded

A crowd on a less important route fills the queues of all upstreams, and full upstreams then reject the requests of more important routes as often as its own.

New package admit decides on openings without clock, socket or randomness: overload with hysteresis, the wait allowed to each priority, a tenth of the capacity for the least important one, fair shares by /24 and retry budgets, both from package limit. steer.Balancer asks it once the upstream is chosen (BalancerConfig.Admission, off by default) and refuses with the reasons timeout, priority, share and retry. Only openings are asked about.

Ruled out: - A standing wait alone (least wait at any upstream over 500 ms). Overload now also begins when the mean wait exceeds half of the work. - The wait at the chosen upstream for less important openings.

--- a/eventlog/describe.go
+++ b/eventlog/describe.go
@@ -139,6 +139,14 @@
 		return "the upstream, or each one that would take it, is outside the route's home regions"
 	case "not_confirmed":
 		return "the caller confirmed another upstream's answer"
+	case "timeout":
+		return "its answer would come after the route's timeout"
+	case "priority":
+		return "the service is overloaded and more important routes fill it"
+	case "share":
+		return "the service is overloaded and the caller's prefix has more than its fair share"
+	case "retry":
+		return "the service is overloaded, the caller was just refused, and the route's retry budget is spent"
 	}
 	return "of " + name
 }
--- a/limit/flowlimiter.go
+++ b/limit/flowlimiter.go
@@ -124,6 +124,19 @@
 	return Refusal{}, true
 }
 
+// WithinFairShare counts one new flow of a caller and reports whether its prefix is
+// within an equal share of perSecond, the new flows per second of the service at this
+// balancer. bits is the length of IPv4 prefixes; 0 selects 24. Unlike Admit it refuses
+// nothing: the caller decides what happens to flows above the share.
+func (f *FlowLimiter) WithinFairShare(s bundle.ServiceID, perSecond float64, bits int, caller netip.Addr, now time.Time) bool {
+	key := newPrefixKey(s, bundle.Limit{Bits: bits}, caller)
+	service := f.bucketOf(s)
+	shard := &f.shards[key.hash()&uint64(len(f.shards)-1)]
+	limits := flowLimits{fairShare: service.fairShareLimit(newBucketLimit(perSecond, f.cfg.Burst), now)}
+	shard.takePrefix(key, limits, now, service)
+	return shard.takeFairShare(key, limits, now)
+}
+
 // PrefixCount returns the number of caller prefixes that are tracked.
 func (f *FlowLimiter) PrefixCount() int {
 	n := 0
--- a/registry/snapshot.go
+++ b/registry/snapshot.go
@@ -170,6 +170,31 @@
 	return s.routes[e]
 }
 
+// Services returns the names of the services that routes send flows to, in order.
+func (s *Snapshot) Services() []string {
+	var names []string
+	for _, r := range s.routes {
+		for i := range r.Targets {
+			names = append(names, r.Targets[i].Service)
+		}
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
+// Priorities returns the different priorities of the routes that may send flows to a
+// service, the most important first.
+func (s *Snapshot) Priorities(service string) []int {
+	var list []int
+	for _, r := range s.routes {
+		if r.Allows(service) {
+			list = append(list, r.Priority)
+		}
+	}
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
 // Pool returns the upstreams of a service, or nil.
 func (s *Snapshot) Pool(h ServiceHash) *Pool {
 	return s.pools[h]
--- a/steer/action.go
+++ b/steer/action.go
@@ -123,6 +123,16 @@
 	// ReasonNotConfirmed: the caller confirmed another upstream's answer to its
 	// opening.
 	ReasonNotConfirmed
+	// ReasonTimeout: the answer would come after the route's timeout.
+	ReasonTimeout
+	// ReasonPriority: the service is overloaded, and more important routes fill it.
+	ReasonPriority
+	// ReasonShare: the service is overloaded, and the caller's prefix exceeds its fair
+	// share of the route.
+	ReasonShare
+	// ReasonRetry: the service is overloaded, the caller was refused shortly before, and
+	// the retry budget of the route is spent.
+	ReasonRetry
 
 	// ReasonCount is the number of reasons plus 1.
 	ReasonCount
@@ -173,6 +183,14 @@
 		return "home"
 	case ReasonNotConfirmed:
 		return "not_confirmed"
+	case ReasonTimeout:
+		return "timeout"
+	case ReasonPriority:
+		return "priority"
+	case ReasonShare:
+		return "share"
+	case ReasonRetry:
+		return "retry"
 	}
 	return "unknown"
 }
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -28,6 +28,9 @@
 	MaxFlow time.Duration
 	// Placing selects how upstreams of new flows are chosen. Empty selects PlaceByLoad.
 	Placing Placing
+	// Admission refuses openings of less important routes while a service is overloaded.
+	// It affects only services whose routes have different priorities.
+	Admission bool
 }
 
 // Balancer decides where packets from callers are forwarded. It is safe for concurrent
@@ -39,6 +42,7 @@
 
 	estimates *loadEstimates
 	searches  searches
+	admission *admission // nil unless cfg.Admission
 
 	mu          sync.Mutex
 	unreported  map[registry.Host]int // flows placed since the last load report of the sidecar
@@ -96,7 +100,7 @@
 
 // NewBalancer returns a Balancer without routes, upstreams or flows.
 func NewBalancer(cfg BalancerConfig) *Balancer {
-	b := &Balancer{cfg: cfg, estimates: newLoadEstimates(), unreported: make(map[registry.Host]int)}
+	b := &Balancer{cfg: cfg, estimates: newLoadEstimates(), admission: newAdmission(&cfg), unreported: make(map[registry.Host]int)}
 	b.searches.byFlow = make(map[Key]search)
 	if cfg.Placing == PlaceByTwoChoices {
 		b.totalPlaced = make(map[registry.Host]int)
@@ -255,6 +259,11 @@
 	if m == nil {
 		return Refuse{Reason: d.fleet.refusalReason(d.route)}
 	}
+	if !repeated {
+		if reason := d.admissionReason(m); reason != 0 {
+			return Refuse{Reason: reason}
+		}
+	}
 	d.b.searches.remove(d.key)
 	d.shard.put(d.key, flowEntry{host: m.Address.Host, sequence: d.packet.Sequence, updated: d.now, lastUsed: d.now})
 	d.b.countPlaced(m.Address.Host)
@@ -342,6 +351,7 @@
 			delete(d.shard.flows, d.key)
 			return Refuse{Reason: ReasonLost}
 		}
+		d.recordRequest(&e)
 		e.recordPacket(d.now, d.packet)
 		d.shard.flows[d.key] = e
 		return d.forward(service, e.host, false)
