Enable admission control by a flag and show it in metrics and events

Cause: steer.Balancer could admit openings by priority, but no process enabled it and operators would not have seen why openings were refused.

Tests: upstreams that report no work, routes of one priority, and no crowd give the results of a run without admission, second by second (go test ./steer -run TestCrowdWithoutAdmission).

This commit checks for admission before the call on the packet path.

--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -56,7 +56,7 @@
 	}
 	b := &Balancer{process: p, maxDrain: cfg.MaxDrain}
 	b.searches.byFlow = make(map[steer.Key]searchPacket)
-	b.steering = steer.NewBalancer(steer.BalancerConfig{Self: p.self, DataCentre: cfg.DataCentre, MaxFlow: cfg.MaxFlow, Placing: cfg.Placing})
+	b.steering = steer.NewBalancer(steer.BalancerConfig{Self: p.self, DataCentre: cfg.DataCentre, MaxFlow: cfg.MaxFlow, Placing: cfg.Placing, Admission: cfg.Admission})
 	b.fleet = b.steering.Fleet
 	nc := cfg.exchangeConfig(membership.Balancer, b.pauseDetector)
 	nc.Handler = (*balancerHandler)(b)
@@ -110,6 +110,7 @@
 	b.retryHeld(now)
 	b.resetAll(b.steering.ExhaustedSearches(now), steer.ReasonUnknownFlow)
 	b.retrySearches(now)
+	b.logAdmission(now)
 	if b.ready.Load() {
 		return
 	}
--- a/edge/config.go
+++ b/edge/config.go
@@ -24,7 +24,7 @@
 }
 
 // Config holds the settings that balancers and sidecars share. All fields except Regions,
-// Bind, Seeds and Placing are required.
+// Bind, Seeds, Placing and Admission are required.
 type Config struct {
 	DataCentre string
 	// Regions holds the region of each data centre by its name. It may be empty.
@@ -44,10 +44,12 @@
 	CallerPort uint16
 	// Placing selects how upstreams are chosen for new flows. Empty selects steer.PlaceByLoad.
 	Placing steer.Placing
-	Codec   Codec
-	Source  exchange.Source
-	Timer   *timer.Service
-	Log     *event.Logger
+	// Admission refuses openings of less important routes while a service is overloaded.
+	Admission bool
+	Codec     Codec
+	Source    exchange.Source
+	Timer     *timer.Service
+	Log       *event.Logger
 }
 
 // exchangeConfig returns the configuration of the process's exchange.Node.
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -16,35 +16,40 @@
 
 // Metrics of balancers and sidecars; Definitions lists the metrics of each role.
 var (
-	defForwarded  = metric.Definition{Name: "corianderbay_packets_forwarded_total", Kind: metric.Counter, Help: "Packets of callers sent on to another process."}
-	defDelivered  = metric.Definition{Name: "corianderbay_packets_delivered_total", Kind: metric.Counter, Help: "Packets of callers given to the upstream."}
-	defAnswered   = metric.Definition{Name: "corianderbay_packets_answered_total", Kind: metric.Counter, Help: "Packets of the upstream sent to callers."}
-	defRefused    = metric.Definition{Name: "corianderbay_flows_refused_total", Kind: metric.Counter, Help: "Flows that this process reset, by reason.", Label: "reason"}
-	defDropped    = metric.Definition{Name: "corianderbay_packets_dropped_total", Kind: metric.Counter, Help: "Packets that were discarded, by reason.", Label: "reason"}
-	defInvalid    = metric.Definition{Name: "corianderbay_packets_invalid_total", Kind: metric.Counter, Help: "Datagrams that are no packets, or came from the wrong side."}
-	defHeld       = metric.Definition{Name: "corianderbay_packets_held", Kind: metric.Gauge, Help: "Packets that wait for what is missing to decide on them."}
-	defRemembered = metric.Definition{Name: "corianderbay_flows_remembered", Kind: metric.Gauge, Help: "Flows whose upstream the balancer remembers."}
-	defOpen       = metric.Definition{Name: "corianderbay_flows_open", Kind: metric.Gauge, Help: "Flows that are open or opening at the upstream."}
-	defActive     = metric.Definition{Name: "corianderbay_requests_active", Kind: metric.Gauge, Help: "Requests that wait for the upstream's answer."}
-	defVersion    = metric.Definition{Name: "corianderbay_routes_version", Kind: metric.Gauge, Help: "Version of the routes in force."}
-	defRoutesAge  = metric.Definition{Name: "corianderbay_routes_age_seconds", Kind: metric.Gauge, Help: "Time since the routes in force were taken over."}
-	defRevision   = metric.Definition{Name: "corianderbay_upstreams_revision", Kind: metric.Gauge, Help: "Revision of the list of upstreams in force."}
-	defEra        = metric.Definition{Name: "corianderbay_store_era", Kind: metric.Gauge, Help: "How often the store came back from an older copy, as far as is known."}
-	defDoubtful   = metric.Definition{Name: "corianderbay_upstreams_doubtful", Kind: metric.Gauge, Help: "Keys of which more was known before the store came back from an older copy."}
-	defEvacuated  = metric.Definition{Name: "corianderbay_datacentres_evacuated", Kind: metric.Gauge, Help: "Data centres in which no flows are opened."}
-	defStoreAge   = metric.Definition{Name: "corianderbay_store_age_seconds", Kind: metric.Gauge, Help: "Time since the store is known to have answered any process."}
-	defPeers      = metric.Definition{Name: "corianderbay_peers_alive", Kind: metric.Gauge, Help: "Other processes that are heard."}
-	defOmitted    = metric.Definition{Name: "corianderbay_log_lines_omitted_total", Kind: metric.Counter, Help: "Lines that were left out of the log."}
-	defMemory     = metric.Definition{Name: "corianderbay_memory_bytes", Kind: metric.Gauge, Help: "Memory that the runtime has mapped."}
-	defStoreCalls = metric.Definition{Name: "corianderbay_store_call_seconds", Kind: metric.Latencies, Help: "Duration of calls of the store, without watches."}
-	defOpening    = metric.Definition{Name: "corianderbay_opening_seconds", Kind: metric.Latencies, Help: "Time from an opening's delivery until the upstream accepts it."}
-	defAnswer     = metric.Definition{Name: "corianderbay_answer_seconds", Kind: metric.Latencies, Help: "Time from a request's first packet until the first data of its answer."}
+	defForwarded   = metric.Definition{Name: "corianderbay_packets_forwarded_total", Kind: metric.Counter, Help: "Packets of callers sent on to another process."}
+	defDelivered   = metric.Definition{Name: "corianderbay_packets_delivered_total", Kind: metric.Counter, Help: "Packets of callers given to the upstream."}
+	defAnswered    = metric.Definition{Name: "corianderbay_packets_answered_total", Kind: metric.Counter, Help: "Packets of the upstream sent to callers."}
+	defRefused     = metric.Definition{Name: "corianderbay_flows_refused_total", Kind: metric.Counter, Help: "Flows that this process reset, by reason.", Label: "reason"}
+	defDropped     = metric.Definition{Name: "corianderbay_packets_dropped_total", Kind: metric.Counter, Help: "Packets that were discarded, by reason.", Label: "reason"}
+	defInvalid     = metric.Definition{Name: "corianderbay_packets_invalid_total", Kind: metric.Counter, Help: "Datagrams that are no packets, or came from the wrong side."}
+	defHeld        = metric.Definition{Name: "corianderbay_packets_held", Kind: metric.Gauge, Help: "Packets that wait for what is missing to decide on them."}
+	defRemembered  = metric.Definition{Name: "corianderbay_flows_remembered", Kind: metric.Gauge, Help: "Flows whose upstream the balancer remembers."}
+	defOpen        = metric.Definition{Name: "corianderbay_flows_open", Kind: metric.Gauge, Help: "Flows that are open or opening at the upstream."}
+	defActive      = metric.Definition{Name: "corianderbay_requests_active", Kind: metric.Gauge, Help: "Requests that wait for the upstream's answer."}
+	defVersion     = metric.Definition{Name: "corianderbay_routes_version", Kind: metric.Gauge, Help: "Version of the routes in force."}
+	defRoutesAge   = metric.Definition{Name: "corianderbay_routes_age_seconds", Kind: metric.Gauge, Help: "Time since the routes in force were taken over."}
+	defRevision    = metric.Definition{Name: "corianderbay_upstreams_revision", Kind: metric.Gauge, Help: "Revision of the list of upstreams in force."}
+	defEra         = metric.Definition{Name: "corianderbay_store_era", Kind: metric.Gauge, Help: "How often the store came back from an older copy, as far as is known."}
+	defDoubtful    = metric.Definition{Name: "corianderbay_upstreams_doubtful", Kind: metric.Gauge, Help: "Keys of which more was known before the store came back from an older copy."}
+	defEvacuated   = metric.Definition{Name: "corianderbay_datacentres_evacuated", Kind: metric.Gauge, Help: "Data centres in which no flows are opened."}
+	defStoreAge    = metric.Definition{Name: "corianderbay_store_age_seconds", Kind: metric.Gauge, Help: "Time since the store is known to have answered any process."}
+	defPeers       = metric.Definition{Name: "corianderbay_peers_alive", Kind: metric.Gauge, Help: "Other processes that are heard."}
+	defOmitted     = metric.Definition{Name: "corianderbay_log_lines_omitted_total", Kind: metric.Counter, Help: "Lines that were left out of the log."}
+	defMemory      = metric.Definition{Name: "corianderbay_memory_bytes", Kind: metric.Gauge, Help: "Memory that the runtime has mapped."}
+	defStoreCalls  = metric.Definition{Name: "corianderbay_store_call_seconds", Kind: metric.Latencies, Help: "Duration of calls of the store, without watches."}
+	defOpening     = metric.Definition{Name: "corianderbay_opening_seconds", Kind: metric.Latencies, Help: "Time from an opening's delivery until the upstream accepts it."}
+	defOverloaded  = metric.Definition{Name: "corianderbay_service_overloaded", Kind: metric.Gauge, Help: "1 while openings are admitted by priority, with --admission.", Label: "service"}
+	defStanding    = metric.Definition{Name: "corianderbay_standing_wait_seconds", Kind: metric.Gauge, Help: "Least expected wait at any upstream within half a second, with --admission.", Label: "service"}
+	defShareUsed   = metric.Definition{Name: "corianderbay_share_used", Kind: metric.Gauge, Help: "Part of the admitted openings of a service that had a priority, as service/priority.", Label: "class"}
+	defShareOwed   = metric.Definition{Name: "corianderbay_share_owed", Kind: metric.Gauge, Help: "Part of the admitted openings of a service that a priority is entitled to, as service/priority.", Label: "class"}
+	defNotAdmitted = metric.Definition{Name: "corianderbay_openings_not_admitted_total", Kind: metric.Counter, Help: "Openings refused by admission control, as service/priority/reason.", Label: "cause"}
+	defAnswer      = metric.Definition{Name: "corianderbay_answer_seconds", Kind: metric.Latencies, Help: "Time from a request's first packet until the first data of its answer."}
 )
 
 // Definitions returns the definitions of all metrics of a balancer and of a sidecar.
 func Definitions() (balancer, sidecar []metric.Definition) {
 	common := []metric.Definition{defForwarded, defRefused, defDropped, defInvalid, defHeld, defVersion, defRoutesAge, defRevision, defEra, defDoubtful, defEvacuated, defStoreAge, defPeers, defOmitted, defMemory, defStoreCalls}
-	balancer = append(append(balancer, common...), defRemembered)
+	balancer = append(append(balancer, common...), defRemembered, defOverloaded, defStanding, defShareUsed, defShareOwed, defNotAdmitted)
 	sidecar = append(append(sidecar, common...), defDelivered, defAnswered, defOpen, defActive, defOpening, defAnswer)
 	return balancer, sidecar
 }
@@ -105,6 +110,7 @@
 	p.Value(defHeld, float64(b.held.len()))
 	writeNode(&p, b.node, b.cfg.Log)
 	p.Value(defRemembered, float64(b.steering.Flows()))
+	writeAdmission(&p, b.steering.Admission(b.cfg.Timer.Uptime()))
 	return p.Bytes()
 }
 
--- a/event/edge.go
+++ b/event/edge.go
@@ -30,6 +30,8 @@
 	PacketPassed     Number = 7042
 	PacketDropped    Number = 7043
 	UpstreamReset    Number = 7044
+	OverloadBegan    Number = 7045
+	OverloadEnded    Number = 7046
 	UpstreamSilent   Number = 7050
 	UpstreamReacts   Number = 7051
 	UpstreamEnded    Number = 7052
@@ -63,6 +65,8 @@
 		{PacketPassed, "packet-passed", zapcore.InfoLevel, "The upstream did not accept a packet, and the sidecar passed it on to the next one.", "None."},
 		{PacketDropped, "packet-dropped", zapcore.InfoLevel, "A packet was dropped; the fields hold the reason.", "None."},
 		{UpstreamReset, "upstream-reset", zapcore.InfoLevel, "The upstream itself reset a flow.", "If it repeats, check the upstream."},
+		{OverloadBegan, "overload-began", zapcore.WarnLevel, "A service is overloaded: this process admits openings by the priorities of their routes. The fields hold the least and the mean wait, the work and the slots.", "See docs/OVERLOAD.md; add upstreams if it lasts."},
+		{OverloadEnded, "overload-ended", zapcore.InfoLevel, "A service is no longer overloaded; all openings are admitted.", "None."},
 		{UpstreamSilent, "upstream-silent", zapcore.WarnLevel, "The upstream does not respond to the packets delivered to it; it gets no new flows.", "Check the upstream."},
 		{UpstreamReacts, "upstream-reacts", zapcore.InfoLevel, "The upstream responds again.", "None."},
 		{UpstreamEnded, "upstream-ended", zapcore.WarnLevel, "No process listens on the upstream's address; its flows are reset.", "Check the upstream, unless it was stopped on purpose."},
--- a/steer/admission.go
+++ b/steer/admission.go
@@ -47,6 +47,7 @@
 
 // serviceLoad is what the reports of a service's upstreams amount to. It is immutable.
 type serviceLoad struct {
+	service string
 	// work is the median of the reported works; 0 when there are none.
 	work       time.Duration
 	priorities []int // of the routes to the service, ascending; at least 2
@@ -69,12 +70,6 @@
 	requests, flows atomic.Int64
 }
 
-// AdmissionChange reports that the overload of a service began or ended.
-type AdmissionChange struct {
-	Service string
-	admit.Change
-}
-
 // newAdmission returns nil when admission control is not enabled.
 func newAdmission(cfg *BalancerConfig) *admission {
 	if !cfg.Admission {
@@ -249,7 +244,7 @@
 // newServiceLoad returns the load of the upstreams of a data centre that accept new flows,
 // or of all when there are none.
 func newServiceLoad(now time.Duration, f *Fleet, p *registry.Pool, dataCentre string, work time.Duration) serviceLoad {
-	l := serviceLoad{work: work, near: make(map[registry.Host]struct{})}
+	l := serviceLoad{service: p.Service, work: work, near: make(map[registry.Host]struct{})}
 	for i := range p.Members {
 		m := &p.Members[i]
 		if !f.acceptsNewFlows(now, m) || dataCentre != "" && m.DataCentre != dataCentre {
@@ -295,15 +290,6 @@
 	return sum
 }
 
-// takeChanges returns and clears the changes since the last call.
-func (a *admission) takeChanges() []AdmissionChange {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	list := a.changes
-	a.changes = nil
-	return list
-}
-
 // counter returns the counter of a route.
 func (a *admission) counter(r *registry.Route) *routeCounter {
 	return &a.routes[(r.Address.Port^uint16(r.Address.Host[3]))%routeSlots]
@@ -312,10 +298,7 @@
 // recordRequest counts a request on a flow that the balancer follows: data after a packet
 // without any, or after the caller received more of an answer.
 func (d *decision) recordRequest(e *flowEntry) {
-	if d.b.admission == nil || d.packet.Data == 0 {
-		return
-	}
-	if !e.requestPending || d.packet.Acknowledged != e.acknowledged {
+	if d.packet.Data > 0 && (!e.requestPending || d.packet.Acknowledged != e.acknowledged) {
 		d.b.admission.counter(d.route).requests.Add(1)
 	}
 }
@@ -336,12 +319,3 @@
 	}
 	return float64(c.requests.Load()) / float64(flows)
 }
-
-// AdmissionChanges returns and clears the beginnings and ends of overload since the last
-// call.
-func (b *Balancer) AdmissionChanges() []AdmissionChange {
-	if b.admission == nil {
-		return nil
-	}
-	return b.admission.takeChanges()
-}
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -351,7 +351,9 @@
 			delete(d.shard.flows, d.key)
 			return Refuse{Reason: ReasonLost}
 		}
-		d.recordRequest(&e)
+		if d.b.admission != nil {
+			d.recordRequest(&e)
+		}
 		e.recordPacket(d.now, d.packet)
 		d.shard.flows[d.key] = e
 		return d.forward(service, e.host, false)
--- a/steer/crowd_test.go
+++ b/steer/crowd_test.go
@@ -1,6 +1,7 @@
 package steer_test
 
 import (
+	"cmp"
 	"container/heap"
 	"fmt"
 	"math"
@@ -97,6 +98,10 @@
 	// demand is what all routes together ask for during the crowd, as a multiple of the
 	// capacity. The more important route keeps its rate. 0 means that there is no crowd.
 	demand float64
+	// withoutWork is true when upstreams do not report their work.
+	withoutWork bool
+	// priority is that of the feed; 0 selects the page's.
+	priority int
 	// at runs at points of time since the start.
 	at map[time.Duration]func(*crowdSimulation)
 }
@@ -115,6 +120,7 @@
 	// bySecond holds the outcomes by route and by the second in which a request was sent.
 	bySecond [][]crowdOutcome
 	reasons  map[steer.Reason]int
+	broken   int // later packets of flows that were answered with a reset
 }
 
 func crowdDataCentre(i int) string {
@@ -158,6 +164,7 @@
 // startProcesses publishes the routes and upstreams and starts all processes.
 func (c *crowdSimulation) startProcesses() {
 	routes := &registry.Routes{Version: 2}
+	c.routes[1].route.Priority = cmp.Or(c.setup.priority, c.routes[1].route.Priority)
 	for _, r := range c.routes {
 		routes.List = append(routes.List, r.route)
 	}
@@ -257,17 +264,17 @@
 	p.Sequence += uint32(n * p.Data)
 	if n == r.perFlow {
 		p.Flags |= steer.RST
-		c.sim.send(balancer, p)
+		c.later(balancer, p)
 		return
 	}
-	c.sim.send(balancer, p)
+	c.later(balancer, p)
 	c.notify(at)
 	s := &c.servers[at]
 	next := func() {
 		c.sim.instances[at].sidecar.FromUpstream(c.sim.now, reply(k, steer.ACK, 1, 900))
 		ack := p
 		ack.Sequence, ack.Data = p.Sequence+uint32(p.Data), 0
-		c.sim.send(balancer, ack)
+		c.later(balancer, ack)
 		c.after(c.delay(balancer, at)+time.Duration(c.random.ExpFloat64()*float64(crowdThinkTime)), func() {
 			c.request(i, balancer, k, at, n+1, c.sim.now)
 		})
@@ -291,6 +298,13 @@
 	}
 }
 
+// later sends a packet of an open flow.
+func (c *crowdSimulation) later(balancer int, p steer.Packet) {
+	resets := len(c.sim.resets)
+	c.sim.send(balancer, p)
+	c.broken += len(c.sim.resets) - resets
+}
+
 // delay returns the time for the way between a balancer and an upstream and back.
 func (c *crowdSimulation) delay(balancer, at int) time.Duration {
 	if balancer%crowdDataCentres == at%crowdDataCentres {
@@ -384,7 +398,9 @@
 func (c *crowdSimulation) status(at int) steer.SidecarStatus {
 	s, v := c.sim.instances[at], &c.servers[at]
 	load := s.sidecar.Load(c.sim.now, v.meanActive)
-	load.Work = int(v.work * 10 / time.Millisecond)
+	if !c.setup.withoutWork {
+		load.Work = int(v.work * 10 / time.Millisecond)
+	}
 	return steer.SidecarStatus{DataCentre: crowdDataCentre(at), Load: load, LastSeen: c.sim.now, HeartbeatTimeout: membership.LocalHeartbeatTimeout}
 }
 
@@ -425,6 +441,7 @@
 						must.Less(t, 0.98, kept, must.Sprint("the crowd does no harm, so that the test shows nothing"))
 						return
 					}
+					must.Zero(t, c.broken)
 					must.GreaterEq(t, 0.98, kept)
 					must.GreaterEq(t, 0.95, useful)
 					c.mustBeNormal(t, quiet, crowdEnd+time.Second)
@@ -448,3 +465,21 @@
 	}
 	must.GreaterEq(t, 0.98, c.keptOf(quiet, 0, from, crowdTotal))
 }
+
+// TestCrowdWithoutAdmission guards against refusals where admission control must have no
+// effect: upstreams that do not report their work, and routes of one priority.
+func TestCrowdWithoutAdmission(t *testing.T) {
+	setups := map[string]crowdSetup{
+		"no work reported": {seed: 1, admission: true, demand: 2.4, withoutWork: true},
+		"one priority":     {seed: 1, admission: true, demand: 2.4, priority: 1},
+		"no crowd":         {seed: 1, admission: true},
+	}
+	for name, setup := range setups {
+		t.Run(name, func(t *testing.T) {
+			c := simulateCrowd(setup)
+			must.MapEmpty(t, c.reasons)
+			setup.admission = false
+			must.True(t, slices.EqualFunc(c.bySecond, simulateCrowd(setup).bySecond, slices.Equal[[]crowdOutcome]))
+		})
+	}
+}
