--- a/admit/controller_test.go
+++ b/admit/controller_test.go
@@ -184,3 +184,11 @@
 		}
 	})
 }
+
+// TestDecideDoesNotAllocate guards against garbage for each opening of a crowd.
+func TestDecideDoesNotAllocate(t *testing.T) {
+	c := newOverloaded(time.Hour, 2)
+	o := newOpening(1, 1, 5*work)
+	n := testing.AllocsPerRun(1000, func() { c.Decide(time.Hour, o) })
+	must.Zero(t, n)
+}
