--- a/admit/controller.go
+++ b/admit/controller.go
@@ -87,15 +87,23 @@
 	return Change{Service: id, Overloaded: s.detector.Overloaded(), Standing: s.detector.Standing(), Load: l}, changed
 }
 
-// Retain deletes the services that are not in keep.
-func (c *Controller) Retain(keep func(id uint32) bool) {
+// Retain deletes the services for which keep returns false, and the routes of the others
+// that had no openings for some seconds.
+func (c *Controller) Retain(now time.Duration, keep func(id uint32) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for id := range c.services {
+	routes := make(map[bundle.ServiceID]bool)
+	for id, s := range c.services {
 		if !keep(id) {
 			delete(c.services, id)
+			continue
+		}
+		s.deleteIdleRoutes(now)
+		for r := range s.routes {
+			routes[bundle.ServiceID(r)] = true
 		}
 	}
+	c.prefixes.Retain(routes)
 }
 
 // Decide returns Admitted or the reason why an opening is refused, and counts it. It
@@ -124,6 +132,7 @@
 
 func (c *Controller) decide(now time.Duration, s *service, o *Opening) Reason {
 	r := s.route(o.Route)
+	r.offered.add(now)
 	returned := c.callers.recordReturn(now, hashCaller(o.Route, o.Caller))
 	if !returned {
 		r.retries.RecordFirstAttempt()
--- a/admit/controller_test.go
+++ b/admit/controller_test.go
@@ -192,3 +192,16 @@
 	n := testing.AllocsPerRun(1000, func() { c.Decide(time.Hour, o) })
 	must.Zero(t, n)
 }
+
+// TestRetain guards against state of services that no longer exist, and against the loss
+// of state of those that do.
+func TestRetain(t *testing.T) {
+	c := newOverloaded(time.Hour, 3)
+	must.Eq(t, admit.ReasonPriority, c.Decide(time.Hour, newOpening(1, 1, 5*work)))
+	c.Retain(time.Hour, func(uint32) bool { return true })
+	must.Eq(t, admit.ReasonPriority, c.Decide(time.Hour, newOpening(1, 2, 5*work)))
+	must.SliceLen(t, 1, c.Status(time.Hour))
+	c.Retain(time.Hour, func(uint32) bool { return false })
+	must.SliceEmpty(t, c.Status(time.Hour))
+	must.Eq(t, admit.Admitted, c.Decide(time.Hour, newOpening(1, 3, 5*work)))
+}
--- a/admit/service.go
+++ b/admit/service.go
@@ -38,9 +38,13 @@
 // route is the state of one route to a service.
 type route struct {
 	admitted meter
+	offered  meter
 	retries  *limit.RetryBudget
 }
 
+// idleRate is the number of openings per second below which a route is idle.
+const idleRate = 0.01
+
 func newService() *service {
 	return &service{quota: rate.NewLimiter(0, 1), routes: make(map[uint32]*route)}
 }
@@ -70,6 +74,15 @@
 	return r
 }
 
+// deleteIdleRoutes deletes the routes without openings, which may no longer exist.
+func (s *service) deleteIdleRoutes(now time.Duration) {
+	for id, r := range s.routes {
+		if r.offered.perSecond(now) < idleRate {
+			delete(s.routes, id)
+		}
+	}
+}
+
 // allowance returns the maximum wait for which an opening is admitted. The most
 // important class may wait as long as its objective permits. The others get what it
 // leaves: they may join the queue only while it is shorter than what keeps the slots
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -30,7 +30,7 @@
 	level := s.Choice("log-level", "info", logLevels(), "lowest level of the events that are logged")
 	lines := s.Int("log-lines", defaultLogLines, 1, maxLogLines, "lines a second", "limit of log lines per second for each event")
 	placing := s.Choice("placing", string(steer.PlaceByLoad), steer.Placings(), "how upstreams are selected for new flows; all values except load are for comparisons only")
-	admission := s.Bool("admission", false, "refuse new flows of less important routes while a service is overloaded")
+	admission := s.Bool("admission", false, "refuse new flows of less important routes while a service is overloaded; without effect at a sidecar")
 	bind := s.Address("bind-address", "", "address to bind for the traffic of other processes if an address translation is in front of it; empty binds the address from the settings of the platform")
 	return program{
 		name:    name,
--- a/steer/admission.go
+++ b/steer/admission.go
@@ -180,7 +180,7 @@
 		return
 	}
 	a.observed = f
-	a.updatePriorities(f.Snapshot)
+	a.updatePriorities(now, f.Snapshot)
 	clear(a.services)
 	for hash, priorities := range a.priorities {
 		pool := f.Snapshot.Pool(hash)
@@ -209,7 +209,7 @@
 }
 
 // updatePriorities replaces the priorities when the routes have changed.
-func (a *admission) updatePriorities(s *registry.Snapshot) {
+func (a *admission) updatePriorities(now time.Duration, s *registry.Snapshot) {
 	if a.version == s.Version() {
 		return
 	}
@@ -220,7 +220,7 @@
 			a.priorities[registry.HashService(service)] = list
 		}
 	}
-	a.controller.Retain(func(id uint32) bool {
+	a.controller.Retain(now, func(id uint32) bool {
 		return a.priorities[registry.ServiceHash(id)] != nil
 	})
 }
