--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -30,8 +30,10 @@
 // balancerOptions adds the flags that only balancers have.
 func balancerOptions(s *setting.Set) func(*platform.Config) {
 	standby := s.Bool("standby", false, "report as not ready while the link is nearly full and other balancers have larger ones")
+	admission := s.Bool("admission", false, "refuse new flows of less important routes while a service is overloaded")
 	return func(cfg *platform.Config) {
 		cfg.Standby = *standby
+		cfg.Admission = *admission
 	}
 }
 
--- a/exchange/export_test.go
+++ b/exchange/export_test.go
@@ -28,6 +28,7 @@
 	Address() netip.AddrPort
 	Send(b []byte, to netip.AddrPort)
 	Run(ctx context.Context, newHandler func() udp.Handler)
+	Counts() udp.Counts
 }
 
 // Network provides the sockets of nodes.
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -28,6 +28,9 @@
 	MaxFlow time.Duration
 	// Placing selects how upstreams of new flows are chosen. Empty selects PlaceByLoad.
 	Placing Placing
+	// Admission refuses openings of less important routes while a service is overloaded.
+	// It affects only services whose routes have different priorities.
+	Admission bool
 }
 
 // Balancer decides where packets from callers are forwarded. It is safe for concurrent
@@ -37,8 +40,9 @@
 	fleet  atomic.Pointer[Fleet] // nil until SetFleet
 	shards [shardCount]balancerShard
 
-	policy   *policy
-	searches searches
+	policy    *policy
+	searches  searches
+	admission *admission // nil unless cfg.Admission
 }
 
 type balancerShard struct {
@@ -92,7 +96,7 @@
 
 // NewBalancer returns a Balancer without routes, upstreams or flows.
 func NewBalancer(cfg BalancerConfig) *Balancer {
-	b := &Balancer{cfg: cfg, policy: newBalancerPolicy(cfg.Placing, cfg.DataCentre)}
+	b := &Balancer{cfg: cfg, policy: newBalancerPolicy(cfg.Placing, cfg.DataCentre), admission: newAdmission(&cfg)}
 	b.searches.byFlow = make(map[Key]search)
 	for i := range b.shards {
 		b.shards[i].flows = make(map[Key]flowEntry)
@@ -257,6 +261,11 @@
 	if m == nil {
 		return Refuse{Reason: d.fleet.refusalReason(d.route)}
 	}
+	if !repeated {
+		if reason := d.admissionReason(m); reason != 0 {
+			return Refuse{Reason: reason}
+		}
+	}
 	d.b.searches.remove(d.key)
 	d.shard.put(d.key, flowEntry{host: m.Address.Host, sequence: d.packet.Sequence, updated: d.now, lastUsed: d.now})
 	d.b.policy.recordPlaced(d.now, m.Address.Host)
@@ -323,6 +332,9 @@
 			delete(d.shard.flows, d.key)
 			return Refuse{Reason: ReasonLost}
 		}
+		if d.b.admission != nil {
+			d.recordRequest(&e)
+		}
 		e.recordPacket(d.now, d.packet)
 		d.shard.flows[d.key] = e
 		return d.forward(service, e.host, false)
--- a/steer/policy.go
+++ b/steer/policy.go
@@ -142,6 +142,19 @@
 	return y.unreported[h]
 }
 
+// unreportedOnAny returns the number of flows placed on hosts since their load reports.
+func (y *policy) unreportedOnAny(hosts map[registry.Host]struct{}) int {
+	y.mu.Lock()
+	defer y.mu.Unlock()
+	sum := 0
+	for h, n := range y.unreported {
+		if _, ok := hosts[h]; ok {
+			sum += n
+		}
+	}
+	return sum
+}
+
 // totalPlacedOn returns the total number of flows placed on a host; valid for
 // PlaceByTwoChoices.
 func (y *policy) totalPlacedOn(h registry.Host) int {
