--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -1,7 +1,9 @@
 package edge
 
 import (
+	"runtime/debug"
 	"runtime/metrics"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +36,11 @@
 	defEvacuated  = metric.Definition{Name: "corianderbay_datacentres_evacuated", Kind: metric.Gauge, Help: "Data centres in which no flows are opened."}
 	defStoreAge   = metric.Definition{Name: "corianderbay_store_age_seconds", Kind: metric.Gauge, Help: "Time since the store is known to have answered any process."}
 	defPeers      = metric.Definition{Name: "corianderbay_peers_alive", Kind: metric.Gauge, Help: "Other processes that are heard."}
+	defBuild      = metric.Definition{Name: "corianderbay_build_info", Kind: metric.Gauge, Help: "Always 1; the label is the revision of the source that the program was built from.", Label: "revision"}
+	defFormats    = metric.Definition{Name: "corianderbay_format_spoken", Kind: metric.Gauge, Help: "Oldest and newest version of messages that this process reads.", Label: "bound"}
+	defPeerFormat = metric.Definition{Name: "corianderbay_peers_by_format", Kind: metric.Gauge, Help: "Other live processes by the version of the messages that they are sent.", Label: "format"}
+	defUnreadPeer = metric.Definition{Name: "corianderbay_peers_unreadable", Kind: metric.Gauge, Help: "Other processes that are alive but whose last message has a version that this one does not read."}
+	defUnreadable = metric.Definition{Name: "corianderbay_messages_unreadable_total", Kind: metric.Counter, Help: "Messages of versions that this process does not read, by version.", Label: "format"}
 	defOmitted    = metric.Definition{Name: "corianderbay_log_lines_omitted_total", Kind: metric.Counter, Help: "Lines that were left out of the log."}
 	defMemory     = metric.Definition{Name: "corianderbay_memory_bytes", Kind: metric.Gauge, Help: "Memory that the runtime has mapped."}
 	defStoreCalls = metric.Definition{Name: "corianderbay_store_call_seconds", Kind: metric.Latencies, Help: "Duration of calls of the store, without watches."}
@@ -43,7 +50,7 @@
 
 // Definitions returns the definitions of all metrics of a balancer and of a sidecar.
 func Definitions() (balancer, sidecar []metric.Definition) {
-	common := []metric.Definition{defForwarded, defRefused, defDropped, defInvalid, defHeld, defVersion, defRoutesAge, defRevision, defEra, defDoubtful, defEvacuated, defStoreAge, defPeers, defOmitted, defMemory, defStoreCalls}
+	common := []metric.Definition{defForwarded, defRefused, defDropped, defInvalid, defHeld, defVersion, defRoutesAge, defRevision, defEra, defDoubtful, defEvacuated, defStoreAge, defPeers, defBuild, defFormats, defPeerFormat, defUnreadPeer, defUnreadable, defOmitted, defMemory, defStoreCalls}
 	balancer = append(append(balancer, common...), defRemembered)
 	sidecar = append(append(sidecar, common...), defDelivered, defAnswered, defOpen, defActive, defOpening, defAnswer)
 	return balancer, sidecar
@@ -84,10 +91,42 @@
 	p.Value(defEvacuated, float64(st.Evacuated))
 	p.Value(defStoreAge, st.StoreAge.Seconds())
 	p.Value(defPeers, float64(st.Peers))
+	writeFormats(p, n.Formats())
 	p.Value(defMemory, memory())
 	p.Histogram(defStoreCalls, n.StoreCalls())
 }
 
+// writeFormats adds the build and the versions of messages that are in use to p.
+func writeFormats(p *metric.Page, f exchange.Formats) {
+	p.Values(defBuild, []metric.Sample{{Label: revision(), Value: 1}})
+	p.Values(defFormats, []metric.Sample{{Label: "oldest", Value: float64(f.Oldest)}, {Label: "newest", Value: float64(f.Newest)}})
+	var peers, messages []metric.Sample
+	for v := f.Oldest; v <= f.Newest; v++ {
+		peers = append(peers, metric.Sample{Label: strconv.Itoa(int(v)), Value: float64(f.Peers[v])})
+	}
+	for v, count := range f.UnreadableMessages {
+		if count > 0 {
+			messages = append(messages, metric.Sample{Label: strconv.Itoa(v), Value: float64(count)})
+		}
+	}
+	p.Values(defPeerFormat, peers)
+	p.Value(defUnreadPeer, float64(f.Unreadable))
+	p.Values(defUnreadable, messages)
+}
+
+// revision returns the revision of the source that the program was built from.
+func revision() string {
+	info, ok := debug.ReadBuildInfo()
+	if ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				return s.Value
+			}
+		}
+	}
+	return "unknown"
+}
+
 // memory returns the memory that the runtime has mapped, in bytes.
 func memory() float64 {
 	s := []metrics.Sample{{Name: memorySample}}
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -282,10 +282,11 @@
 	return t.merge(now, sent, h, b, own)
 }
 
-// supersedes reports whether a reported heartbeat is newer than the recorded one.
+// supersedes reports whether a reported heartbeat is newer than the recorded one, or the
+// same one with fields that the recorded one lacks because it came in an older version.
 func (p *Peer) supersedes(b *Heartbeat, sent time.Duration) bool {
 	if b.Incarnation == p.Heartbeat.Incarnation {
-		return b.Sequence > p.Heartbeat.Sequence
+		return b.Sequence > p.Heartbeat.Sequence || b.Sequence == p.Heartbeat.Sequence && b.Format > p.Heartbeat.Format
 	}
 	return sent-maxRelayDelay > p.LastSeen
 }
--- a/membership/format_test.go
+++ b/membership/format_test.go
@@ -147,3 +147,16 @@
 	tb.Expire(start + time.Minute)
 	must.MapEmpty(t, tb.Unreadable(start))
 }
+
+// TestFieldsOfSameHeartbeatAreKept guards against fields of version 2 that are lost because
+// a delegate of an older build reported the same heartbeat first.
+func TestFieldsOfSameHeartbeatAreKept(t *testing.T) {
+	tb := newTable(1, membership.Balancer)
+	b := heartbeatFrom("b", membership.Sidecar)
+	later := b
+	b.Format, later.Format, later.Load.Work = membership.Format1, membership.Format2, 400
+	must.True(t, tb.MergeReport(start, 0, host(2), b, versions(0, 0)).Newer)
+	must.True(t, tb.MergeReport(start, 0, host(2), later, versions(0, 0)).Newer)
+	must.False(t, tb.MergeReport(start, 0, host(2), b, versions(0, 0)).Newer)
+	must.Eq(t, 400, tb.Peer(host(2)).Heartbeat.Load.Work)
+}
