--- a/edge/ingress.go
+++ b/edge/ingress.go
@@ -75,13 +75,9 @@
 // write adds the metrics of the link to p.
 func (g *ingress) write(p *metric.Page) {
 	r := g.report(0)
-	standby := 0.0
-	if r.Standby {
-		standby = 1
-	}
 	p.Value(defLink, float64(r.Link))
 	p.Value(defTraffic, float64(r.Traffic))
-	p.Value(defStandby, standby)
+	p.Value(defStandby, flag(r.Standby))
 }
 
 // watchLink measures the traffic of the link, and decides whether the balancer stands by,
