Send flows to other data centres by their expected wait

Cause: with the crowding marks, data centres send flows to each other: 3274 of 8310 flows to another data centre went in the lesser direction of a pair within the same second (load, three data centres, peak 0.95).

Change: where upstreams are not alike, the share of flows that leave a data centre grows by 0.2 a second while the mean wait of another one is shorter by more than the round trip, shrinks while it is not, and is 0 at once when no other wait is shorter. Flows go to the data centres with shorter waits in proportion to their spare capacity. Sidecars pass flows on within their data centre only.

--- a/steer/alternative_test.go
+++ b/steer/alternative_test.go
@@ -118,7 +118,14 @@
 func (a *alternative) cost(b, i int) float64 {
 	if a.u.cfg.method == oracle {
 		active := a.u.sim.instances[i].sidecar.Active()
-		return meanUnevenWork() / a.u.speedOf(i) * (1 + max(0, float64(active-slots+1))/slots)
+		cost := meanUnevenWork() / a.u.speedOf(i) * (1 + max(0, float64(active-slots+1))/slots)
+		if !a.u.sim.instances[i].running {
+			return math.Inf(1)
+		}
+		if a.u.uneven[i].dataCentre != b%a.u.cfg.dataCentres {
+			cost += 2 * oneWayDelay.Seconds()
+		}
+		return cost
 	}
 	e := &a.states[b][i]
 	e.update(a.u.sim.now, a.u.statuses[a.u.sim.instances[i].host])
--- a/steer/completion.go
+++ b/steer/completion.go
@@ -35,6 +35,8 @@
 type servicePace struct {
 	median float64 // in tenths of a millisecond; positive
 	alike  bool    // the work of each upstream counts as the median
+	// overflow is where new flows of the process's data centre go.
+	overflow overflow
 }
 
 // averageWork is the moving average of the work that one sidecar reported.
@@ -50,13 +52,16 @@
 	byService map[registry.ServiceHash]servicePace
 }
 
-// newPaces returns the paces as of a fleet. previous is nil for the first one.
-func newPaces(f *Fleet, previous *paces) *paces {
+// newPaces returns the paces as of a fleet for a process of a data centre. previous is nil
+// for the first one.
+func newPaces(f *Fleet, previous *paces, dataCentre string) *paces {
 	s := &paces{
 		byHost:    make(map[registry.Host]averageWork, len(f.Sidecars)),
 		byService: make(map[registry.ServiceHash]servicePace),
 	}
+	newest := time.Duration(0)
 	for h, status := range f.Sidecars {
+		newest = max(newest, status.LastSeen)
 		if status.Load.Work == 0 {
 			continue
 		}
@@ -67,7 +72,14 @@
 		s.byHost[h] = a
 	}
 	for _, p := range f.Snapshot.Pools() {
-		s.byService[p.Hash] = s.servicePace(p)
+		pace := s.servicePace(p)
+		if previous != nil {
+			pace.overflow = previous.service(p.Hash).overflow
+		}
+		if !pace.alike {
+			pace.overflow = pace.overflow.next(s.sites(f, p, pace), dataCentre, newest)
+		}
+		s.byService[p.Hash] = pace
 	}
 	return s
 }
@@ -129,11 +141,17 @@
 // by an upstream, in tenths of a millisecond. load is the load of the upstream in flows, of
 // which waitingWeight bring as much work as one queued request.
 func (c *chooser) completion(m *registry.Member, p servicePace, load float64) float64 {
-	width := max(1, m.Slots)
-	if window := c.fleet.Sidecars[m.Address.Host].Load.Window; window > 0 {
-		width = min(width, window)
+	w := width(m, c.fleet.Sidecars[m.Address.Host])
+	return c.paces.work(m.Address.Host, p) * (1 + load/waitingWeight/float64(w))
+}
+
+// width returns the number of requests that an upstream processes at the same time.
+func width(m *registry.Member, s SidecarStatus) int {
+	n := max(1, m.Slots)
+	if s.Load.Window > 0 {
+		n = min(n, s.Load.Window)
 	}
-	return c.paces.work(m.Address.Host, p) * (1 + load/waitingWeight/float64(width))
+	return n
 }
 
 // sampled is an upstream of a sample.
@@ -199,16 +217,21 @@
 	return best
 }
 
-// chooseByTime returns the upstreams of the own data centre and of others with the least
-// expected completion. Where upstreams are not alike, it compares only a sample of them.
+// chooseByTime returns upstreams with an early expected completion: one of the data centre
+// that the flow goes to, which is another one while the own one overflows, and one of all
+// others. It compares only a sample of each.
 func (c *chooser) chooseByTime(p *registry.Pool, exclude func(registry.Host) bool) (near, far candidate) {
 	pace := c.paces.service(p.Hash)
+	dataCentre := c.policy.dataCentre
+	if to := pace.overflow.dataCentre(c.hash); to != "" && !c.local {
+		dataCentre = to
+	}
 	var nearSample, farSample sample
 	for i := range p.Members {
 		m := &p.Members[i]
 		switch {
 		case exclude(m.Address.Host) || !c.accepts(m):
-		case m.DataCentre == c.policy.dataCentre:
+		case m.DataCentre == dataCentre:
 			nearSample.add(c.sampledOf(m, pace))
 		default:
 			farSample.add(c.sampledOf(m, pace))
--- a/steer/pass.go
+++ b/steer/pass.go
@@ -56,9 +56,10 @@
 		return nil
 	}
 	c := s.chooser(now, f, p)
+	c.local = true                    // the balancer has chosen the data centre
 	c.hash = rank(c.hash, s.cfg.Self) // so that the sample differs from that of the sender
 	other := c.choose(f.Snapshot.Pool(s.service), func(host registry.Host) bool { return host == s.cfg.Self || h.hasVisited(host) })
-	if other == nil {
+	if other == nil || other.DataCentre != s.cfg.DataCentre {
 		return nil
 	}
 	pace := c.paces.service(s.service)
--- a/steer/place.go
+++ b/steer/place.go
@@ -40,6 +40,7 @@
 	// to have placed for each flow that this one placed.
 	balancers float64
 	paces     *paces // valid for PlaceByTime
+	local     bool   // whether flows stay in the data centre while it overflows
 }
 
 // candidate is an upstream with its rating for a new flow.
@@ -109,6 +110,9 @@
 		return near.failing
 	}
 	f, n := far.member, near.member
+	if c.policy.placing == PlaceByTime && !c.paces.service(registry.HashService(n.Service)).alike {
+		return false // the overflow decides
+	}
 	if c.busyPerSlot(n) >= crowdedBusyMilli && c.busyPerSlot(f)+farMarginMilli <= c.busyPerSlot(n) {
 		return true
 	}
--- a/steer/policy.go
+++ b/steer/policy.go
@@ -53,7 +53,7 @@
 	if y.placing != PlaceByTime {
 		return
 	}
-	s := newPaces(f, y.paces.Load())
+	s := newPaces(f, y.paces.Load(), y.dataCentre)
 	y.paces.Store(s)
 	if y.estimates != nil {
 		y.estimates.mergeAll(f, s)
--- a/steer/uneven_test.go
+++ b/steer/uneven_test.go
@@ -52,6 +52,8 @@
 	// slowAt is when the first upstream becomes slowFactor times slower; 0 for never.
 	slowAt     time.Duration
 	slowFactor float64
+	// without is the number of upstreams of the first data centre that do not run.
+	without int
 }
 
 // unevenServer is an upstream with a speed, and what its sidecar measures.
@@ -66,7 +68,7 @@
 type unevenResults struct {
 	inTime, late, shed [2]int
 	// sent and sentFar count flows, and those sent to another data centre; bothWays is how
-	// many of these went in the direction of fewer flows of a pair within the same second.
+	// many of the latter went in the lesser direction of a pair within the same second.
 	sent, sentFar, bothWays int
 }
 
@@ -150,12 +152,17 @@
 			s.dataCentre = 1
 		}
 	}
-	u.capacity += slots * s.speed / meanUnevenWork()
 	in := u.sim.instances[i]
 	in.sidecar = steer.NewSidecar(steer.SidecarConfig{Self: in.host, DataCentre: dataCentreName(s.dataCentre), Service: service, MaxFlow: maxFlow, Placing: placing})
 	e := u.sim.entry(i, false)
 	e.DataCentre = dataCentreName(s.dataCentre)
 	u.sim.publish(i, e)
+	if i < u.cfg.without {
+		in.running = false
+		u.sim.publish(i, nil)
+		return
+	}
+	u.capacity += slots * s.speed / meanUnevenWork()
 }
 
 // rate returns the requests per second of a data centre.
@@ -433,6 +440,23 @@
 	}
 }
 
+// TestPlacementAcrossDataCentres guards against data centres that keep their flows while
+// others have free upstreams, and against such that send flows to each other.
+func TestPlacementAcrossDataCentres(t *testing.T) {
+	for _, without := range []int{0, 5} {
+		shares := make(map[string]float64)
+		for _, method := range []string{"load", "time", oracle} {
+			r := &simulateUneven(unevenConfig{seed: 7, method: method, balancers: 19, dataCentres: 3, peak: 0.95, length: swingPeriod, without: without}).results
+			shares[method] = r.share()
+			t.Logf("without %d, %-6s %.4f in time, shed %d of %d, %d of %d flows far, %d both ways", without, method, r.share(), r.shed[0]+r.shed[1], r.total(), r.sentFar, r.sent, r.bothWays)
+			if method == "time" {
+				must.LessEq(t, 0.02*float64(r.sentFar), float64(r.bothWays), must.Sprint("without ", without))
+			}
+		}
+		must.GreaterEq(t, 0.97*shares[oracle], shares["time"], must.Sprint("without ", without))
+	}
+}
+
 // TestPlacementOneSlow guards against placement that keeps sending flows to an upstream
 // that became five times slower.
 func TestPlacementOneSlow(t *testing.T) {
