Rate the upstreams of a service once per fleet

Ruled out: a subset of upstreams per balancer. It would need no scan, but each balancer would react late to a change at upstreams outside its subset.

Change: the order of a sample depends on a rating per member, which is computed with the fleet.

--- a/steer/completion.go
+++ b/steer/completion.go
@@ -35,10 +35,23 @@
 type servicePace struct {
 	median float64 // in tenths of a millisecond; positive
 	alike  bool    // the work of each upstream counts as the median
+	// pool is the pool that ratings belongs to. ratings has one entry per member, and is
+	// nil where upstreams are alike.
+	pool    *registry.Pool
+	ratings []rating
 	// overflow is where new flows of the process's data centre go.
 	overflow overflow
 }
 
+// rating is what the order of a sample depends on besides the hash of the flow.
+type rating struct {
+	// class is 0 for an ordinary upstream, 1 for one that would pass the flow on, and 2
+	// for a failing one.
+	class int
+	// slowness is the time per request at all slots together, in tenths of a millisecond.
+	slowness float64
+}
+
 // averageWork is the moving average of the work that one sidecar reported.
 type averageWork struct {
 	work       float64       // in tenths of a millisecond; 0 when it is not known
@@ -78,6 +91,7 @@
 		}
 		if !pace.alike {
 			pace.overflow = pace.overflow.next(s.sites(f, p, pace), dataCentre, newest)
+			pace.pool, pace.ratings = p, s.ratings(f, p, pace)
 		}
 		s.byService[p.Hash] = pace
 	}
@@ -114,6 +128,29 @@
 	return servicePace{median: median, alike: alike}
 }
 
+// ratings returns the rating of each member of a pool.
+func (s *paces) ratings(f *Fleet, p *registry.Pool, pace servicePace) []rating {
+	list := make([]rating, len(p.Members))
+	for i := range p.Members {
+		list[i] = s.rating(f, &p.Members[i], pace)
+	}
+	return list
+}
+
+// rating returns the rating of an upstream.
+func (s *paces) rating(f *Fleet, m *registry.Member, pace servicePace) rating {
+	host := m.Address.Host
+	status := f.Sidecars[host]
+	r := rating{slowness: s.work(host, pace) / float64(width(m, status))}
+	switch {
+	case status.Load.Failing:
+		r.class = 2
+	case status.Load.Refusing:
+		r.class = 1
+	}
+	return r
+}
+
 // isAlike reports whether work counts as the median.
 func isAlike(work, median float64) bool {
 	return math.Abs(work-median)*100 <= alikePercent*median
@@ -157,10 +194,8 @@
 // sampled is an upstream of a sample.
 type sampled struct {
 	member *registry.Member
-	// class is 0 for an ordinary upstream, 1 for one that would pass the flow on, and 2
-	// for a failing one.
-	class int
-	key   float64
+	class  int // as in rating
+	key    float64
 }
 
 // before reports whether n comes before o in the order of a sample.
@@ -190,20 +225,20 @@
 	}
 }
 
-// sampledOf returns an upstream with its place in the order of a sample.
-func (c *chooser) sampledOf(m *registry.Member, p servicePace) sampled {
-	host := m.Address.Host
-	n := sampled{member: m}
-	load := c.fleet.Sidecars[host].Load
-	switch {
-	case load.Failing:
-		n.class = 2
-	case load.Refusing || c.coldRateReached(m):
-		n.class = 1
+// sampledOf returns member i of a pool with its place in the order of a sample.
+func (c *chooser) sampledOf(p *registry.Pool, i int, pace *servicePace) sampled {
+	m := &p.Members[i]
+	var r rating
+	if pace.pool == p {
+		r = pace.ratings[i]
+	} else {
+		r = c.paces.rating(c.fleet, m, *pace) // a newer fleet is being published
 	}
-	uniform := (float64(rank(c.hash, host)>>11) + 0.5) / (1 << 53)
-	n.key = -math.Log(uniform) * c.paces.work(host, p) / float64(max(1, m.Slots))
-	return n
+	if r.class == 0 && c.coldRateReached(m) {
+		r.class = 1
+	}
+	uniform := (float64(rank(c.hash, m.Address.Host)>>11) + 0.5) / (1 << 53)
+	return sampled{member: m, class: r.class, key: -math.Log(uniform) * r.slowness}
 }
 
 // leastOf returns the upstream of a sample with the least expected completion.
@@ -232,9 +267,9 @@
 		switch {
 		case exclude(m.Address.Host) || !c.accepts(m):
 		case m.DataCentre == dataCentre:
-			nearSample.add(c.sampledOf(m, pace))
+			nearSample.add(c.sampledOf(p, i, &pace))
 		default:
-			farSample.add(c.sampledOf(m, pace))
+			farSample.add(c.sampledOf(p, i, &pace))
 		}
 	}
 	return c.leastOf(&nearSample), c.leastOf(&farSample)
