Limit the requests of an upstream that has just started, where asked for

An upstream that starts, or takes flows again after silence, failures, an evacuation or a slow phase, has the least load in all reports, so that balancers send it more than it serves while it is cold.

Openings beyond it are passed on once, with reason "window", while another upstream has a free slot or all slots here are busy; none is refused for it. The window is reported in Load.Window.

The start comes from the list: a new StartedAt, or for the first list one not older than the sidecar. A sidecar that is replaced beside a running upstream starts no ramp.

--- a/daemon/command.go
+++ b/daemon/command.go
@@ -89,7 +89,7 @@
 		newCallerProgram(),
 		newDemoProgram(),
 		newUserPlatformProgram("balancer", "Receive callers' packets and forward them to sidecars", platform.RunBalancer),
-		newUserPlatformProgram("sidecar", "Serve the flows of the upstream on the same instance", platform.RunSidecar),
+		newUserPlatformProgram(sidecarName, "Serve the flows of the upstream on the same instance", platform.RunSidecar),
 		newCheckProgram(),
 		newLoadProgram(),
 	}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -21,6 +21,8 @@
 	maxLogLines     = 1_000_000
 	// logBufferLines is how many lines are buffered for a slow reader of standard output.
 	logBufferLines = 512
+	// sidecarName is the name of the command of a sidecar.
+	sidecarName = "sidecar"
 )
 
 // newUserPlatformProgram returns the command of a process that runs on the users'
@@ -30,6 +32,10 @@
 	level := s.Choice("log-level", "info", logLevels(), "lowest level of the events that are logged")
 	lines := s.Int("log-lines", defaultLogLines, 1, maxLogLines, "lines a second", "limit of log lines per second for each event")
 	placing := s.Choice("placing", string(steer.PlaceByLoad), steer.Placings(), "how upstreams are selected for new flows; all values except load are for comparisons only")
+	ramp := new(bool)
+	if name == sidecarName {
+		ramp = s.Bool("ramp", false, "limit the concurrent requests of the upstream after its start, and raise the limit with each answer in the expected time")
+	}
 	bind := s.Address("bind-address", "", "address to bind for the traffic of other processes if an address translation is in front of it; empty binds the address from the settings of the platform")
 	return program{
 		name:    name,
@@ -49,6 +55,7 @@
 				Path:        platform.SettingsPath(),
 				Incarnation: newIncarnation(),
 				Placing:     steer.Placing(*placing),
+				Ramp:        *ramp,
 				Bind:        *bind,
 				Timer:       t,
 				Log:         event.NewSampled(out, l, name, *lines),
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -38,6 +38,11 @@
 	defMemory     = metric.Definition{Name: "corianderbay_memory_bytes", Kind: metric.Gauge, Help: "Memory that the runtime has mapped."}
 	defStoreCalls = metric.Definition{Name: "corianderbay_store_call_seconds", Kind: metric.Latencies, Help: "Duration of calls of the store, without watches."}
 	defOpening    = metric.Definition{Name: "corianderbay_opening_seconds", Kind: metric.Latencies, Help: "Time from an opening's delivery until the upstream accepts it."}
+	defWork       = metric.Definition{Name: "corianderbay_upstream_work_seconds", Kind: metric.Gauge, Help: "Mean time for which a request occupies a slot of the upstream; 0 while it is not known."}
+	defWorkAge    = metric.Definition{Name: "corianderbay_upstream_work_age_seconds", Kind: metric.Gauge, Help: "Time since the last request that this mean includes."}
+	defWindow     = metric.Definition{Name: "corianderbay_upstream_window", Kind: metric.Gauge, Help: "Maximum number of concurrent requests while the upstream ramps up; 0 when there is none."}
+	defShed       = metric.Definition{Name: "corianderbay_requests_shed_total", Kind: metric.Counter, Help: "Requests that the full upstream answered at once without processing them."}
+	defState      = metric.Definition{Name: "corianderbay_upstream_state", Kind: metric.Gauge, Help: "1 for each state of the upstream that applies: usual, slow or ramp.", Label: "state"}
 	defAnswer     = metric.Definition{Name: "corianderbay_answer_seconds", Kind: metric.Latencies, Help: "Time from a request's first packet until the first data of its answer."}
 )
 
@@ -45,7 +50,7 @@
 func Definitions() (balancer, sidecar []metric.Definition) {
 	common := []metric.Definition{defForwarded, defRefused, defDropped, defInvalid, defHeld, defVersion, defRoutesAge, defRevision, defEra, defDoubtful, defEvacuated, defStoreAge, defPeers, defOmitted, defMemory, defStoreCalls}
 	balancer = append(append(balancer, common...), defRemembered)
-	sidecar = append(append(sidecar, common...), defDelivered, defAnswered, defOpen, defActive, defOpening, defAnswer)
+	sidecar = append(append(sidecar, common...), defDelivered, defAnswered, defOpen, defActive, defOpening, defAnswer, defWork, defWorkAge, defWindow, defShed, defState)
 	return balancer, sidecar
 }
 
@@ -120,6 +125,7 @@
 	p.Value(defActive, float64(s.steering.Active()))
 	p.Histogram(defOpening, s.latency.opening)
 	p.Histogram(defAnswer, s.latency.answer)
+	writePace(&p, s.steering.Pace(s.cfg.Timer.Uptime()))
 	return p.Bytes()
 }
 
--- a/edge/sidecar.go
+++ b/edge/sidecar.go
@@ -35,6 +35,8 @@
 	Upstream netip.AddrPort
 	// Cold limits the openings at the upstream while it is cold.
 	Cold steer.ColdLimit
+	// Ramp limits the concurrent requests of the upstream after its start.
+	Ramp bool
 	// MaxDrain is the maximum time that a stopping sidecar waits for active requests.
 	MaxDrain time.Duration
 }
@@ -79,6 +81,8 @@
 		MaxFlow:    cfg.MaxFlow,
 		Placing:    cfg.Placing,
 		Cold:       cfg.Cold,
+		Ramp:       cfg.Ramp,
+		StartedAt:  cfg.Timer.Now().UnixMilli(),
 		Latency:    s.latency,
 	})
 	s.fleet = s.steering.Fleet
@@ -130,6 +134,7 @@
 	var omitted omittedReporter
 	reported := 0 // active requests at the last extra heartbeat
 	silent := false
+	var pace paceReporter
 	s.requestProbe() // the upstream may not be running yet
 	for {
 		select {
@@ -146,6 +151,7 @@
 		s.sendNotices()
 		s.retryHeld(now)
 		s.scheduleProbe(now)
+		s.reportPace(&pace, now)
 		if now-lastExpire >= expireInterval {
 			lastExpire = now
 			s.steering.Expire(now)
--- a/event/edge.go
+++ b/event/edge.go
@@ -33,7 +33,12 @@
 	UpstreamSilent   Number = 7050
 	UpstreamReacts   Number = 7051
 	UpstreamEnded    Number = 7052
-	LinesOmitted     Number = 7060
+	// UpstreamSlow and the three after it are logged by sidecars.
+	UpstreamSlow      Number = 7053
+	UpstreamRecovered Number = 7054
+	RampStarted       Number = 7055
+	RampEnded         Number = 7056
+	LinesOmitted      Number = 7060
 )
 
 func edgeEvents() []Entry {
@@ -66,6 +71,10 @@
 		{UpstreamSilent, "upstream-silent", zapcore.WarnLevel, "The upstream does not respond to the packets delivered to it; it gets no new flows.", "Check the upstream."},
 		{UpstreamReacts, "upstream-reacts", zapcore.InfoLevel, "The upstream responds again.", "None."},
 		{UpstreamEnded, "upstream-ended", zapcore.WarnLevel, "No process listens on the upstream's address; its flows are reset.", "Check the upstream, unless it was stopped on purpose."},
+		{UpstreamSlow, "upstream-slow", zapcore.WarnLevel, "The upstream takes several times as long for a request as usual. The fields hold its work, its usual work and the median of its service in seconds, the number and age of the samples, and the requests in its queue.", "Check the upstream and its host if it does not recover; see docs/OPERATIONS.md."},
+		{UpstreamRecovered, "upstream-recovered", zapcore.InfoLevel, "The upstream takes about as long for a request as usual again; the fields are those of upstream-slow.", "None."},
+		{RampStarted, "ramp-started", zapcore.InfoLevel, "The upstream started or was silent, failing, slow or evacuated (field cause), and gets a limited number of concurrent requests.", "None."},
+		{RampEnded, "ramp-ended", zapcore.InfoLevel, "The number of concurrent requests of the upstream is no longer limited.", "None."},
 		{LinesOmitted, "lines-omitted", zapcore.WarnLevel, "Log lines were omitted in the last second because an event exceeded its line limit or the reader of the log was too slow.", "Raise --log-lines for a trial, or use the metrics."},
 	}
 }
--- a/eventlog/describe.go
+++ b/eventlog/describe.go
@@ -129,6 +129,8 @@
 		return "newer routes do not permit it here"
 	case "crowded":
 		return "more requests wait here than there"
+	case "window":
+		return "the upstream is ramping up and has as many requests as it may, and another accepts the flow"
 	case "passed":
 		return "its opening was passed on there"
 	case "evacuated":
--- a/pace/meter.go
+++ b/pace/meter.go
@@ -176,6 +176,18 @@
 	m.promote(now)
 }
 
+// Restart lets the estimate follow the next answers quickly: the process of the upstream
+// has been replaced.
+func (m *Meter) Restart() {
+	s := &m.estimator
+	s.samples, s.slower, s.faster = 0, excursion{}, excursion{}
+}
+
+// Shed returns the number of requests that the full upstream shed.
+func (m *Meter) Shed() uint64 {
+	return m.shed
+}
+
 // Pending returns the number of requests without an answer.
 func (m *Meter) Pending() int {
 	return len(m.running) + m.waiting
--- a/pace/upstream_test.go
+++ b/pace/upstream_test.go
@@ -28,24 +28,28 @@
 // upstream is a simulated upstream with slots and a FIFO queue. It sheds requests while
 // its queue is full, and drives a Meter as a sidecar does.
 type upstream struct {
-	now     time.Duration
+	*clock
 	random  *rand.Rand
 	meter   *pace.Meter
 	slots   int
-	queue   int                                           // maximum length of waiting
-	rate    func(now time.Duration) float64               // requests per second
-	draw    func(now time.Duration, u float64) route      // the route of a request
-	factor  func(now time.Duration) float64               // on the work of requests that start
-	check   func(now time.Duration, e pace.Estimate)      // each tick; may be nil
-	answer  func(took time.Duration, measured bool)       // each answer; may be nil
-	admit   func(now time.Duration, outstanding int) bool // may be nil
+	queue   int                                      // maximum length of waiting
+	rate    func(now time.Duration) float64          // requests per second
+	draw    func(now time.Duration, u float64) route // the route of a request
+	factor  func(now time.Duration) float64          // on the work of requests that start
+	check   func(now time.Duration, e pace.Estimate) // each tick; may be nil
+	answer  func(took time.Duration, measured bool)  // each answer; may be nil
 	busy    int
 	waiting []job
-	events  schedule
 	shed    uint64
 	done    int
 }
 
+// clock runs entries in virtual time.
+type clock struct {
+	now    time.Duration
+	events schedule
+}
+
 type job struct {
 	route   route
 	request pace.Request
@@ -70,7 +74,7 @@
 
 // newUpstream returns an upstream with the given share of its capacity in use.
 func newUpstream(seed uint64, slots int, work time.Duration, load float64) *upstream {
-	u := &upstream{random: rand.New(rand.NewPCG(seed, 3)), meter: pace.NewMeter(), slots: slots, queue: 8, now: time.Hour}
+	u := &upstream{random: rand.New(rand.NewPCG(seed, 3)), meter: pace.NewMeter(), slots: slots, queue: 8, clock: &clock{now: start}}
 	u.meter.SetSlots(slots)
 	rate := load * float64(slots) / (float64(work) * meanFactor() / float64(time.Second))
 	u.rate = func(time.Duration) float64 { return rate }
@@ -89,15 +93,19 @@
 	end := u.now + d
 	u.after(0, u.arrive)
 	u.after(0, u.tick)
-	for u.events[0].at < end {
-		next := heap.Pop(&u.events).(entry)
-		u.now = next.at
+	u.runUntil(end)
+}
+
+func (c *clock) runUntil(end time.Duration) {
+	for c.events[0].at < end {
+		next := heap.Pop(&c.events).(entry)
+		c.now = next.at
 		next.do()
 	}
 }
 
-func (u *upstream) after(d time.Duration, do func()) {
-	heap.Push(&u.events, entry{at: u.now + d, do: do})
+func (c *clock) after(d time.Duration, do func()) {
+	heap.Push(&c.events, entry{at: c.now + d, do: do})
 }
 
 func (u *upstream) tick() {
@@ -110,9 +118,11 @@
 
 func (u *upstream) arrive() {
 	u.after(time.Duration(u.random.ExpFloat64()*float64(time.Second)/u.rate(u.now)), u.arrive)
-	if u.admit != nil && !u.admit(u.now, u.busy+len(u.waiting)) {
-		return
-	}
+	u.deliver()
+}
+
+// deliver delivers a request.
+func (u *upstream) deliver() {
 	j := job{route: u.draw(u.now, u.random.Float64())}
 	j.request = u.meter.Begin(u.now, j.route.id)
 	switch {
--- a/steer/action.go
+++ b/steer/action.go
@@ -123,6 +123,9 @@
 	// ReasonNotConfirmed: the caller confirmed another upstream's answer to its
 	// opening.
 	ReasonNotConfirmed
+	// ReasonWindow: the upstream is ramping up and has a window of requests, and another one
+	// accepts the flow.
+	ReasonWindow
 
 	// ReasonCount is the number of reasons plus 1.
 	ReasonCount
@@ -173,6 +176,8 @@
 		return "home"
 	case ReasonNotConfirmed:
 		return "not_confirmed"
+	case ReasonWindow:
+		return "window"
 	}
 	return "unknown"
 }
--- a/steer/pace.go
+++ b/steer/pace.go
@@ -11,10 +11,18 @@
 // workUnit is the unit of membership.Load.Work.
 const workUnit = 100 * time.Microsecond
 
-// pacing estimates the service time of the local upstream. It is safe for concurrent use.
+// pacing estimates the service time of the local upstream and limits its requests while
+// it ramps up. It is safe for concurrent use.
 type pacing struct {
 	mu    sync.Mutex
 	meter *pace.Meter
+	ramp  pace.Ramp
+	slots int
+	// expected and median are the expected time and the median of the service as of the
+	// last call of Pace and the last fleet; 0 when they are not known.
+	expected time.Duration
+	median   time.Duration
+	last     condition // as of the last call of Pace
 	// lastEvent is the time of the last event, used for flows that are removed.
 	lastEvent time.Duration
 }
@@ -26,6 +34,7 @@
 	c.mu.Lock()
 	c.lastEvent = now
 	l.request = c.meter.Begin(now, route)
+	c.ramp.Began()
 	c.mu.Unlock()
 }
 
@@ -41,7 +50,14 @@
 func (c *pacing) answer(now time.Duration, l *localFlow) {
 	c.mu.Lock()
 	c.lastEvent = now
-	c.meter.Answer(now, l.request)
+	shed := c.meter.Shed()
+	took, measured := c.meter.Answer(now, l.request)
+	switch {
+	case measured:
+		c.ramp.Answered(now, took, c.expected, c.median, c.slots)
+	case c.meter.Shed() != shed:
+		c.ramp.Failed(now)
+	}
 	c.mu.Unlock()
 	l.request = 0
 }
@@ -51,6 +67,7 @@
 	c.mu.Lock()
 	c.lastEvent = now
 	c.meter.Fail(now, l.request)
+	c.ramp.Failed(now)
 	c.mu.Unlock()
 	l.request = 0
 }
@@ -67,25 +84,18 @@
 	l.request = 0
 }
 
-// setSlots sets the number of slots of the local upstream if the list has it.
-func (c *pacing) setSlots(f *Fleet, service registry.ServiceHash, self registry.Host) {
+// setFleet takes the slots of the local upstream, if the list has it, and the median of
+// its service from a fleet.
+func (c *pacing) setFleet(f *Fleet, service registry.ServiceHash, self registry.Host) {
 	m, listed := f.Snapshot.Member(service, self)
-	if !listed {
-		return
-	}
-	c.mu.Lock()
-	c.meter.SetSlots(m.Slots)
-	c.mu.Unlock()
-}
-
-// Pace returns the estimate of the service time of the local upstream. It has to be
-// called regularly.
-func (s *Sidecar) Pace(now time.Duration) pace.Estimate {
-	c := &s.pacing
+	median := medianWork(f, service, self)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lastEvent = now
-	return c.meter.Estimate(now)
+	c.median = median
+	if listed {
+		c.slots = m.Slots
+		c.meter.SetSlots(m.Slots)
+	}
 }
 
 // reportedWork returns the work in the unit of reports. Work that is known is at least 1.
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -46,6 +46,11 @@
 	Placing Placing
 	// Cold limits the openings at the upstream while it is cold.
 	Cold ColdLimit
+	// Ramp limits the concurrent requests of the upstream after its start.
+	Ramp bool
+	// StartedAt is the Unix time in milliseconds of the start of the sidecar. 0 when it is
+	// not known; then a ramp starts with the first list only if the upstream is warming up.
+	StartedAt int64
 	// Latency receives the response times of the upstream. It may be nil.
 	Latency Latency
 }
@@ -155,7 +160,7 @@
 // SetFleet replaces the fleet that decisions are based on.
 func (s *Sidecar) SetFleet(f *Fleet) {
 	s.fleet.Store(f)
-	s.pacing.setSlots(f, s.service, s.cfg.Self)
+	s.pacing.setFleet(f, s.service, s.cfg.Self)
 	if s.liveness.downUnverified.Load() && f.Snapshot.Listed(s.cfg.Self) {
 		s.liveness.downUnverified.Store(false)
 		s.liveness.down.Store(false) // it may accept packets although it accepted no connection
@@ -273,10 +278,16 @@
 	if a := s.offload(now, h, p); a != nil {
 		return s.recordPassedOn(now, sh, k, p, a)
 	}
+	if a := s.limitWindow(now, h, p); a != nil {
+		return s.recordPassedOn(now, sh, k, p, a)
+	}
 	if !s.admitsCold(now, h) {
 		s.lastRefusal.Store(int64(now)) // so that balancers choose others
 		return s.recordPassedOn(now, sh, k, p, s.passOn(now, h, p, ReasonCold))
 	}
+	if s.cfg.Ramp {
+		s.pacing.opened(now)
+	}
 	sh.put(k, localFlow{stage: stageOpening, balancer: h.Balancer, nextSequence: p.Sequence, lastPacket: now, deliveredAt: now})
 	s.flows.Add(1)
 	s.liveness.awaitReaction(now)
@@ -438,6 +449,7 @@
 // Load returns the load to report to balancers. busy is the moving average of Active in
 // thousandths.
 func (s *Sidecar) Load(now time.Duration, busy int) membership.Load {
+	status := s.Pace(now)
 	return membership.Load{
 		Flows:    s.Flows(),
 		Active:   s.Active(),
@@ -446,6 +458,7 @@
 		Refusing: s.Refusing(now),
 		Failing:  s.failures.failing(now),
 		Ended:    s.Ended(),
-		Work:     reportedWork(s.Pace(now)),
+		Work:     reportedWork(status.Estimate),
+		Window:   status.Window,
 	}
 }
