Count requests that are overdue in their slots as evidence for a slower upstream

A request in its slot for 3.7 times as long as expected now counts in the sum for a slower pace, once and in place of its answer. The sum for a faster pace has a threshold of its own, since short requests are not more frequent than their spread explains. Pace and levels are means of 320 and 1,280 samples; large changes are taken over at once as before, one of less than twice takes several seconds.

--- a/pace/estimate.go
+++ b/pace/estimate.go
@@ -33,6 +33,7 @@
 	if s.total == 0 {
 		return e
 	}
+	m.countOverdue(now)
 	s.classify()
 	e.Samples, e.Age, e.Slow = max(s.samples, min(matureSamples, int(s.total))), s.age(now), s.slow
 	if s.total >= matureSamples {
@@ -43,6 +44,23 @@
 	return e
 }
 
+// countOverdue adds each request that has been in its slot for several times as long as
+// expected to the evidence for a slower pace. It does so once for each request: at full
+// load every sixth request that is seen in a slot is a long one.
+func (m *Meter) countOverdue(now time.Duration) {
+	s := &m.estimator
+	for _, r := range m.running {
+		e := &m.requests[r]
+		excess := m.excess(now, r)
+		if e.overdue || e.doubtful || excess < overdueExcess {
+			continue
+		}
+		e.overdue = true
+		s.slower.add(residualLimit, excess+s.pace)
+		s.changePace()
+	}
+}
+
 // paceWithSilence returns the pace, raised by requests that have been in a slot for longer
 // than expected: each counts as a sample, and when all slots have such requests, the pace
 // is at least the one that the shortest of them shows beyond what long requests explain. This does not classify the
--- a/pace/estimator.go
+++ b/pace/estimator.go
@@ -17,8 +17,8 @@
 	// paceSamples and levelSamples are the numbers of samples over which the pace and the
 	// level of a class are averaged: with a spread of 0.5 and a tail, the estimates of two
 	// equally fast upstreams rarely differ by 25%.
-	paceSamples  = 160
-	levelSamples = 640
+	paceSamples  = 320
+	levelSamples = 1280
 	// spreadSamples is the same for the variance.
 	spreadSamples = 256
 	// mixSamples is the number of samples of the mix of classes after which all counts
@@ -27,11 +27,18 @@
 
 	// A change of the pace is detected by a cumulative sum of residuals: each counts for
 	// at most residualLimit, less changeSlack, and the pace changes at changeThreshold.
-	// A request that takes seven times as long contributes at most 1 of 3.5, and one that
-	// takes as long as usual removes 0.8.
+	// A request that takes seven times as long contributes at most 0.9 of 3.7, and one that
+	// takes as long as usual removes 0.9.
 	residualLimit   = 1.8
-	changeSlack     = 0.8
-	changeThreshold = 3.5
+	changeSlack     = 0.9
+	changeThreshold = 3.7
+
+	// fasterThreshold is the threshold for a faster pace: short requests are not more
+	// frequent than their spread explains.
+	fasterThreshold = 2.5
+	// overdueExcess is the residual from which a request that is still in its slot counts
+	// in that sum before it is answered, once and for the full residualLimit.
+	overdueExcess = 1.3
 
 	// minPace and maxPace bound the pace: a quarter of and eleven times the usual work.
 	minPace = -1.4
@@ -51,7 +58,7 @@
 	staleTimeConstant = 5 * time.Second
 	// silenceSamples is the number of samples over which a request that is still in its
 	// slot for longer than expected is averaged.
-	silenceSamples = 64
+	silenceSamples = 256
 	// silenceSlack is the excess over the expected time that long requests in all slots
 	// explain: seven times as long.
 	silenceSlack = 1.95
@@ -150,8 +157,8 @@
 	return time.Duration(math.Exp(s.classes[c].level + s.pace))
 }
 
-// add adds a sample.
-func (s *estimator) add(now time.Duration, index uint8, took time.Duration) {
+// add adds a sample. overdue is true when it already counted as evidence for a slower pace.
+func (s *estimator) add(now time.Duration, index uint8, took time.Duration, overdue bool) {
 	s.total++
 	s.lastSample = now
 	value := math.Log(float64(max(minSample, took)))
@@ -164,7 +171,9 @@
 	}
 	deviation := value - c.level
 	residual := min(residualLimit, max(-residualLimit, deviation-s.pace))
-	s.slower.add(residual, deviation)
+	if !overdue {
+		s.slower.add(residual, deviation)
+	}
 	s.faster.add(-residual, deviation)
 	if s.changePace() {
 		return
@@ -189,14 +198,14 @@
 	}
 }
 
-// changePace sets the pace to the mean of an excursion that reached changeThreshold.
+// changePace sets the pace to the mean of an excursion that reached its threshold.
 func (s *estimator) changePace() bool {
 	x := &s.slower
 	if x.sum < changeThreshold {
 		x = &s.faster
-	}
-	if x.sum < changeThreshold {
-		return false
+		if x.sum < fasterThreshold {
+			return false
+		}
 	}
 	s.pace = min(maxPace, max(minPace, x.total/float64(x.samples)))
 	s.samples = x.samples
--- a/pace/meter.go
+++ b/pace/meter.go
@@ -39,6 +39,9 @@
 	// doubtful is true when the start is uncertain, because the upstream may still have
 	// been busy with a request that was given up.
 	doubtful bool
+	// overdue is true when the time in the slot already counted as evidence for a slower
+	// pace.
+	overdue bool
 }
 
 // Meter models the slots and the FIFO queue of an upstream and estimates the time for
@@ -105,7 +108,7 @@
 		m.enqueue(r)
 		return
 	case m.head == 0:
-		e.start = now
+		e.start, e.overdue = now, false
 		return
 	}
 	free := e.start
@@ -135,7 +138,7 @@
 	if doubtful && m.estimator.age(now) < doubtTimeout {
 		return 0, false
 	}
-	m.estimator.add(now, e.class, now-start)
+	m.estimator.add(now, e.class, now-start, e.overdue)
 	return now - start, true
 }
 
@@ -232,7 +235,7 @@
 func (m *Meter) run(r Request, start time.Duration) {
 	e := &m.requests[r]
 	e.state, e.start, e.position = stateRunning, start, int32(len(m.running))
-	e.doubtful = start < m.doubtUntil
+	e.doubtful, e.overdue = start < m.doubtUntil, false
 	m.running = append(m.running, r)
 }
 
