--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -38,8 +38,11 @@
 }
 
 // sidecarOptions adds the flags that only sidecars have.
-func sidecarOptions(*setting.Set) func(*platform.Config) {
-	return func(*platform.Config) {}
+func sidecarOptions(s *setting.Set) func(*platform.Config) {
+	ramp := s.Bool("ramp", false, "limit the concurrent requests of the upstream after its start, and raise the limit with each answer in the expected time")
+	return func(cfg *platform.Config) {
+		cfg.Ramp = *ramp
+	}
 }
 
 // newUserPlatformProgram returns the command of a process that runs on the users'
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -57,13 +57,18 @@
 	defPeerFormat  = metric.Definition{Name: "corianderbay_peers_by_format", Kind: metric.Gauge, Help: "Other live processes by the version of the messages that they are sent.", Label: "format"}
 	defUnreadPeer  = metric.Definition{Name: "corianderbay_peers_unreadable", Kind: metric.Gauge, Help: "Other processes that are alive but whose last message has a version that this one does not read."}
 	defUnreadable  = metric.Definition{Name: "corianderbay_messages_unreadable_total", Kind: metric.Counter, Help: "Messages of versions that this process does not read, by version.", Label: "format"}
+	defWork        = metric.Definition{Name: "corianderbay_upstream_work_seconds", Kind: metric.Gauge, Help: "Mean time for which a request occupies a slot of the upstream; 0 while it is not known."}
+	defWorkAge     = metric.Definition{Name: "corianderbay_upstream_work_age_seconds", Kind: metric.Gauge, Help: "Time since the last request that this mean includes."}
+	defWindow      = metric.Definition{Name: "corianderbay_upstream_window", Kind: metric.Gauge, Help: "Maximum number of concurrent requests while the upstream ramps up; 0 when there is none."}
+	defShed        = metric.Definition{Name: "corianderbay_requests_shed_total", Kind: metric.Counter, Help: "Requests that the full upstream answered at once without processing them."}
+	defState       = metric.Definition{Name: "corianderbay_upstream_state", Kind: metric.Gauge, Help: "1 for each state of the upstream that applies: usual, slow or ramp.", Label: "state"}
 )
 
 // Definitions returns the definitions of all metrics of a balancer and of a sidecar.
 func Definitions() (balancer, sidecar []metric.Definition) {
 	common := []metric.Definition{defForwarded, defRefused, defDropped, defInvalid, defHeld, defVersion, defRoutesAge, defRevision, defEra, defDoubtful, defEvacuated, defStoreAge, defPeers, defBuild, defFormats, defPeerFormat, defUnreadPeer, defUnreadable, defQueries, defAnswers, defLossy, defOmitted, defMemory, defStoreCalls}
 	balancer = append(append(balancer, common...), defRemembered, defLink, defTraffic, defStandby, defOverloaded, defStanding, defShareUsed, defShareOwed, defNotAdmitted)
-	sidecar = append(append(sidecar, common...), defDelivered, defAnswered, defOpen, defActive, defOpening, defAnswer)
+	sidecar = append(append(sidecar, common...), defDelivered, defAnswered, defOpen, defActive, defOpening, defAnswer, defWork, defWorkAge, defWindow, defShed, defState)
 	return balancer, sidecar
 }
 
@@ -184,6 +189,7 @@
 	p.Value(defActive, float64(s.steering.Active()))
 	p.Histogram(defOpening, s.latency.opening)
 	p.Histogram(defAnswer, s.latency.answer)
+	writePace(&p, s.steering.Pace(s.cfg.Timer.Uptime()))
 	return p.Bytes()
 }
 
--- a/steer/action.go
+++ b/steer/action.go
@@ -133,6 +133,9 @@
 	// ReasonRetry: the service is overloaded, the caller was refused shortly before, and
 	// the retry budget of the route is spent.
 	ReasonRetry
+	// ReasonWindow: the upstream is ramping up and has a window of requests, and another one
+	// accepts the flow.
+	ReasonWindow
 
 	// ReasonCount is the number of reasons plus 1.
 	ReasonCount
@@ -191,6 +194,8 @@
 		return "share"
 	case ReasonRetry:
 		return "retry"
+	case ReasonWindow:
+		return "window"
 	}
 	return "unknown"
 }
