Check a configuration of the users' platform before it is sent

Cause: a configuration that operators write is first read by processes. One that they cannot decode is only logged, with the first fault and without a line, and one that sends flows nowhere comes into force.

Ruled out: a decoder with positions of its own, since what it accepts would drift from what processes accept; field types that record errors in UnmarshalJSON, since they get no offset and would hide errors from decodeRoutes; errors for unknown fields, which processes ignore.

Change: platform.Precheck decodes with the structs and conversions of decodeRoutes, takes lines from the tokens of encoding/json, and reports every value of a wrong type by decoding again with null in its place. Package lint checks registry.Routes and compares two versions in terms of new and open flows. "corianderbay platform check-config FILE" prints both as text or JSON; the version in force comes from a file or, with the upstreams, from the store. It exits with 1 for errors and 2 for input that cannot be read. decodeRoutes has the same results.

--- a/daemon/command.go
+++ b/daemon/command.go
@@ -76,6 +76,8 @@
 	group   string // parent command; empty for the root
 	set     *setting.Set
 	run     func(ctx context.Context, w io.Writer) error
+	// runFile is set instead of run by a command whose only argument is the path of a file.
+	runFile func(ctx context.Context, w io.Writer, path string) error
 }
 
 // programs returns the subcommands that have settings.
@@ -91,6 +93,7 @@
 		newUserPlatformProgram("balancer", "Receive callers' packets and forward them to sidecars", platform.RunBalancer),
 		newUserPlatformProgram("sidecar", "Serve the flows of the upstream on the same instance", platform.RunSidecar),
 		newCheckProgram(),
+		newCheckConfigProgram(),
 		newLoadProgram(),
 	}
 }
@@ -122,6 +125,16 @@
 			return p.run(cmd.Context(), cmd.OutOrStdout())
 		},
 	}
+	if p.runFile != nil {
+		cmd.Use += " FILE"
+		cmd.Args = cobra.ExactArgs(1)
+		cmd.RunE = func(cmd *cobra.Command, args []string) error {
+			if err := p.set.Check(); err != nil {
+				return err
+			}
+			return p.runFile(cmd.Context(), cmd.OutOrStdout(), args[0])
+		}
+	}
 	// Bind fails only if a setting is declared twice; then every run of the command
 	// returns the error.
 	if err := p.set.Bind(cmd); err != nil {
--- a/daemon/errors.go
+++ b/daemon/errors.go
@@ -115,3 +115,14 @@
 func (e *NotReadyError) Unwrap() error {
 	return e.Cause
 }
+
+// FindingsError reports a configuration with findings of severity error.
+type FindingsError struct {
+	Path   string
+	Errors int
+}
+
+// Error implements error.
+func (e *FindingsError) Error() string {
+	return fmt.Sprintf("%s must not be sent, errors: %d", e.Path, e.Errors)
+}
--- a/layout_test.go
+++ b/layout_test.go
@@ -76,7 +76,7 @@
 // for I/O, system calls or randomness, so that they stay deterministic.
 func TestDecisionPackagesImportNoIO(t *testing.T) {
 	forbidden := []string{"net", "net/http", "os", "math/rand", "math/rand/v2", "crypto/rand", "syscall"}
-	for _, dir := range []string{"flow", "route", "bundle", "load", "limit", "steer", "registry", "membership"} {
+	for _, dir := range []string{"flow", "route", "bundle", "load", "limit", "steer", "registry", "membership", "lint"} {
 		for _, imported := range importsOf(t, dir) {
 			must.SliceNotContains(t, forbidden, imported, must.Sprintf("package %s", dir))
 		}
