Test check-config against a store

Ruled out: a script in cmd/corianderbay, since the store's stand-in serves over HTTP within the test.

Change: TestCheckConfigReadsTheStore runs the command against the stand-in, and again after it is closed.

Conclusion: the command takes the version in force, the upstreams and the regions from the store and the settings, and exits with 2 without a store.

--- a/daemon/checkconfig_test.go
+++ b/daemon/checkconfig_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"bytes"
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
 	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 
 	"github.com/corianderbay/corianderbay/daemon"
+	"github.com/corianderbay/corianderbay/platform/standin"
 	"github.com/corianderbay/corianderbay/setting"
 	"github.com/shoenig/test/must"
 )
@@ -114,3 +119,38 @@
 		})
 	}
 }
+
+// storeSettings are settings of a process whose store has the address %s.
+const storeSettings = `{"node": "front-1", "zone": "jateng-a", "zones": {"jateng-a": "jateng"}, "ip": "10.1.0.13",
+ "listen": {"datagram_addr": "10.1.0.13:8172", "ready": "10.1.0.13:8167"}, "internal_ports": [7720, 7735],
+ "bounds": {"grace_s": 6, "max_flow_s": 60}, "forwarding_mode": "agent", "platform": {"address": "%s"}}`
+
+// TestCheckConfigReadsTheStore guards against a check that ignores the version in force
+// or the upstreams of the store, or continues when the store cannot be reached.
+func TestCheckConfigReadsTheStore(t *testing.T) {
+	store := standin.NewStore()
+	store.Put("op/config", []byte(runningConfig))
+	store.PublishUpstream(standin.Entry{ID: "u", Service: "report", Address: netip.MustParseAddrPort("10.1.0.9:80"), DataCentre: "jateng-a"})
+	server := httptest.NewServer(store)
+	t.Cleanup(server.Close)
+	settings := filepath.Join(t.TempDir(), "boot.json")
+	must.NoError(t, os.WriteFile(settings, fmt.Appendf(nil, storeSettings, server.Listener.Addr()), 0o600))
+	next := strings.NewReplacer(
+		`"target_latency_ms": 1001`, `"allowed_regions": ["jatim"]`,
+		`{"service": "fitting", "weight": 0}`, `{"service": "other", "weight": 1}`,
+	).Replace(nextConfig)
+	code, out, _ := checkConfig(t, next, "next.json", "--settings", settings)
+	must.Eq(t, setting.ExitFailure, code)
+	must.Eq(t, `next.json:3: error: routes[0].allowed_regions[0]: route r-3 has no upstream in region "jatim" (homes)
+next.json:5: error: routes[0].split[1].service: service "other" has no entry and no upstream serves it (service)
+route r-3: new flows go to other 50%, report 50% instead of fitting, which moves 100% of them; open flows stay
+route r-3: new flows go to regions jatim instead of all regions; open flows stay
+route r-5 is removed: its open flows are dropped; new flows are refused
+next.json: version 8 after 7, differences: 3, errors: 2, warnings: 0
+`, out)
+
+	server.Close()
+	code, _, errOut := checkConfig(t, next, "next.json", "--settings", settings)
+	must.Eq(t, setting.ExitUsage, code)
+	must.StrContains(t, errOut, "cannot read the store")
+}
