State what narrower homes do to open flows

Cause: the comparison said that open flows stay when the homes of a route change. Fleet.permits also bounds searches (steer/fleet.go), so that a flow outside the new homes is found only while a balancer remembers it, as docs/design/evacuation.md says.

Ruled out: stating that these flows are dropped, since balancers with the flow in their cache still deliver its packets.

Change: fateOf decides the statement from the homes before and after, also where another route takes an address.

Conclusion: the difference names the flows that a change of homes may lose.

--- a/daemon/checkconfig_test.go
+++ b/daemon/checkconfig_test.go
@@ -144,7 +144,7 @@
 	must.Eq(t, `next.json:3: error: routes[0].allowed_regions[0]: route r-3 has no upstream in region "jatim" (homes)
 next.json:5: error: routes[0].split[1].service: service "other" has no entry and no upstream serves it (service)
 route r-3: new flows go to other 50%, report 50% instead of fitting, which moves 100% of them; open flows stay
-route r-3: new flows go to regions jatim instead of all regions; open flows stay
+route r-3: new flows go to regions jatim instead of all regions; open flows stay, those in other regions only while a balancer remembers them
 route r-5 is removed: its open flows are dropped; new flows are refused
 next.json: version 8 after 7, differences: 3, errors: 2, warnings: 0
 `, out)
--- a/lint/compare.go
+++ b/lint/compare.go
@@ -69,8 +69,8 @@
 }
 
 func (c *comparison) addRoute(r *registry.Route) {
-	if c.current.addresses[r.Address] != nil {
-		c.add("%s is new: it takes new flows to %s, which go to %s; open flows stay", labelOf(r), r.Address, targetsOf(r))
+	if former := c.current.addresses[r.Address]; former != nil {
+		c.add("%s is new: it takes new flows to %s, which go to %s; %s", labelOf(r), r.Address, targetsOf(r), fateOf(former, r))
 		return
 	}
 	c.add("%s is new: new flows to %s go to %s", labelOf(r), r.Address, targetsOf(r))
@@ -80,7 +80,7 @@
 // has no route, and refuse openings.
 func (c *comparison) removeRoute(r *registry.Route) {
 	if heir := c.next.addresses[r.Address]; heir != nil {
-		c.add("%s is removed: %s takes its address; open flows stay", labelOf(r), labelOf(heir))
+		c.add("%s is removed: %s takes its address; %s", labelOf(r), labelOf(heir), fateOf(r, heir))
 		return
 	}
 	c.add("%s is removed: its open flows are dropped; new flows are refused", labelOf(r))
@@ -90,14 +90,14 @@
 	name := labelOf(r)
 	if old.Address != r.Address {
 		fate := "open flows are dropped"
-		if c.next.addresses[old.Address] != nil {
-			fate = "open flows stay"
+		if heir := c.next.addresses[old.Address]; heir != nil {
+			fate = fateOf(old, heir)
 		}
 		c.add("%s moves from %s to %s: at the former address %s", name, old.Address, r.Address, fate)
 	}
 	c.compareTargets(old, r)
 	if !slices.Equal(old.Homes, r.Homes) {
-		c.add("%s: new flows go to %s instead of %s; open flows stay", name, homesOf(r), homesOf(old))
+		c.add("%s: new flows go to %s instead of %s; %s", name, homesOf(r), homesOf(old), fateOf(old, r))
 	}
 	if old.Timeout != r.Timeout {
 		c.add("%s: timeout changes from %s to %s; no flow moves", name, old.Timeout, r.Timeout)
@@ -202,6 +202,20 @@
 	return "regions " + strings.Join(r.Homes, ", ")
 }
 
+// fateOf returns what happens to the open flows of a route when next takes its address. A
+// search for a flow visits only the homes, so that flows elsewhere are found only by
+// balancers that have them in their caches.
+func fateOf(old, next *registry.Route) string {
+	narrower := len(next.Homes) > 0 && len(old.Homes) == 0
+	for _, home := range old.Homes {
+		narrower = narrower || len(next.Homes) > 0 && !slices.Contains(next.Homes, home)
+	}
+	if narrower {
+		return "open flows stay, those in other regions only while a balancer remembers them"
+	}
+	return "open flows stay"
+}
+
 func percent(share float64) string {
 	return fmt.Sprintf("%.3g%%", 100*share)
 }
--- a/lint/lint_test.go
+++ b/lint/lint_test.go
@@ -110,6 +110,9 @@
 			r.Targets = []registry.Target{{Service: "x", Weight: x}, {Service: "y", Weight: y}}
 		})
 	}
+	homes := func(names ...string) func(*registry.Routes) {
+		return route(func(r *registry.Route) { r.Homes = names })
+	}
 	service := func(s registry.Service) func(*registry.Routes) {
 		return func(r *registry.Routes) { r.Services["x"] = s }
 	}
@@ -157,7 +160,19 @@
 		},
 		"homes": {
 			next: route(func(r *registry.Route) { r.Homes = []string{"north"} }),
-			want: []string{"route r-2: new flows go to regions north instead of all regions; open flows stay"},
+			want: []string{"route r-2: new flows go to regions north instead of all regions; open flows stay, those in other regions only while a balancer remembers them"},
+		},
+		"other homes": {
+			old: homes("north", "west"), next: homes("south", "north"),
+			want: []string{"route r-2: new flows go to regions south, north instead of regions north, west; open flows stay, those in other regions only while a balancer remembers them"},
+		},
+		"more homes": {
+			old: homes("north"), next: homes("north", "south"),
+			want: []string{"route r-2: new flows go to regions north, south instead of regions north; open flows stay"},
+		},
+		"all homes": {
+			old:  homes("north"),
+			want: []string{"route r-2: new flows go to all regions instead of regions north; open flows stay"},
 		},
 		"times": {
 			next: route(func(r *registry.Route) { r.Timeout = 2 * time.Second; r.Objective = time.Second }),
