--- a/exchange/pull.go
+++ b/exchange/pull.go
@@ -120,10 +120,14 @@
 func (n *Node) servePulls(ctx context.Context) {
 	p := pool.New().WithMaxGoroutines(maxPullConns)
 	stop := context.AfterFunc(ctx, func() { n.listener.Close() })
+	defer n.listener.Close() // stop may come before the function has run
 	defer stop()
 	for {
 		conn, err := n.listener.Accept()
 		if ctx.Err() != nil {
+			if err == nil {
+				conn.Close()
+			}
 			break
 		}
 		if err != nil {
--- a/rotation/rotation.go
+++ b/rotation/rotation.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"math"
+	"slices"
 	"time"
 
 	"github.com/corianderbay/corianderbay/membership"
@@ -9,19 +11,16 @@
 )
 
 const (
-	// minLinkRatio is how many times larger than the own link the largest one must be.
-	// Among links of similar sizes a balancer that stands by only moves the shortage.
-	minLinkRatio = 2
-	// standbyPercent is the use of the own link, in percent, from which a balancer stands
-	// by. Bursts exceed the mean over a second, and packets wait before the link is full.
+	// standbyPercent is the use of a link, in percent, up to which an equal share of the
+	// traffic fits it. Bursts exceed the mean over a second, and packets wait before the
+	// link is full.
 	standbyPercent = 60
-	// resumePercent is the expected use of the own link, in percent, below which a balancer
-	// returns.
-	resumePercent = 35
-	// minRotationPercent is the share of the balancers of a data centre, in percent, that
-	// stays in rotation. Routers use all of them when fewer than half are ready; the
-	// margin covers balancers that fail meanwhile.
-	minRotationPercent = 60
+	// keepPercent is the use of the smallest link in rotation, in percent, up to which
+	// standing by still helps. Beyond it, all links are needed.
+	keepPercent = 90
+	// resumePercent is the use of the own link, in percent, below which a balancer returns.
+	// Demand that oscillates does not bring it back between two peaks.
+	resumePercent = 25
 	// minStandby is the minimum time to stand by. Each change moves most flows to another
 	// balancer.
 	minStandby = 10 * time.Second
@@ -60,59 +59,77 @@
 }
 
 func (r *Rotation) decide(now time.Duration, self Peer, peers []Peer) bool {
-	if !mayStandBy(self, peers) {
-		return false
-	}
+	g := newGroup(self, peers)
 	if !r.standby {
 		settled := r.changed == 0 || now-r.changed >= minStandby
-		return settled && self.Ingress.UsedPercent() >= standbyPercent
+		return settled && g.self < g.needed()
 	}
-	return now-r.changed < minStandby || expectedPercent(self, peers) >= resumePercent
+	if g.self >= g.limit || g.standbys(keepPercent) < 0 {
+		return false
+	}
+	wanted := g.standbys(resumePercent)
+	return now-r.changed < minStandby || wanted < 0 || g.self < wanted
 }
 
-// mayStandBy reports whether self is one of the balancers with the smallest links that
-// may stand by at the same time. All balancers of a data centre agree on the order, so
-// that no two decide to stand by where only one may.
-func mayStandBy(self Peer, peers []Peer) bool {
+// group is the live balancers of a data centre whose links are known.
+type group struct {
+	links   []int // kbit/s, ascending
+	self    int   // index of this balancer in the order of links and hosts
+	traffic int   // of all together, in kbit/s
+	limit   int   // how many may stand by
+}
+
+// newGroup returns the group as this balancer sees it. At most half of the balancers of a
+// data centre stand by or are gone: with fewer in rotation, routers use all. Balancers
+// whose links are not known stay in rotation, and their links count as the largest.
+func newGroup(self Peer, peers []Peer) group {
+	g := group{limit: (1 + len(peers)) / 2, traffic: self.Ingress.Traffic}
 	if self.Ingress.Link == 0 {
-		return false
+		g.limit = 0
+		return g
 	}
-	total := 1 + len(peers)
-	limit := total - (total*minRotationPercent+99)/100
-	unavailable, smaller, largest := 0, 0, 0
+	g.links = append(g.links, self.Ingress.Link)
 	for i := range peers {
 		p := &peers[i]
-		switch {
-		case !p.Alive:
-			unavailable++
-		case p.Ingress.Link == 0:
-			// Its link is not known, so it counts as one that does not stand by.
-		default:
-			largest = max(largest, p.Ingress.Link)
-			if compare(*p, self) < 0 {
-				smaller++
-			}
+		if !p.Alive {
+			g.limit--
+			continue
+		}
+		g.traffic += p.Ingress.Traffic
+		g.links = append(g.links, cmp.Or(p.Ingress.Link, math.MaxInt))
+		if p.Ingress.Link > 0 && compare(*p, self) < 0 {
+			g.self++
 		}
 	}
-	return largest >= minLinkRatio*self.Ingress.Link && smaller+unavailable < limit
+	slices.Sort(g.links)
+	return g
 }
 
-// compare orders balancers by their links.
-func compare(a, b Peer) int {
-	return cmp.Or(cmp.Compare(a.Ingress.Link, b.Ingress.Link), a.Host.Compare(b.Host))
+// needed returns how many balancers have to stand by now: as many as give the others room
+// for bursts, or else as many as keep them from becoming saturated.
+func (g *group) needed() int {
+	if n := g.standbys(standbyPercent); n >= 0 {
+		return n
+	}
+	return g.standbys(keepPercent)
 }
 
-// expectedPercent returns how much of its link, in percent, self would use in rotation:
-// routers would give it an equal share of the packets that arrive now.
-func expectedPercent(self Peer, peers []Peer) int {
-	traffic, inRotation := self.Ingress.Traffic, 1
-	for i := range peers {
-		if p := &peers[i]; p.Alive {
-			traffic += p.Ingress.Traffic
-			if !p.Ingress.Standby {
-				inRotation++
-			}
+// standbys returns the least number of balancers with the smallest links that have to
+// stand by so that equal shares of the traffic use at most the given part of each other
+// link. It returns -1 when no permitted number suffices: the others would then become
+// saturated instead. All balancers order themselves in the same way, so that they agree on
+// who stands by.
+func (g *group) standbys(percent int) int {
+	for n := 0; n <= g.limit && n < len(g.links); n++ {
+		share := g.traffic / (len(g.links) - n)
+		if share <= g.links[n]/100*percent {
+			return n
 		}
 	}
-	return 100 * traffic / inRotation / self.Ingress.Link
+	return -1
+}
+
+// compare orders balancers by their links.
+func compare(a, b Peer) int {
+	return cmp.Or(cmp.Compare(a.Ingress.Link, b.Ingress.Link), a.Host.Compare(b.Host))
 }
