Run the long simulations of package steer in parallel

Cause: with the race detector the package took 400 s beside other builds, and go test ends a package after 600 s.

Change: the tests that play a crowd or uneven upstreams are parallel; each has a simulation of its own.

--- a/steer/crowd_test.go
+++ b/steer/crowd_test.go
@@ -446,6 +446,7 @@
 // against a crowd that takes the slots of a more important route, against admission that
 // leaves slots idle, and against refusals after the crowd.
 func TestCrowdOfLessImportantRoute(t *testing.T) {
+	t.Parallel()
 	for _, seed := range []uint64{1, 2, 3} {
 		quiet := simulateCrowd(crowdSetup{seed: seed})
 		for _, demand := range []float64{1.5, 2.4} {
--- a/steer/crowdfailure_test.go
+++ b/steer/crowdfailure_test.go
@@ -16,6 +16,7 @@
 // TestCrowdWithStartingBalancer restarts a balancer with empty state inside the crowd. It
 // guards against a balancer that admits a crowd until it has counted openings itself.
 func TestCrowdWithStartingBalancer(t *testing.T) {
+	t.Parallel()
 	quiet := simulateCrowd(crowdSetup{seed: 1})
 	for _, demand := range []float64{1.5, 2.4} {
 		t.Run(fmt.Sprintf("demand %.1f", demand), func(t *testing.T) {
@@ -34,6 +35,7 @@
 // crowd, so that each side decides by its own loads. It guards against refusals by the
 // last loads of the other side.
 func TestCrowdWithIsolatedDataCentre(t *testing.T) {
+	t.Parallel()
 	quiet := simulateCrowd(crowdSetup{seed: 1})
 	for _, demand := range []float64{1.5, 2.4} {
 		t.Run(fmt.Sprintf("demand %.1f", demand), func(t *testing.T) {
@@ -50,6 +52,7 @@
 // flows are served to their end, so that the test measures admission alone. It guards against a share for the less important route that does not shrink
 // with the capacity.
 func TestCrowdWithHalfOfTheUpstreams(t *testing.T) {
+	t.Parallel()
 	quiet := simulateCrowd(crowdSetup{seed: 1})
 	for _, demand := range []float64{1.5, 2.4} {
 		t.Run(fmt.Sprintf("demand %.1f", demand), func(t *testing.T) {
@@ -89,6 +92,7 @@
 // TestCrowdWithoutAdmission guards against refusals where admission control must have no
 // effect: upstreams that do not report their work, and routes of one priority.
 func TestCrowdWithoutAdmission(t *testing.T) {
+	t.Parallel()
 	setups := map[string]crowdSetup{
 		"no work reported": {seed: 1, admission: true, demand: 2.4, withoutWork: true},
 		"one priority":     {seed: 1, admission: true, demand: 2.4, priority: 1},
--- a/steer/uneven_test.go
+++ b/steer/uneven_test.go
@@ -416,6 +416,7 @@
 // the shares in time. It guards against placement that gives slow upstreams as many flows
 // as fast ones, and against balancers that all place flows on the same upstreams.
 func TestPlacementUnevenSpeeds(t *testing.T) {
+	t.Parallel()
 	methods := []string{"hash", "two", "load", twoByCompletion, leastByCompletion, leastTiesByHash, sampleOfThree, "time", oracle}
 	shares := make(map[string]float64)
 	for _, method := range methods {
@@ -432,6 +433,7 @@
 // TestPlacementManyBalancers guards against herding with more balancers that see the same
 // reports.
 func TestPlacementManyBalancers(t *testing.T) {
+	t.Parallel()
 	for _, balancers := range []int{1, 6, 25} {
 		r := &simulateUneven(unevenConfig{seed: 6, method: "time", balancers: balancers, peak: 0.95, length: swingPeriod}).results
 		best := &simulateUneven(unevenConfig{seed: 6, method: oracle, balancers: balancers, peak: 0.95, length: swingPeriod}).results
@@ -443,6 +445,7 @@
 // TestPlacementAcrossDataCentres guards against data centres that keep their flows while
 // others have free upstreams, and against such that send flows to each other.
 func TestPlacementAcrossDataCentres(t *testing.T) {
+	t.Parallel()
 	for _, without := range []int{0, 5} {
 		shares := make(map[string]float64)
 		for _, method := range []string{"load", "time", oracle} {
@@ -460,6 +463,7 @@
 // TestPlacementOneSlow guards against placement that keeps sending flows to an upstream
 // that became five times slower.
 func TestPlacementOneSlow(t *testing.T) {
+	t.Parallel()
 	const slowAt = 4 * time.Second
 	for _, alike := range []bool{true, false} {
 		for _, method := range []string{"load", "time"} {
