Log what a reset is based on, and count searches

Balancers now log the lost upstream, whether it ended and for how long it was absent, and after a search which upstreams returned the packet and which count as gone. A balancer counts the packets that it sends to search for a flow, and a sidecar the packets of unknown flows that it gives to its upstream. No decision changes; the tests of steer, edge, event and eventlog pass.

--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -49,8 +49,9 @@
 	searches   searchQueue
 	ingress    ingress
 	ready      atomic.Bool
-	firstView  atomic.Int64 // uptime in nanoseconds when routes and upstreams were first received; 0 before that
-	lastPacket atomic.Int64 // uptime in nanoseconds of the last packet of a caller
+	firstView  atomic.Int64  // uptime in nanoseconds when routes and upstreams were first received; 0 before that
+	lastPacket atomic.Int64  // uptime in nanoseconds of the last packet of a caller
+	searched   atomic.Uint64 // packets of unknown flows that were forwarded
 }
 
 // OpenBalancer binds the addresses and returns a Balancer that Run starts. It returns a
@@ -116,7 +117,7 @@
 	now := b.cfg.Timer.Uptime()
 	b.firstView.CompareAndSwap(0, int64(now))
 	b.retryHeld(now)
-	b.resetAll(b.steering.ExhaustedSearches(now), steer.ReasonUnknownFlow)
+	b.resetAll(b.steering.ExhaustedSearches(now))
 	b.retrySearches(now)
 	b.logAdmission(now)
 	if b.ready.Load() {
@@ -178,17 +179,35 @@
 // resetOrphans resets flows whose upstreams are lost, so that callers do not send
 // further requests on them, which would be lost as well.
 func (b *Balancer) resetOrphans(now time.Duration) {
-	b.resetAll(b.steering.EvictOrphans(now), steer.ReasonLost)
+	b.resetAll(b.steering.EvictOrphans(now))
 }
 
-// resetAll resets the flows of the given packets of callers.
-func (b *Balancer) resetAll(list []steer.Packet, reason steer.Reason) {
+// resetAll resets flows.
+func (b *Balancer) resetAll(list []steer.Reset) {
 	var out []byte
 	for i := range list {
-		out = b.refuse(&list[i], reason, out)
+		out = b.refuse(&list[i].Packet, list[i].Reason, out, b.evidence(list[i].Evidence)...)
 	}
 }
 
+// evidence returns the fields of a log line that show why a flow is reset. e may be nil.
+func (b *Balancer) evidence(e *steer.Evidence) []zap.Field {
+	if e == nil {
+		return nil
+	}
+	var fields []zap.Field
+	if !e.Upstream.IsZero() {
+		fields = append(fields, zap.Stringer("upstream", e.Upstream), zap.Bool("ended", e.Status.Ended))
+	}
+	if e.Status.AbsentSince != 0 {
+		fields = append(fields, zap.Duration("absent", b.cfg.Timer.Uptime()-e.Status.AbsentSince))
+	}
+	if len(e.Returned) > 0 {
+		fields = append(fields, zap.Stringers("returned", e.Returned), zap.Stringers("gone", e.Gone))
+	}
+	return fields
+}
+
 // newHandler returns a handler for packets of callers that has its own buffers.
 func (b *Balancer) newHandler() udp.Handler {
 	var p steer.Packet
@@ -219,10 +238,13 @@
 			b.drop(p, steer.ReasonUnknownFlow) // the search continues with the first copy
 			break
 		}
+		if a.Header.UnknownFlow {
+			b.searched.Add(1)
+		}
 		out = b.forward(a, d, out)
 		b.logFlowOpened(p, a)
 	case steer.Refuse:
-		out = b.refuse(p, a.Reason, out)
+		out = b.refuse(p, a.Reason, out, b.evidence(a.Evidence)...)
 	case *steer.Hold:
 		b.hold(a, p, d)
 	case steer.Drop:
@@ -282,8 +304,8 @@
 
 // FlowMissing records which upstreams do not hold a flow, and resets it if none does.
 func (h *balancerHandler) FlowMissing(m *steer.MissReport) {
-	if p, reset := h.steering.FlowMissing(h.cfg.Timer.Uptime(), m); reset {
-		(*Balancer)(h).refuse(&p, steer.ReasonUnknownFlow, nil)
+	if r, reset := h.steering.FlowMissing(h.cfg.Timer.Uptime(), m); reset {
+		(*Balancer)(h).resetAll([]steer.Reset{r})
 	}
 }
 
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -25,6 +25,8 @@
 	defDropped     = metric.Definition{Name: "corianderbay_packets_dropped_total", Kind: metric.Counter, Help: "Packets that were discarded, by reason.", Label: "reason"}
 	defInvalid     = metric.Definition{Name: "corianderbay_packets_invalid_total", Kind: metric.Counter, Help: "Datagrams that are no packets, or came from the wrong side."}
 	defHeld        = metric.Definition{Name: "corianderbay_packets_held", Kind: metric.Gauge, Help: "Packets that wait for what is missing to decide on them."}
+	defSearched    = metric.Definition{Name: "corianderbay_packets_searched_total", Kind: metric.Counter, Help: "Packets of callers sent to search for the upstream of their flow."}
+	defOffered     = metric.Definition{Name: "corianderbay_packets_offered_total", Kind: metric.Counter, Help: "Packets of unknown flows given to the upstream, which returns those of flows that it does not hold."}
 	defRemembered  = metric.Definition{Name: "corianderbay_flows_remembered", Kind: metric.Gauge, Help: "Flows whose upstream the balancer remembers."}
 	defLink        = metric.Definition{Name: "corianderbay_link_kilobits", Kind: metric.Gauge, Help: "Capacity of the instance's link in kbit/s; 0 when it is not known."}
 	defTraffic     = metric.Definition{Name: "corianderbay_link_traffic_kilobits", Kind: metric.Gauge, Help: "Mean traffic over about a second in kbit/s, of the direction with more."}
@@ -67,8 +69,8 @@
 // Definitions returns the definitions of all metrics of a balancer and of a sidecar.
 func Definitions() (balancer, sidecar []metric.Definition) {
 	common := []metric.Definition{defForwarded, defRefused, defDropped, defInvalid, defHeld, defVersion, defRoutesAge, defRevision, defEra, defDoubtful, defEvacuated, defStoreAge, defPeers, defBuild, defFormats, defPeerFormat, defUnreadPeer, defUnreadable, defQueries, defAnswers, defLossy, defOmitted, defMemory, defStoreCalls}
-	balancer = append(append(balancer, common...), defRemembered, defLink, defTraffic, defStandby, defOverloaded, defStanding, defShareUsed, defShareOwed, defNotAdmitted)
-	sidecar = append(append(sidecar, common...), defDelivered, defAnswered, defOpen, defActive, defOpening, defAnswer, defWork, defWorkAge, defWindow, defShed, defState)
+	balancer = append(append(balancer, common...), defSearched, defRemembered, defLink, defTraffic, defStandby, defOverloaded, defStanding, defShareUsed, defShareOwed, defNotAdmitted)
+	sidecar = append(append(sidecar, common...), defDelivered, defOffered, defAnswered, defOpen, defActive, defOpening, defAnswer, defWork, defWorkAge, defWindow, defShed, defState)
 	return balancer, sidecar
 }
 
@@ -171,6 +173,7 @@
 	b.counts.write(&p)
 	p.Value(defHeld, float64(b.held.len()))
 	writeNode(&p, b.node, b.cfg.Log)
+	p.Value(defSearched, float64(b.searched.Load()))
 	p.Value(defRemembered, float64(b.steering.Flows()))
 	b.ingress.write(&p)
 	writeAdmission(&p, b.steering.Admission(b.cfg.Timer.Uptime()))
@@ -184,6 +187,7 @@
 	p.Value(defHeld, float64(s.held.len()))
 	writeNode(&p, s.node, s.cfg.Log)
 	p.Value(defDelivered, float64(s.counts.delivered.Load()))
+	p.Value(defOffered, float64(s.steering.Offered()))
 	p.Value(defAnswered, float64(s.counts.answered.Load()))
 	p.Value(defOpen, float64(s.steering.Flows()))
 	p.Value(defActive, float64(s.steering.Active()))
--- a/edge/process.go
+++ b/edge/process.go
@@ -92,12 +92,13 @@
 	return out
 }
 
-// refuse resets the flow of a caller's packet. It returns the buffer out for reuse.
-func (p *process) refuse(pk *steer.Packet, reason steer.Reason, out []byte) []byte {
+// refuse resets the flow of a caller's packet, and logs it with the given fields. It
+// returns the buffer out for reuse.
+func (p *process) refuse(pk *steer.Packet, reason steer.Reason, out []byte, fields ...zap.Field) []byte {
 	p.counts.refused.add(reason)
 	out = p.cfg.Codec.AppendReset(out[:0], pk)
 	p.socket.Send(out, pk.Source.Host.Port(p.cfg.CallerPort))
-	p.logFlow(event.FlowRefused, pk, zap.Stringer("reason", reason))
+	p.logFlow(event.FlowRefused, pk, append(fields, zap.Stringer("reason", reason))...)
 	return out
 }
 
--- a/event/edge.go
+++ b/event/edge.go
@@ -72,7 +72,7 @@
 		{PeerUnreadable, "peer-unreadable", zapcore.WarnLevel, "A process sends messages of a version that this one does not read; it counts as alive, and its flows are kept. At most one line per process and minute.", "Upgrade this process, or roll the other one back; see docs/OPERATIONS.md."},
 		{RoutesAdopted, "routes-adopted", zapcore.InfoLevel, "Newer routes or upstreams are in force in this process.", "None."},
 		{FlowOpened, "flow-opened", zapcore.InfoLevel, "A new flow was placed; the fields hold the chosen upstream and the version of the routes.", "None."},
-		{FlowRefused, "flow-refused", zapcore.WarnLevel, "A flow was reset; the fields hold the flow and the reason.", "See docs/OPERATIONS.md for the reasons."},
+		{FlowRefused, "flow-refused", zapcore.WarnLevel, "A flow was reset; the fields hold the flow and the reason, and of a balancer also the lost upstream, or which upstreams returned its packet and which count as gone.", "See docs/OPERATIONS.md for the reasons."},
 		{PacketPassed, "packet-passed", zapcore.InfoLevel, "The upstream did not accept a packet, and the sidecar passed it on to the next one.", "None."},
 		{PacketDropped, "packet-dropped", zapcore.InfoLevel, "A packet was dropped; the fields hold the reason.", "None."},
 		{UpstreamReset, "upstream-reset", zapcore.InfoLevel, "The upstream itself reset a flow.", "If it repeats, check the upstream."},
--- a/steer/action.go
+++ b/steer/action.go
@@ -41,6 +41,8 @@
 // Refuse resets the flow towards the caller.
 type Refuse struct {
 	Reason Reason
+	// Evidence is set for ReasonLost, and nil otherwise.
+	Evidence *Evidence
 }
 
 // Hold buffers the packet for a short time and decides on it again, because missing
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -144,14 +144,14 @@
 }
 
 // EvictOrphans removes the flows of upstreams whose sidecars are lost, except those with
-// a request in progress that is not idempotent. It returns a packet with the caller's
-// last acknowledgement number for each flow that has to be reset.
-func (b *Balancer) EvictOrphans(now time.Duration) []Packet {
+// a request in progress that is not idempotent. It returns the flows that have to be
+// reset.
+func (b *Balancer) EvictOrphans(now time.Duration) []Reset {
 	f := b.fleet.Load()
 	if f == nil || !f.anyLost() {
 		return nil
 	}
-	var list []Packet
+	var list []Reset
 	for i := range b.shards {
 		s := &b.shards[i]
 		s.mu.Lock()
@@ -161,7 +161,8 @@
 			}
 			delete(s.flows, k)
 			if e.resettable {
-				list = append(list, Packet{Source: k.Caller, Destination: k.Address, Flags: ACK, Acknowledged: e.acknowledged})
+				p := Packet{Source: k.Caller, Destination: k.Address, Flags: ACK, Acknowledged: e.acknowledged}
+				list = append(list, Reset{Packet: p, Reason: ReasonLost, Evidence: f.lossOf(e.host)})
 			}
 		}
 		s.mu.Unlock()
@@ -330,7 +331,7 @@
 	if e, ok := d.shard.flows[d.key]; ok {
 		if d.fleet.lost(d.now, e.host) && !e.requestInFlight(d.now, d.route) {
 			delete(d.shard.flows, d.key)
-			return Refuse{Reason: ReasonLost}
+			return Refuse{Reason: ReasonLost, Evidence: d.fleet.lossOf(e.host)}
 		}
 		if d.b.admission != nil {
 			d.recordRequest(&e)
--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -224,23 +224,27 @@
 
 // allReturned reports whether each upstream that may hold a flow of the route has returned
 // a packet of it. Upstreams that are gone cannot hold it: those with a lost sidecar, and
-// removed ones whose sidecar is not alive, unless it is only suspected to be gone.
-func (f *Fleet) allReturned(now time.Duration, r *registry.Route, s *search) bool {
+// removed ones whose sidecar is not alive, unless it is only suspected to be gone. It
+// also returns these; the list is complete when all is true.
+func (f *Fleet) allReturned(now time.Duration, r *registry.Route, s *search) (gone []registry.Host, all bool) {
 	for _, p := range f.Snapshot.Pools() {
 		for i := range p.Members {
 			m := &p.Members[i]
 			host := m.Address.Host
+			if s.returnedBy(host) || !f.permits(r, m.DataCentre) {
+				continue
+			}
 			left := m.Status == registry.Removed && !f.alive(now, host) && !f.Sidecars[host].Suspected
-			gone := left || f.lost(now, host)
-			if !gone && !s.returnedBy(host) && f.permits(r, m.DataCentre) {
-				return false
+			if !left && !f.lost(now, host) {
+				return nil, false
 			}
+			gone = append(gone, host)
 		}
 	}
 	for _, h := range f.Unlisted {
 		if f.alive(now, h) && !s.returnedBy(h) && f.permits(r, f.Sidecars[h].DataCentre) {
-			return false
+			return nil, false
 		}
 	}
-	return true
+	return gone, true
 }
--- a/steer/search.go
+++ b/steer/search.go
@@ -168,8 +168,8 @@
 }
 
 // FlowMissing records which upstreams returned a packet of a flow. When no upstream
-// holds the flow, it returns a packet to be reset, and true.
-func (b *Balancer) FlowMissing(now time.Duration, m *MissReport) (Packet, bool) {
+// holds the flow, it returns the flow to be reset, and true.
+func (b *Balancer) FlowMissing(now time.Duration, m *MissReport) (Reset, bool) {
 	b.searches.record(now, m)
 	return b.endIfExhausted(now, m.Key)
 }
@@ -185,7 +185,10 @@
 		return nil, false
 	}
 	route := f.Snapshot.Route(p.Destination)
-	if route == nil || f.allReturned(now, route, &s) {
+	if route == nil {
+		return nil, false
+	}
+	if _, all := f.allReturned(now, route, &s); all {
 		return nil, false
 	}
 	d := decision{b: b, now: now, fleet: f, route: route, key: k, hash: k.Hash(), packet: p}
@@ -225,39 +228,45 @@
 }
 
 // ExhaustedSearches ends the searches that have found that no upstream holds the flow.
-// It returns a packet to be reset for each of them.
-func (b *Balancer) ExhaustedSearches(now time.Duration) []Packet {
-	var list []Packet
+// It returns the flows to be reset.
+func (b *Balancer) ExhaustedSearches(now time.Duration) []Reset {
+	var list []Reset
 	for _, k := range b.searches.activeKeys(now) {
-		if p, ok := b.endIfExhausted(now, k); ok {
-			list = append(list, p)
+		if r, ok := b.endIfExhausted(now, k); ok {
+			list = append(list, r)
 		}
 	}
 	return list
 }
 
-// endIfExhausted ends a search and returns the packet to be reset when it is certain
+// endIfExhausted ends a search and returns the flow to be reset when it is certain
 // that no upstream holds the flow: every upstream that may hold it has returned the
 // packet, and the upstream list is complete and not older than those in the reports.
 // While the fleet is recovering, a list that lacks one of the upstreams that returned
 // the packet may lack others as well.
-func (b *Balancer) endIfExhausted(now time.Duration, k Key) (Packet, bool) {
+func (b *Balancer) endIfExhausted(now time.Duration, k Key) (Reset, bool) {
 	f := b.fleet.Load()
 	s, searched := b.searches.get(now, k)
 	if f == nil || !searched || !f.Settled || s.state.IsZero() || s.state.After(f.Snapshot.State()) {
-		return Packet{}, false
+		return Reset{}, false
 	}
-	if !f.allReturned(now, f.Snapshot.Route(k.Address), &s) || f.Recovering && f.listLacks(s.hosts) {
-		return Packet{}, false
+	gone, all := f.allReturned(now, f.Snapshot.Route(k.Address), &s)
+	if !all || f.Recovering && f.listLacks(s.hosts) {
+		return Reset{}, false
 	}
 	b.searches.remove(k)
 	b.removeContradicted(k, &s)
-	return Packet{Source: k.Caller, Destination: k.Address, Flags: ACK, Acknowledged: s.acknowledged}, !b.hasValidEntry(k, &s)
+	p := Packet{Source: k.Caller, Destination: k.Address, Flags: ACK, Acknowledged: s.acknowledged}
+	return Reset{Packet: p, Reason: ReasonUnknownFlow, Evidence: &Evidence{Returned: s.hosts, Gone: gone}}, !b.hasValidEntry(k, &s)
 }
 
 // recentlyExhausted reports whether every upstream that may hold the flow has just
 // returned a packet of it, so that another search would find nothing.
 func (b *Balancer) recentlyExhausted(now time.Duration, f *Fleet, r *registry.Route, k Key) bool {
 	s, searched := b.searches.get(now, k)
-	return searched && f.allReturned(now, r, &s)
+	if !searched {
+		return false
+	}
+	_, all := f.allReturned(now, r, &s)
+	return all
 }
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -94,9 +94,10 @@
 	openings openingWindow
 	pacing   pacing
 
-	flows       atomic.Int64 // live flows
-	active      atomic.Int64 // requests without an answer
-	lastRefusal atomic.Int64 // nanoseconds; when the upstream last returned an opening, 0 if never
+	flows       atomic.Int64  // live flows
+	active      atomic.Int64  // requests without an answer
+	lastRefusal atomic.Int64  // nanoseconds; when the upstream last returned an opening, 0 if never
+	offered     atomic.Uint64 // packets of unknown flows delivered to the upstream
 
 	mu         sync.Mutex
 	deliveries [deliverySlots]delivery // the record for tag t is at t%deliverySlots
@@ -184,6 +185,12 @@
 	return int(s.active.Load())
 }
 
+// Offered returns the number of packets of unknown flows that were delivered to the
+// upstream.
+func (s *Sidecar) Offered() uint64 {
+	return s.offered.Load()
+}
+
 // Refusing reports whether the upstream returned an opening recently.
 func (s *Sidecar) Refusing(now time.Duration) bool {
 	at := s.lastRefusal.Load()
@@ -355,6 +362,7 @@
 		sh.put(k, localFlow{stage: stageOffered, balancer: h.Balancer, lastPacket: now})
 	}
 	s.liveness.awaitPacket(now)
+	s.offered.Add(1)
 	return Deliver{Tag: s.recordDelivery(now, k, h)}
 }
 
