Offer an upstream the packets of a flow that it returned only once

While the sidecar of a flow restarts, is late in the reports of others or is cut off, a balancer that does not remember the flow searches for it with each packet of the caller, and every search offered the packet to all other upstreams anew. Nothing kept for longer than a second which upstream had returned a packet, although an upstream that returned a packet of an open flow can hold the flow only after an opening of it was delivered there.

An opening replaces the entry, and an entry of an opening that is under way is not replaced. Miss reports stay true: the upstream did return a packet of the flow.

Evidence: TestPacketsDoNotVisitOthersWhileOwnerRestarts failed before with "a flow of upstream 0: 24 packets reached others for 3s"; now each upstream gets one. TestOfferedPacketsFollowOpening holds that a flow opened later is found.

--- a/steer/answer.go
+++ b/steer/answer.go
@@ -94,8 +94,19 @@
 	if l != nil && l.stage == stageClosed {
 		return Drop{Reason: ReasonForgotten}
 	}
+	s.recordReturned(now, sh, k, l)
+	return s.passOn(now, &h, p, ReasonReturned)
+}
+
+// recordReturned records that the upstream returned a later packet of a flow, so that it
+// is not offered further ones. An opening that was delivered meanwhile may still be
+// accepted; its entry is removed as before.
+func (s *Sidecar) recordReturned(now time.Duration, sh *sidecarShard, k Key, l *localFlow) {
+	unknown := l == nil || l.stage == stageOffered || l.stage == stageReturned
 	if l != nil {
 		s.remove(sh, k, l)
 	}
-	return s.passOn(now, &h, p, ReasonReturned)
+	if unknown && len(sh.flows) < maxShardFlows {
+		sh.put(k, localFlow{stage: stageReturned, lastPacket: now})
+	}
 }
--- a/steer/flow.go
+++ b/steer/flow.go
@@ -13,6 +13,9 @@
 const (
 	// stageOffered: a packet of an unknown flow was delivered and may be returned.
 	stageOffered stage = iota + 1
+	// stageReturned: the upstream returned a later packet. It does not hold the flow and,
+	// as long as this sidecar delivers no opening of it, never will.
+	stageReturned
 	// stagePassedOn: an opening was passed on to another sidecar.
 	stagePassedOn
 	// stageOpening: an opening was delivered.
--- /dev/null
+++ b/steer/owner_test.go
@@ -0,0 +1,146 @@
+package steer_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/corianderbay/corianderbay/registry"
+	"github.com/corianderbay/corianderbay/steer"
+	"github.com/shoenig/test/must"
+)
+
+const (
+	tick = 100 * time.Millisecond
+	// maxMisdelivery and maxMisdelivered are the limits of the users' rule: an open flow is
+	// broken when for maxMisdelivery as many of its packets reached other upstreams, and
+	// none its own.
+	maxMisdelivery  = 2 * time.Second
+	maxMisdelivered = 3
+)
+
+// A caller sends a packet that is not acknowledged again after these times. A balancer
+// resends the first copy after the times in searchRetries, and drops further copies until
+// searchEnd.
+var (
+	retransmissions = []time.Duration{0, 2 * tick, 6 * tick, 14 * tick, 30 * tick}
+	searchRetries   = []time.Duration{tick, 3 * tick, 7 * tick}
+)
+
+const searchEnd = 8 * tick
+
+// retransmit plays a packet of an open flow of the upstream at, from a caller that sends it
+// again until the upstream receives it. It returns after how long that was, and -1 when
+// none of the copies reached the upstream.
+func (sim *simulation) retransmit(balancer, at int, p steer.Packet) time.Duration {
+	start, search := sim.now, time.Duration(-1)
+	for _, s := range sim.instances {
+		s.reached = nil
+	}
+	for sim.now <= start+retransmissions[len(retransmissions)-1] {
+		elapsed := sim.now - start
+		if search >= 0 {
+			if slices.Contains(searchRetries, elapsed-search) {
+				sim.retrySearch(balancer, p)
+			}
+			if elapsed-search >= searchEnd {
+				search = -1
+			}
+		}
+		for _, after := range retransmissions {
+			if elapsed != after || search >= 0 {
+				continue
+			}
+			a := sim.balancers[balancer].Packet(sim.now, &p, new(steer.Forward))
+			if f, ok := a.(*steer.Forward); ok && f.Header.UnknownFlow {
+				search = elapsed
+			}
+			sim.execute(a, p)
+		}
+		if len(sim.instances[at].reached) > 0 {
+			return elapsed
+		}
+		sim.advance(tick)
+	}
+	return -1
+}
+
+func (sim *simulation) retrySearch(balancer int, p steer.Packet) {
+	list, _ := sim.balancers[balancer].RetrySearch(sim.now, &p)
+	for i := range list {
+		sim.execute(&list[i], p)
+	}
+}
+
+// misdelivered returns how many packets reached upstreams other than at, and the time
+// between the first and the last of them.
+func (sim *simulation) misdelivered(at int) (count int, span time.Duration) {
+	first, last := time.Duration(-1), time.Duration(0)
+	for i, s := range sim.instances {
+		if i == at {
+			continue
+		}
+		for _, t := range s.reached {
+			count++
+			if first < 0 || t < first {
+				first = t
+			}
+			last = max(last, t)
+		}
+	}
+	return count, last - max(0, first)
+}
+
+// newMixedSimulation returns a simulation of the size of the smallest deployments: two
+// thirds of the upstreams are in the data centre of the balancers.
+func newMixedSimulation() *simulation {
+	sim := newSimulation(2, service, service, service, service, service, service, otherService, otherService, service)
+	sim.publishRoutes(2, service, otherService)
+	sim.publishFleet()
+	return sim
+}
+
+// openAt opens the flow k at an upstream that need not be the first one in the order of a
+// search, without notices to balancers. It returns a request on the flow.
+func (sim *simulation) openAt(t *testing.T, at int, k steer.Key) steer.Packet {
+	t.Helper()
+	h := steer.Header{Balancer: balancerHost(0), Service: registry.HashService(sim.instances[at].service), State: registry.State{Revision: sim.revision}}
+	to := &steer.Forward{Host: sim.instances[at].host, Header: h}
+	must.Eq(t, at, sim.execute(to, opening(k)))
+	p := sim.request(k, at)
+	must.Eq(t, at, sim.execute(to, p))
+	sim.dropNotices()
+	return p
+}
+
+// TestPacketsDoNotVisitOthersWhileOwnerRestarts guards against packets that reach other
+// upstreams for as long as the sidecar of their flow restarts.
+func TestPacketsDoNotVisitOthersWhileOwnerRestarts(t *testing.T) {
+	for at := range 9 {
+		sim := newMixedSimulation()
+		p := sim.openAt(t, at, flowKey(at))
+		sim.adjust = func(_ string, f *steer.Fleet) {
+			f.Sidecars[sim.instances[at].host] = steer.SidecarStatus{DataCentre: dataCentreOf(at), Stopping: true}
+		}
+		sim.instances[at].running = false // packets to it are lost
+		sim.publishFleet()
+		must.Eq(t, -1, sim.retransmit(1, at, p))
+		count, span := sim.misdelivered(at)
+		must.False(t, count >= maxMisdelivered && span >= maxMisdelivery, must.Sprintf("a flow of upstream %d: %d packets reached others for %v", at, count, span))
+		must.SliceEmpty(t, sim.resets)
+	}
+}
+
+// TestOfferedPacketsFollowOpening guards against an upstream that is not offered the
+// packets of a flow that was opened there after it returned one of an earlier flow.
+func TestOfferedPacketsFollowOpening(t *testing.T) {
+	sim := newSimulation(1, service, service)
+	h := steer.Header{Balancer: balancerHost(0), Service: registry.HashService(service), State: registry.State{Revision: sim.revision}}
+	for i := range sim.instances {
+		k := flowKey(i)
+		early := steer.Packet{Source: k.Caller, Destination: k.Address, Flags: steer.ACK, Sequence: 3, Acknowledged: 9}
+		must.Eq(t, -1, sim.execute(&steer.Forward{Host: sim.instances[i].host, Header: h}, early))
+		must.Eq(t, i, sim.execute(&steer.Forward{Host: sim.instances[i].host, Header: h}, opening(k)))
+		must.Eq(t, i, sim.execute(&steer.Forward{Host: sim.instances[i].host, Header: h}, sim.request(k, i)))
+	}
+}
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -267,6 +267,10 @@
 	if l != nil && l.redirects(h) {
 		return followPassedOn(now, l, h)
 	}
+	if l != nil && l.stage == stageReturned {
+		l.lastPacket = now
+		return s.passOn(now, h, p, ReasonReturned)
+	}
 	if l == nil || l.stage == stagePassedOn {
 		return s.offerUnknown(now, sh, k, h)
 	}
--- a/steer/simulation_test.go
+++ b/steer/simulation_test.go
@@ -1,6 +1,7 @@
 package steer_test
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -30,6 +31,9 @@
 	resets    []steer.Key // flows that were reset towards callers
 	held      []heldPacket
 	sequence  uint32
+	// adjust, if not nil, changes the fleet before it is sent to the processes of a data
+	// centre.
+	adjust func(dataCentre string, f *steer.Fleet)
 }
 
 // heldPacket is a packet that a sidecar holds.
@@ -51,6 +55,8 @@
 	answered map[steer.Key]uint32
 	open     map[steer.Key]bool
 	openings int // openings that the upstream accepted
+	// reached holds the times at which later packets reached the running upstream.
+	reached []time.Duration
 }
 
 func newSimulation(balancers int, services ...string) *simulation {
@@ -146,17 +152,29 @@
 	for _, s := range sim.instances {
 		f.Sidecars[s.host] = steer.SidecarStatus{DataCentre: dataCentreOf(slices.Index(sim.instances, s)), Load: s.sidecar.Load(sim.now, 0), LastSeen: sim.now, HeartbeatTimeout: membership.LocalHeartbeatTimeout}
 	}
+	fleets := map[string]*steer.Fleet{near: sim.adjusted(near, f), far: sim.adjusted(far, f)}
 	for _, b := range sim.balancers {
-		b.SetFleet(f)
+		b.SetFleet(fleets[near])
 		for _, s := range sim.instances {
 			b.LoadUpdated(s.host)
 		}
 	}
-	for _, s := range sim.instances {
-		s.sidecar.SetFleet(f)
+	for i, s := range sim.instances {
+		s.sidecar.SetFleet(fleets[dataCentreOf(i)])
 	}
 }
 
+// adjusted returns the fleet as the processes of a data centre receive it.
+func (sim *simulation) adjusted(dataCentre string, f *steer.Fleet) *steer.Fleet {
+	if sim.adjust == nil {
+		return f
+	}
+	c := *f
+	c.Sidecars = maps.Clone(f.Sidecars)
+	sim.adjust(dataCentre, &c)
+	return &c
+}
+
 // advance moves the clock by d and publishes the fleet.
 func (sim *simulation) advance(d time.Duration) {
 	sim.now += d
@@ -220,6 +238,9 @@
 			h := d.Header
 			a = sim.instances[i].sidecar.FromBalancer(sim.now, &h, &p)
 			if deliver, ok := a.(steer.Deliver); ok {
+				if sim.instances[i].running && !p.Opens() {
+					sim.instances[i].reached = append(sim.instances[i].reached, sim.now)
+				}
 				if sim.accepts(i, p) {
 					return i
 				}
