Start each retry of a search at other upstreams, and search silent ones last

A search hands a packet from one upstream of a data centre to the next when that returned it. An upstream that neither accepts nor returns packets, but is still listed, keeps it: a hung process, a frozen or dark instance whose loss is not known yet. The balancer sent the packet again after 100, 300 and 700 ms and the caller after 0.2, 0.6 and 1.4 s, but each copy took the same order and ended at the same place. Upstreams in front of the silent one got every copy, the owner behind it none, until the entry expired: 3 heartbeats and 0.8 s, or as long as the store is away. The owner, its links and the balancer are undisturbed meanwhile.

The order is now a circle that each sidecar continues from its own position; a retry starts at the second upstream of the data centre, the next one at the third and fourth, the last one at four more, and in other data centres likewise from the first one on. Upstreams whose sidecars report that they do not react come after all others. No message changes: older sidecars pass the copies on in their order.

Evidence: before, TestSilentUpstreamDoesNotHideOwner failed with "a flow of upstream 0, with 1 silent", which no copy reached within 3 s, and TestReportedSilentUpstreamIsSearchedLast likewise. Now each of 72 pairs of owner and silent upstream is reached within 0.8 s, and at once when the silence is reported. The test of the queue of searches compares a list now, which has the same packets and also their number of retries.

--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -131,18 +131,14 @@
 
 // retrySearches resends the due packets of searches to upstreams that have not returned them.
 func (b *Balancer) retrySearches(now time.Duration) {
-	var p steer.Packet
 	var out []byte
-	for k, d := range b.searches.due(now) {
-		if err := b.cfg.Codec.Decode(d, &p); err != nil {
-			continue // unreachable: the packet was decoded before it was queued
-		}
-		list, unfinished := b.steering.RetrySearch(now, &p)
+	for _, s := range b.searches.due(now) {
+		list, unfinished := b.steering.RetrySearch(now, &s.packet, s.attempts)
 		for i := range list {
-			out = b.forward(&list[i], d, out)
+			out = b.forward(&list[i], s.data, out)
 		}
 		if !unfinished {
-			b.searches.remove(k)
+			b.searches.remove(s.packet.CallerKey())
 		}
 	}
 }
--- a/edge/search.go
+++ b/edge/search.go
@@ -22,6 +22,7 @@
 	data       []byte
 	since      time.Duration
 	nextRetry  time.Duration // uptime at which the packet is resent
+	attempts   int           // retries so far
 	retryDelay time.Duration // delay between that retry and the one after it
 }
 
@@ -49,10 +50,10 @@
 
 // due returns the packets to resend now and schedules their next retries. It removes
 // packets that are older than maxHold.
-func (s *searchQueue) due(now time.Duration) map[steer.Key][]byte {
+func (s *searchQueue) due(now time.Duration) []searchPacket {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var packets map[steer.Key][]byte
+	var packets []searchPacket
 	for k, p := range s.byFlow {
 		if now-p.since >= maxHold {
 			delete(s.byFlow, k)
@@ -62,11 +63,9 @@
 			continue
 		}
 		p.nextRetry, p.retryDelay = now+p.retryDelay, 2*p.retryDelay
+		p.attempts++
 		s.byFlow[k] = p
-		if packets == nil {
-			packets = make(map[steer.Key][]byte)
-		}
-		packets[k] = p.data
+		packets = append(packets, p)
 	}
 	return packets
 }
--- a/edge/search_test.go
+++ b/edge/search_test.go
@@ -20,12 +20,16 @@
 	must.True(t, s.add(time.Second, &first, []byte("first")))
 	must.False(t, s.add(time.Second, &first, []byte("first")), must.Sprint("retransmission"))
 	must.True(t, s.add(time.Second, &next, []byte("next")))
-	must.MapEmpty(t, s.due(time.Second+searchRetryDelay-1))
-	for _, at := range []time.Duration{searchRetryDelay, 3 * searchRetryDelay, 7 * searchRetryDelay} {
-		must.Eq(t, map[steer.Key][]byte{first.CallerKey(): []byte("first")}, s.due(time.Second+at))
-		must.MapEmpty(t, s.due(time.Second+at))
+	must.SliceEmpty(t, s.due(time.Second+searchRetryDelay-1))
+	for i, at := range []time.Duration{searchRetryDelay, 3 * searchRetryDelay, 7 * searchRetryDelay} {
+		due := s.due(time.Second + at)
+		must.Len(t, 1, due)
+		must.Eq(t, first, due[0].packet)
+		must.Eq(t, []byte("first"), due[0].data)
+		must.Eq(t, i+1, due[0].attempts)
+		must.SliceEmpty(t, s.due(time.Second+at))
 	}
-	must.MapEmpty(t, s.due(time.Second+maxHold))
+	must.SliceEmpty(t, s.due(time.Second+maxHold))
 	must.MapEmpty(t, s.byFlow)
 
 	for port := range maxSearchPackets + 10 {
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -343,30 +343,24 @@
 	if d.b.recentlyExhausted(d.now, d.fleet, d.route, d.key) {
 		return Drop{Reason: ReasonUnknownFlow}
 	}
-	if m := d.firstToSearch(service); m != nil {
-		return d.forward(m.Service, m.Address.Host, true)
-	}
-	if host, found := d.fleet.firstUnlisted(d.route, "", excludeNone); found {
-		return d.forward(service, host, true)
-	}
-	return Drop{Reason: ReasonNoUpstream}
+	return d.search(service)
 }
 
-// firstToSearch returns the first upstream to offer a packet of an unknown flow to.
+// search forwards a packet of an unknown flow to the first upstream that may hold it.
 // Upstreams of the service that the hash selects for new flows come before all others.
-func (d *decision) firstToSearch(service string) *registry.Member {
+func (d *decision) search(service string) Action {
 	ch := d.chooser()
-	if pool := d.fleet.Snapshot.Pool(registry.HashService(service)); pool != nil {
-		if m := ch.nextInPool(pool, excludeNone); m != nil {
-			return m
-		}
+	hash := registry.HashService(service)
+	excludeNone := func(*registry.Member) bool { return false }
+	if m := ch.firstInPools(hash, excludeNone, ch.nextReachable); m != nil {
+		return d.forward(m.Service, m.Address.Host, true)
+	}
+	if host, found := d.fleet.firstUnlisted(d.route, "", func(registry.Host) bool { return false }); found {
+		return d.forward(service, host, true)
 	}
-	return ch.nextInPools(d.fleet.Snapshot.Pools(), excludeNone)
+	return Drop{Reason: ReasonNoUpstream}
 }
 
-// excludeNone excludes no host.
-func excludeNone(registry.Host) bool { return false }
-
 // forward returns the action that sends the packet to the sidecar on a host.
 func (d *decision) forward(service string, h registry.Host, unknown bool) Action {
 	d.out.Host = h
--- a/steer/missreport_test.go
+++ b/steer/missreport_test.go
@@ -95,7 +95,7 @@
 		sim.startBalancer(0)
 		sim.publishFleet()
 		p := sim.request(flowKey(n), n)
-		list, again := sim.balancers[0].RetrySearch(sim.now, &p)
+		list, again := sim.balancers[0].RetrySearch(sim.now, &p, 1)
 		must.True(t, again)
 		must.Len(t, 2, list, must.Sprint("one per data centre"))
 		acceptedBy := -1
@@ -104,7 +104,7 @@
 		}
 		must.Eq(t, n, acceptedBy)
 		sim.deliverNotices()
-		_, again = sim.balancers[0].RetrySearch(sim.now, &p)
+		_, again = sim.balancers[0].RetrySearch(sim.now, &p, 1)
 		must.False(t, again, must.Sprint("a sidecar has sent a notice for the flow"))
 	}
 	must.SliceEmpty(t, sim.resets)
@@ -119,7 +119,7 @@
 	sim.instances[1].running = false // packets to it are lost
 	for range 3 {
 		sim.execute(sim.balancers[0].Packet(sim.now, &p, new(steer.Forward)), p)
-		list, _ := sim.balancers[0].RetrySearch(sim.now, &p)
+		list, _ := sim.balancers[0].RetrySearch(sim.now, &p, 1)
 		for i := range list {
 			sim.execute(&list[i], p)
 		}
@@ -128,7 +128,7 @@
 	m := steer.MissReport{Key: flowKey(1), State: registry.State{Revision: sim.revision}, Hosts: []registry.Host{sim.instances[0].host, sim.instances[2].host}}
 	_, reset := sim.balancers[0].FlowMissing(sim.now, &m)
 	must.False(t, reset)
-	list, again := sim.balancers[0].RetrySearch(sim.now, &p)
+	list, again := sim.balancers[0].RetrySearch(sim.now, &p, 1)
 	must.True(t, again)
 	must.Len(t, 1, list)
 	must.Eq(t, sim.instances[1].host, list[0].Host)
--- a/steer/owner_test.go
+++ b/steer/owner_test.go
@@ -1,7 +1,6 @@
 package steer_test
 
 import (
-	"slices"
 	"testing"
 	"time"
 
@@ -40,8 +39,10 @@
 	for sim.now <= start+retransmissions[len(retransmissions)-1] {
 		elapsed := sim.now - start
 		if search >= 0 {
-			if slices.Contains(searchRetries, elapsed-search) {
-				sim.retrySearch(balancer, p)
+			for i, after := range searchRetries {
+				if elapsed-search == after {
+					sim.retrySearch(balancer, i+1, p)
+				}
 			}
 			if elapsed-search >= searchEnd {
 				search = -1
@@ -65,8 +66,8 @@
 	return -1
 }
 
-func (sim *simulation) retrySearch(balancer int, p steer.Packet) {
-	list, _ := sim.balancers[balancer].RetrySearch(sim.now, &p)
+func (sim *simulation) retrySearch(balancer, attempt int, p steer.Packet) {
+	list, _ := sim.balancers[balancer].RetrySearch(sim.now, &p, attempt)
 	for i := range list {
 		sim.execute(&list[i], p)
 	}
@@ -144,3 +145,39 @@
 		must.Eq(t, i, sim.execute(&steer.Forward{Host: sim.instances[i].host, Header: h}, sim.request(k, i)))
 	}
 }
+
+// TestSilentUpstreamDoesNotHideOwner guards against a search that ends at an upstream that
+// neither accepts nor returns the packet, in front of the upstream that holds the flow.
+func TestSilentUpstreamDoesNotHideOwner(t *testing.T) {
+	for at := range 9 {
+		for silent := range 9 {
+			if silent == at {
+				continue
+			}
+			sim := newMixedSimulation()
+			p := sim.openAt(t, at, flowKey(at))
+			sim.instances[silent].running = false
+			sim.publishFleet()
+			elapsed := sim.retransmit(1, at, p)
+			must.Between(t, 0, elapsed, searchEnd, must.Sprintf("a flow of upstream %d, with %d silent", at, silent))
+		}
+	}
+}
+
+// TestReportedSilentUpstreamIsSearchedLast guards against packets that are lost at an
+// upstream whose sidecar reports that it does not react, while another one holds the flow.
+func TestReportedSilentUpstreamIsSearchedLast(t *testing.T) {
+	for at := range 6 {
+		sim := newSimulation(2, service, service, service, service, service, service)
+		p := sim.openAt(t, at, flowKey(at))
+		silent := (at + 3) % 6 // in the same data centre
+		sim.instances[silent].running = false
+		sim.adjust = func(_ string, f *steer.Fleet) {
+			i := f.Sidecars[sim.instances[silent].host]
+			i.Load.Silent = true
+			f.Sidecars[sim.instances[silent].host] = i
+		}
+		sim.publishFleet()
+		must.Eq(t, 0, sim.retransmit(1, at, p), must.Sprintf("a flow of upstream %d", at))
+	}
+}
--- a/steer/pass.go
+++ b/steer/pass.go
@@ -105,8 +105,9 @@
 // this to the balancer. held is true when an earlier call already did so and held the
 // packet; the report is then repeated only once the fleet is settled.
 func (s *Sidecar) search(f *Fleet, c *chooser, h *Header, p *Packet, reason Reason, held bool) Action {
-	if host, found := c.nextHost(h.Service, s.cfg.DataCentre, h.hasVisited); found {
-		return &Forward{Host: host, Header: *h, Reason: reason}
+	c.origin = searchPosition(c.hash, s.cfg.Self)
+	if next, found := c.nextHost(h.Service, s.cfg.DataCentre, h.hasVisited); found {
+		return &Forward{Host: next, Header: *h, Reason: reason}
 	}
 	h.State = registry.Latest(h.State, f.Snapshot.State())
 	unsettled := !f.Settled && !p.Flags.Has(RST) // a flow that is being closed needs no reset
@@ -138,6 +139,7 @@
 // and records them in the header.
 func (s *Sidecar) fanOut(f *Fleet, c *chooser, h *Header, reason Reason) []Forward {
 	var list []Forward
+	c.origin = 0 // as in RetrySearch, so that retries start at other upstreams
 	for _, dataCentre := range f.dataCentres() {
 		if dataCentre == s.cfg.DataCentre || slices.Contains(h.SentTo, dataCentre) {
 			continue
--- a/steer/place.go
+++ b/steer/place.go
@@ -40,7 +40,10 @@
 	// to have placed for each flow that this one placed.
 	balancers float64
 	paces     *paces // valid for PlaceByTime
-	local     bool   // whether flows stay in the data centre while it overflows
+	// origin is the position in the order of a search after which the next upstream is
+	// chosen; 0 in a balancer.
+	origin uint64
+	local  bool // whether flows stay in the data centre while it overflows
 }
 
 // candidate is an upstream with its rating for a new flow.
@@ -213,52 +216,61 @@
 // Bits that order the upstreams of a search by class, in front of their hash. Upstreams
 // without a bit come first.
 const (
-	rankFar         = 1 << 61 // in another data centre
+	rankBits = 60 // of the hash
+
+	rankFar         = 1 << 60 // in another data centre
+	rankSilent      = 1 << 61 // the upstream does not react, so that a packet may end there
 	rankNoHeartbeat = 1 << 62 // no heartbeat of the sidecar was ever received, so that a packet may be lost there
 	rankRemoved     = 1 << 63 // no longer in the upstream list
 )
 
-// nextInPool returns the next upstream of a pool to offer a packet of an unknown flow
-// to, or nil. Within a class, upstreams are ordered by the hash of the flow. Sidecars
-// whose heartbeats have stopped are left out.
-func (c *chooser) nextInPool(p *registry.Pool, exclude func(registry.Host) bool) *registry.Member {
-	return c.nextMember(p, func(m *registry.Member) bool { return exclude(m.Address.Host) })
+// nextReachable returns the next upstream of a pool to offer a packet of an unknown flow
+// to, or nil. Only upstreams with reachable sidecars are returned.
+func (c *chooser) nextReachable(p *registry.Pool, exclude func(*registry.Member) bool) *registry.Member {
+	return c.nextMember(p, func(m *registry.Member) bool {
+		return exclude(m) || c.fleet.silent(c.now, m.Address.Host)
+	})
 }
 
+// nextMember returns the first upstream of a pool in the order of a search, or nil.
+// Within a class, upstreams are ordered by the hash of the flow, from c.origin on.
 func (c *chooser) nextMember(p *registry.Pool, exclude func(*registry.Member) bool) *registry.Member {
 	var best *registry.Member
 	var bestRank uint64
 	for i := range p.Members {
 		m := &p.Members[i]
-		host := m.Address.Host
-		if exclude(m) || c.fleet.silent(c.now, host) || !c.fleet.permits(c.route, m.DataCentre) {
+		if exclude(m) || !c.fleet.permits(c.route, m.DataCentre) {
 			continue
 		}
-		r := rank(c.hash, host) >> 3
-		if m.DataCentre != c.policy.dataCentre {
-			r |= rankFar
-		}
-		if !c.fleet.alive(c.now, host) {
-			r |= rankNoHeartbeat
-		}
-		if m.Status == registry.Removed {
-			r |= rankRemoved
-		}
-		if best == nil || r < bestRank {
+		if r := c.searchRank(m); best == nil || r < bestRank {
 			best, bestRank = m, r
 		}
 	}
 	return best
 }
 
-// nextInPools applies nextInPool to several pools, one after another.
-func (c *chooser) nextInPools(pools []*registry.Pool, exclude func(registry.Host) bool) *registry.Member {
-	for _, p := range pools {
-		if m := c.nextInPool(p, exclude); m != nil {
-			return m
-		}
+// searchRank returns the place of an upstream in the order of a search.
+func (c *chooser) searchRank(m *registry.Member) uint64 {
+	host := m.Address.Host
+	r := (searchPosition(c.hash, host) - c.origin) & (1<<rankBits - 1)
+	if m.DataCentre != c.policy.dataCentre {
+		r |= rankFar
 	}
-	return nil
+	if c.fleet.Sidecars[host].Load.Silent {
+		r |= rankSilent
+	}
+	if !c.fleet.alive(c.now, host) {
+		r |= rankNoHeartbeat
+	}
+	if m.Status == registry.Removed {
+		r |= rankRemoved
+	}
+	return r
+}
+
+// searchPosition returns the position of a host in the circular order of a search.
+func searchPosition(hash uint64, h registry.Host) uint64 {
+	return rank(hash, h) >> (64 - rankBits)
 }
 
 // nextHost returns the next host of a data centre to offer a packet of an unknown flow
@@ -266,17 +278,29 @@
 // routes may have removed the service from the route, and finally unlisted ones.
 func (c *chooser) nextHost(service registry.ServiceHash, dataCentre string, exclude func(registry.Host) bool) (h registry.Host, found bool) {
 	excludeMember := func(m *registry.Member) bool { return m.DataCentre != dataCentre || exclude(m.Address.Host) }
+	if m := c.firstInPools(service, excludeMember, c.nextReachable); m != nil {
+		return m.Address.Host, true
+	}
+	if h, found := c.fleet.firstUnlisted(c.route, dataCentre, exclude); found {
+		return h, true
+	}
+	return registry.Host{}, false
+}
+
+// firstInPools returns the first upstream that next returns for the pool of a service or,
+// if there is none, for all pools.
+func (c *chooser) firstInPools(service registry.ServiceHash, exclude func(*registry.Member) bool, next func(*registry.Pool, func(*registry.Member) bool) *registry.Member) *registry.Member {
 	if pool := c.fleet.Snapshot.Pool(service); pool != nil {
-		if m := c.nextMember(pool, excludeMember); m != nil {
-			return m.Address.Host, true
+		if m := next(pool, exclude); m != nil {
+			return m
 		}
 	}
 	for _, p := range c.fleet.Snapshot.Pools() {
-		if m := c.nextMember(p, excludeMember); m != nil {
-			return m.Address.Host, true
+		if m := next(p, exclude); m != nil {
+			return m
 		}
 	}
-	return c.fleet.firstUnlisted(c.route, dataCentre, exclude)
+	return nil
 }
 
 // chooseWithoutHeartbeat returns an upstream for a new flow when none is certain to
--- a/steer/search.go
+++ b/steer/search.go
@@ -176,9 +176,11 @@
 
 // RetrySearch decides again on a packet of an unknown flow some time after it was last
 // sent: it may have been lost, or more upstreams may have been discovered. It returns
-// copies for the first upstream of each data centre that has not returned the packet
-// and whose sidecar is alive. again is false when the search is over.
-func (b *Balancer) RetrySearch(now time.Duration, p *Packet) (list []Forward, again bool) {
+// copies for upstreams of each data centre that have not returned the packet. attempt is
+// 1 for the first retry; each retry starts at other upstreams than the ones before, since
+// a search does not pass an upstream that neither accepts nor returns the packet. again
+// is false when the search is over.
+func (b *Balancer) RetrySearch(now time.Duration, p *Packet, attempt int) (list []Forward, again bool) {
 	f, k := b.fleet.Load(), p.CallerKey()
 	s, _ := b.searches.get(now, k)
 	if f == nil || b.hasValidEntry(k, &s) {
@@ -194,19 +196,49 @@
 	d := decision{b: b, now: now, fleet: f, route: route, key: k, hash: k.Hash(), packet: p}
 	ch := d.chooser()
 	service := route.Service(d.hash)
-	exclude := func(h registry.Host) bool { return s.returnedBy(h) || !f.alive(now, h) }
 	for _, dataCentre := range f.dataCentres() {
-		host, found := ch.nextHost(registry.HashService(service), dataCentre, exclude)
-		if !found {
-			continue
+		for _, host := range ch.retryHosts(registry.HashService(service), dataCentre, attempt, s.returnedBy) {
+			h := d.header(service, true)
+			h.Remote, h.Visited = true, f.hostsIn(dataCentre, s.hosts)
+			list = append(list, Forward{Host: host, Header: h})
 		}
-		h := d.header(service, true)
-		h.Remote, h.Visited = true, f.hostsIn(dataCentre, s.hosts)
-		list = append(list, Forward{Host: host, Header: h})
 	}
 	return list, true
 }
 
+// maxRetryCopies is the maximum number of copies that one retry of a search sends to a
+// data centre.
+const maxRetryCopies = 8
+
+// retryHosts returns the hosts of a data centre at which a retry of a search starts. In
+// the own data centre, where the search started at the first host, these are the second
+// one, then the next two, and twice as many for each further retry. Other data centres
+// begin with the first one, since the search may have ended before it got there. When
+// each host has had its turn, the list has one of them.
+func (c *chooser) retryHosts(service registry.ServiceHash, dataCentre string, attempt int, exclude func(registry.Host) bool) []registry.Host {
+	count := min(maxRetryCopies, 1<<(attempt-1))
+	first := count
+	if dataCentre != c.policy.dataCentre {
+		first--
+	}
+	var hosts []registry.Host
+	for len(hosts) < first+count {
+		host, found := c.nextHost(service, dataCentre, func(h registry.Host) bool { return exclude(h) || slices.Contains(hosts, h) })
+		if !found {
+			break
+		}
+		hosts = append(hosts, host)
+	}
+	switch {
+	case len(hosts) > first:
+		return hosts[first:]
+	case len(hosts) > 0:
+		at := first % len(hosts)
+		return hosts[at : at+1]
+	}
+	return nil
+}
+
 // hasValidEntry reports whether the table has an entry for the flow that the search does
 // not contradict.
 func (b *Balancer) hasValidEntry(k Key, s *search) bool {
