Search upstreams whose heartbeats are late, after all others

A search left out each upstream whose sidecar had timed out or announced a stop, whatever the reason. What a process knows of another data centre comes in digests of two delegates. When these are late or roll, the whole data centre has timed out at the asking side: no copy was sent there, although its upstreams serve and its own sidecars would find the flow.

Those that are neither reachable nor lost come after all others: the sidecar at the end of the chain reports what returned the packet, as before, and also sends a copy to the first of them. Other data centres get a copy even if all their upstreams have timed out here. Reports and resets thus do not wait for a sidecar that is gone; before, a removed upstream whose sidecar had been forgotten kept the report of every search.

Evidence: TestSearchReachesDataCentreWithLateHeartbeats failed before, with no copy at the owner within 3 s; now the first one arrives within 0.1 s. TestUnreachableUpstreamDoesNotHoldReportsBack holds the second half. In TestNoResetWhileAnUpstreamMayHoldFlow the silent sidecar's packets are now lost, which is what the case describes: otherwise the search reaches the upstream, which returns the packet, and the reset is right.

--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -358,6 +358,9 @@
 	if host, found := d.fleet.firstUnlisted(d.route, "", func(registry.Host) bool { return false }); found {
 		return d.forward(service, host, true)
 	}
+	if m := ch.firstInPools(hash, excludeNone, ch.nextUnreachable); m != nil {
+		return d.forward(m.Service, m.Address.Host, true)
+	}
 	return Drop{Reason: ReasonNoUpstream}
 }
 
--- a/steer/header.go
+++ b/steer/header.go
@@ -113,6 +113,14 @@
 	return c
 }
 
+// asRemote returns a copy of h for a receiver that must not send the packet to other data
+// centres.
+func (h *Header) asRemote() Header {
+	c := *h
+	c.Remote, c.SentTo = true, nil
+	return c
+}
+
 // HeaderError reports a datagram without a valid forwarding header.
 type HeaderError struct {
 	// Length is the length of the datagram in bytes.
--- a/steer/owner_test.go
+++ b/steer/owner_test.go
@@ -181,3 +181,46 @@
 		must.Eq(t, 0, sim.retransmit(1, at, p), must.Sprintf("a flow of upstream %d", at))
 	}
 }
+
+// TestSearchReachesDataCentreWithLateHeartbeats guards against a search that leaves out all
+// upstreams of a data centre because reports of them are late.
+func TestSearchReachesDataCentreWithLateHeartbeats(t *testing.T) {
+	for _, at := range []int{2, 5, 8} {
+		must.Eq(t, far, dataCentreOf(at))
+		sim := newMixedSimulation()
+		p := sim.openAt(t, at, flowKey(at))
+		sim.adjust = func(dataCentre string, f *steer.Fleet) {
+			for i, s := range sim.instances {
+				if dataCentre == near && dataCentreOf(i) == far {
+					f.Sidecars[s.host] = steer.SidecarStatus{DataCentre: far, Stopping: true, Suspected: true}
+				}
+			}
+		}
+		sim.publishFleet()
+		elapsed := sim.retransmit(1, at, p)
+		must.Between(t, 0, elapsed, tick, must.Sprintf("a flow of upstream %d", at))
+		must.SliceEmpty(t, sim.resets)
+	}
+}
+
+// TestUnreachableUpstreamDoesNotHoldReportsBack guards against a search that reports
+// nothing because it ends at a sidecar that is gone.
+func TestUnreachableUpstreamDoesNotHoldReportsBack(t *testing.T) {
+	sim := newSimulation(1, service, service, otherService, service)
+	at := sim.open(0, flowKey(1))
+	p := sim.request(flowKey(1), at)
+	sim.restartAll()
+	sim.instances[3].running = false
+	sim.adjust = func(_ string, f *steer.Fleet) {
+		f.Sidecars[sim.instances[3].host] = steer.SidecarStatus{DataCentre: near, Stopping: true, Suspected: true}
+	}
+	sim.publishFleet()
+	must.Eq(t, -1, sim.send(0, p))
+	must.SliceEmpty(t, sim.resets)
+	sim.adjust = func(_ string, f *steer.Fleet) {
+		f.Sidecars[sim.instances[3].host] = steer.SidecarStatus{DataCentre: near, Stopping: true, AbsentSince: sim.now - time.Second}
+	}
+	sim.advance(tick)
+	sim.retryHeld()
+	must.Eq(t, []steer.Key{flowKey(1)}, sim.resets)
+}
--- a/steer/pass.go
+++ b/steer/pass.go
@@ -100,13 +100,14 @@
 }
 
 // search sends a later packet to the next upstream of the data centre that may hold its
-// flow. When all of them have returned it, it is sent to each other data centre at the
-// same time, unless h.Remote is set. Each data centre that does not hold the flow reports
-// this to the balancer. held is true when an earlier call already did so and held the
+// flow. When all reachable ones have returned it, it is sent to each other data centre at
+// the same time, unless h.Remote is set, and to one that may be unreachable. Each data
+// centre that does not hold the flow reports this to the balancer. held is true when an earlier call already did so and held the
 // packet; the report is then repeated only once the fleet is settled.
 func (s *Sidecar) search(f *Fleet, c *chooser, h *Header, p *Packet, reason Reason, held bool) Action {
 	c.origin = searchPosition(c.hash, s.cfg.Self)
-	if next, found := c.nextHost(h.Service, s.cfg.DataCentre, h.hasVisited); found {
+	next, reachable, found := c.nextHost(h.Service, s.cfg.DataCentre, h.hasVisited)
+	if reachable {
 		return &Forward{Host: next, Header: *h, Reason: reason}
 	}
 	h.State = registry.Latest(h.State, f.Snapshot.State())
@@ -115,19 +116,31 @@
 	if !p.Flags.Has(RST) && !(held && unsettled) {
 		report = newMissReport(h, p)
 	}
+	b := &FanOut{Report: report}
+	if found && !held {
+		b.Forwards = append(b.Forwards, Forward{Host: next, Header: h.asRemote(), Reason: reason})
+	}
 	if h.Remote {
-		if report == nil {
-			return Drop{Reason: ReasonUnknownFlow}
-		}
-		return report
+		return b.simplified()
 	}
-	b := &FanOut{Report: report, Forwards: s.fanOut(f, c, h, reason)}
+	b.Forwards = append(b.Forwards, s.fanOut(f, c, h, reason)...)
 	if unsettled {
 		b.Hold = newHold(h, ReasonUnknownFlow)
 	}
 	return b
 }
 
+// simplified returns the action for a packet that goes to no other data centre.
+func (b *FanOut) simplified() Action {
+	switch {
+	case len(b.Forwards) > 0:
+		return b
+	case b.Report != nil:
+		return b.Report
+	}
+	return Drop{Reason: ReasonUnknownFlow}
+}
+
 // newMissReport returns the report that the visited hosts in the header do not hold the
 // flow of a packet.
 func newMissReport(h *Header, p *Packet) *Report {
@@ -144,13 +157,13 @@
 		if dataCentre == s.cfg.DataCentre || slices.Contains(h.SentTo, dataCentre) {
 			continue
 		}
-		host, found := c.nextHost(h.Service, dataCentre, h.hasVisited)
+		host, _, found := c.nextHost(h.Service, dataCentre, h.hasVisited)
 		if !found {
 			continue
 		}
 		h.SentTo = append(slices.Clip(h.SentTo), dataCentre)
-		remote := *h
-		remote.Remote, remote.Visited, remote.SentTo = true, nil, nil
+		remote := h.asRemote()
+		remote.Visited = nil
 		list = append(list, Forward{Host: host, Header: remote, Reason: reason})
 	}
 	return list
--- a/steer/place.go
+++ b/steer/place.go
@@ -228,10 +228,25 @@
 // to, or nil. Only upstreams with reachable sidecars are returned.
 func (c *chooser) nextReachable(p *registry.Pool, exclude func(*registry.Member) bool) *registry.Member {
 	return c.nextMember(p, func(m *registry.Member) bool {
-		return exclude(m) || c.fleet.silent(c.now, m.Address.Host)
+		return exclude(m) || !c.reachable(m)
 	})
 }
 
+// nextUnreachable is nextReachable for upstreams whose sidecars are neither reachable nor
+// lost.
+func (c *chooser) nextUnreachable(p *registry.Pool, exclude func(*registry.Member) bool) *registry.Member {
+	return c.nextMember(p, func(m *registry.Member) bool {
+		return exclude(m) || c.reachable(m) || c.fleet.lost(c.now, m.Address.Host)
+	})
+}
+
+// reachable reports whether a packet for the upstream is likely to arrive. The sidecar of
+// a removed upstream whose heartbeats are unknown has probably ended.
+func (c *chooser) reachable(m *registry.Member) bool {
+	_, known := c.fleet.Sidecars[m.Address.Host]
+	return !c.fleet.silent(c.now, m.Address.Host) && (known || m.Status != registry.Removed)
+}
+
 // nextMember returns the first upstream of a pool in the order of a search, or nil.
 // Within a class, upstreams are ordered by the hash of the flow, from c.origin on.
 func (c *chooser) nextMember(p *registry.Pool, exclude func(*registry.Member) bool) *registry.Member {
@@ -275,16 +290,21 @@
 
 // nextHost returns the next host of a data centre to offer a packet of an unknown flow
 // to: upstreams of the service first, then all others, since a newer version of the
-// routes may have removed the service from the route, and finally unlisted ones.
-func (c *chooser) nextHost(service registry.ServiceHash, dataCentre string, exclude func(registry.Host) bool) (h registry.Host, found bool) {
+// routes may have removed the service from the route, and then unlisted ones. When no
+// reachable one is left, it returns one that is neither reachable nor lost, and
+// reachable is false.
+func (c *chooser) nextHost(service registry.ServiceHash, dataCentre string, exclude func(registry.Host) bool) (h registry.Host, reachable, found bool) {
 	excludeMember := func(m *registry.Member) bool { return m.DataCentre != dataCentre || exclude(m.Address.Host) }
 	if m := c.firstInPools(service, excludeMember, c.nextReachable); m != nil {
-		return m.Address.Host, true
+		return m.Address.Host, true, true
 	}
 	if h, found := c.fleet.firstUnlisted(c.route, dataCentre, exclude); found {
-		return h, true
+		return h, true, true
+	}
+	if m := c.firstInPools(service, excludeMember, c.nextUnreachable); m != nil {
+		return m.Address.Host, false, true
 	}
-	return registry.Host{}, false
+	return registry.Host{}, false, false
 }
 
 // firstInPools returns the first upstream that next returns for the pool of a service or,
--- a/steer/reset_test.go
+++ b/steer/reset_test.go
@@ -75,6 +75,7 @@
 		"fleet not settled": func(f *steer.Fleet, _ *simulation, _ int) { f.Settled = false },
 		"sidecar silent": func(f *steer.Fleet, sim *simulation, at int) {
 			f.Sidecars[sim.instances[at].host] = steer.SidecarStatus{LastSeen: sim.now - time.Hour, HeartbeatTimeout: membership.LocalHeartbeatTimeout}
+			sim.instances[at].running = false // packets to it are lost
 		},
 	}
 	for name, prepare := range cases {
--- a/steer/search.go
+++ b/steer/search.go
@@ -223,7 +223,7 @@
 	}
 	var hosts []registry.Host
 	for len(hosts) < first+count {
-		host, found := c.nextHost(service, dataCentre, func(h registry.Host) bool { return exclude(h) || slices.Contains(hosts, h) })
+		host, _, found := c.nextHost(service, dataCentre, func(h registry.Host) bool { return exclude(h) || slices.Contains(hosts, h) })
 		if !found {
 			break
 		}
