Do not reset flows of upstreams out of the list whose sidecars restart

A search resets a flow when all upstreams that may hold it have returned its packet. It left out an upstream whose entry had been removed for 2 s and whose sidecar was stopping, and one that is not listed unless its sidecar was alive at that moment. Entries of upstreams that serve are missing for seconds when the store turns their instance away, takes its keys or comes back after leases ran out. A planned restart of the sidecar in that time, or late reports of it, made its upstream count as gone, and each balancer that searched for one of its flows reset it.

A sidecar that stops without its upstream having ended restarts; without a word from it it is absent soon, or forgotten after 20 s at the latest.

Evidence: of the cases of TestNoResetWhileSidecarLossIsUnconfirmed, "restarting" with an entry that was removed or never arrived, and "suspected" with one that never arrived, failed before. The test had one case more, a stopping sidecar that was to allow the reset; it stood for a confirmed loss, which the cases "absent" and "ended" now state as the processes do.

--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -224,8 +224,9 @@
 
 // allReturned reports whether each upstream that may hold a flow of the route has returned
 // a packet of it. Upstreams that are gone cannot hold it: those with a lost sidecar, and
-// removed ones whose sidecar is not alive, unless it is only suspected to be gone. It
-// also returns these; the list is complete when all is true.
+// removed ones whose sidecar is not known. A sidecar that stops without its upstream
+// having ended restarts, whether its upstream is listed or not. The upstreams that are
+// gone are returned, too; the list is complete when all is true.
 func (f *Fleet) allReturned(now time.Duration, r *registry.Route, s *search) (gone []registry.Host, all bool) {
 	for _, p := range f.Snapshot.Pools() {
 		for i := range p.Members {
@@ -234,15 +235,18 @@
 			if s.returnedBy(host) || !f.permits(r, m.DataCentre) {
 				continue
 			}
-			left := m.Status == registry.Removed && !f.alive(now, host) && !f.Sidecars[host].Suspected
-			if !left && !f.lost(now, host) {
+			_, known := f.Sidecars[host]
+			if !f.lost(now, host) && (known || m.Status != registry.Removed) {
 				return nil, false
 			}
 			gone = append(gone, host)
 		}
 	}
-	for _, h := range f.Unlisted {
-		if f.alive(now, h) && !s.returnedBy(h) && f.permits(r, f.Sidecars[h].DataCentre) {
+	for h, i := range f.Sidecars {
+		if f.Snapshot.Listed(h) || s.returnedBy(h) || !f.permits(r, i.DataCentre) {
+			continue
+		}
+		if !f.lost(now, h) && !i.Load.Silent {
 			return nil, false
 		}
 	}
--- a/steer/missreport_test.go
+++ b/steer/missreport_test.go
@@ -1,6 +1,7 @@
 package steer_test
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -150,22 +151,38 @@
 	})
 }
 
-// TestNoResetWhileSidecarLossIsUnconfirmed guards against resetting a flow when its
-// upstream was removed from the list and its sidecar is silent, but the loss of the
-// sidecar is unconfirmed.
+// TestNoResetWhileSidecarLossIsUnconfirmed guards against resetting a flow when the entry of
+// its upstream was removed from the list or never arrived and its sidecar is silent or
+// restarts, but its loss is unconfirmed.
 func TestNoResetWhileSidecarLossIsUnconfirmed(t *testing.T) {
-	for _, unconfirmed := range []bool{true, false} {
-		sim := newSimulation(1, service, service, service)
-		sim.publish(2, nil)
-		sim.now += registry.MissingGrace
-		sim.publishFleet()
-		f := &steer.Fleet{Snapshot: sim.directory.Snapshot(sim.now), Sidecars: map[registry.Host]steer.SidecarStatus{
-			sim.instances[2].host: {Stopping: true, Suspected: unconfirmed},
-		}, Settled: true}
-		sim.balancers[0].SetFleet(f)
-		m := steer.MissReport{Key: flowKey(1), State: registry.State{Revision: sim.revision}, Hosts: []registry.Host{sim.instances[0].host, sim.instances[1].host}}
-		_, reset := sim.balancers[0].FlowMissing(sim.now, &m)
-		must.Eq(t, !unconfirmed, reset)
+	cases := map[string]struct {
+		status steer.SidecarStatus
+		reset  bool
+	}{
+		"suspected":  {steer.SidecarStatus{Stopping: true, Suspected: true}, false},
+		"restarting": {steer.SidecarStatus{Stopping: true}, false},
+		"absent":     {steer.SidecarStatus{Stopping: true, AbsentSince: time.Minute}, true},
+		"ended":      {steer.SidecarStatus{Stopping: true, Ended: true}, true},
+	}
+	for name, c := range cases {
+		for _, listed := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s, listed before %v", name, listed), func(t *testing.T) {
+				sim := newSimulation(1, service, service, service)
+				sim.publish(2, nil)
+				sim.now += registry.MissingGrace
+				if !listed {
+					sim.now += time.Hour
+					sim.directory.Expire(sim.now)
+				}
+				sim.publishFleet()
+				f := &steer.Fleet{Snapshot: sim.directory.Snapshot(sim.now), Sidecars: map[registry.Host]steer.SidecarStatus{sim.instances[2].host: c.status}, Settled: true}
+				must.Eq(t, listed, f.Snapshot.Listed(sim.instances[2].host))
+				sim.balancers[0].SetFleet(f)
+				m := steer.MissReport{Key: flowKey(1), State: registry.State{Revision: sim.revision}, Hosts: []registry.Host{sim.instances[0].host, sim.instances[1].host}}
+				_, reset := sim.balancers[0].FlowMissing(sim.now, &m)
+				must.Eq(t, c.reset, reset)
+			})
+		}
 	}
 }
 
