Keep flows of an upstream whose address belonged to one that ended

A sidecar whose upstream ended says so in its last heartbeat, and balancers reset the flows of its host. Addresses are given to other upstreams 2 s later. What a balancer has from the former sidecar stayed valid until the first heartbeat of the next one arrived, for up to a second where it comes by a digest. In that time it reset flows that other balancers had opened at the new upstream and that the new sidecar had reported, and a search took the new upstream for gone.

A loss now has a time. A flow that was reported after the announcement belongs to the next sidecar and is kept; an available entry that arrived after the loss is that of the next upstream, and a search includes it. The class is state of a former process that is applied to the next one under the same name; incarnations of heartbeats cover the other cases.

Evidence: TestLossOfFormerSidecarKeepsReportedFlows and TestLossOfFormerSidecarKeepsNewUpstream failed before. The tests of steer, registry, exchange, edge and platform pass; in membership only the known failure fails.

--- a/exchange/view.go
+++ b/exchange/view.go
@@ -98,6 +98,7 @@
 			LastContact: n.members.DirectContact(h),
 			Suspected:   n.members.Suspected(now, h),
 			Ended:       n.members.Ended(h),
+			EndedAt:     n.members.EndedAt(h),
 		}
 	}
 	n.cfg.Refresh(f)
--- a/membership/absence.go
+++ b/membership/absence.go
@@ -143,6 +143,15 @@
 	return p != nil && p.Stopping() && p.Heartbeat.Load.Ended
 }
 
+// EndedAt returns when a sidecar for which Ended reports true sent its announcement, and 0
+// for others.
+func (t *Table) EndedAt(h registry.Host) time.Duration {
+	if !t.Ended(h) {
+		return 0
+	}
+	return t.peers[h].LastSeen
+}
+
 // overdue reports whether a heartbeat or report of a sidecar is overdue. A report by
 // balancers of another data centre that it is lost is not sufficient: they may have
 // missed two heartbeats and received the next one since.
--- a/registry/snapshot.go
+++ b/registry/snapshot.go
@@ -28,6 +28,8 @@
 	Upstream
 	// Status is as of the time of the snapshot.
 	Status Status
+	// LearnedAt is when this process received the entry, or its last change.
+	LearnedAt time.Duration
 }
 
 // Pool holds the upstreams of one service, one per host, in the order of their hosts.
@@ -85,7 +87,7 @@
 		if content, learned := r.content(); content != nil {
 			u := *content
 			u.Warmup = max(0, u.Warmup-(now-learned))
-			s.add(u, s.statusOf(&u, r.status(now)))
+			s.add(Member{Upstream: u, Status: s.statusOf(&u, r.status(now)), LearnedAt: learned})
 		}
 	}
 	for _, p := range s.pools {
@@ -118,17 +120,16 @@
 }
 
 // add puts an upstream into its pool. replaces decides between two on one host.
-func (s *Snapshot) add(u Upstream, status Status) {
-	s.hosts[u.Address.Host] = struct{}{}
-	hash := HashService(u.Service)
+func (s *Snapshot) add(m Member) {
+	s.hosts[m.Address.Host] = struct{}{}
+	hash := HashService(m.Service)
 	p := s.pools[hash]
 	if p == nil {
-		p = &Pool{Service: u.Service, Hash: hash}
+		p = &Pool{Service: m.Service, Hash: hash}
 		s.pools[hash] = p
 	}
-	m := Member{Upstream: u, Status: status}
 	for i := range p.Members {
-		if p.Members[i].Address.Host != u.Address.Host {
+		if p.Members[i].Address.Host != m.Address.Host {
 			continue
 		}
 		if replaces(m, p.Members[i]) {
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -156,7 +156,7 @@
 		s := &b.shards[i]
 		s.mu.Lock()
 		for k, e := range s.flows {
-			if !f.lost(now, e.host) || e.requestInFlight(now, f.Snapshot.Route(k.Address)) {
+			if !f.lostFlow(now, &e) || e.requestInFlight(now, f.Snapshot.Route(k.Address)) {
 				continue
 			}
 			delete(s.flows, k)
@@ -329,7 +329,7 @@
 func (d *decision) follow() Action {
 	service := d.route.Service(d.hash)
 	if e, ok := d.shard.flows[d.key]; ok {
-		if d.fleet.lost(d.now, e.host) && !e.requestInFlight(d.now, d.route) {
+		if d.fleet.lostFlow(d.now, &e) && !e.requestInFlight(d.now, d.route) {
 			delete(d.shard.flows, d.key)
 			return Refuse{Reason: ReasonLost, Evidence: d.fleet.lossOf(e.host)}
 		}
--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -45,6 +45,8 @@
 	Suspected bool
 	// Ended is true when the sidecar announced that it stops after its upstream had ended.
 	Ended bool
+	// EndedAt is when the sidecar sent that announcement. 0 when Ended is false.
+	EndedAt time.Duration
 }
 
 // alive reports whether the last heartbeat is recent enough and the sidecar is not
@@ -115,6 +117,28 @@
 	return now-since >= lostAfter || contact != 0 && now-contact >= silentLostAfter && now-since >= silentAbsence
 }
 
+// lostFlow reports whether a flow is lost with its upstream. One that was reported after
+// the sidecar announced its end is not: it is a flow of the next sidecar on the host, of
+// which no heartbeat has arrived yet. An absence ends with the report itself.
+func (f *Fleet) lostFlow(now time.Duration, e *flowEntry) bool {
+	ended := f.Sidecars[e.host].EndedAt
+	if ended > 0 && e.confirmed && e.updated > ended {
+		return false
+	}
+	return f.lost(now, e.host)
+}
+
+// lostMember reports whether the flows of a listed upstream are lost. An available entry
+// that arrived after the loss is that of the next upstream on the host.
+func (f *Fleet) lostMember(now time.Duration, m *registry.Member) bool {
+	i := f.Sidecars[m.Address.Host]
+	since := max(i.EndedAt, i.AbsentSince)
+	if since > 0 && m.Status == registry.Available && m.LearnedAt > since {
+		return false
+	}
+	return f.lost(now, m.Address.Host)
+}
+
 // anyLost reports whether a sidecar is absent, or stopped after its upstream had ended.
 func (f *Fleet) anyLost() bool {
 	for _, i := range f.Sidecars {
@@ -236,7 +260,7 @@
 				continue
 			}
 			_, known := f.Sidecars[host]
-			if !f.lost(now, host) && (known || m.Status != registry.Removed) {
+			if !f.lostMember(now, m) && (known || m.Status != registry.Removed) {
 				return nil, false
 			}
 			gone = append(gone, host)
--- a/steer/owner_test.go
+++ b/steer/owner_test.go
@@ -217,10 +217,63 @@
 	sim.publishFleet()
 	must.Eq(t, -1, sim.send(0, p))
 	must.SliceEmpty(t, sim.resets)
+	absent := sim.now + tick
 	sim.adjust = func(_ string, f *steer.Fleet) {
-		f.Sidecars[sim.instances[3].host] = steer.SidecarStatus{DataCentre: near, Stopping: true, AbsentSince: sim.now - time.Second}
+		f.Sidecars[sim.instances[3].host] = steer.SidecarStatus{DataCentre: near, Stopping: true, AbsentSince: absent}
 	}
-	sim.advance(tick)
+	sim.advance(5 * tick)
 	sim.retryHeld()
 	must.Eq(t, []steer.Key{flowKey(1)}, sim.resets)
 }
+
+// lose records at the balancers that the sidecar of an instance announced its end.
+func (sim *simulation) lose(i int) {
+	host, at := sim.instances[i].host, sim.now
+	sim.adjust = func(_ string, f *steer.Fleet) {
+		f.Sidecars[host] = steer.SidecarStatus{DataCentre: dataCentreOf(i), Stopping: true, Ended: true, EndedAt: at}
+	}
+	sim.publishFleet()
+}
+
+// TestLossOfFormerSidecarKeepsReportedFlows guards against a reset of a flow of a new
+// upstream because the end of the one before it at the same address is the last news.
+func TestLossOfFormerSidecarKeepsReportedFlows(t *testing.T) {
+	sim := newSimulation(1, service)
+	host := sim.instances[0].host
+	before, after := flowKey(1), flowKey(2)
+	sim.balancers[0].Learn(sim.now, before, host)
+	sim.advance(tick)
+	sim.lose(0)
+	sim.advance(tick)
+	sim.balancers[0].Learn(sim.now, after, host)
+	sim.advance(time.Second)
+	for _, c := range []struct {
+		key  steer.Key
+		want steer.Reason
+	}{{after, 0}, {before, steer.ReasonLost}} {
+		p := steer.Packet{Source: c.key.Caller, Destination: c.key.Address, Flags: steer.ACK, Sequence: 8, Acknowledged: 9}
+		a := sim.balancers[0].Packet(sim.now, &p, new(steer.Forward))
+		r, refused := a.(steer.Refuse)
+		must.Eq(t, c.want, r.Reason)
+		must.Eq(t, c.want != 0, refused)
+	}
+	must.SliceEmpty(t, sim.balancers[0].EvictOrphans(sim.now))
+}
+
+// TestLossOfFormerSidecarKeepsNewUpstream guards against a reset after a search that left
+// out a new upstream because of the end of the one before it at the same address.
+func TestLossOfFormerSidecarKeepsNewUpstream(t *testing.T) {
+	for _, renewed := range []bool{true, false} {
+		sim := newSimulation(1, service, service)
+		sim.advance(tick)
+		sim.lose(1)
+		sim.advance(tick)
+		if renewed {
+			sim.startUpstream(1)
+		}
+		sim.publishFleet()
+		m := steer.MissReport{Key: flowKey(1), State: registry.State{Revision: sim.revision}, Hosts: []registry.Host{sim.instances[0].host}}
+		_, reset := sim.balancers[0].FlowMissing(sim.now, &m)
+		must.Eq(t, !renewed, reset)
+	}
+}
--- a/steer/place.go
+++ b/steer/place.go
@@ -236,7 +236,7 @@
 // lost.
 func (c *chooser) nextUnreachable(p *registry.Pool, exclude func(*registry.Member) bool) *registry.Member {
 	return c.nextMember(p, func(m *registry.Member) bool {
-		return exclude(m) || c.reachable(m) || c.fleet.lost(c.now, m.Address.Host)
+		return exclude(m) || c.reachable(m) || c.fleet.lostMember(c.now, m)
 	})
 }
 
