Let the network of a process be replaced, so that whole balancers and sidecars run in virtual time

exchange.Config.Network replaces the unexported field that only the tests of package exchange could set; edge.Config.Network covers the packet sockets and the probe of the upstream too. The zero value selects the network of the host, as before.

--- a/edge/config.go
+++ b/edge/config.go
@@ -24,7 +24,7 @@
 }
 
 // Config holds the settings that balancers and sidecars share. All fields except Regions,
-// Bind, Seeds, Placing and Admission are required.
+// Bind, Seeds, Placing, Admission and Network are required.
 type Config struct {
 	DataCentre string
 	// Regions holds the region of each data centre by its name. It may be empty.
@@ -50,6 +50,8 @@
 	Source    exchange.Source
 	Timer     *timer.Service
 	Log       *event.Logger
+	// Network provides the sockets. Nil selects the network of the host.
+	Network Network
 }
 
 // exchangeConfig returns the configuration of the process's exchange.Node.
@@ -66,5 +68,6 @@
 		Timer:         cfg.Timer,
 		PauseDetector: detector,
 		Log:           cfg.Log,
+		Network:       cfg.Network,
 	}
 }
--- a/edge/probe.go
+++ b/edge/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"syscall"
 	"time"
 
@@ -53,14 +52,13 @@
 // probeUpstream checks on request, until ctx is done, whether the upstream runs by
 // connecting to it. The kernel refuses connections to a port on which no process listens.
 func (s *Sidecar) probeUpstream(ctx context.Context) {
-	d := net.Dialer{Timeout: connectTimeout}
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.probes:
 		}
-		conn, err := d.DialContext(ctx, "tcp4", s.upstream.String())
+		conn, err := s.cfg.Network.Dial(ctx, s.upstream, connectTimeout)
 		switch {
 		case err == nil:
 			conn.Close()
@@ -73,8 +71,7 @@
 
 // probeAtStop checks whether the upstream has ended, which the last heartbeat reports.
 func (s *Sidecar) probeAtStop(ctx context.Context) {
-	d := net.Dialer{Timeout: stopConnectTimeout}
-	conn, err := d.DialContext(ctx, "tcp4", s.upstream.String())
+	conn, err := s.cfg.Network.Dial(ctx, s.upstream, stopConnectTimeout)
 	switch {
 	case err == nil:
 		conn.Close()
--- a/edge/process.go
+++ b/edge/process.go
@@ -15,9 +15,6 @@
 	"go.uber.org/zap"
 )
 
-// packetBuffer is the size of the packet socket's receive and send buffers in bytes.
-const packetBuffer = 2 << 20
-
 // process is the common part of Balancer and Sidecar.
 type process struct {
 	cfg           Config
@@ -26,7 +23,7 @@
 	node          *exchange.Node
 	// socket receives the packets of callers at a balancer and those of the upstream
 	// at a sidecar. Packets to callers are sent from it.
-	socket   *udp.Socket
+	socket   PacketSocket
 	counts   counts
 	held     holdQueue // packets whose destination cannot be decided yet
 	stopping atomic.Bool
@@ -40,6 +37,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if cfg.Network == nil {
+		cfg.Network = hostNetwork{}
+	}
 	return &process{cfg: cfg, self: self, pauseDetector: timer.NewPauseDetector(cfg.Timer)}, nil
 }
 
@@ -47,7 +47,7 @@
 // one cannot be bound.
 func (p *process) open(packets netip.AddrPort, nc exchange.Config) error {
 	var err error
-	p.socket, err = udp.Open(udp.Config{Listen: packets, Workers: 1, BufferSize: packetBuffer, PauseDetector: p.pauseDetector})
+	p.socket, err = p.cfg.Network.OpenPackets(packets, p.pauseDetector)
 	if err != nil {
 		return err
 	}
--- a/exchange/export_test.go
+++ b/exchange/export_test.go
@@ -4,11 +4,11 @@
 	"context"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/corianderbay/corianderbay/membership"
 	"github.com/corianderbay/corianderbay/registry"
 	"github.com/corianderbay/corianderbay/timer"
-	"github.com/corianderbay/corianderbay/udp"
 )
 
 // WithNewest returns the configuration of a node that reads and sends no version later
@@ -23,35 +23,28 @@
 	return n.pullFrom(ctx, f, host, query{})
 }
 
-// Socket sends and receives the datagrams of a node.
-type Socket interface {
-	Address() netip.AddrPort
-	Send(b []byte, to netip.AddrPort)
-	Run(ctx context.Context, newHandler func() udp.Handler)
-	Counts() udp.Counts
-}
-
-// Network provides the sockets of nodes.
-type Network interface {
+// SimulatedNetwork connects the nodes of a test.
+type SimulatedNetwork interface {
 	Open(bind netip.AddrPort) (Socket, net.Listener, error)
 	Dial(ctx context.Context, from, to netip.AddrPort) (net.Conn, error)
 }
 
 // WithNetwork returns the configuration of a node on a simulated network.
-func (c Config) WithNetwork(n Network) Config {
-	c.network = simulatedNetwork{self: c.Listen, network: n}
+func (c Config) WithNetwork(n SimulatedNetwork) Config {
+	c.Network = simulatedHost{self: c.Listen, network: n}
 	return c
 }
 
-type simulatedNetwork struct {
+// simulatedHost is the network as one host uses it.
+type simulatedHost struct {
 	self    netip.AddrPort
-	network Network
+	network SimulatedNetwork
 }
 
-func (s simulatedNetwork) open(bind netip.AddrPort, _ *timer.PauseDetector) (socket, net.Listener, error) {
+func (s simulatedHost) Open(bind netip.AddrPort, _ *timer.PauseDetector) (Socket, net.Listener, error) {
 	return s.network.Open(bind)
 }
 
-func (s simulatedNetwork) dial(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
+func (s simulatedHost) Dial(ctx context.Context, to netip.AddrPort, _ time.Duration) (net.Conn, error) {
 	return s.network.Dial(ctx, s.self, to)
 }
--- a/exchange/network.go
+++ b/exchange/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"time"
 
 	"github.com/corianderbay/corianderbay/timer"
 	"github.com/corianderbay/corianderbay/udp"
@@ -12,27 +13,32 @@
 // socketBuffer is the size of the socket's receive buffer in bytes. It counts as memory of the process.
 const socketBuffer = 1 << 20
 
-// socket sends and receives datagrams.
-type socket interface {
+// Socket sends and receives datagrams.
+type Socket interface {
+	// Address returns the address to which the socket is bound.
 	Address() netip.AddrPort
+	// Send sends one datagram, which may be lost.
 	Send(b []byte, to netip.AddrPort)
+	// Run passes received datagrams to handlers until ctx is done and then closes the socket.
 	Run(ctx context.Context, newHandler func() udp.Handler)
+	// Counts returns the current totals.
 	Counts() udp.Counts
 }
 
-// network provides the sockets of a Node. Tests in virtual time replace it.
-type network interface {
-	// open binds an address for datagrams and connections. It returns *udp.ListenError or
+// Network provides the sockets of a Node. Tests in virtual time replace it.
+type Network interface {
+	// Open binds an address for datagrams and connections. It returns *udp.ListenError or
 	// *ListenError.
-	open(bind netip.AddrPort, d *timer.PauseDetector) (socket, net.Listener, error)
-	// dial opens a connection within pullTimeout.
-	dial(ctx context.Context, to netip.AddrPort) (net.Conn, error)
+	Open(bind netip.AddrPort, d *timer.PauseDetector) (Socket, net.Listener, error)
+	// Dial opens a connection within timeout. It returns the error of package net.
+	Dial(ctx context.Context, to netip.AddrPort, timeout time.Duration) (net.Conn, error)
 }
 
-// hostNetwork is the network of the host.
-type hostNetwork struct{}
+// HostNetwork is the network of the host.
+type HostNetwork struct{}
 
-func (hostNetwork) open(bind netip.AddrPort, d *timer.PauseDetector) (socket, net.Listener, error) {
+// Open binds an address for datagrams and connections.
+func (HostNetwork) Open(bind netip.AddrPort, d *timer.PauseDetector) (Socket, net.Listener, error) {
 	s, err := udp.Open(udp.Config{
 		Listen:        bind,
 		Workers:       1,
@@ -50,7 +56,8 @@
 	return s, l, nil
 }
 
-func (hostNetwork) dial(ctx context.Context, to netip.AddrPort) (net.Conn, error) {
-	d := net.Dialer{Timeout: pullTimeout}
+// Dial opens a TCP connection.
+func (HostNetwork) Dial(ctx context.Context, to netip.AddrPort, timeout time.Duration) (net.Conn, error) {
+	d := net.Dialer{Timeout: timeout}
 	return d.DialContext(ctx, "tcp4", to.String())
 }
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -70,11 +70,11 @@
 	Timer         *timer.Service
 	PauseDetector *timer.PauseDetector
 	Log           *event.Logger
+	// Network provides the sockets. Nil selects HostNetwork.
+	Network Network
 
 	// newest replaces newestFormat in tests.
 	newest membership.Format
-	// network replaces the network of the host in tests.
-	network network
 }
 
 // Node exchanges heartbeats, digests and updates with other processes. It is safe for concurrent use.
@@ -82,7 +82,7 @@
 	cfg      Config
 	self     registry.Host
 	newest   membership.Format // the newest version that this process reads and sends
-	socket   socket
+	socket   Socket
 	listener net.Listener
 	// incarnation changes at each start and after each pause.
 	incarnation atomic.Uint32
@@ -127,10 +127,10 @@
 	if !bind.IsValid() {
 		bind = cfg.Listen
 	}
-	if cfg.network == nil {
-		cfg.network = hostNetwork{}
+	if cfg.Network == nil {
+		cfg.Network = HostNetwork{}
 	}
-	socket, listener, err := cfg.network.open(bind, cfg.PauseDetector)
+	socket, listener, err := cfg.Network.Open(bind, cfg.PauseDetector)
 	if err != nil {
 		return nil, err
 	}
--- a/exchange/pull.go
+++ b/exchange/pull.go
@@ -91,7 +91,7 @@
 
 // pullIn is pullFrom in one version.
 func (n *Node) pullIn(ctx context.Context, f membership.Format, host registry.Host, q query) error {
-	conn, err := n.cfg.network.dial(ctx, host.Port(n.cfg.Listen.Port()))
+	conn, err := n.cfg.Network.Dial(ctx, host.Port(n.cfg.Listen.Port()), pullTimeout)
 	if err != nil {
 		return err
 	}
