Run whole balancers and sidecars in virtual time, with the rule of open flows checked

The test starts the real edge.Balancer and edge.Sidecar over a simulated network, with a store, upstreams, callers and routers in memory.

--- /dev/null
+++ b/edge/network_test.go
@@ -0,0 +1,324 @@
+package edge_test
+
+import (
+	"context"
+	"encoding/binary"
+	"net"
+	"net/netip"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/corianderbay/corianderbay/edge"
+	"github.com/corianderbay/corianderbay/exchange"
+	"github.com/corianderbay/corianderbay/registry"
+	"github.com/corianderbay/corianderbay/timer"
+	"github.com/corianderbay/corianderbay/udp"
+)
+
+const (
+	localDelay  = 20 * time.Microsecond // between a sidecar and its upstream
+	nearDelay   = 200 * time.Microsecond
+	farDelay    = 4400 * time.Microsecond // between data centres
+	linkJitter  = 100 * time.Microsecond
+	linkLoss    = 0.0015
+	socketQueue = 4096 // datagrams
+)
+
+// datagram is a datagram in a receive buffer.
+type datagram struct {
+	b    []byte
+	from netip.AddrPort
+}
+
+// network delivers datagrams and connections between hosts in virtual time. Loss and jitter
+// of a datagram follow from the seed and from its number on the link, so that they depend
+// little on the order in which goroutines run.
+type network struct {
+	seed uint64
+	// receive handles a datagram to an address without a socket, and reports each one.
+	receive func(d datagram, to netip.AddrPort)
+	observe func(from, to netip.AddrPort, b []byte, lost bool)
+	// connects decides on a connection to a port other than the one of the processes.
+	connects func(to netip.AddrPort) connectResult
+
+	mu        sync.Mutex
+	sockets   map[netip.AddrPort]*socket
+	sent      map[[8]byte]uint64 // datagrams by link
+	cuts      map[*cut]bool
+	impaired  map[registry.Host]impairment
+	delivered int
+}
+
+// connectResult is what happens to a connection to an upstream.
+type connectResult int
+
+const (
+	connectAccepted connectResult = iota
+	connectRefused
+	connectLost
+)
+
+// cut discards the datagrams that it matches.
+type cut struct {
+	matches func(from, to registry.Host) bool
+}
+
+// impairment is the loss and delay of a link in addition to the usual ones.
+type impairment struct {
+	loss  float64
+	delay time.Duration
+}
+
+func newNetwork(seed uint64) *network {
+	return &network{
+		seed: seed, sockets: make(map[netip.AddrPort]*socket), sent: make(map[[8]byte]uint64),
+		cuts: make(map[*cut]bool), impaired: make(map[registry.Host]impairment),
+	}
+}
+
+// draw returns two numbers from 0 to 1 for the next datagram of a link.
+func (n *network) draw(from, to registry.Host) (loss, jitter float64) {
+	link := [8]byte(append(from[:], to[:]...))
+	n.sent[link]++
+	var b [24]byte
+	copy(b[:], link[:])
+	binary.BigEndian.PutUint64(b[8:], n.sent[link])
+	binary.BigEndian.PutUint64(b[16:], n.seed)
+	h := xxhash.Sum64(b[:])
+	return float64(h>>32) / (1 << 32), float64(h&0xffffffff) / (1 << 32)
+}
+
+func hostOf(a netip.AddrPort) registry.Host { return registry.Host(a.Addr().As4()) }
+
+// dataCentreOf returns the data centre of a host, which is the second byte of its address,
+// or the third one of the address of a caller.
+func dataCentreOf(h registry.Host) int {
+	if h[0] == callerNet {
+		return int(h[2])
+	}
+	return int(h[1])
+}
+
+// blocked reports whether a cut discards datagrams of the link. The caller holds n.mu.
+func (n *network) blocked(from, to registry.Host) bool {
+	for c := range n.cuts {
+		if c.matches(from, to) {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *network) cut(c *cut) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[c] = true
+}
+
+func (n *network) mend(c *cut) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cuts, c)
+}
+
+// impair sets the additional loss and delay of the link of a host.
+func (n *network) impair(h registry.Host, i impairment) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.impaired[h] = i
+}
+
+// send delivers a datagram after the delay of the link, unless it is lost.
+func (n *network) send(from, to netip.AddrPort, b []byte) {
+	n.mu.Lock()
+	a, z := hostOf(from), hostOf(to)
+	lost, delay := false, localDelay
+	if a != z {
+		loss, jitter := n.draw(a, z)
+		delay = nearDelay
+		if dataCentreOf(a) != dataCentreOf(z) {
+			delay = farDelay
+		}
+		delay += time.Duration(jitter * float64(linkJitter))
+		delay += n.impaired[a].delay + n.impaired[z].delay
+		lost = n.blocked(a, z) || loss < linkLoss+n.impaired[a].loss+n.impaired[z].loss
+	}
+	n.mu.Unlock()
+	n.observe(from, to, b, lost)
+	if lost {
+		return
+	}
+	d := datagram{b: append([]byte(nil), b...), from: from}
+	time.AfterFunc(delay, func() { n.deliver(d, to) })
+}
+
+func (n *network) deliver(d datagram, to netip.AddrPort) {
+	n.receive(d, to)
+	n.mu.Lock()
+	s := n.sockets[to]
+	n.delivered++
+	n.mu.Unlock()
+	if s == nil {
+		return
+	}
+	select {
+	case s.queue <- d:
+	default: // the receive buffer is full
+	}
+}
+
+// life is one run of a process. The network of a process that was killed or is frozen
+// neither sends nor receives.
+type life struct {
+	mu      sync.Mutex
+	dead    bool
+	resumed chan struct{} // closed when a frozen process continues; nil while it runs
+}
+
+func (l *life) kill() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.dead = true
+}
+
+func (l *life) killed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.dead
+}
+
+// hostNetwork is the network as one process uses it. It implements edge.Network.
+type hostNetwork struct {
+	*network
+	host registry.Host
+	life *life
+}
+
+// socket is a bound address. It implements edge.PacketSocket.
+type socket struct {
+	host  hostNetwork
+	addr  netip.AddrPort
+	queue chan datagram
+	conns chan net.Conn
+	done  chan struct{}
+	once  sync.Once
+}
+
+// listener accepts the connections of a socket.
+type listener struct{ *socket }
+
+func (h hostNetwork) bind(addr netip.AddrPort) (*socket, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if old := h.sockets[addr]; old != nil && !old.host.life.killed() {
+		return nil, &exchange.ListenError{Address: addr, Cause: syscall.EADDRINUSE}
+	}
+	s := &socket{host: h, addr: addr, queue: make(chan datagram, socketQueue), conns: make(chan net.Conn), done: make(chan struct{})}
+	h.sockets[addr] = s
+	return s, nil
+}
+
+func (h hostNetwork) Open(bind netip.AddrPort, _ *timer.PauseDetector) (exchange.Socket, net.Listener, error) {
+	s, err := h.bind(bind)
+	if err != nil {
+		return nil, nil, err
+	}
+	return s, listener{s}, nil
+}
+
+func (h hostNetwork) OpenPackets(bind netip.AddrPort, _ *timer.PauseDetector) (edge.PacketSocket, error) {
+	s, err := h.bind(bind)
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// Dial connects to the exchange port of a process or to an upstream.
+func (h hostNetwork) Dial(ctx context.Context, to netip.AddrPort, timeout time.Duration) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	h.mu.Lock()
+	s, z := h.sockets[to], hostOf(to)
+	lost := h.life.killed() || z != h.host && (h.blocked(h.host, z) || h.blocked(z, h.host))
+	h.mu.Unlock()
+	client, server := net.Pipe()
+	if s == nil && !lost {
+		switch h.connects(to) {
+		case connectAccepted:
+			return client, nil
+		case connectRefused:
+			return nil, syscall.ECONNREFUSED
+		case connectLost:
+		}
+	}
+	if s == nil || lost {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	select {
+	case s.conns <- server:
+		return client, nil
+	case <-s.done:
+		return nil, syscall.ECONNREFUSED
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (s *socket) Address() netip.AddrPort { return s.addr }
+
+// Counts returns no totals: balancers on links of unknown capacity do not use them.
+func (s *socket) Counts() udp.Counts { return udp.Counts{} }
+
+func (s *socket) Send(b []byte, to netip.AddrPort) {
+	if !s.host.life.killed() {
+		s.host.send(s.addr, to, b)
+	}
+}
+
+// Run passes received datagrams to a handler until ctx is done.
+func (s *socket) Run(ctx context.Context, newHandler func() udp.Handler) {
+	h := newHandler()
+	defer s.Close()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case d := <-s.queue:
+			if !s.host.life.killed() {
+				h(d.b, d.from)
+			}
+		}
+	}
+}
+
+// Close frees the address.
+func (s *socket) Close() {
+	s.once.Do(func() {
+		close(s.done)
+		s.host.mu.Lock()
+		defer s.host.mu.Unlock()
+		if s.host.sockets[s.addr] == s {
+			delete(s.host.sockets, s.addr)
+		}
+	})
+}
+
+func (l listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.done:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l listener) Close() error {
+	l.socket.Close()
+	return nil
+}
+
+func (l listener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.addr) }
--- /dev/null
+++ b/edge/upstream_test.go
@@ -0,0 +1,199 @@
+package edge_test
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/corianderbay/corianderbay/platform"
+	"github.com/corianderbay/corianderbay/platform/standin"
+	"github.com/corianderbay/corianderbay/registry"
+	"github.com/corianderbay/corianderbay/steer"
+)
+
+const (
+	offFlags    = 18
+	bitReturned = 16
+	restoreTime = 1900 * time.Millisecond // longest delay of the write that restores an entry
+	offChecksum = 19
+)
+
+// upstreamState is whether an upstream runs.
+type upstreamState int
+
+const (
+	upstreamRuns upstreamState = iota
+	upstreamFrozen
+	upstreamUnreachable // its host also drops attempts to connect to it
+	upstreamEnded
+)
+
+// upstream is one incarnation of an upstream. All fields are guarded by world.mu.
+type upstream struct {
+	w        *world
+	id       string
+	service  string
+	machine  *machine
+	rand     *rand.Rand
+	born     time.Time
+	sequence int64
+	state    upstreamState
+	draining bool
+	openings map[steer.Key]uint32 // own initial sequence numbers
+	flows    map[steer.Key]*upstreamFlow
+	ended    map[steer.Key]bool
+	stop     context.CancelFunc
+}
+
+// upstreamFlow is an open flow.
+type upstreamFlow struct {
+	expected uint32 // next sequence number of the caller
+	sequence uint32 // own next sequence number
+	answer   []byte // nil while the request runs
+}
+
+// startUpstream starts an upstream on a machine and its heartbeats.
+func (w *world) startUpstream(m *machine) *upstream {
+	ctx, cancel := context.WithCancel(w.ctx)
+	w.mu.Lock()
+	w.starts++
+	u := &upstream{
+		w: w, id: m.name + "-" + time.Now().Format("05.000"), service: m.service, machine: m,
+		rand: rand.New(rand.NewPCG(w.seed, w.starts)), born: time.Now(), openings: make(map[steer.Key]uint32),
+		flows: make(map[steer.Key]*upstreamFlow), ended: make(map[steer.Key]bool), stop: cancel,
+	}
+	m.upstream = u
+	w.mu.Unlock()
+	w.check.note("upstream %s of %s starts on %s", u.id, u.service, m.name)
+	w.wg.Go(func() { u.heartbeat(ctx) })
+	return u
+}
+
+// entry returns what the upstream publishes.
+func (u *upstream) entry() registry.Upstream {
+	u.sequence++
+	return registry.Upstream{
+		ID: u.id, Service: u.service, Address: registry.Endpoint{Host: u.machine.host, Port: upstreamPort},
+		DataCentre: u.machine.dataCentre, Slots: 4, Draining: u.draining, StartedAt: u.born.UnixMilli(), Sequence: u.sequence,
+	}
+}
+
+// heartbeat publishes the entry until ctx is done. An entry that could not be written is
+// written within restoreTime of the return of the store.
+func (u *upstream) heartbeat(ctx context.Context) {
+	for ctx.Err() == nil {
+		u.w.mu.Lock()
+		e, runs := u.entry(), u.state == upstreamRuns
+		pause := u.w.store.heartbeat
+		retry := time.Duration(u.rand.Int64N(int64(restoreTime)))
+		u.w.mu.Unlock()
+		if runs && !u.w.store.write(e) {
+			pause = min(pause, retry)
+		}
+		sleep(ctx, pause)
+	}
+}
+
+// publish writes the entry at once, as at a change of state.
+func (u *upstream) publish() {
+	u.w.mu.Lock()
+	e := u.entry()
+	u.w.mu.Unlock()
+	u.w.store.write(e)
+}
+
+// end ends the upstream. Its flows are lost.
+func (u *upstream) end() {
+	u.w.mu.Lock()
+	u.state = upstreamEnded
+	if u.machine.upstream == u {
+		u.machine.upstream = nil
+	}
+	u.w.mu.Unlock()
+	u.stop()
+	u.w.check.note("upstream %s ends", u.id)
+}
+
+// send sends a datagram to the sidecar.
+func (u *upstream) send(b []byte) {
+	h := u.machine.host
+	u.w.net.send(h.Port(upstreamPort), h.Port(outboundPort), b)
+}
+
+// handle processes one packet. The caller holds world.mu.
+func (u *upstream) handle(b []byte) {
+	var p steer.Packet
+	if (platform.Codec{}).Decode(b, &p) != nil || u.state != upstreamRuns {
+		return
+	}
+	k := p.CallerKey()
+	if p.Opens() {
+		u.accept(k, &p)
+		return
+	}
+	f := u.flows[k]
+	if isn, known := u.openings[k]; f == nil && known && !u.ended[k] && p.Acknowledged == isn+1 {
+		f = &upstreamFlow{expected: p.Sequence, sequence: isn + 1}
+		u.flows[k] = f
+		u.w.check.opened(k, u)
+	}
+	u.w.check.arrived(k, u)
+	switch {
+	case f != nil:
+		u.serve(k, f, &p)
+	case u.ended[k] && p.Data > 0:
+		u.send(standin.Encode(answerTo(&p, steer.RST, p.Acknowledged), nil))
+	case u.ended[k]:
+	default:
+		b = append([]byte(nil), b...)
+		b[offFlags] |= bitReturned
+		u.send(b)
+	}
+}
+
+func answerTo(p *steer.Packet, flags steer.Flags, sequence uint32) steer.Packet {
+	return steer.Packet{Source: p.Destination, Destination: p.Source, Flags: flags, Sequence: sequence, Acknowledged: p.Sequence + uint32(p.Data)}
+}
+
+func (u *upstream) accept(k steer.Key, p *steer.Packet) {
+	isn, repeated := u.openings[k]
+	if !repeated {
+		isn = u.rand.Uint32()
+		u.openings[k] = isn
+	}
+	a := answerTo(p, steer.SYN|steer.ACK, isn)
+	a.Acknowledged++
+	u.send(standin.Encode(a, nil))
+}
+
+// serve handles a packet of an open flow.
+func (u *upstream) serve(k steer.Key, f *upstreamFlow, p *steer.Packet) {
+	switch {
+	case p.Flags.Has(steer.RST):
+		delete(u.flows, k)
+		u.ended[k] = true
+	case p.Data > 0 && p.Sequence == f.expected:
+		f.expected += uint32(p.Data)
+		f.answer = nil
+		request := *p
+		time.AfterFunc(time.Duration(5+u.rand.IntN(40))*time.Millisecond, func() { u.answer(k, f, &request) })
+	case p.Data > 0 && f.answer != nil:
+		u.send(f.answer)
+	}
+}
+
+// answer answers a request. A draining upstream ends the flow with it.
+func (u *upstream) answer(k steer.Key, f *upstreamFlow, p *steer.Packet) {
+	u.w.mu.Lock()
+	defer u.w.mu.Unlock()
+	if u.state != upstreamRuns || u.flows[k] != f {
+		return
+	}
+	flags := steer.ACK
+	if u.draining {
+		flags |= steer.FIN
+	}
+	f.answer = standin.Encode(answerTo(p, flags, f.sequence), make([]byte, answerSize))
+	f.sequence += answerSize
+	u.send(f.answer)
+}
