--- a/edge/check_test.go
+++ b/edge/check_test.go
@@ -174,7 +174,10 @@
 		text, _ := enc.Fields[name].(string)
 		a, err := netip.ParseAddrPort(text)
 		if err != nil {
-			return // not about a flow
+			if *virtualLog {
+				c.note("%v: %s %v", h, what, enc.Fields)
+			}
+			return
 		}
 		at[i] = registry.Endpoint{Host: hostOf(a), Port: a.Port()}
 	}
--- a/edge/flow_test.go
+++ b/edge/flow_test.go
@@ -14,6 +14,7 @@
 	virtualSeeds = flag.Uint64("virtual.seeds", 6, "number of drawn deployments")
 	virtualFirst = flag.Uint64("virtual.first", 1, "the first seed")
 	virtualAll   = flag.Bool("virtual.all", false, "print violations that a disrupted store exempts")
+	virtualLog   = flag.Bool("virtual.log", false, "add logs of processes and lost datagrams to traces")
 )
 
 // disturbTime is the time for which troubles are drawn.
--- a/edge/world_test.go
+++ b/edge/world_test.go
@@ -289,6 +289,9 @@
 		w.check.record(k, hostOf(from), hostOf(to), lost, fmt.Sprintf("flags %d seq %d data %d port %d", p.Flags, p.Sequence, p.Data, to.Port()))
 		return
 	}
+	if lost && *virtualLog {
+		w.check.note("lost datagram of kind %x from %v to %v", b[0], hostOf(from), hostOf(to))
+	}
 	switch b[0] {
 	case 0x02:
 		var h steer.Header
