--- a/edge/upstream_test.go
+++ b/edge/upstream_test.go
@@ -114,6 +114,12 @@
 	u.w.check.note("upstream %s ends", u.id)
 }
 
+// leave ends the upstream and removes its entry.
+func (u *upstream) leave() {
+	u.end()
+	u.w.store.remove(u.id)
+}
+
 // send sends a datagram to the sidecar.
 func (u *upstream) send(b []byte) {
 	h := u.machine.host
--- a/edge/world_test.go
+++ b/edge/world_test.go
@@ -221,6 +221,7 @@
 
 // terminate ends the process of a machine as by SIGTERM, and waits for it.
 func (w *world) terminate(m *machine) {
+	w.check.note("SIGTERM to %s", m.name)
 	w.mu.Lock()
 	r := m.run
 	w.mu.Unlock()
