--- a/edge/caller_test.go
+++ b/edge/caller_test.go
@@ -51,7 +51,7 @@
 		if !c.open(ctx, &p) {
 			continue
 		}
-		end := time.Now().Add(time.Duration(2+c.rand.IntN(28)) * time.Second)
+		end := time.Now().Add(time.Duration(c.rand.Int64N(int64(c.w.flowTime))))
 		c.w.count(c.use(ctx, &p, end))
 		c.w.check.closed(k)
 		p.Flags = steer.RST | steer.ACK
--- a/edge/flow_test.go
+++ b/edge/flow_test.go
@@ -23,8 +23,8 @@
 
 // deployments are the sizes on which flows are checked.
 var deployments = []deployment{
-	{balancers: []int{2, 2, 1}, upstreamsA: []int{3, 2, 2}, upstreamsB: []int{1, 1, 1}, callers: 12, heartbeat: 770 * time.Millisecond},
-	{balancers: []int{3, 2, 2}, upstreamsA: []int{3, 2, 2}, upstreamsB: []int{1, 1, 1}, callers: 12, heartbeat: 1200 * time.Millisecond},
+	{balancers: []int{2, 2, 1}, upstreamsA: []int{3, 2, 2}, upstreamsB: []int{1, 1, 1}, callers: 12, heartbeat: 770 * time.Millisecond, flowTime: 30 * time.Second},
+	{balancers: []int{3, 2, 2}, upstreamsA: []int{3, 2, 2}, upstreamsB: []int{1, 1, 1}, callers: 12, heartbeat: 1200 * time.Millisecond, flowTime: 30 * time.Second},
 }
 
 // TestFlowsStayInCalm guards against a simulation that reports violations by itself.
--- a/edge/single_test.go
+++ b/edge/single_test.go
@@ -16,16 +16,19 @@
 // found. Each case applies one combination of troubles to the machines of half of the upstreams in turn.
 func TestFlowsStayInSingleTroubles(t *testing.T) {
 	cases := map[string]func(w *world, m *machine){
-		"lost announcement of a stop":    loseAnnouncement,
-		"search past a frozen upstream":  searchPastFrozen,
-		"search during a restart":        searchDuringRestart,
-		"restart beside a revoked entry": restartWhileRevoked,
+		"lost announcement of a stop":            loseAnnouncement,
+		"search past a frozen upstream":          searchPastFrozen,
+		"search during a restart":                searchDuringRestart,
+		"search after an address was used again": searchAfterReuse,
+		"restart beside a revoked entry":         restartWhileRevoked,
 	}
 	for name, apply := range cases {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(t, 1, deployments[0])
+				d := deployments[0]
+				d.flowTime = 3 * time.Second
+				w := newWorld(t, 1, d)
 				for i, m := range w.list(hasUpstream) {
 					if i%2 == 0 {
 						apply(w, m)
@@ -56,14 +59,14 @@
 	w.bounce(m)
 }
 
-// moveAll lets all callers send their packets to another data centre than the one of m.
-func (w *world) moveAll(m *machine) {
+// moveTo lets all callers send their packets to a data centre.
+func (w *world) moveTo(dc int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, c := range w.callers {
-		c.dataCentre = (dataCentreOf(m.host) + 1) % 3
+		c.dataCentre = dc
 	}
-	w.check.note("all callers move")
+	w.check.note("all callers move to data centre %d", dc)
 }
 
 // searchPastFrozen freezes an upstream and moves the callers, so that flows of others in its
@@ -75,7 +78,7 @@
 	m.upstream.state = upstreamFrozen
 	w.mu.Unlock()
 	time.Sleep(500 * time.Millisecond)
-	w.moveAll(m)
+	w.moveTo((dataCentreOf(m.host) + 1) % 3)
 	time.Sleep(4 * time.Second)
 	w.mu.Lock()
 	m.upstream.state = upstreamRuns
@@ -84,7 +87,7 @@
 
 // searchDuringRestart moves the callers while a sidecar restarts.
 func searchDuringRestart(w *world, m *machine) {
-	time.AfterFunc(500*time.Millisecond, func() { w.moveAll(m) })
+	time.AfterFunc(500*time.Millisecond, func() { w.moveTo((dataCentreOf(m.host) + 1) % 3) })
 	w.bounce(m)
 }
 
@@ -96,3 +99,45 @@
 	searchDuringRestart(w, m)
 	w.store.revoke(m.upstream.id, false)
 }
+
+// freezeFirst freezes a balancer, through which its data centre receives the status of others,
+// until the returned function is called.
+func (w *world) freezeFirst(dc int) (thaw func()) {
+	m := w.list(func(m *machine) bool { return m.service == "" && dataCentreOf(m.host) == dc })[0]
+	end := w.check.disrupt(m)
+	m.run.life.freeze()
+	return func() {
+		m.run.life.thaw()
+		end()
+	}
+}
+
+// searchAfterReuse lets an upstream end while its sidecar stops, starts one of the other
+// service at its address, and moves the callers before all processes have received the status
+// of the new sidecar.
+func searchAfterReuse(w *world, m *machine) {
+	w.mu.Lock()
+	m.upstream.draining = true
+	u := m.upstream
+	w.mu.Unlock()
+	u.publish()
+	time.Sleep(drainTime)
+	u.leave()
+	w.terminate(m)
+	time.Sleep(reuseTime)
+	w.mu.Lock()
+	m.service = otherService(m.service)
+	w.mu.Unlock()
+	for dc := range 3 {
+		if dc != dataCentreOf(m.host) {
+			defer w.freezeFirst(dc)()
+		}
+	}
+	w.startUpstream(m)
+	w.moveTo(dataCentreOf(m.host))
+	w.start(m)
+	time.Sleep(400 * time.Millisecond)
+	w.moveTo((dataCentreOf(m.host) + 1) % 3)
+	time.Sleep(400 * time.Millisecond)
+	w.moveTo((dataCentreOf(m.host) + 2) % 3)
+}
--- a/edge/trouble_test.go
+++ b/edge/trouble_test.go
@@ -181,7 +181,7 @@
 	time.Sleep(reuseTime)
 	w.mu.Lock()
 	if d.below(2) == 0 {
-		m.service = map[string]string{serviceA: serviceB, serviceB: serviceA}[m.service]
+		m.service = otherService(m.service)
 	}
 	w.mu.Unlock()
 	w.startUpstream(m)
@@ -192,6 +192,13 @@
 	}
 }
 
+func otherService(service string) string {
+	if service == serviceA {
+		return serviceB
+	}
+	return serviceA
+}
+
 func addBalancer(w *world, d *draws) {
 	if len(w.list(anyMachine)) >= maxMachines {
 		return
--- a/edge/world_test.go
+++ b/edge/world_test.go
@@ -46,6 +46,8 @@
 	balancers, upstreamsA, upstreamsB []int
 	callers                           int // in each data centre
 	heartbeat                         time.Duration
+	// flowTime is the longest time for which callers use a flow.
+	flowTime time.Duration
 }
 
 // machine is the host of a balancer, or of a sidecar and its upstream.
@@ -72,17 +74,19 @@
 
 // world is a deployment with its environment.
 type world struct {
-	t      *testing.T
-	seed   uint64
-	rand   *rand.Rand // used by the goroutine that draws troubles
-	ctx    context.Context
-	stop   context.CancelFunc
-	wg     sync.WaitGroup
-	net    *network
-	store  *store
-	check  *checker
-	seeds  []registry.Host
-	byHost map[registry.Host]*caller
+	t     *testing.T
+	seed  uint64
+	rand  *rand.Rand // used by the goroutine that draws troubles
+	ctx   context.Context
+	stop  context.CancelFunc
+	wg    sync.WaitGroup
+	net   *network
+	store *store
+	check *checker
+	seeds []registry.Host
+	// flowTime is that of the deployment.
+	flowTime time.Duration
+	byHost   map[registry.Host]*caller
 
 	mu        sync.Mutex
 	machines  []*machine
@@ -97,6 +101,7 @@
 	w := &world{
 		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 1)), net: newNetwork(seed), store: newStore(d.heartbeat),
 		check: newChecker(), byHost: make(map[registry.Host]*caller), flowsDone: make(map[result]int),
+		flowTime: d.flowTime,
 	}
 	w.ctx, w.stop = context.WithCancel(context.Background())
 	w.net.receive, w.net.observe, w.net.connects = w.receive, w.observe, w.connects
