--- a/edge/network_test.go
+++ b/edge/network_test.go
@@ -213,6 +213,30 @@
 	}
 }
 
+// delayTicks returns a channel that delivers the ticks of in, but none while the process is frozen.
+func (l *life) delayTicks(in <-chan time.Time) (<-chan time.Time, func()) {
+	out := make(chan time.Time, 1)
+	ctx, cancel := context.WithCancel(context.Background())
+	go l.passTicks(ctx, in, out)
+	return out, cancel
+}
+
+// passTicks forwards ticks until ctx is done.
+func (l *life) passTicks(ctx context.Context, in <-chan time.Time, out chan<- time.Time) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case t := <-in:
+			l.gate()
+			select {
+			case out <- t:
+			default: // the receiver is slow
+			}
+		}
+	}
+}
+
 func (l *life) killed() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/edge/world_test.go
+++ b/edge/world_test.go
@@ -197,7 +197,7 @@
 	r := &run{life: l, stop: cancel, done: make(chan struct{})}
 	cfg := edge.Config{
 		DataCentre: m.dataCentre, Exchange: m.host.Port(exchangePort), Incarnation: w.starts, Seeds: w.seeds, MaxFlow: time.Minute,
-		CallerPort: packetPort, Placing: steer.PlaceByTime, Codec: platform.Codec{}, Timer: timer.New(timer.Config{Gate: l.gate}),
+		CallerPort: packetPort, Placing: steer.PlaceByTime, Codec: platform.Codec{}, Timer: timer.New(timer.Config{Wrap: l.delayTicks}),
 		Source: client{store: w.store, host: m.host, life: l}, Log: event.New(event.Config{Core: flowLog{check: w.check, host: m.host}}),
 		Network: hostNetwork{network: w.net, host: m.host, life: l},
 	}
--- a/timer/service.go
+++ b/timer/service.go
@@ -23,9 +23,10 @@
 	// PauseDetector runs. Nil counts no suspension; the function Suspended reads it
 	// from the system.
 	Suspended func() time.Duration
-	// Gate, if not nil, is called before each tick is delivered, and blocks while a test
-	// simulates that the process is frozen.
-	Gate func()
+	// Wrap, if not nil, returns the channel from which a subscription delivers the ticks of c,
+	// and a function that is called when the subscription is stopped. Tests delay ticks with
+	// it, as those of a frozen process.
+	Wrap func(c <-chan time.Time) (wrapped <-chan time.Time, stop func())
 }
 
 const (
@@ -111,36 +112,18 @@
 	return s.subscription(t.C, func() { t.Stop() })
 }
 
-// subscription returns the subscription of a timer, whose ticks pass the gate.
+// subscription returns the subscription of a timer.
 func (s *Service) subscription(c <-chan time.Time, stop func()) *Subscription {
-	if s.cfg.Gate == nil {
+	if s.cfg.Wrap == nil {
 		return &Subscription{C: c, stop: stop}
 	}
-	passed := make(chan time.Time, 1)
-	done, end := context.WithCancel(context.Background())
-	go s.passGate(done, c, passed)
-	return &Subscription{C: passed, stop: func() {
+	wrapped, end := s.cfg.Wrap(c)
+	return &Subscription{C: wrapped, stop: func() {
 		stop()
 		end()
 	}}
 }
 
-// passGate forwards ticks that pass the gate until ctx is done.
-func (s *Service) passGate(ctx context.Context, in <-chan time.Time, out chan<- time.Time) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case t := <-in:
-			s.cfg.Gate()
-			select {
-			case out <- t:
-			default: // the receiver is slow
-			}
-		}
-	}
-}
-
 // Sleep waits for d. If ctx is done first, it returns the error of ctx.
 func (s *Service) Sleep(ctx context.Context, d time.Duration) error {
 	sub := s.After(d)
