--- a/edge/flow_test.go
+++ b/edge/flow_test.go
@@ -43,7 +43,7 @@
 func TestFlowsStayInRoll(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t, 1, deployments[0])
-		w.roll(&draws{state: 1}, anyMachine)
+		w.roll(draws{w.rand}, anyMachine)
 		w.end()
 		w.report()
 		must.Eq(t, 0, w.flowsDone[flowReset])
--- a/edge/network_test.go
+++ b/edge/network_test.go
@@ -169,66 +169,66 @@
 	}
 }
 
-// life is one run of a process. The network of a process that was killed or is frozen
+// processState is the state of one run of a process. The network of a process that was killed or is frozen
 // neither sends nor receives.
-type life struct {
+type processState struct {
 	mu      sync.Mutex
 	dead    bool
 	resumed chan struct{} // closed when a frozen process continues; nil while it runs
 }
 
-func (l *life) kill() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.dead = true
+func (p *processState) kill() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.dead = true
 }
 
 // freeze stops the process until thaw is called.
-func (l *life) freeze() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.resumed = make(chan struct{})
+func (p *processState) freeze() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.resumed = make(chan struct{})
 }
 
-func (l *life) thaw() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	close(l.resumed)
-	l.resumed = nil
+func (p *processState) thaw() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	close(p.resumed)
+	p.resumed = nil
 }
 
-func (l *life) frozen() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.resumed != nil
+func (p *processState) frozen() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.resumed != nil
 }
 
 // gate blocks while the process is frozen.
-func (l *life) gate() {
-	l.mu.Lock()
-	resumed := l.resumed
-	l.mu.Unlock()
+func (p *processState) gate() {
+	p.mu.Lock()
+	resumed := p.resumed
+	p.mu.Unlock()
 	if resumed != nil {
 		<-resumed
 	}
 }
 
 // delayTicks returns a channel that delivers the ticks of in, but none while the process is frozen.
-func (l *life) delayTicks(in <-chan time.Time) (<-chan time.Time, func()) {
+func (p *processState) delayTicks(in <-chan time.Time) (<-chan time.Time, func()) {
 	out := make(chan time.Time, 1)
 	ctx, cancel := context.WithCancel(context.Background())
-	go l.passTicks(ctx, in, out)
+	go p.passTicks(ctx, in, out)
 	return out, cancel
 }
 
 // passTicks forwards ticks until ctx is done.
-func (l *life) passTicks(ctx context.Context, in <-chan time.Time, out chan<- time.Time) {
+func (p *processState) passTicks(ctx context.Context, in <-chan time.Time, out chan<- time.Time) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case t := <-in:
-			l.gate()
+			p.gate()
 			select {
 			case out <- t:
 			default: // the receiver is slow
@@ -237,17 +237,17 @@
 	}
 }
 
-func (l *life) killed() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.dead
+func (p *processState) killed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.dead
 }
 
 // hostNetwork is the network as one process uses it. It implements edge.Network.
 type hostNetwork struct {
 	*network
-	host registry.Host
-	life *life
+	host  registry.Host
+	state *processState
 }
 
 // socket is a bound address. It implements edge.PacketSocket.
@@ -267,7 +267,7 @@
 func (h hostNetwork) bind(addr netip.AddrPort, d *timer.PauseDetector) (*socket, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if old := h.sockets[addr]; old != nil && !old.host.life.killed() {
+	if old := h.sockets[addr]; old != nil && !old.host.state.killed() {
 		return nil, &exchange.ListenError{Address: addr, Cause: syscall.EADDRINUSE}
 	}
 	s := &socket{host: h, addr: addr, pause: d, queue: make(chan datagram, socketQueue), conns: make(chan net.Conn), done: make(chan struct{})}
@@ -297,7 +297,7 @@
 	defer cancel()
 	h.mu.Lock()
 	s, z := h.sockets[to], hostOf(to)
-	lost := h.life.killed() || z != h.host && (h.blocked(h.host, z) || h.blocked(z, h.host))
+	lost := h.state.killed() || z != h.host && (h.blocked(h.host, z) || h.blocked(z, h.host))
 	h.mu.Unlock()
 	client, server := net.Pipe()
 	if s == nil && !lost {
@@ -329,7 +329,7 @@
 func (s *socket) Counts() udp.Counts { return udp.Counts{} }
 
 func (s *socket) Send(b []byte, to netip.AddrPort) {
-	if !s.host.life.killed() {
+	if !s.host.state.killed() {
 		s.host.send(s.addr, to, b)
 	}
 }
@@ -345,11 +345,11 @@
 		case <-ctx.Done():
 			return
 		case d := <-s.queue:
-			s.host.life.gate()
+			s.host.state.gate()
 			if current := s.pause.Epoch(); current != epoch {
 				epoch = current
 				s.discardBacklog()
-			} else if !s.host.life.killed() {
+			} else if !s.host.state.killed() {
 				h(d.b, d.from)
 			}
 		}
@@ -382,7 +382,7 @@
 func (l listener) Accept() (net.Conn, error) {
 	select {
 	case c := <-l.conns:
-		l.host.life.gate()
+		l.host.state.gate()
 		return c, nil
 	case <-l.done:
 		return nil, net.ErrClosed
--- a/edge/single_test.go
+++ b/edge/single_test.go
@@ -43,20 +43,13 @@
 	}
 }
 
-// bounce restarts the sidecar of a machine.
-func (w *world) bounce(m *machine) {
-	w.terminate(m)
-	time.Sleep(restartTime)
-	w.start(m)
-}
-
 // loseAnnouncement restarts a sidecar whose announcement to one balancer is lost.
 func loseAnnouncement(w *world, m *machine) {
 	near := w.list(func(o *machine) bool { return o.service == "" && o.dataCentre == m.dataCentre })
 	c := &cut{matches: func(from, to registry.Host) bool { return from == m.host && to == near[0].host }}
 	w.net.cut(c)
 	time.AfterFunc(100*time.Millisecond, func() { w.net.mend(c) })
-	w.bounce(m)
+	w.restart(m, restartTime)
 }
 
 // moveTo lets all callers send their packets to a data centre.
@@ -88,7 +81,7 @@
 // searchDuringRestart moves the callers while a sidecar restarts.
 func searchDuringRestart(w *world, m *machine) {
 	time.AfterFunc(500*time.Millisecond, func() { w.moveTo((dataCentreOf(m.host) + 1) % 3) })
-	w.bounce(m)
+	w.restart(m, restartTime)
 }
 
 // restartWhileRevoked restarts a sidecar, and moves the callers, while the entry of its
@@ -105,9 +98,9 @@
 func (w *world) freezeFirst(dc int) (thaw func()) {
 	m := w.list(func(m *machine) bool { return m.service == "" && dataCentreOf(m.host) == dc })[0]
 	end := w.check.disrupt(m)
-	m.run.life.freeze()
+	m.run.state.freeze()
 	return func() {
-		m.run.life.thaw()
+		m.run.state.thaw()
 		end()
 	}
 }
--- a/edge/store_test.go
+++ b/edge/store_test.go
@@ -151,15 +151,15 @@
 type client struct {
 	store *store
 	host  registry.Host
-	life  *life
+	state *processState
 }
 
 // check returns an error, after a delay if the store is silent, unless it answers.
 func (c client) check(ctx context.Context) error {
-	c.life.gate()
+	c.state.gate()
 	c.store.mu.Lock()
 	fault := c.store.fault
-	if c.store.rejects[c.host] || c.life.killed() {
+	if c.store.rejects[c.host] || c.state.killed() {
 		fault = storeFails
 	}
 	c.store.mu.Unlock()
--- a/edge/trouble_test.go
+++ b/edge/trouble_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -21,7 +22,7 @@
 // trouble is planned work or an unplanned disruption. run returns when it is over.
 type trouble struct {
 	weight int
-	run    func(*world, *draws)
+	run    func(*world, draws)
 }
 
 // The troubles of which several overlap in a run.
@@ -49,20 +50,13 @@
 )
 
 // draws draws numbers for one trouble. It is used by one goroutine.
-type draws struct{ state uint64 }
+type draws struct{ *rand.Rand }
 
-func (d *draws) below(n int) int {
-	d.state ^= d.state << 13
-	d.state ^= d.state >> 7
-	d.state ^= d.state << 17
-	return int(d.state % uint64(n))
+func (d draws) between(lo, hi time.Duration) time.Duration {
+	return lo + time.Duration(d.Int64N(int64(hi-lo)))
 }
 
-func (d *draws) between(lo, hi time.Duration) time.Duration {
-	return lo + time.Duration(d.below(int(hi-lo)))
-}
-
-func (d *draws) span() time.Duration { return d.between(minTrouble, maxTrouble) }
+func (d draws) span() time.Duration { return d.between(minTrouble, maxTrouble) }
 
 // draw starts one of the troubles.
 func (w *world) draw(list []trouble) {
@@ -73,7 +67,7 @@
 	at := w.rand.IntN(total)
 	for _, t := range list {
 		if at -= t.weight; at < 0 {
-			d := &draws{state: w.rand.Uint64() | 1}
+			d := draws{rand.New(rand.NewPCG(w.rand.Uint64(), 2))}
 			w.troubles.Go(func() { t.run(w, d) })
 			return
 		}
@@ -98,12 +92,12 @@
 }
 
 // claim returns a machine that no other trouble concerns, or nil.
-func (w *world) claim(d *draws, match func(m *machine) bool) *machine {
+func (w *world) claim(d draws, match func(m *machine) bool) *machine {
 	free := w.list(func(m *machine) bool { return !m.busy && !m.gone && m.run != nil && match(m) })
 	if len(free) == 0 {
 		return nil
 	}
-	m := free[d.below(len(free))]
+	m := free[d.IntN(len(free))]
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if m.busy {
@@ -123,38 +117,43 @@
 func isBalancer(m *machine) bool  { return m.service == "" }
 func hasUpstream(m *machine) bool { return m.upstream != nil && !m.upstream.draining }
 
-// restart restarts a process as planned work does.
-func (w *world) restart(m *machine, d *draws) {
+// pause returns how long a process that is restarted is down.
+func (d draws) pause() time.Duration {
+	return d.between(300*time.Millisecond, 1500*time.Millisecond)
+}
+
+// restart restarts a process by SIGTERM, as planned work does.
+func (w *world) restart(m *machine, pause time.Duration) {
 	w.terminate(m)
-	time.Sleep(d.between(300*time.Millisecond, 1500*time.Millisecond))
+	time.Sleep(pause)
 	w.start(m)
 	w.check.note("%s started", m.name)
 }
 
-func (w *world) roll(d *draws, match func(m *machine) bool) {
+func (w *world) roll(d draws, match func(m *machine) bool) {
 	for _, m := range w.list(match) {
 		if w.claim(d, func(o *machine) bool { return o == m }) == nil {
 			continue
 		}
-		w.restart(m, d)
+		w.restart(m, d.pause())
 		w.release(m)
 		time.Sleep(d.between(0, time.Second))
 	}
 }
 
-func rollBalancers(w *world, d *draws) { w.roll(d, isBalancer) }
-func rollSidecars(w *world, d *draws)  { w.roll(d, hasUpstream) }
+func rollBalancers(w *world, d draws) { w.roll(d, isBalancer) }
+func rollSidecars(w *world, d draws)  { w.roll(d, hasUpstream) }
 
-func restartSidecar(w *world, d *draws) {
+func restartSidecar(w *world, d draws) {
 	if m := w.claim(d, hasUpstream); m != nil {
-		w.restart(m, d)
+		w.restart(m, d.pause())
 		w.release(m)
 	}
 }
 
 // replaceUpstream starts an upstream on a new machine, drains another one of the service, and
 // may use the address of that one again for the other service.
-func replaceUpstream(w *world, d *draws) {
+func replaceUpstream(w *world, d draws) {
 	m := w.claim(d, hasUpstream)
 	if m == nil {
 		return
@@ -174,19 +173,19 @@
 	u.publish()
 	time.Sleep(drainTime + d.between(0, 3*time.Second))
 	steps := []func(){u.leave, func() { w.terminate(m) }}
-	first := d.below(2) // the sidecar may stop before its upstream has ended
+	first := d.IntN(2) // the sidecar may stop before its upstream has ended
 	steps[first]()
 	time.Sleep(d.between(0, time.Second))
 	steps[1-first]()
 	time.Sleep(reuseTime)
 	w.mu.Lock()
-	if d.below(2) == 0 {
+	if d.IntN(2) == 0 {
 		m.service = otherService(m.service)
 	}
 	w.mu.Unlock()
 	w.startUpstream(m)
 	w.start(m)
-	if d.below(2) == 0 {
+	if d.IntN(2) == 0 {
 		time.Sleep(d.between(200*time.Millisecond, 1500*time.Millisecond))
 		moveCallers(w, d) // before all processes have received the status of the new sidecar
 	}
@@ -199,16 +198,16 @@
 	return serviceA
 }
 
-func addBalancer(w *world, d *draws) {
+func addBalancer(w *world, d draws) {
 	if len(w.list(anyMachine)) >= maxMachines {
 		return
 	}
-	m := w.addMachine(d.below(3), "")
+	m := w.addMachine(d.IntN(3), "")
 	w.start(m)
 }
 
 // removeBalancer takes a balancer out for good, unless it is the only one of its data centre.
-func removeBalancer(w *world, d *draws) {
+func removeBalancer(w *world, d draws) {
 	m := w.claim(d, isBalancer)
 	if m == nil {
 		return
@@ -223,12 +222,12 @@
 	w.mu.Unlock()
 }
 
-func changeRoutes(w *world, d *draws) {
+func changeRoutes(w *world, d draws) {
 	w.check.note("new routes")
-	w.publishRoutes(uint32(1 + d.below(5)))
+	w.publishRoutes(uint32(1 + d.IntN(5)))
 }
 
-func killProcess(w *world, d *draws) {
+func killProcess(w *world, d draws) {
 	m := w.claim(d, anyMachine)
 	if m == nil {
 		return
@@ -237,11 +236,11 @@
 	defer w.check.disrupt(m)()
 	w.check.note("kill of %s", m.name)
 	w.kill(m)
-	time.Sleep(d.between(300*time.Millisecond, 1500*time.Millisecond))
+	time.Sleep(d.pause())
 	w.start(m)
 }
 
-func freezeProcess(w *world, d *draws) {
+func freezeProcess(w *world, d draws) {
 	m := w.claim(d, anyMachine)
 	if m == nil {
 		return
@@ -249,14 +248,14 @@
 	defer w.release(m)
 	defer w.check.disrupt(m)()
 	w.check.note("freeze of %s", m.name)
-	m.run.life.freeze()
+	m.run.state.freeze()
 	time.Sleep(d.span())
-	m.run.life.thaw()
+	m.run.state.thaw()
 	w.check.note("end of the freeze of %s", m.name)
 }
 
 // cutProcess cuts a process from some others, in one direction or both.
-func cutProcess(w *world, d *draws) {
+func cutProcess(w *world, d draws) {
 	m := w.claim(d, anyMachine)
 	if m == nil {
 		return
@@ -265,12 +264,12 @@
 	others := map[registry.Host]bool{}
 	ends := []*machine{m}
 	for _, o := range w.list(func(o *machine) bool { return o != m }) {
-		if d.below(3) == 0 {
+		if d.IntN(3) == 0 {
 			others[o.host] = true
 			ends = append(ends, o)
 		}
 	}
-	direction := d.below(3)
+	direction := d.IntN(3)
 	w.check.note("cut of %s from %d others, direction %d", m.name, len(others), direction)
 	w.holdCut(d, ends, func(from, to registry.Host) bool {
 		return direction != 1 && from == m.host && others[to] || direction != 2 && to == m.host && others[from]
@@ -278,10 +277,10 @@
 }
 
 // cutDataCentres cuts two data centres from each other.
-func cutDataCentres(w *world, d *draws) {
-	a := d.below(3)
-	z := (a + 1 + d.below(2)) % 3
-	oneWay := d.below(2) == 0
+func cutDataCentres(w *world, d draws) {
+	a := d.IntN(3)
+	z := (a + 1 + d.IntN(2)) % 3
+	oneWay := d.IntN(2) == 0
 	w.check.note("cut between data centres %d and %d, one way %v", a, z, oneWay)
 	ends := w.list(func(m *machine) bool { return dataCentreOf(m.host) == a || dataCentreOf(m.host) == z })
 	w.holdCut(d, ends, func(from, to registry.Host) bool {
@@ -290,7 +289,7 @@
 	})
 }
 
-func (w *world) holdCut(d *draws, ends []*machine, matches func(from, to registry.Host) bool) {
+func (w *world) holdCut(d draws, ends []*machine, matches func(from, to registry.Host) bool) {
 	defer w.check.disrupt(ends...)()
 	c := &cut{matches: matches}
 	w.net.cut(c)
@@ -301,7 +300,7 @@
 
 // silenceUpstream freezes an upstream, makes it unreachable, or lets it crash and start
 // again as another incarnation.
-func silenceUpstream(w *world, d *draws) {
+func silenceUpstream(w *world, d draws) {
 	m := w.claim(d, hasUpstream)
 	if m == nil {
 		return
@@ -310,7 +309,7 @@
 	defer w.check.disrupt(m)()
 	w.mu.Lock()
 	u := m.upstream
-	u.state = []upstreamState{upstreamFrozen, upstreamUnreachable, upstreamEnded}[d.below(3)]
+	u.state = []upstreamState{upstreamFrozen, upstreamUnreachable, upstreamEnded}[d.IntN(3)]
 	ended := u.state == upstreamEnded
 	w.check.note("upstream %s falls silent, state %d", u.id, u.state)
 	w.mu.Unlock()
@@ -328,14 +327,14 @@
 	w.check.note("upstream %s reacts", u.id)
 }
 
-func impairLink(w *world, d *draws) {
+func impairLink(w *world, d draws) {
 	m := w.claim(d, anyMachine)
 	if m == nil {
 		return
 	}
 	defer w.release(m)
 	defer w.check.disrupt(m)()
-	i := impairment{loss: float64(d.below(50)) / 100, delay: d.between(0, 400*time.Millisecond)}
+	i := impairment{loss: float64(d.IntN(50)) / 100, delay: d.between(0, 400*time.Millisecond)}
 	w.check.note("link of %s: loss %v, delay %v", m.name, i.loss, i.delay)
 	w.net.impair(m.host, i)
 	time.Sleep(d.span())
@@ -343,9 +342,9 @@
 	w.check.note("link of %s is whole", m.name)
 }
 
-func loseStore(w *world, d *draws) {
+func loseStore(w *world, d draws) {
 	defer w.check.disrupt(nil)()
-	fault, keeps := []storeFault{storeFails, storeSilent}[d.below(2)], d.below(2) == 0
+	fault, keeps := []storeFault{storeFails, storeSilent}[d.IntN(2)], d.IntN(2) == 0
 	w.check.note("store away, fault %d, keeps %v", fault, keeps)
 	w.store.setFault(fault, keeps)
 	time.Sleep(d.span())
@@ -353,8 +352,8 @@
 	w.check.note("store back")
 }
 
-func rejectProcesses(w *world, d *draws) {
-	list := w.list(func(m *machine) bool { return d.below(2) == 0 })
+func rejectProcesses(w *world, d draws) {
+	list := w.list(func(m *machine) bool { return d.IntN(2) == 0 })
 	defer w.check.disrupt(list...)()
 	for _, m := range list {
 		w.store.reject(m.host, true)
@@ -366,8 +365,8 @@
 }
 
 // revokeEntries removes the entries of some live upstreams for a time.
-func revokeEntries(w *world, d *draws) {
-	list := w.list(func(m *machine) bool { return m.upstream != nil && d.below(4) == 0 })
+func revokeEntries(w *world, d draws) {
+	list := w.list(func(m *machine) bool { return m.upstream != nil && d.IntN(4) == 0 })
 	defer w.check.disruptEntries(list...)()
 	var ids []string
 	w.mu.Lock()
@@ -389,7 +388,7 @@
 }
 
 // restartRevoked restarts the sidecar of an upstream whose entry is revoked.
-func restartRevoked(w *world, d *draws) {
+func restartRevoked(w *world, d draws) {
 	m := w.claim(d, hasUpstream)
 	if m == nil {
 		return
@@ -400,26 +399,26 @@
 	w.check.note("entry revoked: %s", id)
 	w.store.revoke(id, true)
 	time.Sleep(d.between(minTrouble, maxRevocation/2))
-	w.restart(m, d)
+	w.restart(m, d.pause())
 	time.Sleep(d.between(minTrouble, maxRevocation/2))
 	w.store.revoke(id, false)
 	w.check.note("entry may return: %s", id)
 }
 
 // moveCallers moves callers of a data centre to another one, and may move them back.
-func moveCallers(w *world, d *draws) {
+func moveCallers(w *world, d draws) {
 	w.mu.Lock()
 	var moved []*caller
-	to := d.below(3)
+	to := d.IntN(3)
 	for _, c := range w.callers {
-		if c.dataCentre != to && d.below(2) == 0 {
+		if c.dataCentre != to && d.IntN(2) == 0 {
 			moved = append(moved, c)
 			c.dataCentre = to
 		}
 	}
 	w.mu.Unlock()
 	w.check.note("%d callers move to data centre %d", len(moved), to)
-	if d.below(2) == 0 {
+	if d.IntN(2) == 0 {
 		return
 	}
 	time.Sleep(d.span())
@@ -432,8 +431,8 @@
 }
 
 // emptyDataCentre ends all balancers of a data centre, by SIGTERM or at once.
-func emptyDataCentre(w *world, d *draws) {
-	dc, planned := d.below(3), d.below(2) == 0
+func emptyDataCentre(w *world, d draws) {
+	dc, planned := d.IntN(3), d.IntN(2) == 0
 	var list []*machine
 	for range 4 {
 		if m := w.claim(d, func(m *machine) bool { return m.service == "" && dataCentreOf(m.host) == dc }); m != nil {
--- a/edge/world_test.go
+++ b/edge/world_test.go
@@ -25,6 +25,11 @@
 	outboundPort = 7002
 	upstreamPort = 7003
 
+	// The kinds of datagrams between processes that concern a flow, see exchange.
+	kindForward = 0x02
+	kindFlows   = 0x03
+	kindMissing = 0x05
+
 	callerNet = 100 // first byte of the addresses of callers
 
 	serviceA = "a"
@@ -66,7 +71,7 @@
 
 // run is a running process.
 type run struct {
-	life  *life
+	state *processState
 	ready func() bool
 	stop  context.CancelFunc
 	done  chan struct{}
@@ -193,13 +198,13 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w.mu.Lock()
 	w.starts++
-	l := new(life)
-	r := &run{life: l, stop: cancel, done: make(chan struct{})}
+	state := new(processState)
+	r := &run{state: state, stop: cancel, done: make(chan struct{})}
 	cfg := edge.Config{
 		DataCentre: m.dataCentre, Exchange: m.host.Port(exchangePort), Incarnation: w.starts, Seeds: w.seeds, MaxFlow: time.Minute,
-		CallerPort: packetPort, Placing: steer.PlaceByTime, Codec: platform.Codec{}, Timer: timer.New(timer.Config{Wrap: l.delayTicks}),
-		Source: client{store: w.store, host: m.host, life: l}, Log: event.New(event.Config{Core: flowLog{check: w.check, host: m.host}}),
-		Network: hostNetwork{network: w.net, host: m.host, life: l},
+		CallerPort: packetPort, Placing: steer.PlaceByTime, Codec: platform.Codec{}, Timer: timer.New(timer.Config{Wrap: state.delayTicks}),
+		Source: client{store: w.store, host: m.host, state: state}, Log: event.New(event.Config{Core: flowLog{check: w.check, host: m.host}}),
+		Network: hostNetwork{network: w.net, host: m.host, state: state},
 	}
 	service := m.service
 	w.mu.Unlock()
@@ -241,7 +246,7 @@
 func (w *world) kill(m *machine) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	m.run.life.kill()
+	m.run.state.kill()
 	m.run.stop()
 	m.run = nil
 }
@@ -299,17 +304,17 @@
 		w.check.note("lost datagram of kind %x from %v to %v", b[0], hostOf(from), hostOf(to))
 	}
 	switch b[0] {
-	case 0x02:
+	case kindForward:
 		var h steer.Header
 		rest, err := h.Parse(b[1:])
 		if err == nil && (platform.Codec{}).Decode(rest, &p) == nil {
 			w.check.record(p.CallerKey(), hostOf(from), hostOf(to), lost, fmt.Sprintf("forward seq %d data %d visited %v remote %v unknown %v", p.Sequence, p.Data, h.Visited, h.Remote, h.UnknownFlow))
 		}
-	case 0x03:
+	case kindFlows:
 		for body := b[1:]; len(body) >= steer.KeySize; body = body[steer.KeySize:] {
 			w.check.record(steer.ParseKey(body), hostOf(from), hostOf(to), lost, "held")
 		}
-	case 0x05:
+	case kindMissing:
 		if m, err := steer.ParseMissReport(b[1:]); err == nil {
 			w.check.record(m.Key, hostOf(from), hostOf(to), lost, fmt.Sprintf("missing at %v", m.Hosts))
 		}
@@ -344,7 +349,7 @@
 			w.mu.Lock()
 			r := m.run
 			w.mu.Unlock()
-			ready := r != nil && !r.life.frozen() && r.ready()
+			ready := r != nil && !r.state.frozen() && r.ready()
 			w.mu.Lock()
 			m.misses++
 			if ready {
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -37,7 +37,7 @@
 	maxDiscoveryTime = membership.HeartbeatInterval + 2*digestNearInterval
 )
 
-// Config holds the settings of a Node. All fields but Bind and Seeds are required.
+// Config holds the settings of a Node. All fields but Bind, Seeds and Network are required.
 type Config struct {
 	Role       membership.Role
 	DataCentre string
