--- /dev/null
+++ b/edge/flow_test.go
@@ -0,0 +1,84 @@
+package edge_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+var (
+	// Runs by hand draw more: a seed takes 2 s, and 10 s with the race detector.
+	virtualSeeds = flag.Uint64("virtual.seeds", 2, "number of drawn deployments")
+	virtualFirst = flag.Uint64("virtual.first", 1, "the first seed")
+	virtualAll   = flag.Bool("virtual.all", false, "print violations that a disrupted store exempts")
+	virtualLog   = flag.Bool("virtual.log", false, "add logs of processes and lost datagrams to traces")
+)
+
+// disturbTime is the time for which troubles are drawn.
+const disturbTime = 40 * time.Second
+
+// deployments are the sizes on which flows are checked.
+var deployments = []deployment{
+	{balancers: []int{2, 2, 1}, upstreamsA: []int{3, 2, 2}, upstreamsB: []int{1, 1, 1}, callers: 12, heartbeat: 770 * time.Millisecond, flowTime: 30 * time.Second},
+	{balancers: []int{3, 2, 2}, upstreamsA: []int{3, 2, 2}, upstreamsB: []int{1, 1, 1}, callers: 12, heartbeat: 1200 * time.Millisecond, flowTime: 30 * time.Second},
+}
+
+// TestFlowsStayInCalm guards against a simulation that reports violations by itself.
+func TestFlowsStayInCalm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, deployments[0])
+		time.Sleep(10 * time.Second)
+		w.end()
+		w.report()
+		must.Eq(t, 0, w.flowsDone[flowTimedOut]+w.flowsDone[flowReset])
+		must.Positive(t, w.flowsDone[flowDone])
+	})
+}
+
+// TestFlowsStayInRoll restarts all processes in turn.
+func TestFlowsStayInRoll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, deployments[0])
+		w.roll(draws{w.rand}, anyMachine)
+		w.end()
+		w.report()
+		must.Eq(t, 0, w.flowsDone[flowReset])
+	})
+}
+
+// TestFlowsStayInDrawnTroubles guards against resets of open flows, and packets that reach
+// other upstreams only, while planned work and unplanned disruptions overlap.
+func TestFlowsStayInDrawnTroubles(t *testing.T) {
+	for seed := *virtualFirst; seed < *virtualFirst+*virtualSeeds; seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, seed, deployments[seed%uint64(len(deployments))])
+				w.disturb(disturbTime)
+				time.Sleep(stableWindow)
+				w.end()
+				w.report()
+			})
+		})
+	}
+}
+
+// report reports the violations of a run.
+func (w *world) report() {
+	w.t.Helper()
+	w.t.Logf("seed %d: %d flows opened, %d done, %d reset, %d timed out, %d datagrams, %d violations, %d exempt",
+		w.seed, w.check.opens, w.flowsDone[flowDone], w.flowsDone[flowReset], w.flowsDone[flowTimedOut], w.net.delivered,
+		len(w.check.violations), len(w.check.exempt))
+	for _, v := range w.check.violations {
+		w.t.Error(v)
+	}
+	if *virtualAll {
+		for _, v := range w.check.exempt {
+			w.t.Log("exempt: " + v)
+		}
+	}
+}
--- /dev/null
+++ b/edge/single_test.go
@@ -0,0 +1,136 @@
+package edge_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/corianderbay/corianderbay/registry"
+	"github.com/shoenig/test/must"
+)
+
+// restartTime is how long a restarted sidecar is down.
+const restartTime = 1500 * time.Millisecond
+
+// TestFlowsStayInSingleTroubles guards against faults that TestFlowsStayInDrawnTroubles
+// found. Each case applies one combination of troubles to the machines of a quarter of the upstreams in turn.
+func TestFlowsStayInSingleTroubles(t *testing.T) {
+	cases := map[string]func(w *world, m *machine){
+		"lost announcement of a stop":            loseAnnouncement,
+		"search past a frozen upstream":          searchPastFrozen,
+		"search during a restart":                searchDuringRestart,
+		"search after an address was used again": searchAfterReuse,
+		"restart beside a revoked entry":         restartWhileRevoked,
+	}
+	for name, apply := range cases {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				d := deployments[0]
+				d.flowTime = 3 * time.Second
+				w := newWorld(t, 1, d)
+				for i, m := range w.list(hasUpstream) {
+					if i%4 == 0 {
+						apply(w, m)
+						time.Sleep(stableWindow)
+					}
+				}
+				w.end()
+				w.report()
+				must.SliceEmpty(t, w.check.exempt)
+			})
+		})
+	}
+}
+
+// loseAnnouncement restarts a sidecar whose announcement to one balancer is lost.
+func loseAnnouncement(w *world, m *machine) {
+	near := w.list(func(o *machine) bool { return o.service == "" && o.dataCentre == m.dataCentre })
+	c := &cut{matches: func(from, to registry.Host) bool { return from == m.host && to == near[0].host }}
+	w.net.cut(c)
+	time.AfterFunc(100*time.Millisecond, func() { w.net.mend(c) })
+	w.restart(m, restartTime)
+}
+
+// moveTo lets all callers send their packets to a data centre.
+func (w *world) moveTo(dc int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.callers {
+		c.dataCentre = dc
+	}
+	w.check.note("all callers move to data centre %d", dc)
+}
+
+// searchPastFrozen freezes an upstream and moves the callers, so that flows of others in its
+// data centre are searched for.
+func searchPastFrozen(w *world, m *machine) {
+	end := w.check.disrupt(m)
+	defer end()
+	w.mu.Lock()
+	m.upstream.state = upstreamFrozen
+	w.mu.Unlock()
+	time.Sleep(500 * time.Millisecond)
+	w.moveTo((dataCentreOf(m.host) + 1) % 3)
+	time.Sleep(4 * time.Second)
+	w.mu.Lock()
+	m.upstream.state = upstreamRuns
+	w.mu.Unlock()
+}
+
+// searchDuringRestart moves the callers while a sidecar restarts.
+func searchDuringRestart(w *world, m *machine) {
+	time.AfterFunc(500*time.Millisecond, func() { w.moveTo((dataCentreOf(m.host) + 1) % 3) })
+	w.restart(m, restartTime)
+}
+
+// restartWhileRevoked restarts a sidecar, and moves the callers, while the entry of its
+// upstream is missing from the store although the upstream runs.
+func restartWhileRevoked(w *world, m *machine) {
+	w.store.revoke(m.upstream.id, true)
+	time.Sleep(3 * time.Second)
+	searchDuringRestart(w, m)
+	w.store.revoke(m.upstream.id, false)
+}
+
+// freezeFirst freezes a balancer, through which its data centre receives the status of others,
+// until the returned function is called.
+func (w *world) freezeFirst(dc int) (thaw func()) {
+	m := w.list(func(m *machine) bool { return m.service == "" && dataCentreOf(m.host) == dc })[0]
+	end := w.check.disrupt(m)
+	m.run.state.freeze()
+	return func() {
+		m.run.state.thaw()
+		end()
+	}
+}
+
+// searchAfterReuse lets an upstream end while its sidecar stops, starts one of the other
+// service at its address, and moves the callers before all processes have received the status
+// of the new sidecar.
+func searchAfterReuse(w *world, m *machine) {
+	w.mu.Lock()
+	m.upstream.draining = true
+	u := m.upstream
+	w.mu.Unlock()
+	u.publish()
+	time.Sleep(drainTime)
+	u.leave()
+	w.terminate(m)
+	time.Sleep(reuseTime)
+	w.mu.Lock()
+	m.service = otherService(m.service)
+	w.mu.Unlock()
+	for dc := range 3 {
+		if dc != dataCentreOf(m.host) {
+			defer w.freezeFirst(dc)()
+		}
+	}
+	w.startUpstream(m)
+	w.moveTo(dataCentreOf(m.host))
+	w.start(m)
+	time.Sleep(400 * time.Millisecond)
+	w.moveTo((dataCentreOf(m.host) + 1) % 3)
+	time.Sleep(400 * time.Millisecond)
+	w.moveTo((dataCentreOf(m.host) + 2) % 3)
+}
--- a/timer/service.go
+++ b/timer/service.go
@@ -23,6 +23,10 @@
 	// PauseDetector runs. Nil counts no suspension; the function Suspended reads it
 	// from the system.
 	Suspended func() time.Duration
+	// Wrap, if not nil, returns the channel from which a subscription delivers the ticks of c,
+	// and a function that is called when the subscription is stopped. Tests delay ticks with
+	// it, as those of a frozen process.
+	Wrap func(c <-chan time.Time) (wrapped <-chan time.Time, stop func())
 }
 
 const (
@@ -99,13 +103,25 @@
 // It panics if period is not positive.
 func (s *Service) Every(period time.Duration) *Subscription {
 	t := time.NewTicker(period)
-	return &Subscription{C: t.C, stop: t.Stop}
+	return s.subscription(t.C, t.Stop)
 }
 
 // After returns a subscription that ticks once after d. The caller must stop it.
 func (s *Service) After(d time.Duration) *Subscription {
 	t := time.NewTimer(d)
-	return &Subscription{C: t.C, stop: func() { t.Stop() }}
+	return s.subscription(t.C, func() { t.Stop() })
+}
+
+// subscription returns the subscription of a timer.
+func (s *Service) subscription(c <-chan time.Time, stop func()) *Subscription {
+	if s.cfg.Wrap == nil {
+		return &Subscription{C: c, stop: stop}
+	}
+	wrapped, end := s.cfg.Wrap(c)
+	return &Subscription{C: wrapped, stop: func() {
+		stop()
+		end()
+	}}
 }
 
 // Sleep waits for d. If ctx is done first, it returns the error of ctx.
