Announce a stop three times

The announcement of a stop was one heartbeat to each balancer. When all balancers of the data centre lose it, which is one datagram where there is one balancer, they take the end of the sidecar for a loss and reset its flows 1.0 to 1.3 s later, while the upstream lives and the sidecar is about to be back.

A process that stops now sends the announcement three times, 20 ms apart; it ends 40 ms later. At the loss of 0.15% that the deployments state, a stop goes unnoticed once in 3e8 instead of once in 700 (arithmetic).

Evidence: TestFlowsStayInSingleTroubles/lost_datagrams_at_a_stop loses what a sidecar sends in the first 10 ms after SIGTERM. It failed before with "flow 100.64.2.20:40006 of Ca13-00.000: reset by Cbal11", the only balancer there, and passes. The tests of exchange and edge pass.

--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -104,7 +104,7 @@
 			break
 		}
 	}
-	b.node.Stop()
+	b.node.Stop(ctx)
 }
 
 // refresh replaces the fleet and repeats the decisions that were waiting for it: it
--- a/edge/sidecar.go
+++ b/edge/sidecar.go
@@ -114,7 +114,7 @@
 	begin := s.cfg.Timer.Uptime()
 	s.probeAtStop(ctx)
 	s.cfg.Log.Emit(event.ProcessStopping, zap.Int("flows", s.steering.Flows()), zap.Int("active", s.steering.Active()), zap.Bool("ended", s.steering.Ended()))
-	s.node.Stop()
+	s.node.Stop(ctx)
 	for s.steering.Active() > 0 && s.cfg.Timer.Uptime()-begin < s.maxDrain {
 		_ = s.cfg.Timer.Sleep(ctx, 10*time.Millisecond) // ctx is not canceled before drain returns
 	}
--- a/edge/single_test.go
+++ b/edge/single_test.go
@@ -17,6 +17,7 @@
 func TestFlowsStayInSingleTroubles(t *testing.T) {
 	cases := map[string]func(w *world, m *machine){
 		"lost announcement of a stop":            loseAnnouncement,
+		"lost datagrams at a stop":               loseFirstAnnouncements,
 		"search past a frozen upstream":          searchPastFrozen,
 		"search during a restart":                searchDuringRestart,
 		"search after an address was used again": searchAfterReuse,
@@ -52,6 +53,14 @@
 	w.restart(m, restartTime)
 }
 
+// loseFirstAnnouncements loses what the sidecar sends in the first 10 ms after SIGTERM.
+func loseFirstAnnouncements(w *world, m *machine) {
+	c := &cut{matches: func(from, _ registry.Host) bool { return from == m.host }}
+	w.net.cut(c)
+	time.AfterFunc(10*time.Millisecond, func() { w.net.mend(c) })
+	w.restart(m, restartTime)
+}
+
 // moveTo lets all callers send their packets to a data centre.
 func (w *world) moveTo(dc int) {
 	w.mu.Lock()
--- a/exchange/format_test.go
+++ b/exchange/format_test.go
@@ -121,7 +121,7 @@
 
 // end stops the process as an operator does, and waits until its address is free.
 func (p *process) end(t *testing.T) {
-	p.node.Stop()
+	p.node.Stop(t.Context())
 	p.stop()
 	p.wait()
 	await(t, "the address is free", func() bool {
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -29,6 +29,10 @@
 	// the outage may lack live upstreams: they restore expired entries within about
 	// two seconds.
 	settleTime = 2200 * time.Millisecond
+	// stopAnnouncements is the number of heartbeats that announce a stop, since nothing
+	// follows when they are lost.
+	stopAnnouncements        = 3
+	stopAnnouncementInterval = 20 * time.Millisecond
 	// discoveryTime is the time after its first list that a process needs to receive
 	// the heartbeats of all sidecars: two heartbeat intervals.
 	discoveryTime = 2 * membership.HeartbeatInterval
@@ -288,12 +292,20 @@
 	return n.members.Isolated(n.cfg.Timer.Uptime())
 }
 
-// Stop announces to all other processes that this one is about to end.
-func (n *Node) Stop() {
+// Stop announces to all other processes that this one is about to end, and returns after
+// (stopAnnouncements-1)*stopAnnouncementInterval. A process that receives no announcement
+// takes the end for a loss and gives the flows up.
+func (n *Node) Stop(ctx context.Context) {
 	n.mu.Lock()
 	n.stopping = true
 	n.mu.Unlock()
 	n.sendHeartbeat(membership.ScopeAll)
+	for range stopAnnouncements - 1 {
+		if n.cfg.Timer.Sleep(ctx, stopAnnouncementInterval) != nil {
+			return
+		}
+		n.sendHeartbeat(membership.ScopeAll)
+	}
 }
 
 // SetSeeds replaces the seeds.
--- a/exchange/node_test.go
+++ b/exchange/node_test.go
@@ -296,9 +296,9 @@
 		return true
 	}
 	await(t, "all processes have received reports on all sidecars", all)
-	balancers[0].node.Stop()
+	balancers[0].node.Stop(t.Context())
 	balancers[0].stop()
-	sidecars[2].node.Stop()
+	sidecars[2].node.Stop(t.Context())
 	await(t, "all processes have received the stop of a sidecar, with one balancer less", func() bool {
 		for _, p := range append(balancers[1:], sidecars[:2]...) {
 			if p.isAlive(hostOf(103)) {
@@ -403,7 +403,7 @@
 	b := start(t, 1, membership.Balancer, m, 0)
 	s := start(t, 2, membership.Sidecar, m, 0)
 	await(t, "the heartbeat of the sidecar arrives", func() bool { return b.hasSidecar(hostOf(2)) })
-	s.node.Stop()
+	s.node.Stop(t.Context())
 	await(t, "the sidecar is marked as stopping", func() bool {
 		b.mu.Lock()
 		defer b.mu.Unlock()
--- a/exchange/upgrade_test.go
+++ b/exchange/upgrade_test.go
@@ -105,7 +105,7 @@
 // killed sidecar must become absent first.
 func (u *upgrade) restart(m *member, f membership.Format, kill bool) {
 	if !kill {
-		m.node.Stop()
+		m.node.Stop(u.t.Context())
 		time.Sleep(100 * time.Millisecond)
 	}
 	m.stop()
