Do not divert a search to where an opening was passed on

The flow 100.66.0.28:1053 was opened at 20.08 s while its first choice, 10.1.0.44 in sanjose, was silent; that sidecar passed the opening on to heredia and kept, for 5 s after the last packet, where to. At 26.02 s the flow was unknown at its new balancer in cartago, which searched for it. The copy for sanjose reached 10.1.0.44 after one other upstream, and was sent on to heredia, because the opening had gone there. Each of them renewed the entry that diverted it. Ruled out by the same trace: a silent upstream in the way (none was silent at 26.02 s), late heartbeats, a reset.

A packet of a search no longer follows a passed-on opening; the sidecar offers it to its upstream like any other and the search goes on. Packets that the balancer itself sends there, before it knows better, still follow.

--- a/steer/owner_test.go
+++ b/steer/owner_test.go
@@ -226,6 +226,33 @@
 	must.Eq(t, []steer.Key{flowKey(1)}, sim.resets)
 }
 
+// TestSearchIsNotDivertedByPassedOnOpening guards against a search that leaves a data centre
+// before it has covered it, because a sidecar there once passed the opening on.
+func TestSearchIsNotDivertedByPassedOnOpening(t *testing.T) {
+	for at := range 9 {
+		for passing := range 9 {
+			if passing == at {
+				continue
+			}
+			sim := newMixedSimulation()
+			k := flowKey(at)
+			for i, s := range sim.instances { // the opening is passed on to the other data centre
+				s.full = dataCentreOf(i) == dataCentreOf(passing)
+			}
+			h := steer.Header{Balancer: balancerHost(0), Service: registry.HashService(sim.instances[passing].service), State: registry.State{Revision: sim.revision}}
+			first := opening(k)
+			first.Sequence--
+			must.NotEq(t, passing, sim.execute(&steer.Forward{Host: sim.instances[passing].host, Header: h}, first))
+			for _, s := range sim.instances {
+				s.full = false
+			}
+			p := sim.openAt(t, at, k)
+			elapsed := sim.retransmit(1, at, p)
+			must.Eq(t, 0, elapsed, must.Sprintf("a flow of upstream %d, whose opening %d passed on", at, passing))
+		}
+	}
+}
+
 // lose records at the balancers that the sidecar of an instance announced its end.
 func (sim *simulation) lose(i int) {
 	host, at := sim.instances[i].host, sim.now
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -264,7 +264,7 @@
 	if (l == nil || l.stage == stageOffered) && s.upstreamAbsent(now) {
 		return s.passOn(now, h, p, ReasonSilent)
 	}
-	if l != nil && l.redirects(h) {
+	if l != nil && l.redirects(h) && !h.UnknownFlow {
 		return followPassedOn(now, l, h)
 	}
 	if l != nil && l.stage == stageReturned {
