Start the next search for a flow at upstreams that did not return its packets

The caller sends it again after up to 1.6 s, and the next search began at the first upstream in the order again; one whose sidecar had restarted meanwhile got the packet once more, although the only upstream that was left was back.

The balancer keeps the reports for 5 s to order the next search, which starts at an upstream that is not among them. For resets and for dropping packets they expire as before, and an upstream that is in them may still be visited.

Evidence: TestNextSearchStartsAtRemainingUpstreams failed before with 4 packets at other upstreams.

--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -346,22 +346,42 @@
 	return d.search(service)
 }
 
-// search forwards a packet of an unknown flow to the first upstream that may hold it.
-// Upstreams of the service that the hash selects for new flows come before all others.
+// search forwards a packet of an unknown flow to the first upstream that may hold it: one
+// that did not return a packet of the flow shortly before, if there is any.
 func (d *decision) search(service string) Action {
+	before := d.b.searches.returnedBefore(d.now, d.key)
+	if to, found := d.firstToSearch(service, before.returnedBy); found {
+		return d.forward(to.service, to.host, true)
+	}
+	if to, found := d.firstToSearch(service, func(registry.Host) bool { return false }); found {
+		return d.forward(to.service, to.host, true)
+	}
+	return Drop{Reason: ReasonNoUpstream}
+}
+
+// searchTarget is the upstream at which a search starts.
+type searchTarget struct {
+	service string
+	host    registry.Host
+}
+
+// firstToSearch returns the first upstream to offer a packet of an unknown flow to.
+// Upstreams of the service that the hash selects for new flows come before all others, and
+// unreachable ones come last.
+func (d *decision) firstToSearch(service string, exclude func(registry.Host) bool) (to searchTarget, found bool) {
 	ch := d.chooser()
 	hash := registry.HashService(service)
-	excludeNone := func(*registry.Member) bool { return false }
-	if m := ch.firstInPools(hash, excludeNone, ch.nextReachable); m != nil {
-		return d.forward(m.Service, m.Address.Host, true)
+	excludeMember := func(m *registry.Member) bool { return exclude(m.Address.Host) }
+	if m := ch.firstInPools(hash, excludeMember, ch.nextReachable); m != nil {
+		return searchTarget{m.Service, m.Address.Host}, true
 	}
-	if host, found := d.fleet.firstUnlisted(d.route, "", func(registry.Host) bool { return false }); found {
-		return d.forward(service, host, true)
+	if host, found := d.fleet.firstUnlisted(d.route, "", exclude); found {
+		return searchTarget{service, host}, true
 	}
-	if m := ch.firstInPools(hash, excludeNone, ch.nextUnreachable); m != nil {
-		return d.forward(m.Service, m.Address.Host, true)
+	if m := ch.firstInPools(hash, excludeMember, ch.nextUnreachable); m != nil {
+		return searchTarget{m.Service, m.Address.Host}, true
 	}
-	return Drop{Reason: ReasonNoUpstream}
+	return searchTarget{}, false
 }
 
 // forward returns the action that sends the packet to the sidecar on a host.
--- a/steer/owner_test.go
+++ b/steer/owner_test.go
@@ -146,6 +146,36 @@
 	}
 }
 
+// TestNextSearchStartsAtRemainingUpstreams guards against packets that reach upstreams whose
+// sidecars restarted since they returned one, before the only upstream that is left.
+func TestNextSearchStartsAtRemainingUpstreams(t *testing.T) {
+	for at := range 9 {
+		sim := newMixedSimulation()
+		p := sim.openAt(t, at, flowKey(at))
+		owner := sim.instances[at]
+		owner.running = false // packets to it are lost
+		sim.adjust = func(_ string, f *steer.Fleet) {
+			f.Sidecars[owner.host] = steer.SidecarStatus{DataCentre: dataCentreOf(at), Stopping: true}
+		}
+		sim.publishFleet()
+		must.Eq(t, -1, sim.send(1, p))
+		for attempt := range len(searchRetries) {
+			sim.advance(tick)
+			sim.retrySearch(1, attempt+1, p)
+		}
+		sim.advance(2 * time.Second)
+		owner.running, sim.adjust = true, nil
+		for i, s := range sim.instances {
+			s.reached = nil
+			sim.startSidecar(i)
+		}
+		sim.publishFleet()
+		must.Eq(t, at, sim.send(1, p))
+		count, _ := sim.misdelivered(at)
+		must.Zero(t, count, must.Sprintf("a flow of upstream %d", at))
+	}
+}
+
 // TestSilentUpstreamDoesNotHideOwner guards against a search that ends at an upstream that
 // neither accepts nor returns the packet, in front of the upstream that holds the flow.
 func TestSilentUpstreamDoesNotHideOwner(t *testing.T) {
--- a/steer/search.go
+++ b/steer/search.go
@@ -17,6 +17,10 @@
 	// searchTTL is the time after the first report of a search from which all its reports
 	// are outdated, even when further ones arrive.
 	searchTTL = 2 * time.Second
+	// searchOrderTTL is the time after the last report for which the next search for the
+	// flow starts at an upstream that did not return the packet. A caller sends a packet
+	// again after at most half of it.
+	searchOrderTTL = 5 * time.Second
 	// maxSearches bounds the number of concurrent searches.
 	maxSearches = 1 << 14
 
@@ -145,6 +149,17 @@
 	return s, true
 }
 
+// returnedBefore returns the upstreams that returned a packet of a flow in the last search
+// for it, sorted, also when they are too old to base a reset on.
+func (ss *searches) returnedBefore(now time.Duration, k Key) search {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	if s := ss.byFlow[k]; now-s.lastReport < searchOrderTTL {
+		return s
+	}
+	return search{}
+}
+
 // remove ends the search for a flow.
 func (ss *searches) remove(k Key) {
 	ss.mu.Lock()
@@ -152,17 +167,18 @@
 	delete(ss.byFlow, k)
 }
 
-// activeKeys returns the flows with a search, and removes searches that have expired.
+// activeKeys returns the flows with a search, and removes searches that are too old even
+// for the order of the next one.
 func (ss *searches) activeKeys(now time.Duration) []Key {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
 	var keys []Key
 	for k, s := range ss.byFlow {
-		if s.expired(now) {
+		if !s.expired(now) {
+			keys = append(keys, k)
+		} else if now-s.lastReport >= searchOrderTTL {
 			delete(ss.byFlow, k)
-			continue
 		}
-		keys = append(keys, k)
 	}
 	return keys
 }
