Begin a search again with the first copy after its last retry

A balancer drops copies of a packet while a search for its flow runs. The last retry is 0.7 s after the start, and copies were dropped until 0.8 s. A caller sends copies after 0.6 s and 1.4 s; one that comes between the last retry and the end is dropped for nothing, and the next follows up to 1.6 s later.

TestSearchedPacketsAreResent, which checks the drop between retries and the new search after them, failed before.

--- a/edge/search.go
+++ b/edge/search.go
@@ -26,6 +26,11 @@
 	retryDelay time.Duration // delay between that retry and the one after it
 }
 
+// finished reports whether the packet has had its last retry.
+func (p *searchPacket) finished() bool {
+	return p.nextRetry-p.since >= maxHold
+}
+
 // searchQueue stores one packet of each flow that a balancer searches for. It resends
 // packets lost during the search faster than callers retransmit. It is safe for concurrent use.
 type searchQueue struct {
@@ -34,15 +39,16 @@
 }
 
 // add stores a copy of a packet unless the queue is full or holds a packet of the same
-// flow. It returns false if p is a retransmission of the stored packet.
+// flow. It returns false if p is a retransmission of the stored packet, unless that one
+// has had its last retry: then the search begins again.
 func (s *searchQueue) add(now time.Duration, p *steer.Packet, d []byte) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := p.CallerKey()
-	if kept, ok := s.byFlow[k]; ok {
+	if kept, ok := s.byFlow[k]; ok && !kept.finished() {
 		return kept.packet.Sequence != p.Sequence || kept.packet.Data != p.Data || kept.packet.Flags != p.Flags
 	}
-	if len(s.byFlow) < maxSearchPackets {
+	if _, replaces := s.byFlow[k]; replaces || len(s.byFlow) < maxSearchPackets {
 		s.byFlow[k] = searchPacket{packet: *p, data: append([]byte(nil), d...), since: now, nextRetry: now + searchRetryDelay, retryDelay: 2 * searchRetryDelay}
 	}
 	return true
--- a/edge/search_test.go
+++ b/edge/search_test.go
@@ -10,8 +10,8 @@
 )
 
 // TestSearchedPacketsAreResent checks that a searchQueue stores only the first packet of
-// a flow, resends it with doubling delays, removes it after maxHold, and stores at most
-// maxSearchPackets packets.
+// a flow, resends it with doubling delays, begins again with a retransmission after the last of
+// them, removes it after maxHold, and stores at most maxSearchPackets packets.
 func TestSearchedPacketsAreResent(t *testing.T) {
 	s := searchQueue{byFlow: make(map[steer.Key]searchPacket)}
 	first := steer.Packet{Source: registry.Endpoint{Port: 7}, Flags: steer.ACK, Sequence: 8, Data: 100}
@@ -28,8 +28,14 @@
 		must.Eq(t, []byte("first"), due[0].data)
 		must.Eq(t, i+1, due[0].attempts)
 		must.SliceEmpty(t, s.due(time.Second+at))
+		if i < 2 {
+			must.False(t, s.add(time.Second+at, &first, []byte("first")), must.Sprint("retransmission between retries"))
+		}
 	}
-	must.SliceEmpty(t, s.due(time.Second+maxHold))
+	must.True(t, s.add(time.Second+7*searchRetryDelay, &first, []byte("first")), must.Sprint("retransmission after the last retry"))
+	must.False(t, s.add(time.Second+7*searchRetryDelay, &first, []byte("first")))
+	must.Len(t, 1, s.due(time.Second+maxHold))
+	must.SliceEmpty(t, s.due(time.Second+7*searchRetryDelay+maxHold))
 	must.MapEmpty(t, s.byFlow)
 
 	for port := range maxSearchPackets + 10 {
