Report a flow to the balancer that took its packet, also when it counts as silent

A notice that its upstream holds a flow went to the balancers that count as alive in the data centre that took the packet: to none, also not to the one that had just forwarded it, so that each packet of the flow was searched for. The notice now goes to that one in any case. TestNoticeReachesBalancerThatTookThePacket holds it.

--- a/edge/search_test.go
+++ b/edge/search_test.go
@@ -45,3 +45,12 @@
 	must.MapLen(t, maxSearchPackets, s.byFlow)
 	s.remove(first.CallerKey())
 }
+
+// TestNoticeReachesBalancerThatTookThePacket guards against a flow that is reported to no
+// balancer because heartbeats of the one that took its packet are late.
+func TestNoticeReachesBalancerThatTookThePacket(t *testing.T) {
+	a, b := registry.Host{10, 0, 0, 1}, registry.Host{10, 0, 0, 2}
+	must.Eq(t, []registry.Host{b}, withBalancer(nil, b))
+	must.Eq(t, []registry.Host{a, b}, withBalancer([]registry.Host{a}, b))
+	must.Eq(t, []registry.Host{a, b}, withBalancer([]registry.Host{a, b}, b))
+}
--- a/edge/sidecar.go
+++ b/edge/sidecar.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -201,10 +202,19 @@
 		s.node.ReportFlows(keys, []registry.Host{h})
 	}
 	for h, keys := range nearby {
-		s.node.ReportFlows(keys, s.node.BalancersNear(h))
+		s.node.ReportFlows(keys, withBalancer(s.node.BalancersNear(h), h))
 	}
 }
 
+// withBalancer returns the live balancers near h with h itself, which has just forwarded a
+// packet, although its heartbeats may be late here.
+func withBalancer(near []registry.Host, h registry.Host) []registry.Host {
+	if slices.Contains(near, h) {
+		return near
+	}
+	return append(near, h)
+}
+
 // upstreamPacket handles one packet that the upstream sent or returned.
 func (s *Sidecar) upstreamPacket(d []byte, from netip.AddrPort) {
 	if from.Addr() != s.upstream.Addr() && !from.Addr().IsLoopback() {
