Retry a search at upstreams that did not return the packet before, if any are left

The retries of a search forgot after a second which upstreams had returned the packet, as its start did.

Retries now go to upstreams without a report of the last 5 s while there are any. TestNextSearchStartsAtRemainingUpstreams checks it; before, a retry had two copies for other data centres instead of one for the owner.

--- a/steer/owner_test.go
+++ b/steer/owner_test.go
@@ -170,6 +170,9 @@
 			sim.startSidecar(i)
 		}
 		sim.publishFleet()
+		list, _ := sim.balancers[1].RetrySearch(sim.now, &p, 1)
+		must.Len(t, 1, list)
+		must.Eq(t, owner.host, list[0].Host)
 		must.Eq(t, at, sim.send(1, p))
 		count, _ := sim.misdelivered(at)
 		must.Zero(t, count, must.Sprintf("a flow of upstream %d", at))
--- a/steer/search.go
+++ b/steer/search.go
@@ -210,16 +210,27 @@
 		return nil, false
 	}
 	d := decision{b: b, now: now, fleet: f, route: route, key: k, hash: k.Hash(), packet: p}
+	before := b.searches.returnedBefore(now, k)
+	if list = d.retry(&s, attempt, before.returnedBy); len(list) > 0 {
+		return list, true
+	}
+	return d.retry(&s, attempt, s.returnedBy), true
+}
+
+// retry returns the copies of a packet for one retry of a search, for hosts that are not
+// excluded.
+func (d *decision) retry(s *search, attempt int, exclude func(registry.Host) bool) []Forward {
 	ch := d.chooser()
-	service := route.Service(d.hash)
-	for _, dataCentre := range f.dataCentres() {
-		for _, host := range ch.retryHosts(registry.HashService(service), dataCentre, attempt, s.returnedBy) {
+	service := d.route.Service(d.hash)
+	var list []Forward
+	for _, dataCentre := range d.fleet.dataCentres() {
+		for _, host := range ch.retryHosts(registry.HashService(service), dataCentre, attempt, exclude) {
 			h := d.header(service, true)
-			h.Remote, h.Visited = true, f.hostsIn(dataCentre, s.hosts)
+			h.Remote, h.Visited = true, d.fleet.hostsIn(dataCentre, s.hosts)
 			list = append(list, Forward{Host: host, Header: h})
 		}
 	}
-	return list, true
+	return list
 }
 
 // maxRetryCopies is the maximum number of copies that one retry of a search sends to a
