Take no upstream from an entry whose numbers, names or address are out of range

Operators of other deployments reported that one odd entry of another writer among those of the upstreams did harm. Here, entries with 2^31 or 2^63-1 slots, a warm-up of 1e300, 1e18 or -1e300 ms, names of 300,000 bytes, a start beyond the year 9999, port 0, and unspecified, multicast and broadcast addresses were taken as upstreams. With so many slots an upstream has no load per slot, so that placing by load and by time prefers it, and the sum of slots overflows. The conversion of 1e300 ms to time.Duration is out of range, so that its result differs between arm64 and x86-64.

Missing fields, other types, deep nesting and ports above 65535 were rejected before.

Clamping the numbers instead was ruled out: the entry would still name an upstream that nobody runs.

--- a/registry/address.go
+++ b/registry/address.go
@@ -85,6 +85,14 @@
 	return e.Host.Port(e.Port)
 }
 
+// isUnicast reports whether one host can be reached at the endpoint: the port is not 0, and
+// the address is neither unspecified nor that of several hosts.
+func (e Endpoint) isUnicast() bool {
+	a := e.Host.Addr()
+	broadcast := Host{255, 255, 255, 255}
+	return e.Port != 0 && !a.IsUnspecified() && !a.IsMulticast() && e.Host != broadcast
+}
+
 // String returns the address and the port.
 func (e Endpoint) String() string {
 	return e.AddrPort().String()
--- /dev/null
+++ b/registry/limits.go
@@ -0,0 +1,54 @@
+package registry
+
+import (
+	"fmt"
+	"time"
+)
+
+// Limits of what other programs write to the store. They are far beyond what services
+// use, and keep sums and conversions in range and lists within one message.
+const (
+	// MaxNameSize is the maximum length of a name in bytes.
+	MaxNameSize = 255
+	// MaxSlots is the maximum number of slots of an upstream.
+	MaxSlots = 1 << 20
+	// MaxWarmup is the maximum remaining time of reduced speed of an upstream.
+	MaxWarmup = 24 * time.Hour
+	// MaxStartedAt is the latest start of an upstream: the end of the year 9999, as Unix
+	// time in milliseconds.
+	MaxStartedAt = 253_402_300_799_999
+)
+
+// UpstreamError reports a field of an upstream that is out of range.
+type UpstreamError struct {
+	// Field is the name of the field in messages.
+	Field string
+}
+
+// Error returns the name of the field.
+func (e *UpstreamError) Error() string {
+	return fmt.Sprintf("field %s of the upstream is out of range", e.Field)
+}
+
+// Check reports *UpstreamError when a field is out of range.
+func (u *Upstream) Check() error {
+	switch {
+	case len(u.ID) > MaxNameSize:
+		return &UpstreamError{Field: "id"}
+	case u.Service == "" || len(u.Service) > MaxNameSize:
+		return &UpstreamError{Field: "service"}
+	case !u.Address.isUnicast():
+		return &UpstreamError{Field: "address"}
+	case len(u.DataCentre) > MaxNameSize:
+		return &UpstreamError{Field: "datacentre"}
+	case len(u.Release) > MaxNameSize:
+		return &UpstreamError{Field: "release"}
+	case u.Slots < 1 || u.Slots > MaxSlots:
+		return &UpstreamError{Field: "slots"}
+	case u.Warmup < -MaxWarmup || u.Warmup > MaxWarmup:
+		return &UpstreamError{Field: "warmup"}
+	case u.StartedAt < 0 || u.StartedAt > MaxStartedAt:
+		return &UpstreamError{Field: "born"}
+	}
+	return nil
+}
--- a/registry/upstream.go
+++ b/registry/upstream.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// Upstream is one incarnation of an upstream, as published by itself.
+// Upstream is one incarnation of an upstream, as published by itself. Check reports
+// fields that are out of range.
 type Upstream struct {
 	ID      string `msgpack:"id"`
 	Service string `msgpack:"service"`
@@ -11,13 +12,15 @@
 	DataCentre string   `msgpack:"datacentre"`
 	// Release is the version of the upstream's software.
 	Release string `msgpack:"release"`
-	// Slots is the number of requests that it processes concurrently; at least 1.
+	// Slots is the number of requests that it processes concurrently; 1 to MaxSlots.
 	Slots int `msgpack:"slots"`
 	// Draining is true when it takes no new flows.
 	Draining bool `msgpack:"draining"`
-	// Warmup is the remaining time of reduced speed after its start.
+	// Warmup is the remaining time of reduced speed after its start; at most MaxWarmup.
+	// It may be negative when that time is over.
 	Warmup time.Duration `msgpack:"warmup"`
-	// StartedAt is the Unix time in milliseconds of its start, by its own clock. 0 when not reported.
+	// StartedAt is the Unix time in milliseconds of its start, by its own clock; at
+	// most MaxStartedAt. 0 when not reported.
 	StartedAt int64 `msgpack:"born"`
 	// Sequence grows with each publication of the incarnation.
 	Sequence int64 `msgpack:"seq"`
