--- a/registry/route.go
+++ b/registry/route.go
@@ -120,12 +120,12 @@
 	Text  string
 }
 
-// Error returns the name of the route and the fault.
+// Error returns the name of the route, shortened to MaxNameSize characters, and the fault.
 func (e *RoutesError) Error() string {
 	if e.Route == "" {
 		return "routes: " + e.Text
 	}
-	return fmt.Sprintf("route %q: %s", e.Route, e.Text)
+	return fmt.Sprintf("route %.*q: %s", MaxNameSize, e.Route, e.Text)
 }
 
 // ServiceHash identifies a service in forwarded datagrams.
