--- a/registry/limits.go
+++ b/registry/limits.go
@@ -14,6 +14,11 @@
 	MaxSlots = 1 << 20
 	// MaxWarmup is the maximum remaining time of reduced speed of an upstream.
 	MaxWarmup = 24 * time.Hour
+	// MaxTimeout is the maximum of all times of routes.
+	MaxTimeout = 24 * time.Hour
+	// MaxElements is the maximum number of routes, of services, and of the targets and the
+	// homes of a route. Receivers of messages reject longer lists.
+	MaxElements = 1 << 15
 	// MaxStartedAt is the latest start of an upstream: the end of the year 9999, as Unix
 	// time in milliseconds.
 	MaxStartedAt = 253_402_300_799_999
--- a/registry/route.go
+++ b/registry/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -34,7 +35,7 @@
 	Targets []Target `msgpack:"targets"`
 	// Idempotent is true when callers may repeat the requests of the route.
 	Idempotent bool `msgpack:"idempotent"`
-	// Timeout is the maximum duration of a request.
+	// Timeout is the maximum duration of a request; at most MaxTimeout in routes of a store.
 	Timeout time.Duration `msgpack:"timeout"`
 	// Objective is the target latency of a request.
 	Objective time.Duration `msgpack:"objective"`
@@ -87,12 +88,21 @@
 	Services map[string]Service `msgpack:"services"`
 }
 
-// Check reports *RoutesError when the version is 0, or a route has no targets or a target
-// without a name or weight. It does not check that addresses are unique.
+// Check reports *RoutesError when the version is 0, a route has no targets or a target
+// without a name or weight, a name is longer than MaxNameSize, or a list has more than
+// MaxElements. It does not check that addresses are unique.
 func (r *Routes) Check() error {
 	if r.Version == 0 {
 		return &RoutesError{Text: "version is missing"}
 	}
+	if len(r.List) > MaxElements || len(r.Services) > MaxElements {
+		return &RoutesError{Text: "too many routes or services"}
+	}
+	for name := range r.Services {
+		if len(name) > MaxNameSize {
+			return &RoutesError{Text: "name of a service is too long"}
+		}
+	}
 	for i := range r.List {
 		if err := r.List[i].check(); err != nil {
 			return err
@@ -105,10 +115,20 @@
 	if len(r.Targets) == 0 {
 		return &RoutesError{Route: r.Name, Text: "route has no service"}
 	}
+	if len(r.Targets) > MaxElements || len(r.Homes) > MaxElements {
+		return &RoutesError{Route: r.Name, Text: "too many services or homes"}
+	}
 	for _, t := range r.Targets {
 		if t.Service == "" || t.Weight == 0 {
 			return &RoutesError{Route: r.Name, Text: "service has no name or a weight of 0"}
 		}
+		if len(t.Service) > MaxNameSize {
+			return &RoutesError{Route: r.Name, Text: "name of a service is too long"}
+		}
+	}
+	tooLong := func(home string) bool { return len(home) > MaxNameSize }
+	if tooLong(r.Name) || slices.ContainsFunc(r.Homes, tooLong) {
+		return &RoutesError{Route: r.Name, Text: "name of the route or of a home is too long"}
 	}
 	return nil
 }
