Bound the openings that a sidecar remembers of a cold upstream

The rate of a service for cold upstreams, warmup_per_s in the configuration, is a number of any size. The sidecar allocated a list of that length at the first opening: with 1e18 the process ended with "panic: runtime error: makeslice: len out of range", and it would end again after each start, since the configuration stays in the store. An infinite rate, or one beyond the range of int, was converted to a value that differs between arm64 and x86-64.

The limit is now from 1 to 65,536 openings in a window, compared before the conversion: a rate above that does not limit an upstream. Rejecting the version was ruled out, since processes would run the former routes for the sake of one number.

--- a/steer/cold.go
+++ b/steer/cold.go
@@ -11,6 +11,10 @@
 // time by which a delivery may be delayed on the way to the upstream.
 const coldWindow = time.Second + 50*time.Millisecond
 
+// maxRememberedOpenings bounds the memory of an openingWindow, 8 bytes for each opening, when
+// operators set a rate that no upstream reaches.
+const maxRememberedOpenings = 1 << 16
+
 // ColdLimit is how far openings may exceed the rate that operators set for cold upstreams.
 type ColdLimit struct {
 	// Overshoot is the factor on the rate. Values below 1 select 1.
@@ -19,9 +23,17 @@
 	Slack int
 }
 
-// openings returns the maximum number of openings in any second; at least 1.
+// openings returns the maximum number of openings in any second, from 1 to
+// maxRememberedOpenings.
 func (c ColdLimit) openings(rate float64) int {
-	return max(1, int(rate*max(1, c.Overshoot))+c.Slack)
+	n := rate*max(1, c.Overshoot) + float64(c.Slack)
+	switch {
+	case n < 1:
+		return 1
+	case n < maxRememberedOpenings:
+		return int(n)
+	}
+	return maxRememberedOpenings // also when n is not a number
 }
 
 // openingWindow counts the openings delivered to an upstream in a sliding window. It is
--- a/steer/cold_test.go
+++ b/steer/cold_test.go
@@ -1,6 +1,7 @@
 package steer_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -175,3 +176,16 @@
 	d.Apply(sim.now, u)
 	return d.Snapshot(sim.now)
 }
+
+// TestOddColdRate guards against a rate that is allocated as it stands: the sidecar ended
+// at the first opening, and again after each start.
+func TestOddColdRate(t *testing.T) {
+	for _, rate := range []float64{1e9, 1e18, 1e300, math.Inf(1), math.NaN(), -1, -1e300} {
+		sim := newColdSimulation(1, service)
+		r := registry.Route{Name: "r", Address: routeAddress, Targets: []registry.Target{{Service: service, Weight: 1}}}
+		sim.directory.Apply(sim.now, registry.Update{Routes: &registry.Routes{Version: 3, List: []registry.Route{r}, Services: map[string]registry.Service{service: {ColdRate: rate}}}})
+		sim.publishFleet()
+		sim.send(0, opening(flowKey(1)))
+		must.Eq(t, 1, sim.instances[0].openings, must.Sprint(rate))
+	}
+}
