Read the store when peers cannot send what is newer

A list that does not fit into one frame of 4 MiB, or has more than 32,768 changes, was sent as it stood, and every receiver rejected it, again every 100 ms. A process that started then never got routes or upstreams while any balancer had answers of the store: it reads the store itself only when nobody has any. Entries of other writers make such lists: 5,000 with names of 255 random bytes, or 32,769 that name no upstream, whose removals are listed for a minute.

A process now reads the store itself once when the answer of a peer cannot be read, or when pulls have failed for 2 s, for example because a long list takes more than the second that a pull may take. The one that answers sends only a prefix of a length that all builds reject. A difference of more than 32,768 changes is sent as the full list, which has the present upstreams only. No message changes. Sending the list in parts was ruled out: a full list has no part that older builds could apply.

--- a/exchange/frame.go
+++ b/exchange/frame.go
@@ -6,7 +6,9 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"math"
 
+	"github.com/cockroachdb/errors"
 	"github.com/corianderbay/corianderbay/membership"
 	"github.com/corianderbay/corianderbay/registry"
 	"github.com/corianderbay/corianderbay/wire"
@@ -21,6 +23,9 @@
 	// membership.Format1, and the length in 3 bytes. Lengths in the frames of commit
 	// 524ed58 have 4 bytes, of which the first is always 0.
 	prefixSize = 4
+	// maxPrefixLength is the maximum length in bytes that a prefix can hold. It exceeds
+	// maxFrameSize.
+	maxPrefixLength = 1<<24 - 1
 )
 
 // query requests the routes newer than Version and the upstreams newer than State.
@@ -30,31 +35,59 @@
 }
 
 // writeFrame writes v as one frame of a version: the prefix and the compressed msgpack
-// encoding of v.
+// encoding of v. It returns an error of package wire, *FrameError or an error of w. When
+// receivers would reject the frame, it writes only a prefix that they reject.
 func writeFrame(w io.Writer, f membership.Format, v any) error {
-	body, err := wire.Encode(v)
+	frame, err := encodeFrame(f, v)
 	if err != nil {
+		_, _ = w.Write(prefixOf(f, maxPrefixLength)) // the caller gets the error that came first
 		return err
 	}
+	_, err = w.Write(frame)
+	return err
+}
+
+// encodeFrame returns v as one frame of a version. It returns an error of package wire, or
+// *FrameError.
+func encodeFrame(f membership.Format, v any) ([]byte, error) {
+	body, err := wire.Encode(v)
+	if err != nil {
+		return nil, err
+	}
+	if err := wire.Scan(body); err != nil {
+		return nil, err
+	}
+	if len(body) > maxContentSize {
+		return nil, &FrameError{Length: uint32(min(len(body), math.MaxUint32))}
+	}
 	var buf bytes.Buffer
 	buf.Write(make([]byte, prefixSize))
 	fw, err := flate.NewWriter(&buf, flate.BestSpeed)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	if _, err := fw.Write(body); err != nil {
-		return err
+		return nil, err
 	}
 	if err := fw.Close(); err != nil {
-		return err
+		return nil, err
 	}
 	frame := buf.Bytes()
-	binary.BigEndian.PutUint32(frame, uint32(len(frame)-prefixSize))
+	n := uint32(len(frame) - prefixSize)
+	if n > maxFrameSize {
+		return nil, &FrameError{Length: n}
+	}
+	copy(frame, prefixOf(f, n))
+	return frame, nil
+}
+
+// prefixOf returns the prefix of a frame of n bytes; n is at most maxPrefixLength.
+func prefixOf(f membership.Format, n uint32) []byte {
+	prefix := binary.BigEndian.AppendUint32(nil, n)
 	if f > membership.Format1 {
-		frame[0] = byte(f)
+		prefix[0] = byte(f)
 	}
-	_, err = w.Write(frame)
-	return err
+	return prefix
 }
 
 // readFrame reads one frame of a version up to newest into v and returns the version. It
@@ -89,7 +122,16 @@
 	return u, err
 }
 
-// FrameError reports a frame whose compressed length in bytes exceeds the limit.
+// unreadableAnswer reports whether err means that a peer sent a frame, or announced one, that this
+// process cannot read.
+func unreadableAnswer(err error) bool {
+	var frame *FrameError
+	var scan *wire.ScanError
+	var decode *wire.DecodeError
+	return errors.As(err, &frame) || errors.As(err, &scan) || errors.As(err, &decode)
+}
+
+// FrameError reports a frame whose length in bytes exceeds the limit.
 type FrameError struct {
 	Length uint32
 }
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -105,6 +105,7 @@
 	eraStart     time.Duration // when the last era of the store began; negative if there was none
 	firstList    time.Duration // when the first list arrived; 0 if none has
 	pauseEnd     time.Duration // when the last pause ended; 0 if there was none
+	storeNeeded  bool          // peers have newer data that this process could not pull
 	adopted      time.Duration // when the current routes were adopted
 	rejected     uint64        // the latest version of routes of a peer that are out of range; they are not pulled again
 	stopping     bool
--- a/exchange/oddentry_test.go
+++ b/exchange/oddentry_test.go
@@ -1,6 +1,7 @@
 package exchange_test
 
 import (
+	"math/rand/v2"
 	"strings"
 	"testing"
 	"time"
@@ -77,3 +78,47 @@
 	reachable.set(4, hostOf(3))
 	await(t, "the next version arrives", func() bool { return puller.version() == 4 })
 }
+
+// addLongEntries adds entries within all limits that are longer than one frame together.
+func (m *memoryStore) addLongEntries() {
+	r := rand.New(rand.NewPCG(1, 2))
+	name := func() string {
+		b := make([]byte, registry.MaxNameSize)
+		for i := range b {
+			b[i] = byte(r.Uint32())
+		}
+		return string(b)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for i := range 5_000 {
+		id := name()
+		m.content.Changes = append(m.content.Changes, registry.Change{Key: id, Revision: m.content.State.Revision, Upstream: &registry.Upstream{
+			ID: id, Service: name(), DataCentre: name(), Release: name(), Slots: 1,
+			Address: registry.Endpoint{Host: registry.Host{10, 1, byte(i >> 8), byte(i)}, Port: 80},
+		}})
+	}
+}
+
+// TestListBeyondOneFrame guards against a list that no peer can send in one frame: a process
+// that starts must read the store itself, and one that has the list must follow it.
+func TestListBeyondOneFrame(t *testing.T) {
+	store := new(memoryStore)
+	store.set(3, hostOf(3))
+	store.addLongEntries()
+	start(t, 1, membership.Balancer, store, 0)
+	puller := start(t, 3, membership.Sidecar, store, 0)
+	await(t, "the list is read", func() bool { return puller.version() == 3 && puller.listed(hostOf(3)) })
+	must.StrContains(t, puller.log.String(), `"msg":"pull-failed"`)
+	calls := store.countCalls()
+	time.Sleep(2 * time.Second)
+	must.LessEq(t, 3, store.countCalls()-calls, must.Sprint("reads of the store when nothing changed"))
+	store.set(4, hostOf(3), hostOf(4))
+	await(t, "the next list arrives", func() bool { return puller.version() == 4 && puller.listed(hostOf(4)) })
+}
+
+func (m *memoryStore) countCalls() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls
+}
--- a/exchange/pull.go
+++ b/exchange/pull.go
@@ -20,6 +20,11 @@
 	pullTimeout = time.Second
 	// pullPause is the pause after a failed pull.
 	pullPause = 100 * time.Millisecond
+	// unreadablePause is the pause after a pull whose answer cannot be read. Other peers
+	// likely send the same, and its encoding costs them time.
+	unreadablePause = time.Second
+	// maxPullOutage is how long pulls may fail before a process reads the store itself.
+	maxPullOutage = 2 * time.Second
 	// maxPullConns is the number of peers that are served concurrently.
 	maxPullConns = 32
 )
@@ -41,21 +46,40 @@
 			return
 		case <-n.pulls:
 		}
+		lastSuccess := n.cfg.Timer.Uptime()
 		for ctx.Err() == nil {
 			host, q, ok := n.nextPull(failed)
 			if !ok {
 				break
 			}
-			failed = registry.Host{}
-			if err := n.pullFrom(ctx, n.formatOf(host), host, q); err != nil {
-				failed = host
-				n.cfg.Log.Emit(event.PullFailed, zap.Stringer("peer", host), zap.Error(err))
-				_ = n.cfg.Timer.Sleep(ctx, pullPause) // fails only when ctx is done, which the loop checks
+			err := n.pullFrom(ctx, n.formatOf(host), host, q)
+			if err == nil {
+				failed, lastSuccess = registry.Host{}, n.cfg.Timer.Uptime()
+				continue
 			}
+			failed = host
+			n.cfg.Log.Emit(event.PullFailed, zap.Stringer("peer", host), zap.Error(err))
+			_ = n.cfg.Timer.Sleep(ctx, n.pauseAfter(err, lastSuccess)) // fails only when ctx is done, which the loop checks
 		}
 	}
 }
 
+// pauseAfter returns the pause after a failed pull. This process reads the store itself when
+// the answer cannot be read, for example because the list does not fit into one frame, and
+// when pulls have failed for maxPullOutage, for example because a long list takes too long.
+func (n *Node) pauseAfter(err error, lastSuccess time.Duration) time.Duration {
+	unreadable := unreadableAnswer(err)
+	now := n.lock()
+	defer n.mu.Unlock()
+	if unreadable || now-lastSuccess >= maxPullOutage {
+		n.storeNeeded = true
+	}
+	if unreadable {
+		return unreadablePause
+	}
+	return pullPause
+}
+
 // nextPull returns the peer to pull from, other than failed if possible, and the
 // query to send. It returns false when no peer is ahead.
 func (n *Node) nextPull(failed registry.Host) (registry.Host, query, bool) {
--- a/exchange/reader.go
+++ b/exchange/reader.go
@@ -48,7 +48,7 @@
 	takeoverDelay := time.Duration(n.cfg.Incarnation % uint64(maxTakeoverDelay))
 	now := n.lock()
 	defer n.mu.Unlock()
-	return n.members.ShouldRead(now, takeoverDelay)
+	return n.storeNeeded || n.members.ShouldRead(now, takeoverDelay)
 }
 
 // step makes one call to the store and returns the pause before the next one.
@@ -74,6 +74,11 @@
 	}
 	res := n.apply(u, zap.String("source", "store"))
 	r.fullRead = res.Gap
+	if !res.Gap {
+		n.mu.Lock()
+		n.storeNeeded = false
+		n.mu.Unlock()
+	}
 	if res.Changed() {
 		n.TriggerHeartbeat()
 	}
--- a/registry/directory.go
+++ b/registry/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -203,7 +204,8 @@
 }
 
 // Since returns the update for a peer that has the given version and state. It
-// includes all former records unless the state is of a later era.
+// includes all former records unless the state is of a later era. It returns the full
+// list when the changes since the state are more than MaxElements.
 func (d *Directory) Since(now time.Duration, version uint64, state State) Update {
 	var u Update
 	if d.Version() > version {
@@ -222,22 +224,28 @@
 	u.State = d.state
 	u.From = state
 	u.Whole = state.Era != d.state.Era || state.Revision < d.compactRevision || state.IsZero()
+	u.Changes = d.changesSince(state.Revision, u.Whole)
+	if len(u.Changes) > MaxElements && !u.Whole { // for example removals, which the full list leaves out
+		u.Whole, u.Changes = true, d.changesSince(0, true)
+	}
+	u.Evacuations = d.evacuationsSince(state.Revision, u.Whole)
+	return u
+}
+
+// changesSince returns the changes after a revision, or the present upstreams when whole
+// is true, in the order of keys.
+func (d *Directory) changesSince(revision uint64, whole bool) []Change {
+	var list []Change
 	for key, r := range d.records {
-		if !u.Whole && r.revision <= state.Revision || u.Whole && !r.present {
+		if !whole && r.revision <= revision || whole && !r.present {
 			continue
 		}
 		c := Change{Key: key, Revision: r.revision}
 		if r.present {
 			c.Upstream = r.upstream
 		}
-		u.Changes = append(u.Changes, c)
+		list = append(list, c)
 	}
-	u.Evacuations = d.evacuationsSince(state.Revision, u.Whole)
-	slices.SortFunc(u.Changes, func(a, b Change) int {
-		if a.Key < b.Key {
-			return -1
-		}
-		return 1
-	})
-	return u
+	slices.SortFunc(list, func(a, b Change) int { return strings.Compare(a.Key, b.Key) })
+	return list
 }
