Take the data centre of an upstream from its sidecar

An entry of another writer may have the address and the service of a live upstream, and a later start. It then stands for the upstream in the list, as a restarted one does. When it names another data centre, and the route has homes that do not have that one, neither openings nor searches reach the upstream: a balancer without memory of its flows dropped their packets.

Both are the same where the entry is the own one of the upstream. The evacuation follows the data centre.

An entry of the same service that says draining, or ready while the upstream drains, cannot be told from a restart at the same address and is not mended.

--- a/exchange/oddentry_test.go
+++ b/exchange/oddentry_test.go
@@ -122,3 +122,26 @@
 	defer m.mu.Unlock()
 	return m.calls
 }
+
+// TestEntryInAnotherDataCentre guards against an entry of another writer that moves a live
+// upstream to another data centre: searches would not find its flows.
+func TestEntryInAnotherDataCentre(t *testing.T) {
+	store := new(memoryStore)
+	store.set(3, hostOf(3))
+	odd := *store.content.Changes[0].Upstream
+	odd.ID, odd.DataCentre, odd.StartedAt = "odd", "mars", 1
+	store.content.Changes = append(store.content.Changes, registry.Change{Key: "odd", Revision: 3, Upstream: &odd})
+	balancer := start(t, 1, membership.Balancer, store, 0)
+	sidecar := start(t, 3, membership.Sidecar, store, 0)
+	for _, p := range []*process{balancer, sidecar} {
+		await(t, "the upstream is in the data centre of its sidecar", func() bool {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			if p.fleet == nil {
+				return false
+			}
+			m, found := p.fleet.Snapshot.Member(registry.HashService(service), hostOf(3))
+			return found && m.ID == "odd" && m.DataCentre == "a"
+		})
+	}
+}
--- a/exchange/view.go
+++ b/exchange/view.go
@@ -28,7 +28,7 @@
 // rebuildSnapshot replaces the snapshot with one as of now. The caller holds n.mu.
 func (n *Node) rebuildSnapshot(now time.Duration) {
 	before := n.snapshot
-	n.snapshot = n.directory.Snapshot(now)
+	n.snapshot = n.directory.Snapshot(now).WithLocations(n.members.DataCentre)
 	n.logEvacuations(now, before)
 	if n.firstList == 0 && !n.snapshot.State().IsZero() {
 		n.firstList = now
--- a/registry/limits_test.go
+++ b/registry/limits_test.go
@@ -33,3 +33,34 @@
 	must.Eq(t, registry.State{Revision: 50_000}, peer.State())
 	must.Eq(t, []registry.Host{{10, 0, 0, 1}}, peer.Snapshot(0).Hosts(""))
 }
+
+// TestLocationsOfSidecarsPrevail guards against an entry that moves a live upstream to
+// another data centre, or into or out of one that is evacuated.
+func TestLocationsOfSidecarsPrevail(t *testing.T) {
+	located := func(host byte, dataCentre string) *registry.Upstream {
+		u := upstream(host, 9)
+		u.DataCentre = dataCentre
+		return u
+	}
+	d := registry.NewDirectory()
+	u := fullUpdate(4, registry.Change{Key: "a", Revision: 2, Upstream: located(1, "bogor")},
+		registry.Change{Key: "b", Revision: 3, Upstream: located(2, "bogor")}, registry.Change{Key: "c", Revision: 4, Upstream: located(3, "mars")})
+	u.Evacuations = []registry.EvacuationChange{{DataCentre: "bogor", Revision: 4, Status: registry.EvacuationActive}}
+	d.Apply(0, u)
+	before := d.Snapshot(0)
+	must.Eq(t, before, before.WithLocations(func(registry.Host) string { return "" }))
+	s := before.WithLocations(func(h registry.Host) string {
+		return map[byte]string{1: "bogor", 2: "garut", 3: "bogor"}[h[3]]
+	})
+	for host, want := range map[byte]registry.Member{
+		1: {Upstream: *located(1, "bogor"), Status: registry.Evacuated},
+		2: {Upstream: *located(2, "garut"), Status: registry.Available},
+		3: {Upstream: *located(3, "bogor"), Status: registry.Evacuated},
+	} {
+		m, found := s.Member(registry.HashService(testService), registry.Host{10, 0, 0, host})
+		must.True(t, found)
+		must.Eq(t, want, m)
+	}
+	must.SliceLen(t, 2, s.Hosts("bogor"))
+	must.SliceLen(t, 2, before.Hosts("bogor"))
+}
--- a/registry/snapshot.go
+++ b/registry/snapshot.go
@@ -139,6 +139,47 @@
 	p.Members = append(p.Members, m)
 }
 
+// WithLocations returns the snapshot with the upstreams in the data centres of their sidecars,
+// which at returns by host. It returns an empty name when the data centre is not known. An
+// entry may name another data centre, where searches would not find its flows.
+func (s *Snapshot) WithLocations(at func(Host) string) *Snapshot {
+	moved := false
+	n := *s
+	n.pools, n.sortedPools = make(map[ServiceHash]*Pool, len(s.pools)), make([]*Pool, 0, len(s.pools))
+	for _, p := range s.sortedPools {
+		if q := s.relocate(p, at); q != p {
+			moved, p = true, q
+		}
+		n.pools[p.Hash], n.sortedPools = p, append(n.sortedPools, p)
+	}
+	if !moved {
+		return s
+	}
+	return &n
+}
+
+// relocate returns a pool with its upstreams in the data centres of their sidecars.
+func (s *Snapshot) relocate(p *Pool, at func(Host) string) *Pool {
+	q := p
+	for i := range p.Members {
+		m := p.Members[i]
+		dataCentre := at(m.Address.Host)
+		if dataCentre == "" || dataCentre == m.DataCentre {
+			continue
+		}
+		if q == p {
+			q = &Pool{Service: p.Service, Hash: p.Hash, Members: slices.Clone(p.Members)}
+		}
+		m.DataCentre = dataCentre
+		if m.Status == Evacuated {
+			m.Status = Available
+		}
+		m.Status = s.statusOf(&m.Upstream, m.Status)
+		q.Members[i] = m
+	}
+	return q
+}
+
 // replaces reports whether a rather than b represents their host in the pool.
 func replaces(a, b Member) bool {
 	if a.Status == Removed != (b.Status == Removed) {
--- a/steer/simulation_test.go
+++ b/steer/simulation_test.go
@@ -143,6 +143,7 @@
 		Regions:  map[string]string{near: nearRegion, far: farRegion},
 		Settled:  true,
 	}
+	f.Snapshot = f.Snapshot.WithLocations(sim.locate)
 	for _, s := range sim.instances {
 		f.Sidecars[s.host] = steer.SidecarStatus{DataCentre: dataCentreOf(slices.Index(sim.instances, s)), Load: s.sidecar.Load(sim.now, 0), LastSeen: sim.now, HeartbeatTimeout: membership.LocalHeartbeatTimeout}
 	}
@@ -157,6 +158,16 @@
 	}
 }
 
+// locate returns the data centre of the sidecar on a host, as its heartbeats report it.
+func (sim *simulation) locate(h registry.Host) string {
+	for i, s := range sim.instances {
+		if s.host == h {
+			return dataCentreOf(i)
+		}
+	}
+	return ""
+}
+
 // advance moves the clock by d and publishes the fleet.
 func (sim *simulation) advance(d time.Duration) {
 	sim.now += d
