Leave an odd instance out of the list of the platform

On the own edge, one instance that cannot be decoded, for example with port 99999, made the whole list unusable, and so each one after it: the process stopped following the list.

Each instance is now decoded by itself. One that is invalid is left out and logged as instance-unusable (5007), the others are used. A list in which all are invalid is still an error, as is a duplicate name.

--- a/configservice/error.go
+++ b/configservice/error.go
@@ -70,6 +70,26 @@
 	return "platform: instance " + strconv.Quote(e.Name) + " has an invalid " + e.Field
 }
 
+// maxCauseLength is the maximum length in bytes of the cause in a RejectedError, which may
+// quote a value of any length.
+const maxCauseLength = 200
+
+// RejectedError reports an instance that was left out of a list.
+type RejectedError struct {
+	// Position is the index in the platform's list.
+	Position int
+	Cause    error
+}
+
+// Error returns the position and the cause.
+func (e RejectedError) Error() string {
+	cause := e.Cause.Error()
+	return "platform: instance at position " + strconv.Itoa(e.Position) + " is left out: " + cause[:min(len(cause), maxCauseLength)]
+}
+
+// Unwrap returns the cause.
+func (e RejectedError) Unwrap() error { return e.Cause }
+
 // BundleError reports a publication that is not a valid bundle. It is permanent:
 // reading the same publication again returns the same error.
 type BundleError struct {
--- a/configservice/instance.go
+++ b/configservice/instance.go
@@ -63,26 +63,47 @@
 	Index uint64 `json:"index"`
 	// Instances have unique names.
 	Instances []Instance `json:"instances"`
+	// Rejected has an error for each instance of the platform's list that is left out since
+	// it cannot be decoded or has an invalid field.
+	Rejected []RejectedError `json:"-"`
 }
 
-// UnmarshalJSON decodes the list and validates each instance. It returns
-// *DecodeError, or *InstanceError for an invalid instance or a duplicate name.
+// UnmarshalJSON decodes the list and leaves out each instance that is invalid. It returns
+// *DecodeError, *InstanceError for a duplicate name, or either when all instances are invalid.
 func (l *InstanceList) UnmarshalJSON(b []byte) error {
-	type plain InstanceList
-	var p plain
+	var p struct {
+		Index     uint64            `json:"index"`
+		Instances []json.RawMessage `json:"instances"`
+	}
 	if err := json.Unmarshal(b, &p); err != nil {
 		return &DecodeError{What: "instances", Cause: err}
 	}
+	list := InstanceList{Index: p.Index}
 	seen := make(map[string]struct{}, len(p.Instances))
-	for _, i := range p.Instances {
-		if err := i.Check(); err != nil {
-			return err
+	for n, raw := range p.Instances {
+		i, err := decodeInstance(raw)
+		if err != nil {
+			list.Rejected = append(list.Rejected, RejectedError{Position: n, Cause: err})
+			continue
 		}
 		if _, ok := seen[i.Name]; ok {
 			return &InstanceError{Name: i.Name, Field: "name"}
 		}
 		seen[i.Name] = struct{}{}
+		list.Instances = append(list.Instances, i)
+	}
+	if len(list.Rejected) > 0 && len(list.Instances) == 0 {
+		return list.Rejected[0].Cause // the list before is better than none
 	}
-	*l = InstanceList(p)
+	*l = list
 	return nil
 }
+
+// decodeInstance decodes and validates an instance. It returns *DecodeError or *InstanceError.
+func decodeInstance(raw []byte) (Instance, error) {
+	var i Instance
+	if err := json.Unmarshal(raw, &i); err != nil {
+		return Instance{}, &DecodeError{What: "instance", Cause: err}
+	}
+	return i, i.Check()
+}
--- a/event/peer.go
+++ b/event/peer.go
@@ -10,6 +10,7 @@
 	CredentialsUnusable Number = 5004
 	StateChanged        Number = 5005
 	ListAdopted         Number = 5006
+	InstanceUnusable    Number = 5007
 )
 
 func peerEvents() []Entry {
@@ -56,5 +57,12 @@
 			Meaning: "A newer instance list is in use.",
 			Action:  "None.",
 		},
+		{
+			Number:  InstanceUnusable,
+			Name:    "instance-unusable",
+			Level:   zapcore.WarnLevel,
+			Meaning: "The platform's instance list has instances that are left out, since they cannot be decoded or have an invalid field; the others are used. The fields hold the number of them and the first error.",
+			Action:  "Find out which program wrote the instance.",
+		},
 	}
 }
--- a/peer/fetch.go
+++ b/peer/fetch.go
@@ -185,6 +185,9 @@
 
 // offerList offers an instance list from the platform to the member.
 func (n *Node) offerList(ctx context.Context, peer string, l configservice.InstanceList) {
+	if len(l.Rejected) > 0 {
+		n.cfg.Log.Emit(event.InstanceUnusable, zap.Int("count", len(l.Rejected)), zap.Error(l.Rejected[0]))
+	}
 	d, err := listDocument(l)
 	if err != nil || d.version.IsZero() {
 		return
