--- a/exchange/oddentry_test.go
+++ b/exchange/oddentry_test.go
@@ -1,7 +1,13 @@
 package exchange_test
 
 import (
+	"bytes"
+	"compress/flate"
+	"encoding/binary"
+	"io"
 	"math/rand/v2"
+	"net"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -145,3 +151,57 @@
 		})
 	}
 }
+
+// TestOddMessagesDoNotEndProcess guards against datagrams and frames that end the process
+// which receives them, or after which it answers nobody. A stack overflow cannot be
+// recovered from.
+func TestOddMessagesDoNotEndProcess(t *testing.T) {
+	store := new(memoryStore)
+	store.set(3, hostOf(3))
+	receiver := start(t, 1, membership.Balancer, store, 0)
+	to := netip.AddrPortFrom(hostOf(1).Addr(), port)
+	conn, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(to))
+	must.NoError(t, err)
+	t.Cleanup(func() { conn.Close() })
+	const maxDatagram = 65_000
+	for k := range 256 {
+		for _, body := range [][]byte{
+			nil,
+			bytes.Repeat([]byte{0x91}, maxDatagram),
+			bytes.Repeat([]byte{0x81, 0xa1, 'x'}, maxDatagram/3),
+			append([]byte("\x81\xa1x"), bytes.Repeat([]byte{0x91}, maxDatagram)...),
+			append([]byte("\x81\xa7reports\xdd\xff\xff\xff\xff"), bytes.Repeat([]byte{0xc0}, maxDatagram)...),
+			bytes.Repeat([]byte{0xff}, maxDatagram),
+		} {
+			_, _ = conn.Write(append([]byte{byte(k)}, body...)) // a full buffer of the receiver is no fault
+		}
+	}
+	for _, body := range [][]byte{
+		bytes.Repeat([]byte{0x91}, 30<<20),
+		bytes.Repeat([]byte{0x81, 0xa1, 'x'}, 10<<20),
+		append([]byte("\x81\xa1v"), bytes.Repeat([]byte{0x91}, 30<<20)...),
+		make([]byte, 64<<20),
+		[]byte("\x82\xa1v\xcf\xff\xff\xff\xff\xff\xff\xff\xff\xa1s\xa0"),
+	} {
+		c, err := net.DialTimeout("tcp4", to.String(), time.Second)
+		must.NoError(t, err)
+		_, _ = c.Write(compressedFrame(t, body)) // the receiver may close the connection first
+		_, _ = io.Copy(io.Discard, c)            // until it does
+		c.Close()
+	}
+	puller := start(t, 3, membership.Sidecar, &memoryStore{down: true}, 0)
+	await(t, "the receiver answers", func() bool { return puller.version() == 3 && puller.listed(hostOf(3)) })
+	must.Eq(t, 3, receiver.version())
+}
+
+// compressedFrame returns a frame with a body that is no message.
+func compressedFrame(t *testing.T, body []byte) []byte {
+	t.Helper()
+	var buf bytes.Buffer
+	fw, err := flate.NewWriter(&buf, flate.BestSpeed)
+	must.NoError(t, err)
+	_, err = fw.Write(body)
+	must.NoError(t, err)
+	must.NoError(t, fw.Close())
+	return append(binary.BigEndian.AppendUint32(nil, uint32(buf.Len())), buf.Bytes()...)
+}
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -48,6 +48,25 @@
 	must.True(t, errors.As(wire.Decode(list, new(message)), &bounds))
 }
 
+// TestDeepNestingIsRejected guards against values that nest until the stack overflows, which
+// ends a process, also in fields that no type has.
+func TestDeepNestingIsRejected(t *testing.T) {
+	for _, depth := range []int{wire.MaxDepth + 1, 20_000, 10_000_000} {
+		for name, raw := range map[string][]byte{
+			"lists":            bytes.Repeat([]byte{0x91}, depth),
+			"closed lists":     append(bytes.Repeat([]byte{0x91}, depth), 0xc0),
+			"maps":             bytes.Repeat([]byte("\x81\xa1x"), depth),
+			"lists of 32 bits": bytes.Repeat([]byte{0xdd, 0, 0, 0, 1}, depth),
+			"known field":      append([]byte("\x81\xa5names"), bytes.Repeat([]byte{0x91}, depth)...),
+			"unknown field":    append([]byte("\x81\xa5other"), append(bytes.Repeat([]byte{0x91}, depth), 0xc0)...),
+			"key of a map":     bytes.Repeat([]byte{0x81}, depth),
+		} {
+			var bounds *wire.ScanError
+			must.True(t, errors.As(wire.Decode(raw, new(message)), &bounds), must.Sprint(name, depth))
+		}
+	}
+}
+
 func TestDecodeCanonicalRejectsOtherEncodings(t *testing.T) {
 	raw := []byte("\x83\xa5names\xc0\xa5parts\xc0\xa5count\xd3\x00\x00\x00\x00\x00\x00\x00\x01")
 	must.NoError(t, wire.Decode(raw, new(message)))
