Read the store at most every two seconds when pulls fail

A process that could not pull read the store again with each failed pull, and in an outage of the store it went on asking for it after pulls worked again. The reads of all processes together are limited. The need now ends with a successful pull, and arises at most 2 s after the last answer of the store.

--- a/exchange/node.go
+++ b/exchange/node.go
@@ -106,6 +106,7 @@
 	firstList    time.Duration // when the first list arrived; 0 if none has
 	pauseEnd     time.Duration // when the last pause ended; 0 if there was none
 	storeNeeded  bool          // peers have newer data that this process could not pull
+	lastRead     time.Duration // when the store last answered this process; negative if never
 	adopted      time.Duration // when the current routes were adopted
 	rejected     uint64        // the latest version of routes of a peer that are out of range; they are not pulled again
 	stopping     bool
@@ -162,6 +163,7 @@
 		}),
 		outage:     outage{last: -settleTime},
 		eraStart:   -settleTime,
+		lastRead:   -maxPullOutage,
 		silent:     make(map[registry.Host]bool),
 		storeCalls: metric.NewHistogram(),
 	}
--- a/exchange/pull.go
+++ b/exchange/pull.go
@@ -23,7 +23,8 @@
 	// unreadablePause is the pause after a pull whose answer cannot be read. Other peers
 	// likely send the same, and its encoding costs them time.
 	unreadablePause = time.Second
-	// maxPullOutage is how long pulls may fail before a process reads the store itself.
+	// maxPullOutage is how long pulls may fail before a process reads the store itself, and
+	// the minimum time between two such reads.
 	maxPullOutage = 2 * time.Second
 	// maxPullConns is the number of peers that are served concurrently.
 	maxPullConns = 32
@@ -54,7 +55,7 @@
 			}
 			err := n.pullFrom(ctx, n.formatOf(host), host, q)
 			if err == nil {
-				failed, lastSuccess = registry.Host{}, n.cfg.Timer.Uptime()
+				failed, lastSuccess = registry.Host{}, n.recordPullSuccess()
 				continue
 			}
 			failed = host
@@ -64,6 +65,14 @@
 	}
 }
 
+// recordPullSuccess records that peers supply what is newer, and returns the uptime.
+func (n *Node) recordPullSuccess() time.Duration {
+	now := n.lock()
+	defer n.mu.Unlock()
+	n.storeNeeded = false
+	return now
+}
+
 // pauseAfter returns the pause after a failed pull. This process reads the store itself when
 // the answer cannot be read, for example because the list does not fit into one frame, and
 // when pulls have failed for maxPullOutage, for example because a long list takes too long.
@@ -71,7 +80,7 @@
 	unreadable := unreadableAnswer(err)
 	now := n.lock()
 	defer n.mu.Unlock()
-	if unreadable || now-lastSuccess >= maxPullOutage {
+	if now-n.lastRead >= maxPullOutage && (unreadable || now-lastSuccess >= maxPullOutage) {
 		n.storeNeeded = true
 	}
 	if unreadable {
--- a/exchange/reader.go
+++ b/exchange/reader.go
@@ -75,8 +75,8 @@
 	res := n.apply(u, zap.String("source", "store"))
 	r.fullRead = res.Gap
 	if !res.Gap {
-		n.mu.Lock()
-		n.storeNeeded = false
+		now := n.lock()
+		n.storeNeeded, n.lastRead = false, now
 		n.mu.Unlock()
 	}
 	if res.Changed() {
