--- a/exchange/pull.go
+++ b/exchange/pull.go
@@ -20,6 +20,12 @@
 	pullTimeout = time.Second
 	// pullPause is the pause after a failed pull.
 	pullPause = 100 * time.Millisecond
+	// unreadablePause is the pause after a pull whose answer cannot be read. Other peers
+	// likely send the same, and its encoding costs them time.
+	unreadablePause = time.Second
+	// maxPullOutage is how long pulls may fail before a process reads the store itself, and
+	// the minimum time between two such reads.
+	maxPullOutage = 2 * time.Second
 	// maxPullConns is the number of peers that are served concurrently.
 	maxPullConns = 32
 )
@@ -41,27 +47,55 @@
 			return
 		case <-n.pulls:
 		}
+		lastSuccess := n.cfg.Timer.Uptime()
 		for ctx.Err() == nil {
 			host, q, ok := n.nextPull(failed)
 			if !ok {
 				break
 			}
-			failed = registry.Host{}
-			if err := n.pullFrom(ctx, n.formatOf(host), host, q); err != nil {
-				failed = host
-				n.cfg.Log.Emit(event.PullFailed, zap.Stringer("peer", host), zap.Error(err))
-				_ = n.cfg.Timer.Sleep(ctx, pullPause) // fails only when ctx is done, which the loop checks
+			err := n.pullFrom(ctx, n.formatOf(host), host, q)
+			if err == nil {
+				failed, lastSuccess = registry.Host{}, n.recordPullSuccess()
+				continue
 			}
+			failed = host
+			n.cfg.Log.Emit(event.PullFailed, zap.Stringer("peer", host), zap.Error(err))
+			_ = n.cfg.Timer.Sleep(ctx, n.pauseAfter(err, lastSuccess)) // fails only when ctx is done, which the loop checks
 		}
 	}
 }
 
+// recordPullSuccess records that peers supply what is newer, and returns the uptime.
+func (n *Node) recordPullSuccess() time.Duration {
+	now := n.lock()
+	defer n.mu.Unlock()
+	n.storeNeeded = false
+	return now
+}
+
+// pauseAfter returns the pause after a failed pull. This process reads the store itself when
+// the answer cannot be read, for example because the list does not fit into one frame, and
+// when pulls have failed for maxPullOutage, for example because a long list takes too long.
+func (n *Node) pauseAfter(err error, lastSuccess time.Duration) time.Duration {
+	unreadable := unreadableAnswer(err)
+	now := n.lock()
+	defer n.mu.Unlock()
+	if now-n.lastRead >= maxPullOutage && (unreadable || now-lastSuccess >= maxPullOutage) {
+		n.storeNeeded = true
+	}
+	if unreadable {
+		return unreadablePause
+	}
+	return pullPause
+}
+
 // nextPull returns the peer to pull from, other than failed if possible, and the
 // query to send. It returns false when no peer is ahead.
 func (n *Node) nextPull(failed registry.Host) (registry.Host, query, bool) {
 	now := n.lock()
 	defer n.mu.Unlock()
 	own := n.versions()
+	own.Version = max(own.Version, n.rejected)
 	q := query{Version: own.Version, State: own.State}
 	p := n.members.PullSource(now, own, failed)
 	if p == nil {
@@ -106,7 +140,7 @@
 	if err != nil {
 		return err
 	}
-	res := n.apply(u, zap.Stringer("peer", host))
+	res := n.apply(n.usable(u, host), zap.Stringer("peer", host))
 	n.mu.Lock()
 	n.members.RecordPull(host)
 	n.mu.Unlock()
@@ -116,6 +150,26 @@
 	return nil
 }
 
+// usable returns an update of a peer without the parts that are out of range. It logs one
+// line when there are any, and records the version of rejected routes.
+func (n *Node) usable(u registry.Update, peer registry.Host) registry.Update {
+	usable, faults := u.WithoutUnusable()
+	if len(faults) == 0 {
+		return u
+	}
+	if u.Routes != nil && usable.Routes == nil {
+		n.mu.Lock()
+		n.rejected = max(n.rejected, u.Routes.Version)
+		n.mu.Unlock()
+	}
+	n.cfg.Log.Emit(event.EntryUnusable,
+		zap.Stringer("peer", peer),
+		zap.String("key", faults[0].Part),
+		zap.Error(faults[0].Cause),
+		zap.Int("omitted", len(faults)-1))
+	return usable
+}
+
 // servePulls serves pulls of peers until ctx is done.
 func (n *Node) servePulls(ctx context.Context) {
 	p := pool.New().WithMaxGoroutines(maxPullConns)
--- a/registry/upstream.go
+++ b/registry/upstream.go
@@ -2,7 +2,8 @@
 
 import "time"
 
-// Upstream is one incarnation of an upstream, as published by itself.
+// Upstream is one incarnation of an upstream, as published by itself. Check reports
+// fields that are out of range.
 type Upstream struct {
 	ID      string `msgpack:"id"`
 	Service string `msgpack:"service"`
@@ -11,13 +12,15 @@
 	DataCentre string   `msgpack:"datacentre"`
 	// Release is the version of the upstream's software.
 	Release string `msgpack:"release"`
-	// Slots is the number of requests that it processes concurrently; at least 1.
+	// Slots is the number of requests that it processes concurrently; 1 to MaxSlots.
 	Slots int `msgpack:"slots"`
 	// Draining is true when it takes no new flows.
 	Draining bool `msgpack:"draining"`
-	// Warmup is the remaining time of reduced speed after its start.
+	// Warmup is the remaining time of reduced speed after its start; at most MaxWarmup.
+	// It may be negative when that time is over.
 	Warmup time.Duration `msgpack:"warmup"`
-	// StartedAt is the Unix time in milliseconds of its start, by its own clock. 0 when not reported.
+	// StartedAt is the Unix time in milliseconds of its start, by its own clock; at
+	// most MaxStartedAt. 0 when not reported.
 	StartedAt int64 `msgpack:"born"`
 	// Sequence grows with each publication of the incarnation.
 	Sequence int64 `msgpack:"seq"`
@@ -50,6 +53,14 @@
 	Upstream *Upstream `msgpack:"upstream"`
 }
 
+// Check reports *UpstreamError when a field of the upstream is out of range.
+func (c *Change) Check() error {
+	if c.Upstream == nil {
+		return nil
+	}
+	return c.Upstream.Check()
+}
+
 // Update is the result of one read or watch of the store, or of a request to a peer.
 type Update struct {
 	// Routes is nil when the update contains no routes.
@@ -72,9 +83,15 @@
 	FormerEvacuations []FormerEvacuation `msgpack:"formerevacuations,omitempty"`
 }
 
-// Check reports *RoutesError for invalid routes, *FormerRecordError for an invalid
-// former record and *EvacuationError for an invalid evacuation.
+// Check reports *RoutesError for invalid routes, *UpstreamError for an upstream that is
+// out of range, *FormerRecordError for an invalid former record and *EvacuationError for
+// an invalid evacuation.
 func (u *Update) Check() error {
+	for i := range u.Changes {
+		if err := u.Changes[i].Check(); err != nil {
+			return err
+		}
+	}
 	for i := range u.Former {
 		if err := u.Former[i].Check(); err != nil {
 			return err
