Deliver segments that an older bundle lists under a former service

What callers saw: an established stream got no answer any more and was reset after 75 s, during planned changes alone and with a sound upstream ("flow tcp 192.0.2.0:2 > 198.51.100.2:80 broke during planned changes: broken flow"). Its requests were passed on by their own upstream and dropped at the last candidate.

Cause: upstream 4 had moved to the service that had also received the address, so the order of a balancer with an older bundle lists 4 with its former service. For such a segment the sidecar found no candidate entry that names the service it serves, ranked again under its own newer bundle, and then did not look at its own table again. A segment with data was passed on to the other candidates. A retransmitted opening was admitted as a new flow: it replaced the entry of the established flow by a half-open one, which takes only a segment that acknowledges nothing but the upstream's initial sequence number. All later segments were dropped, since the sidecar still had an entry, until that entry expired. The decision on datagrams looks at the table again after ranking; the one on segments did not.

Change: the sidecar looks for the flow again after it has ranked again. A segment is still delivered only under a candidate entry that names the service that the upstream serves.

TestSegmentUnderOldBundleReachesItsOwner got flow.Forward instead of flow.Deliver before.

--- a/flow/tcp.go
+++ b/flow/tcp.go
@@ -5,17 +5,23 @@
 // tcp decides on a TCP segment of a caller.
 func (c *call) tcp() Action {
 	e := c.entry()
-	if c.serviceMatch && e.kind.owned() && c.tcpOwned(&e) {
+	// An older bundle may name the upstream with a former service, a newer one with its own.
+	if c.ownsSegment(&e) || c.rerank() && c.ownsSegment(&e) {
 		c.queueHint()
 		return Deliver{}
 	}
-	c.rerank()
 	if c.p.Opening {
 		return c.tcpOpening(e)
 	}
 	return c.tcpWalk(e)
 }
 
+// ownsSegment reports whether the upstream owns the segment's flow under the
+// packet's candidates, and updates the entry.
+func (c *call) ownsSegment(e *entry) bool {
+	return c.serviceMatch && e.kind.owned() && c.tcpOwned(e)
+}
+
 // tcpOwned reports whether the segment belongs to the owned flow, and updates the entry.
 func (c *call) tcpOwned(e *entry) bool {
 	switch {
