Search for a flow whose entry on the way is older than the order

What callers saw: an open datagram flow of the service was served by another upstream than before, although its own was sound and only planned changes happened ("flow udp 192.0.2.0:7 > 198.51.100.2:80 moved from upstream 2 to 7").

Cause: 1, the first candidate, and 7 passed the flow on under bundle 20, which only the packet named, and 2 accepted it. 1 went from bundle 15 to 21, whose order of the service is the same, so it kept its entry and passed the next packet on to 7. 7 had bundle 7 before and went to 21, so its entry was older than its order. Such an entry is not followed, since the flow may have been opened elsewhere under an order in between; but 7 then treated the flow as one that it had never passed on, and accepted it.

The home searches, and the answer to the search renews the entry.

--- a/flow/passed_test.go
+++ b/flow/passed_test.go
@@ -124,6 +124,43 @@
 	must.Eq(t, 3, h.Current)
 }
 
+// TestFlowPassedOnUnderOlderOrderIsSearchedFor guards against a second owner: a sidecar
+// that passed a flow on and then received a new order accepted the flow when the home, which
+// had kept its own entry, passed it on again. Its answer to the home's search uses the entry.
+func TestFlowPassedOnUnderOlderOrderIsSearchedFor(t *testing.T) {
+	p, now := newPlan(1, 4), time.Unix(1000, 0)
+	k := testKey(flow.UDP, 1, report)
+	_, order := view{plan: p}.Candidates(nil, k)
+	second, fourth := order[1].Upstream, order[3].Upstream
+	fromHome := func(p *plan) *forward.Header {
+		h := header(p, k, second)
+		h.Passed = 1
+		return h
+	}
+	a := &scriptedAdmitter{choices: []flow.Choice{flow.Pass, flow.Accept}}
+	s := flow.NewSidecar(flow.SidecarConfig{Upstream: second, Admitter: a}, now)
+	s.BundleAccepted(now, view{plan: p, self: second})
+	now = now.Add(time.Minute)
+	h := fromHome(p)
+	must.Eq[flow.Action](t, flow.Forward{}, s.Packet(now, h, flow.Packet{Key: k}))
+	must.Eq(t, 2, h.Current)
+
+	newer := p.with(func(p *plan) { p.set(report, member{upstream: fourth, weight: 1, leaving: true}) })
+	s.BundleAccepted(now, view{plan: newer, self: second})
+	h = fromHome(newer)
+	must.Eq[flow.Action](t, flow.Forward{}, s.Packet(now, h, flow.Packet{Key: k}))
+	must.Eq(t, 0, h.Current)
+	must.Eq(t, 0b11, h.Passed)
+
+	h = header(newer, k, second)
+	h.Phase, h.Initiator, h.Passed = forward.PhaseFind, 0, 1
+	must.Eq[flow.Action](t, flow.Forward{}, s.Packet(now, h, flow.Packet{Key: k}))
+	must.Eq(t, 2, h.Current)
+	h = fromHome(newer)
+	must.Eq[flow.Action](t, flow.Forward{}, s.Packet(now, h, flow.Packet{Key: k}))
+	must.Eq(t, 2, h.Current)
+}
+
 // movingSidecar returns the sidecar of upstream 1, which serves fitting, the plan in
 // force for an hour that assigns it to report, and the time.
 func movingSidecar(first *plan, change func(*plan)) (*flow.Sidecar, *plan, time.Time) {
--- a/flow/udp.go
+++ b/flow/udp.go
@@ -351,7 +351,7 @@
 	if j := c.passedTarget(e); j != none {
 		return forwardTo(c.h, j)
 	}
-	if c.targetLost(e) {
+	if c.targetObsolete(e) {
 		markPassed(c.h, int(c.h.Current))
 		return forwardTo(c.h, c.home()) // which searches for the flow, since this candidate has passed it
 	}
@@ -376,12 +376,17 @@
 	return c.h.Version > c.st.view.Version()
 }
 
-// targetLost reports whether the flow was passed on to an upstream that is due for
-// takeover. That upstream may have passed it on as well, so that its owner may be alive.
-func (c *call) targetLost(e entry) bool {
-	if e.kind != kindPassed || e.flags&(searching|promised) != 0 || e.version < c.orderVersion() {
+// targetObsolete reports whether the flow was passed on to an upstream that this
+// sidecar does not send it to any more, although another one may still own it: the
+// upstream is due for takeover, but may have passed the flow on as well, or the entry
+// is older than the order in force here, but not than the one in force at the home.
+func (c *call) targetObsolete(e entry) bool {
+	if e.kind != kindPassed || e.flags&(searching|promised) != 0 {
 		return false
 	}
+	if e.version < c.orderVersion() {
+		return true
+	}
 	j := indexOf(c.h, e.target)
 	return j != none && !passed(c.h, j) && c.takeoverDue(j)
 }
