Return from a node only when its listener is closed

Cause: servePulls closes its listener from context.AfterFunc and once more when it returns. The first call makes Accept fail before it has freed the address, and the second one returns at once while the first still runs. On a busy machine Run could return in between, and the process that was started next at the same address could not bind it. Processes of their own are not affected, since the system closes their sockets.

Ruled out: packets lost by the product or the stand-ins.

Change: the second call waits for the first.

--- a/exchange/pull.go
+++ b/exchange/pull.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 
@@ -119,8 +120,10 @@
 // servePulls serves pulls of peers until ctx is done.
 func (n *Node) servePulls(ctx context.Context) {
 	p := pool.New().WithMaxGoroutines(maxPullConns)
-	stop := context.AfterFunc(ctx, func() { n.listener.Close() })
-	defer n.listener.Close() // stop may come before the function has run
+	// The second call waits for the first, so that the address is free when servePulls returns.
+	closeListener := sync.OnceFunc(func() { n.listener.Close() })
+	stop := context.AfterFunc(ctx, closeListener)
+	defer closeListener() // stop may come before the function has run
 	defer stop()
 	for {
 		conn, err := n.listener.Accept()
