Confirm the reports of peers with a newer bundle, too

A datagram flow of a non-idempotent service was dropped as fenced and moved from upstream 2 to 4 during planned changes ("flow udp 192.0.2.0:4 > 198.51.100.1:80 moved").

Cause: 2 was the only member of its service and took a bundle that adds upstream 1, which then did not have that bundle for over ten seconds and still served its former service. 2 reported to 1, but 1 did not report to 2, which is no member under the older bundle. So 2 was fenced 5 s after it took the bundle, and gave its flows up with the first report that came from 1.

Change: the rule for peers with an older bundle holds for any other bundle: who has this sidecar as a member, but is none here, gets its reports as long as the bundle in force lists it in the service that it reports. Such a confirmation is one of a voter that receives the owner's reports, and which therefore takes no part in a takeover. An upstream that the bundle in force removes is still fenced. TickResult.Former is now TickResult.OneSided.

--- a/flow/events.go
+++ b/flow/events.go
@@ -206,9 +206,9 @@
 	Hints []Hint
 	// Report goes to the other sidecars of the service; nil when none is due.
 	Report *PeerReport
-	// Former holds the sidecars that the report goes to as well: those that this one
-	// left by a bundle which they do not have yet.
-	Former []forward.Candidate
+	// OneSided holds the sidecars that the report goes to as well: those that have this
+	// one as a member under an older or a newer bundle, but are no members here.
+	OneSided []forward.Candidate
 	// Switched is true when the upstream has switched to another service.
 	Switched bool
 }
@@ -225,28 +225,29 @@
 	d := TickResult{Switched: s.switchService(now, st), Hints: s.outbox.due(now)}
 	if now.Sub(s.lastReport) >= ReportInterval {
 		s.lastReport = now
-		d.Former = s.formerMembers(now)
-		d.Report = s.report(now, d.Former)
+		d.OneSided = s.oneSidedPeers(now)
+		d.Report = s.report(now, d.OneSided)
 	}
 	return d
 }
 
-// formerMembers returns the upstreams that have this one as a member of their
-// service under an older bundle. It confirms their reports until they have the newer
-// bundle, since they cannot replace its confirmations before by those of members that
-// the newer bundle added. An upstream that the newer bundle removes from its service
-// is left out, so that it is fenced.
-func (s *Sidecar) formerMembers(now time.Time) []forward.Candidate {
+// oneSidedPeers returns the upstreams that have this one as a member of their service
+// under another bundle. It confirms their reports until both have the same bundle:
+// if theirs is older, they cannot replace its confirmations by those of members that
+// the newer bundle added; if theirs is newer, this one may be the only other member.
+// An upstream that the bundle in force removes from its service is left out, so that
+// it is fenced.
+func (s *Sidecar) oneSidedPeers(now time.Time) []forward.Candidate {
 	view := s.state.Load().view
-	var former []forward.Candidate
-	for _, r := range s.peers.formerPeers(now, view.Version()) {
+	var peers []forward.Candidate
+	for _, r := range s.peers.oneSided(now, view.Version()) {
 		for _, c := range view.Members(r.Service) {
 			if c.Upstream == r.Upstream && c.Service == r.Service {
-				former = append(former, c)
+				peers = append(peers, c)
 			}
 		}
 	}
-	return former
+	return peers
 }
 
 // switchService switches the upstream to the service that the bundle assigns to
@@ -260,11 +261,11 @@
 	return true
 }
 
-// report returns the sidecar's report to its peers and former ones.
-func (s *Sidecar) report(now time.Time, former []forward.Candidate) *PeerReport {
+// report returns the sidecar's report to its members and one-sided peers.
+func (s *Sidecar) report(now time.Time, oneSided []forward.Candidate) *PeerReport {
 	st := s.state.Load()
 	live := s.peers.livePeers(now)
-	for _, c := range former {
+	for _, c := range oneSided {
 		if len(live) < maxReportedPeers {
 			live = append(live, c.Upstream)
 		}
--- a/flow/host_test.go
+++ b/flow/host_test.go
@@ -137,13 +137,13 @@
 		h.w.sendHint(h, hint)
 	}
 	if due.Report != nil {
-		h.report(*due.Report, due.Former)
+		h.report(*due.Report, due.OneSided)
 	}
 }
 
-func (h *host) report(r flow.PeerReport, former []forward.Candidate) {
+func (h *host) report(r flow.PeerReport, oneSided []forward.Candidate) {
 	const reportBytes = 100
-	for _, c := range append((view{plan: h.plan, self: h.id}).Members(h.service), former...) {
+	for _, c := range append((view{plan: h.plan, self: h.id}).Members(h.service), oneSided...) {
 		peer := h.w.hosts[c.Upstream]
 		if peer == h || peer == nil {
 			continue
--- a/flow/former_test.go
+++ b/flow/onesided_test.go
@@ -47,8 +47,8 @@
 				f.request()
 				w.run(time.Second)
 			}
-			w.addUpstream(fitting, 7)
 			w.publish(func(p *plan) { p.set(fitting, member{upstream: 7, weight: 4000}) })
+			w.startHost(7)
 			for range 30 {
 				f.request()
 				w.run(time.Second)
@@ -98,10 +98,33 @@
 	}
 }
 
-// TestSidecarReportsToLaggingFormerPeers guards against confirming the reports of an
-// upstream that the newer bundle removes, which must be fenced, and of one that has the
-// newer bundle already.
-func TestSidecarReportsToLaggingFormerPeers(t *testing.T) {
+// TestOnlyMemberKeepsFlowWhileJoinerHasOldBundle guards against fencing an owner, until
+// then the only member, while the upstream that joins it does not have the bundle yet:
+// the joining upstream did not confirm the owner's reports, and flows moved to it.
+func TestOnlyMemberKeepsFlowWhileJoinerHasOldBundle(t *testing.T) {
+	t.Parallel()
+	const joins = 2
+	for seed := range uint64(20) {
+		w, f, owner := ownedFlow(seed, 1)
+		must.True(t, w.transfer(report, fitting, joins))
+		w.hosts[joins].stuck = true
+		f.request()
+		for range 30 {
+			f.request()
+			w.run(time.Second)
+			must.Less(t, 2*time.Second, w.now.Sub(w.oracle.lastRuns[f].at), must.Sprintf("seed %d: the owner is fenced", seed))
+		}
+		w.hosts[joins].stuck = false
+		w.rest(30 * time.Second)
+		must.SliceEmpty(t, w.oracle.violations, must.Sprintf("seed %d", seed))
+		must.Eq(t, owner, w.oracle.lastRuns[f].host)
+	}
+}
+
+// TestSidecarReportsToOneSidedPeers guards against confirming the reports of an
+// upstream that the bundle in force removes, which must be fenced, and of one that has the
+// same bundle.
+func TestSidecarReportsToOneSidedPeers(t *testing.T) {
 	t.Parallel()
 	for name, c := range map[string]struct {
 		removed bool
@@ -109,10 +132,11 @@
 		silent  time.Duration
 		want    []bundle.UpstreamID
 	}{
-		"old bundle": {version: 1, want: []bundle.UpstreamID{2}},
-		"removed":    {version: 1, removed: true},
-		"up to date": {version: 2},
-		"silent":     {version: 1, silent: flow.FenceTimeout},
+		"old bundle":   {version: 1, want: []bundle.UpstreamID{2}},
+		"newer bundle": {version: 3, want: []bundle.UpstreamID{2}},
+		"removed":      {version: 1, removed: true},
+		"up to date":   {version: 2},
+		"silent":       {version: 1, silent: flow.FenceTimeout},
 	} {
 		t.Run(name, func(t *testing.T) {
 			now := time.Unix(worldStart, 0)
@@ -131,7 +155,7 @@
 			due := s.Tick(now.Add(max(c.silent, flow.ReportInterval)))
 			must.NotNil(t, due.Report)
 			var got []bundle.UpstreamID
-			for _, to := range due.Former {
+			for _, to := range due.OneSided {
 				got = append(got, to.Upstream)
 			}
 			must.Eq(t, c.want, got)
--- a/flow/peers.go
+++ b/flow/peers.go
@@ -31,7 +31,7 @@
 	// Load is the sender's load in thousandths of a slot.
 	Load    uint32 `msgpack:"l"`
 	Leaving bool   `msgpack:"d"`
-	// LivePeers lists the peers, and the upstreams of TickResult.Former, whose reports
+	// LivePeers lists the peers, and the upstreams of TickResult.OneSided, whose reports
 	// the sender received within FenceTimeout: at most 64 entries.
 	LivePeers []bundle.UpstreamID `msgpack:"h"`
 }
@@ -361,21 +361,21 @@
 	return ids
 }
 
-// formerPeers returns the last reports of the upstreams that are no members, but
-// sent a report within FenceTimeout under a bundle older than version: in that
-// bundle this sidecar is a member of their service. They are in ascending order of
-// the upstreams.
-func (ps *peers) formerPeers(now time.Time, version uint64) []PeerReport {
+// oneSided returns the last reports of the upstreams that are no members, but sent
+// a report within FenceTimeout under another bundle than version: in that bundle
+// this sidecar is a member of their service. They are in ascending order of the
+// upstreams.
+func (ps *peers) oneSided(now time.Time, version uint64) []PeerReport {
 	ps.mu.RLock()
 	defer ps.mu.RUnlock()
-	var former []PeerReport
+	var reports []PeerReport
 	for u, p := range ps.byID {
-		if p.report.Version < version && !p.lastReport.IsZero() && now.Sub(p.lastReport) < FenceTimeout && !containsUpstream(ps.members, u) {
-			former = append(former, p.report)
+		if p.report.Version != version && !p.lastReport.IsZero() && now.Sub(p.lastReport) < FenceTimeout && !containsUpstream(ps.members, u) {
+			reports = append(reports, p.report)
 		}
 	}
-	slices.SortFunc(former, func(a, b PeerReport) int { return cmp.Compare(a.Upstream, b.Upstream) })
-	return former
+	slices.SortFunc(reports, func(a, b PeerReport) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	return reports
 }
 
 func containsUpstream(ids []bundle.UpstreamID, u bundle.UpstreamID) bool {
--- a/flow/regression_test.go
+++ b/flow/regression_test.go
@@ -33,6 +33,7 @@
 func TestRegressionSeeds(t *testing.T) {
 	t.Parallel()
 	cases := []regression{
+		{"TestStatefulPlanned", "72470498", "the only member of a service was fenced while an upstream that joined it did not have the bundle yet, and gave its flows up"},
 		{"TestStatefulPlanned", "12055387", "a sidecar that had passed a flow on before it skipped to a newer order accepted the flow when the home passed it on again under the order that the home had kept"},
 		{"TestStatefulPlanned", "10066812", "an opening retransmitted under an older bundle, which listed the owner with its former service, replaced the entry of the established flow"},
 		{"TestStatefulPlanned", "3114732797", "a refusal reported a request as not run while copies of it were in transit under an older order of candidates"},
--- a/sidecar/control.go
+++ b/sidecar/control.go
@@ -37,7 +37,7 @@
 	s.sendHints(due.Hints)
 	if due.Report != nil {
 		s.sendReport(due.Report)
-		s.sendTo(due.Former, forward.KindReport, due.Report)
+		s.sendTo(due.OneSided, forward.KindReport, due.Report)
 	}
 	s.reportSilence(now)
 	s.updateLoad(now)
