Revert "Search for a flow that a sidecar may have passed on before it started"

Cause of that: the home 4 had passed two copies of a request on to 3, where the flow had expired after 46 s without a packet. 3 returned the first copy. The home searched, nobody owned the flow, and the home accepted it. Then the second copy reached 3, which accepts a flow that the home passes on after a search, and could not see that this copy had been passed on before it.

The home would have to accept such a flow only when the copies that it passed on can no longer be in transit. That is not done here. The same order of events is possible when an entry on the way is obsolete or its target lost, but only for flows that nobody owns; docs/PROOFS.md lists it.

--- a/flow/udp.go
+++ b/flow/udp.go
@@ -351,7 +351,7 @@
 	if j := c.passedTarget(e); j != none {
 		return forwardTo(c.h, j)
 	}
-	if c.targetObsolete(e) || c.mayHavePassedOn(e) {
+	if c.targetObsolete(e) {
 		markPassed(c.h, int(c.h.Current))
 		return forwardTo(c.h, c.home()) // which searches for the flow, since this candidate has passed it
 	}
@@ -391,13 +391,6 @@
 	return j != none && !passed(c.h, j) && c.takeoverDue(j)
 }
 
-// mayHavePassedOn reports whether the sidecar may have passed the flow on before it
-// started: the home keeps its entry of such a flow for the guard time. An answer to a
-// search of the home leaves an entry, so that a flow that nobody owns is accepted then.
-func (c *call) mayHavePassedOn(e entry) bool {
-	return e.kind == 0 && c.now.Sub(c.s.start) < c.st.settings.guardTime()
-}
-
 // udpAdmit submits a flow that no other sidecar owns to the admission policy. A
 // fenced sidecar passes it on instead: a sidecar that has just joined is fenced
 // until a majority confirms its reports.
