--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -225,6 +225,29 @@
 	must.SliceEmpty(t, tb.LiveSidecars(start))
 }
 
+// TestAnnouncedStopDoesNotConfirmLoss guards against a reset by a balancer that lacks the
+// announcement of a stop, because another one lists the sidecar as lost.
+func TestAnnouncedStopDoesNotConfirmLoss(t *testing.T) {
+	const restart = 1500 * time.Millisecond
+	for name, c := range map[string]struct {
+		ended bool
+		after time.Duration
+		lost  bool
+	}{
+		"restarting":    {after: restart},
+		"ended":         {ended: true, lost: true},
+		"never started": {after: 5 * time.Second, lost: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			tb := newTable(1, membership.Balancer)
+			sidecar := membership.Heartbeat{Role: membership.Sidecar, DataCentre: "a", Incarnation: 1, Stopping: true}
+			sidecar.Load.Ended = c.ended
+			tb.MergeHeartbeat(start, host(5), sidecar, versions(0, 0))
+			must.Eq(t, c.lost, len(tb.LocalLost(start+c.after)) > 0)
+		})
+	}
+}
+
 // TestAbsentSidecar checks when a silent sidecar counts as absent, depending on its last
 // heartbeat and on the reports of another balancer.
 func TestAbsentSidecar(t *testing.T) {
