Read the list after five calls to the store that failed

A watch whose response does not arrive in time was repeated after the same revision for as long as that held, although the list could be read: the changes since then only grow. It was seen under the race detector, where a store that encoded 26 MB for each watch was not followed for 290 s.

After five failed calls in a row the next one reads the list, until one succeeds. During an outage the number of calls is the same; the first answer after it is the list, which is one call more for each page of about 500 entries beyond the first.

TestListIsReadWhenWatchesFail failed before with "timed out waiting until the next list is read", and passes now.

--- a/exchange/oddentry_test.go
+++ b/exchange/oddentry_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"compress/flate"
+	"context"
 	"encoding/binary"
 	"io"
 	"math/rand/v2"
@@ -205,3 +206,21 @@
 	must.NoError(t, fw.Close())
 	return append(binary.BigEndian.AppendUint32(nil, uint32(buf.Len())), buf.Bytes()...)
 }
+
+// storeWithLongHistory is a store whose watches never return in time.
+type storeWithLongHistory struct{ memoryStore }
+
+func (s *storeWithLongHistory) Watch(context.Context, registry.State) (registry.Update, error) {
+	return registry.Update{}, context.DeadlineExceeded
+}
+
+// TestListIsReadWhenWatchesFail guards against a process that no longer follows the store
+// because the changes that it lacks are too many for a watch.
+func TestListIsReadWhenWatchesFail(t *testing.T) {
+	store := new(storeWithLongHistory)
+	store.set(3, hostOf(3))
+	b := start(t, 1, membership.Balancer, store, 0)
+	await(t, "the first list is read", func() bool { return b.version() == 3 })
+	store.set(4, hostOf(3), hostOf(4))
+	await(t, "the next list is read", func() bool { return b.version() == 4 && b.listed(hostOf(4)) })
+}
--- a/exchange/reader.go
+++ b/exchange/reader.go
@@ -19,6 +19,9 @@
 	// minBackoff and maxBackoff bound the exponential backoff after failed calls.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 1200 * time.Millisecond
+	// maxFailures is the number of calls in a row that fail before the list is read in place of
+	// its changes, which may be too many for one response.
+	maxFailures = 5
 	// maxTakeoverDelay bounds the additional time, different for each process, that a
 	// process waits before it also reads the store.
 	maxTakeoverDelay = time.Second
@@ -29,7 +32,7 @@
 	node     *Node
 	backoff  time.Duration
 	fullRead bool // the next call is a Read instead of a Watch
-	failing  bool // the last call failed
+	failures int  // calls that failed since the last success
 }
 
 // followStore reads and watches the store whenever this process should, until ctx is done.
@@ -68,8 +71,8 @@
 	now := n.lock()
 	n.members.RecordStoreAnswer(now)
 	n.mu.Unlock()
-	if r.failing {
-		r.failing = false
+	if r.failures > 0 {
+		r.failures = 0
 		n.cfg.Log.Emit(event.StoreRegained)
 	}
 	res := n.apply(u, zap.String("source", "store"))
@@ -114,11 +117,11 @@
 		return watchPause
 	}
 	n.extendOutage()
-	if !r.failing {
-		r.failing = true
+	if r.failures++; r.failures == 1 {
 		n.TriggerHeartbeat()
 		n.cfg.Log.Emit(event.StoreLost, zap.Error(err))
 	}
+	r.fullRead = r.fullRead || r.failures >= maxFailures
 	r.backoff = min(max(minBackoff, 2*r.backoff), maxBackoff)
 	return r.backoff
 }
