--- a/exchange/frame.go
+++ b/exchange/frame.go
@@ -58,7 +58,7 @@
 		return nil, err
 	}
 	if len(body) > maxContentSize {
-		return nil, &FrameError{Length: uint32(min(len(body), math.MaxUint32))}
+		return nil, &FrameError{Length: uint32(min(uint64(len(body)), math.MaxUint32))}
 	}
 	var buf bytes.Buffer
 	buf.Write(make([]byte, prefixSize))
