Mark the packets of searches that a sidecar began

A search that a sidecar begins is now marked like that of a balancer. The owner thus also reports the flow to the balancer, which corrects its entry.

--- a/steer/owner_test.go
+++ b/steer/owner_test.go
@@ -337,3 +337,47 @@
 		must.Eq(t, !renewed, reset)
 	}
 }
+
+// TestOutdatedEntryIsNotDivertedByPassedOnOpening guards against a search from an upstream that
+// answered a copy of the opening that leaves a data centre before it has covered it.
+func TestOutdatedEntryIsNotDivertedByPassedOnOpening(t *testing.T) {
+	failed, tried := 0, 0
+	for at := range 9 {
+		for passing := range 9 {
+			for copied := range 9 {
+				if passing == at || copied == at || copied == passing {
+					continue
+				}
+				tried++
+				sim := newMixedSimulation()
+				k := flowKey(at)
+				for i, s := range sim.instances { // the opening is passed on to the other data centre
+					s.full = dataCentreOf(i) == dataCentreOf(passing)
+				}
+				h := steer.Header{Balancer: balancerHost(0), Service: registry.HashService(sim.instances[passing].service), State: registry.State{Revision: sim.revision}}
+				first := opening(k)
+				first.Sequence--
+				sim.execute(&steer.Forward{Host: sim.instances[passing].host, Header: h}, first)
+				for _, s := range sim.instances {
+					s.full = false
+				}
+				p := sim.openAt(t, at, k)
+				// A copy of the opening is answered through the other balancer, which remembers that upstream.
+				h.Balancer, h.Service = balancerHost(1), registry.HashService(sim.instances[copied].service)
+				sim.execute(&steer.Forward{Host: sim.instances[copied].host, Header: h}, opening(k))
+				for _, n := range sim.instances[copied].sidecar.Notices() {
+					if n.Balancer == balancerHost(1) {
+						sim.balancers[1].Learn(sim.now, n.Key, sim.instances[copied].host)
+					}
+				}
+				if elapsed := sim.retransmit(1, at, p); elapsed != 0 {
+					failed++
+					if failed <= 5 {
+						t.Errorf("flow of %d, passed on by %d, also answered by %d: reached its upstream after %v", at, passing, copied, elapsed)
+					}
+				}
+			}
+		}
+	}
+	t.Logf("%d of %d", failed, tried)
+}
--- a/steer/pass.go
+++ b/steer/pass.go
@@ -105,6 +105,7 @@
 // centre that does not hold the flow reports this to the balancer. held is true when an earlier call already did so and held the
 // packet; the report is then repeated only once the fleet is settled.
 func (s *Sidecar) search(f *Fleet, c *chooser, h *Header, p *Packet, reason Reason, held bool) Action {
+	h.UnknownFlow = true // also when the balancer sent the packet to a wrong upstream, which it then learns
 	c.origin = searchPosition(c.hash, s.cfg.Self)
 	next, reachable, found := c.nextHost(h.Service, s.cfg.DataCentre, h.hasVisited)
 	if reachable {
