Do not forward a packet between two passed-on openings without end

Found by review, and older than this work: two sidecars that had each passed a copy of an opening on to the other, while both copies were lost, forwarded later packets and further copies to each other without end, since a redirected packet did not list the sidecar as visited. Each packet would have circulated until it was lost.

The sidecar now counts as visited. That is true for reports, too: its upstream did not get the opening, or returned it, and an answer of the upstream replaces the entry. TestPacketsFollowPassedOnOpening checked an empty list of visited hosts; it checks that the list holds just the sidecar now.

Evidence: TestPassedOnPacketsDoNotCirculate failed before with "forwarded 500 times" for a later packet and for an opening, and passes.

--- a/steer/owner_test.go
+++ b/steer/owner_test.go
@@ -381,3 +381,35 @@
 	}
 	t.Logf("%d of %d", failed, tried)
 }
+
+// TestPassedOnPacketsDoNotCirculate guards against a packet that two sidecars forward to each
+// other without end, since each passed a copy of the opening on to the other and both were lost.
+func TestPassedOnPacketsDoNotCirculate(t *testing.T) {
+	sim := newSimulation(1, service, service)
+	k := flowKey(1)
+	for i, s := range sim.instances {
+		h := steer.Header{Balancer: balancerHost(0), Service: registry.HashService(service), State: registry.State{Revision: sim.revision}}
+		p := opening(k)
+		d, ok := s.sidecar.FromBalancer(sim.now, &h, &p).(steer.Deliver)
+		must.True(t, ok)
+		p.Flags |= steer.Returned
+		p.Tag = d.Tag
+		f, ok := s.sidecar.FromUpstream(sim.now, &p).(*steer.Forward) // lost
+		must.True(t, ok)
+		must.Eq(t, sim.instances[1-i].host, f.Host)
+	}
+	for name, p := range map[string]steer.Packet{"later packet": {Source: k.Caller, Destination: k.Address, Flags: steer.ACK, Sequence: 8, Acknowledged: 1}, "opening": opening(k)} {
+		h := steer.Header{Balancer: balancerHost(0), Service: registry.HashService(service), State: registry.State{Revision: sim.revision}}
+		at, hops := 0, 0
+		for ; hops < 500; hops++ {
+			f, ok := sim.instances[at].sidecar.FromBalancer(sim.now, &h, &p).(*steer.Forward)
+			if !ok {
+				break
+			}
+			at, h = 1-at, f.Header
+		}
+		if hops >= 500 {
+			t.Errorf("%s: forwarded %d times", name, hops)
+		}
+	}
+}
--- a/steer/pass.go
+++ b/steer/pass.go
@@ -240,10 +240,12 @@
 	return l.stage == stagePassedOn && !h.hasVisited(l.target)
 }
 
-// followPassedOn sends a packet to where the opening of its flow was passed on to.
-func followPassedOn(now time.Duration, l *localFlow, h *Header) Action {
+// followPassedOn sends a packet to where the opening of its flow was passed on to. The
+// sidecar counts as visited, so that two that passed copies of the opening on to each other
+// do not forward the packet without end.
+func (s *Sidecar) followPassedOn(now time.Duration, l *localFlow, h *Header) Action {
 	l.lastPacket = now
-	next := *h
+	next := h.WithVisited(s.cfg.Self)
 	next.Service = l.service
 	return &Forward{Host: l.target, Header: next, Reason: ReasonPassed}
 }
--- a/steer/search_test.go
+++ b/steer/search_test.go
@@ -222,7 +222,7 @@
 	a, ok := sim.instances[i].sidecar.FromBalancer(sim.now, &h, &later).(*steer.Forward)
 	must.True(t, ok)
 	must.Eq(t, sim.instances[at].host, a.Host)
-	must.SliceEmpty(t, a.Header.Visited)
+	must.Eq(t, []registry.Host{first.Host}, a.Header.Visited)
 	// A new opening from the same port is placed independently.
 	again := opening(k)
 	again.Sequence += 1000
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -265,7 +265,7 @@
 		return s.passOn(now, h, p, ReasonSilent)
 	}
 	if l != nil && l.redirects(h) && !h.UnknownFlow {
-		return followPassedOn(now, l, h)
+		return s.followPassedOn(now, l, h)
 	}
 	if l != nil && l.stage == stageReturned {
 		l.lastPacket = now
@@ -285,7 +285,7 @@
 		return Deliver{Tag: s.recordDelivery(now, k, h)}
 	}
 	if l != nil && l.redirects(h) && l.nextSequence == p.Sequence {
-		return followPassedOn(now, l, h)
+		return s.followPassedOn(now, l, h)
 	}
 	if l != nil {
 		s.remove(sh, k, l)
