Do not take an upstream without an entry for absent while it may serve a request

Found by review, and older than this work. Callers would see a reset that the upstream did not send: the entry of an upstream is missing, its sidecar restarts and reads a list without it, and the upstream takes more than 150 ms for the first request that it gets then. The sidecar took its silence for the absence of an upstream, since packets of unknown flows are returned at once, passed the caller's copy on and counted itself among those that had returned it; the search was exhausted and the flow reset.

An upstream that holds the flow returns nothing. Its silence after a packet of an unknown flow now counts only while it is not known to accept connections: the probe that follows a packet without a reaction decides.

Evidence: TestUnlistedOwnerIsNotTakenForReturned failed before for each of three upstreams. TestSidecarWithoutUpstreamDoesNotBlockSearch holds the other side.

--- a/steer/liveness.go
+++ b/steer/liveness.go
@@ -12,6 +12,7 @@
 type liveness struct {
 	awaitingReactionSince atomic.Int64 // nanoseconds; when a packet was delivered that requires a prompt reaction, 0 if none is outstanding
 	awaitingPacketSince   atomic.Int64 // nanoseconds; when a packet was delivered since which the upstream has sent nothing, 0 if it has
+	awaitingReturnSince   atomic.Int64 // nanoseconds; when a packet of an unknown flow was delivered while the upstream was not listed, 0 if it has sent something since
 	down                  atomic.Bool  // no process listens at the upstream's address
 	hasSent               atomic.Bool  // the upstream has sent a packet since the sidecar started
 	// downUnverified is true when down was concluded although no packet had been
@@ -44,8 +45,21 @@
 	u.awaitingPacketSince.CompareAndSwap(0, int64(now))
 }
 
+// awaitReturn records that a packet of an unknown flow was delivered while the upstream was
+// not listed. The upstream returns it at once, unless it holds the flow.
+func (u *liveness) awaitReturn(now time.Duration) {
+	u.awaitingReturnSince.CompareAndSwap(0, int64(now))
+}
+
+// returnOverdue reports whether an upstream that is not known to accept connections has
+// neither returned a packet of an unknown flow nor sent anything else.
+func (u *liveness) returnOverdue(now time.Duration) bool {
+	return u.listens.Load() != listensYes && overdue(now, u.awaitingReturnSince.Load(), reactionTimeout)
+}
+
 // recordPacket records that the upstream sent a packet.
 func (u *liveness) recordPacket() {
+	u.awaitingReturnSince.Store(0)
 	u.awaitingReactionSince.Store(0)
 	u.awaitingPacketSince.Store(0)
 	u.down.Store(false)
@@ -59,7 +73,7 @@
 
 // silent reports whether the upstream is down or has exceeded its reaction timeout.
 func (u *liveness) silent(now time.Duration) bool {
-	return u.down.Load() || overdue(now, u.awaitingReactionSince.Load(), reactionTimeout)
+	return u.down.Load() || overdue(now, u.awaitingReactionSince.Load(), reactionTimeout) || u.returnOverdue(now)
 }
 
 // anyOverdue reports whether any delivered packet, also one that needs no prompt
@@ -75,6 +89,9 @@
 	if at := u.awaitingReactionSince.Load(); overdue(now, at, reactionTimeout+silentRetryDelay) {
 		u.awaitingReactionSince.CompareAndSwap(at, 0)
 	}
+	if at := u.awaitingReturnSince.Load(); overdue(now, at, reactionTimeout+silentRetryDelay) {
+		u.awaitingReturnSince.CompareAndSwap(at, 0)
+	}
 	if u.listens.Load() != listensYes {
 		u.down.Store(false)
 	}
--- a/steer/owner_test.go
+++ b/steer/owner_test.go
@@ -413,3 +413,38 @@
 		}
 	}
 }
+
+// TestUnlistedOwnerIsNotTakenForReturned guards against the reset of an open flow whose sidecar
+// has restarted while its entry is missing, when the upstream takes its time to answer.
+func TestUnlistedOwnerIsNotTakenForReturned(t *testing.T) {
+	for at := range 3 {
+		sim := newSimulation(2, service, service, service)
+		p := sim.openAt(t, at, flowKey(at))
+		sim.publish(at, nil)
+		sim.advance(5 * time.Second)
+		sim.startSidecar(at)
+		sim.publishFleet()
+		// The sidecar has read the list after its start, without the entry of its upstream.
+		d := registry.NewDirectory()
+		var changes []registry.Change
+		for i, s := range sim.instances {
+			if i != at {
+				changes = append(changes, registry.Change{Key: s.host.String(), Revision: uint64(i + 1), Upstream: sim.entry(i, false)})
+			}
+		}
+		routes := &registry.Routes{Version: 1, List: []registry.Route{{Name: "r", Address: routeAddress, Targets: []registry.Target{{Service: service, Weight: 1}}}}}
+		d.Apply(sim.now, registry.Update{Routes: routes, State: registry.State{Revision: sim.revision}, Changes: changes})
+		f := *sim.balancers[0].Fleet()
+		f.Snapshot = d.Snapshot(sim.now).WithLocations(sim.locate)
+		must.False(t, f.Snapshot.Listed(sim.instances[at].host))
+		must.True(t, f.Snapshot.Listed(sim.instances[(at+1)%3].host))
+		sim.instances[at].sidecar.SetFleet(&f)
+		must.Eq(t, at, sim.send(1, p), must.Sprint("first transmission"))
+		sim.dropNotices()
+		sim.instances[at].sidecar.Connected() // the probe that follows a packet without a reaction
+		sim.now += 2 * tick                   // the upstream has the request and has sent nothing
+		if got := sim.send(1, p); got != at || len(sim.resets) > 0 {
+			t.Errorf("flow of %d: the retransmission reached %d, resets %v", at, got, sim.resets)
+		}
+	}
+}
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -360,7 +360,7 @@
 // does not hold the flow.
 func (s *Sidecar) offerUnknown(now time.Duration, sh *sidecarShard, k Key, h *Header) Action {
 	if f := s.fleet.Load(); f != nil && !f.Snapshot.Listed(s.cfg.Self) {
-		s.liveness.awaitReaction(now) // a packet of an unknown flow is returned at once
+		s.liveness.awaitReturn(now)
 	}
 	if len(sh.flows) < maxShardFlows {
 		sh.put(k, localFlow{stage: stageOffered, balancer: h.Balancer, lastPacket: now})
