Spread the retries of a search evenly over a data centre

A retry now starts at one upstream, then at six, then at up to 32, spread evenly, so that each copy covers the upstreams up to the next silent one. With sidecars that pass on what their upstream returned before, the copies reach no upstream twice. The order of a data centre is computed once for a retry.

TestUpstreamGetsPacketOfUnknownFlowOnce fails without the entries of returned packets, which no other test did any more.

--- a/steer/owner_test.go
+++ b/steer/owner_test.go
@@ -132,6 +132,29 @@
 	}
 }
 
+// TestUpstreamGetsPacketOfUnknownFlowOnce guards against upstreams that get the packets of a
+// flow that they do not hold again from each balancer that its packets come to.
+func TestUpstreamGetsPacketOfUnknownFlowOnce(t *testing.T) {
+	for at := range 9 {
+		sim := newMixedSimulation()
+		p := sim.openAt(t, at, flowKey(at))
+		sim.instances[at].running = false // packets to it are lost
+		sim.adjust = func(_ string, f *steer.Fleet) {
+			f.Sidecars[sim.instances[at].host] = steer.SidecarStatus{DataCentre: dataCentreOf(at), Stopping: true}
+		}
+		sim.publishFleet()
+		for range 4 {
+			sim.startBalancer(1)
+			sim.publishFleet()
+			must.Eq(t, -1, sim.send(1, p))
+			sim.advance(time.Second)
+		}
+		for i, s := range sim.instances {
+			must.LessEq(t, 1, len(s.reached), must.Sprintf("upstream %d, a flow of %d", i, at))
+		}
+	}
+}
+
 // TestOfferedPacketsFollowOpening guards against an upstream that is not offered the
 // packets of a flow that was opened there after it returned one of an earlier flow.
 func TestOfferedPacketsFollowOpening(t *testing.T) {
@@ -448,3 +471,33 @@
 		}
 	}
 }
+
+// TestFrozenUpstreamDoesNotHideOwnerInLargeDataCentre guards against a search all copies of
+// which end at an upstream that neither accepts nor returns the packet.
+func TestFrozenUpstreamDoesNotHideOwnerInLargeDataCentre(t *testing.T) {
+	services := make([]string, 45)
+	for i := range services {
+		services[i] = service
+	}
+	failed, tried := 0, 0
+	for at := range 15 {
+		for frozen := range len(services) {
+			if frozen == at {
+				continue
+			}
+			tried++
+			sim := newSimulation(2, services...)
+			p := sim.openAt(t, at, flowKey(at))
+			sim.instances[frozen].running = false
+			sim.publishFleet()
+			if elapsed := sim.retransmit(1, at, p); elapsed < 0 || elapsed >= 2*time.Second {
+				failed++
+				count, span := sim.misdelivered(at)
+				if failed <= 5 {
+					t.Errorf("flow of %d, %d frozen: reached its upstream after %v; %d packets elsewhere in %v", at, frozen, elapsed, count, span)
+				}
+			}
+		}
+	}
+	t.Logf("%d of %d", failed, tried)
+}
--- a/steer/pass.go
+++ b/steer/pass.go
@@ -234,8 +234,7 @@
 }
 
 // redirects reports whether a packet with the header follows the opening of the flow to
-// another sidecar. Packets of a search do not: they would leave the data centre that the
-// search has to cover, and the opening may have been accepted elsewhere.
+// another sidecar.
 func (l *localFlow) redirects(h *Header) bool {
 	return l.stage == stagePassedOn && !h.hasVisited(l.target)
 }
--- a/steer/place.go
+++ b/steer/place.go
@@ -1,6 +1,8 @@
 package steer
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/corianderbay/corianderbay/membership"
@@ -307,6 +309,61 @@
 	return registry.Host{}, false, false
 }
 
+// searchOrder returns the hosts of a data centre that are not excluded in the order in
+// which nextHost returns them.
+func (c *chooser) searchOrder(service registry.ServiceHash, dataCentre string, exclude func(registry.Host) bool) []registry.Host {
+	var reachable, unreachable []ranked
+	for _, p := range c.fleet.Snapshot.Pools() {
+		for i := range p.Members {
+			m := &p.Members[i]
+			if m.DataCentre != dataCentre || exclude(m.Address.Host) || !c.fleet.permits(c.route, m.DataCentre) {
+				continue
+			}
+			r := ranked{host: m.Address.Host, otherService: p.Hash != service, rank: c.searchRank(m)}
+			if c.reachable(m) {
+				reachable = append(reachable, r)
+			} else if !c.fleet.lostMember(c.now, m) {
+				unreachable = append(unreachable, r)
+			}
+		}
+	}
+	slices.SortStableFunc(reachable, ranked.compare)
+	slices.SortStableFunc(unreachable, ranked.compare)
+	hosts := appendHosts(nil, reachable)
+	for _, h := range c.fleet.Unlisted {
+		if at := c.fleet.Sidecars[h].DataCentre; (at == dataCentre || at == "") && !exclude(h) && c.fleet.permits(c.route, at) {
+			hosts = append(hosts, h)
+		}
+	}
+	return appendHosts(hosts, unreachable)
+}
+
+// ranked is an upstream with its place in the order of a search.
+type ranked struct {
+	host         registry.Host
+	otherService bool // it does not serve the service that is searched first
+	rank         uint64
+}
+
+// compare orders upstreams of the service that is searched first before all others.
+func (r ranked) compare(o ranked) int {
+	if r.otherService != o.otherService {
+		if o.otherService {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(r.rank, o.rank)
+}
+
+// appendHosts appends the hosts of a list.
+func appendHosts(hosts []registry.Host, list []ranked) []registry.Host {
+	for i := range list {
+		hosts = append(hosts, list[i].host)
+	}
+	return hosts
+}
+
 // firstInPools returns the first upstream that next returns for the pool of a service or,
 // if there is none, for all pools.
 func (c *chooser) firstInPools(service registry.ServiceHash, exclude func(*registry.Member) bool, next func(*registry.Pool, func(*registry.Member) bool) *registry.Member) *registry.Member {
--- a/steer/search.go
+++ b/steer/search.go
@@ -235,35 +235,26 @@
 
 // maxRetryCopies is the maximum number of copies that one retry of a search sends to a
 // data centre.
-const maxRetryCopies = 8
+const maxRetryCopies = 32
 
-// retryHosts returns the hosts of a data centre at which a retry of a search starts. In
-// the own data centre, where the search started at the first host, these are the second
-// one, then the next two, and twice as many for each further retry. Other data centres
-// begin with the first one, since the search may have ended before it got there. When
-// each host has had its turn, the list has one of them.
+// retryHosts returns the hosts of a data centre at which a retry of a search starts: one for
+// the first retry, and six times as many for each further one, up to maxRetryCopies. They
+// are spread evenly over the order of the search, so that the copies that they pass on cover
+// all upstreams but a few behind one that keeps them.
 func (c *chooser) retryHosts(service registry.ServiceHash, dataCentre string, attempt int, exclude func(registry.Host) bool) []registry.Host {
-	count := min(maxRetryCopies, 1<<(attempt-1))
-	first := count
-	if dataCentre != c.policy.dataCentre {
-		first--
+	hosts := c.searchOrder(service, dataCentre, exclude)
+	count := 1
+	for range attempt - 1 {
+		count = min(6*count, maxRetryCopies)
 	}
-	var hosts []registry.Host
-	for len(hosts) < first+count {
-		host, _, found := c.nextHost(service, dataCentre, func(h registry.Host) bool { return exclude(h) || slices.Contains(hosts, h) })
-		if !found {
-			break
-		}
-		hosts = append(hosts, host)
+	if count >= len(hosts) {
+		return hosts
 	}
-	switch {
-	case len(hosts) > first:
-		return hosts[first:]
-	case len(hosts) > 0:
-		at := first % len(hosts)
-		return hosts[at : at+1]
+	starts := make([]registry.Host, count)
+	for i := range starts {
+		starts[i] = hosts[(2*i+1)*len(hosts)/(2*count)]
 	}
-	return nil
+	return starts
 }
 
 // hasValidEntry reports whether the table has an entry for the flow that the search does
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -264,7 +264,8 @@
 	if (l == nil || l.stage == stageOffered) && s.upstreamAbsent(now) {
 		return s.passOn(now, h, p, ReasonSilent)
 	}
-	if l != nil && l.redirects(h) && !h.UnknownFlow {
+	// Packets of a search would leave the data centre that the search has to cover.
+	if l != nil && l.redirects(h) && !h.UnknownFlow && !h.Remote {
 		return s.followPassedOn(now, l, h)
 	}
 	if l != nil && l.stage == stageReturned {
