List a sidecar that announced its stop as lost only when its upstream has ended

Found by review: a sidecar that takes more than 5 s to restart was listed as lost, which confirms the loss to a balancer without the announcement, while balancers that have it never take the sidecar for absent.

A notice without a known balancer is not sent to the address 0.0.0.0 any more.

--- a/edge/search_test.go
+++ b/edge/search_test.go
@@ -53,4 +53,5 @@
 	must.Eq(t, []registry.Host{b}, withBalancer(nil, b))
 	must.Eq(t, []registry.Host{a, b}, withBalancer([]registry.Host{a}, b))
 	must.Eq(t, []registry.Host{a, b}, withBalancer([]registry.Host{a, b}, b))
+	must.Eq(t, []registry.Host{a}, withBalancer([]registry.Host{a}, registry.Host{}))
 }
--- a/edge/sidecar.go
+++ b/edge/sidecar.go
@@ -207,9 +207,9 @@
 }
 
 // withBalancer returns the live balancers near h with h itself, which has just forwarded a
-// packet, although its heartbeats may be late here.
+// packet, although its heartbeats may be late here. A zero h stands for an unknown one.
 func withBalancer(near []registry.Host, h registry.Host) []registry.Host {
-	if slices.Contains(near, h) {
+	if h.IsZero() || slices.Contains(near, h) {
 		return near
 	}
 	return append(near, h)
--- a/membership/table.go
+++ b/membership/table.go
@@ -297,29 +297,21 @@
 	return slices.Compact(hosts)
 }
 
-// restartTimeout is the silence after an announced stop from which a sidecar whose upstream
-// had not ended counts as lost instead of restarting.
-const restartTimeout = 5 * time.Second
-
 // LocalLost returns the sidecars of the data centre that sent heartbeats to this process
 // and from which no datagram arrives any more. Heartbeats report only these as lost, and
 // not those that others reported as lost, so that no report circulates forever. There
 // are none while this process is lossy. A sidecar that announced its stop is reported
-// only when its upstream has ended or it has not started again: to a process that did not
-// receive the announcement, the report confirms that the flows there are lost.
+// only when its upstream has ended: to a process that did not receive the announcement,
+// the report confirms that the flows there are lost.
 func (t *Table) LocalLost(now time.Duration) []registry.Host {
 	if t.Lossy(now) {
 		return nil
 	}
 	return t.lostMatching(now, func(p *Peer) bool {
-		silence := now - p.LastContact()
-		switch {
-		case !t.isDirect(p):
-			return false
-		case p.Stopping():
-			return p.Heartbeat.Load.Ended || silence >= restartTimeout
+		if p.Stopping() {
+			return t.isDirect(p) && p.Heartbeat.Load.Ended
 		}
-		return silence >= LocalHeartbeatTimeout
+		return t.isDirect(p) && now-p.LastContact() >= LocalHeartbeatTimeout
 	})
 }
 
