--- a/daemon/checkconfig_test.go
+++ b/daemon/checkconfig_test.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/corianderbay/corianderbay/daemon"
 	"github.com/corianderbay/corianderbay/platform/standin"
@@ -130,7 +131,7 @@
 func TestCheckConfigReadsTheStore(t *testing.T) {
 	store := standin.NewStore()
 	store.Put("op/config", []byte(runningConfig))
-	store.PublishUpstream(standin.Entry{ID: "u", Service: "report", Address: netip.MustParseAddrPort("10.1.0.9:80"), DataCentre: "jateng-a"})
+	store.PublishUpstream(standin.Entry{ID: "u", Service: "report", Address: netip.MustParseAddrPort("10.1.0.9:80"), DataCentre: "jateng-a", Born: time.Unix(1_700_000_000, 0)})
 	server := httptest.NewServer(store)
 	t.Cleanup(server.Close)
 	settings := filepath.Join(t.TempDir(), "boot.json")
