Send few copies of a retried search to sidecars that may be unreachable

A retry sent up to 32 copies to a data centre whose sidecars have all timed out, for each flow that is searched for, while it may have lost its power. Saturated links would carry them for nothing. Unreachable sidecars now get one copy for the first retry, two for the second and three for the third, spread as the others; each passes the packet on if it is alive.

--- a/steer/pass.go
+++ b/steer/pass.go
@@ -102,8 +102,9 @@
 // search sends a later packet to the next upstream of the data centre that may hold its
 // flow. When all reachable ones have returned it, it is sent to each other data centre at
 // the same time, unless h.Remote is set, and to one that may be unreachable. Each data
-// centre that does not hold the flow reports this to the balancer. held is true when an earlier call already did so and held the
-// packet; the report is then repeated only once the fleet is settled.
+// centre that does not hold the flow reports this to the balancer. held is true when an
+// earlier call already did so and held the packet; the report is then repeated only once
+// the fleet is settled.
 func (s *Sidecar) search(f *Fleet, c *chooser, h *Header, p *Packet, reason Reason, held bool) Action {
 	h.UnknownFlow = true // also when the balancer sent the packet to a wrong upstream, which it then learns
 	c.origin = searchPosition(c.hash, s.cfg.Self)
--- a/steer/place.go
+++ b/steer/place.go
@@ -310,9 +310,10 @@
 }
 
 // searchOrder returns the hosts of a data centre that are not excluded in the order in
-// which nextHost returns them.
-func (c *chooser) searchOrder(service registry.ServiceHash, dataCentre string, exclude func(registry.Host) bool) []registry.Host {
-	var reachable, unreachable []ranked
+// which nextHost returns them: the reachable and unlisted ones, and those that are neither
+// reachable nor lost.
+func (c *chooser) searchOrder(service registry.ServiceHash, dataCentre string, exclude func(registry.Host) bool) (hosts, unreachable []registry.Host) {
+	var timely, late []ranked
 	for _, p := range c.fleet.Snapshot.Pools() {
 		for i := range p.Members {
 			m := &p.Members[i]
@@ -321,21 +322,19 @@
 			}
 			r := ranked{host: m.Address.Host, otherService: p.Hash != service, rank: c.searchRank(m)}
 			if c.reachable(m) {
-				reachable = append(reachable, r)
+				timely = append(timely, r)
 			} else if !c.fleet.lostMember(c.now, m) {
-				unreachable = append(unreachable, r)
+				late = append(late, r)
 			}
 		}
 	}
-	slices.SortStableFunc(reachable, ranked.compare)
-	slices.SortStableFunc(unreachable, ranked.compare)
-	hosts := appendHosts(nil, reachable)
+	hosts = sortedHosts(timely)
 	for _, h := range c.fleet.Unlisted {
 		if at := c.fleet.Sidecars[h].DataCentre; (at == dataCentre || at == "") && !exclude(h) && c.fleet.permits(c.route, at) {
 			hosts = append(hosts, h)
 		}
 	}
-	return appendHosts(hosts, unreachable)
+	return hosts, sortedHosts(late)
 }
 
 // ranked is an upstream with its place in the order of a search.
@@ -356,10 +355,12 @@
 	return cmp.Compare(r.rank, o.rank)
 }
 
-// appendHosts appends the hosts of a list.
-func appendHosts(hosts []registry.Host, list []ranked) []registry.Host {
+// sortedHosts sorts a list and returns its hosts.
+func sortedHosts(list []ranked) []registry.Host {
+	slices.SortFunc(list, ranked.compare)
+	hosts := make([]registry.Host, len(list))
 	for i := range list {
-		hosts = append(hosts, list[i].host)
+		hosts[i] = list[i].host
 	}
 	return hosts
 }
--- a/steer/search.go
+++ b/steer/search.go
@@ -149,8 +149,8 @@
 	return s, true
 }
 
-// returnedBefore returns the upstreams that returned a packet of a flow in the last search
-// for it, sorted, also when they are too old to base a reset on.
+// returnedBefore returns the last search for a flow, also when its reports are too old to
+// base a reset on.
 func (ss *searches) returnedBefore(now time.Duration, k Key) search {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
@@ -233,28 +233,40 @@
 	return list
 }
 
-// maxRetryCopies is the maximum number of copies that one retry of a search sends to a
-// data centre.
-const maxRetryCopies = 32
+const (
+	// maxRetryCopies is the maximum number of copies that one retry of a search sends to
+	// the reachable sidecars of a data centre.
+	maxRetryCopies = 32
+	// retryGrowth is the number of copies of a retry as a multiple of the one before.
+	retryGrowth = 6
+)
 
 // retryHosts returns the hosts of a data centre at which a retry of a search starts: one for
-// the first retry, and six times as many for each further one, up to maxRetryCopies. They
-// are spread evenly over the order of the search, so that the copies that they pass on cover
-// all upstreams but a few behind one that keeps them.
+// the first retry, and retryGrowth times as many for each further one. They are spread
+// evenly over the order of the search, so that the copies that they pass on cover all
+// upstreams but a few behind one that keeps them. Unreachable sidecars, which may be a
+// whole data centre that lost its power, get one copy for the first retry, two for the
+// second, and so on.
 func (c *chooser) retryHosts(service registry.ServiceHash, dataCentre string, attempt int, exclude func(registry.Host) bool) []registry.Host {
-	hosts := c.searchOrder(service, dataCentre, exclude)
+	reachable, unreachable := c.searchOrder(service, dataCentre, exclude)
 	count := 1
 	for range attempt - 1 {
-		count = min(6*count, maxRetryCopies)
+		count = min(retryGrowth*count, maxRetryCopies)
 	}
-	if count >= len(hosts) {
-		return hosts
+	return append(spread(reachable, count), spread(unreachable, attempt)...)
+}
+
+// spread returns count elements of a list at even distances, or the whole list if it is
+// shorter.
+func spread(list []registry.Host, count int) []registry.Host {
+	if count >= len(list) {
+		return list
 	}
-	starts := make([]registry.Host, count)
-	for i := range starts {
-		starts[i] = hosts[(2*i+1)*len(hosts)/(2*count)]
+	selected := make([]registry.Host, count)
+	for i := range selected {
+		selected[i] = list[(2*i+1)*len(list)/(2*count)]
 	}
-	return starts
+	return selected
 }
 
 // hasValidEntry reports whether the table has an entry for the flow that the search does
