Bind the balancer of a test to an address that no other process uses

The kernel chooses a port that is free for UDP, and the node then listens on it over TCP, where another process of the machine used it on 127.0.0.1. Processes have configured ports and are not affected. The test now uses a loopback address of its own; what it checks is unchanged.

--- a/edge/hold_test.go
+++ b/edge/hold_test.go
@@ -31,7 +31,8 @@
 // openIdleBalancer returns a balancer whose addresses are bound and that is not running.
 func openIdleBalancer(t *testing.T) *Balancer {
 	t.Helper()
-	local := netip.MustParseAddrPort("127.0.0.1:0")
+	// The port is chosen for UDP and then used for TCP, so no other process may use the address.
+	local := netip.MustParseAddrPort("127.88.7.1:0")
 	b, err := OpenBalancer(BalancerConfig{
 		Config: Config{
 			DataCentre: "a", Exchange: local, CallerPort: 9, Codec: synCodec{},
