List that a sidecar which does not come back is never absent

Found by review: a sidecar that announced its stop, without its upstream having ended, is not absent however long it is silent, so that its flows are not reset. Taking it for lost after a fixed time would reset flows in a slow planned restart, so it is not mended here.

--- a/membership/table_test.go
+++ b/membership/table_test.go
@@ -248,6 +248,21 @@
 	}
 }
 
+// TestSidecarThatDoesNotComeBackIsLost guards against flows that stay with a sidecar that
+// announced its stop and has not started again.
+func TestSidecarThatDoesNotComeBackIsLost(t *testing.T) {
+	tb := newTable(1, membership.Balancer)
+	stop := membership.Heartbeat{Role: membership.Sidecar, DataCentre: "a", Incarnation: 1, Sequence: 1, Stopping: true}
+	tb.MergeHeartbeat(start, host(2), stop, versions(0, 0))
+	for now := start; now < start+15*time.Second; now += membership.HeartbeatInterval {
+		for n := byte(3); n < 8; n++ {
+			tb.MergeHeartbeat(now, host(n), membership.Heartbeat{Role: membership.Sidecar, DataCentre: "a", Incarnation: 1, Sequence: uint32(now / time.Millisecond)}, versions(0, 0))
+		}
+		tb.UpdateAbsent(now)
+	}
+	must.Positive(t, tb.AbsentSince(host(2)))
+}
+
 // TestAbsentSidecar checks when a silent sidecar counts as absent, depending on its last
 // heartbeat and on the reports of another balancer.
 func TestAbsentSidecar(t *testing.T) {
