Judge packets elsewhere also when the next one reaches the owner

Cause: the check of the rule FLOW in virtual time looked at packets that reached other upstreams only when a further one arrived there.

Change: an interval is judged at the next packet at the owner and when the caller ends or gives up the flow, as well. Nothing else is checked less. No logic changes.

--- a/edge/caller_test.go
+++ b/edge/caller_test.go
@@ -53,7 +53,7 @@
 		}
 		end := time.Now().Add(time.Duration(c.rand.Int64N(int64(c.w.flowTime))))
 		c.w.count(c.use(ctx, &p, end))
-		c.w.check.closed(k)
+		c.w.check.closed(c.w, k)
 		p.Flags = steer.RST | steer.ACK
 		c.send(&p, 0)
 	}
--- a/edge/check_test.go
+++ b/edge/check_test.go
@@ -220,10 +220,15 @@
 }
 
 // closed records that the caller ended or gave up a flow.
-func (c *checker) closed(k steer.Key) {
+func (c *checker) closed(w *world, k steer.Key) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	f := c.flow(k)
+	if f.owner != nil {
+		c.endElsewhere(k, f)
+	}
 	f.closed, f.trace = true, nil
 }
 
@@ -237,7 +242,7 @@
 		return
 	}
 	if f.owner == u {
-		f.elsewhere = nil
+		c.endElsewhere(k, f)
 		return
 	}
 	id := packetID{p.Sequence, p.Data}
@@ -245,6 +250,15 @@
 	c.checkElsewhere(k, f)
 }
 
+// endElsewhere ends the interval in which packets reached other upstreams only: one reached
+// the owner, or none is sent any more.
+func (c *checker) endElsewhere(k steer.Key, f *flow) {
+	if len(f.elsewhere) > 0 {
+		c.checkElsewhere(k, f)
+	}
+	f.elsewhere = nil
+}
+
 // checkElsewhere checks the packets that reached other upstreams since the last one at the
 // owner. Each arrival counts, also of copies of one packet.
 func (c *checker) checkElsewhere(k steer.Key, f *flow) {
