Send a searched packet to sidecars that become reachable

While the sidecar of the flow's upstream restarts as planned, for 1.5 s, all others return the packet within milliseconds, and the one that was not asked is reached only by the caller's next transmission, up to 1.6 s later.

Ruled out: that the search did not list the restarting sidecar (it does, as one that may hold the flow), and offers by sidecars that lost what their upstream had returned: they occur, but the interval begins with the first search.

Change: the packet stays for 2 s after the caller's last transmission, since callers that wait send it again after at most 1.6 s. As soon as the heartbeat of a sidecar arrives that was not alive, the packet goes there, unless its upstream returned one before; retries then start again, as that copy may be lost, too. A packet that resets the flow, and the first one with data, replace the stored one. The retries of the first 0.8 s are as before. TestSearchedPacketsAreResent checks the new times; its other checks stand.

--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -47,6 +47,7 @@
 	maxDrain   time.Duration
 	steering   *steer.Balancer
 	searches   searchQueue
+	recoveries steer.RecoveryWatch // used by refresh
 	ingress    ingress
 	ready      atomic.Bool
 	firstView  atomic.Int64  // uptime in nanoseconds when routes and upstreams were first received; 0 before that
@@ -118,7 +119,7 @@
 	b.firstView.CompareAndSwap(0, int64(now))
 	b.retryHeld(now)
 	b.resetAll(b.steering.ExhaustedSearches(now))
-	b.retrySearches(now)
+	b.retrySearches(now, f)
 	b.logAdmission(now)
 	if b.ready.Load() {
 		return
@@ -129,17 +130,36 @@
 	}
 }
 
-// retrySearches resends the due packets of searches to upstreams that have not returned them.
-func (b *Balancer) retrySearches(now time.Duration) {
-	var out []byte
+// retrySearches resends packets of searches to upstreams that have not returned them: those
+// that are due, and all to sidecars that have become reachable.
+func (b *Balancer) retrySearches(now time.Duration, f *steer.Fleet) {
+	if b.searches.empty() {
+		b.recoveries.Reset()
+		return
+	}
+	if recovered := b.recoveries.Recovered(now, f); len(recovered) > 0 {
+		for _, s := range b.searches.all() {
+			list, unfinished := b.steering.ExtendSearch(now, &s.packet, recovered)
+			if len(list) > 0 {
+				b.searches.restart(now, s.packet.CallerKey())
+			}
+			b.resend(&s, list, unfinished)
+		}
+	}
 	for _, s := range b.searches.due(now) {
 		list, unfinished := b.steering.RetrySearch(now, &s.packet, s.attempts)
-		for i := range list {
-			out = b.forward(&list[i], s.data, out)
-		}
-		if !unfinished {
-			b.searches.remove(s.packet.CallerKey())
-		}
+		b.resend(&s, list, unfinished)
+	}
+}
+
+// resend sends copies of a searched packet, or ends its retries when the search is over.
+func (b *Balancer) resend(s *searchPacket, list []steer.Forward, unfinished bool) {
+	var out []byte
+	for i := range list {
+		out = b.forward(&list[i], s.data, out)
+	}
+	if !unfinished {
+		b.searches.remove(s.packet.CallerKey())
 	}
 }
 
--- a/edge/search.go
+++ b/edge/search.go
@@ -14,25 +14,48 @@
 	// have not returned it; it doubles with each retry. A search of all data centres
 	// takes half of it.
 	searchRetryDelay = 100 * time.Millisecond
+	// searchRetries is the number of retries after which a retransmission of the caller
+	// begins the search again.
+	searchRetries = 3
+	// searchTimeout is the time after the caller's last transmission after which a packet
+	// is dropped. Callers that still wait retransmit after at most 1.6 s.
+	searchTimeout = 2 * time.Second
 )
 
 // searchPacket is a packet of a flow whose upstream is being searched for.
 type searchPacket struct {
 	packet     steer.Packet
 	data       []byte
-	since      time.Duration
+	lastSent   time.Duration // uptime at which the caller last sent it
 	nextRetry  time.Duration // uptime at which the packet is resent
 	attempts   int           // retries so far
 	retryDelay time.Duration // delay between that retry and the one after it
 }
 
-// finished reports whether the packet has had its last retry.
-func (p *searchPacket) finished() bool {
-	return p.nextRetry-p.since >= maxHold
+// newSearchPacket returns a packet with a copy of its data that is first resent after
+// searchRetryDelay.
+func newSearchPacket(now time.Duration, p *steer.Packet, d []byte) searchPacket {
+	return searchPacket{packet: *p, data: append([]byte(nil), d...), lastSent: now, nextRetry: now + searchRetryDelay, retryDelay: 2 * searchRetryDelay}
+}
+
+// repeats reports whether p is a retransmission of the packet.
+func (s *searchPacket) repeats(p *steer.Packet) bool {
+	return s.packet.Sequence == p.Sequence && s.packet.Data == p.Data && s.packet.Flags == p.Flags
+}
+
+// supersededBy reports whether p is stored instead of the packet: the packet has had
+// searchRetries retries, the caller does not wait for it any more, or only p has data. A
+// packet that resets the flow stays.
+func (s *searchPacket) supersededBy(p *steer.Packet) bool {
+	if s.packet.Flags.Has(steer.RST) {
+		return false
+	}
+	return s.attempts >= searchRetries || p.Flags.Has(steer.RST) || s.packet.Data == 0 && p.Data > 0
 }
 
 // searchQueue stores one packet of each flow that a balancer searches for. It resends
-// packets lost during the search faster than callers retransmit. It is safe for concurrent use.
+// packets lost during the search faster than callers retransmit, and when a sidecar that
+// may have the flow becomes reachable. It is safe for concurrent use.
 type searchQueue struct {
 	mu     sync.Mutex
 	byFlow map[steer.Key]searchPacket // at most maxSearchPackets
@@ -40,28 +63,31 @@
 
 // add stores a copy of a packet unless the queue is full or holds a packet of the same
 // flow. It returns false if p is a retransmission of the stored packet, unless that one
-// has had its last retry: then the search begins again.
+// has had searchRetries retries: then the search begins again.
 func (s *searchQueue) add(now time.Duration, p *steer.Packet, d []byte) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := p.CallerKey()
-	if kept, ok := s.byFlow[k]; ok && !kept.finished() {
-		return kept.packet.Sequence != p.Sequence || kept.packet.Data != p.Data || kept.packet.Flags != p.Flags
+	kept, known := s.byFlow[k]
+	if known && kept.attempts < searchRetries && kept.repeats(p) {
+		kept.lastSent = now
+		s.byFlow[k] = kept
+		return false
 	}
-	if _, replaces := s.byFlow[k]; replaces || len(s.byFlow) < maxSearchPackets {
-		s.byFlow[k] = searchPacket{packet: *p, data: append([]byte(nil), d...), since: now, nextRetry: now + searchRetryDelay, retryDelay: 2 * searchRetryDelay}
+	if known && kept.supersededBy(p) || !known && len(s.byFlow) < maxSearchPackets {
+		s.byFlow[k] = newSearchPacket(now, p, d)
 	}
 	return true
 }
 
 // due returns the packets to resend now and schedules their next retries. It removes
-// packets that are older than maxHold.
+// packets that the caller last sent searchTimeout ago.
 func (s *searchQueue) due(now time.Duration) []searchPacket {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var packets []searchPacket
 	for k, p := range s.byFlow {
-		if now-p.since >= maxHold {
+		if now-p.lastSent >= searchTimeout {
 			delete(s.byFlow, k)
 			continue
 		}
@@ -76,6 +102,35 @@
 	return packets
 }
 
+// all returns all packets.
+func (s *searchQueue) all() []searchPacket {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	packets := make([]searchPacket, 0, len(s.byFlow))
+	for _, p := range s.byFlow {
+		packets = append(packets, p)
+	}
+	return packets
+}
+
+// empty reports whether the queue has no packets.
+func (s *searchQueue) empty() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.byFlow) == 0
+}
+
+// restart schedules the retries of a packet as for a new one, since copies for sidecars
+// that have just become reachable may be lost, too.
+func (s *searchQueue) restart(now time.Duration, k steer.Key) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p, known := s.byFlow[k]; known {
+		p.nextRetry, p.retryDelay = now+searchRetryDelay, 2*searchRetryDelay
+		s.byFlow[k] = p
+	}
+}
+
 // remove deletes the packet of a flow, which ends its retries.
 func (s *searchQueue) remove(k steer.Key) {
 	s.mu.Lock()
--- a/edge/search_test.go
+++ b/edge/search_test.go
@@ -10,8 +10,9 @@
 )
 
 // TestSearchedPacketsAreResent checks that a searchQueue stores only the first packet of
-// a flow, resends it with doubling delays, begins again with a retransmission after the last of
-// them, removes it after maxHold, and stores at most maxSearchPackets packets.
+// a flow, resends it with doubling delays, begins again with a retransmission after
+// searchRetries of them, removes it searchTimeout after the caller's last transmission, and
+// stores at most maxSearchPackets packets.
 func TestSearchedPacketsAreResent(t *testing.T) {
 	s := searchQueue{byFlow: make(map[steer.Key]searchPacket)}
 	first := steer.Packet{Source: registry.Endpoint{Port: 7}, Flags: steer.ACK, Sequence: 8, Data: 100}
@@ -32,10 +33,14 @@
 			must.False(t, s.add(time.Second+at, &first, []byte("first")), must.Sprint("retransmission between retries"))
 		}
 	}
-	must.True(t, s.add(time.Second+7*searchRetryDelay, &first, []byte("first")), must.Sprint("retransmission after the last retry"))
-	must.False(t, s.add(time.Second+7*searchRetryDelay, &first, []byte("first")))
-	must.Len(t, 1, s.due(time.Second+maxHold))
-	must.SliceEmpty(t, s.due(time.Second+7*searchRetryDelay+maxHold))
+	must.SliceEmpty(t, s.due(time.Second+15*searchRetryDelay-1))
+	must.Len(t, 1, s.due(time.Second+15*searchRetryDelay))
+
+	again := time.Second + 15*searchRetryDelay
+	must.True(t, s.add(again, &first, []byte("first")), must.Sprint("retransmission after the retries"))
+	must.False(t, s.add(again, &first, []byte("first")))
+	must.Len(t, 1, s.due(again+searchTimeout-1))
+	must.SliceEmpty(t, s.due(again+searchTimeout))
 	must.MapEmpty(t, s.byFlow)
 
 	for port := range maxSearchPackets + 10 {
@@ -46,6 +51,19 @@
 	s.remove(first.CallerKey())
 }
 
+// TestSearchKeepsWhatTheCallerWaitsFor guards against a request that is resent after the
+// caller has reset the flow, and one that is not because an acknowledgement came first.
+func TestSearchKeepsWhatTheCallerWaitsFor(t *testing.T) {
+	s := searchQueue{byFlow: make(map[steer.Key]searchPacket)}
+	p := steer.Packet{Source: registry.Endpoint{Port: 7}, Flags: steer.ACK, Sequence: 8}
+	request, reset := p, p
+	request.Data, reset.Flags = 100, steer.RST|steer.ACK
+	for _, p := range []steer.Packet{p, request, p, reset, request} {
+		must.True(t, s.add(time.Second, &p, nil))
+	}
+	must.Eq(t, reset, s.all()[0].packet)
+}
+
 // TestNoticeReachesBalancerThatTookThePacket guards against a flow that is reported to no
 // balancer because heartbeats of the one that took its packet are late.
 func TestNoticeReachesBalancerThatTookThePacket(t *testing.T) {
--- a/steer/search.go
+++ b/steer/search.go
@@ -197,24 +197,53 @@
 // a search does not pass an upstream that neither accepts nor returns the packet. again
 // is false when the search is over.
 func (b *Balancer) RetrySearch(now time.Duration, p *Packet, attempt int) (list []Forward, again bool) {
+	s, d := b.unfinishedSearch(now, p)
+	if d == nil {
+		return nil, false
+	}
+	before := b.searches.returnedBefore(now, d.key)
+	if list = d.retry(&s, attempt, before.returnedBy); len(list) > 0 {
+		return list, true
+	}
+	return d.retry(&s, attempt, s.returnedBy), true
+}
+
+// ExtendSearch returns copies of a packet of an unknown flow for sidecars that have become
+// reachable, unless their upstreams returned one shortly before. again is false when the
+// search is over.
+func (b *Balancer) ExtendSearch(now time.Duration, p *Packet, reachable []registry.Host) (list []Forward, again bool) {
+	s, d := b.unfinishedSearch(now, p)
+	if d == nil {
+		return nil, false
+	}
+	before := b.searches.returnedBefore(now, d.key)
+	service := d.route.Service(d.hash)
+	for _, h := range reachable {
+		at := d.fleet.Sidecars[h].DataCentre
+		if !before.returnedBy(h) && d.fleet.permits(d.route, at) {
+			list = append(list, d.copyTo(h, at, service, &s))
+		}
+	}
+	return list, true
+}
+
+// unfinishedSearch returns the search for the flow of a packet, without outdated reports,
+// and the state for deciding on the packet. The latter is nil when the search is over: an
+// upstream holds the flow, or none does, or the packet has no route.
+func (b *Balancer) unfinishedSearch(now time.Duration, p *Packet) (search, *decision) {
 	f, k := b.fleet.Load(), p.CallerKey()
 	s, _ := b.searches.get(now, k)
 	if f == nil || b.hasValidEntry(k, &s) {
-		return nil, false
+		return s, nil
 	}
 	route := f.Snapshot.Route(p.Destination)
 	if route == nil {
-		return nil, false
+		return s, nil
 	}
 	if _, all := f.allReturned(now, route, &s); all {
-		return nil, false
+		return s, nil
 	}
-	d := decision{b: b, now: now, fleet: f, route: route, key: k, hash: k.Hash(), packet: p}
-	before := b.searches.returnedBefore(now, k)
-	if list = d.retry(&s, attempt, before.returnedBy); len(list) > 0 {
-		return list, true
-	}
-	return d.retry(&s, attempt, s.returnedBy), true
+	return s, &decision{b: b, now: now, fleet: f, route: route, key: k, hash: k.Hash(), packet: p}
 }
 
 // retry returns the copies of a packet for one retry of a search, for hosts that are not
@@ -225,14 +254,20 @@
 	var list []Forward
 	for _, dataCentre := range d.fleet.dataCentres() {
 		for _, host := range ch.retryHosts(registry.HashService(service), dataCentre, attempt, exclude) {
-			h := d.header(service, true)
-			h.Remote, h.Visited = true, d.fleet.hostsIn(dataCentre, s.hosts)
-			list = append(list, Forward{Host: host, Header: h})
+			list = append(list, d.copyTo(host, dataCentre, service, s))
 		}
 	}
 	return list
 }
 
+// copyTo returns the copy of a searched packet for a sidecar of a data centre. The copy
+// stays in that data centre, and visits no upstream of it that has returned the packet.
+func (d *decision) copyTo(host registry.Host, dataCentre, service string, s *search) Forward {
+	h := d.header(service, true)
+	h.Remote, h.Visited = true, d.fleet.hostsIn(dataCentre, s.hosts)
+	return Forward{Host: host, Header: h}
+}
+
 const (
 	// maxRetryCopies is the maximum number of copies that one retry of a search sends to
 	// the reachable sidecars of a data centre.
