Search one data centre after the other

What callers saw: nothing.

Cause: when the upstreams of one data centre had returned a searched packet, the last sidecar sent copies to all others at once. The owner in one of them got its copy, and upstreams of the other got theirs in the same millisecond or after it. When the caller's next packet reaches the owner 2 s later, as its balancer is gone meanwhile or it pauses, three or more packets of the flow reached other upstreams in between and none its own.

Ruled out: sidecars that lost what their upstream returned; none of the four flows was offered to an upstream twice.

Change: the balancer, which stores the packet anyway, marks it for one data centre and sends the copy for the next one when a report arrives that the upstreams there do not hold the flow. Retries go to all data centres as before, so that a lost copy or report costs 100 ms. Packets that are not stored, and those that reset a flow, are sent on by sidecars as before.

--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -156,6 +156,7 @@
 func (b *Balancer) resend(s *searchPacket, list []steer.Forward, unfinished bool) {
 	var out []byte
 	for i := range list {
+		b.searches.recordCopy(s.packet.CallerKey(), list[i].DataCentre)
 		out = b.forward(&list[i], s.data, out)
 	}
 	if !unfinished {
@@ -163,6 +164,34 @@
 	}
 }
 
+// beginSearch stores a packet of an unknown flow, so that continueSearch sends it to one data
+// centre after the other. It returns false if the packet is a retransmission of the stored
+// one. A packet that cannot be stored, or for which no reports arrive, goes to all data
+// centres without the balancer.
+func (b *Balancer) beginSearch(now time.Duration, a *steer.Forward, p *steer.Packet, d []byte) bool {
+	switch b.searches.add(now, p, d, a.DataCentre) {
+	case addRepeated:
+		return false
+	case addStored:
+		a.Header.Remote = !p.Flags.Has(steer.RST)
+	case addOther:
+	}
+	b.searched.Add(1)
+	return true
+}
+
+// continueSearch sends the stored packet of a flow to the next data centre, after one has
+// reported that its upstreams do not hold the flow.
+func (b *Balancer) continueSearch(now time.Duration, k steer.Key) {
+	s, known := b.searches.get(k)
+	if !known {
+		return
+	}
+	if f, found := b.steering.ContinueSearch(now, &s.packet, s.searched); found {
+		b.resend(&s, []steer.Forward{f}, true)
+	}
+}
+
 // allSidecarsSeen reports whether a heartbeat has arrived from each listed sidecar of
 // the data centre, which means that the sidecar has reported its flows to this balancer.
 func (b *Balancer) allSidecarsSeen(f *steer.Fleet) bool {
@@ -250,13 +279,10 @@
 func (b *Balancer) execute(now time.Duration, decision steer.Action, d []byte, p *steer.Packet, out []byte) []byte {
 	switch a := decision.(type) {
 	case *steer.Forward:
-		if a.Header.UnknownFlow && !b.searches.add(now, p, d) {
+		if a.Header.UnknownFlow && !b.beginSearch(now, a, p, d) {
 			b.drop(p, steer.ReasonUnknownFlow) // the search continues with the first copy
 			break
 		}
-		if a.Header.UnknownFlow {
-			b.searched.Add(1)
-		}
 		out = b.forward(a, d, out)
 		b.logFlowOpened(p, a)
 	case steer.Refuse:
@@ -318,11 +344,15 @@
 	h.steering.Learn(h.cfg.Timer.Uptime(), k, host)
 }
 
-// FlowMissing records which upstreams do not hold a flow, and resets it if none does.
+// FlowMissing records which upstreams do not hold a flow, and resets it if none does, or
+// searches the next data centre.
 func (h *balancerHandler) FlowMissing(m *steer.MissReport) {
-	if r, reset := h.steering.FlowMissing(h.cfg.Timer.Uptime(), m); reset {
-		(*Balancer)(h).resetAll([]steer.Reset{r})
+	b, now := (*Balancer)(h), h.cfg.Timer.Uptime()
+	if r, reset := b.steering.FlowMissing(now, m); reset {
+		b.resetAll([]steer.Reset{r})
+		return
 	}
+	b.continueSearch(now, m.Key)
 }
 
 // BalancerStarted does nothing: balancers have no state that another balancer needs.
--- a/edge/search.go
+++ b/edge/search.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -30,6 +31,7 @@
 	nextRetry  time.Duration // uptime at which the packet is resent
 	attempts   int           // retries so far
 	retryDelay time.Duration // delay between that retry and the one after it
+	searched   []string      // data centres that got a copy; not modified in place
 }
 
 // newSearchPacket returns a packet with a copy of its data that is first resent after
@@ -61,10 +63,22 @@
 	byFlow map[steer.Key]searchPacket // at most maxSearchPackets
 }
 
+// addResult is what a searchQueue did with a packet.
+type addResult int
+
+const (
+	// addStored: the packet is stored and the search begins, or begins again.
+	addStored addResult = iota
+	// addRepeated: the packet is a retransmission of the stored one, whose search goes on.
+	addRepeated
+	// addOther: another packet of the flow is stored, or the queue is full.
+	addOther
+)
+
 // add stores a copy of a packet unless the queue is full or holds a packet of the same
-// flow. It returns false if p is a retransmission of the stored packet, unless that one
-// has had searchRetries retries: then the search begins again.
-func (s *searchQueue) add(now time.Duration, p *steer.Packet, d []byte) bool {
+// flow. A retransmission of the stored packet begins the search again once that one has had
+// searchRetries retries. dataCentre is the one that gets the first copy.
+func (s *searchQueue) add(now time.Duration, p *steer.Packet, d []byte, dataCentre string) addResult {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	k := p.CallerKey()
@@ -72,12 +86,33 @@
 	if known && kept.attempts < searchRetries && kept.repeats(p) {
 		kept.lastSent = now
 		s.byFlow[k] = kept
-		return false
+		return addRepeated
+	}
+	if known && !kept.supersededBy(p) || !known && len(s.byFlow) >= maxSearchPackets {
+		return addOther
 	}
-	if known && kept.supersededBy(p) || !known && len(s.byFlow) < maxSearchPackets {
-		s.byFlow[k] = newSearchPacket(now, p, d)
+	added := newSearchPacket(now, p, d)
+	added.searched = []string{dataCentre}
+	s.byFlow[k] = added
+	return addStored
+}
+
+// get returns the packet of a flow.
+func (s *searchQueue) get(k steer.Key) (p searchPacket, known bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, known = s.byFlow[k]
+	return p, known
+}
+
+// recordCopy records that a data centre gets a copy of the packet of a flow.
+func (s *searchQueue) recordCopy(k steer.Key, dataCentre string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p, known := s.byFlow[k]; known && !slices.Contains(p.searched, dataCentre) {
+		p.searched = append(slices.Clip(p.searched), dataCentre)
+		s.byFlow[k] = p
 	}
-	return true
 }
 
 // due returns the packets to resend now and schedules their next retries. It removes
--- a/edge/search_test.go
+++ b/edge/search_test.go
@@ -18,9 +18,9 @@
 	first := steer.Packet{Source: registry.Endpoint{Port: 7}, Flags: steer.ACK, Sequence: 8, Data: 100}
 	next := first
 	next.Sequence = 108
-	must.True(t, s.add(time.Second, &first, []byte("first")))
-	must.False(t, s.add(time.Second, &first, []byte("first")), must.Sprint("retransmission"))
-	must.True(t, s.add(time.Second, &next, []byte("next")))
+	must.Eq(t, addStored, s.add(time.Second, &first, []byte("first"), "a"))
+	must.Eq(t, addRepeated, s.add(time.Second, &first, []byte("first"), "a"))
+	must.Eq(t, addOther, s.add(time.Second, &next, []byte("next"), "a"))
 	must.SliceEmpty(t, s.due(time.Second+searchRetryDelay-1))
 	for i, at := range []time.Duration{searchRetryDelay, 3 * searchRetryDelay, 7 * searchRetryDelay} {
 		due := s.due(time.Second + at)
@@ -30,22 +30,26 @@
 		must.Eq(t, i+1, due[0].attempts)
 		must.SliceEmpty(t, s.due(time.Second+at))
 		if i < 2 {
-			must.False(t, s.add(time.Second+at, &first, []byte("first")), must.Sprint("retransmission between retries"))
+			must.Eq(t, addRepeated, s.add(time.Second+at, &first, []byte("first"), "a"), must.Sprint("between retries"))
 		}
 	}
 	must.SliceEmpty(t, s.due(time.Second+15*searchRetryDelay-1))
 	must.Len(t, 1, s.due(time.Second+15*searchRetryDelay))
 
 	again := time.Second + 15*searchRetryDelay
-	must.True(t, s.add(again, &first, []byte("first")), must.Sprint("retransmission after the retries"))
-	must.False(t, s.add(again, &first, []byte("first")))
+	must.Eq(t, addStored, s.add(again, &first, []byte("first"), "a"), must.Sprint("after the retries"))
+	must.Eq(t, addRepeated, s.add(again, &first, []byte("first"), "a"))
 	must.Len(t, 1, s.due(again+searchTimeout-1))
 	must.SliceEmpty(t, s.due(again+searchTimeout))
 	must.MapEmpty(t, s.byFlow)
 
 	for port := range maxSearchPackets + 10 {
 		first.Source.Port = uint16(port)
-		must.True(t, s.add(time.Minute, &first, nil))
+		want := addStored
+		if port >= maxSearchPackets {
+			want = addOther
+		}
+		must.Eq(t, want, s.add(time.Minute, &first, nil, "a"))
 	}
 	must.MapLen(t, maxSearchPackets, s.byFlow)
 	s.remove(first.CallerKey())
@@ -58,8 +62,9 @@
 	p := steer.Packet{Source: registry.Endpoint{Port: 7}, Flags: steer.ACK, Sequence: 8}
 	request, reset := p, p
 	request.Data, reset.Flags = 100, steer.RST|steer.ACK
-	for _, p := range []steer.Packet{p, request, p, reset, request} {
-		must.True(t, s.add(time.Second, &p, nil))
+	want := []addResult{addStored, addStored, addOther, addStored, addOther}
+	for i, p := range []steer.Packet{p, request, p, reset, request} {
+		must.Eq(t, want[i], s.add(time.Second, &p, nil, "a"))
 	}
 	must.Eq(t, reset, s.all()[0].packet)
 }
--- a/steer/action.go
+++ b/steer/action.go
@@ -12,6 +12,9 @@
 	Header Header
 	// Reason is why a sidecar passes the packet on. It is not set by a balancer.
 	Reason Reason
+	// DataCentre is that of Host when a balancer searches for the flow; empty when it is not
+	// known, and for other packets.
+	DataCentre string
 }
 
 // FanOut sends copies of the packet to other data centres, and reports which upstreams
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -346,47 +346,9 @@
 	return d.search(service)
 }
 
-// search forwards a packet of an unknown flow to the first upstream that may hold it: one
-// that did not return a packet of the flow shortly before, if there is any.
-func (d *decision) search(service string) Action {
-	before := d.b.searches.returnedBefore(d.now, d.key)
-	if to, found := d.firstToSearch(service, before.returnedBy); found {
-		return d.forward(to.service, to.host, true)
-	}
-	if to, found := d.firstToSearch(service, func(registry.Host) bool { return false }); found {
-		return d.forward(to.service, to.host, true)
-	}
-	return Drop{Reason: ReasonNoUpstream}
-}
-
-// searchTarget is the upstream at which a search starts.
-type searchTarget struct {
-	service string
-	host    registry.Host
-}
-
-// firstToSearch returns the first upstream to offer a packet of an unknown flow to.
-// Upstreams of the service that the hash selects for new flows come before all others, and
-// unreachable ones come last.
-func (d *decision) firstToSearch(service string, exclude func(registry.Host) bool) (to searchTarget, found bool) {
-	ch := d.chooser()
-	hash := registry.HashService(service)
-	excludeMember := func(m *registry.Member) bool { return exclude(m.Address.Host) }
-	if m := ch.firstInPools(hash, excludeMember, ch.nextReachable); m != nil {
-		return searchTarget{m.Service, m.Address.Host}, true
-	}
-	if host, found := d.fleet.firstUnlisted(d.route, "", exclude); found {
-		return searchTarget{service, host}, true
-	}
-	if m := ch.firstInPools(hash, excludeMember, ch.nextUnreachable); m != nil {
-		return searchTarget{m.Service, m.Address.Host}, true
-	}
-	return searchTarget{}, false
-}
-
 // forward returns the action that sends the packet to the sidecar on a host.
 func (d *decision) forward(service string, h registry.Host, unknown bool) Action {
-	d.out.Host = h
+	d.out.Host, d.out.DataCentre = h, ""
 	d.out.Header = d.header(service, unknown)
 	return d.out
 }
--- a/steer/search.go
+++ b/steer/search.go
@@ -265,7 +265,7 @@
 func (d *decision) copyTo(host registry.Host, dataCentre, service string, s *search) Forward {
 	h := d.header(service, true)
 	h.Remote, h.Visited = true, d.fleet.hostsIn(dataCentre, s.hosts)
-	return Forward{Host: host, Header: h}
+	return Forward{Host: host, Header: h, DataCentre: dataCentre}
 }
 
 const (
