Ignore late heartbeats of the former process at an address

What callers could see: flows reset by a balancer while their upstream serves, after its address was used again: the former sidecar's announcement that its upstream has ended, delayed on a slow link or in a digest of a delegate with one, counted as the newest heartbeat of the address. A balancer need not be on a slow link itself. What users saw is not shown to be this.

Cause: MergeHeartbeat and MergeReport compare sequences within an incarnation only, and incarnations have no order. Reports in digests were compared by their estimated time, which excludes the time in transit.

Ruled out: an order in the messages (released formats do not change, and older builds would send none); ignoring the former incarnation without a bound, which would silence a live process when the late heartbeat is the first that a balancer receives of either.

Change: a peer's record keeps the incarnation before the present one, and its heartbeats are outdated for five seconds. An incarnation that began less than five seconds ago is not recorded as a former one, so that a live process is never ignored after such a mistake.

--- a/edge/network_test.go
+++ b/edge/network_test.go
@@ -60,9 +60,10 @@
 	connectLost
 )
 
-// cut discards the datagrams that it matches.
+// cut discards, or delays, the datagrams that it matches.
 type cut struct {
 	matches func(from, to registry.Host) bool
+	delay   time.Duration // 0 discards
 }
 
 // impairment is the loss and delay of a link in addition to the usual ones.
@@ -104,13 +105,24 @@
 // blocked reports whether a cut discards datagrams of the link. The caller holds n.mu.
 func (n *network) blocked(from, to registry.Host) bool {
 	for c := range n.cuts {
-		if c.matches(from, to) {
+		if c.delay == 0 && c.matches(from, to) {
 			return true
 		}
 	}
 	return false
 }
 
+// cutDelay returns the delay of a datagram by the cuts that match it. The caller holds n.mu.
+func (n *network) cutDelay(from, to registry.Host) time.Duration {
+	var d time.Duration
+	for c := range n.cuts {
+		if c.matches(from, to) {
+			d = max(d, c.delay)
+		}
+	}
+	return d
+}
+
 func (n *network) cut(c *cut) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -142,7 +154,7 @@
 			delay = farDelay
 		}
 		delay += time.Duration(jitter * float64(linkJitter))
-		delay += n.impaired[a].delay + n.impaired[z].delay
+		delay += n.impaired[a].delay + n.impaired[z].delay + n.cutDelay(a, z)
 		lost = n.blocked(a, z) || loss < linkLoss+n.impaired[a].loss+n.impaired[z].loss
 	}
 	n.mu.Unlock()
--- a/edge/single_test.go
+++ b/edge/single_test.go
@@ -22,6 +22,7 @@
 		"search during a restart":                searchDuringRestart,
 		"search after an address was used again": searchAfterReuse,
 		"restart beside a revoked entry":         restartWhileRevoked,
+		"late end of a former sidecar":           delayEnd,
 	}
 	for name, apply := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -103,10 +104,8 @@
 	w.store.revoke(m.upstream.id, false)
 }
 
-// searchAfterReuse lets an upstream end while its sidecar stops, starts one of the other
-// service at its address, and moves the callers before all processes have received the status
-// of the new sidecar.
-func searchAfterReuse(w *world, m *machine) {
+// drain lets the upstream of a machine drain and end.
+func (w *world) drain(m *machine) {
 	w.mu.Lock()
 	m.upstream.draining = true
 	u := m.upstream
@@ -114,7 +113,10 @@
 	u.publish()
 	time.Sleep(drainTime)
 	u.leave()
-	w.terminate(m)
+}
+
+// reuse starts an upstream of the other service, and its sidecar, on a machine.
+func (w *world) reuse(m *machine) {
 	time.Sleep(reuseTime)
 	w.mu.Lock()
 	m.service = otherService(m.service)
@@ -122,6 +124,27 @@
 	w.startUpstream(m)
 	w.moveTo(dataCentreOf(m.host))
 	w.start(m)
+}
+
+// delayEnd delays the announcement that a sidecar stops after its upstream has ended, until
+// the next upstream at the address holds flows.
+func delayEnd(w *world, m *machine) {
+	w.drain(m)
+	c := &cut{matches: func(from, _ registry.Host) bool { return from == m.host }, delay: reuseTime + 800*time.Millisecond}
+	w.net.cut(c)
+	w.terminate(m)
+	w.net.mend(c)
+	w.reuse(m)
+	time.Sleep(time.Second)
+}
+
+// searchAfterReuse lets an upstream end while its sidecar stops, starts one of the other
+// service at its address, and moves the callers before all processes have received the status
+// of the new sidecar.
+func searchAfterReuse(w *world, m *machine) {
+	w.drain(m)
+	w.terminate(m)
+	w.reuse(m)
 	time.Sleep(400 * time.Millisecond)
 	w.moveTo((dataCentreOf(m.host) + 1) % 3)
 	time.Sleep(400 * time.Millisecond)
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -273,7 +273,7 @@
 		return Result{}
 	}
 	sent := now - age
-	if p := t.peers[h]; p != nil && !p.supersedes(&b, sent) {
+	if p := t.peers[h]; p != nil && !p.supersedes(now, &b, sent) {
 		return Result{}
 	}
 	if b.Role == Sidecar {
@@ -284,11 +284,11 @@
 
 // supersedes reports whether a reported heartbeat is newer than the recorded one, or the
 // same one with fields that the recorded one lacks because it came in an older version.
-func (p *Peer) supersedes(b *Heartbeat, sent time.Duration) bool {
+func (p *Peer) supersedes(now time.Duration, b *Heartbeat, sent time.Duration) bool {
 	if b.Incarnation == p.Heartbeat.Incarnation {
 		return b.Sequence > p.Heartbeat.Sequence || b.Sequence == p.Heartbeat.Sequence && b.Format > p.Heartbeat.Format
 	}
-	return sent-maxRelayDelay > p.LastSeen
+	return sent-maxRelayDelay > p.LastSeen && !p.lineage.outdated(now, b.Incarnation)
 }
 
 // RecordStoreAge records the time since the store answered another process. It reports
--- a/membership/table.go
+++ b/membership/table.go
@@ -69,6 +69,7 @@
 	formerHash       uint32        // FormerHash that it last sent itself
 	pulledFormerHash uint32        // formerHash as of the last pull from it
 	presence         presence
+	lineage          lineage
 }
 
 // ahead reports whether the process has newer routes or upstreams than this one,
@@ -159,14 +160,19 @@
 const minStoreAgeGain = 500 * time.Millisecond
 
 // MergeHeartbeat merges a heartbeat that arrived from the process itself. Heartbeats
-// older than the recorded one are ignored.
+// older than the recorded one, and late ones of the former process on the host, are ignored.
 func (t *Table) MergeHeartbeat(now time.Duration, from registry.Host, b Heartbeat, own Versions) Result {
 	if from == t.cfg.Self {
 		return Result{}
 	}
-	if p := t.peers[from]; p != nil && p.Heartbeat.Incarnation == b.Incarnation && b.Sequence < p.Heartbeat.Sequence {
-		t.recordDirect(now, p, false)
-		return Result{} // a newer heartbeat arrived first
+	if p := t.peers[from]; p != nil {
+		if p.lineage.outdated(now, b.Incarnation) {
+			return Result{}
+		}
+		if p.Heartbeat.Incarnation == b.Incarnation && b.Sequence < p.Heartbeat.Sequence {
+			t.recordDirect(now, p, false)
+			return Result{} // a newer heartbeat arrived first
+		}
 	}
 	res := t.merge(now, now, from, b, own)
 	p := t.peers[from]
@@ -207,6 +213,9 @@
 	if res.Changed {
 		p.changedAt = now
 	}
+	if res.Restarted {
+		p.lineage = p.lineage.next(now, p.Heartbeat.Incarnation)
+	}
 	if p.Heartbeat.Version != b.Version || p.Heartbeat.State != b.State {
 		p.versionsSince = now
 	}
