Report stopping sidecars to balancers of other data centres that start

What callers could see: an open flow reset by a balancer that has just started, in planned work, while the entry of its upstream is missing from the store although the upstream serves ("nodes revoke"), and the sidecar of the upstream restarts.

Cause: regular digests to other data centres report only processes that send heartbeats. A balancer that starts without another one in its data centre pulls a list without the entry and gets no report of the sidecar. Neither is known to it, so a search that all others returned ends in a reset. steer.Fleet.allReturned and the list are right by what they know.

Ruled out: holding resets back for a time after a start, which delays those after a loss of everything; taking removed upstreams with unknown sidecars for present, which would hold resets back for the minute that removed entries are kept, and does not help where the list never had the entry.

Change: a delegate that receives the first heartbeat of a balancer of another data centre sends it the sidecars that announced a stop in a digest, in the present format.

--- a/edge/single_test.go
+++ b/edge/single_test.go
@@ -23,6 +23,7 @@
 		"search after an address was used again": searchAfterReuse,
 		"restart beside a revoked entry":         restartWhileRevoked,
 		"late end of a former sidecar":           delayEnd,
+		"balancer starts beside a revoked entry": startWhileRevoked,
 	}
 	for name, apply := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -104,6 +105,29 @@
 	w.store.revoke(m.upstream.id, false)
 }
 
+// startWhileRevoked starts the balancers of a data centre again while a sidecar restarts and
+// the entry of its upstream is missing from the store, and lets callers use these balancers.
+func startWhileRevoked(w *world, m *machine) {
+	const dc = 2
+	w.moveTo(dataCentreOf(m.host))
+	w.store.revoke(m.upstream.id, true)
+	balancers := w.list(func(o *machine) bool { return o.service == "" && dataCentreOf(o.host) == dc })
+	for _, b := range balancers {
+		w.terminate(b)
+	}
+	time.Sleep(3 * time.Second)
+	w.terminate(m)
+	time.Sleep(100 * time.Millisecond)
+	for _, b := range balancers {
+		w.start(b)
+	}
+	time.Sleep(800 * time.Millisecond)
+	w.moveTo(dc)
+	time.Sleep(restartTime)
+	w.start(m)
+	w.store.revoke(m.upstream.id, false)
+}
+
 // drain lets the upstream of a machine drain and end.
 func (w *world) drain(m *machine) {
 	w.mu.Lock()
--- a/exchange/heartbeat.go
+++ b/exchange/heartbeat.go
@@ -34,22 +34,35 @@
 
 // sendBootstrap sends a heartbeat to a process that has just started, or that
 // receives heartbeats from no balancer of its data centre. The heartbeat lists the
-// balancers to contact. A delegate also sends full digests to a process of its own
-// data centre, so that the process need not wait for the next regular ones.
+// balancers to contact. A delegate also sends digests, so that the process need not wait
+// for the next regular ones.
 func (n *Node) sendBootstrap(h registry.Host) {
 	now := n.lock()
 	b := n.ownHeartbeat(now)
-	dataCentre := n.members.DataCentre(h)
-	b.Balancers = n.members.AdvertisedBalancers(now, dataCentre)
-	var digests []membership.Digest
-	if n.members.IsDelegate(now) && dataCentre == n.cfg.DataCentre {
-		digests = fillDigests(now, n.emptyDigest(now), n.members.UpdatedSince(0))
-	}
+	b.Balancers = n.members.AdvertisedBalancers(now, n.members.DataCentre(h))
+	digests := fillDigests(now, n.emptyDigest(now), n.bootstrapPeers(now, h))
 	n.mu.Unlock()
 	n.sendHeartbeatTo(&b, []registry.Host{h})
 	n.sendDigests(digests, []registry.Host{h})
 }
 
+// bootstrapPeers returns the processes that this delegate reports to a process that has just
+// started: all to one of its own data centre, and those that regular digests to other data
+// centres leave out to a balancer there. It returns none on other processes. The caller
+// holds n.mu.
+func (n *Node) bootstrapPeers(now time.Duration, h registry.Host) []*membership.Peer {
+	p := n.members.Peer(h)
+	switch {
+	case p == nil || !n.members.IsDelegate(now):
+		return nil
+	case p.Heartbeat.DataCentre == n.cfg.DataCentre:
+		return n.members.UpdatedSince(0)
+	case p.Heartbeat.Role == membership.Balancer:
+		return n.members.StoppingSidecars()
+	}
+	return nil
+}
+
 // ownHeartbeat returns the next heartbeat of this process. The caller holds n.mu.
 func (n *Node) ownHeartbeat(now time.Duration) membership.Heartbeat {
 	n.sequence++
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -260,6 +260,13 @@
 	})
 }
 
+// StoppingSidecars returns the sidecars that announced a stop and have not started again.
+// A balancer of another data centre that has just started gets a digest of these, since no
+// other message reports them: without their entries it takes them for gone.
+func (t *Table) StoppingSidecars() []*Peer {
+	return t.sorted(func(p *Peer) bool { return p.Heartbeat.Role == Sidecar && p.Stopping() && !p.unreadable() })
+}
+
 // ChangedSince returns the peers with an urgent change after since, as in
 // Result.Changed. It modifies the slice.
 func ChangedSince(peers []*Peer, since time.Duration) []*Peer {
