--- a/edge/single_test.go
+++ b/edge/single_test.go
@@ -22,6 +22,8 @@
 		"search during a restart":                searchDuringRestart,
 		"search after an address was used again": searchAfterReuse,
 		"restart beside a revoked entry":         restartWhileRevoked,
+		"late end of a former sidecar":           delayEnd,
+		"balancer starts beside a revoked entry": startWhileRevoked,
 	}
 	for name, apply := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -103,10 +105,31 @@
 	w.store.revoke(m.upstream.id, false)
 }
 
-// searchAfterReuse lets an upstream end while its sidecar stops, starts one of the other
-// service at its address, and moves the callers before all processes have received the status
-// of the new sidecar.
-func searchAfterReuse(w *world, m *machine) {
+// startWhileRevoked starts the balancers of a data centre again while a sidecar restarts and
+// the entry of its upstream is missing from the store, and lets callers use these balancers.
+func startWhileRevoked(w *world, m *machine) {
+	const dc = 2
+	w.moveTo(dataCentreOf(m.host))
+	w.store.revoke(m.upstream.id, true)
+	balancers := w.list(func(o *machine) bool { return o.service == "" && dataCentreOf(o.host) == dc })
+	for _, b := range balancers {
+		w.terminate(b)
+	}
+	time.Sleep(3 * time.Second)
+	w.terminate(m)
+	time.Sleep(100 * time.Millisecond)
+	for _, b := range balancers {
+		w.start(b)
+	}
+	time.Sleep(800 * time.Millisecond)
+	w.moveTo(dc)
+	time.Sleep(restartTime)
+	w.start(m)
+	w.store.revoke(m.upstream.id, false)
+}
+
+// drain lets the upstream of a machine drain and end.
+func (w *world) drain(m *machine) {
 	w.mu.Lock()
 	m.upstream.draining = true
 	u := m.upstream
@@ -114,7 +137,10 @@
 	u.publish()
 	time.Sleep(drainTime)
 	u.leave()
-	w.terminate(m)
+}
+
+// reuse starts an upstream of the other service, and its sidecar, on a machine.
+func (w *world) reuse(m *machine) {
 	time.Sleep(reuseTime)
 	w.mu.Lock()
 	m.service = otherService(m.service)
@@ -122,6 +148,27 @@
 	w.startUpstream(m)
 	w.moveTo(dataCentreOf(m.host))
 	w.start(m)
+}
+
+// delayEnd delays the announcement that a sidecar stops after its upstream has ended, until
+// the next upstream at the address holds flows.
+func delayEnd(w *world, m *machine) {
+	w.drain(m)
+	c := &cut{matches: func(from, _ registry.Host) bool { return from == m.host }, delay: reuseTime + 800*time.Millisecond}
+	w.net.cut(c)
+	w.terminate(m)
+	w.net.mend(c)
+	w.reuse(m)
+	time.Sleep(time.Second)
+}
+
+// searchAfterReuse lets an upstream end while its sidecar stops, starts one of the other
+// service at its address, and moves the callers before all processes have received the status
+// of the new sidecar.
+func searchAfterReuse(w *world, m *machine) {
+	w.drain(m)
+	w.terminate(m)
+	w.reuse(m)
 	time.Sleep(400 * time.Millisecond)
 	w.moveTo((dataCentreOf(m.host) + 1) % 3)
 	time.Sleep(400 * time.Millisecond)
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -260,6 +260,13 @@
 	})
 }
 
+// StoppingSidecars returns the sidecars that announced a stop and have not started again.
+// A balancer of another data centre that has just started gets a digest of these, since no
+// other message reports them: without their entries it takes them for gone.
+func (t *Table) StoppingSidecars() []*Peer {
+	return t.sorted(func(p *Peer) bool { return p.Heartbeat.Role == Sidecar && p.Stopping() && !p.unreadable() })
+}
+
 // ChangedSince returns the peers with an urgent change after since, as in
 // Result.Changed. It modifies the slice.
 func ChangedSince(peers []*Peer, since time.Duration) []*Peer {
@@ -273,7 +280,7 @@
 		return Result{}
 	}
 	sent := now - age
-	if p := t.peers[h]; p != nil && !p.supersedes(&b, sent) {
+	if p := t.peers[h]; p != nil && !p.supersedes(now, &b, sent) {
 		return Result{}
 	}
 	if b.Role == Sidecar {
@@ -284,11 +291,11 @@
 
 // supersedes reports whether a reported heartbeat is newer than the recorded one, or the
 // same one with fields that the recorded one lacks because it came in an older version.
-func (p *Peer) supersedes(b *Heartbeat, sent time.Duration) bool {
+func (p *Peer) supersedes(now time.Duration, b *Heartbeat, sent time.Duration) bool {
 	if b.Incarnation == p.Heartbeat.Incarnation {
 		return b.Sequence > p.Heartbeat.Sequence || b.Sequence == p.Heartbeat.Sequence && b.Format > p.Heartbeat.Format
 	}
-	return sent-maxRelayDelay > p.LastSeen
+	return sent-maxRelayDelay > p.LastSeen && !p.lineage.outdated(now, b.Incarnation)
 }
 
 // RecordStoreAge records the time since the store answered another process. It reports
