Draw troubles of the store and of clocks in virtual time

What callers could see: unknown until now. The troubles of the store that the test in virtual time drew were a store that is away and entries that are revoked. What it answers late, drops from its history, or writes late was drawn nowhere, so that FLOW was held there by no test.

Change: six troubles, which meet planned work. Entries that expire while the store is away; answers to some processes that are 1 to 4 s behind; watches that get no changes for a second, a history that is dropped, and lists that stay outdated; writes that are done but not answered, or done up to 6 s late, so that the entry of an upstream that left returns until its lease ends; all entries of a data centre revoked for up to 9 s while processes are rolled and upstreams replaced; clocks that step by 2.4 s and back, as they show in the starts of upstreams. TestFlowsStayInDrawnTroubles draws them with weight 1 each, TestFlowsStayInStoreTroubles draws mostly these. An unstable store exempts as before; revoked entries exempt softly, so that -virtual.all prints what they exempt; a clock step is a disruption of its machine.

No logic of the system is changed. A store that is away already lost entries before (loseStore); lapseEntries does so each time, and starts planned work at its return.

Not modelled: clock steps in sidecars, which package timer gives no way to simulate (the edge uses the wall clock only for the start that ramps compare); two builds side by side, since only package exchange can set the version of a node.

--- a/edge/store_test.go
+++ b/edge/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -34,11 +35,23 @@
 	storeSilent
 )
 
+// writeFault is what a store does with writes while it answers reads.
+type writeFault int
+
+const (
+	writesAnswered writeFault = iota
+	writesUnanswered
+	writesLate // done up to maxLateness later, and not answered
+)
+
 // store is the store of the deployment in memory. Entries expire after three heartbeats.
 type store struct {
 	heartbeat time.Duration
 
 	mu       sync.Mutex
+	history  history
+	writes   writeFault
+	rand     *rand.Rand // draws how late writes are
 	routes   registry.Routes
 	revision uint64
 	entries  map[string]entry
@@ -49,9 +62,9 @@
 	revoked  map[string]bool        // entries that cannot be written
 }
 
-func newStore(heartbeat time.Duration) *store {
+func newStore(seed uint64, heartbeat time.Duration) *store {
 	return &store{
-		heartbeat: heartbeat, entries: make(map[string]entry),
+		heartbeat: heartbeat, entries: make(map[string]entry), history: newHistory(), rand: rand.New(rand.NewPCG(seed, 3)),
 		rejects: make(map[registry.Host]bool), revoked: make(map[string]bool),
 	}
 }
@@ -64,12 +77,31 @@
 	s.routes = registry.Routes{Version: s.routes.Version + 1, List: list, Services: map[string]registry.Service{
 		serviceA: {Listens: true}, serviceB: {Listens: true},
 	}}
+	s.history.add(registry.Change{Revision: s.revision}, s.routes)
 }
 
-// write writes the entry of an upstream. It returns false when the store is away.
+// write writes the entry of an upstream. It returns false when the store is away or does
+// not answer.
 func (s *store) write(u registry.Upstream) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	switch s.writes {
+	case writesLate:
+		time.AfterFunc(time.Duration(s.rand.Int64N(int64(maxLateness))), func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.writeLocked(u)
+		})
+		return false
+	case writesUnanswered:
+		s.writeLocked(u)
+		return false
+	case writesAnswered:
+	}
+	return s.writeLocked(u)
+}
+
+func (s *store) writeLocked(u registry.Upstream) bool {
 	if s.fault != storeAnswers || s.revoked[u.ID] {
 		return false
 	}
@@ -77,6 +109,7 @@
 	if !listed || e.upstream.Draining != u.Draining {
 		s.revision++
 		e.revision = s.revision
+		s.history.add(registry.Change{Key: u.ID, Revision: s.revision, Upstream: &u}, s.routes)
 	}
 	e.upstream, e.expires = u, time.Now().Add(3*s.heartbeat+leaseLag)
 	s.entries[u.ID] = e
@@ -96,7 +129,9 @@
 	}
 	delete(s.entries, id)
 	s.revision++
-	s.removed = append(s.removed, registry.Change{Key: id, Revision: s.revision})
+	c := registry.Change{Key: id, Revision: s.revision}
+	s.removed = append(s.removed, c)
+	s.history.add(c, s.routes)
 }
 
 // revoke removes the entry of an upstream and keeps it from being written.
@@ -182,6 +217,9 @@
 	s := c.store
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if limit := s.history.limit(c.host); limit < s.revision {
+		return s.history.list(limit), nil
+	}
 	routes := s.routes
 	u := registry.Update{Routes: &routes, State: registry.State{Revision: s.revision}, Whole: true}
 	for id, e := range s.entries {
@@ -201,8 +239,9 @@
 		if err := c.check(ctx); err != nil {
 			return registry.Update{}, err
 		}
-		if u := c.store.since(after); u.State != after {
-			return u, nil
+		u, err := c.store.watch(c.host, after)
+		if err != nil || u.State != after {
+			return u, err
 		}
 		if !sleep(ctx, watchPoll) {
 			return registry.Update{}, ctx.Err()
@@ -211,10 +250,22 @@
 	return registry.Update{From: after, State: after}, nil
 }
 
-// since returns the changes after a state.
-func (s *store) since(after registry.State) registry.Update {
+// watch returns the changes after a state as one process sees them.
+func (s *store) watch(h registry.Host, after registry.State) (registry.Update, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	limit, err := s.history.watchLimit(h, after)
+	if err != nil {
+		return registry.Update{}, err
+	}
+	if limit < s.revision {
+		return s.history.since(after, limit), nil
+	}
+	return s.since(after), nil
+}
+
+// since returns the changes after a state. The caller holds s.mu.
+func (s *store) since(after registry.State) registry.Update {
 	routes := s.routes
 	u := registry.Update{Routes: &routes, From: after, State: registry.State{Revision: s.revision}}
 	for id, e := range s.entries {
--- a/edge/trouble_test.go
+++ b/edge/trouble_test.go
@@ -40,6 +40,12 @@
 		{2, loseStore},
 		{1, rejectProcesses},
 		{3, revokeEntries},
+		{1, lapseEntries},
+		{1, delayAnswers},
+		{1, compactStore},
+		{1, delayWrites},
+		{1, revokeDataCentre},
+		{1, stepClocks},
 	}
 	// moves leave flows to balancers that do not remember them.
 	moves = []trouble{{4, moveCallers}, {2, emptyDataCentre}}
--- a/edge/upstream_test.go
+++ b/edge/upstream_test.go
@@ -35,7 +35,7 @@
 	service  string
 	machine  *machine
 	rand     *rand.Rand
-	born     time.Time
+	born     time.Time // by the clock of its machine
 	sequence int64
 	state    upstreamState
 	draining bool
@@ -59,7 +59,7 @@
 	w.starts++
 	u := &upstream{
 		w: w, id: m.name + "-" + time.Now().Format("05.000"), service: m.service, machine: m,
-		rand: rand.New(rand.NewPCG(w.seed, w.starts)), born: time.Now(), openings: make(map[steer.Key]uint32),
+		rand: rand.New(rand.NewPCG(w.seed, w.starts)), born: time.Now().Add(m.step), openings: make(map[steer.Key]uint32),
 		flows: make(map[steer.Key]*upstreamFlow), ended: make(map[steer.Key]bool), stop: cancel,
 	}
 	m.upstream = u
--- a/edge/world_test.go
+++ b/edge/world_test.go
@@ -67,6 +67,8 @@
 	misses   int       // failed probes of the routers
 	busy     bool      // a trouble concerns it
 	gone     bool      // it was taken out of the deployment
+	// step is how far the clock of the machine is ahead of the others.
+	step time.Duration
 }
 
 // run is a running process.
@@ -104,7 +106,7 @@
 // newWorld starts a deployment and returns when it has settled.
 func newWorld(t *testing.T, seed uint64, d deployment) *world {
 	w := &world{
-		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 1)), net: newNetwork(seed), store: newStore(d.heartbeat),
+		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 1)), net: newNetwork(seed), store: newStore(seed, d.heartbeat),
 		check: newChecker(), byHost: make(map[registry.Host]*caller), flowsDone: make(map[result]int),
 		flowTime: d.flowTime,
 	}
