Draw troubles of instances and links in virtual time

Nothing changes for callers: this only widens what the test draws. A rule that is held only in drawn troubles is held there only, and several kinds of trouble of the users' platform were not drawn: addresses that the other service uses after a crash, instances that are reclaimed after a short notice, upstreams that start again behind a cut, cuts in one direction beside rolls, slow instances, processes that are killed or frozen while they stop, restarts in series, of a whole data centre at once and in rolls with overlaps.

They are drawn by TestFlowsStayInDrawnTroubles, and alone, beside troubles that make balancers search, by TestFlowsStayInInstanceTroubles. Datagrams and ticks of a slow process are late, and so are datagrams to its upstream. A timer of zero duration made the race detector abort inside a synctest bubble, so none is started without a delay.

--- a/edge/network_test.go
+++ b/edge/network_test.go
@@ -30,6 +30,7 @@
 type datagram struct {
 	b    []byte
 	from netip.AddrPort
+	due  time.Time // when the process reads it
 }
 
 // network delivers datagrams and connections between hosts in virtual time. Loss and jitter
@@ -163,6 +164,7 @@
 	if s == nil {
 		return
 	}
+	d.due = time.Now().Add(s.host.state.delay())
 	select {
 	case s.queue <- d:
 	default: // the receive buffer is full
@@ -174,6 +176,7 @@
 type processState struct {
 	mu      sync.Mutex
 	dead    bool
+	lag     time.Duration // of datagrams and ticks
 	resumed chan struct{} // closed when a frozen process continues; nil while it runs
 }
 
@@ -203,6 +206,18 @@
 	return p.resumed != nil
 }
 
+func (p *processState) setLag(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lag = d
+}
+
+func (p *processState) delay() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lag
+}
+
 // gate blocks while the process is frozen.
 func (p *processState) gate() {
 	p.mu.Lock()
@@ -228,6 +243,9 @@
 		case <-ctx.Done():
 			return
 		case t := <-in:
+			if lag := p.delay(); lag > 0 {
+				sleep(ctx, lag)
+			}
 			p.gate()
 			select {
 			case out <- t:
@@ -345,6 +363,9 @@
 		case <-ctx.Done():
 			return
 		case d := <-s.queue:
+			if wait := time.Until(d.due); wait > 0 {
+				sleep(ctx, wait)
+			}
 			s.host.state.gate()
 			if current := s.pause.Epoch(); current != epoch {
 				epoch = current
--- a/edge/trouble_test.go
+++ b/edge/trouble_test.go
@@ -28,7 +28,16 @@
 // The troubles of which several overlap in a run.
 var (
 	planned = []trouble{
-		{3, rollBalancers}, {3, rollSidecars}, {4, restartSidecar}, {4, replaceUpstream}, {1, addBalancer}, {1, removeBalancer}, {2, changeRoutes},
+		{3, rollBalancers},
+		{3, rollSidecars},
+		{4, restartSidecar},
+		{4, replaceUpstream},
+		{1, addBalancer},
+		{1, removeBalancer},
+		{2, changeRoutes},
+		{2, restartSeries},
+		{1, restartDataCentre},
+		{1, rollSidecarsQuickly},
 	}
 	unplanned = []trouble{
 		{2, killProcess},
@@ -40,6 +49,13 @@
 		{2, loseStore},
 		{1, rejectProcesses},
 		{3, revokeEntries},
+		{2, reuseAddress},
+		{2, reclaimInstance},
+		{2, rebornUpstream},
+		{3, cutOneWay},
+		{3, slowInstance},
+		{2, killStopping},
+		{2, freezeStopping},
 	}
 	// moves leave flows to balancers that do not remember them.
 	moves = []trouble{{4, moveCallers}, {2, emptyDataCentre}}
--- a/edge/world_test.go
+++ b/edge/world_test.go
@@ -61,12 +61,13 @@
 	host       registry.Host
 	dataCentre string
 	// The fields below are guarded by world.mu.
-	service  string    // empty on the machine of a balancer
-	upstream *upstream // nil while none runs
-	run      *run      // nil while no process runs
-	misses   int       // failed probes of the routers
-	busy     bool      // a trouble concerns it
-	gone     bool      // it was taken out of the deployment
+	service  string        // empty on the machine of a balancer
+	upstream *upstream     // nil while none runs
+	run      *run          // nil while no process runs
+	misses   int           // failed probes of the routers
+	lag      time.Duration // of datagrams to the process and the upstream, and of ticks
+	busy     bool          // a trouble concerns it
+	gone     bool          // it was taken out of the deployment
 }
 
 // run is a running process.
@@ -198,7 +199,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	w.mu.Lock()
 	w.starts++
-	state := new(processState)
+	state := &processState{lag: m.lag}
 	r := &run{state: state, stop: cancel, done: make(chan struct{})}
 	cfg := edge.Config{
 		DataCentre: m.dataCentre, Exchange: m.host.Port(exchangePort), Incarnation: w.starts, Seeds: w.seeds, MaxFlow: time.Minute,
@@ -274,11 +275,7 @@
 		w.mu.Unlock()
 		c.inbox <- d.b
 	case to.Port() == upstreamPort:
-		w.mu.Lock()
-		defer w.mu.Unlock()
-		if u := w.machines[h[3]].upstream; u != nil {
-			u.handle(d.b)
-		}
+		w.deliverUpstream(w.machineOf(h), d.b)
 	case to.Port() == packetPort:
 		if m := w.machineOf(h); (platform.Codec{}).Decode(d.b, &p) == nil {
 			w.check.took(&p, m)
@@ -286,6 +283,25 @@
 	}
 }
 
+// deliverUpstream passes a packet to the upstream of a machine, later if the machine is slow.
+func (w *world) deliverUpstream(m *machine, b []byte) {
+	handle := func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if m.upstream != nil {
+			m.upstream.handle(b)
+		}
+	}
+	w.mu.Lock()
+	lag := m.lag
+	w.mu.Unlock()
+	if lag == 0 {
+		handle()
+		return
+	}
+	time.AfterFunc(lag, handle)
+}
+
 // observe records the hops of flows.
 func (w *world) observe(from, to netip.AddrPort, b []byte, lost bool) {
 	var p steer.Packet
