--- a/edge/storetrouble_test.go
+++ b/edge/storetrouble_test.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	maxLateness = 6 * time.Second // of a write that the store does late
-	maxLag      = 4 * time.Second // of outdated answers
-	silentWatch = time.Second     // before the store drops its history
+	maxLateness  = 6 * time.Second // of a write that the store does late
+	maxAnswerLag = 4 * time.Second // of outdated answers
+	silentWatch  = time.Second     // before the store drops its history
 	// maxClockStep is how far the clock of a machine is set forward or back.
 	maxClockStep = 2400 * time.Millisecond
 )
@@ -90,7 +90,7 @@
 // delayAnswers makes what the store answers to some processes outdated.
 func delayAnswers(w *world, d draws) {
 	defer w.check.disrupt(nil)()
-	lag := d.between(time.Second, maxLag)
+	lag := d.between(time.Second, maxAnswerLag)
 	list := w.list(func(*machine) bool { return d.IntN(2) == 0 })
 	w.check.note("answers to %d processes are %v late", len(list), lag)
 	for _, m := range list {
