Detect a pause before heartbeats are sent

What callers saw: an open flow reset by a balancer of one data centre while its upstream, in another, serves: "flow 100.64.0.24:40003 of Ca19: reset by Bbal8".

Cause: the only balancer of a data centre is frozen for about two seconds. When it continues, its periodic tick may run before the check for pauses. It then takes its own pause for silence of all sidecars, and sends a heartbeat that lists them as lost to the delegates of the other data centres. The heartbeat that follows, of the next incarnation, lists none. When the two arrive in the other order, the list stands until the next digest, up to a second later; no other balancer of that data centre denies it, and 350 ms later the flows are reset.

Ruled out: a loss that balancers confirmed while one was frozen (none lists the sidecars before), and the searches.

Change: the tick checks for a pause first, as the reader of datagrams does. In virtual time, the goroutines of a process continue after a freeze in an order that differs from one freeze to the next.

--- a/edge/network_test.go
+++ b/edge/network_test.go
@@ -190,8 +190,17 @@
 	dead    bool
 	lag     time.Duration // of datagrams and ticks
 	resumed chan struct{} // closed when a frozen process continues; nil while it runs
+	gates   int           // goroutines that a freeze stops
+	wakes   int           // freezes that ended
 }
 
+// wakeStep is the delay between two goroutines of a process that continue after a freeze,
+// and wakeSteps the number of such delays.
+const (
+	wakeStep  = 5 * time.Millisecond
+	wakeSteps = 4
+)
+
 func (p *processState) kill() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -210,6 +219,23 @@
 	defer p.mu.Unlock()
 	close(p.resumed)
 	p.resumed = nil
+	p.wakes++
+}
+
+// addGate returns the number of one more goroutine that a freeze stops.
+func (p *processState) addGate() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gates++
+	return p.gates
+}
+
+// wakeDelay returns how long after a freeze a goroutine continues. The order of goroutines
+// differs from one freeze to the next.
+func (p *processState) wakeDelay(number int) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Duration((number*7+p.wakes*3)%wakeSteps) * wakeStep
 }
 
 func (p *processState) frozen() bool {
@@ -230,14 +256,22 @@
 	return p.lag
 }
 
-// gate blocks while the process is frozen.
-func (p *processState) gate() {
+// gate blocks while the process is frozen, and reports whether it was.
+func (p *processState) gate() (blocked bool) {
 	p.mu.Lock()
 	resumed := p.resumed
 	p.mu.Unlock()
 	if resumed != nil {
 		<-resumed
 	}
+	return resumed != nil
+}
+
+// gateInOrder is gate for one of several goroutines that continue one after the other.
+func (p *processState) gateInOrder(ctx context.Context, number int) {
+	if p.gate() {
+		sleep(ctx, p.wakeDelay(number))
+	}
 }
 
 // delayTicks returns a channel that delivers the ticks of in, but none while the process is frozen.
@@ -250,6 +284,7 @@
 
 // passTicks forwards ticks until ctx is done.
 func (p *processState) passTicks(ctx context.Context, in <-chan time.Time, out chan<- time.Time) {
+	number := p.addGate()
 	for {
 		select {
 		case <-ctx.Done():
@@ -258,7 +293,7 @@
 			if lag := p.delay(); lag > 0 {
 				sleep(ctx, lag)
 			}
-			p.gate()
+			p.gateInOrder(ctx, number)
 			select {
 			case out <- t:
 			default: // the receiver is slow
@@ -369,7 +404,7 @@
 func (s *socket) Run(ctx context.Context, newHandler func() udp.Handler) {
 	h := newHandler()
 	defer s.Close()
-	epoch := s.pause.Epoch()
+	epoch, number := s.pause.Epoch(), s.host.state.addGate()
 	for {
 		select {
 		case <-ctx.Done():
@@ -378,7 +413,7 @@
 			if wait := time.Until(d.due); wait > 0 {
 				sleep(ctx, wait)
 			}
-			s.host.state.gate()
+			s.host.state.gateInOrder(ctx, number)
 			if current := s.pause.Epoch(); current != epoch {
 				epoch = current
 				s.discardBacklog()
--- a/edge/world_test.go
+++ b/edge/world_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -95,6 +96,8 @@
 	// flowTime is that of the deployment.
 	flowTime time.Duration
 	byHost   map[registry.Host]*caller
+	// heard, if not nil, is called with each datagram between processes.
+	heard atomic.Pointer[func(from registry.Host, d []byte)]
 
 	mu        sync.Mutex
 	machines  []*machine
@@ -318,6 +321,9 @@
 		w.check.record(k, hostOf(from), hostOf(to), lost, fmt.Sprintf("flags %d seq %d data %d port %d", p.Flags, p.Sequence, p.Data, to.Port()))
 		return
 	}
+	if heard := w.heard.Load(); heard != nil {
+		(*heard)(hostOf(from), b)
+	}
 	if lost && *virtualLog {
 		w.check.note("lost datagram of kind %x from %v to %v", b[0], hostOf(from), hostOf(to))
 	}
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -378,6 +378,7 @@
 			urgent = true
 		case <-sub.C:
 		}
+		n.cfg.PauseDetector.Epoch() // a pause is no silence of the others
 		now := n.cfg.Timer.Uptime()
 		if urgent || now-last >= membership.HeartbeatInterval-tickInterval/2 {
 			last = now
