--- a/edge/single_test.go
+++ b/edge/single_test.go
@@ -24,6 +24,7 @@
 		"restart beside a revoked entry":         restartWhileRevoked,
 		"late end of a former sidecar":           delayEnd,
 		"balancer starts beside a revoked entry": startWhileRevoked,
+		"only balancer receives nothing":         blockOnlyBalancer,
 	}
 	for name, apply := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -128,6 +129,25 @@
 	w.store.revoke(m.upstream.id, false)
 }
 
+// blockOnlyBalancer lets callers use upstreams of a data centre through balancers of another
+// one, while nothing reaches its only balancer, or that balancer is cut off and lists what it
+// does not receive.
+func blockOnlyBalancer(w *world, m *machine) {
+	const dc = 2
+	b := w.list(func(o *machine) bool { return o.service == "" && dataCentreOf(o.host) == dc })[0]
+	w.moveTo(dc)
+	time.Sleep(stableWindow)
+	w.moveTo(dataCentreOf(m.host))
+	time.Sleep(time.Second)
+	end := w.check.disrupt(b)
+	c := &cut{matches: func(_, to registry.Host) bool { return to == b.host }}
+	w.net.cut(c)
+	w.check.note("nothing reaches %s", b.name)
+	time.Sleep(3 * time.Second)
+	w.net.mend(c)
+	end()
+}
+
 // drain lets the upstream of a machine drain and end.
 func (w *world) drain(m *machine) {
 	w.mu.Lock()
--- a/membership/absence.go
+++ b/membership/absence.go
@@ -65,7 +65,7 @@
 	case confirmed && !excused:
 		return true
 	}
-	return t.unansweredEnough(sidecar) && now-t.cfg.Started >= receptionWindow
+	return t.unansweredAlone(now, sidecar) && now-t.cfg.Started >= receptionWindow
 }
 
 // staysAbsent reports whether a sidecar that became absent at since stays so although a
@@ -171,7 +171,7 @@
 		seen, others := t.countSeen(sidecar, sidecar.LastContact()+HeartbeatsPerRemoteDigest*HeartbeatInterval+maxHeartbeatDelay, false)
 		return seen > 0 && 2*seen >= others
 	}
-	due := sidecar.LastContact() + HeartbeatInterval + maxHeartbeatDelay
+	due := dueAt(sidecar)
 	seen, others := t.countSeen(sidecar, due, true)
 	if others == 0 {
 		seen, others = t.countSeen(sidecar, due, false)
@@ -179,6 +179,11 @@
 	return seen > 0 && 2*seen >= others
 }
 
+// dueAt returns when the next heartbeat of a sidecar that sends them here is due.
+func dueAt(sidecar *Peer) time.Duration {
+	return sidecar.LastContact() + HeartbeatInterval + maxHeartbeatDelay
+}
+
 // countSeen returns the number of processes that are not stopping, without the given
 // one, and how many of them were seen at since or later. With local, only processes
 // of this data centre count.
--- a/membership/presence.go
+++ b/membership/presence.go
@@ -123,3 +123,14 @@
 func (t *Table) unansweredEnough(p *Peer) bool {
 	return p.presence.unanswered > t.unansweredNeeded
 }
+
+// unansweredAlone is unansweredEnough for a decision that no other balancer confirms. It
+// requires twice as many queries when heartbeats of the process were missing shortly before
+// it fell silent, since the link, which may be that of this process, loses datagrams.
+func (t *Table) unansweredAlone(now time.Duration, p *Peer) bool {
+	needed := t.unansweredNeeded
+	if p.hadGap(now, witnessWindow) {
+		needed *= 2
+	}
+	return p.presence.unanswered > needed
+}
--- a/membership/reception.go
+++ b/membership/reception.go
@@ -111,6 +111,12 @@
 	if now-p.LastContact() > maxReceptionGap {
 		return true
 	}
+	return p.hadGap(now, window)
+}
+
+// hadGap reports whether heartbeats of the process were missing between two that arrived
+// within window.
+func (p *Peer) hadGap(now, window time.Duration) bool {
 	return slices.ContainsFunc(p.presence.arrivals, func(a arrival) bool {
 		return a.missing > 0 && now-a.at < window
 	})
--- a/membership/table.go
+++ b/membership/table.go
@@ -306,49 +306,6 @@
 	return slices.Compact(hosts)
 }
 
-// LocalLost returns the sidecars of the data centre that sent heartbeats to this process
-// and from which no datagram arrives any more. Heartbeats report only these as lost, and
-// not those that others reported as lost, so that no report circulates forever. There
-// are none while this process is lossy. A sidecar that announced its stop is reported
-// only when its upstream has ended: to a process that did not receive the announcement,
-// the report confirms that the flows there are lost.
-func (t *Table) LocalLost(now time.Duration) []registry.Host {
-	if t.Lossy(now) {
-		return nil
-	}
-	return t.lostMatching(now, func(p *Peer) bool {
-		if p.Stopping() {
-			return t.isDirect(p) && p.Heartbeat.Load.Ended
-		}
-		return t.isDirect(p) && now-p.LastContact() >= LocalHeartbeatTimeout
-	})
-}
-
-func (t *Table) lostMatching(now time.Duration, match func(*Peer) bool) []registry.Host {
-	var hosts []registry.Host
-	for _, p := range t.peers {
-		if p.Heartbeat.Role == Sidecar && match(p) && !t.alive(now, p) {
-			hosts = append(hosts, p.Host)
-		}
-	}
-	slices.SortFunc(hosts, registry.Host.Compare)
-	return hosts
-}
-
-// Lost returns the sidecars that are not alive any more, and those that balancers
-// recently reported as lost and that were not seen since.
-func (t *Table) Lost(now time.Duration) []registry.Host {
-	hosts := t.lostMatching(now, func(*Peer) bool { return true })
-	for h, at := range t.lost {
-		p := t.peers[h]
-		if now-at < remoteHeartbeatTimeout && (p == nil || p.Seen() < at) {
-			hosts = append(hosts, h)
-		}
-	}
-	slices.SortFunc(hosts, registry.Host.Compare)
-	return slices.Compact(hosts)
-}
-
 // Alive reports whether the process on a host has not timed out and is not stopping.
 func (t *Table) Alive(now time.Duration, h registry.Host) bool {
 	p := t.peers[h]
