Do not reset a flow before an upstream known from a report returned the packet

What callers saw: nothing reported for certain; the users reported a reset by a balancer of a flow whose upstream is sound, and this is one way to it.

Cause: a search resets a flow when every upstream that may hold it has returned the packet. It looked at the list and at the sidecars from which heartbeats or reports of them had arrived, but not at those that a peer reports as alive and not in the list (Fleet.Unlisted). A balancer that has started while the entry of an upstream is revoked may know its sidecar from that report alone; the search offers it the packet, and does not wait for its answer.

Change: such a sidecar counts as one that may hold the flow, also when its data centre is not known, so that homes of the route do not exclude it.

--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -249,8 +249,9 @@
 // allReturned reports whether each upstream that may hold a flow of the route has returned
 // a packet of it. Upstreams that are gone cannot hold it: those with a lost sidecar, and
 // removed ones whose sidecar is not known. A sidecar that stops without its upstream
-// having ended restarts, whether its upstream is listed or not. The upstreams that are
-// gone are returned, too; the list is complete when all is true.
+// having ended restarts, whether its upstream is listed or not. One that is known only from
+// a peer's report as unlisted is alive. The upstreams that are gone are returned, too; the
+// list is complete when all is true.
 func (f *Fleet) allReturned(now time.Duration, r *registry.Route, s *search) (gone []registry.Host, all bool) {
 	for _, p := range f.Snapshot.Pools() {
 		for i := range p.Members {
@@ -274,5 +275,14 @@
 			return nil, false
 		}
 	}
+	if slices.ContainsFunc(f.Unlisted, func(h registry.Host) bool { return !f.hasStatus(h) && !s.returnedBy(h) }) {
+		return nil, false
+	}
 	return gone, true
 }
+
+// hasStatus reports whether a heartbeat or report of the sidecar on a host is known.
+func (f *Fleet) hasStatus(h registry.Host) bool {
+	_, known := f.Sidecars[h]
+	return known
+}
