Report stopped and orphaned sidecars to the only balancer of a data centre

Cause: a balancer that starts learns of the other processes from a delegate of its own data centre. Without one it learns of them from the digests between data centres, which report only processes that sent a heartbeat since the last digest. It never learns of a sidecar that announced its stop before, and restarts, nor, for up to 4.35 s, of those of a data centre whose balancers were killed, as their sidecars still send them their heartbeats. When the entries of their upstreams are missing from the list that it reads, nothing shows that they exist: all others return the packet of a searched flow, and it is reset.

Ruled out: that the list was not settled, or older than that of a sidecar (both are current; the entries are revoked), and that the sidecars count as lost (they are not in the table at all).

Change: delegates send full digests to a balancer of another data centre that starts and has no other live balancer there, as they do to processes of their own data centre. The message and its format are as before; older builds read it. The cost is the reports of all known processes, 15 a datagram, once from each delegate of another data centre for such a start.

What remains: all balancers of a deployment that start at once while entries are revoked; and a sidecar that stops in the seconds after its only balancer was killed, whose announcement goes to the killed one.

--- a/exchange/heartbeat.go
+++ b/exchange/heartbeat.go
@@ -34,15 +34,15 @@
 
 // sendBootstrap sends a heartbeat to a process that has just started, or that
 // receives heartbeats from no balancer of its data centre. The heartbeat lists the
-// balancers to contact. A delegate also sends full digests to a process of its own
-// data centre, so that the process need not wait for the next regular ones.
+// balancers to contact. A delegate also sends full digests, see
+// membership.Table.InformsStarted, so that the process need not wait for the next regular ones.
 func (n *Node) sendBootstrap(h registry.Host) {
 	now := n.lock()
 	b := n.ownHeartbeat(now)
 	dataCentre := n.members.DataCentre(h)
 	b.Balancers = n.members.AdvertisedBalancers(now, dataCentre)
 	var digests []membership.Digest
-	if n.members.IsDelegate(now) && dataCentre == n.cfg.DataCentre {
+	if n.members.InformsStarted(now, h) {
 		digests = fillDigests(now, n.emptyDigest(now), n.members.UpdatedSince(0))
 	}
 	n.mu.Unlock()
--- a/membership/delegate.go
+++ b/membership/delegate.go
@@ -33,6 +33,23 @@
 	return t.cfg.Role == Balancer && slices.Contains(t.Delegates(now, t.cfg.DataCentre), t.cfg.Self)
 }
 
+// InformsStarted reports whether this process sends reports of all processes to one that
+// has just started. A delegate does so for its own data centre, and for a balancer of
+// another one without other live balancers: digests between data centres do not repeat
+// which sidecars stopped or lack a balancer.
+func (t *Table) InformsStarted(now time.Duration, h registry.Host) bool {
+	p := t.peers[h]
+	if p == nil || !t.IsDelegate(now) {
+		return false
+	}
+	dataCentre := p.Heartbeat.DataCentre
+	if dataCentre == t.cfg.DataCentre {
+		return true
+	}
+	isOther := func(b registry.Host) bool { return b != h }
+	return p.Heartbeat.Role == Balancer && !slices.ContainsFunc(t.liveBalancers(now, dataCentre), isOther)
+}
+
 // RemoteDelegates returns the delegates of all other data centres. For a data centre
 // without live balancers it returns all known ones: after a partition both sides may
 // have timed out, and one of them has to send first.
