Report all processes also to balancers of a data centre that start together

Cause: delegates of other data centres sent full digests to a starting balancer only if no other one was alive in its data centre. When all balancers of a data centre start at once, the second one counts the first one as alive, which knows nothing yet, and does not relay sidecars of its own data centre later.

TestStartingBalancersLearnOfStoppedSidecars, formerly TestOnlyBalancerLearnsOfStoppedSidecars, has the case "all at once", which failed before.

Change: only a balancer that has run for 2 s, two digest intervals, counts as one that informs the others. The cost is the reports of all known processes once from each delegate of other data centres for each balancer of a data centre that starts together.

--- a/exchange/bootstrap_test.go
+++ b/exchange/bootstrap_test.go
@@ -11,38 +11,53 @@
 	"github.com/shoenig/test/must"
 )
 
-// TestOnlyBalancerLearnsOfStoppedSidecars guards against resets by a balancer that has started
-// without a peer in its data centre, of flows whose sidecars restart: no digest reports them.
-func TestOnlyBalancerLearnsOfStoppedSidecars(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		u := newUpgrade(t, 1)
-		var only *member
-		var stopped []*member
-		for _, m := range u.members {
-			switch {
-			case m.role == membership.Balancer && m.dataCentre == "b" && only != nil:
+// TestStartingBalancersLearnOfStoppedSidecars guards against resets by balancers that start
+// without an older peer in their data centre, of flows whose sidecars restart: no digest
+// reports them.
+func TestStartingBalancersLearnOfStoppedSidecars(t *testing.T) {
+	for name, count := range map[string]int{"one": 1, "all at once": upgradeBalancers} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(10) {
+				synctest.Test(t, func(t *testing.T) { testStartBesideStopped(t, seed, count) })
+			}
+		})
+	}
+}
+
+// testStartBesideStopped stops a sidecar of each data centre and the balancers of data centre
+// b, of which there are count, and starts the balancers.
+func testStartBesideStopped(t *testing.T, seed uint64, count int) {
+	u := newUpgrade(t, seed)
+	var balancers, sidecars []*member
+	for _, m := range u.members {
+		if m.role == membership.Balancer && m.dataCentre == "b" {
+			if len(balancers) == count {
 				continue
-			case m.role == membership.Balancer && m.dataCentre == "b":
-				only = m
-			case m.role == membership.Sidecar && (m.number == 101 || m.number == 111):
-				stopped = append(stopped, m)
 			}
-			u.start(m, membership.Format2)
+			balancers = append(balancers, m)
 		}
-		u.pause(5 * time.Second)
-		for _, m := range append([]*member{only}, stopped...) {
-			m.node.Stop(t.Context())
-			m.stop()
-			m.wait()
-			m.running = false
+		if m.number == 101 || m.number == 111 {
+			sidecars = append(sidecars, m)
 		}
-		u.pause(3 * time.Second)
-		u.start(only, membership.Format2)
-		time.Sleep(400 * time.Millisecond)
-		for _, m := range stopped {
-			must.True(t, only.sidecar(hostOf(m.number)).Stopping, must.Sprintf("%s in data centre %s", hostOf(m.number), m.dataCentre))
+		u.start(m, membership.Format2)
+	}
+	u.pause(5 * time.Second)
+	for _, m := range append(balancers[:count:count], sidecars...) {
+		m.node.Stop(t.Context())
+		m.stop()
+		m.wait()
+		m.running = false
+	}
+	u.pause(3 * time.Second)
+	for _, m := range balancers {
+		u.start(m, membership.Format2)
+	}
+	time.Sleep(400 * time.Millisecond)
+	for _, b := range balancers {
+		for _, m := range sidecars {
+			must.True(t, b.sidecar(hostOf(m.number)).Stopping, must.Sprintf("%s at %s", hostOf(m.number), hostOf(b.number)))
 		}
-	})
+	}
 }
 
 // sidecar returns what the view of a process has on the sidecar on a host.
--- a/membership/delegate.go
+++ b/membership/delegate.go
@@ -19,6 +19,9 @@
 	directTimeout = 1500 * time.Millisecond
 	// digestSenderTimeout is how long after its last digest a process counts as a delegate.
 	digestSenderTimeout = 1500 * time.Millisecond // one and a half digest intervals
+	// startReportTime is the time after its start from which a balancer can report all
+	// processes to others that start: two digest intervals.
+	startReportTime = 2 * HeartbeatsPerRemoteDigest * HeartbeatInterval
 )
 
 // Delegates returns the delegates of a data centre: the first live balancers in hash
@@ -35,8 +38,8 @@
 
 // InformsStarted reports whether this process sends reports of all processes to one that
 // has just started. A delegate does so for its own data centre, and for a balancer of
-// another one without other live balancers: digests between data centres do not repeat
-// which sidecars stopped or lack a balancer.
+// another one where no live balancer has run for startReportTime: digests between data
+// centres do not repeat which sidecars stopped or lack a balancer.
 func (t *Table) InformsStarted(now time.Duration, h registry.Host) bool {
 	p := t.peers[h]
 	if p == nil || !t.IsDelegate(now) {
@@ -46,8 +49,8 @@
 	if dataCentre == t.cfg.DataCentre {
 		return true
 	}
-	isOther := func(b registry.Host) bool { return b != h }
-	return p.Heartbeat.Role == Balancer && !slices.ContainsFunc(t.liveBalancers(now, dataCentre), isOther)
+	informs := func(b registry.Host) bool { return b != h && now-t.peers[b].restartedAt >= startReportTime }
+	return p.Heartbeat.Role == Balancer && !slices.ContainsFunc(t.liveBalancers(now, dataCentre), informs)
 }
 
 // RemoteDelegates returns the delegates of all other data centres. For a data centre
--- a/membership/table.go
+++ b/membership/table.go
@@ -65,6 +65,7 @@
 	unreadableAt     time.Duration
 	updatedAt        time.Duration // when Heartbeat arrived here
 	changedAt        time.Duration // when Result.Changed was last true for the process
+	restartedAt      time.Duration // when Result.Restarted was last true for the process
 	versionsSince    time.Duration // when its present version and state were first received
 	formerHash       uint32        // FormerHash that it last sent itself
 	pulledFormerHash uint32        // formerHash as of the last pull from it
@@ -207,6 +208,9 @@
 	if res.Changed {
 		p.changedAt = now
 	}
+	if res.Restarted {
+		p.restartedAt = now
+	}
 	if p.Heartbeat.Version != b.Version || p.Heartbeat.State != b.State {
 		p.versionsSince = now
 	}
