--- /dev/null
+++ b/exchange/bootstrap_test.go
@@ -0,0 +1,68 @@
+package exchange_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/corianderbay/corianderbay/membership"
+	"github.com/corianderbay/corianderbay/registry"
+	"github.com/corianderbay/corianderbay/steer"
+	"github.com/shoenig/test/must"
+)
+
+// TestStartingBalancersLearnOfStoppedSidecars guards against resets by balancers that start
+// without an older peer in their data centre, of flows whose sidecars restart: no digest
+// reports them.
+func TestStartingBalancersLearnOfStoppedSidecars(t *testing.T) {
+	for name, count := range map[string]int{"one": 1, "all at once": upgradeBalancers} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(10) {
+				synctest.Test(t, func(t *testing.T) { testStartBesideStopped(t, seed, count) })
+			}
+		})
+	}
+}
+
+// testStartBesideStopped stops a sidecar of each data centre and the balancers of data centre
+// b, of which there are count, and starts the balancers.
+func testStartBesideStopped(t *testing.T, seed uint64, count int) {
+	u := newUpgrade(t, seed)
+	var balancers, sidecars []*member
+	for _, m := range u.members {
+		if m.role == membership.Balancer && m.dataCentre == "b" {
+			if len(balancers) == count {
+				continue
+			}
+			balancers = append(balancers, m)
+		}
+		if m.number == 101 || m.number == 111 {
+			sidecars = append(sidecars, m)
+		}
+		u.start(m, membership.Format2)
+	}
+	u.pause(5 * time.Second)
+	for _, m := range append(balancers[:count:count], sidecars...) {
+		m.node.Stop(t.Context())
+		m.stop()
+		m.wait()
+		m.running = false
+	}
+	u.pause(3 * time.Second)
+	for _, m := range balancers {
+		u.start(m, membership.Format2)
+	}
+	time.Sleep(400 * time.Millisecond)
+	for _, b := range balancers {
+		for _, m := range sidecars {
+			must.True(t, b.sidecar(hostOf(m.number)).Stopping, must.Sprintf("%s at %s", hostOf(m.number), hostOf(b.number)))
+		}
+	}
+}
+
+// sidecar returns what the view of a process has on the sidecar on a host.
+func (p *process) sidecar(h registry.Host) steer.SidecarStatus {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fleet.Sidecars[h]
+}
--- a/membership/delegate.go
+++ b/membership/delegate.go
@@ -19,6 +19,9 @@
 	directTimeout = 1500 * time.Millisecond
 	// digestSenderTimeout is how long after its last digest a process counts as a delegate.
 	digestSenderTimeout = 1500 * time.Millisecond // one and a half digest intervals
+	// startReportTime is the time after its start from which a balancer can report all
+	// processes to others that start: two digest intervals.
+	startReportTime = 2 * HeartbeatsPerRemoteDigest * HeartbeatInterval
 )
 
 // Delegates returns the delegates of a data centre: the first live balancers in hash
@@ -33,6 +36,23 @@
 	return t.cfg.Role == Balancer && slices.Contains(t.Delegates(now, t.cfg.DataCentre), t.cfg.Self)
 }
 
+// InformsStarted reports whether this process sends reports of all processes to one that
+// has just started. A delegate does so for its own data centre, and for a balancer of
+// another one where no live balancer has run for startReportTime: digests between data
+// centres do not repeat which sidecars stopped or lack a balancer.
+func (t *Table) InformsStarted(now time.Duration, h registry.Host) bool {
+	p := t.peers[h]
+	if p == nil || !t.IsDelegate(now) {
+		return false
+	}
+	dataCentre := p.Heartbeat.DataCentre
+	if dataCentre == t.cfg.DataCentre {
+		return true
+	}
+	informs := func(b registry.Host) bool { return b != h && now-t.peers[b].restartedAt >= startReportTime }
+	return p.Heartbeat.Role == Balancer && !slices.ContainsFunc(t.liveBalancers(now, dataCentre), informs)
+}
+
 // RemoteDelegates returns the delegates of all other data centres. For a data centre
 // without live balancers it returns all known ones: after a partition both sides may
 // have timed out, and one of them has to send first.
