Give up the flows of a stopped sidecar that does not come back

Cause: a sidecar that announced a stop is restarting for balancers, without a bound.

Weighed: a short time, which resets flows in a slow planned restart; 12 s alone, which does so in a very slow one, and without need: an upstream writes its own entry, so one that is in the list lives, and serves its flows when its sidecar is back. Both together are sound but for a restart of over 12 s whose entry the store took away as well. Sidecars of other data centres stay as they are, since missing digests look like silence.

Change: a sidecar of the own data centre that announced a stop is absent after 12 s of silence, under the conditions on own reception as before. The view of the fleet leaves the absence out while its upstream is in the list and not removed.

The new TestStoppedSidecarIsLostWithoutEntry fails without the timeout (not listed), without the check of the entry (listed), and with 2 s instead of 12 s. go test ./exchange ./steer ./edge ./soak and TestFlowsStayInSingleTroubles pass. It does not speed up calls in flight, whose callers have given up by then; it ends idle flows and searches.

--- a/exchange/view.go
+++ b/exchange/view.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"slices"
 	"time"
 
 	"github.com/corianderbay/corianderbay/event"
@@ -94,7 +95,7 @@
 		f.Sidecars[h] = steer.SidecarStatus{
 			DataCentre:  n.members.DataCentre(h),
 			Stopping:    true,
-			AbsentSince: n.members.AbsentSince(h),
+			AbsentSince: n.absentSince(h),
 			LastContact: n.members.DirectContact(h),
 			Suspected:   n.members.Suspected(now, h),
 			Ended:       n.members.Ended(h),
@@ -108,6 +109,17 @@
 	n.loadsUpdated = n.loadsUpdated[:0]
 }
 
+// absentSince returns the time since which a sidecar has been absent, or 0. One that announced
+// a stop is not absent while its upstream is in the list: that keeps its own entry there, and
+// serves its flows when the sidecar is back, however late. The caller holds n.mu.
+func (n *Node) absentSince(h registry.Host) time.Duration {
+	since := n.members.AbsentSince(h)
+	if since != 0 && n.members.StopAnnounced(h) && slices.Contains(n.snapshot.Hosts(""), h) {
+		return 0
+	}
+	return since
+}
+
 // outage is the most recent period in which the store was unreachable.
 type outage struct {
 	began time.Duration
--- a/membership/absence.go
+++ b/membership/absence.go
@@ -15,6 +15,10 @@
 // stopped is no longer required to take a sidecar for absent.
 const witnessTimeout = 5 * time.Second
 
+// stoppedTimeout is the silence after which a sidecar that announced a stop does not count
+// as restarting any more. It is several times as long as a planned restart takes.
+const stoppedTimeout = 12 * time.Second
+
 // UpdateAbsent records which sidecars are absent at now. It must be called after
 // heartbeats and digests are merged, so that AbsentSince is accurate.
 func (t *Table) UpdateAbsent(now time.Duration) {
@@ -38,8 +42,9 @@
 }
 
 // AbsentSince returns the time since which the sidecar on a host has been absent,
-// or 0 when it is not absent. A sidecar is absent when nothing arrived from it for its
-// timeout without an announced stop, this process is not lossy, and each balancer of the
+// or 0 when it is not absent. A sidecar of this data centre that announced a stop is absent
+// when nothing arrived from it for stoppedTimeout. Any other one is absent when nothing arrived
+// from it for its timeout, this process is not lossy, and each balancer of the
 // sidecar's data centre that was seen within witnessTimeout reports it as lost in a recent
 // heartbeat. Balancers that stop, that are lossy, or that are certainly absent themselves
 // need not. At least one report is required, except that a balancer which has no other
@@ -51,9 +56,12 @@
 }
 
 func (t *Table) isAbsent(now time.Duration, sidecar *Peer) bool {
-	if sidecar.Stopping() || t.Lossy(now) || !t.overdue(now, sidecar) || !t.othersSeenAfterDue(sidecar) {
+	if t.Lossy(now) || !t.overdue(now, sidecar) || !t.othersSeenAfterDue(sidecar) {
 		return false
 	}
+	if sidecar.Stopping() {
+		return t.isDirect(sidecar) && now-sidecar.LastContact() >= stoppedTimeout
+	}
 	confirmed, denied, excused := t.verdicts(now, sidecar)
 	switch {
 	case denied:
@@ -137,6 +145,12 @@
 	return p != nil && !p.Stopping() && !t.alive(now, p) && t.absentSince[h] == 0
 }
 
+// StopAnnounced reports whether a sidecar announced a stop and has not started again.
+func (t *Table) StopAnnounced(h registry.Host) bool {
+	p := t.peers[h]
+	return p != nil && p.Stopping()
+}
+
 // Ended reports whether a sidecar announced that it stops after its upstream had ended.
 func (t *Table) Ended(h registry.Host) bool {
 	p := t.peers[h]
--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -34,8 +34,8 @@
 	// Stopping is true when the sidecar is shutting down or its heartbeats have
 	// stopped.
 	Stopping bool
-	// AbsentSince is when the sidecar became absent without having announced that it
-	// stops. 0 when it is not absent.
+	// AbsentSince is when the sidecar became absent: without having announced that it stops,
+	// or long after that while its upstream is not listed. 0 when it is not absent.
 	AbsentSince time.Duration
 	// LastContact is when a datagram last arrived from a sidecar whose heartbeats all come
 	// directly to this process. 0 for others.
