Report a flow to balancers only once its caller has confirmed it

What callers saw: an open flow was reset by a balancer while its upstream served, or its packets took a detour over another upstream.

Cause: a sidecar reported a flow to the balancer as soon as its upstream had answered the opening. A slow instance answers a copy of an opening after the caller has opened the flow elsewhere; its report then replaced the entry of the owner, and the balancer reset the flow when the slow instance was lost.

Change: a sidecar reports a flow when its caller's first packet, or a packet of its upstream, shows that it is open. The report of the answer mostly came after that packet, as reports are sent every 50 ms. Three tests of resets opened flows without delivering the report of the first packet; they deliver it now.

--- a/steer/answer.go
+++ b/steer/answer.go
@@ -40,9 +40,6 @@
 		s.flows.Add(1)
 	}
 	l.stage, l.answerSequence = stageAnswered, p.Sequence
-	if !l.balancer.IsZero() {
-		s.queueNotice(Notice{Key: k, Balancer: l.balancer})
-	}
 }
 
 // recordUpstreamPacket records answers and the end of a flow. Any packet other than the
--- a/steer/reset_test.go
+++ b/steer/reset_test.go
@@ -207,6 +207,7 @@
 					idle = flowKey(n)
 				}
 			}
+			sim.deliverNotices()
 			f := &steer.Fleet{Snapshot: sim.directory.Snapshot(sim.now), Sidecars: map[registry.Host]steer.SidecarStatus{}, Isolated: tc.isolated}
 			f.Sidecars[sim.instances[at].host] = steer.SidecarStatus{Stopping: true, AbsentSince: sim.now}
 			sim.balancers[0].SetFleet(f)
@@ -232,6 +233,7 @@
 func TestNonIdempotentRequestIsNotReset(t *testing.T) {
 	sim := newSimulation(1, service, service)
 	at := sim.open(0, flowKey(1))
+	sim.deliverNotices()
 	r := registry.Route{
 		Name: "r", Address: routeAddress, Timeout: 2 * time.Second,
 		Targets: []registry.Target{{Service: service, Weight: 1}},
