Search for an unreported flow of a lost upstream instead of resetting it

What callers saw: an open flow was reset by a balancer while its upstream served.

Cause: a balancer that placed an opening keeps an entry for it, also when the upstream never answered and the caller opened the flow through another balancer at another upstream. When the first upstream was lost, and the caller's packets came back to that balancer, it reset the flow. It needs planned work or a move of callers between two copies of an opening, and an upstream that is silent first and lost later; a second balancer that confirms the loss follows its own reception, not the flow.

Evidence: TestFlowsStayBesideOutdatedEntries (the former upstream is lost) freezes an upstream while callers move, and kills its sidecar before they are back: four flows of other upstreams were reset by balancers (lost). TestUnreportedFlowOfLostUpstreamIsSearched failed before.

Change: an entry that no sidecar has reported is removed with its upstream, and the next packet begins a search. The search ends in a reset as before when all upstreams have returned the packet, or are gone.

--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -145,7 +145,8 @@
 
 // EvictOrphans removes the flows of upstreams whose sidecars are lost, except those with
 // a request in progress that is not idempotent. It returns the flows that have to be
-// reset.
+// reset. One that no sidecar has reported may be open at another upstream, which accepted
+// another copy of its opening: its next packet begins a search.
 func (b *Balancer) EvictOrphans(now time.Duration) []Reset {
 	f := b.fleet.Load()
 	if f == nil || !f.anyLost() {
@@ -160,7 +161,7 @@
 				continue
 			}
 			delete(s.flows, k)
-			if e.resettable {
+			if e.resettable && e.confirmed {
 				p := Packet{Source: k.Caller, Destination: k.Address, Flags: ACK, Acknowledged: e.acknowledged}
 				list = append(list, Reset{Packet: p, Reason: ReasonLost, Evidence: f.lossOf(e.host)})
 			}
@@ -328,11 +329,15 @@
 // search for it.
 func (d *decision) follow() Action {
 	service := d.route.Service(d.hash)
-	if e, ok := d.shard.flows[d.key]; ok {
-		if d.fleet.lostFlow(d.now, &e) && !e.requestInFlight(d.now, d.route) {
-			delete(d.shard.flows, d.key)
+	e, known := d.shard.flows[d.key]
+	if known && d.fleet.lostFlow(d.now, &e) && !(e.confirmed && e.requestInFlight(d.now, d.route)) {
+		delete(d.shard.flows, d.key)
+		if e.confirmed {
 			return Refuse{Reason: ReasonLost, Evidence: d.fleet.lossOf(e.host)}
 		}
+		known = false // another upstream may have accepted another copy of the opening
+	}
+	if known {
 		if d.b.admission != nil {
 			d.recordRequest(&e)
 		}
--- a/steer/outdated_test.go
+++ b/steer/outdated_test.go
@@ -1,7 +1,9 @@
 package steer_test
 
 import (
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/corianderbay/corianderbay/registry"
 	"github.com/corianderbay/corianderbay/steer"
@@ -23,3 +25,24 @@
 	must.True(t, ok)
 	must.Eq(t, sim.instances[at].host, f.Host)
 }
+
+// TestUnreportedFlowOfLostUpstreamIsSearched guards against the reset of an open flow, since an
+// upstream that received another copy of its opening is lost.
+func TestUnreportedFlowOfLostUpstreamIsSearched(t *testing.T) {
+	for n := range 20 {
+		sim := newMixedSimulation()
+		k := flowKey(n)
+		o := opening(k)
+		copied, ok := sim.balancers[1].Packet(sim.now, &o, new(steer.Forward)).(*steer.Forward)
+		must.True(t, ok)
+		former := slices.IndexFunc(sim.instances, func(i *instance) bool { return i.host == copied.Host })
+		at := (former + 1 + n%(len(sim.instances)-1)) % len(sim.instances)
+		p := sim.openAt(t, at, k)
+		sim.lose(former)
+		sim.instances[former].running = false
+		sim.advance(time.Second)
+		must.Eq(t, at, sim.send(1, p), must.Sprintf("a flow of upstream %d, opened at %d before", at, former))
+		must.SliceEmpty(t, sim.balancers[1].EvictOrphans(sim.now))
+		must.SliceEmpty(t, sim.resets)
+	}
+}
