Reset a flow once when a search finds no upstream

What callers saw: two to five resets of a flow that no upstream holds, within 1.5 s. The later ones can reach the next flow of the port: a caller that got the first one may use the port at once, and an opening that arrives behind the copies of the former flow's packet is not seen by them.

Cause: a reset ends the search in package steer, and discards what was returned. The packet stays stored in package edge, is sent to all data centres again after 100, 300, 700 and 1500 ms, and returned by all again.

Evidence: TestFlowIsResetOnce counts 4, 4, 5, 5 and 4 resets by the five balancers before, and one by each now.

Change: a reset removes the packet of the flow from the stored ones.

Result: TestFlowIsResetOnce passes.

--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -227,10 +227,12 @@
 	b.resetAll(b.steering.EvictOrphans(now))
 }
 
-// resetAll resets flows.
+// resetAll resets flows. It removes their packets from the searches, which would be resent,
+// returned again and reset the next flow of the port.
 func (b *Balancer) resetAll(list []steer.Reset) {
 	var out []byte
 	for i := range list {
+		b.searches.remove(list[i].Packet.CallerKey())
 		out = b.refuse(&list[i].Packet, list[i].Reason, out, b.evidence(list[i].Evidence)...)
 	}
 }
