Search on while it is not certain that no upstream holds a flow

What callers could see: a request that waits for the caller's next transmission, up to 1.6 s, although the upstream of its flow became known before.

Cause: a stored packet was dropped as soon as all upstreams that the balancer knows had returned it, also when that does not suffice for a reset: the fleet is not settled, the list is older than that of a sidecar on the way, or lacks one that returned the packet. The upstream that holds the flow is then one that is not known yet, and nothing was sent to it when its sidecar or entry arrived.

Evidence: TestSearchLastsUntilFleetIsSettled fails before.

Change: the search is over when a reset would be certain (Fleet.exhausts, which the reset uses, too). Retries of such a packet go to nobody who has returned it. The fourth one, which starts at up to 32 upstreams of each data centre, no longer goes to all of them again once the reports are a second old: with packets that are stored for longer, each would cause 32 passes through each data centre.

--- /dev/null
+++ b/steer/endedsearch_test.go
@@ -0,0 +1,36 @@
+package steer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/corianderbay/corianderbay/steer"
+	"github.com/shoenig/test/must"
+)
+
+// TestSearchLastsUntilFleetIsSettled guards against a packet that is dropped, although its flow
+// is not reset, before the upstream that holds the flow is known.
+func TestSearchLastsUntilFleetIsSettled(t *testing.T) {
+	sim := newSimulation(1, service, service, service)
+	settled := false
+	sim.adjust = func(_ string, f *steer.Fleet) { f.Settled = settled }
+	sim.publishFleet()
+	p := opening(flowKey(1))
+	p.Flags = steer.ACK
+	must.Eq(t, -1, sim.send(0, p))
+	must.SliceEmpty(t, sim.resets)
+	list, again := sim.balancers[0].RetrySearch(sim.now, &p, 1)
+	must.SliceEmpty(t, list, must.Sprint("all known upstreams have returned the packet"))
+	must.True(t, again)
+
+	sim.advance(time.Second)
+	list, again = sim.balancers[0].RetrySearch(sim.now, &p, 4)
+	must.SliceEmpty(t, list, must.Sprint("they are not asked by all copies of a late retry again"))
+	must.True(t, again)
+
+	must.Eq(t, -1, sim.send(0, p))
+	settled = true
+	sim.publishFleet()
+	_, again = sim.balancers[0].RetrySearch(sim.now, &p, 2)
+	must.False(t, again)
+}
--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -281,6 +281,18 @@
 	return gone, true
 }
 
+// exhausts reports whether a search has made certain that no upstream holds the flow: every
+// upstream that may hold it has returned the packet, and the upstream list is complete and
+// not older than those in the reports. While the fleet is recovering, a list that lacks one
+// of the upstreams that returned the packet may lack others as well. gone is as in allReturned.
+func (f *Fleet) exhausts(now time.Duration, r *registry.Route, s *search) (gone []registry.Host, certain bool) {
+	if !f.Settled || s.state.IsZero() || s.state.After(f.Snapshot.State()) {
+		return nil, false
+	}
+	gone, all := f.allReturned(now, r, s)
+	return gone, all && !(f.Recovering && f.listLacks(s.hosts))
+}
+
 // hasStatus reports whether a heartbeat or report of the sidecar on a host is known.
 func (f *Fleet) hasStatus(h registry.Host) bool {
 	_, known := f.Sidecars[h]
--- a/steer/search.go
+++ b/steer/search.go
@@ -194,15 +194,16 @@
 // sent: it may have been lost, or more upstreams may have been discovered. It returns
 // copies for upstreams of each data centre that have not returned the packet. attempt is
 // 1 for the first retry; each retry starts at other upstreams than the ones before, since
-// a search does not pass an upstream that neither accepts nor returns the packet. again
-// is false when the search is over.
+// a search does not pass an upstream that neither accepts nor returns the packet. When all
+// returned one before, the first maxRepeats retries go to those without a recent report.
+// again is false when the search is over.
 func (b *Balancer) RetrySearch(now time.Duration, p *Packet, attempt int) (list []Forward, again bool) {
 	s, d := b.unfinishedSearch(now, p)
 	if d == nil {
 		return nil, false
 	}
 	before := b.searches.returnedBefore(now, d.key)
-	if list = d.retry(&s, attempt, before.returnedBy); len(list) > 0 {
+	if list = d.retry(&s, attempt, before.returnedBy); len(list) > 0 || attempt > maxRepeats {
 		return list, true
 	}
 	return d.retry(&s, attempt, s.returnedBy), true
@@ -229,7 +230,7 @@
 
 // unfinishedSearch returns the search for the flow of a packet, without outdated reports,
 // and the state for deciding on the packet. The latter is nil when the search is over: an
-// upstream holds the flow, or none does, or the packet has no route.
+// upstream holds the flow, or it is certain that none does, or the packet has no route.
 func (b *Balancer) unfinishedSearch(now time.Duration, p *Packet) (search, *decision) {
 	f, k := b.fleet.Load(), p.CallerKey()
 	s, _ := b.searches.get(now, k)
@@ -240,7 +241,7 @@
 	if route == nil {
 		return s, nil
 	}
-	if _, all := f.allReturned(now, route, &s); all {
+	if _, certain := f.exhausts(now, route, &s); certain {
 		return s, nil
 	}
 	return s, &decision{b: b, now: now, fleet: f, route: route, key: k, hash: k.Hash(), packet: p}
@@ -272,6 +273,9 @@
 	// maxRetryCopies is the maximum number of copies that one retry of a search sends to
 	// the reachable sidecars of a data centre.
 	maxRetryCopies = 32
+	// maxRepeats is the number of retries that may go to upstreams that returned the packet
+	// before. Later ones start at many upstreams of each data centre.
+	maxRepeats = 3
 	// retryGrowth is the number of copies of a retry as a multiple of the one before.
 	retryGrowth = 6
 )
@@ -337,18 +341,15 @@
 }
 
 // endIfExhausted ends a search and returns the flow to be reset when it is certain
-// that no upstream holds the flow: every upstream that may hold it has returned the
-// packet, and the upstream list is complete and not older than those in the reports.
-// While the fleet is recovering, a list that lacks one of the upstreams that returned
-// the packet may lack others as well.
+// that no upstream holds the flow.
 func (b *Balancer) endIfExhausted(now time.Duration, k Key) (Reset, bool) {
 	f := b.fleet.Load()
 	s, searched := b.searches.get(now, k)
-	if f == nil || !searched || !f.Settled || s.state.IsZero() || s.state.After(f.Snapshot.State()) {
+	if f == nil || !searched {
 		return Reset{}, false
 	}
-	gone, all := f.allReturned(now, f.Snapshot.Route(k.Address), &s)
-	if !all || f.Recovering && f.listLacks(s.hosts) {
+	gone, certain := f.exhausts(now, f.Snapshot.Route(k.Address), &s)
+	if !certain {
 		return Reset{}, false
 	}
 	b.searches.remove(k)
