Bound the copies of a packet for sidecars that become reachable together

What callers could see: a balancer that sends nothing else for as long as the copies take, and upstreams that get a searched packet from many sides while its own already has it.

Cause: each stored packet was sent to each sidecar that became reachable. When a data centre returns, or the balancer's own link does, that is the number of stored packets, up to 2048, times that of the sidecars, in one pass of the balancer that holds the lock of its node; and each copy is passed on through the data centre.

Change: of those that become reachable together, six of each data centre get a copy, spread as the second retry is. The copies are passed on to the others, and the retries follow.

--- a/steer/endedsearch_test.go
+++ b/steer/endedsearch_test.go
@@ -34,3 +34,13 @@
 	_, again = sim.balancers[0].RetrySearch(sim.now, &p, 2)
 	must.False(t, again)
 }
+
+// TestRecoveredDataCentreGetsFewCopies guards against a copy of each searched packet for each
+// sidecar of a data centre that becomes reachable at once.
+func TestRecoveredDataCentreGetsFewCopies(t *testing.T) {
+	sim := newLargeSimulation()
+	p := sim.openAt(t, 2, flowKey(1))
+	list, again := sim.balancers[1].ExtendSearch(sim.now, &p, sim.balancers[1].Fleet().Snapshot.Hosts(""))
+	must.True(t, again)
+	must.LessEq(t, 2*6, len(list))
+}
--- a/steer/search.go
+++ b/steer/search.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -210,8 +211,9 @@
 }
 
 // ExtendSearch returns copies of a packet of an unknown flow for sidecars that have become
-// reachable, unless their upstreams returned one shortly before. again is false when the
-// search is over.
+// reachable, unless their upstreams returned one shortly before. Of many in one data centre
+// only some get one, as the copies are passed on there. again is false when the search is
+// over.
 func (b *Balancer) ExtendSearch(now time.Duration, p *Packet, reachable []registry.Host) (list []Forward, again bool) {
 	s, d := b.unfinishedSearch(now, p)
 	if d == nil {
@@ -219,9 +221,15 @@
 	}
 	before := b.searches.returnedBefore(now, d.key)
 	service := d.route.Service(d.hash)
+	byDataCentre := make(map[string][]registry.Host)
 	for _, h := range reachable {
 		at := d.fleet.Sidecars[h].DataCentre
 		if !before.returnedBy(h) && d.fleet.permits(d.route, at) {
+			byDataCentre[at] = append(byDataCentre[at], h)
+		}
+	}
+	for _, at := range slices.Sorted(maps.Keys(byDataCentre)) {
+		for _, h := range spread(byDataCentre[at], retryGrowth) {
 			list = append(list, d.copyTo(h, at, service, &s))
 		}
 	}
