Search one data centre after the other in retries, too

What callers saw: nothing.

Cause: two ways were left in which copies of a search are in several data centres at once. The first retry, for lack of a report, went to all of them; and the second packet of a flow, mostly the acknowledgement of an answer whose report has not arrived, was not marked for one data centre, so that sidecars sent it on. When the caller then pauses for two seconds, the copies that arrived after the owner's are three or more packets elsewhere and none at the owner.

Evidence: one of eight pauses of callers in virtual time is up to 8 s longer now.

Change: for lack of a report the packet goes to the next data centre; only when each has a copy, the retries begin. The second packet of a flow stays in one data centre.

--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -130,8 +130,9 @@
 	}
 }
 
-// retrySearches resends packets of searches to upstreams that have not returned them: those
-// that are due, and all to sidecars that have become reachable.
+// retrySearches resends packets of searches to upstreams that have not returned them: all to
+// sidecars that have become reachable, and those that are due, for lack of a report, to the
+// next data centre or, when each has a copy, again.
 func (b *Balancer) retrySearches(now time.Duration, f *steer.Fleet) {
 	if b.searches.empty() {
 		b.recoveries.Reset()
@@ -147,6 +148,10 @@
 		}
 	}
 	for _, s := range b.searches.due(now) {
+		if b.continueSearch(now, &s) {
+			b.searches.postpone(now, s.packet.CallerKey())
+			continue
+		}
 		list, unfinished := b.steering.RetrySearch(now, &s.packet, s.attempts)
 		b.resend(&s, list, unfinished)
 	}
@@ -164,32 +169,31 @@
 	}
 }
 
-// beginSearch stores a packet of an unknown flow, so that continueSearch sends it to one data
+// beginSearch stores a packet of an unknown flow, which continueSearch sends to one data
 // centre after the other. It returns false if the packet is a retransmission of the stored
-// one. A packet that cannot be stored, or for which no reports arrive, goes to all data
-// centres without the balancer.
+// one. Another packet of the flow stays in one data centre, as the search for the first one
+// goes on. A packet that cannot be stored, and one for which no reports arrive, goes to all
+// data centres without the balancer.
 func (b *Balancer) beginSearch(now time.Duration, a *steer.Forward, p *steer.Packet, d []byte) bool {
 	switch b.searches.add(now, p, d, a.DataCentre) {
 	case addRepeated:
 		return false
-	case addStored:
+	case addStored, addOther:
 		a.Header.Remote = !p.Flags.Has(steer.RST)
-	case addOther:
+	case addFull:
 	}
 	b.searched.Add(1)
 	return true
 }
 
-// continueSearch sends the stored packet of a flow to the next data centre, after one has
-// reported that its upstreams do not hold the flow.
-func (b *Balancer) continueSearch(now time.Duration, k steer.Key) {
-	s, known := b.searches.get(k)
-	if !known {
-		return
-	}
-	if f, found := b.steering.ContinueSearch(now, &s.packet, s.searched); found {
-		b.resend(&s, []steer.Forward{f}, true)
+// continueSearch sends a stored packet to the next data centre of its search. It returns
+// false when there is none.
+func (b *Balancer) continueSearch(now time.Duration, s *searchPacket) bool {
+	f, found := b.steering.ContinueSearch(now, &s.packet, s.searched)
+	if found {
+		b.resend(s, []steer.Forward{f}, true)
 	}
+	return found
 }
 
 // allSidecarsSeen reports whether a heartbeat has arrived from each listed sidecar of
@@ -354,7 +358,9 @@
 		b.resetAll([]steer.Reset{r})
 		return
 	}
-	b.continueSearch(now, m.Key)
+	if s, known := b.searches.get(m.Key); known {
+		b.continueSearch(now, &s)
+	}
 }
 
 // BalancerStarted does nothing: balancers have no state that another balancer needs.
--- a/edge/caller_test.go
+++ b/edge/caller_test.go
@@ -19,6 +19,9 @@
 	openTimeout     = 1400 * time.Millisecond
 	firstResend     = 200 * time.Millisecond
 	maxResend       = 1600 * time.Millisecond
+	// One of idlePauses pauses between two requests is longer, by up to maxIdle milliseconds.
+	idlePauses = 8
+	maxIdle    = 8000
 )
 
 // caller opens one flow after the other and sends requests on it.
@@ -118,6 +121,9 @@
 			return r
 		}
 		pause := 100 + time.Duration(c.rand.IntN(900))
+		if c.rand.IntN(idlePauses) == 0 {
+			pause += time.Duration(c.rand.IntN(maxIdle))
+		}
 		if _, ok := c.receive(ctx, p, pause*time.Millisecond, func(*steer.Packet) bool { return false }); ok {
 			return flowReset
 		}
--- a/edge/search.go
+++ b/edge/search.go
@@ -71,8 +71,10 @@
 	addStored addResult = iota
 	// addRepeated: the packet is a retransmission of the stored one, whose search goes on.
 	addRepeated
-	// addOther: another packet of the flow is stored, or the queue is full.
+	// addOther: another packet of the flow is stored, whose search goes on.
 	addOther
+	// addFull: the queue is full.
+	addFull
 )
 
 // add stores a copy of a packet unless the queue is full or holds a packet of the same
@@ -88,9 +90,12 @@
 		s.byFlow[k] = kept
 		return addRepeated
 	}
-	if known && !kept.supersededBy(p) || !known && len(s.byFlow) >= maxSearchPackets {
+	if known && !kept.supersededBy(p) {
 		return addOther
 	}
+	if !known && len(s.byFlow) >= maxSearchPackets {
+		return addFull
+	}
 	added := newSearchPacket(now, p, d)
 	added.searched = []string{dataCentre}
 	s.byFlow[k] = added
@@ -166,6 +171,16 @@
 	}
 }
 
+// postpone takes back a retry that due scheduled, and schedules it after searchRetryDelay.
+func (s *searchQueue) postpone(now time.Duration, k steer.Key) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p, known := s.byFlow[k]; known {
+		p.attempts, p.nextRetry, p.retryDelay = p.attempts-1, now+searchRetryDelay, p.retryDelay/2
+		s.byFlow[k] = p
+	}
+}
+
 // remove deletes the packet of a flow, which ends its retries.
 func (s *searchQueue) remove(k steer.Key) {
 	s.mu.Lock()
--- a/edge/search_test.go
+++ b/edge/search_test.go
@@ -47,7 +47,7 @@
 		first.Source.Port = uint16(port)
 		want := addStored
 		if port >= maxSearchPackets {
-			want = addOther
+			want = addFull
 		}
 		must.Eq(t, want, s.add(time.Minute, &first, nil, "a"))
 	}
@@ -69,6 +69,32 @@
 	must.Eq(t, reset, s.all()[0].packet)
 }
 
+// TestSearchLeavesOneDataCentreAtATime guards against copies of a searched packet in several
+// data centres at once, also of the second packet of a flow, unless no report would follow.
+func TestSearchLeavesOneDataCentreAtATime(t *testing.T) {
+	b := Balancer{searches: searchQueue{byFlow: make(map[steer.Key]searchPacket)}}
+	request := steer.Packet{Source: registry.Endpoint{Port: 7}, Flags: steer.ACK, Sequence: 8, Data: 100}
+	next, reset := request, request
+	next.Sequence = 108
+	reset.Source.Port, reset.Flags = 8, steer.RST
+	for _, c := range []struct {
+		packet *steer.Packet
+		remote bool
+	}{{&request, true}, {&next, true}, {&reset, false}} {
+		var f steer.Forward
+		must.True(t, b.beginSearch(time.Second, &f, c.packet, nil))
+		must.Eq(t, c.remote, f.Header.Remote)
+	}
+	for port := range maxSearchPackets {
+		request.Source.Port = uint16(100 + port)
+		b.searches.add(time.Second, &request, nil, "a")
+	}
+	var f steer.Forward
+	request.Source.Port = 99
+	must.True(t, b.beginSearch(time.Second, &f, &request, nil))
+	must.False(t, f.Header.Remote)
+}
+
 // TestNoticeReachesBalancerThatTookThePacket guards against a flow that is reported to no
 // balancer because heartbeats of the one that took its packet are late.
 func TestNoticeReachesBalancerThatTookThePacket(t *testing.T) {
