Search for a flow whose port was used before by a flow elsewhere

Cause: a balancer keeps the entry of a flow for a minute after its last packet. When the caller uses the port again through another data centre, and returns, its packets go to the upstream of the former flow. That one returns them, and the search follows from its sidecar: the balancer does not store the packet, so that it is sent to all other data centres at once, is not sent again, and gets to a sidecar that becomes reachable only with the caller's next transmission.

Ruled out: a change of unconfirmed entries. Their upstream may return a packet that overtook the opening, and retransmitted openings must follow the first one.

Evidence: TestStaleEntryDoesNotPreventSearch fails before.

Change: a report that contradicts a confirmed entry removes it. The next packet is searched for like any other.

--- a/steer/endedsearch_test.go
+++ b/steer/endedsearch_test.go
@@ -44,3 +44,24 @@
 	must.True(t, again)
 	must.LessEq(t, 2*6, len(list))
 }
+
+// TestStaleEntryDoesNotPreventSearch guards against packets that are neither stored nor sent
+// again, because the balancer has an outdated entry of their flow: its port was used before.
+func TestStaleEntryDoesNotPreventSearch(t *testing.T) {
+	sim := newMixedSimulation()
+	b, k := sim.balancers[1], flowKey(1)
+	b.Learn(sim.now, k, sim.instances[0].host)
+	sim.advance(tick)
+	p := sim.openAt(t, 2, k)
+	sim.instances[2].running = false // packets to it are lost
+	var f steer.Forward
+	b.Packet(sim.now, &p, &f)
+	must.Eq(t, sim.instances[0].host, f.Host)
+	must.Eq(t, -1, sim.execute(&f, p))
+	sim.advance(2 * tick)
+	b.Packet(sim.now, &p, &f)
+	must.True(t, f.Header.UnknownFlow, must.Sprint("the upstream in the entry has returned the packet"))
+	sim.advance(time.Second)
+	_, again := b.RetrySearch(sim.now, &p, 1)
+	must.True(t, again, must.Sprint("no report has arrived since"))
+}
--- a/steer/search.go
+++ b/steer/search.go
@@ -188,7 +188,11 @@
 // holds the flow, it returns the flow to be reset, and true.
 func (b *Balancer) FlowMissing(now time.Duration, m *MissReport) (Reset, bool) {
 	b.searches.record(now, m)
-	return b.endIfExhausted(now, m.Key)
+	r, reset := b.endIfExhausted(now, m.Key)
+	if !reset {
+		b.removeFormer(now, m.Key)
+	}
+	return r, reset
 }
 
 // RetrySearch decides again on a packet of an unknown flow some time after it was last
@@ -336,6 +340,22 @@
 	}
 }
 
+// removeFormer removes the entry of a former flow of the same port: its upstream was
+// confirmed, and has returned a packet since. Packets of flows with an entry are not stored
+// and resent until the upstream is found.
+func (b *Balancer) removeFormer(now time.Duration, k Key) {
+	s, searched := b.searches.get(now, k)
+	if !searched {
+		return
+	}
+	sh := b.shard(k)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	if e, known := sh.flows[k]; known && e.confirmed && s.contradicts(&e) {
+		delete(sh.flows, k)
+	}
+}
+
 // ExhaustedSearches ends the searches that have found that no upstream holds the flow.
 // It returns the flows to be reset.
 func (b *Balancer) ExhaustedSearches(now time.Duration) []Reset {
