Do not ignore a live process after a very late heartbeat of its former one

What callers could see: flows reset, or taken for those of a stopping sidecar, for five seconds instead of a quarter: until the next heartbeat of the process that runs.

Cause: heartbeats of the former process are ignored for five seconds, and the process whose record a new incarnation replaces counts as the former one if it has run for that long. A heartbeat that is later than these five seconds, or that a table without a record of its process receives, replaces the record of the process that runs, which is then ignored.

Evidence: TestLiveProcessIsNotTakenForFormerOne fails before: a live sidecar counts as ended. Found by reading; no run of the virtual test has datagrams that late.

Change: the present process counts as the former one only if it announced a stop or its heartbeat is overdue.

--- a/membership/incarnation.go
+++ b/membership/incarnation.go
@@ -13,12 +13,14 @@
 	since  time.Duration // when the first heartbeat of the present incarnation arrived
 }
 
-// next returns the lineage after the first heartbeat of another incarnation than present.
-// One that began less than formerTimeout ago is not recorded as the former one: either of
-// the two may be the late one, and the one that runs must not be ignored.
-func (l lineage) next(now time.Duration, present uint32) lineage {
-	if now-l.since >= formerTimeout {
-		l.former = present
+// nextLineage returns the lineage after the first heartbeat of another incarnation than the
+// recorded one. One that began less than formerTimeout ago is not recorded as the former one,
+// nor one of which no heartbeat is overdue: either of the two may be the late one, and the one
+// that runs must not be ignored.
+func (p *Peer) nextLineage(now time.Duration) lineage {
+	l := p.lineage
+	if now-l.since >= formerTimeout && (p.Heartbeat.Stopping || now-p.Seen() >= HeartbeatInterval+maxHeartbeatDelay) {
+		l.former = p.Heartbeat.Incarnation
 	}
 	l.since = now
 	return l
--- a/membership/incarnation_test.go
+++ b/membership/incarnation_test.go
@@ -70,6 +70,23 @@
 	must.True(t, tb.Alive(start+250*time.Millisecond, host(2)))
 }
 
+// TestLiveProcessIsNotTakenForFormerOne guards against ignoring a live process for seconds after
+// a heartbeat of the one before it that is later than formerTimeout.
+func TestLiveProcessIsNotTakenForFormerOne(t *testing.T) {
+	tb := newTable(1, membership.Balancer)
+	const late = start + 6*time.Second
+	for now := time.Duration(start); now < late; now += membership.HeartbeatInterval {
+		tb.MergeHeartbeat(now, host(2), sidecarOf(2, uint32(now/time.Millisecond)), versions(0, 0))
+	}
+	stop := sidecarOf(1, 40)
+	stop.Stopping, stop.Load.Ended = true, true
+	tb.MergeHeartbeat(late, host(2), stop, versions(0, 0))
+	next := late + membership.HeartbeatInterval
+	tb.MergeHeartbeat(next, host(2), sidecarOf(2, uint32(next/time.Millisecond)), versions(0, 0))
+	must.True(t, tb.Alive(next, host(2)))
+	must.False(t, tb.Ended(host(2)))
+}
+
 // TestFormerProcessIsRememberedThroughPauses guards against a late heartbeat that arrives
 // after the next process has also begun another incarnation, as it does after a pause.
 func TestFormerProcessIsRememberedThroughPauses(t *testing.T) {
--- a/membership/table.go
+++ b/membership/table.go
@@ -215,7 +215,7 @@
 		p.changedAt = now
 	}
 	if res.Restarted {
-		p.lineage, p.restartedAt = p.lineage.next(now, p.Heartbeat.Incarnation), now
+		p.lineage, p.restartedAt = p.nextLineage(now), now
 	}
 	if p.Heartbeat.Version != b.Version || p.Heartbeat.State != b.State {
 		p.versionsSince = now
