Do not reset a flow because the upstream that its opening was sent to is lost

What callers saw: an open flow was reset by a balancer while its upstream serves. The users reported this; that it was this cause is only suspected.

Cause: a balancer remembers where it sent an opening. The sidecar there may pass the opening on, and the flow opens at another upstream, whose sidecar reports it within 50 ms, by a datagram that may be lost. Until the report arrives, the loss of the first choice counted as the loss of the flow: EvictOrphans and the next packet reset it. A sidecar that stops after its upstream has ended says so at once, so that a few milliseconds are enough; when the report is lost, the reset can come at any time in the life of the flow.

Change: a flow that no sidecar reported is not reset with its first choice. It is forgotten, and its next packet begins a search, which finds it or resets it when all have returned the packet.

--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -145,7 +145,7 @@
 
 // EvictOrphans removes the flows of upstreams whose sidecars are lost, except those with
 // a request in progress that is not idempotent. It returns the flows that have to be
-// reset.
+// reset. Those that no sidecar reported are searched for when their next packet arrives.
 func (b *Balancer) EvictOrphans(now time.Duration) []Reset {
 	f := b.fleet.Load()
 	if f == nil || !f.anyLost() {
@@ -160,7 +160,7 @@
 				continue
 			}
 			delete(s.flows, k)
-			if e.resettable {
+			if e.resettable && e.confirmed {
 				p := Packet{Source: k.Caller, Destination: k.Address, Flags: ACK, Acknowledged: e.acknowledged}
 				list = append(list, Reset{Packet: p, Reason: ReasonLost, Evidence: f.lossOf(e.host)})
 			}
@@ -328,18 +328,28 @@
 // search for it.
 func (d *decision) follow() Action {
 	service := d.route.Service(d.hash)
-	if e, ok := d.shard.flows[d.key]; ok {
-		if d.fleet.lostFlow(d.now, &e) && !e.requestInFlight(d.now, d.route) {
-			delete(d.shard.flows, d.key)
-			return Refuse{Reason: ReasonLost, Evidence: d.fleet.lossOf(e.host)}
-		}
-		if d.b.admission != nil {
-			d.recordRequest(&e)
+	e, known := d.shard.flows[d.key]
+	if !known {
+		return d.followUnknown(service)
+	}
+	if d.fleet.lostFlow(d.now, &e) && !e.requestInFlight(d.now, d.route) {
+		delete(d.shard.flows, d.key)
+		if !e.confirmed {
+			return d.followUnknown(service)
 		}
-		e.recordPacket(d.now, d.packet)
-		d.shard.flows[d.key] = e
-		return d.forward(service, e.host, false)
+		return Refuse{Reason: ReasonLost, Evidence: d.fleet.lossOf(e.host)}
 	}
+	if d.b.admission != nil {
+		d.recordRequest(&e)
+	}
+	e.recordPacket(d.now, d.packet)
+	d.shard.flows[d.key] = e
+	return d.forward(service, e.host, false)
+}
+
+// followUnknown searches for the flow, unless a search has just found that no upstream
+// holds it.
+func (d *decision) followUnknown(service string) Action {
 	if d.b.recentlyExhausted(d.now, d.fleet, d.route, d.key) {
 		return Drop{Reason: ReasonUnknownFlow}
 	}
--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -117,9 +117,10 @@
 	return now-since >= lostAfter || contact != 0 && now-contact >= silentLostAfter && now-since >= silentAbsence
 }
 
-// lostFlow reports whether a flow is lost with its upstream. One that was reported after
-// the sidecar announced its end is not: it is a flow of the next sidecar on the host, of
-// which no heartbeat has arrived yet. An absence ends with the report itself.
+// lostFlow reports whether the upstream to which a flow's packets are sent is lost. One that was
+// reported after the sidecar announced its end is not: it is a flow of the next sidecar on the
+// host, of which no heartbeat has arrived yet. An absence ends with the report itself. A flow
+// that no sidecar reported may be open at another upstream, to which its opening was passed on.
 func (f *Fleet) lostFlow(now time.Duration, e *flowEntry) bool {
 	ended := f.Sidecars[e.host].EndedAt
 	if ended > 0 && e.confirmed && e.updated > ended {
