Report a flow again whose packets came by another sidecar

What callers could see: a packet that is lost, or a flow that is searched for, when a third process fails that has nothing to do with the flow.

Cause: a sidecar reports a flow to the balancers when it opens, in one or two datagrams of the same 50 ms. When they are lost, the balancer goes on sending the packets to the upstream of its first choice, which passes them on for as long as it remembers the opening. Nothing reported the flow again, since these packets are not marked as those of an unknown flow.

Change: a packet that visited other sidecars makes the sidecar of the flow's upstream report it.

Result: TestPassedOnFlowIsReportedAgain failed before; go test ./steer ./edge ./platform passes.

--- a/steer/passedonend_test.go
+++ b/steer/passedonend_test.go
@@ -65,3 +65,12 @@
 		}
 	}
 }
+
+// TestPassedOnFlowIsReportedAgain guards against a flow whose packets take the way of its opening for
+// as long as it is open, because the report of it was lost.
+func TestPassedOnFlowIsReportedAgain(t *testing.T) {
+	sim := newSimulation(1, service, service)
+	k := openPassedOn(t, sim)
+	must.Eq(t, 1, sim.send(0, sim.request(k, 1)))
+	must.SliceContains(t, sim.instances[1].sidecar.Notices(), steer.Notice{Key: k, Balancer: balancerHost(0), All: true})
+}
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -384,7 +384,7 @@
 	}
 	if l.stage == stageOpen {
 		s.recordCallerPacket(now, k, l, p)
-		if h.UnknownFlow {
+		if h.UnknownFlow || len(h.Visited) > 0 { // the balancer sent it to another upstream
 			s.queueNotice(Notice{Key: k, Balancer: h.Balancer, All: true})
 		}
 	}
