--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -330,21 +330,27 @@
 func (d *decision) follow() Action {
 	service := d.route.Service(d.hash)
 	e, known := d.shard.flows[d.key]
-	if known && d.fleet.lostFlow(d.now, &e) && !(e.confirmed && e.requestInFlight(d.now, d.route)) {
+	if !known {
+		return d.followUnknown(service)
+	}
+	if d.fleet.lostFlow(d.now, &e) && !(e.confirmed && e.requestInFlight(d.now, d.route)) {
 		delete(d.shard.flows, d.key)
-		if e.confirmed {
-			return Refuse{Reason: ReasonLost, Evidence: d.fleet.lossOf(e.host)}
+		if !e.confirmed {
+			return d.followUnknown(service) // another upstream may have accepted another copy of the opening
 		}
-		known = false // another upstream may have accepted another copy of the opening
+		return Refuse{Reason: ReasonLost, Evidence: d.fleet.lossOf(e.host)}
 	}
-	if known {
-		if d.b.admission != nil {
-			d.recordRequest(&e)
-		}
-		e.recordPacket(d.now, d.packet)
-		d.shard.flows[d.key] = e
-		return d.forward(service, e.host, false)
+	if d.b.admission != nil {
+		d.recordRequest(&e)
 	}
+	e.recordPacket(d.now, d.packet)
+	d.shard.flows[d.key] = e
+	return d.forward(service, e.host, false)
+}
+
+// followUnknown searches for the flow, unless a search has just found that no upstream
+// holds it.
+func (d *decision) followUnknown(service string) Action {
 	if d.b.recentlyExhausted(d.now, d.fleet, d.route, d.key) {
 		return Drop{Reason: ReasonUnknownFlow}
 	}
