End the way of searched copies that arrive after the owner's

What callers saw: nothing.

Cause: two ways in which a search goes on after the owner has the packet. A slow or silent upstream returns its copy half a second late, and the sidecar passes it on to all others of the data centre; two seconds late, when the record of the delivery is gone, it began a search of all data centres with an empty header. And the balancer learns of the owner only with the next regular report, up to 50 ms later, while the caller sends on.

Change: a copy that returns 100 ms after its delivery or later is reported and not passed on, when the balancer stores the packet and sends other copies; one without a record is dropped, as the caller has sent others since. A sidecar that has a searched flow reports it to the balancer at once, in one datagram.

TestLateReturnedCopyIsNotPassedOn and TestFoundFlowIsReportedAtOnce fail without the changes they name.

--- a/edge/sidecar.go
+++ b/edge/sidecar.go
@@ -317,7 +317,11 @@
 		s.counts.invalid.Add(1)
 		return
 	}
-	s.execute(s.steering.FromBalancer(s.cfg.Timer.Uptime(), header, p), d, &s.fromPeers)
+	a := s.steering.FromBalancer(s.cfg.Timer.Uptime(), header, p)
+	if deliver, ok := a.(steer.Deliver); ok && deliver.Found {
+		s.node.ReportFlows([]steer.Key{p.CallerKey()}, []registry.Host{header.Balancer})
+	}
+	s.execute(a, d, &s.fromPeers)
 }
 
 // FlowHeld does nothing: sidecars query their own upstreams, not each other.
--- a/steer/action.go
+++ b/steer/action.go
@@ -36,6 +36,9 @@
 // Deliver sends the packet to the local upstream, with Tag written into it.
 type Deliver struct {
 	Tag uint32
+	// Found is true when the packet was searched for and the upstream holds its flow: the
+	// balancer is to get the notice at once, so that its search ends.
+	Found bool
 }
 
 // Answer sends the upstream's packet to the caller.
--- a/steer/answer.go
+++ b/steer/answer.go
@@ -1,6 +1,14 @@
 package steer
 
-import "time"
+import (
+	"time"
+
+	"github.com/corianderbay/corianderbay/registry"
+)
+
+// lateReturn is the time after its delivery from which a returned copy of a searched packet
+// is not passed on. The balancer that stores the packet sends it to others by then.
+const lateReturn = 100 * time.Millisecond
 
 // FromUpstream decides on a packet that the upstream sent or returned.
 func (s *Sidecar) FromUpstream(now time.Duration, p *Packet) Action {
@@ -72,7 +80,7 @@
 // handleReturned decides on a packet that the upstream returned.
 func (s *Sidecar) handleReturned(now time.Duration, p *Packet) Action {
 	k := p.CallerKey()
-	h := s.deliveryHeader(now, k, p.Tag)
+	h, age, known := s.returnedDelivery(now, k, p.Tag)
 	sh := s.shard(k)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
@@ -92,9 +100,29 @@
 		return Drop{Reason: ReasonForgotten}
 	}
 	s.recordReturned(now, sh, k, l)
+	if !known {
+		return Drop{Reason: ReasonReturned}
+	}
+	if h.Remote && age >= lateReturn {
+		return s.reportReturned(&h, p)
+	}
 	return s.passOn(now, &h, p, ReasonReturned)
 }
 
+// reportReturned ends the way of a copy of a searched packet that the upstream returned late.
+// The balancer has sent other copies past this upstream; the upstreams behind it would get
+// this one when the flow may be found.
+func (s *Sidecar) reportReturned(h *Header, p *Packet) Action {
+	if p.Flags.Has(RST) {
+		return Drop{Reason: ReasonReturned} // a flow that is being closed needs no reset
+	}
+	next := h.WithVisited(s.cfg.Self)
+	if f := s.fleet.Load(); f != nil {
+		next.State = registry.Latest(next.State, f.Snapshot.State())
+	}
+	return newMissReport(&next, p)
+}
+
 // recordReturned records that the upstream returned a later packet of a flow, so that it
 // is not offered further ones. An opening that was delivered meanwhile may still be
 // accepted; its entry is removed as before.
--- a/steer/delivery.go
+++ b/steer/delivery.go
@@ -29,16 +29,16 @@
 	return s.lastTag
 }
 
-// deliveryHeader returns the header that a returned packet was delivered with. When the
-// record is gone, the header has no visited hosts.
-func (s *Sidecar) deliveryHeader(now time.Duration, k Key, tag uint32) Header {
+// returnedDelivery returns the header that a returned packet was delivered with, and how long
+// ago that was. When the record is gone, known is false and the header has no visited hosts.
+func (s *Sidecar) returnedDelivery(now time.Duration, k Key, tag uint32) (h Header, age time.Duration, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := &s.deliveries[tag%deliverySlots]
 	if tag == 0 || t.key != k || now-t.deliveredAt >= deliveryTTL {
-		return Header{Service: s.service}
+		return Header{Service: s.service}, 0, false
 	}
-	h := t.header
+	h = t.header
 	h.Visited = append([]registry.Host(nil), h.Visited...)
-	return h
+	return h, now - t.deliveredAt, true
 }
--- a/steer/searchstep_test.go
+++ b/steer/searchstep_test.go
@@ -1,7 +1,9 @@
 package steer_test
 
 import (
+	"reflect"
 	"testing"
+	"time"
 
 	"github.com/corianderbay/corianderbay/registry"
 	"github.com/corianderbay/corianderbay/steer"
@@ -79,3 +81,38 @@
 		must.False(t, again, must.Sprint("the flow is found"))
 	}
 }
+
+// TestFoundFlowIsReportedAtOnce guards against a search that goes on until the next regular
+// report, while the caller sends further packets.
+func TestFoundFlowIsReportedAtOnce(t *testing.T) {
+	sim := newMixedSimulation()
+	p := sim.openAt(t, 0, flowKey(1))
+	for _, unknown := range []bool{true, false} {
+		h := steer.Header{Balancer: balancerHost(1), UnknownFlow: unknown}
+		must.Eq(t, steer.Action(steer.Deliver{Found: unknown}), sim.instances[0].sidecar.FromBalancer(sim.now, &h, &p))
+	}
+}
+
+// TestLateReturnedCopyIsNotPassedOn guards against copies of a searched packet that reach
+// further upstreams when one that was silent returns them, long after the flow was found.
+func TestLateReturnedCopyIsNotPassedOn(t *testing.T) {
+	for after, want := range map[time.Duration]steer.Action{
+		99 * time.Millisecond:  &steer.Forward{},
+		100 * time.Millisecond: &steer.Report{},
+		2 * time.Second:        steer.Drop{},
+	} {
+		sim := newMixedSimulation()
+		p := opening(flowKey(1))
+		p.Flags = steer.ACK
+		h := steer.Header{Balancer: balancerHost(0), UnknownFlow: true, Remote: true}
+		d, ok := sim.instances[0].sidecar.FromBalancer(sim.now, &h, &p).(steer.Deliver)
+		must.True(t, ok)
+		sim.now += after
+		p.Flags, p.Tag = p.Flags|steer.Returned, d.Tag
+		got := sim.instances[0].sidecar.FromUpstream(sim.now, &p)
+		must.Eq(t, reflect.TypeOf(want), reflect.TypeOf(got), must.Sprint(after))
+		if r, reported := got.(*steer.Report); reported {
+			must.Eq(t, []registry.Host{sim.instances[0].host}, r.MissReport.Hosts)
+		}
+	}
+}
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -388,6 +388,9 @@
 			s.queueNotice(Notice{Key: k, Balancer: h.Balancer, All: true})
 		}
 	}
+	if l.stage == stageOpen && h.UnknownFlow {
+		return Deliver{Found: true}
+	}
 	if l.stage == stageOpen || l.stage == stageClosed {
 		return Deliver{}
 	}
