Send packets for a restarting sidecar when it is back

What callers saw: a request that waits for up to 1.6 s after a planned restart of the sidecar that it was sent to: 3.04 s for a restart of 2.2 s.

Cause: packets of searched flows are stored until a sidecar becomes reachable, those of flows whose upstream the balancer remembers are not. Besides, the second packet of a searched flow began a search of its own, though the owner already had the first one.

The second packet of a searched flow waits for the report of the flow's upstream.

--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -47,6 +47,7 @@
 	maxDrain   time.Duration
 	steering   *steer.Balancer
 	searches   searchQueue
+	delayed    delayedQueue
 	recoveries steer.RecoveryWatch // used by refresh
 	ingress    ingress
 	ready      atomic.Bool
@@ -63,7 +64,7 @@
 		return nil, err
 	}
 	b := &Balancer{process: p, maxDrain: cfg.MaxDrain, ingress: ingress{link: cfg.Link, enabled: cfg.Standby}}
-	b.searches.byFlow = make(map[steer.Key]searchPacket)
+	b.searches.byFlow, b.delayed.byFlow = make(map[steer.Key]searchPacket), make(map[steer.Key]delayedPacket)
 	b.steering = steer.NewBalancer(steer.BalancerConfig{Self: p.self, DataCentre: cfg.DataCentre, MaxFlow: cfg.MaxFlow, Placing: cfg.Placing, Admission: cfg.Admission})
 	b.fleet = b.steering.Fleet
 	nc := cfg.exchangeConfig(membership.Balancer, b.pauseDetector)
@@ -119,7 +120,7 @@
 	b.firstView.CompareAndSwap(0, int64(now))
 	b.retryHeld(now)
 	b.resetAll(b.steering.ExhaustedSearches(now))
-	b.retrySearches(now, f)
+	b.resendPackets(now, f)
 	b.logAdmission(now)
 	if b.ready.Load() {
 		return
@@ -130,22 +131,20 @@
 	}
 }
 
-// retrySearches resends packets of searches to upstreams that have not returned them: all to
-// sidecars that have become reachable, and those that are due, for lack of a report, to the
-// next data centre or, when each has a copy, again.
-func (b *Balancer) retrySearches(now time.Duration, f *steer.Fleet) {
-	if b.searches.empty() {
+// resendPackets resends stored packets: all that wait for sidecars that have become reachable,
+// and the searched ones that are due, for lack of a report, to the next data centre or, when
+// each has a copy, again.
+func (b *Balancer) resendPackets(now time.Duration, f *steer.Fleet) {
+	b.delayed.expire(now)
+	if b.searches.empty() && b.delayed.empty() {
 		b.recoveries.Reset()
 		return
 	}
 	if recovered := b.recoveries.Recovered(now, f); len(recovered) > 0 {
-		for _, s := range b.searches.all() {
-			list, unfinished := b.steering.ExtendSearch(now, &s.packet, recovered)
-			if len(list) > 0 {
-				b.searches.restart(now, s.packet.CallerKey())
-			}
-			b.resend(&s, list, unfinished)
+		for _, d := range b.delayed.takeFor(recovered) {
+			b.decideAgain(now, d.data)
 		}
+		b.extendSearches(now, recovered)
 	}
 	for _, s := range b.searches.due(now) {
 		if b.continueSearch(now, &s) {
@@ -157,6 +156,26 @@
 	}
 }
 
+// extendSearches sends the searched packets to sidecars that have become reachable.
+func (b *Balancer) extendSearches(now time.Duration, recovered []registry.Host) {
+	for _, s := range b.searches.all() {
+		list, unfinished := b.steering.ExtendSearch(now, &s.packet, recovered)
+		if len(list) > 0 {
+			b.searches.restart(now, s.packet.CallerKey())
+		}
+		b.resend(&s, list, unfinished)
+	}
+}
+
+// decideAgain decides again on the packet d of a caller, and carries the decision out.
+func (b *Balancer) decideAgain(now time.Duration, d []byte) {
+	var p steer.Packet
+	if err := b.cfg.Codec.Decode(d, &p); err != nil {
+		return // unreachable: the packet was decoded before it was stored
+	}
+	b.execute(now, b.steering.Packet(now, &p, new(steer.Forward)), d, &p, nil)
+}
+
 // resend sends copies of a searched packet, or ends its retries when the search is over.
 func (b *Balancer) resend(s *searchPacket, list []steer.Forward, unfinished bool) {
 	var out []byte
@@ -171,14 +190,13 @@
 
 // beginSearch stores a packet of an unknown flow, which continueSearch sends to one data
 // centre after the other. It returns false if the packet is a retransmission of the stored
-// one. Another packet of the flow stays in one data centre, as the search for the first one
-// goes on. A packet that cannot be stored, and one for which no reports arrive, goes to all
+// one, or waits until the flow is found. A packet that cannot be stored, and one for which no reports arrive, goes to all
 // data centres without the balancer.
 func (b *Balancer) beginSearch(now time.Duration, a *steer.Forward, p *steer.Packet, d []byte) bool {
 	switch b.searches.add(now, p, d, a.DataCentre) {
-	case addRepeated:
+	case addRepeated, addHeld:
 		return false
-	case addStored, addOther:
+	case addStored:
 		a.Header.Remote = !p.Flags.Has(steer.RST)
 	case addFull:
 	}
@@ -289,6 +307,9 @@
 			b.drop(p, steer.ReasonUnknownFlow) // the search continues with the first copy
 			break
 		}
+		if !a.Header.UnknownFlow && !p.Opens() && b.steering.Unreachable(now, a.Host) {
+			b.delayed.add(now, p, d, a.Host)
+		}
 		out = b.forward(a, d, out)
 		b.logFlowOpened(p, a)
 	case steer.Refuse:
@@ -345,9 +366,13 @@
 // Forwarded does nothing: no process forwards packets to a balancer.
 func (h *balancerHandler) Forwarded(*steer.Header, []byte) {}
 
-// FlowHeld records the upstream that holds a flow.
+// FlowHeld records the upstream that holds a flow, and ends the search for it.
 func (h *balancerHandler) FlowHeld(k steer.Key, host registry.Host) {
-	h.steering.Learn(h.cfg.Timer.Uptime(), k, host)
+	b, now := (*Balancer)(h), h.cfg.Timer.Uptime()
+	b.steering.Learn(now, k, host)
+	if s, searched := b.searches.take(k); searched && s.next != nil {
+		b.decideAgain(now, s.next)
+	}
 }
 
 // FlowMissing records which upstreams do not hold a flow, and resets it if none does, or
--- a/edge/search.go
+++ b/edge/search.go
@@ -32,6 +32,7 @@
 	attempts   int           // retries so far
 	retryDelay time.Duration // delay between that retry and the one after it
 	searched   []string      // data centres that got a copy; not modified in place
+	next       []byte        // the caller's last other packet, until the flow is found; nil if there is none
 }
 
 // newSearchPacket returns a packet with a copy of its data that is first resent after
@@ -71,8 +72,9 @@
 	addStored addResult = iota
 	// addRepeated: the packet is a retransmission of the stored one, whose search goes on.
 	addRepeated
-	// addOther: another packet of the flow is stored, whose search goes on.
-	addOther
+	// addHeld: another packet of the flow is stored, whose search goes on. This one waits
+	// until the flow is found.
+	addHeld
 	// addFull: the queue is full.
 	addFull
 )
@@ -91,7 +93,9 @@
 		return addRepeated
 	}
 	if known && !kept.supersededBy(p) {
-		return addOther
+		kept.lastSent, kept.next = now, append([]byte(nil), d...)
+		s.byFlow[k] = kept
+		return addHeld
 	}
 	if !known && len(s.byFlow) >= maxSearchPackets {
 		return addFull
@@ -183,7 +187,14 @@
 
 // remove deletes the packet of a flow, which ends its retries.
 func (s *searchQueue) remove(k steer.Key) {
+	s.take(k)
+}
+
+// take removes and returns the packet of a flow.
+func (s *searchQueue) take(k steer.Key) (p searchPacket, known bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	p, known = s.byFlow[k]
 	delete(s.byFlow, k)
+	return p, known
 }
--- a/edge/wake_test.go
+++ b/edge/wake_test.go
@@ -43,3 +43,19 @@
 		must.Zero(t, reports.Load())
 	})
 }
+
+// TestRequestsArriveWhenSidecarIsBack guards against requests that wait for the caller's next
+// transmission, up to 1.6 s, after a planned restart of the sidecar that they were sent to.
+func TestRequestsArriveWhenSidecarIsBack(t *testing.T) {
+	const pause = 2200 * time.Millisecond // between two transmissions of a request
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, deployments[0])
+		for _, m := range w.list(hasUpstream)[:4] {
+			w.restart(m, pause)
+			time.Sleep(3 * time.Second)
+		}
+		w.end()
+		w.report()
+		must.Less(t, pause+300*time.Millisecond, w.slowest)
+	})
+}
--- a/edge/world_test.go
+++ b/edge/world_test.go
@@ -105,6 +105,7 @@
 	troubles  sync.WaitGroup
 	starts    uint64
 	flowsDone map[result]int
+	slowest   time.Duration // the longest time until a request was answered
 }
 
 // newWorld starts a deployment and returns when it has settled.
@@ -366,6 +367,13 @@
 	w.flowsDone[r]++
 }
 
+// answered records how long a request waited for its answer.
+func (w *world) answered(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.slowest = max(w.slowest, d)
+}
+
 // probe checks the readiness of balancers as routers do.
 func (w *world) probe() {
 	for sleep(w.ctx, probeInterval) {
--- a/steer/recovery.go
+++ b/steer/recovery.go
@@ -36,3 +36,10 @@
 func (w *RecoveryWatch) Reset() {
 	w.alive = nil
 }
+
+// Unreachable reports whether the sidecar on a host has sent a heartbeat before and is not
+// alive now, as while it restarts.
+func (b *Balancer) Unreachable(now time.Duration, h registry.Host) bool {
+	f := b.fleet.Load()
+	return f != nil && f.silent(now, h)
+}
