Do not list a sidecar as lost that is known only from reports

What callers could see: an open flow that is reset by a balancer while its sidecar restarts.

Cause: the full digests that a starting balancer now gets name sidecars that it never received a heartbeat from. One that announced its stop to the killed predecessor of the balancer is silent there, so that the balancer listed it as lost, which confirms the loss to others, or decided alone.

--- a/membership/absence.go
+++ b/membership/absence.go
@@ -65,7 +65,7 @@
 	case confirmed && !excused:
 		return true
 	}
-	return t.unansweredEnough(sidecar) && now-t.cfg.Started >= receptionWindow
+	return sidecar.LastDirect > 0 && t.unansweredEnough(sidecar) && now-t.cfg.Started >= receptionWindow
 }
 
 // staysAbsent reports whether a sidecar that became absent at since stays so although a
--- a/membership/table.go
+++ b/membership/table.go
@@ -304,7 +304,8 @@
 // LocalLost returns the sidecars of the data centre that sent heartbeats to this process
 // and from which no datagram arrives any more. Heartbeats report only these as lost, and
 // not those that others reported as lost, so that no report circulates forever. There
-// are none while this process is lossy. A sidecar that announced its stop is reported
+// are none while this process is lossy. One that is known only from reports may have
+// announced its stop before this process started. A sidecar that announced its stop is reported
 // only when its upstream has ended: to a process that did not receive the announcement,
 // the report confirms that the flows there are lost.
 func (t *Table) LocalLost(now time.Duration) []registry.Host {
@@ -315,7 +316,7 @@
 		if p.Stopping() {
 			return t.isDirect(p) && p.Heartbeat.Load.Ended
 		}
-		return t.isDirect(p) && now-p.LastContact() >= LocalHeartbeatTimeout
+		return t.isDirect(p) && p.LastDirect > 0 && now-p.LastContact() >= LocalHeartbeatTimeout
 	})
 }
 
