Do not take packets for those of the former flow of a port

What callers could see: an open flow reset by a sidecar that does not hold it, while its own upstream serves, in planned work: the caller used the port before for a flow at that sidecar's upstream, whose end the sidecar did not see, and a search for the new flow passes there. The search also ended at a sidecar whose former flow had been closed within 3 s.

Cause: flows are known by addresses and ports. A packet that the upstream returned was taken for one of the flow in the sidecar's table, which the upstream then no longer holds. Before that, the sidecar reported to balancers that its upstream holds the flow.

Change: a packet whose acknowledgement number is more than 16 MiB from that of the last one is delivered, but not recorded, and passed on when the upstream returns it.

--- a/steer/answer.go
+++ b/steer/answer.go
@@ -87,6 +87,9 @@
 		}
 		return s.recordPassedOn(now, sh, k, p, s.passOn(now, &h, p, ReasonReturned))
 	}
+	if l != nil && (l.stage == stageOpen || l.stage == stageClosed) && !l.continuedBy(p) {
+		return s.passOn(now, &h, p, ReasonReturned)
+	}
 	if l != nil && l.stage == stageOpen {
 		s.remove(sh, k, l)
 		return Refuse{Reason: ReasonForgotten}
--- a/steer/flow.go
+++ b/steer/flow.go
@@ -35,6 +35,9 @@
 	// closedTTL is how long a closed flow is kept, for packets that are still in
 	// transit.
 	closedTTL = 3 * time.Second
+	// maxAcknowledgedGap bounds the difference between the acknowledgement numbers of two
+	// packets of one flow in succession.
+	maxAcknowledgedGap = 1 << 24
 )
 
 // localFlow is the entry for a flow in the table of a sidecar.
@@ -51,7 +54,7 @@
 	// nextSequence is the sequence number after the caller's last data, or that of the
 	// opening.
 	nextSequence uint32
-	// acknowledged is the caller's last acknowledgement number.
+	// acknowledged is the caller's last acknowledgement number; 0 when it is not known.
 	acknowledged   uint32
 	request        pace.Request // the pending request; 0 if there is none or it is not tracked
 	requestPending bool         // a request has not been answered
@@ -61,6 +64,15 @@
 	deliveredAt    time.Duration // when the opening, or the pending request, was delivered
 }
 
+// continuedBy reports whether a later packet may belong to the flow. The caller may have used
+// its port again for a flow of another upstream.
+func (l *localFlow) continuedBy(p *Packet) bool {
+	if p.Flags.Has(RST) || l.acknowledged == 0 {
+		return true
+	}
+	return p.Acknowledged-l.acknowledged+maxAcknowledgedGap <= 2*maxAcknowledgedGap
+}
+
 // live reports whether the flow counts towards the connections of the upstream.
 func (l *localFlow) live() bool {
 	return l.stage == stageOpening || l.stage == stageAnswered || l.stage == stageOpen
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -281,7 +281,7 @@
 // handleOpening decides on a request for a new flow. l is nil when the flow is unknown.
 func (s *Sidecar) handleOpening(now time.Duration, sh *sidecarShard, k Key, l *localFlow, h *Header, p *Packet) Action {
 	if l != nil && l.live() && !s.UpstreamDown() && !(l.stage == stageOpening && s.Silent(now)) {
-		l.lastPacket = now
+		l.lastPacket, l.acknowledged = now, 0 // it may open another flow of the port
 		s.liveness.awaitReaction(now)
 		return Deliver{Tag: s.recordDelivery(now, k, h)}
 	}
@@ -373,6 +373,9 @@
 
 // handleLater decides on a packet of a flow that is in the table.
 func (s *Sidecar) handleLater(now time.Duration, sh *sidecarShard, k Key, l *localFlow, h *Header, p *Packet) Action {
+	if (l.stage == stageOpen || l.stage == stageClosed) && !l.continuedBy(p) {
+		return Deliver{Tag: s.recordDelivery(now, k, h)} // to be returned and passed on
+	}
 	l.lastPacket, l.balancer = now, h.Balancer
 	l.acknowledged = p.Acknowledged
 	if l.stage == stageAnswered {
