Let callers use their ports again in virtual time

Nothing changes for callers: this only widens what is tested. The virtual test used each port once, so that no process had state of a former flow with the same key.

Change: TestFlowsStayWhenPortsAreUsedAgain lets each caller use 1, 4 or 12 ports in turn, beside planned restarts and moves. Upstreams of the stand-in return packets that are not of the sequence of the flow that they hold, or that they ended, and the checker begins a new record when a closed flow's port is opened again. Flows of ports that are used once are checked as before.

--- a/edge/caller_test.go
+++ b/edge/caller_test.go
@@ -17,6 +17,7 @@
 	// requestDeadline is the time after which a caller gives up a request and its flow.
 	requestDeadline = 8 * time.Second
 	openTimeout     = 1400 * time.Millisecond
+	firstPort       = 40000
 	firstResend     = 200 * time.Millisecond
 	maxResend       = 1600 * time.Millisecond
 )
@@ -44,7 +45,7 @@
 // run opens flows until ctx is done.
 func (c *caller) run(ctx context.Context) {
 	for sleep(ctx, time.Duration(c.rand.IntN(300))*time.Millisecond) {
-		c.port++
+		c.nextPort()
 		to := routeAddresses[c.rand.IntN(len(routeAddresses))]
 		k := steer.Key{Caller: registry.Endpoint{Host: c.host, Port: c.port}, Address: to}
 		p := steer.Packet{Source: k.Caller, Destination: to, Sequence: c.rand.Uint32()}
@@ -59,6 +60,14 @@
 	}
 }
 
+// nextPort selects the port of the next flow.
+func (c *caller) nextPort() {
+	c.port++
+	if c.w.ports > 0 {
+		c.port = firstPort + (c.port-firstPort)%c.w.ports
+	}
+}
+
 // send sends a packet through the balancer that the routers select now.
 func (c *caller) send(p *steer.Packet, data int) {
 	b := standin.Encode(*p, make([]byte, data))
--- a/edge/check_test.go
+++ b/edge/check_test.go
@@ -215,6 +215,10 @@
 func (c *checker) opened(k steer.Key, u *upstream) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if f := c.flow(k); f.closed { // the caller uses its port again
+		delete(c.flows, k)
+		c.flow(k).taker = f.taker
+	}
 	c.flow(k).owner = u
 	c.opens++
 }
--- /dev/null
+++ b/edge/ports_test.go
@@ -0,0 +1,47 @@
+package edge_test
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestFlowsStayWhenPortsAreUsedAgain guards against resets, and packets that reach other upstreams
+// only, because a process takes the packets of a flow for those of the former one of its port.
+func TestFlowsStayWhenPortsAreUsedAgain(t *testing.T) {
+	for _, ports := range []uint16{1, 4, 12} {
+		t.Run(fmt.Sprint(ports), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				d := deployments[0]
+				d.flowTime, d.ports = 6*time.Second, ports
+				w := newWorld(t, *virtualFirst, d)
+				for i, m := range w.list(hasUpstream) {
+					if i%4 == 1 {
+						searchAfterReturn(w, m)
+						time.Sleep(stableWindow)
+					}
+				}
+				w.end()
+				w.report()
+				must.SliceEmpty(t, w.check.exempt)
+			})
+		})
+	}
+}
+
+// searchAfterReturn lets callers use two data centres in turn and return to the first one while
+// a sidecar restarts.
+func searchAfterReturn(w *world, m *machine) {
+	const useTime = 8 * time.Second
+	first, second := (dataCentreOf(m.host)+1)%3, (dataCentreOf(m.host)+2)%3
+	w.moveTo(first)
+	time.Sleep(useTime)
+	w.moveTo(second)
+	time.Sleep(useTime)
+	time.AfterFunc(500*time.Millisecond, func() { w.moveTo(first) })
+	w.restart(m, restartTime)
+}
--- a/edge/upstream_test.go
+++ b/edge/upstream_test.go
@@ -39,12 +39,17 @@
 	sequence int64
 	state    upstreamState
 	draining bool
-	openings map[steer.Key]uint32 // own initial sequence numbers
+	openings map[steer.Key]opening
 	flows    map[steer.Key]*upstreamFlow
-	ended    map[steer.Key]bool
+	ended    map[steer.Key]uint32 // next sequence number of the caller in a flow that it ended
 	stop     context.CancelFunc
 }
 
+// opening has the initial sequence numbers of a flow.
+type opening struct {
+	caller, own uint32
+}
+
 // upstreamFlow is an open flow.
 type upstreamFlow struct {
 	expected uint32 // next sequence number of the caller
@@ -59,8 +64,8 @@
 	w.starts++
 	u := &upstream{
 		w: w, id: m.name + "-" + time.Now().Format("05.000"), service: m.service, machine: m,
-		rand: rand.New(rand.NewPCG(w.seed, w.starts)), born: time.Now().Add(m.step), openings: make(map[steer.Key]uint32),
-		flows: make(map[steer.Key]*upstreamFlow), ended: make(map[steer.Key]bool), stop: cancel,
+		rand: rand.New(rand.NewPCG(w.seed, w.starts)), born: time.Now().Add(m.step), openings: make(map[steer.Key]opening),
+		flows: make(map[steer.Key]*upstreamFlow), ended: make(map[steer.Key]uint32), stop: cancel,
 	}
 	m.upstream = u
 	w.mu.Unlock()
@@ -137,9 +142,15 @@
 		u.accept(k, &p)
 		return
 	}
-	f := u.flows[k]
-	if isn, known := u.openings[k]; f == nil && known && !u.ended[k] && p.Acknowledged == isn+1 {
-		f = &upstreamFlow{expected: p.Sequence, sequence: isn + 1}
+	f, next, ended := u.flows[k], uint32(0), false
+	if f != nil && !follows(&p, f.expected) {
+		f = nil
+	}
+	if next, ended = u.ended[k]; ended {
+		ended = follows(&p, next)
+	}
+	if o, known := u.openings[k]; f == nil && known && !ended && p.Acknowledged == o.own+1 {
+		f = &upstreamFlow{expected: p.Sequence, sequence: o.own + 1}
 		u.flows[k] = f
 		u.w.check.opened(k, u)
 	}
@@ -147,9 +158,9 @@
 	switch {
 	case f != nil:
 		u.serve(k, f, &p)
-	case u.ended[k] && p.Data > 0:
+	case ended && p.Data > 0:
 		u.send(standin.Encode(answerTo(&p, steer.RST, p.Acknowledged), nil))
-	case u.ended[k]:
+	case ended:
 	default:
 		b = append([]byte(nil), b...)
 		b[offFlags] |= bitReturned
@@ -157,17 +168,25 @@
 	}
 }
 
+// follows reports whether a packet is one of a flow whose next sequence number is given, and
+// not of another flow of the port.
+func follows(p *steer.Packet, next uint32) bool {
+	return next-p.Sequence <= 2*requestSize
+}
+
 func answerTo(p *steer.Packet, flags steer.Flags, sequence uint32) steer.Packet {
 	return steer.Packet{Source: p.Destination, Destination: p.Source, Flags: flags, Sequence: sequence, Acknowledged: p.Sequence + uint32(p.Data)}
 }
 
 func (u *upstream) accept(k steer.Key, p *steer.Packet) {
-	isn, repeated := u.openings[k]
-	if !repeated {
-		isn = u.rand.Uint32()
-		u.openings[k] = isn
+	o, known := u.openings[k]
+	if !known || o.caller != p.Sequence {
+		o = opening{caller: p.Sequence, own: u.rand.Uint32()}
+		u.openings[k] = o
+		delete(u.flows, k)
+		delete(u.ended, k)
 	}
-	a := answerTo(p, steer.SYN|steer.ACK, isn)
+	a := answerTo(p, steer.SYN|steer.ACK, o.own)
 	a.Acknowledged++
 	u.send(standin.Encode(a, nil))
 }
@@ -177,7 +196,7 @@
 	switch {
 	case p.Flags.Has(steer.RST):
 		delete(u.flows, k)
-		u.ended[k] = true
+		u.ended[k] = f.expected
 	case p.Data > 0 && p.Sequence == f.expected:
 		f.expected += uint32(p.Data)
 		f.answer = nil
--- a/edge/world_test.go
+++ b/edge/world_test.go
@@ -54,6 +54,8 @@
 	heartbeat                         time.Duration
 	// flowTime is the longest time for which callers use a flow.
 	flowTime time.Duration
+	// ports is the number of ports that a caller uses in turn; 0 stands for a new one for each flow.
+	ports uint16
 }
 
 // machine is the host of a balancer, or of a sidecar and its upstream.
@@ -95,7 +97,9 @@
 	seeds []registry.Host
 	// flowTime is that of the deployment.
 	flowTime time.Duration
-	byHost   map[registry.Host]*caller
+	// ports is that of the deployment.
+	ports  uint16
+	byHost map[registry.Host]*caller
 	// heard, if not nil, is called with each datagram between processes.
 	heard atomic.Pointer[func(from registry.Host, d []byte)]
 
@@ -112,7 +116,7 @@
 	w := &world{
 		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 1)), net: newNetwork(seed), store: newStore(seed, d.heartbeat),
 		check: newChecker(), byHost: make(map[registry.Host]*caller), flowsDone: make(map[result]int),
-		flowTime: d.flowTime,
+		flowTime: d.flowTime, ports: d.ports,
 	}
 	w.ctx, w.stop = context.WithCancel(context.Background())
 	w.net.receive, w.net.observe, w.net.connects = w.receive, w.observe, w.connects
@@ -173,7 +177,7 @@
 func (w *world) addCaller(dc, n int) {
 	c := &caller{
 		w: w, host: registry.Host{callerNet, 64, byte(dc), byte(n)}, rand: rand.New(rand.NewPCG(w.seed, uint64(1000+n))),
-		inbox: make(chan []byte, 256), port: 40000, dataCentre: dc,
+		inbox: make(chan []byte, 256), port: firstPort, dataCentre: dc,
 	}
 	w.mu.Lock()
 	w.callers = append(w.callers, c)
