--- a/edge/caller_test.go
+++ b/edge/caller_test.go
@@ -20,6 +20,9 @@
 	firstPort       = 40000
 	firstResend     = 200 * time.Millisecond
 	maxResend       = 1600 * time.Millisecond
+	// One of idlePauses pauses between two requests is longer, by up to maxIdle milliseconds.
+	idlePauses = 8
+	maxIdle    = 8000
 )
 
 // caller opens one flow after the other and sends requests on it.
@@ -127,6 +130,9 @@
 			return r
 		}
 		pause := 100 + time.Duration(c.rand.IntN(900))
+		if c.rand.IntN(idlePauses) == 0 {
+			pause += time.Duration(c.rand.IntN(maxIdle))
+		}
 		if _, ok := c.receive(ctx, p, pause*time.Millisecond, func(*steer.Packet) bool { return false }); ok {
 			return flowReset
 		}
