Accept late packets of a flow in virtual time

The stand-in's upstream returned packets that were more than two requests behind the flow, as of another flow of the port.

--- a/edge/upstream_test.go
+++ b/edge/upstream_test.go
@@ -168,10 +168,14 @@
 	}
 }
 
-// follows reports whether a packet is one of a flow whose next sequence number is given, and
-// not of another flow of the port.
+// maxLate is the length in bytes of the requests after which a late packet of a flow is still
+// taken for one of it.
+const maxLate = 1 << 20
+
+// follows reports whether a packet, which may be late, is one of a flow whose next sequence
+// number is given, and not of another flow of the port.
 func follows(p *steer.Packet, next uint32) bool {
-	return next-p.Sequence <= 2*requestSize
+	return next-p.Sequence <= maxLate
 }
 
 func answerTo(p *steer.Packet, flags steer.Flags, sequence uint32) steer.Packet {
