Report at once that a remembered upstream does not hold a flow

What callers saw: packets of an open flow reached other upstreams and none its own, for as long as another upstream was silent.

Cause: a balancer that remembers a wrong upstream for a flow, which got another copy of its opening, sends each packet there. The sidecar passes it on along one path, and the balancer stores no packet and retries nothing, since it has an entry. An upstream on that path that neither accepts nor returns the packet ends it, each time.

TestFlowsStayBesideOutdatedEntries (another upstream is frozen) and TestOutdatedEntryDoesNotHideOwner failed before.

Change: the sidecar that returns a packet of a flow for which the balancer has an entry there reports it at once, beside passing the packet on. The balancer removes an entry that such a report contradicts, and searches for the next packet, with retries at other upstreams and in all data centres.

--- a/edge/outdated_test.go
+++ b/edge/outdated_test.go
@@ -12,6 +12,7 @@
 // upstream for a flow than the one that holds it, since that one did not answer the opening in time.
 func TestFlowsStayBesideOutdatedEntries(t *testing.T) {
 	cases := map[string]func(w *world, m *machine){
+		"another upstream is frozen":  searchBesideFrozen,
 		"the former upstream is lost": loseFormer,
 	}
 	for name, apply := range cases {
@@ -53,6 +54,21 @@
 	time.Sleep(time.Second)
 }
 
+// searchBesideFrozen moves callers back to a data centre in which another upstream is frozen.
+func searchBesideFrozen(w *world, m *machine) {
+	moveOpenings(w, m)
+	dc := dataCentreOf(m.host)
+	for _, other := range w.list(func(o *machine) bool { return hasUpstream(o) && o != m && dataCentreOf(o.host) == dc }) {
+		end := w.check.disrupt(other)
+		w.freezeUpstream(other, true)
+		w.moveTo(dc)
+		time.Sleep(stableWindow)
+		w.moveTo((dc + 1) % 3)
+		w.freezeUpstream(other, false)
+		end()
+	}
+}
+
 // loseFormer moves callers back while the sidecar of the upstream that did not answer their
 // openings is lost.
 func loseFormer(w *world, m *machine) {
--- a/steer/outdated_test.go
+++ b/steer/outdated_test.go
@@ -46,3 +46,25 @@
 		must.SliceEmpty(t, sim.resets)
 	}
 }
+
+// TestOutdatedEntryDoesNotHideOwner guards against packets that follow an outdated entry of a
+// balancer to the same silent upstream each time, and reach the owner of their flow never.
+func TestOutdatedEntryDoesNotHideOwner(t *testing.T) {
+	for at := range 9 {
+		for entry := range 9 {
+			for silent := range 9 {
+				if at == entry || at == silent || entry == silent {
+					continue
+				}
+				sim := newMixedSimulation()
+				p := sim.openAt(t, at, flowKey(at))
+				sim.balancers[1].Learn(sim.now, flowKey(at), sim.instances[entry].host)
+				sim.advance(tick)
+				sim.instances[silent].running = false
+				sim.publishFleet()
+				elapsed := sim.retransmit(1, at, p)
+				must.Between(t, 0, elapsed, searchEnd, must.Sprintf("a flow of upstream %d, with an entry for %d and %d silent", at, entry, silent))
+			}
+		}
+	}
+}
--- a/steer/pass.go
+++ b/steer/pass.go
@@ -106,11 +106,17 @@
 // earlier call already did so and held the packet; the report is then repeated only once
 // the fleet is settled.
 func (s *Sidecar) search(f *Fleet, c *chooser, h *Header, p *Packet, reason Reason, held bool) Action {
+	outdated := s.isOutdated(h, p, reason)
 	h.UnknownFlow = true // also when the balancer sent the packet to a wrong upstream, which it then learns
 	c.origin = searchPosition(c.hash, s.cfg.Self)
 	next, reachable, found := c.nextHost(h.Service, s.cfg.DataCentre, h.hasVisited)
 	if reachable {
-		return &Forward{Host: next, Header: *h, Reason: reason}
+		forward := Forward{Host: next, Header: *h, Reason: reason}
+		if outdated {
+			h.State = registry.Latest(h.State, f.Snapshot.State())
+			return &FanOut{Forwards: []Forward{forward}, Report: newMissReport(h, p)}
+		}
+		return &forward
 	}
 	h.State = registry.Latest(h.State, f.Snapshot.State())
 	unsettled := !f.Settled && !p.Flags.Has(RST) // a flow that is being closed needs no reset
@@ -132,6 +138,14 @@
 	return b
 }
 
+// isOutdated reports whether the local upstream does not hold the flow of a packet although
+// the balancer has an entry for it here. The balancer needs a report at once: it retries only
+// packets without an entry, and the copy that is passed on may end at a silent upstream.
+func (s *Sidecar) isOutdated(h *Header, p *Packet, reason Reason) bool {
+	returned := reason == ReasonReturned || reason == ReasonNotConfirmed
+	return returned && !h.UnknownFlow && len(h.Visited) == 1 && !p.Flags.Has(RST)
+}
+
 // simplified returns the action for a packet that goes to no other data centre.
 func (b *FanOut) simplified() Action {
 	switch {
--- a/steer/search.go
+++ b/steer/search.go
@@ -340,9 +340,11 @@
 	}
 }
 
-// removeFormer removes the entry of a former flow of the same port: its upstream was
-// confirmed, and has returned a packet since. Packets of flows with an entry are not stored
-// and resent until the upstream is found.
+// removeFormer removes the entry for an upstream that has returned a packet of the flow since:
+// the upstream was confirmed and held a former flow of the same port, or the flow was opened
+// elsewhere with another copy of its opening. Until a packet has followed the opening here, the
+// entry stays, as retransmitted openings must follow the first one. Packets of flows with an
+// entry are not stored and resent until the upstream is found.
 func (b *Balancer) removeFormer(now time.Duration, k Key) {
 	s, searched := b.searches.get(now, k)
 	if !searched {
@@ -351,7 +353,7 @@
 	sh := b.shard(k)
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
-	if e, known := sh.flows[k]; known && e.confirmed && s.contradicts(&e) {
+	if e, known := sh.flows[k]; known && (e.confirmed || e.resettable) && s.contradicts(&e) {
 		delete(sh.flows, k)
 	}
 }
