--- a/edge/flow_test.go
+++ b/edge/flow_test.go
@@ -53,12 +53,17 @@
 // TestFlowsStayInDrawnTroubles guards against resets of open flows, and packets that reach
 // other upstreams only, while planned work and unplanned disruptions overlap.
 func TestFlowsStayInDrawnTroubles(t *testing.T) {
+	playSeeds(t, (*world).disturb)
+}
+
+// playSeeds lets disturb draw troubles in the deployments of the selected seeds.
+func playSeeds(t *testing.T, disturb func(w *world, d time.Duration)) {
 	for seed := *virtualFirst; seed < *virtualFirst+*virtualSeeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				w := newWorld(t, seed, deployments[seed%uint64(len(deployments))])
-				w.disturb(disturbTime)
+				disturb(w, disturbTime)
 				time.Sleep(stableWindow)
 				w.end()
 				w.report()
--- a/edge/instancetrouble_test.go
+++ b/edge/instancetrouble_test.go
@@ -1,10 +1,8 @@
 package edge_test
 
 import (
-	"fmt"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/corianderbay/corianderbay/registry"
@@ -40,18 +38,7 @@
 // TestFlowsStayInInstanceTroubles is like TestFlowsStayInDrawnTroubles, but draws only
 // instanceTroubles and troubles that make balancers search for flows.
 func TestFlowsStayInInstanceTroubles(t *testing.T) {
-	for seed := *virtualFirst; seed < *virtualFirst+*virtualSeeds; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(t, seed, deployments[seed%uint64(len(deployments))])
-				w.disturbInstances(disturbTime)
-				time.Sleep(stableWindow)
-				w.end()
-				w.report()
-			})
-		})
-	}
+	playSeeds(t, (*world).disturbInstances)
 }
 
 // disturbInstances draws troubles of instances for a time.
--- a/edge/outdated_test.go
+++ b/edge/outdated_test.go
@@ -2,10 +2,7 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
-
-	"github.com/shoenig/test/must"
 )
 
 // TestFlowsStayBesideOutdatedEntries guards against faults of balancers that remember another
@@ -15,25 +12,7 @@
 		"another upstream is frozen":  searchBesideFrozen,
 		"the former upstream is lost": loseFormer,
 	}
-	for name, apply := range cases {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				d := deployments[0]
-				d.flowTime = 8 * time.Second
-				w := newWorld(t, 1, d)
-				for i, m := range w.list(hasUpstream) {
-					if i%4 == 1 {
-						apply(w, m)
-						time.Sleep(stableWindow)
-					}
-				}
-				w.end()
-				w.report()
-				must.SliceEmpty(t, w.check.exempt)
-			})
-		})
-	}
+	playCases(t, 8*time.Second, cases)
 }
 
 // moveOpenings freezes an upstream while callers move back and forth, so that openings that it
--- a/edge/ports_test.go
+++ b/edge/ports_test.go
@@ -3,33 +3,16 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
-
-	"github.com/shoenig/test/must"
 )
 
 // TestFlowsStayWhenPortsAreUsedAgain guards against resets, and packets that reach other upstreams
 // only, because a process takes the packets of a flow for those of the former one of its port.
 func TestFlowsStayWhenPortsAreUsedAgain(t *testing.T) {
 	for _, ports := range []uint16{1, 4, 12} {
-		t.Run(fmt.Sprint(ports), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				d := deployments[0]
-				d.flowTime, d.ports = 6*time.Second, ports
-				w := newWorld(t, *virtualFirst, d)
-				for i, m := range w.list(hasUpstream) {
-					if i%4 == 1 {
-						searchAfterReturn(w, m)
-						time.Sleep(stableWindow)
-					}
-				}
-				w.end()
-				w.report()
-				must.SliceEmpty(t, w.check.exempt)
-			})
-		})
+		d := deployments[0]
+		d.flowTime, d.ports = 6*time.Second, ports
+		t.Run(fmt.Sprint(ports), func(t *testing.T) { playInTurn(t, *virtualFirst, d, searchAfterReturn) })
 	}
 }
 
--- a/edge/single_test.go
+++ b/edge/single_test.go
@@ -26,27 +26,36 @@
 		"balancer starts beside a revoked entry": startWhileRevoked,
 		"only balancer receives nothing":         blockOnlyBalancer,
 	}
+	playCases(t, 6*time.Second, cases)
+}
+
+// playCases plays each case in a deployment of its own, in which callers use flows for up to
+// flowTime.
+func playCases(t *testing.T, flowTime time.Duration, cases map[string]func(w *world, m *machine)) {
+	d := deployments[0]
+	d.flowTime = flowTime
 	for name, apply := range cases {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				d := deployments[0]
-				d.flowTime = 6 * time.Second
-				w := newWorld(t, 1, d)
-				for i, m := range w.list(hasUpstream) {
-					if i%4 == 1 {
-						apply(w, m)
-						time.Sleep(stableWindow)
-					}
-				}
-				w.end()
-				w.report()
-				must.SliceEmpty(t, w.check.exempt)
-			})
-		})
+		t.Run(name, func(t *testing.T) { playInTurn(t, 1, d, apply) })
 	}
 }
 
+// playInTurn applies troubles to the machines of a quarter of the upstreams in turn.
+func playInTurn(t *testing.T, seed uint64, d deployment, apply func(w *world, m *machine)) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, seed, d)
+		for i, m := range w.list(hasUpstream) {
+			if i%4 == 1 {
+				apply(w, m)
+				time.Sleep(stableWindow)
+			}
+		}
+		w.end()
+		w.report()
+		must.SliceEmpty(t, w.check.exempt)
+	})
+}
+
 // loseAnnouncement restarts a sidecar. What it sends to one of the balancers of its data centre
 // at first is lost: the announcement that it stops.
 func loseAnnouncement(w *world, m *machine) {
--- a/edge/storesingle_test.go
+++ b/edge/storesingle_test.go
@@ -2,10 +2,7 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
-
-	"github.com/shoenig/test/must"
 )
 
 // TestFlowsStayInSingleStoreTroubles guards against faults that TestFlowsStayInStoreTroubles
@@ -15,25 +12,7 @@
 		"revoked entry beside restarts of its sidecar and a balancer": restartNextToRevoked,
 		"revoked entries beside starts of all balancers":              startBalancersBesideRevoked,
 	}
-	for name, apply := range cases {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				d := deployments[0]
-				d.flowTime = 6 * time.Second
-				w := newWorld(t, 1, d)
-				for i, m := range w.list(hasUpstream) {
-					if i%4 == 1 {
-						apply(w, m)
-						time.Sleep(stableWindow)
-					}
-				}
-				w.end()
-				w.report()
-				must.SliceEmpty(t, w.check.exempt)
-			})
-		})
-	}
+	playCases(t, 6*time.Second, cases)
 }
 
 // slowRestartTime is how long a sidecar on a slow machine is down.
--- a/edge/storetrouble_test.go
+++ b/edge/storetrouble_test.go
@@ -1,7 +1,6 @@
 package edge_test
 
 import (
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -28,18 +27,7 @@
 // TestFlowsStayInStoreTroubles is like TestFlowsStayInDrawnTroubles, with mostly troubles of
 // the store and of clocks.
 func TestFlowsStayInStoreTroubles(t *testing.T) {
-	for seed := *virtualFirst; seed < *virtualFirst+*virtualSeeds; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(t, seed, deployments[seed%uint64(len(deployments))])
-				w.disturbStore(disturbTime)
-				time.Sleep(stableWindow)
-				w.end()
-				w.report()
-			})
-		})
-	}
+	playSeeds(t, (*world).disturbStore)
 }
 
 // disturbStore draws troubles of the store, with planned work and callers that move, for a time.
