--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -190,8 +190,8 @@
 
 // beginSearch stores a packet of an unknown flow, which continueSearch sends to one data
 // centre after the other. It returns false if the packet is a retransmission of the stored
-// one, or waits until the flow is found. A packet that cannot be stored, and one for which no reports arrive, goes to all
-// data centres without the balancer.
+// one, or waits until the flow is found. A packet that cannot be stored, and one for which no
+// reports arrive, is sent on to the other data centres by sidecars.
 func (b *Balancer) beginSearch(now time.Duration, a *steer.Forward, p *steer.Packet, d []byte) bool {
 	switch b.searches.add(now, p, d, a.DataCentre) {
 	case addRepeated, addHeld:
