--- a/review/testdata/straggler/upstream.go
+++ b/review/testdata/straggler/upstream.go
@@ -18,6 +18,8 @@
 
 const (
 	workTime = 15 * time.Millisecond
+	// slots is more than the flows of the callers, so that no request waits for one.
+	slots = 64
 
 	offFlags    = 18
 	bitReturned = 16
@@ -62,7 +64,10 @@
 	})
 	go func() { _ = http.Serve(health, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})) }()
 	go u.receive()
-	store.PublishUpstream(standin.Entry{ID: id, Service: h.Service, Address: at, DataCentre: h.DataCentre, Born: time.Now(), Sequence: 1})
+	store.Put("servers/"+id, map[string]any{
+		"service": h.Service, "address": at.String(), "zone": h.DataCentre, "version": "v1", "slots": slots,
+		"state": "ready", "warmup_left_ms": 0, "seq": 1, "born": time.Now().UnixMilli(),
+	})
 	return nil
 }
 
