Play shares of a large deployment in virtual time

The virtual test drew deployments of 5 and 7 balancers, and troubles that concern one process at a time.

--- a/edge/flow_test.go
+++ b/edge/flow_test.go
@@ -58,11 +58,16 @@
 
 // playSeeds lets disturb draw troubles in the deployments of the selected seeds.
 func playSeeds(t *testing.T, disturb func(w *world, d time.Duration)) {
+	playSeedsOn(t, deployments, disturb)
+}
+
+// playSeedsOn is playSeeds with the deployments of a list.
+func playSeedsOn(t *testing.T, list []deployment, disturb func(w *world, d time.Duration)) {
 	for seed := *virtualFirst; seed < *virtualFirst+*virtualSeeds; seed++ {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(t, seed, deployments[seed%uint64(len(deployments))])
+				w := newWorld(t, seed, list[seed%uint64(len(list))])
 				disturb(w, disturbTime)
 				time.Sleep(stableWindow)
 				w.end()
--- a/edge/trouble_test.go
+++ b/edge/trouble_test.go
@@ -16,7 +16,8 @@
 	reuseTime = 2 * time.Second // until an address is used again
 	// maxRevocation is the longest time for which entries of live upstreams are revoked.
 	maxRevocation = 9 * time.Second
-	maxMachines   = 24
+	// defaultMaxMachines bounds the machines of a deployment that sets no bound.
+	defaultMaxMachines = 24
 )
 
 // trouble is planned work or an unplanned disruption. run returns when it is over.
@@ -181,7 +182,7 @@
 		return
 	}
 	defer w.release(m)
-	if n := len(w.list(anyMachine)); n < maxMachines {
+	if n := len(w.list(anyMachine)); n < w.maxMachines {
 		next := w.addMachine(dataCentreOf(m.host), m.service)
 		w.startUpstream(next)
 		w.start(next)
@@ -221,7 +222,7 @@
 }
 
 func addBalancer(w *world, d draws) {
-	if len(w.list(anyMachine)) >= maxMachines {
+	if len(w.list(anyMachine)) >= w.maxMachines {
 		return
 	}
 	m := w.addMachine(d.IntN(3), "")
--- a/edge/world_test.go
+++ b/edge/world_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"fmt"
@@ -56,6 +57,8 @@
 	flowTime time.Duration
 	// ports is the number of ports that a caller uses in turn; 0 stands for a new one for each flow.
 	ports uint16
+	// maxMachines bounds the machines, with those that troubles add, at 255; 0 selects defaultMaxMachines.
+	maxMachines int
 }
 
 // machine is the host of a balancer, or of a sidecar and its upstream.
@@ -98,8 +101,10 @@
 	// flowTime is that of the deployment.
 	flowTime time.Duration
 	// ports is that of the deployment.
-	ports  uint16
-	byHost map[registry.Host]*caller
+	ports uint16
+	// maxMachines is that of the deployment.
+	maxMachines int
+	byHost      map[registry.Host]*caller
 	// heard, if not nil, is called with each datagram between processes.
 	heard atomic.Pointer[func(from registry.Host, d []byte)]
 
@@ -117,7 +122,7 @@
 	w := &world{
 		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, 1)), net: newNetwork(seed), store: newStore(seed, d.heartbeat),
 		check: newChecker(), byHost: make(map[registry.Host]*caller), flowsDone: make(map[result]int),
-		flowTime: d.flowTime, ports: d.ports,
+		flowTime: d.flowTime, ports: d.ports, maxMachines: cmp.Or(d.maxMachines, defaultMaxMachines),
 	}
 	w.ctx, w.stop = context.WithCancel(context.Background())
 	w.net.receive, w.net.observe, w.net.connects = w.receive, w.observe, w.connects
