Continue a search only with the data centre that got the last copy

Cause: the end of the chain in a data centre reports, and sends one more copy to a sidecar whose heartbeats are late; that sidecar reports, too. Each of the two reports sent the packet to one more data centre. Ruled out: a retry, since the copies left 0.3 ms apart.

A report now continues the search only when its data centre got the last copy.

--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -375,6 +375,15 @@
 	}
 }
 
+// dataCentreOf returns the data centre of the sidecar on a host, or "" when it is not known.
+func (b *Balancer) dataCentreOf(h registry.Host) string {
+	f := b.steering.Fleet()
+	if f == nil {
+		return ""
+	}
+	return f.Sidecars[h].DataCentre
+}
+
 // FlowMissing records which upstreams do not hold a flow, and resets it if none does, or
 // searches the next data centre.
 func (h *balancerHandler) FlowMissing(m *steer.MissReport) {
@@ -383,7 +392,11 @@
 		b.resetAll([]steer.Reset{r})
 		return
 	}
-	if s, known := b.searches.get(m.Key); known {
+	s, known := b.searches.get(m.Key)
+	if !known || len(m.Hosts) == 0 {
+		return
+	}
+	if s.awaits(b.dataCentreOf(m.Hosts[len(m.Hosts)-1])) {
 		b.continueSearch(now, &s)
 	}
 }
--- /dev/null
+++ b/edge/reportend_test.go
@@ -0,0 +1,76 @@
+package edge_test
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/corianderbay/corianderbay/platform/standin"
+	"github.com/corianderbay/corianderbay/registry"
+	"github.com/corianderbay/corianderbay/steer"
+	"github.com/shoenig/test/must"
+)
+
+// earlyReport is the time after a searched packet at which a test sends a report about it,
+// before the first data centre has reported.
+const earlyReport = 300 * time.Microsecond
+
+// playSearch starts a deployment without callers and lets a balancer search for a flow that no
+// upstream holds. It sends the reports earlyReport later, each from its sender, and returns the
+// hops of the flow from the balancer to sidecars within the next 30 ms.
+func playSearch(t *testing.T, reports func(w *world, k steer.Key) map[*machine][]byte) (hops []hop) {
+	synctest.Test(t, func(t *testing.T) {
+		d := deployments[0]
+		d.callers = 0
+		w := newWorld(t, 1, d)
+		b := w.list(isBalancer)[0]
+		c := &caller{w: w, host: registry.Host{callerNet, 64, 9, 1}, inbox: make(chan []byte, 256)}
+		w.mu.Lock()
+		w.byHost[c.host] = c
+		w.mu.Unlock()
+		p := steer.Packet{Source: registry.Endpoint{Host: c.host, Port: 40000}, Destination: routeAddresses[0], Flags: steer.ACK, Sequence: 7}
+		list := reports(w, p.CallerKey())
+		w.net.send(c.host.Port(packetPort), b.host.Port(packetPort), standin.Encode(p, make([]byte, requestSize)))
+		time.Sleep(farDelay + 2*linkJitter + earlyReport)
+		for from, report := range list {
+			w.net.send(from.host.Port(exchangePort), b.host.Port(exchangePort), report)
+		}
+		time.Sleep(30 * time.Millisecond)
+		w.check.mu.Lock()
+		for _, h := range w.check.flow(p.CallerKey()).trace {
+			if h.from == b.host && strings.HasPrefix(h.what, "forward") {
+				hops = append(hops, h)
+			}
+		}
+		w.check.mu.Unlock()
+		w.end()
+	})
+	return hops
+}
+
+// sidecarsOf returns the machines with a sidecar in a data centre.
+func (w *world) sidecarsOf(dc int) []*machine {
+	return w.list(func(m *machine) bool { return hasUpstream(m) && dataCentreOf(m.host) == dc })
+}
+
+// TestSecondReportDoesNotExtendSearch guards against copies of a searched packet in two data
+// centres at once, since one data centre reported twice.
+func TestSecondReportDoesNotExtendSearch(t *testing.T) {
+	hops := playSearch(t, func(w *world, k steer.Key) map[*machine][]byte {
+		reports := make(map[*machine][]byte)
+		for _, m := range w.sidecarsOf(0)[:2] {
+			r := steer.MissReport{Key: k, State: registry.State{Revision: 1}, Hosts: []registry.Host{m.host}}
+			reports[m] = r.Append([]byte{kindMissing})
+		}
+		return reports
+	})
+	var elsewhere []hop
+	for _, h := range hops {
+		if dataCentreOf(h.to) != 0 {
+			elsewhere = append(elsewhere, h)
+		}
+	}
+	must.Len(t, 2, elsewhere, must.Sprint("one copy for each other data centre"))
+	must.Greater(t, farDelay, elsewhere[1].at.Sub(elsewhere[0].at))
+}
--- a/edge/search.go
+++ b/edge/search.go
@@ -41,6 +41,14 @@
 	return searchPacket{packet: *p, data: append([]byte(nil), d...), lastSent: now, nextRetry: now + searchRetryDelay, retryDelay: 2 * searchRetryDelay}
 }
 
+// awaits reports whether the next report of a data centre ends the search there: it got the
+// last copy. The end of the chain in a data centre may report twice, as sidecars whose
+// heartbeats are late get a copy after all others.
+func (s *searchPacket) awaits(dataCentre string) bool {
+	last := s.searched[len(s.searched)-1]
+	return last == dataCentre || last == "" || dataCentre == ""
+}
+
 // repeats reports whether p is a retransmission of the packet.
 func (s *searchPacket) repeats(p *steer.Packet) bool {
 	return s.packet.Sequence == p.Sequence && s.packet.Data == p.Data && s.packet.Flags == p.Flags
