Send a searched packet to the upstream that a report names

Cause: a report ends the search, and the packet that was searched with was dropped unless a copy had reached the owner; the next one came when the caller used the flow again. The balancer now sends it to the reported owner, unless the only copy goes from sidecar to sidecar of the owner's data centre. What the upstream gets twice is a retransmission to it.

TestReportedOwnerGetsSearchedPacket failed before.

--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -366,11 +366,19 @@
 // Forwarded does nothing: no process forwards packets to a balancer.
 func (h *balancerHandler) Forwarded(*steer.Header, []byte) {}
 
-// FlowHeld records the upstream that holds a flow, and ends the search for it.
+// FlowHeld records the upstream that holds a flow, and ends the search for it. It sends the
+// searched packet there, unless a copy of the search itself has arrived.
 func (h *balancerHandler) FlowHeld(k steer.Key, host registry.Host) {
 	b, now := (*Balancer)(h), h.cfg.Timer.Uptime()
 	b.steering.Learn(now, k, host)
-	if s, searched := b.searches.take(k); searched && s.next != nil {
+	s, searched := b.searches.take(k)
+	if !searched {
+		return
+	}
+	if !s.reached(b.dataCentreOf(host)) {
+		b.decideAgain(now, s.data)
+	}
+	if s.next != nil {
 		b.decideAgain(now, s.next)
 	}
 }
--- a/edge/reportend_test.go
+++ b/edge/reportend_test.go
@@ -54,6 +54,19 @@
 	return w.list(func(m *machine) bool { return hasUpstream(m) && dataCentreOf(m.host) == dc })
 }
 
+// TestReportedOwnerGetsSearchedPacket guards against a searched packet that reaches only other
+// upstreams, since a report of the owner ends the search.
+func TestReportedOwnerGetsSearchedPacket(t *testing.T) {
+	var owner *machine
+	hops := playSearch(t, func(w *world, k steer.Key) map[*machine][]byte {
+		owner = w.sidecarsOf(2)[0]
+		return map[*machine][]byte{owner: k.Append([]byte{kindFlows})}
+	})
+	must.SliceContainsFunc(t, hops, owner, func(h hop, m *machine) bool {
+		return h.to == m.host && strings.Contains(h.what, "unknown false")
+	})
+}
+
 // TestSecondReportDoesNotExtendSearch guards against copies of a searched packet in two data
 // centres at once, since one data centre reported twice.
 func TestSecondReportDoesNotExtendSearch(t *testing.T) {
--- a/edge/search.go
+++ b/edge/search.go
@@ -49,6 +49,12 @@
 	return last == dataCentre || last == "" || dataCentre == ""
 }
 
+// reached reports whether the upstream of a data centre that holds the flow has the packet, or
+// is about to get it: the only copy goes from sidecar to sidecar there.
+func (s *searchPacket) reached(dataCentre string) bool {
+	return s.attempts == 0 && len(s.searched) == 1 && s.searched[0] == dataCentre
+}
+
 // repeats reports whether p is a retransmission of the packet.
 func (s *searchPacket) repeats(p *steer.Packet) bool {
 	return s.packet.Sequence == p.Sequence && s.packet.Data == p.Data && s.packet.Flags == p.Flags
