Answer a search from the table of a sidecar that has seen all openings

Cause: who holds a flow was found by offering its packets to all upstreams, also to those whose sidecars have seen every opening and could have answered from their tables. Ruled out: telling more balancers of a flow, whose cost grows with the fleet.

A sidecar that started together with the whole system, or is older than a flow may be, passes a searched packet that is not in its table on without offering it. One that has restarted offers packets as before. No message changes, and older builds are not affected. Flows stay in the table after the idle timeout, and after packets of another flow of the port, so that none that the upstream may hold is missing; data of a flow that is not in the table makes the sidecar offer packets again. Request of TestStateful and its variant with complete tables hold the same rule.

--- a/edge/sidecar.go
+++ b/edge/sidecar.go
@@ -38,6 +38,8 @@
 	Cold steer.ColdLimit
 	// Ramp limits the concurrent requests of the upstream after its start.
 	Ramp bool
+	// FirstStart is true when no other sidecar has served the upstream before.
+	FirstStart bool
 	// MaxDrain is the maximum time that a stopping sidecar waits for active requests.
 	MaxDrain time.Duration
 }
@@ -83,6 +85,8 @@
 		Placing:    cfg.Placing,
 		Cold:       cfg.Cold,
 		Ramp:       cfg.Ramp,
+		FirstStart: cfg.FirstStart,
+		Started:    cfg.Timer.Uptime(),
 		StartedAt:  cfg.Timer.Now().UnixMilli(),
 		Latency:    s.latency,
 	})
--- a/edge/world_test.go
+++ b/edge/world_test.go
@@ -142,7 +142,7 @@
 	}
 	time.Sleep(10 * time.Millisecond)
 	for _, m := range w.machines {
-		w.start(m)
+		w.startFirst(m)
 	}
 	w.wg.Go(w.probe)
 	time.Sleep(5 * time.Second)
@@ -209,8 +209,17 @@
 	w.store.publish(list)
 }
 
+// startFirst starts the process of a machine together with the whole deployment.
+func (w *world) startFirst(m *machine) {
+	w.startAs(m, true)
+}
+
 // start starts the process of a machine.
 func (w *world) start(m *machine) {
+	w.startAs(m, false)
+}
+
+func (w *world) startAs(m *machine, first bool) {
 	ctx, cancel := context.WithCancel(context.Background())
 	w.mu.Lock()
 	w.starts++
@@ -232,6 +241,7 @@
 	} else {
 		s, err := edge.OpenSidecar(edge.SidecarConfig{
 			Config: cfg, Service: service, Outbound: m.host.Port(outboundPort), Upstream: m.host.Port(upstreamPort), MaxDrain: 200 * time.Millisecond,
+			FirstStart: first,
 		})
 		must.NoError(w.t, err)
 		r.ready, serve = s.Ready, s.Run
--- a/steer/answer.go
+++ b/steer/answer.go
@@ -26,6 +26,9 @@
 	}
 	if l == nil {
 		l = sh.entry(k)
+		if !p.Flags.Has(SYN) {
+			s.incomplete.Store(true)
+		}
 	}
 	l.lastPacket = now
 	if p.Flags.Has(SYN) {
@@ -130,7 +133,7 @@
 // is not offered further ones. An opening that was delivered meanwhile may still be
 // accepted; its entry is removed as before.
 func (s *Sidecar) recordReturned(now time.Duration, sh *sidecarShard, k Key, l *localFlow) {
-	unknown := l == nil || l.stage == stageOffered || l.stage == stageReturned
+	unknown := l == nil || l.stage == stageOffered || l.stage == stageUncertain || l.stage == stageReturned
 	if l != nil {
 		s.remove(sh, k, l)
 	}
--- a/steer/ended_test.go
+++ b/steer/ended_test.go
@@ -92,7 +92,7 @@
 	sim := newSimulation(1, service)
 	at := sim.open(0, flowKey(1))
 	sim.deliverNotices()
-	sim.instances[at].sidecar = steer.NewSidecar(steer.SidecarConfig{Self: sim.instances[at].host, DataCentre: near, Service: service, MaxFlow: maxFlow})
+	sim.instances[at].sidecar = steer.NewSidecar(steer.SidecarConfig{Self: sim.instances[at].host, DataCentre: near, Service: service, MaxFlow: maxFlow, Started: sim.now})
 	sim.publish(0, sim.entry(0, true))
 	sim.publishFleet()
 	sim.instances[at].sidecar.RefusedAtStop()
--- a/steer/flow.go
+++ b/steer/flow.go
@@ -25,6 +25,9 @@
 	stageAnswered
 	// stageOpen: the upstream holds the flow.
 	stageOpen
+	// stageUncertain: the upstream may hold the flow. No packet passed for longer than the idle
+	// timeout, or before it was confirmed, packets came that belong to another flow.
+	stageUncertain
 	// stageClosed: both ends closed the flow, or one of them reset it.
 	stageClosed
 )
@@ -78,15 +81,15 @@
 	return l.stage == stageOpening || l.stage == stageAnswered || l.stage == stageOpen
 }
 
-// expired reports whether the flow can be removed. idleTimeout is the time without
-// packets after which the upstream itself may drop an open flow.
-func (l *localFlow) expired(now, idleTimeout time.Duration) bool {
+// expired reports whether the flow can be removed. maxFlow is the time without packets after
+// which no flow is open any more.
+func (l *localFlow) expired(now, maxFlow time.Duration) bool {
 	idle := now - l.lastPacket
 	switch l.stage {
 	case stageClosed:
 		return idle >= closedTTL
-	case stageOpen:
-		return idle >= idleTimeout
+	case stageOpen, stageUncertain:
+		return idle >= maxFlow
 	}
 	return idle >= openingTTL
 }
--- a/steer/search_test.go
+++ b/steer/search_test.go
@@ -111,7 +111,7 @@
 	p := sim.request(flowKey(1), at)
 	sim.startUpstream(at)
 	sim.startBalancer(0)
-	noUpstream := steer.NewSidecar(steer.SidecarConfig{Self: registry.Host{10, 9, 9, 9}, DataCentre: near, Service: service, MaxFlow: maxFlow})
+	noUpstream := steer.NewSidecar(steer.SidecarConfig{Self: registry.Host{10, 9, 9, 9}, DataCentre: near, Service: service, MaxFlow: maxFlow, Started: sim.now})
 	sim.instances = append(sim.instances, &instance{host: registry.Host{10, 9, 9, 9}, service: service, sidecar: noUpstream})
 	f := &steer.Fleet{
 		Snapshot: sim.directory.Snapshot(sim.now),
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -48,6 +48,10 @@
 	Cold ColdLimit
 	// Ramp limits the concurrent requests of the upstream after its start.
 	Ramp bool
+	// FirstStart is true when no other sidecar has served the upstream before.
+	FirstStart bool
+	// Started is the uptime at which the sidecar starts to receive packets.
+	Started time.Duration
 	// StartedAt is the Unix time in milliseconds of the start of the sidecar. 0 when it is
 	// not known; then a ramp starts with the first list only if the upstream is warming up.
 	StartedAt int64
@@ -98,6 +102,7 @@
 	active      atomic.Int64  // requests without an answer
 	lastRefusal atomic.Int64  // nanoseconds; when the upstream last returned an opening, 0 if never
 	offered     atomic.Uint64 // packets of unknown flows delivered to the upstream
+	incomplete  atomic.Bool   // the upstream holds a flow that was not in the table
 
 	mu         sync.Mutex
 	deliveries [deliverySlots]delivery // the record for tag t is at t%deliverySlots
@@ -223,8 +228,8 @@
 	return keys
 }
 
-// Expire removes flows that ended or have been idle for too long, and allows a silent
-// upstream to be tried again.
+// Expire removes flows that ended or are too old, marks those that the upstream may have
+// dropped since they are idle, and allows a silent upstream to be tried again.
 func (s *Sidecar) Expire(now time.Duration) {
 	s.liveness.allowRetry(now)
 	idleTimeout := s.cfg.MaxFlow
@@ -235,8 +240,11 @@
 		sh := &s.shards[i]
 		sh.mu.Lock()
 		for k, l := range sh.flows {
-			if l.expired(now, idleTimeout) {
+			switch {
+			case l.expired(now, s.cfg.MaxFlow):
 				s.remove(sh, k, l)
+			case l.stage == stageOpen && now-l.lastPacket >= idleTimeout:
+				s.markUncertain(l)
 			}
 		}
 		sh.mu.Unlock()
@@ -272,8 +280,11 @@
 		l.lastPacket = now
 		return s.passOn(now, h, p, ReasonReturned)
 	}
-	if l == nil || l.stage == stagePassedOn {
-		return s.offerUnknown(now, sh, k, h)
+	if (l == nil || l.stage == stagePassedOn) && h.UnknownFlow && s.complete(now) {
+		return s.passOn(now, h, p, ReasonUnknownFlow)
+	}
+	if l == nil || l.stage == stagePassedOn || l.stage == stageUncertain {
+		return s.offerUnknown(now, sh, k, l, h)
 	}
 	return s.handleLater(now, sh, k, l, h, p)
 }
@@ -357,13 +368,22 @@
 	return f != nil && !f.Snapshot.Listed(s.cfg.Self) && s.Silent(now)
 }
 
-// offerUnknown delivers a packet of an unknown flow. The upstream returns it when it
-// does not hold the flow.
-func (s *Sidecar) offerUnknown(now time.Duration, sh *sidecarShard, k Key, h *Header) Action {
+// complete reports whether the table has every flow that the upstream may hold: all openings
+// of these passed this process. Then the table says that the upstream does not hold a flow,
+// and a searched packet need not be offered to it.
+func (s *Sidecar) complete(now time.Duration) bool {
+	return !s.incomplete.Load() && (s.cfg.FirstStart || now-s.cfg.Started >= s.cfg.MaxFlow)
+}
+
+// offerUnknown delivers a packet of a flow that the upstream is not known to hold. The
+// upstream returns it when it does not. l is the entry of the flow, or nil.
+func (s *Sidecar) offerUnknown(now time.Duration, sh *sidecarShard, k Key, l *localFlow, h *Header) Action {
 	if f := s.fleet.Load(); f != nil && !f.Snapshot.Listed(s.cfg.Self) {
 		s.liveness.awaitReturn(now)
 	}
-	if len(sh.flows) < maxShardFlows {
+	if l != nil && l.stage == stageUncertain {
+		l.balancer = h.Balancer // the entry stays until the upstream answers or returns the packet
+	} else if len(sh.flows) < maxShardFlows {
 		sh.put(k, localFlow{stage: stageOffered, balancer: h.Balancer, lastPacket: now})
 	}
 	s.liveness.awaitPacket(now)
@@ -380,7 +400,7 @@
 	l.acknowledged = p.Acknowledged
 	if l.stage == stageAnswered {
 		if !confirmsAnswer(l.answerSequence, p) {
-			s.remove(sh, k, l)
+			s.markUncertain(l)
 			return s.passOn(now, h, p, ReasonNotConfirmed)
 		}
 		s.markOpen(k, l)
@@ -443,6 +463,12 @@
 	l.stage = stageClosed
 }
 
+// markUncertain records that the upstream may hold the flow. Its next packet is offered.
+func (s *Sidecar) markUncertain(l *localFlow) {
+	s.release(l)
+	l.stage = stageUncertain
+}
+
 // release subtracts the flow from the counters.
 func (s *Sidecar) release(l *localFlow) {
 	if l.live() {
--- a/steer/simulation_test.go
+++ b/steer/simulation_test.go
@@ -118,9 +118,19 @@
 	}
 }
 
+// startSidecar starts a sidecar whose upstream had another one before.
 func (sim *simulation) startSidecar(i int) {
+	sim.startSidecarAs(i, false)
+}
+
+// startFirstSidecar starts the first sidecar of an upstream.
+func (sim *simulation) startFirstSidecar(i int) {
+	sim.startSidecarAs(i, true)
+}
+
+func (sim *simulation) startSidecarAs(i int, first bool) {
 	s := sim.instances[i]
-	s.sidecar = steer.NewSidecar(steer.SidecarConfig{Self: s.host, DataCentre: dataCentreOf(i), Service: s.service, MaxFlow: maxFlow})
+	s.sidecar = steer.NewSidecar(steer.SidecarConfig{Self: s.host, DataCentre: dataCentreOf(i), Service: s.service, MaxFlow: maxFlow, Started: sim.now, FirstStart: first})
 }
 
 func (sim *simulation) startBalancer(i int) {
--- a/steer/stateful_test.go
+++ b/steer/stateful_test.go
@@ -195,6 +195,19 @@
 	})
 }
 
+// TestStatefulWithCompleteTables is like TestStateful with sidecars that serve their upstreams
+// from the first start until they are restarted.
+func TestStatefulWithCompleteTables(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newStateMachine()
+		for i := range m.sim.instances {
+			m.sim.startFirstSidecar(i)
+		}
+		m.sim.publishFleet()
+		t.Repeat(rapid.StateMachineActions(m))
+	})
+}
+
 // TestReturnedPacketWithoutDeliveryRecord sends a sidecar a returned packet that it
 // never delivered.
 func TestReturnedPacketWithoutDeliveryRecord(t *testing.T) {
