Drop copies of a searched packet that waited while the sidecar stood still

Cause: a copy waits in the socket of a frozen sidecar. The balancer sends others past it after 100 ms, and the owner gets one. When the sidecar continues, it offers the first copy and passes it on to the rest of the data centre. Only pauses of a second or more discarded what waited, and the limit for late returns counts from the delivery. Ruled out: a lower threshold for all packets, which would drop openings and answers that nobody sends again before 200 ms.

The pause detector reports gaps of 250 ms between two of its checks, which come every 100 ms. A sidecar drops searched copies that it reads then, provided that the balancer stores the packet; the reason is "late".

--- a/edge/reportend_test.go
+++ b/edge/reportend_test.go
@@ -25,10 +25,7 @@
 		d.callers = 0
 		w := newWorld(t, 1, d)
 		b := w.list(isBalancer)[0]
-		c := &caller{w: w, host: registry.Host{callerNet, 64, 9, 1}, inbox: make(chan []byte, 256)}
-		w.mu.Lock()
-		w.byHost[c.host] = c
-		w.mu.Unlock()
+		c := w.addSilentCaller(1)
 		p := steer.Packet{Source: registry.Endpoint{Host: c.host, Port: 40000}, Destination: routeAddresses[0], Flags: steer.ACK, Sequence: 7}
 		list := reports(w, p.CallerKey())
 		w.net.send(c.host.Port(packetPort), b.host.Port(packetPort), standin.Encode(p, make([]byte, requestSize)))
@@ -49,6 +46,15 @@
 	return hops
 }
 
+// addSilentCaller adds a caller that sends nothing by itself.
+func (w *world) addSilentCaller(n int) *caller {
+	c := &caller{w: w, host: registry.Host{callerNet, 64, 9, byte(n)}, inbox: make(chan []byte, 256)}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.byHost[c.host] = c
+	return c
+}
+
 // sidecarsOf returns the machines with a sidecar in a data centre.
 func (w *world) sidecarsOf(dc int) []*machine {
 	return w.list(func(m *machine) bool { return hasUpstream(m) && dataCentreOf(m.host) == dc })
--- a/edge/reset_test.go
+++ b/edge/reset_test.go
@@ -20,10 +20,7 @@
 		w := newWorld(t, 1, d)
 		var resets []int // by each balancer
 		for i, b := range w.list(isBalancer) {
-			c := &caller{w: w, host: registry.Host{callerNet, 64, 9, byte(i)}, inbox: make(chan []byte, 256)}
-			w.mu.Lock()
-			w.byHost[c.host] = c
-			w.mu.Unlock()
+			c := w.addSilentCaller(i)
 			p := steer.Packet{Source: registry.Endpoint{Host: c.host, Port: 40000}, Destination: routeAddresses[0], Flags: steer.ACK, Sequence: 7}
 			w.net.send(c.host.Port(packetPort), b.host.Port(packetPort), standin.Encode(p, make([]byte, requestSize)))
 			time.Sleep(3 * time.Second)
--- a/edge/sidecar.go
+++ b/edge/sidecar.go
@@ -321,6 +321,11 @@
 		s.counts.invalid.Add(1)
 		return
 	}
+	// The balancer has sent other copies of a searched packet past a sidecar that stood still.
+	if header.UnknownFlow && header.Remote && s.pauseDetector.Delayed() {
+		s.drop(p, steer.ReasonLate)
+		return
+	}
 	a := s.steering.FromBalancer(s.cfg.Timer.Uptime(), header, p)
 	if deliver, ok := a.(steer.Deliver); ok && deliver.Found {
 		s.node.ReportFlows([]steer.Key{p.CallerKey()}, []registry.Host{header.Balancer})
--- a/eventlog/describe.go
+++ b/eventlog/describe.go
@@ -131,6 +131,8 @@
 		return "more requests wait here than there"
 	case "window":
 		return "the upstream is ramping up and has as many requests as it may, and another accepts the flow"
+	case "late":
+		return "it waited while the process stood still"
 	case "passed":
 		return "its opening was passed on there"
 	case "evacuated":
--- a/steer/action.go
+++ b/steer/action.go
@@ -144,6 +144,8 @@
 	// ReasonWindow: the upstream is ramping up and has a window of requests, and another one
 	// accepts the flow.
 	ReasonWindow
+	// ReasonLate: a copy of a searched packet waited while the process stood still.
+	ReasonLate
 
 	// ReasonCount is the number of reasons plus 1.
 	ReasonCount
@@ -204,6 +206,8 @@
 		return "retry"
 	case ReasonWindow:
 		return "window"
+	case ReasonLate:
+		return "late"
 	}
 	return "unknown"
 }
--- a/timer/pausedetector.go
+++ b/timer/pausedetector.go
@@ -7,7 +7,13 @@
 	"time"
 )
 
-const checkInterval = 100 * time.Millisecond
+const (
+	checkInterval = 100 * time.Millisecond
+	// delayThreshold is the shortest gap between two checks that shows that the process stood still.
+	delayThreshold = 250 * time.Millisecond
+	// backlogTime is how long after it a process may read what arrived meanwhile.
+	backlogTime = 50 * time.Millisecond
+)
 
 // PauseDetector detects that the process was paused, from the gap between two of
 // its checks. It is safe for concurrent use.
@@ -15,6 +21,7 @@
 	service   *Service
 	lastCheck atomic.Int64  // uptime at the last check in nanoseconds; never decreases
 	epoch     atomic.Uint64 // number of pauses detected
+	lastDelay atomic.Int64  // uptime in nanoseconds at the last check after delayThreshold; 0 if there was none
 
 	mu             sync.Mutex
 	resumeHandlers []func(gap time.Duration)
@@ -46,6 +53,9 @@
 			return
 		case <-sub.C:
 			d.service.updateSuspended()
+			if d.sinceLastCheck() >= delayThreshold {
+				d.lastDelay.Store(int64(d.service.Uptime()))
+			}
 			d.Epoch()
 			d.lastCheck.Store(int64(d.service.Uptime()))
 		}
@@ -69,10 +79,21 @@
 	for _, f := range d.resumeHandlers {
 		f(gap)
 	}
+	d.lastDelay.Store(int64(d.service.Uptime()))
 	d.lastCheck.Store(int64(d.service.Uptime()))
 	return d.epoch.Add(1)
 }
 
+// Delayed reports whether a packet that was just read may have waited while the process stood
+// still for delayThreshold or longer, which may be too short for a pause.
+func (d *PauseDetector) Delayed() bool {
+	if d.sinceLastCheck() >= delayThreshold {
+		return true
+	}
+	at := time.Duration(d.lastDelay.Load())
+	return at != 0 && d.service.Uptime()-at < backlogTime
+}
+
 func (d *PauseDetector) sinceLastCheck() time.Duration {
 	return d.service.Uptime() - time.Duration(d.lastCheck.Load())
 }
--- a/timer/service_test.go
+++ b/timer/service_test.go
@@ -58,3 +58,37 @@
 		wg.Wait()
 	})
 }
+
+// TestShortPauseDelaysPackets checks for how long what a process reads counts as delayed after it
+// stood still for less than a pause.
+func TestShortPauseDelaysPackets(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ticks := make(chan time.Time)
+		wrap := func(<-chan time.Time) (<-chan time.Time, func()) { return ticks, func() {} }
+		d := timer.NewPauseDetector(timer.New(timer.Config{Wrap: wrap}))
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		wg.Go(func() { d.Run(ctx) })
+		for _, c := range []struct {
+			sleep         time.Duration // since the last check or case
+			delayed, tick bool
+		}{
+			{249 * time.Millisecond, false, true},
+			{249 * time.Millisecond, false, false},
+			{time.Millisecond, true, true},
+			{0, true, false},
+			{49 * time.Millisecond, true, true},
+			{time.Millisecond, false, false},
+		} {
+			time.Sleep(c.sleep)
+			must.Eq(t, c.delayed, d.Delayed())
+			if c.tick {
+				ticks <- time.Now()
+				synctest.Wait()
+			}
+		}
+		must.Eq(t, 0, d.Epoch())
+		cancel()
+		wg.Wait()
+	})
+}
