Inform a balancer also when a digest reported its start first

A balancer that starts gets the reports of all processes from the balancers whose first heartbeat of it this is. A digest that reports the start may arrive before that heartbeat, which is then not the first one of its incarnation any more, and the balancer gets nothing: it does not know of sidecars that stopped before. Searches take an upstream whose sidecar is not known, and whose entry is revoked, for gone, and the flow is reset.

A balancer is now informed at the first heartbeat that arrives from it itself.

--- a/exchange/receive.go
+++ b/exchange/receive.go
@@ -98,8 +98,11 @@
 	n.stale = true
 	n.mu.Unlock()
 	n.followUp(result)
-	if result.Restarted {
+	// A balancer needs the reports of all processes also if a digest reported its start first.
+	if result.Restarted || result.Introduced && b.Role == membership.Balancer {
 		n.sendBootstrap(from)
+	}
+	if result.Restarted {
 		n.peerStarted(from, &b)
 	}
 }
--- a/membership/table.go
+++ b/membership/table.go
@@ -60,6 +60,8 @@
 	LastSeen time.Duration
 	// LastDirect is when the last heartbeat arrived from the process itself; 0 if never.
 	LastDirect time.Duration
+	// directIncarnation is that of this heartbeat; not valid while LastDirect is 0.
+	directIncarnation uint32
 	// unreadableAt is when the last message of an unknown version arrived from the process
 	// itself; 0 if never.
 	unreadableAt     time.Duration
@@ -130,6 +132,9 @@
 	Newer bool
 	// Restarted is true for the first heartbeat of an incarnation.
 	Restarted bool
+	// Introduced is true for the first heartbeat of an incarnation that arrived from the
+	// process itself. A digest may have reported the incarnation before.
+	Introduced bool
 	// Ahead is true when a pull from the sender would return newer routes or upstreams,
 	// or unknown records from before the era.
 	Ahead bool
@@ -149,6 +154,7 @@
 	return Result{
 		Newer:        n.Newer || o.Newer,
 		Restarted:    n.Restarted || o.Restarted,
+		Introduced:   n.Introduced || o.Introduced,
 		Ahead:        n.Ahead || o.Ahead,
 		NewBalancers: n.NewBalancers || o.NewBalancers,
 		Changed:      n.Changed || o.Changed,
@@ -177,7 +183,8 @@
 	}
 	res := t.merge(now, now, from, b, own)
 	p := t.peers[from]
-	p.LastDirect, p.formerHash = now, b.FormerHash
+	res.Introduced = p.LastDirect == 0 || p.directIncarnation != b.Incarnation
+	p.LastDirect, p.directIncarnation, p.formerHash = now, b.Incarnation, b.FormerHash
 	t.recordDirect(now, p, res.Restarted)
 	res.Ahead = p.ahead(own)
 	if b.Role == Sidecar && b.DataCentre != t.cfg.DataCentre {
