Let older balancers inform those that start at the same time

Callers of a data centre with more than two balancers saw an open flow reset by one of them, two seconds after that one had started, while the upstream served and its sidecar was in a planned restart.

A balancer that starts gets the reports of all processes from the two delegates of its data centre, which are the first live balancers in hash order. When two that rank first start at the same time, each is a delegate as soon as its first heartbeat has arrived, and the older ones, which know of the sidecars that stopped, are not any more. No later digest reports a stopped sidecar, and delegates of other data centres leave a data centre with an older balancer to itself. The balancer then knows neither the sidecar nor, while the entry of the upstream is revoked, the upstream, and takes the flow for one that nobody holds (steer.Fleet.allReturned).

Balancers that have run for less than two seconds now inform others only after the older ones in their order. A list of the resets that reached callers, and of why each is allowed, is printed with -virtual.all.

Ruled out: lost datagrams (none was lost on these ways); a list that lacks the upstream for another reason than its revoked entry (listed upstreams whose sidecar is not known count as holders).

With two balancers per data centre nothing changes.

--- a/edge/check_test.go
+++ b/edge/check_test.go
@@ -84,6 +84,7 @@
 	// not been disrupted.
 	violations, exempt []string
 	opens              int
+	resets             []string // by processes, of flows that had opened
 }
 
 func newChecker() *checker {
@@ -287,6 +288,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if f := c.flow(k); f.owner != nil {
+		c.recordReset(k, f, sender)
 		c.judge(k, f, time.Now(), []*machine{f.owner.machine, f.taker, sender}, "reset by "+sender.name)
 	}
 }
--- a/edge/flow_test.go
+++ b/edge/flow_test.go
@@ -14,7 +14,7 @@
 	// Runs by hand draw more: a seed takes 2 s, and 10 s with the race detector.
 	virtualSeeds = flag.Uint64("virtual.seeds", 2, "number of drawn deployments")
 	virtualFirst = flag.Uint64("virtual.first", 1, "the first seed")
-	virtualAll   = flag.Bool("virtual.all", false, "print violations that a disrupted store exempts")
+	virtualAll   = flag.Bool("virtual.all", false, "print resets, and violations that a disrupted store exempts")
 	virtualLog   = flag.Bool("virtual.log", false, "add logs of processes and lost datagrams to traces")
 )
 
@@ -87,6 +87,9 @@
 		w.t.Error(v)
 	}
 	if *virtualAll {
+		for _, r := range w.check.resets {
+			w.t.Log(r)
+		}
 		for _, v := range w.check.exempt {
 			w.t.Log("exempt: " + v)
 		}
--- a/exchange/bootstrap_test.go
+++ b/exchange/bootstrap_test.go
@@ -1,6 +1,8 @@
 package exchange_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -28,7 +30,7 @@
 // b, of which there are count, and starts the balancers.
 func testStartBesideStopped(t *testing.T, seed uint64, count int) {
 	u := newUpgrade(t, seed)
-	var balancers, sidecars []*member
+	var balancers []*member
 	for _, m := range u.members {
 		if m.role == membership.Balancer && m.dataCentre == "b" {
 			if len(balancers) == count {
@@ -36,13 +38,50 @@
 			}
 			balancers = append(balancers, m)
 		}
+		u.start(m, membership.Format2)
+	}
+	u.startBesideStopped(balancers)
+}
+
+// TestBalancersThatStartTogetherLearnOfStoppedSidecars guards against resets by two balancers
+// that start at the same time and that rank before the older ones of their data centre: each
+// is taken for a delegate by the time that the other one has to learn of all processes.
+func TestBalancersThatStartTogetherLearnOfStoppedSidecars(t *testing.T) {
+	const count = 5 // balancers of data centre b
+	for i := range count {
+		for k := range i {
+			t.Run(fmt.Sprint(k, " and ", i), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					u := newUpgrade(t, uint64(i))
+					for n := upgradeBalancers; n < count; n++ {
+						u.members = append(u.members, &member{number: 11 + n, role: membership.Balancer, dataCentre: "b"})
+					}
+					var balancers []*member
+					for _, m := range u.members {
+						u.start(m, membership.Format2)
+						if m.number == 11+i || m.number == 11+k {
+							balancers = append(balancers, m)
+						}
+					}
+					u.startBesideStopped(balancers)
+				})
+			})
+		}
+	}
+}
+
+// startBesideStopped stops a sidecar of each data centre and some balancers of data centre b,
+// starts the balancers at the same time, and checks that they know of the sidecars.
+func (u *upgrade) startBesideStopped(balancers []*member) {
+	t := u.t
+	var sidecars []*member
+	for _, m := range u.members {
 		if m.number == 101 || m.number == 111 {
 			sidecars = append(sidecars, m)
 		}
-		u.start(m, membership.Format2)
 	}
 	u.pause(5 * time.Second)
-	for _, m := range append(balancers[:count:count], sidecars...) {
+	for _, m := range append(slices.Clip(balancers), sidecars...) {
 		m.node.Stop(t.Context())
 		m.stop()
 		m.wait()
--- a/membership/delegate.go
+++ b/membership/delegate.go
@@ -37,22 +37,40 @@
 }
 
 // InformsStarted reports whether this process sends reports of all processes to one that
-// has just started. A delegate does so for its own data centre, and for a balancer of
-// another one where no live balancer has run for startReportTime: digests between data
-// centres do not repeat which sidecars stopped or lack a balancer.
+// has just started. The first balancers in hash order do so for their own data centre, and for
+// a balancer of another one where no live balancer has run for startReportTime: digests between
+// data centres do not repeat which sidecars stopped or lack a balancer. Balancers that have not
+// run for that long come after all others, even when they are delegates: when several start
+// together, they know less than the older ones, and a sidecar that stopped before sends no heartbeat.
 func (t *Table) InformsStarted(now time.Duration, h registry.Host) bool {
 	p := t.peers[h]
-	if p == nil || !t.IsDelegate(now) {
+	if p == nil || t.cfg.Role != Balancer {
+		return false
+	}
+	own := t.liveBalancers(now, t.cfg.DataCentre)
+	older := slices.DeleteFunc(slices.Clone(own), func(b registry.Host) bool { return !t.hasRun(now, b) })
+	younger := slices.DeleteFunc(own, func(b registry.Host) bool { return t.hasRun(now, b) })
+	informers := append(t.firstByHash(older), t.firstByHash(younger)...)
+	if !slices.Contains(informers[:min(delegateCount, len(informers))], t.cfg.Self) {
 		return false
 	}
 	dataCentre := p.Heartbeat.DataCentre
 	if dataCentre == t.cfg.DataCentre {
 		return true
 	}
-	informs := func(b registry.Host) bool { return b != h && now-t.peers[b].restartedAt >= startReportTime }
+	informs := func(b registry.Host) bool { return b != h && t.hasRun(now, b) }
 	return p.Heartbeat.Role == Balancer && !slices.ContainsFunc(t.liveBalancers(now, dataCentre), informs)
 }
 
+// hasRun reports whether this process, or another one as far as it was heard of, has run for
+// startReportTime.
+func (t *Table) hasRun(now time.Duration, h registry.Host) bool {
+	if h == t.cfg.Self {
+		return now-t.cfg.Started >= startReportTime
+	}
+	return now-t.peers[h].restartedAt >= startReportTime
+}
+
 // RemoteDelegates returns the delegates of all other data centres. For a data centre
 // without live balancers it returns all known ones: after a partition both sides may
 // have timed out, and one of them has to send first.
