Do not confirm the loss of a sidecar that is known only from reports

Flows of a sidecar in a planned restart would be reset, one second after its stop, where balancers start beside it and the older ones of the data centre stop, as in rolls with several processes at a time.

A sidecar announces its stop to the balancers that it knows. Two that have started, and that it does not know yet, have its state from reports only. Each found it silent and listed it as lost since the other one could deny that (confirmsLoss in membership/lost.go), and so each had the confirmation of the other. Balancers of other data centres took the two lists for a loss, too. A decision without confirmation already required a heartbeat of the sidecar itself; it now requires one of its present process.

A sidecar that is known only from reports is listed as lost when another balancer lists it, or after 12 s of silence. A killed sidecar that any balancer received heartbeats from is found absent as before.

TestStartedBalancersDoNotConfirmReportedLoss and TestReportedSidecarIsNotLostAfterRestart failed before.

--- a/membership/absence.go
+++ b/membership/absence.go
@@ -74,7 +74,7 @@
 		return true
 	}
 	// One that is known only from reports may have announced its stop before this process started.
-	return sidecar.LastDirect > 0 && t.unansweredAlone(now, sidecar) && now-t.cfg.Started >= receptionWindow
+	return sidecar.receivedDirectly() && t.unansweredAlone(now, sidecar) && now-t.cfg.Started >= receptionWindow
 }
 
 // staysAbsent reports whether a sidecar that became absent at since stays so although a
--- a/membership/incarnation.go
+++ b/membership/incarnation.go
@@ -31,3 +31,10 @@
 func (l lineage) outdated(now time.Duration, incarnation uint32) bool {
 	return l.former != 0 && incarnation == l.former && now-l.since < formerTimeout
 }
+
+// receivedDirectly reports whether a heartbeat of the present incarnation arrived from the
+// process itself. One that is known only from reports may not know this process, which then
+// receives no announcement of its stop.
+func (p *Peer) receivedDirectly() bool {
+	return p.LastDirect > 0 && p.LastDirect >= p.restartedAt
+}
--- a/membership/lost.go
+++ b/membership/lost.go
@@ -32,12 +32,18 @@
 // other data centres rely on the reports of all balancers here. Where no other one can deny
 // the loss, the report is therefore the decision that the sidecar is absent. Otherwise
 // something must have arrived from any process since the heartbeat of the sidecar was due:
-// a balancer that receives nothing can still send.
+// a balancer that receives nothing can still send. A sidecar that is known only from reports
+// may have announced its stop to others, so that another one must report it first, unless it
+// stays away: balancers that have started together would confirm its loss to each other.
 func (t *Table) confirmsLoss(now time.Duration, sidecar *Peer) bool {
 	if !t.hasWitness(now, sidecar) {
 		return t.absentSince[sidecar.Host] != 0
 	}
 	seen, _ := t.countSeen(sidecar, dueAt(sidecar), false)
+	if seen > 0 && !sidecar.receivedDirectly() && now-sidecar.LastContact() < stoppedTimeout {
+		confirmed, _, _ := t.verdicts(now, sidecar)
+		return confirmed
+	}
 	return seen > 0
 }
 
--- a/membership/reported_test.go
+++ b/membership/reported_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/corianderbay/corianderbay/membership"
+	"github.com/corianderbay/corianderbay/registry"
 	"github.com/shoenig/test/must"
 )
 
@@ -29,3 +30,95 @@
 		})
 	}
 }
+
+// TestReportedSidecarIsNotLostAfterRestart guards against a balancer that gives up a sidecar
+// which knows it no longer: only its former process sent it heartbeats.
+func TestReportedSidecarIsNotLostAfterRestart(t *testing.T) {
+	tb := newTable(1, membership.Balancer)
+	const last = start + 5*time.Second
+	heartbeats(tb, start, last, []byte{3, 4, 5, 6, 7, 8}, nil)
+	b := sidecarOf(1, 1)
+	b.DataCentre = "a"
+	tb.MergeHeartbeat(last-2*time.Second, host(2), b, versions(0, 0))
+	b.Stopping, b.Sequence = true, 2
+	tb.MergeHeartbeat(last-time.Second, host(2), b, versions(0, 0))
+	b.Stopping, b.Incarnation, b.Sequence = false, 2, 1
+	tb.MergeReport(last, 0, host(2), b, versions(0, 0))
+	must.Zero(t, absentAfter(tb, last))
+	must.SliceEmpty(t, tb.LocalLost(last+3*time.Second))
+}
+
+// exchangeHeartbeats merges heartbeats of sidecars 3 to 8 and of all balancers, the keys of
+// tables, into the table of each balancer, from one time until another.
+func exchangeHeartbeats(tables map[byte]*membership.Table, from, until time.Duration) {
+	for now := from; now < until; now += membership.QueryInterval {
+		lost := make(map[byte][]registry.Host)
+		for n, tb := range tables {
+			lost[n] = tb.LocalLost(now)
+		}
+		for _, tb := range tables {
+			if (now-from)%membership.HeartbeatInterval == 0 {
+				heartbeats(tb, now, now+1, []byte{3, 4, 5, 6, 7, 8}, nil)
+			}
+			for n := range tables {
+				b := balancerHeartbeat(true)
+				b.Sequence, b.Lost = uint32(now/time.Millisecond), lost[n]
+				tb.MergeHeartbeat(now, host(n), b, versions(0, 0))
+			}
+			tb.DueQueries(now)
+			tb.UpdateAbsent(now)
+		}
+	}
+}
+
+// TestStartedBalancersDoNotConfirmReportedLoss guards against balancers that have started
+// together and confirm to each other the loss of a sidecar whose announced stop they cannot
+// have received: its flows would be reset in a planned restart.
+func TestStartedBalancersDoNotConfirmReportedLoss(t *testing.T) {
+	tables := map[byte]*membership.Table{1: newTable(1, membership.Balancer), 9: newTable(9, membership.Balancer)}
+	const stopped = start + 2*time.Second
+	exchangeHeartbeats(tables, start, stopped)
+	for _, tb := range tables {
+		b := sidecarOf(1, 1)
+		b.DataCentre = "a"
+		tb.MergeReport(stopped, 0, host(2), b, versions(0, 0))
+	}
+	exchangeHeartbeats(tables, stopped, stopped+5*time.Second)
+	for n, tb := range tables {
+		must.Zero(t, tb.AbsentSince(host(2)), must.Sprint("at ", host(n)))
+		must.SliceEmpty(t, tb.LocalLost(stopped+5*time.Second))
+	}
+}
+
+// TestReportedLossIsConfirmed guards against a balancer that has started and keeps the others
+// from giving up a killed sidecar, of which it has received no heartbeat.
+func TestReportedLossIsConfirmed(t *testing.T) {
+	tables := map[byte]*membership.Table{1: newTable(1, membership.Balancer), 9: newTable(9, membership.Balancer)}
+	const killed = start + 2*time.Second
+	exchangeHeartbeats(tables, start, killed)
+	b := sidecarOf(1, 1)
+	b.DataCentre = "a"
+	tables[1].MergeHeartbeat(killed, host(2), b, versions(0, 0))
+	tables[9].MergeReport(killed, 0, host(2), b, versions(0, 0))
+	exchangeHeartbeats(tables, killed, killed+time.Second)
+	for n, tb := range tables {
+		must.NonZero(t, tb.AbsentSince(host(2)), must.Sprint("at ", host(n)))
+	}
+}
+
+// TestReportedSidecarThatStaysAwayIsLost guards against flows of a sidecar that nobody gives
+// up, since all balancers know it only from reports.
+func TestReportedSidecarThatStaysAwayIsLost(t *testing.T) {
+	tables := map[byte]*membership.Table{1: newTable(1, membership.Balancer), 9: newTable(9, membership.Balancer)}
+	const killed = start + 2*time.Second
+	exchangeHeartbeats(tables, start, killed)
+	for _, tb := range tables {
+		b := sidecarOf(1, 1)
+		b.DataCentre = "a"
+		tb.MergeReport(killed, 0, host(2), b, versions(0, 0))
+	}
+	exchangeHeartbeats(tables, killed, killed+13*time.Second)
+	for n, tb := range tables {
+		must.NonZero(t, tb.AbsentSince(host(2)), must.Sprint("at ", host(n)))
+	}
+}
