Drop copies of an accepted opening that the upstream returns

A caller's open flow would be reset, or its packets would reach another upstream and none its own, after a late copy of its opening.

Callers repeat an opening after 200 and 600 ms, so that a copy can arrive at the upstream when the flow is open. The sidecar delivers it; an upstream that returns it, for example one that holds as many flows as it may, made the sidecar pass it on as an opening (handleReturned in steer/answer.go): refused with a reset when no other upstream takes it, and otherwise recorded as passed on in place of the open flow, so that the packets that follow went to the other upstream.

A sidecar now keeps the sequence number of the opening that it delivered, and drops a returned copy of one that the upstream has answered. The opening of a next flow of the port is passed on as before. The stand-in upstreams answer copies, so that no other test could see this; whether upstreams return them is not known.

--- a/steer/answer.go
+++ b/steer/answer.go
@@ -88,6 +88,9 @@
 	sh.mu.Lock()
 	defer sh.mu.Unlock()
 	l := sh.flows[k]
+	if p.Opens() && l != nil && l.openedBy(p) {
+		return Drop{Reason: ReasonReturned} // the upstream has answered another copy
+	}
 	if p.Opens() {
 		s.lastRefusal.Store(int64(now))
 		if l != nil && l.stage == stageOpening {
--- a/steer/flow.go
+++ b/steer/flow.go
@@ -54,6 +54,9 @@
 	// The caller confirms the answer with an acknowledgement of this number or the next
 	// one.
 	answerSequence uint32
+	// openingSequence is the sequence number of the opening that was delivered; 0 when none was,
+	// for example before the sidecar started.
+	openingSequence uint32
 	// nextSequence is the sequence number after the caller's last data, or that of the
 	// opening.
 	nextSequence uint32
@@ -76,6 +79,13 @@
 	return p.Acknowledged-l.acknowledged+maxAcknowledgedGap <= 2*maxAcknowledgedGap
 }
 
+// openedBy reports whether a packet that opens a flow is a copy of the opening that the upstream
+// accepted.
+func (l *localFlow) openedBy(p *Packet) bool {
+	accepted := l.stage == stageAnswered || l.stage == stageOpen || l.stage == stageClosed
+	return accepted && l.openingSequence != 0 && l.openingSequence == p.Sequence
+}
+
 // live reports whether the flow counts towards the connections of the upstream.
 func (l *localFlow) live() bool {
 	return l.stage == stageOpening || l.stage == stageAnswered || l.stage == stageOpen
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -318,7 +318,7 @@
 	if s.cfg.Ramp {
 		s.pacing.opened(now)
 	}
-	sh.put(k, localFlow{stage: stageOpening, balancer: h.Balancer, nextSequence: p.Sequence, lastPacket: now, deliveredAt: now})
+	sh.put(k, localFlow{stage: stageOpening, balancer: h.Balancer, openingSequence: p.Sequence, nextSequence: p.Sequence, lastPacket: now, deliveredAt: now})
 	s.flows.Add(1)
 	s.liveness.awaitReaction(now)
 	return Deliver{Tag: s.recordDelivery(now, k, h)}
