Do not refuse the copy of an opening that was placed before

A caller's flow could get a reset from its balancer 0.2 s after its opening, when the answer was on its way.

A balancer sends a copy of an opening to another upstream unless a heartbeat of the first one's sidecar was sent since (keepsUpstream in steer/balancer.go). Heartbeats are 250 ms apart, and digests between data centres a second, while callers repeat openings after 200 ms. When no other upstream took the copy, for example as there is one only or the others drain, it was refused although the first one may have answered. It now goes to the first upstream again, unless that one is lost. Its sidecar judges it like any other: it declines openings for an upstream that drains, or is evacuated, unless it delivered the first.

TestRepeatedOpeningIsNotRefused failed before ("sidecar not heard since").

--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -260,6 +260,11 @@
 	if m == nil && d.fleet.Recovering && len(d.fleet.Unlisted) > 0 {
 		return &Hold{Reason: ReasonNoUpstream} // the expired entry of a live upstream may be restored shortly
 	}
+	if m == nil && repeated && !d.fleet.lost(d.now, e.host) {
+		e.lastUsed = d.now
+		d.shard.flows[d.key] = e
+		return d.forward(d.route.Service(d.hash), e.host, false) // the answer to the first one may be on its way
+	}
 	if m == nil {
 		return Refuse{Reason: d.fleet.refusalReason(d.route)}
 	}
--- a/steer/returnedopening_test.go
+++ b/steer/returnedopening_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/corianderbay/corianderbay/registry"
 	"github.com/corianderbay/corianderbay/steer"
@@ -42,3 +43,28 @@
 		})
 	}
 }
+
+// TestRepeatedOpeningIsNotRefused guards against a refusal that reaches the caller when its flow
+// is open: the first opening was sent to the only upstream, whose answer was on its way.
+func TestRepeatedOpeningIsNotRefused(t *testing.T) {
+	for name, c := range map[string]struct {
+		lost bool
+		want int
+	}{"sidecar not heard since": {want: 0}, "lost sidecar": {lost: true, want: -1}} {
+		t.Run(name, func(t *testing.T) {
+			sim := newSimulation(1, service)
+			must.Eq(t, 0, sim.send(0, opening(flowKey(1))))
+			sim.now += 200 * time.Millisecond
+			if c.lost {
+				f := *sim.balancers[0].Fleet()
+				since := sim.now - time.Second
+				f.Sidecars = map[registry.Host]steer.SidecarStatus{sim.instances[0].host: {Stopping: true, AbsentSince: since, LastSeen: since}}
+				sim.balancers[0].SetFleet(&f)
+			}
+			p := opening(flowKey(1))
+			p.Acknowledged = 1
+			must.Eq(t, c.want, sim.send(0, p))
+			must.Eq(t, c.lost, len(sim.resets) > 0)
+		})
+	}
+}
