Keep the entry of a flow that one end has reset

A searched packet of an open flow would be reset by its balancer, although the upstream holds the flow, when a late packet that reset the former flow of its port had passed the sidecar and the flow then paused for three seconds.

Cause: a reset marks the entry as closed, whichever flow of the port it belongs to, since the acknowledgement number of a reset need not be that of the flow. The upstream returns it and keeps the flow, but the entry is removed after closedTTL. A sidecar that answers searches from its table then says that its upstream does not hold the flow.

Flows that both ends closed are removed as before. Those that were reset stay as uncertain until no flow can be that old; their packets are offered.

Ruled out: late FINs, which close a flow only when the upstream has sent one, too.

--- a/steer/flow.go
+++ b/steer/flow.go
@@ -26,7 +26,8 @@
 	// stageOpen: the upstream holds the flow.
 	stageOpen
 	// stageUncertain: the upstream may hold the flow. No packet passed for longer than the idle
-	// timeout, or before it was confirmed, packets came that belong to another flow.
+	// timeout, or before it was confirmed, packets came that belong to another flow, or one end
+	// reset the flow, which may have been a late packet of the former flow of the port.
 	stageUncertain
 	// stageClosed: both ends closed the flow, or one of them reset it.
 	stageClosed
@@ -97,9 +98,23 @@
 	idle := now - l.lastPacket
 	switch l.stage {
 	case stageClosed:
-		return idle >= closedTTL
+		return idle >= closedTTL && l.callerFin && l.upstreamFin
 	case stageOpen, stageUncertain:
 		return idle >= maxFlow
 	}
 	return idle >= openingTTL
 }
+
+// doubtful reports whether the upstream may or may not hold the flow. idleTimeout is the time
+// without packets after which it may drop an open one. A reset may be a late packet of the
+// former flow of the port, which the upstream ignores.
+func (l *localFlow) doubtful(now, idleTimeout time.Duration) bool {
+	idle := now - l.lastPacket
+	switch l.stage {
+	case stageOpen:
+		return idle >= idleTimeout
+	case stageClosed:
+		return idle >= closedTTL
+	}
+	return false
+}
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -243,7 +243,7 @@
 			switch {
 			case l.expired(now, s.cfg.MaxFlow):
 				s.remove(sh, k, l)
-			case l.stage == stageOpen && now-l.lastPacket >= idleTimeout:
+			case l.doubtful(now, idleTimeout):
 				s.markUncertain(l)
 			}
 		}
