Keep the entry of a flow whose offered packet was not returned

A searched packet of an open flow would be reset by its balancer, although the upstream holds the flow, when the flow opened without an entry of its opening and no packet passed for five seconds.

Cause: an answered opening that is not confirmed is forgotten after openingTTL, or when the upstream returns a packet of the former flow of its port. The confirmation that a balancer then sends to the upstream is offered, and opens the flow there. That entry expired after openingTTL, too, unless the upstream sent something, and the table counted as complete.

An offered packet that the upstream neither returned nor answered leaves an uncertain entry until no flow can be that old. The bound of entries per shard is as before.

--- a/steer/completehole_test.go
+++ b/steer/completehole_test.go
@@ -38,3 +38,32 @@
 	s.Expire(sim.now)
 	sim.findsOpenFlow(t, k, at)
 }
+
+// TestReturnedOpeningDoesNotHideOpenFlow guards against a reset of an open flow after a late copy
+// of its opening, which a full upstream returns.
+func TestReturnedOpeningDoesNotHideOpenFlow(t *testing.T) {
+	sim := newCompleteSimulation(2, service, service, service)
+	k := flowKey(1)
+	at := sim.open(0, k)
+	must.Eq(t, 1, sim.instances[at].sidecar.Flows())
+	sim.instances[at].full = true
+	sim.send(0, opening(k))
+	sim.instances[at].full = false
+	must.Eq(t, 1, sim.instances[at].sidecar.Flows())
+	sim.findsOpenFlow(t, k, at)
+}
+
+// TestFlowOpenedWithoutEntryIsStillOffered guards against a reset of a flow that opened after its
+// entry was removed, while its upstream sends nothing.
+func TestFlowOpenedWithoutEntryIsStillOffered(t *testing.T) {
+	sim := newCompleteSimulation(2, service, service, service)
+	k := flowKey(1)
+	at := sim.send(0, opening(k))
+	s := sim.instances[at].sidecar
+	sim.advance(6 * time.Second)
+	s.Expire(sim.now)
+	must.Eq(t, at, sim.send(0, sim.request(k, at)), must.Sprint("late confirmation"))
+	sim.advance(6 * time.Second)
+	s.Expire(sim.now)
+	sim.findsOpenFlow(t, k, at)
+}
--- a/steer/flow.go
+++ b/steer/flow.go
@@ -27,7 +27,8 @@
 	stageOpen
 	// stageUncertain: the upstream may hold the flow. No packet passed for longer than the idle
 	// timeout, or before it was confirmed, packets came that belong to another flow, or one end
-	// reset the flow, which may have been a late packet of the former flow of the port.
+	// reset the flow, which may have been a late packet of the former flow of the port, or a
+	// packet was offered and not returned.
 	stageUncertain
 	// stageClosed: both ends closed the flow, or one of them reset it.
 	stageClosed
@@ -99,6 +100,8 @@
 	switch l.stage {
 	case stageClosed:
 		return idle >= closedTTL && l.callerFin && l.upstreamFin
+	case stageOffered:
+		return false
 	case stageOpen, stageUncertain:
 		return idle >= maxFlow
 	}
@@ -107,7 +110,8 @@
 
 // doubtful reports whether the upstream may or may not hold the flow. idleTimeout is the time
 // without packets after which it may drop an open one. A reset may be a late packet of the
-// former flow of the port, which the upstream ignores.
+// former flow of the port, which the upstream ignores. A packet that was offered and not
+// returned may have opened the flow.
 func (l *localFlow) doubtful(now, idleTimeout time.Duration) bool {
 	idle := now - l.lastPacket
 	switch l.stage {
@@ -115,6 +119,8 @@
 		return idle >= idleTimeout
 	case stageClosed:
 		return idle >= closedTTL
+	case stageOffered:
+		return idle >= openingTTL
 	}
 	return false
 }
