Do not confirm losses of sidecars that another balancer hears

The balancers of a sidecar's data centre decide on its loss for all others. A balancer that does not receive the heartbeats of its sidecars, but those of other balancers, lists the sidecars as lost, and a balancer that does receive them denies it. When that one stops, or is killed, the denial is gone (verdict in membership/absence.go: a stopping balancer is no witness, one that just fell silent is excused), and two that do not receive the heartbeats confirm the losses to each other. The more balancers are disturbed or rolled at a time, the likelier are two in one data centre without a third one. The same holds for balancers that know a sidecar from reports alone, and may have missed the announcement of its stop.

Silence is now no evidence for a balancer when no heartbeat of the sidecar has arrived, or when another balancer has not listed the sidecar for two seconds of its silence. It then lists the sidecar only while another one does; in the second case the one that denied the loss.

Considered and not taken: to mark such a balancer as lossy, which would keep it from giving up any sidecar.

A sidecar that is killed while the balancer that denied its loss ends, too, is not given up by the balancers that did not receive its heartbeats; its flows there end by time-outs.

--- a/edge/startpair_test.go
+++ b/edge/startpair_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"github.com/corianderbay/corianderbay/registry"
 )
 
 // TestFlowsStayWhenTwoBalancersStart guards against resets by balancers that start together and
@@ -45,3 +47,34 @@
 	w.start(m)
 	w.store.revoke(m.upstream.id, false)
 }
+
+// TestFlowsStayWhenHearingBalancerStops guards against resets by balancers of other data centres
+// when the only balancer of one that receives the heartbeats of its sidecars stops.
+func TestFlowsStayWhenHearingBalancerStops(t *testing.T) {
+	d := deployments[0]
+	d.balancers, d.callers = []int{3, 3, 3}, 40
+	playInTurn(t, 1, d, stopHearingBalancer)
+}
+
+// stopHearingBalancer cuts two of the three balancers of a data centre from its sidecars, in the
+// direction towards the balancers, and stops the third one.
+func stopHearingBalancer(w *world, m *machine) {
+	w.moveTo((dataCentreOf(m.host) + 1) % 3)
+	near := w.list(func(o *machine) bool { return isBalancer(o) && o.dataCentre == m.dataCentre })
+	deaf := map[registry.Host]bool{near[0].host: true, near[1].host: true}
+	sidecars := make(map[registry.Host]bool)
+	for _, o := range w.list(func(o *machine) bool { return hasUpstream(o) && o.dataCentre == m.dataCentre }) {
+		sidecars[o.host] = true
+	}
+	end := w.check.disrupt(near[:2]...)
+	c := &cut{matches: func(from, to registry.Host) bool { return sidecars[from] && deaf[to] }}
+	w.net.cut(c)
+	w.check.note("nothing of the sidecars reaches %s and %s", near[0].name, near[1].name)
+	time.Sleep(stableWindow)
+	w.terminate(near[2])
+	time.Sleep(stableWindow)
+	w.net.mend(c)
+	end()
+	w.start(near[2])
+	time.Sleep(time.Second)
+}
--- a/membership/absence.go
+++ b/membership/absence.go
@@ -25,6 +25,9 @@
 	t.clean = t.cleanReception(now)
 	for h, p := range t.peers {
 		since, recorded := t.absentSince[h]
+		if p.Heartbeat.Role == Sidecar {
+			t.recordDenial(now, p)
+		}
 		switch {
 		case p.Heartbeat.Role == Sidecar && t.isAbsent(now, p):
 			if !recorded {
@@ -74,7 +77,7 @@
 		return true
 	}
 	// One that is known only from reports may have announced its stop before this process started.
-	return sidecar.receivedDirectly() && t.unansweredAlone(now, sidecar) && now-t.cfg.Started >= receptionWindow
+	return sidecar.receivedDirectly() && sidecar.silenceCounts(now) && t.unansweredAlone(now, sidecar) && now-t.cfg.Started >= receptionWindow
 }
 
 // staysAbsent reports whether a sidecar that became absent at since stays so although a
--- a/membership/lost.go
+++ b/membership/lost.go
@@ -7,12 +7,19 @@
 	"github.com/corianderbay/corianderbay/registry"
 )
 
+// deniedAfter is the silence of a sidecar from which on a balancer that does not report it as
+// lost has received heartbeats of it. It is several times LocalHeartbeatTimeout, since the
+// report of a balancer with a slow link comes late.
+const deniedAfter = 2 * time.Second
+
 // LocalLost returns the sidecars of the data centre that sent heartbeats to this process
 // and from which no datagram arrives any more. Heartbeats report only these as lost, and
 // not those that others reported as lost, so that no report circulates forever. There
 // are none while this process is lossy. A sidecar that announced its stop is reported
 // only when its upstream has ended: to a process that did not receive the announcement,
-// the report confirms that the flows there are lost.
+// the report confirms that the flows there are lost. One whose silence is no evidence here is
+// reported only while another balancer reports it: two that do not receive its heartbeats would
+// otherwise confirm its loss to each other when the others stop.
 func (t *Table) LocalLost(now time.Duration) []registry.Host {
 	if t.Lossy(now) {
 		return nil
@@ -24,26 +31,74 @@
 		if p.Stopping() {
 			return p.Heartbeat.Load.Ended
 		}
-		return t.overdue(now, p) && t.confirmsLoss(now, p)
+		return t.overdue(now, p) && (p.silenceCounts(now) || t.followsReport(now, p)) && t.confirmsLoss(now, p)
 	})
 }
 
+// silenceCounts reports whether the silence of a sidecar is evidence of its end: a heartbeat of
+// its present process has arrived, and no other balancer has received further ones since. One
+// that is known only from reports may have announced its stop to others; its silence counts when
+// it stays away.
+func (p *Peer) silenceCounts(now time.Duration) bool {
+	if !p.receivedDirectly() {
+		return now-p.LastContact() >= stoppedTimeout
+	}
+	return p.presence.deniedAt <= p.LastContact()
+}
+
+// followsReport reports whether this process, without evidence of its own, reports an overdue
+// sidecar as lost because another balancer does: any one if no heartbeat of the sidecar's process
+// has arrived here, and otherwise the one that has received heartbeats of it since.
+func (t *Table) followsReport(now time.Duration, sidecar *Peer) bool {
+	for _, p := range t.peers {
+		if sidecar.receivedDirectly() && p.Host != sidecar.presence.deniedBy {
+			continue
+		}
+		if p.Heartbeat.Role == Balancer && t.isDirect(p) && t.verdict(now, p, sidecar) == verdictLost {
+			return true
+		}
+	}
+	return false
+}
+
+// recordDenial records that another balancer receives the heartbeats of a sidecar that has been
+// silent here for deniedAfter. Otherwise the silence would count as soon as that balancer stops.
+func (t *Table) recordDenial(now time.Duration, sidecar *Peer) {
+	if !t.isDirect(sidecar) || sidecar.Stopping() || now-sidecar.LastContact() < deniedAfter {
+		return
+	}
+	by := t.peers[sidecar.presence.deniedBy]
+	if by == nil || !t.denies(now, by, sidecar) {
+		by = nil
+		for _, p := range t.peers {
+			if t.denies(now, p, sidecar) {
+				by = p
+				break
+			}
+		}
+	}
+	if by != nil {
+		sidecar.presence.deniedAt, sidecar.presence.deniedBy = now, by.Host
+	}
+}
+
+// denies reports whether a balancer of the data centre has run for long enough to receive the
+// heartbeats of a sidecar, and did not report it as lost deniedAfter after its last one here.
+func (t *Table) denies(now time.Duration, balancer, sidecar *Peer) bool {
+	return balancer.Heartbeat.Role == Balancer && t.isDirect(balancer) && t.hasRun(now, balancer.Host) && t.alive(now, balancer) &&
+		balancer.LastSeen-sidecar.LastContact() >= deniedAfter && t.verdict(now, balancer, sidecar) == verdictOpen
+}
+
 // confirmsLoss reports whether this process reports an overdue sidecar as lost. Balancers of
 // other data centres rely on the reports of all balancers here. Where no other one can deny
 // the loss, the report is therefore the decision that the sidecar is absent. Otherwise
 // something must have arrived from any process since the heartbeat of the sidecar was due:
-// a balancer that receives nothing can still send. A sidecar that is known only from reports
-// may have announced its stop to others, so that another one must report it first, unless it
-// stays away: balancers that have started together would confirm its loss to each other.
+// a balancer that receives nothing can still send.
 func (t *Table) confirmsLoss(now time.Duration, sidecar *Peer) bool {
 	if !t.hasWitness(now, sidecar) {
 		return t.absentSince[sidecar.Host] != 0
 	}
 	seen, _ := t.countSeen(sidecar, dueAt(sidecar), false)
-	if seen > 0 && !sidecar.receivedDirectly() && now-sidecar.LastContact() < stoppedTimeout {
-		confirmed, _, _ := t.verdicts(now, sidecar)
-		return confirmed
-	}
 	return seen > 0
 }
 
--- a/membership/presence.go
+++ b/membership/presence.go
@@ -31,6 +31,8 @@
 	unanswered  int           // presence queries sent since lastContact
 	nextQuery   time.Duration // when the next presence query may be sent
 	wantedAt    time.Duration // when a newer list of lost sidecars was last needed from the balancer
+	deniedAt    time.Duration // when another balancer last showed that it receives the sidecar's heartbeats; 0 if never
+	deniedBy    registry.Host // that balancer
 	lastArrival time.Duration // when any heartbeat of the process, also an outdated one, last arrived from itself
 	arrivals    []arrival     // heartbeats that arrived within witnessWindow
 }
--- a/membership/reported_test.go
+++ b/membership/reported_test.go
@@ -122,3 +122,78 @@
 		must.NonZero(t, tb.AbsentSince(host(2)), must.Sprint("at ", host(n)))
 	}
 }
+
+// TestBalancersDoNotConfirmLossWithoutEvidence guards against two balancers that confirm to each
+// other the loss of a sidecar as soon as the other balancers stop: they have started and know it
+// from reports alone, or do not receive its heartbeats while the others do.
+func TestBalancersDoNotConfirmLossWithoutEvidence(t *testing.T) {
+	for name, reported := range map[string]bool{"known from reports": true, "heard by others": false} {
+		t.Run(name, func(t *testing.T) {
+			const stop = start + 6*time.Second // of the other balancer
+			tables := map[byte]*membership.Table{1: newTable(1, membership.Balancer), 2: newTable(2, membership.Balancer)}
+			for _, tb := range tables {
+				sidecars := []byte{3, 4, 5, 6, 7, 8}
+				if reported {
+					sidecars = sidecars[1:]
+				}
+				heartbeats(tb, start, stop-3*time.Second, sidecars, []byte{9})
+			}
+			meet(tables, stop-3*time.Second, stop, []byte{9}, func(*membership.Table, time.Duration) {})
+			for _, tb := range tables {
+				if reported {
+					b := sidecarOf(1, 1)
+					b.DataCentre = "a"
+					tb.MergeReport(stop, 0, host(3), b, versions(0, 0))
+				}
+				other := balancerHeartbeat(true)
+				other.Sequence, other.Stopping = uint32(stop/time.Millisecond), true
+				tb.MergeHeartbeat(stop, host(9), other, versions(0, 0))
+			}
+			meet(tables, stop, stop+8*time.Second, nil, func(tb *membership.Table, now time.Duration) {
+				must.Zero(t, tb.AbsentSince(host(3)), must.Sprint(now-stop))
+				must.SliceEmpty(t, tb.LocalLost(now), must.Sprint(now-stop))
+			})
+		})
+	}
+}
+
+// TestLossOfSidecarHeardByOthersIsAccepted guards against a balancer that does not receive the
+// heartbeats of a sidecar, and therefore keeps the others from giving it up when it is killed.
+func TestLossOfSidecarHeardByOthersIsAccepted(t *testing.T) {
+	const (
+		silent = start + 3*time.Second // from then on table 1 does not hear sidecar 3
+		killed = start + 7*time.Second
+	)
+	tables := map[byte]*membership.Table{1: newTable(1, membership.Balancer), 2: newTable(2, membership.Balancer)}
+	for _, tb := range tables {
+		heartbeats(tb, start, silent, []byte{3, 4, 5, 6, 7, 8}, nil)
+	}
+	meet(tables, silent, killed, nil, func(tb *membership.Table, now time.Duration) {
+		if tb == tables[2] && (now-silent)%membership.HeartbeatInterval == 0 {
+			heartbeats(tb, now, now+1, []byte{3}, nil)
+		}
+	})
+	meet(tables, killed, killed+1200*time.Millisecond, nil, func(*membership.Table, time.Duration) {})
+	for _, tb := range tables {
+		must.Positive(t, tb.AbsentSince(host(3)))
+	}
+}
+
+// meet lets the balancers of two tables exchange heartbeats, and receive those of the sidecars 4
+// to 8 and of other balancers.
+func meet(tables map[byte]*membership.Table, from, until time.Duration, balancers []byte, check func(tb *membership.Table, now time.Duration)) {
+	for now := from; now < until; now += membership.QueryInterval {
+		for _, self := range []byte{1, 2} {
+			tb := tables[self]
+			if (now-from)%membership.HeartbeatInterval == 0 {
+				heartbeats(tb, now, now+1, []byte{4, 5, 6, 7, 8}, balancers)
+			}
+			b := balancerHeartbeat(true)
+			b.Sequence, b.Lost = uint32(now/time.Millisecond), tables[3-self].LocalLost(now)
+			tb.MergeHeartbeat(now, host(3-self), b, versions(0, 0))
+			tb.DueQueries(now)
+			tb.UpdateAbsent(now)
+			check(tb, now)
+		}
+	}
+}
