Inform each balancer that starts from the other data centres

Callers of a data centre saw open flows reset by a balancer there that was back from a planned restart while its peers had just been killed. The upstreams served; their sidecars were in a planned restart, and their entries were revoked.

Balancers of other data centres reported all processes to a starting balancer only where they knew of no live balancer that had run for two seconds. They learn of a kill 2.35 s later, so that nobody informed a balancer that started 0.3 s after the kill of all its peers. It did not know the stopped sidecars, and took their flows for ones that nobody holds.

They now inform every balancer that starts. At 150 processes this is 10 datagrams from each of the two balancers of each other data centre for a start, by calculation (15 reports a datagram).

Ruled out: the reports of the own data centre (there was nobody left to send them).

Measured: TestFlowsStayWhenOlderBalancersAreKilled, 4 violations before, "22.331: flow 100.64.1.16:40001 of Ba11-00.000: reset by Bbal7", none now.

--- a/edge/startpair_test.go
+++ b/edge/startpair_test.go
@@ -78,3 +78,41 @@
 	w.start(near[2])
 	time.Sleep(time.Second)
 }
+
+// TestFlowsStayWhenOlderBalancersAreKilled guards against resets by a balancer that starts just after
+// the others of its data centre were killed, and does not learn of a sidecar that stopped before,
+// while the entry of its upstream is revoked.
+func TestFlowsStayWhenOlderBalancersAreKilled(t *testing.T) {
+	d := deployments[0]
+	d.balancers, d.callers = []int{3, 3, 3}, 40
+	playInTurn(t, 1, d, startBesideKilled)
+}
+
+// startBesideKilled restarts one balancer of the data centre of a sidecar, and kills the others
+// before it starts, while the sidecar restarts and the entry of its upstream is revoked.
+func startBesideKilled(w *world, m *machine) {
+	dc := dataCentreOf(m.host)
+	w.moveTo((dc + 1) % 3)
+	w.store.revoke(m.upstream.id, true)
+	w.check.note("entry revoked: %s", m.upstream.id)
+	time.Sleep(3 * time.Second)
+	near := w.list(func(o *machine) bool { return isBalancer(o) && o.dataCentre == m.dataCentre })
+	w.terminate(near[0])
+	w.terminate(m)
+	time.Sleep(300 * time.Millisecond)
+	end := w.check.disrupt(near[1:]...)
+	for _, b := range near[1:] {
+		w.kill(b)
+	}
+	time.Sleep(300 * time.Millisecond)
+	w.start(near[0])
+	time.Sleep(800 * time.Millisecond)
+	w.moveTo(dc)
+	time.Sleep(restartTime)
+	w.start(m)
+	w.store.revoke(m.upstream.id, false)
+	for _, b := range near[1:] {
+		w.start(b)
+	}
+	end()
+}
--- a/membership/delegate.go
+++ b/membership/delegate.go
@@ -38,10 +38,11 @@
 
 // InformsStarted reports whether this process sends reports of all processes to one that
 // has just started. The first balancers in hash order do so for their own data centre, and for
-// a balancer of another one where no live balancer has run for startReportTime: digests between
-// data centres do not repeat which sidecars stopped or lack a balancer. Balancers that have not
-// run for that long come after all others, even when they are delegates: when several start
-// together, they know less than the older ones, and a sidecar that stopped before sends no heartbeat.
+// balancers of the others: digests between data centres do not repeat which sidecars stopped or
+// lack a balancer, and whether an older balancer there was killed is known here only seconds later.
+// Balancers that have not run for startReportTime come after all others, even when they are
+// delegates: when several start together, they know less than the older ones, and a sidecar that
+// stopped before sends no heartbeat.
 func (t *Table) InformsStarted(now time.Duration, h registry.Host) bool {
 	p := t.peers[h]
 	if p == nil || t.cfg.Role != Balancer {
@@ -54,12 +55,7 @@
 	if !slices.Contains(informers[:min(delegateCount, len(informers))], t.cfg.Self) {
 		return false
 	}
-	dataCentre := p.Heartbeat.DataCentre
-	if dataCentre == t.cfg.DataCentre {
-		return true
-	}
-	informs := func(b registry.Host) bool { return b != h && t.hasRun(now, b) }
-	return p.Heartbeat.Role == Balancer && !slices.ContainsFunc(t.liveBalancers(now, dataCentre), informs)
+	return p.Heartbeat.Role == Balancer || p.Heartbeat.DataCentre == t.cfg.DataCentre
 }
 
 // hasRun reports whether this process, or another one as far as it was heard of, has run for
