Require half of the data centre for a list of lost sidecars

Callers of one data centre saw open flows reset by its balancers, which were not disrupted, while the upstreams, in another data centre, served: the balancers there received nothing but each other's heartbeats.

A balancer does not take a sidecar for absent unless it has seen half of its data centre since, but it listed the sidecar as lost when anything at all had arrived (confirmsLoss). Balancers of other data centres decide by that list alone.

The list now needs what the decision needs.

What remains: balancers that are at least as many as the other sidecars of their data centre are half of it by themselves.

--- a/edge/startpair_test.go
+++ b/edge/startpair_test.go
@@ -116,3 +116,31 @@
 	}
 	end()
 }
+
+// TestFlowsStayWhenBalancersHearOnlyEachOther guards against resets by balancers of other data
+// centres when those of one, which are fewer than its sidecars, receive nothing but each other's
+// heartbeats.
+func TestFlowsStayWhenBalancersHearOnlyEachOther(t *testing.T) {
+	d := deployments[0]
+	d.balancers, d.upstreamsA, d.callers = []int{3, 3, 3}, []int{5, 5, 5}, 40
+	playInTurn(t, 1, d, cutBalancersOff)
+}
+
+// cutBalancersOff cuts all balancers of a data centre from all other machines, in the direction
+// towards the balancers.
+func cutBalancersOff(w *world, m *machine) {
+	w.moveTo((dataCentreOf(m.host) + 1) % 3)
+	near := w.list(func(o *machine) bool { return isBalancer(o) && o.dataCentre == m.dataCentre })
+	deaf := make(map[registry.Host]bool)
+	for _, b := range near {
+		deaf[b.host] = true
+	}
+	end := w.check.disrupt(near...)
+	c := &cut{matches: func(from, to registry.Host) bool { return deaf[to] && !deaf[from] }}
+	w.net.cut(c)
+	w.check.note("the balancers of %s receive nothing from others", m.dataCentre)
+	time.Sleep(stableWindow)
+	w.net.mend(c)
+	end()
+	time.Sleep(time.Second)
+}
--- a/membership/lost.go
+++ b/membership/lost.go
@@ -92,14 +92,13 @@
 // confirmsLoss reports whether this process reports an overdue sidecar as lost. Balancers of
 // other data centres rely on the reports of all balancers here. Where no other one can deny
 // the loss, the report is therefore the decision that the sidecar is absent. Otherwise
-// something must have arrived from any process since the heartbeat of the sidecar was due:
-// a balancer that receives nothing can still send.
+// at least half of the data centre must have been seen since the heartbeat of the sidecar was
+// due, as for that decision: balancers that hear only each other can still send.
 func (t *Table) confirmsLoss(now time.Duration, sidecar *Peer) bool {
 	if !t.hasWitness(now, sidecar) {
 		return t.absentSince[sidecar.Host] != 0
 	}
-	seen, _ := t.countSeen(sidecar, dueAt(sidecar), false)
-	return seen > 0
+	return t.othersSeenAfterDue(sidecar)
 }
 
 // hasWitness reports whether another balancer of the data centre can deny the loss of a sidecar.
