Report a searched flow as soon as its upstream answers

The sidecar now reports it to the balancer that searched at once.

TestAnswerReportsSearchedFlow fails without the change.

--- a/edge/sidecar.go
+++ b/edge/sidecar.go
@@ -247,6 +247,9 @@
 	case steer.Answer:
 		s.counts.answered.Add(1)
 		s.socket.Send(d, p.Destination.Host.Port(s.cfg.CallerPort))
+		if !a.Searcher.IsZero() {
+			s.node.ReportFlows([]steer.Key{p.UpstreamKey()}, []registry.Host{a.Searcher})
+		}
 	case *steer.Forward:
 		s.passOn(a, d, b)
 	case *steer.FanOut:
--- a/steer/action.go
+++ b/steer/action.go
@@ -42,7 +42,11 @@
 }
 
 // Answer sends the upstream's packet to the caller.
-type Answer struct{}
+type Answer struct {
+	// Searcher is the balancer that searched for the flow, which the packet shows that the
+	// upstream holds. It is zero for other packets.
+	Searcher registry.Host
+}
 
 // Refuse resets the flow towards the caller.
 type Refuse struct {
--- a/steer/answer.go
+++ b/steer/answer.go
@@ -33,8 +33,12 @@
 	l.lastPacket = now
 	if p.Flags.Has(SYN) {
 		s.recordAccepted(now, k, l, p)
-	} else {
-		s.recordUpstreamPacket(now, k, l, p)
+		return Answer{}
+	}
+	offered := l.stage == stageOffered || l.stage == stageUncertain
+	s.recordUpstreamPacket(now, k, l, p)
+	if offered && l.stage == stageOpen {
+		return Answer{Searcher: l.balancer}
 	}
 	return Answer{}
 }
--- a/steer/complete_test.go
+++ b/steer/complete_test.go
@@ -141,3 +141,17 @@
 	must.Eq(t, at, sim.send(1, sim.request(flowKey(1), at)))
 	must.SliceEmpty(t, sim.resets)
 }
+
+// TestAnswerReportsSearchedFlow guards against a search that goes on after the upstream has answered
+// the offered packet, until the next report of flows.
+func TestAnswerReportsSearchedFlow(t *testing.T) {
+	sim := newSimulation(2, service, service, service)
+	at := sim.open(0, flowKey(1))
+	sim.startSidecar(at)
+	sim.startBalancer(1)
+	sim.publishFleet()
+	must.Eq(t, at, sim.send(1, sim.request(flowKey(1), at)))
+	s := sim.instances[at].sidecar
+	must.Eq[steer.Action](t, steer.Answer{Searcher: balancerHost(1)}, s.FromUpstream(sim.now, reply(flowKey(1), steer.ACK, 500, 10)))
+	must.Eq[steer.Action](t, steer.Answer{}, s.FromUpstream(sim.now, reply(flowKey(1), steer.ACK, 510, 10)))
+}
