Extend a search only where it has been

In the same traces, a sidecar that became reachable in a data centre that the search had not come to got a copy out of turn, and passed it on to 8 upstreams there, 30 ms after the owner in another data centre had the packet.

A copy goes to a sidecar that has become reachable only where the search has been, or once retries go to all data centres. Elsewhere the search comes there by itself. TestSearchIsExtendedOnlyWhereItHasBeen holds the condition; packages edge and steer pass.

--- a/edge/balancer.go
+++ b/edge/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -156,10 +157,12 @@
 	}
 }
 
-// extendSearches sends the searched packets to sidecars that have become reachable.
+// extendSearches sends the searched packets to sidecars that have become reachable, where the
+// search has been: elsewhere a copy would reach the upstreams behind them out of turn.
 func (b *Balancer) extendSearches(now time.Duration, recovered []registry.Host) {
 	for _, s := range b.searches.all() {
-		list, unfinished := b.steering.ExtendSearch(now, &s.packet, recovered)
+		passed := slices.DeleteFunc(slices.Clone(recovered), func(h registry.Host) bool { return s.comesTo(b.dataCentreOf(h)) })
+		list, unfinished := b.steering.ExtendSearch(now, &s.packet, passed)
 		if len(list) > 0 {
 			b.searches.restart(now, s.packet.CallerKey())
 		}
--- a/edge/search.go
+++ b/edge/search.go
@@ -49,6 +49,11 @@
 	return last == dataCentre || last == "" || dataCentre == ""
 }
 
+// comesTo reports whether the search will come to a data centre that has got no copy yet.
+func (s *searchPacket) comesTo(dataCentre string) bool {
+	return s.attempts == 0 && dataCentre != "" && !slices.Contains(s.searched, dataCentre)
+}
+
 // reached reports whether the upstream of a data centre that holds the flow has the packet, or
 // is about to get it: the only copy goes from sidecar to sidecar there.
 func (s *searchPacket) reached(dataCentre string) bool {
--- a/edge/search_test.go
+++ b/edge/search_test.go
@@ -97,6 +97,15 @@
 	must.False(t, f.Header.Remote)
 }
 
+// TestSearchIsExtendedOnlyWhereItHasBeen guards against copies of a searched packet at the upstreams
+// of a data centre that the search has not reached, when a sidecar there becomes reachable.
+func TestSearchIsExtendedOnlyWhereItHasBeen(t *testing.T) {
+	s := searchPacket{searched: []string{"a"}}
+	must.Eq(t, []bool{false, true, false}, []bool{s.comesTo("a"), s.comesTo("b"), s.comesTo("")})
+	s.attempts++
+	must.False(t, s.comesTo("b"), must.Sprint("a retry goes to all data centres"))
+}
+
 // TestNoticeReachesBalancerThatTookThePacket guards against a flow that is reported to no
 // balancer because heartbeats of the one that took its packet are late.
 func TestNoticeReachesBalancerThatTookThePacket(t *testing.T) {
