Deliver searched copies of held flows after the sidecar stood still

The packet of an open flow would reach other upstreams and not its own, when the sidecar of its own stood still for 250 ms while a copy waited there: it dropped the copy like those of flows that it does not know, and the balancer's next retry may come 0.8 s later.

Cause: drops waiting copies so that they are not passed on to upstreams behind. A copy of a flow that the upstream holds is not passed on, and ends the search.

Ruled out: a higher threshold, which would let waiting copies pass on.

--- a/edge/latecopy_test.go
+++ b/edge/latecopy_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/corianderbay/corianderbay/exchange"
+	"github.com/corianderbay/corianderbay/platform"
 	"github.com/corianderbay/corianderbay/platform/standin"
 	"github.com/corianderbay/corianderbay/registry"
 	"github.com/corianderbay/corianderbay/steer"
@@ -56,3 +57,47 @@
 		})
 	}
 }
+
+// TestOwnerTakesSearchedCopyAfterFreeze guards against a searched packet that reaches other upstreams
+// and not its own, whose sidecar drops the copy since it stood still for a moment.
+func TestOwnerTakesSearchedCopyAfterFreeze(t *testing.T) {
+	const freeze = 400 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		d := deployments[0]
+		d.callers = 0
+		w := newWorld(t, 1, d)
+		m, b, c := w.sidecarsOf(0)[0], w.list(isBalancer)[0], w.addSilentCaller(1)
+		send := func(p steer.Packet, unknown bool) {
+			p.Source, p.Destination = registry.Endpoint{Host: c.host, Port: 40000}, routeAddresses[0]
+			h := steer.Header{Balancer: b.host, Service: registry.HashService(m.service), UnknownFlow: unknown, Remote: unknown}
+			w.net.send(b.host.Port(exchangePort), m.host.Port(exchangePort), append(exchange.AppendForward(nil, &h), standin.Encode(p, nil)...))
+		}
+		send(steer.Packet{Flags: steer.SYN, Sequence: 7}, false)
+		var answer steer.Packet
+		must.NoError(t, platform.Codec{}.Decode(<-c.inbox, &answer))
+		confirmation := steer.Packet{Flags: steer.ACK, Sequence: 8, Acknowledged: answer.Sequence + 1}
+		send(confirmation, false)
+		time.Sleep(time.Second)
+		delivered := func() (n int) {
+			w.check.mu.Lock()
+			defer w.check.mu.Unlock()
+			for _, hop := range w.check.flow(steer.Key{Caller: answer.Destination, Address: answer.Source}).trace {
+				if hop.to == m.host && strings.HasSuffix(hop.what, "port 7003") {
+					n++
+				}
+			}
+			return n
+		}
+		before := delivered()
+		thaw := w.freeze(m)
+		time.Sleep(freeze / 2)
+		send(confirmation, true)
+		time.Sleep(freeze / 2)
+		thaw()
+		time.Sleep(50 * time.Millisecond)
+		after := delivered()
+		w.end()
+		must.Positive(t, before)
+		must.Eq(t, before+1, after)
+	})
+}
--- a/edge/sidecar.go
+++ b/edge/sidecar.go
@@ -325,7 +325,7 @@
 		return
 	}
 	// The balancer has sent other copies of a searched packet past a sidecar that stood still.
-	if header.UnknownFlow && header.Remote && s.pauseDetector.Delayed() {
+	if header.UnknownFlow && header.Remote && s.pauseDetector.Delayed() && !s.steering.Holds(p.CallerKey()) {
 		s.drop(p, steer.ReasonLate)
 		return
 	}
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -228,6 +228,15 @@
 	return keys
 }
 
+// Holds reports whether the upstream holds a flow for certain.
+func (s *Sidecar) Holds(k Key) bool {
+	sh := s.shard(k)
+	sh.mu.Lock()
+	defer sh.mu.Unlock()
+	l := sh.flows[k]
+	return l != nil && l.stage == stageOpen
+}
+
 // Expire removes flows that ended or are too old, marks those that the upstream may have
 // dropped since they are idle, and allows a silent upstream to be tried again.
 func (s *Sidecar) Expire(now time.Duration) {
