--- a/edge/scaleresets_test.go
+++ b/edge/scaleresets_test.go
@@ -52,13 +52,6 @@
 	return list
 }
 
-// restartAll restarts claimed machines at the same time.
-func (w *world) restartAll(list []*machine, pause func() time.Duration) {
-	for _, m := range list {
-		w.restartBeside(m, pause())
-	}
-}
-
 // rollBesideStops restarts several balancers of a data centre, and some of its sidecars so that
 // they stop when the balancers have just started.
 func rollBesideStops(w *world, d draws) {
