--- a/review/6/testdata/lab/lab.go
+++ b/review/6/testdata/lab/lab.go
@@ -243,7 +243,7 @@
 		},
 		"internal_ports": []uint16{l.ports.Exchange, l.ports.Exchange + 15},
 		"seeds":          seeds, "bootstrap": false, "in_fault_budget": false,
-		"limits": map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": 284, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
+		"limits":    map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": 284, "max_fds": 4100, "link_mbps": 1000.0, "disk_mb": 0},
 		"discovery": "platform", "entry": "announce", "heartbeat_ms": l.cfg.HeartbeatMillis,
 		"bounds": l.cfg.Bounds, "hash": "mod", "forwarding_mode": "agent",
 		"platform": map[string]any{"address": store, "reads_per_s": 2000, "history_s": 20},
--- a/review/6/testdata/lab/load.go
+++ b/review/6/testdata/lab/load.go
@@ -40,11 +40,12 @@
 	l.Record("store accepted op/config version %d", version)
 }
 
-// FreshLoad opens a flow for each request for a time and waits for the last answer.
-func (l *Lab) FreshLoad(c *Client, route netip.AddrPort, rate float64, duration time.Duration) {
+// FreshLoad opens a flow for each request for a time and waits for the last answer. It returns
+// the requests that were not answered.
+func (l *Lab) FreshLoad(c *Client, route netip.AddrPort, rate float64, duration time.Duration) (unanswered []string) {
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	answered, failed := 0, 0
+	answered := 0
 	due := time.Now()
 	end := due.Add(duration)
 	for n := 0; ; n++ {
@@ -62,7 +63,7 @@
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
-				failed++
+				unanswered = append(unanswered, id)
 				l.Record("request %s, sent at %.3f: %v", id, sent.Seconds(), err)
 			} else {
 				answered++
@@ -71,7 +72,8 @@
 		}()
 	}
 	wg.Wait()
-	l.Record("clients: %d requests were answered, %d were not", answered, failed)
+	l.Record("clients: %d requests were answered, %d were not", answered, len(unanswered))
+	return unanswered
 }
 
 // once sends one request on a flow of its own.
--- a/review/6/testdata/otherwriter/main.go
+++ b/review/6/testdata/otherwriter/main.go
@@ -16,7 +16,7 @@
 const (
 	service = "taller-link"
 	drain   = 3 * time.Second
-	rate    = 100 // requests per second
+	rate    = 200 // requests per second
 )
 
 var route = netip.MustParseAddrPort("198.18.0.1:8443")
@@ -38,13 +38,13 @@
 func run(root, record, entry string) (broken bool, err error) {
 	l, err := lab.New(root, record, lab.Config{
 		Zones: []string{"sanjose", "heredia"}, Balancers: 2, Backends: []string{service, service, service, service},
-		HeartbeatMillis: 770, Bounds: lab.SmallBounds(), Work: 15 * time.Millisecond, Slots: 2, WarmupSeconds: 2,
+		HeartbeatMillis: 770, Bounds: lab.SmallBounds(), Work: 50 * time.Millisecond, Slots: 4, WarmupSeconds: 2,
 	})
 	if err != nil {
 		return false, err
 	}
 	defer l.Close()
-	l.PutConfig(1, service, 0, lab.Route{Address: route, Service: service})
+	l.PutConfig(1, service, 0, lab.Route{Address: route, Service: service, Unsafe: true})
 	ctx, stop := lab.Context()
 	defer stop()
 	go l.Router.Run(ctx)
@@ -58,10 +58,11 @@
 	defer client.Close()
 	time.Sleep(5 * time.Second) // all machines are in touch
 	var wg sync.WaitGroup
+	var unanswered []string
 	wg.Add(1)
 	go func() {
 		defer wg.Done()
-		l.FreshLoad(client, route, rate, 14*time.Second)
+		unanswered = l.FreshLoad(client, route, rate, 14*time.Second)
 	}()
 	time.Sleep(2 * time.Second)
 	b := l.Backends[0]
@@ -71,9 +72,22 @@
 	time.Sleep(8 * time.Second)
 	b.Crash() // it leaves
 	wg.Wait()
+	recordLost(l, b, unanswered)
 	return judge(l, client, b), nil
 }
 
+// recordLost records the requests that the backend began and did not answer before its exit.
+func recordLost(l *lab.Lab, b *lab.Backend, unanswered []string) {
+	runs, lost := b.Runs(), 0
+	for _, id := range unanswered {
+		if runs[id] > 0 {
+			lost++
+			l.Record("request %s was begun by %s and never answered", id, b.ID)
+		}
+	}
+	fmt.Printf("%d requests that must not be repeated were begun by the backend and never answered\n", lost)
+}
+
 // writeOther writes an entry that names no backend to use: its bytes cannot be read, or the
 // fields that the page names are missing. Otherwise it is a copy of the backend's entry.
 func writeOther(l *lab.Lab, b *lab.Backend, entry string) {
