Decode entries of the store with exact names and valid UTF-8

Cause: encoding/json matches the names of fields without regard to case, takes the last of two equal names, takes null as a missing value and replaces bytes that are no UTF-8. An entry without any of the named fields was therefore complete.

Change: wire.DecodeJSON decodes I-JSON (RFC 7493) with exact names and rejects null, through github.com/go-json-experiment/json; decodeEntry uses it. Addresses are taken in their canonical form alone. A name in another spelling is an unknown field.

Conclusion: the entry names no upstream any more, so that the upstream's own entry represents the host.

--- a/wire/codec.go
+++ b/wire/codec.go
@@ -1,10 +1,11 @@
-// Package wire encodes and decodes the msgpack values that processes exchange.
+// Package wire encodes and decodes the msgpack values that processes exchange, and decodes
+// the JSON texts of other programs.
 //
 // It is safe to decode untrusted bytes. For a short message that declares a long
 // list, the msgpack library would allocate the whole list up front; a scan that
 // allocates nothing rejects such messages first.
 //
-// Start with Encode and Decode.
+// Start with Encode, Decode and DecodeJSON.
 package wire
 
 import (
