--- a/daemon/checkconfig_test.go
+++ b/daemon/checkconfig_test.go
@@ -21,14 +21,14 @@
  "routes": [
   {"name": "r-3", "host": "198.18.0.1", "prefix": "/8443/", "timeout_ms": 1000, "service": "fitting"},
   {"name": "r-5", "host": "198.18.0.1", "prefix": "/8080/", "timeout_ms": 1000, "service": "fitting"}],
- "services": [{"name": "fitting"}, {"name": "report"}]}`
+ "services": [{"name": "fitting"}, {"name": "report"}], "limits": {}}`
 
 const nextConfig = `{"version": 8,
  "routes": [
   {"name": "r-3", "host": "198.18.0.1", "prefix": "/8443/", "timeout_ms": 1000, "target_latency_ms": 1001,
    "split": [{"service": "report", "weight": 1},
              {"service": "fitting", "weight": 0}]}],
- "services": [{"name": "fitting"}, {"name": "report"}]}`
+ "services": [{"name": "fitting"}, {"name": "report"}], "limits": {}}`
 
 const wantText = `next.json:3: error: routes[0].target_latency_ms: objective 1.001s is above timeout 1s (objective)
 next.json:5: warning: routes[0].split[1].weight: service "fitting" has a weight of 0 and receives no flows (weight)
