Let the last report of an incarnation represent its host

What callers would see: new flows at an upstream that drains, although its own entry says so, while a complete copy of an earlier entry stands under another key.

Ruled out: comparing the store's revisions alone, since a copy may be written after the upstream's last report.

Change: of two entries with the same start, the one with the higher sequence represents the host, which the upstream counts itself; with equal sequences, the one that drains. Without a start the entries may be of two incarnations, and the last change in the store counts. The order is total, so that all processes choose the same. Entries are chosen before the pools are built, in place of a search through the pool for each of them.

Conclusion: a stale copy no longer decides; one with a later start still does, which no process can tell from a restart.

--- a/registry/snapshot.go
+++ b/registry/snapshot.go
@@ -16,7 +16,7 @@
 	Available Status = iota
 	// Leaving upstreams keep their flows and take no new ones.
 	Leaving
-	// Removed upstreams are only candidates for flows that no other upstream holds.
+	// Removed upstreams are only entries for flows that no other upstream holds.
 	Removed
 	// Evacuated upstreams are in an evacuated data centre: they keep their flows and take
 	// no new ones.
@@ -36,8 +36,8 @@
 type Pool struct {
 	Service string
 	Hash    ServiceHash
-	// Members holds one upstream per host: one that is not removed if there is any, and
-	// the one started last among equals.
+	// Members holds one upstream per host: one that is not removed if there is any, the
+	// one started last among these, and of the entries of one start the one reported last.
 	Members []Member
 }
 
@@ -83,12 +83,8 @@
 			s.routes[d.routes.List[i].Address] = &d.routes.List[i]
 		}
 	}
-	for _, r := range d.records {
-		if content, learned := r.content(); content != nil {
-			u := *content
-			u.Warmup = max(0, u.Warmup-(now-learned))
-			s.add(Member{Upstream: u, Status: s.statusOf(&u, r.status(now)), LearnedAt: learned})
-		}
+	for _, c := range s.entries(d, now) {
+		s.add(c.Member)
 	}
 	for _, p := range s.pools {
 		s.sortedPools = append(s.sortedPools, p)
@@ -119,7 +115,62 @@
 	return status
 }
 
-// add puts an upstream into its pool. replaces decides between two on one host.
+// poolHost is a host in the pool of a service.
+type poolHost struct {
+	service ServiceHash
+	host    Host
+}
+
+// entry is one of the entries of a poolHost.
+type entry struct {
+	Member
+	// revision is that of the entry's last change in the store.
+	revision uint64
+}
+
+// entries returns the entry that represents each host in each pool.
+func (s *Snapshot) entries(d *Directory, now time.Duration) map[poolHost]entry {
+	chosen := make(map[poolHost]entry, len(d.records))
+	for _, r := range d.records {
+		content, learned := r.content()
+		if content == nil {
+			continue
+		}
+		u := *content
+		u.Warmup = max(0, u.Warmup-(now-learned))
+		c := entry{Member: Member{Upstream: u, Status: s.statusOf(&u, r.status(now)), LearnedAt: learned}, revision: r.revision}
+		at := poolHost{service: HashService(u.Service), host: u.Address.Host}
+		if other, taken := chosen[at]; !taken || c.replaces(&other) {
+			chosen[at] = c
+		}
+	}
+	return chosen
+}
+
+// replaces reports whether c rather than o represents their host. It is a total order, so
+// that all processes choose the same entry.
+func (c *entry) replaces(o *entry) bool {
+	if c.Status == Removed != (o.Status == Removed) {
+		return o.Status == Removed
+	}
+	if c.StartedAt != o.StartedAt {
+		return c.StartedAt > o.StartedAt
+	}
+	if c.StartedAt != 0 { // entries of one incarnation, of which only one is its own
+		if c.Sequence != o.Sequence {
+			return c.Sequence > o.Sequence
+		}
+		if c.Draining != o.Draining {
+			return c.Draining
+		}
+	}
+	if c.revision != o.revision {
+		return c.revision > o.revision
+	}
+	return c.ID > o.ID
+}
+
+// add puts an upstream into its pool.
 func (s *Snapshot) add(m Member) {
 	s.hosts[m.Address.Host] = struct{}{}
 	hash := HashService(m.Service)
@@ -128,15 +179,6 @@
 		p = &Pool{Service: m.Service, Hash: hash}
 		s.pools[hash] = p
 	}
-	for i := range p.Members {
-		if p.Members[i].Address.Host != m.Address.Host {
-			continue
-		}
-		if replaces(m, p.Members[i]) {
-			p.Members[i] = m
-		}
-		return
-	}
 	p.Members = append(p.Members, m)
 }
 
@@ -181,17 +223,6 @@
 	return q
 }
 
-// replaces reports whether a rather than b represents their host in the pool.
-func replaces(a, b Member) bool {
-	if a.Status == Removed != (b.Status == Removed) {
-		return b.Status == Removed
-	}
-	if a.StartedAt != b.StartedAt {
-		return a.StartedAt > b.StartedAt
-	}
-	return strings.Compare(a.ID, b.ID) > 0
-}
-
 // Version returns the version of the routes, 0 before the first.
 func (s *Snapshot) Version() uint64 {
 	return s.version
