Count inputs that could not be used

What operators would see: an odd entry, datagram or settings file had a line in the log, once or at most some times a second, and no number. How often it happens, and on which processes, could not be read from the metrics.

Change: the logger counts the events of its catalogue, also those whose lines the sampler leaves out. corianderbay_inputs_unusable_total has those that report input of other programs, by event.

--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -45,6 +45,7 @@
 	defAnswers     = metric.Definition{Name: "corianderbay_presence_answers_total", Kind: metric.Counter, Help: "Presence queries of other processes that were answered."}
 	defLossy       = metric.Definition{Name: "corianderbay_reception_lossy", Kind: metric.Gauge, Help: "1 while so many heartbeats are missing that no process is taken for lost."}
 	defOmitted     = metric.Definition{Name: "corianderbay_log_lines_omitted_total", Kind: metric.Counter, Help: "Lines that were left out of the log."}
+	defUnusable    = metric.Definition{Name: "corianderbay_inputs_unusable_total", Kind: metric.Counter, Help: "Inputs that could not be used, by the event that was logged; store-lost and pull-failed also count calls without a response.", Label: "event"}
 	defMemory      = metric.Definition{Name: "corianderbay_memory_bytes", Kind: metric.Gauge, Help: "Memory that the runtime has mapped."}
 	defStoreCalls  = metric.Definition{Name: "corianderbay_store_call_seconds", Kind: metric.Latencies, Help: "Duration of calls of the store, without watches."}
 	defOpening     = metric.Definition{Name: "corianderbay_opening_seconds", Kind: metric.Latencies, Help: "Time from an opening's delivery until the upstream accepts it."}
@@ -68,7 +69,7 @@
 
 // Definitions returns the definitions of all metrics of a balancer and of a sidecar.
 func Definitions() (balancer, sidecar []metric.Definition) {
-	common := []metric.Definition{defForwarded, defRefused, defDropped, defInvalid, defHeld, defVersion, defRoutesAge, defRevision, defEra, defDoubtful, defEvacuated, defStoreAge, defPeers, defBuild, defFormats, defPeerFormat, defUnreadPeer, defUnreadable, defQueries, defAnswers, defLossy, defOmitted, defMemory, defStoreCalls}
+	common := []metric.Definition{defForwarded, defRefused, defDropped, defInvalid, defHeld, defVersion, defRoutesAge, defRevision, defEra, defDoubtful, defEvacuated, defStoreAge, defPeers, defBuild, defFormats, defPeerFormat, defUnreadPeer, defUnreadable, defQueries, defAnswers, defLossy, defOmitted, defUnusable, defMemory, defStoreCalls}
 	balancer = append(append(balancer, common...), defSearched, defRemembered, defLink, defTraffic, defStandby, defOverloaded, defStanding, defShareUsed, defShareOwed, defNotAdmitted)
 	sidecar = append(append(sidecar, common...), defDelivered, defOffered, defAnswered, defOpen, defActive, defOpening, defAnswer, defWork, defWorkAge, defWindow, defShed, defState)
 	return balancer, sidecar
@@ -101,6 +102,7 @@
 func writeNode(p *metric.Page, n *exchange.Node, log *event.Logger) {
 	st := n.Status()
 	p.Value(defOmitted, float64(log.Omitted()))
+	p.Values(defUnusable, unusableInputs(log))
 	p.Value(defVersion, float64(st.Version))
 	p.Value(defRoutesAge, st.RoutesAge.Seconds())
 	p.Value(defRevision, float64(st.State.Revision))
@@ -118,6 +120,18 @@
 	p.Histogram(defStoreCalls, n.StoreCalls())
 }
 
+// unusableInputs returns the counts of events that report input from other programs that
+// could not be used.
+func unusableInputs(log *event.Logger) []metric.Sample {
+	return []metric.Sample{
+		{Label: "entry-unusable", Value: float64(log.Count(event.EntryUnusable))},
+		{Label: "datagram-unusable", Value: float64(log.Count(event.DatagramUnusable))},
+		{Label: "settings-unusable", Value: float64(log.Count(event.SettingsUnusable))},
+		{Label: "store-lost", Value: float64(log.Count(event.StoreLost))},
+		{Label: "pull-failed", Value: float64(log.Count(event.PullFailed))},
+	}
+}
+
 // flag returns 1 for true and 0 for false.
 func flag(b bool) float64 {
 	if b {
--- a/event/logger.go
+++ b/event/logger.go
@@ -25,7 +25,9 @@
 type Logger struct {
 	zap     *zap.Logger
 	entries map[Number]Entry // read-only after New
-	omitted func() uint64    // nil if no line is ever omitted
+	// counts has a counter for each event of the catalogue; the map is read-only after New.
+	counts  map[Number]*atomic.Uint64
+	omitted func() uint64 // nil if no line is ever omitted
 }
 
 // New returns a Logger that writes to cfg.Core.
@@ -35,12 +37,15 @@
 		core = zapcore.NewNopCore()
 	}
 	entries := make(map[Number]Entry)
+	counts := make(map[Number]*atomic.Uint64)
 	for _, e := range Catalogue() {
 		entries[e.Number] = e
+		counts[e.Number] = new(atomic.Uint64)
 	}
 	return &Logger{
 		zap:     zap.New(core).With(zap.String("process", cfg.Process)),
 		entries: entries,
+		counts:  counts,
 	}
 }
 
@@ -77,6 +82,8 @@
 	e, ok := l.entries[n]
 	if !ok {
 		e = Entry{Number: n, Name: "unknown-event", Level: zapcore.ErrorLevel}
+	} else {
+		l.counts[n].Add(1)
 	}
 	ce := l.zap.Check(e.Level, e.Name)
 	if ce == nil {
@@ -92,6 +99,16 @@
 	return !ok || l.zap.Core().Enabled(e.Level)
 }
 
+// Count returns how often Emit was called with an event of the catalogue, whether a line was
+// written or not.
+func (l *Logger) Count(n Number) uint64 {
+	c, ok := l.counts[n]
+	if !ok {
+		return 0
+	}
+	return c.Load()
+}
+
 // Omitted returns the number of lines omitted since the start.
 func (l *Logger) Omitted() uint64 {
 	if l.omitted == nil {
--- a/event/writer_test.go
+++ b/event/writer_test.go
@@ -54,3 +54,17 @@
 	must.Between(t, 5, strings.Count(buf.String(), "packet-dropped"), 10) // the run may span two seconds
 	must.Eq(t, 1, strings.Count(buf.String(), "flow-refused"))
 }
+
+// TestCountIncludesOmittedLines guards against counters that miss the events whose lines were
+// left out, which are those that come most often.
+func TestCountIncludesOmittedLines(t *testing.T) {
+	w := event.NewWriter(io.Discard, 200, timer.New(timer.Config{}))
+	log := event.NewSampled(w, zapcore.ErrorLevel, "test", 5)
+	for range 100 {
+		log.Emit(event.EntryUnusable)
+	}
+	w.Close()
+	must.Eq(t, 100, log.Count(event.EntryUnusable))
+	must.Eq(t, 0, log.Count(event.DatagramUnusable))
+	must.Eq(t, 0, log.Count(0))
+}
--- a/registry/snapshot.go
+++ b/registry/snapshot.go
@@ -16,7 +16,7 @@
 	Available Status = iota
 	// Leaving upstreams keep their flows and take no new ones.
 	Leaving
-	// Removed upstreams are only entries for flows that no other upstream holds.
+	// Removed upstreams are only candidates for flows that no other upstream holds.
 	Removed
 	// Evacuated upstreams are in an evacuated data centre: they keep their flows and take
 	// no new ones.
