Refuse msgpack messages that are not encoded as processes encode them

What operators would see: a heartbeat, a digest or a list of a peer with a field twice, nil or a float in place of a number, or a missing field was taken without a trace, with the last value, zero or a converted one.

Cause: the same kind of lenience as in encoding/json, in the msgpack library. It converts between numbers, texts and bytes, takes nil for any type, and the last of two equal names. Ruled out: wire.Scan, which checks sizes only.

Change: wire.Decode encodes what it decoded and compares, apart from the order of the pairs of a map, which has none. A peer's list that differs is unreadable: the process reads the store. TestDecodeCanonicalRejectsOtherEncodings uses another order of pairs, since its former input is now refused by Decode already.

Tests: TestDecodeRejectsOtherTypes fails on (field twice) and passes now; TestDecodeTakesPairsInAnyOrder holds that nothing else is refused.

--- a/exchange/frame.go
+++ b/exchange/frame.go
@@ -128,7 +128,8 @@
 	var frame *FrameError
 	var scan *wire.ScanError
 	var decode *wire.DecodeError
-	return errors.As(err, &frame) || errors.As(err, &scan) || errors.As(err, &decode)
+	var canonical *wire.NonCanonicalError
+	return errors.As(err, &frame) || errors.As(err, &scan) || errors.As(err, &decode) || errors.As(err, &canonical)
 }
 
 // FrameError reports a frame whose length in bytes exceeds the limit.
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -26,9 +26,22 @@
 	return buf.Bytes(), nil
 }
 
-// Decode decodes b into v, a pointer. It rejects unknown fields and trailing
-// bytes. It returns *ScanError or *DecodeError.
+// Decode decodes b into v, a pointer. It rejects unknown fields, trailing bytes and every
+// encoding other than that of Encode but for the order of the pairs of a map: the msgpack
+// library takes names that are given twice, nil for any type, and numbers of another type.
+// It returns *ScanError, *DecodeError, *NonCanonicalError or *EncodeError.
 func Decode(b []byte, v any) error {
+	return decode(b, v, equalUnordered)
+}
+
+// DecodeCanonical is like Decode but also rejects another order of the pairs of a map, so
+// that equal content has equal hashes.
+func DecodeCanonical(b []byte, v any) error {
+	return decode(b, v, bytes.Equal)
+}
+
+// decode decodes b into v and compares b with the encoding of v.
+func decode(b []byte, v any, equal func(a, b []byte) bool) error {
 	if err := Scan(b); err != nil {
 		return err
 	}
@@ -37,21 +50,11 @@
 	if err := dec.Decode(v); err != nil {
 		return &DecodeError{Cause: err}
 	}
-	return nil
-}
-
-// DecodeCanonical is like Decode but rejects every encoding other than that of
-// Encode with *NonCanonicalError, so that equal content has equal hashes. It may
-// also return *EncodeError.
-func DecodeCanonical(b []byte, v any) error {
-	if err := Decode(b, v); err != nil {
-		return err
-	}
 	reencoded, err := Encode(v)
 	if err != nil {
 		return err
 	}
-	if !bytes.Equal(reencoded, b) {
+	if !equal(reencoded, b) {
 		return &NonCanonicalError{}
 	}
 	return nil
--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -68,12 +68,55 @@
 }
 
 func TestDecodeCanonicalRejectsOtherEncodings(t *testing.T) {
-	raw := []byte("\x83\xa5names\xc0\xa5parts\xc0\xa5count\xd3\x00\x00\x00\x00\x00\x00\x00\x01")
+	raw := []byte("\x83\xa5parts\xc0\xa5names\xc0\xa5count\x01")
 	must.NoError(t, wire.Decode(raw, new(message)))
 	var exact *wire.NonCanonicalError
 	must.True(t, errors.As(wire.DecodeCanonical(raw, new(message)), &exact))
 }
 
+// TestDecodeRejectsOtherTypes guards against fields that are given twice, or with a value of
+// another type, of which the msgpack library takes the last, or converts it.
+func TestDecodeRejectsOtherTypes(t *testing.T) {
+	for name, raw := range map[string]string{
+		"field twice":          "\x84\xa5names\xc0\xa5parts\xc0\xa5count\x01\xa5count\x02",
+		"equal field twice":    "\x84\xa5names\xc0\xa5parts\xc0\xa5count\x01\xa5count\x01",
+		"field missing":        "\x82\xa5names\xc0\xa5parts\xc0",
+		"nil as a number":      "\x83\xa5names\xc0\xa5parts\xc0\xa5count\xc0",
+		"float as a number":    "\x83\xa5names\xc0\xa5parts\xc0\xa5count\xcb\x3f\xf0\x00\x00\x00\x00\x00\x00",
+		"number too wide":      "\x83\xa5names\xc0\xa5parts\xc0\xa5count\xd3\x00\x00\x00\x00\x00\x00\x00\x01",
+		"bytes as a text":      "\x83\xa5names\x91\xc4\x01a\xa5parts\xc0\xa5count\x01",
+		"text as bytes":        "\x83\xa5names\xc0\xa5parts\x91\xa1a\xa5count\x01",
+		"nil as a whole":       "\xc0",
+		"name as bytes":        "\x83\xa5names\xc0\xa5parts\xc0\xc4\x05count\x01",
+		"name in another case": "\x83\xa5names\xc0\xa5parts\xc0\xa5Count\x01",
+	} {
+		must.Error(t, wire.Decode([]byte(raw), new(message)), must.Sprint(name))
+	}
+}
+
+type nested struct {
+	Maps map[string]map[string]int `msgpack:"maps"`
+	List []map[string]bool         `msgpack:"list"`
+}
+
+// TestDecodeTakesPairsInAnyOrder guards against messages that cannot be read because maps have
+// no order of their own.
+func TestDecodeTakesPairsInAnyOrder(t *testing.T) {
+	v := nested{Maps: make(map[string]map[string]int), List: []map[string]bool{{"x": true, "y": false, "z": true}}}
+	for _, name := range []string{"a", "b", "c"} {
+		v.Maps[name] = map[string]int{"one": 1, "two": 2, "three": 70_000}
+	}
+	for range 50 {
+		raw, err := wire.Encode(v)
+		must.NoError(t, err)
+		var got nested
+		must.NoError(t, wire.Decode(raw, &got))
+		must.Eq(t, v, got)
+	}
+	must.Error(t, wire.Decode([]byte("\x82\xa4maps\xc0\xa4list\x91\x82\xa1x\xc3\xa1x\xc3"), new(nested)))
+	must.Error(t, wire.Decode([]byte("\x82\xa4maps\xc0\xa4list\x91\x82\xa1x\xc3\xa1x\xc2"), new(nested)))
+}
+
 // FuzzScan checks that the msgpack library reads every input that Scan accepts
 // completely.
 func FuzzScan(f *testing.F) {
--- a/wire/scan.go
+++ b/wire/scan.go
@@ -28,18 +28,9 @@
 // and MaxElements, and *ScanError otherwise. It allocates nothing but that error,
 // so it is safe to call on untrusted bytes.
 func Scan(b []byte) error {
-	var s scanner
-	s.b = b
-	s.pending[0] = 1
-	for s.depth >= 0 {
-		if s.pending[s.depth] == 0 {
-			s.depth--
-			continue
-		}
-		s.pending[s.depth]--
-		if err := s.skipValue(); err != nil {
-			return err
-		}
+	s := scanner{b: b}
+	if err := s.skipWhole(); err != nil {
+		return err
 	}
 	if s.offset != len(b) {
 		return s.scanError("trailing bytes after the value")
@@ -56,6 +47,22 @@
 	depth   int // index in pending
 }
 
+// skipWhole skips a value and the values inside.
+func (s *scanner) skipWhole() error {
+	s.pending[0] = 1
+	for s.depth = 0; s.depth >= 0; {
+		if s.pending[s.depth] == 0 {
+			s.depth--
+			continue
+		}
+		s.pending[s.depth]--
+		if err := s.skipValue(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (s *scanner) scanError(reason string) error {
 	return &ScanError{Offset: s.offset, Reason: reason}
 }
