Refuse datagrams of peers that no version of the protocol names

What operators would see: a list of flows that was cut off counted as the flows before the cut, a forwarded packet with unknown flags was handled as one without, and datagrams of unknown kinds or without content had no trace. Names in heartbeats, entries, routes and evacuations of a peer could hold bytes that are no UTF-8.

Cause: each reader took what it needed and ignored the rest. Names must be UTF-8, and keys of changes valid: the part that is not is left out of a peer's update, and the others hold.

FuzzFlows and FuzzForward are stricter: what they accept is now encoded to the same bytes.

--- a/exchange/datagram.go
+++ b/exchange/datagram.go
@@ -94,12 +94,16 @@
 	return b
 }
 
-// parseFlows calls visit for each flow that a datagram lists.
-func parseFlows(body []byte, visit func(steer.Key)) {
-	for len(body) >= steer.KeySize {
+// parseFlows calls visit for each flow that a datagram lists. It returns *FlowsError, and
+// visits none, when the list is empty or cut off.
+func parseFlows(body []byte, visit func(steer.Key)) error {
+	if len(body) == 0 || len(body)%steer.KeySize != 0 {
+		return &FlowsError{Length: len(body)}
+	}
+	for ; len(body) > 0; body = body[steer.KeySize:] {
 		visit(steer.ParseKey(body))
-		body = body[steer.KeySize:]
 	}
+	return nil
 }
 
 // flowBatches splits keys into batches that fit into one datagram each.
--- a/exchange/errors.go
+++ b/exchange/errors.go
@@ -45,3 +45,25 @@
 func (e *VersionError) Error() string {
 	return fmt.Sprintf("message of version %d, but version %d is the newest that this process reads", e.Got, e.Have)
 }
+
+// KindError reports a datagram of a kind that its version does not have.
+type KindError struct {
+	// Kind is the first byte of the datagram.
+	Kind byte
+}
+
+// Error returns the kind.
+func (e *KindError) Error() string {
+	return fmt.Sprintf("datagram of unknown kind %#02x", e.Kind)
+}
+
+// FlowsError reports a list of flows that is empty or cut off.
+type FlowsError struct {
+	// Length is the length of the list in bytes.
+	Length int
+}
+
+// Error returns the length.
+func (e *FlowsError) Error() string {
+	return fmt.Sprintf("list of flows of %d bytes is not a whole number of flows", e.Length)
+}
--- a/exchange/fuzz_test.go
+++ b/exchange/fuzz_test.go
@@ -83,7 +83,7 @@
 }
 
 // FuzzForward decodes arbitrary headers of forwarded packets. A valid one is encoded to the
-// same bytes but for flags that have no meaning.
+// same bytes.
 func FuzzForward(f *testing.F) {
 	addRecorded(f, kindForward)
 	f.Fuzz(func(t *testing.T, body []byte, _ byte) {
@@ -92,6 +92,7 @@
 		if err != nil {
 			return
 		}
+		must.Eq(t, body, append(h.Append(nil), rest...))
 		must.LessEq(t, steer.MaxVisited, len(h.Visited))
 		must.Eq(t, len(body), h.Size()+len(rest))
 		got, err := again.Parse(append(h.Append(nil), rest...))
@@ -113,14 +114,20 @@
 	})
 }
 
-// FuzzFlows decodes arbitrary lists of flows. All but an incomplete last one are decoded.
+// FuzzFlows decodes arbitrary lists of flows. A list that is empty or cut off has none; another
+// one is encoded to the same bytes.
 func FuzzFlows(f *testing.F) {
 	addRecorded(f, kindFlows)
 	f.Fuzz(func(t *testing.T, body []byte, _ byte) {
 		var keys []steer.Key
-		parseFlows(body, func(k steer.Key) { keys = append(keys, k) })
-		must.Len(t, len(body)/steer.KeySize, keys)
-		must.Eq(t, body[:len(keys)*steer.KeySize], append([]byte{}, appendFlows(nil, keys)[1:]...))
+		err := parseFlows(body, func(k steer.Key) { keys = append(keys, k) })
+		if len(body) == 0 || len(body)%12 != 0 {
+			must.Error(t, err)
+			must.SliceEmpty(t, keys)
+			return
+		}
+		must.NoError(t, err)
+		must.Eq(t, body, appendFlows(nil, keys)[1:])
 	})
 }
 
--- a/exchange/node_test.go
+++ b/exchange/node_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -363,9 +364,17 @@
 	})
 	h := steer.Header{Balancer: hostOf(1), Visited: []registry.Host{hostOf(9)}}
 	b.node.Send(append(exchange.AppendForward(nil, &h), "packet"...), hostOf(2))
-	for _, malformed := range []string{"", "\x01", "\x01\xc1", "\x02short", "\x03", "\x04", "\x04\x81\xa1r\x91\xc0", "\x05", "\x09what"} {
-		b.node.Send([]byte(malformed), hostOf(2))
+	malformed := []string{
+		"", "\x01", "\x01\xc1", "\x02short", "\x03", "\x04", "\x04\x81\xa1r\x91\xc0", "\x05", "\x09what", "\x00",
+		"\x02\x04" + strings.Repeat("\x00", 31), "\x02\x00\x01" + strings.Repeat("\x00", 30), "\x03" + strings.Repeat("\x00", 13),
+		"\x21\x82\xa1r\x01\xa1r\x02", "\x21\x81\xa1r\xcb\x3f\xf0\x00\x00\x00\x00\x00\x00", "\x21\x82\xa1r\x01\xa1d\xa1\xe9",
 	}
+	for _, datagram := range malformed {
+		b.node.Send([]byte(datagram), hostOf(2))
+	}
+	await(t, "each malformed datagram is logged", func() bool {
+		return strings.Count(s.log.String(), "datagram-unusable") == len(malformed)
+	})
 	await(t, "the packet arrives", func() bool {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/exchange/oddentry_test.go
+++ b/exchange/oddentry_test.go
@@ -28,6 +28,8 @@
 		"born":    func(u *registry.Upstream) { u.StartedAt = 1<<63 - 1 },
 		"port":    func(u *registry.Upstream) { u.Address.Port = 0 },
 		"host":    func(u *registry.Upstream) { u.Address.Host = registry.Host{224, 0, 0, 1} },
+		"release": func(u *registry.Upstream) { u.Release = "v\xe9" },
+		"zone":    func(u *registry.Upstream) { u.DataCentre = "\xff" },
 		"service": func(u *registry.Upstream) { u.Service = strings.Repeat("x", 300_000) },
 	} {
 		u := &registry.Upstream{ID: name, Service: service, Address: registry.Endpoint{Host: h, Port: 80}, DataCentre: "a", Slots: 2}
@@ -66,7 +68,7 @@
 	must.False(t, puller.listed(hostOf(5)))
 	time.Sleep(500 * time.Millisecond)
 	must.Eq(t, 1, strings.Count(puller.log.String(), `"msg":"entry-unusable"`), must.Sprint("one line for one update"))
-	must.StrContains(t, puller.log.String(), `"omitted":5`)
+	must.StrContains(t, puller.log.String(), `"omitted":7`)
 }
 
 // TestRelayedOddRoutesAreLeftOut guards against routes that an older build relays and this
--- a/exchange/receive.go
+++ b/exchange/receive.go
@@ -13,9 +13,13 @@
 // receive dispatches one datagram from another process by its kind.
 func (n *Node) receive(b []byte, from netip.AddrPort) {
 	host, err := registry.HostOf(from.Addr())
-	if err != nil || len(b) == 0 {
+	if err != nil {
 		return // processes send over IPv4 only
 	}
+	if len(b) == 0 {
+		n.logUnusable(host, &KindError{})
+		return
+	}
 	k, body := kind(b[0]), b[1:]
 	n.recordContact(host)
 	if k.format() > n.newest {
@@ -30,21 +34,32 @@
 	case kindForward:
 		n.receiveForward(body, host)
 	case kindFlows:
-		parseFlows(body, func(k steer.Key) { n.cfg.Handler.FlowHeld(k, host) })
+		if err := parseFlows(body, func(k steer.Key) { n.cfg.Handler.FlowHeld(k, host) }); err != nil {
+			n.logUnusable(host, err)
+		}
 	case kindDigest, kindDigest2:
 		n.receiveDigest(body, k.format(), host)
 	case kindMissing:
 		n.receiveMissing(body, host)
 	case kindOffer2:
 		n.receiveOffer(body, host)
+	default:
+		if n.newest > membership.Format1 { // version 1 ignores what later versions added
+			n.logUnusable(host, &KindError{Kind: b[0]})
+		}
 	}
 }
 
+// logUnusable logs that a datagram of a host cannot be used.
+func (n *Node) logUnusable(from registry.Host, err error) {
+	n.cfg.Log.Emit(event.DatagramUnusable, zap.Stringer("peer", from), zap.Error(err))
+}
+
 func (n *Node) receiveForward(body []byte, from registry.Host) {
 	var h steer.Header
 	rest, err := h.Parse(body)
 	if err != nil {
-		n.cfg.Log.Emit(event.DatagramUnusable, zap.Stringer("peer", from), zap.Error(err))
+		n.logUnusable(from, err)
 		return
 	}
 	n.cfg.Handler.Forwarded(&h, rest)
@@ -53,7 +68,7 @@
 func (n *Node) receiveMissing(body []byte, from registry.Host) {
 	m, err := steer.ParseMissReport(body)
 	if err != nil {
-		n.cfg.Log.Emit(event.DatagramUnusable, zap.Stringer("peer", from), zap.Error(err))
+		n.logUnusable(from, err)
 		return
 	}
 	n.cfg.Handler.FlowMissing(&m)
@@ -69,7 +84,7 @@
 func (n *Node) decode(body []byte, m message, f membership.Format, from registry.Host) bool {
 	err := decodeMessage(body, m, f)
 	if err != nil {
-		n.cfg.Log.Emit(event.DatagramUnusable, zap.Stringer("peer", from), zap.Error(err))
+		n.logUnusable(from, err)
 	}
 	return err == nil
 }
--- a/exchange/recorded_test.go
+++ b/exchange/recorded_test.go
@@ -134,7 +134,7 @@
 	case flowsSample:
 		must.Eq(t, kindFlows, kind(raw[0]))
 		var keys flowsSample
-		parseFlows(body, func(k steer.Key) { keys = append(keys, k) })
+		must.NoError(t, parseFlows(body, func(k steer.Key) { keys = append(keys, k) }))
 		return keys
 	case steer.MissReport:
 		must.Eq(t, kindMissing, kind(raw[0]))
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"time"
+	"unicode/utf8"
 
 	"github.com/corianderbay/corianderbay/registry"
 )
@@ -144,6 +145,9 @@
 	if b.Role != Balancer && b.Role != Sidecar {
 		return &HeartbeatError{Text: "unknown role"}
 	}
+	if len(b.DataCentre) > registry.MaxNameSize || !utf8.ValidString(b.DataCentre) {
+		return &HeartbeatError{Text: "data centre has no valid name"}
+	}
 	if b.StoreAge < 0 || b.Load.Flows < 0 || b.Load.Active < 0 || b.Load.Busy < 0 {
 		return &HeartbeatError{Text: "negative store age or load"}
 	}
--- a/registry/evacuation.go
+++ b/registry/evacuation.go
@@ -38,9 +38,9 @@
 	Status   EvacuationStatus `msgpack:"status"`
 }
 
-// Check reports *EvacuationError when the data centre is missing or the status is unknown.
+// Check reports *EvacuationError when the data centre has no valid name or the status is unknown.
 func (c *EvacuationChange) Check() error {
-	if c.DataCentre == "" || c.Status > EvacuationUnreadable {
+	if c.DataCentre == "" || !validName(c.DataCentre) || c.Status > EvacuationUnreadable {
 		return &EvacuationError{DataCentre: c.DataCentre, Status: c.Status}
 	}
 	return nil
@@ -58,9 +58,9 @@
 	ValidFor time.Duration `msgpack:"valid"`
 }
 
-// Check reports *EvacuationError when the data centre is missing or ValidFor is negative.
+// Check reports *EvacuationError when the data centre has no valid name or ValidFor is negative.
 func (f *FormerEvacuation) Check() error {
-	if f.DataCentre == "" || f.ValidFor < 0 {
+	if f.DataCentre == "" || !validName(f.DataCentre) || f.ValidFor < 0 {
 		return &EvacuationError{DataCentre: f.DataCentre}
 	}
 	return nil
@@ -79,7 +79,7 @@
 
 // Error returns the data centre and the possible faults.
 func (e *EvacuationError) Error() string {
-	return fmt.Sprintf("evacuation of data centre %q has no name, an unknown status (%d) or a negative time", e.DataCentre, e.Status)
+	return fmt.Sprintf("evacuation of data centre %q has no valid name, an unknown status (%d) or a negative time", e.DataCentre, e.Status)
 }
 
 // evacuation is the state of one data centre's entry.
--- a/registry/former.go
+++ b/registry/former.go
@@ -28,10 +28,10 @@
 	MissingFor time.Duration `msgpack:"missing,omitempty"`
 }
 
-// Check reports *FormerRecordError when the key or the upstream is missing, or MissingFor
+// Check reports *FormerRecordError when the key is not valid, the upstream is missing, or MissingFor
 // is negative, and *UpstreamError when a field of the upstream is out of range.
 func (f *FormerRecord) Check() error {
-	if f.Key == "" || f.Upstream == nil || f.MissingFor < 0 {
+	if f.Key == "" || !validName(f.Key) || f.Upstream == nil || f.MissingFor < 0 {
 		return &FormerRecordError{Key: f.Key}
 	}
 	return f.Upstream.Check()
@@ -44,7 +44,7 @@
 
 // Error returns the key and the possible faults.
 func (e *FormerRecordError) Error() string {
-	return fmt.Sprintf("former record of key %q has an empty key, no upstream or a negative time", e.Key)
+	return fmt.Sprintf("former record of key %q has no valid key, no upstream or a negative time", e.Key)
 }
 
 // formerContent is the content of a FormerRecord within a record.
--- a/registry/limits.go
+++ b/registry/limits.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"time"
+	"unicode/utf8"
 )
 
 // Limits of what other programs write to the store. They are far beyond what services
@@ -24,6 +25,11 @@
 	MaxStartedAt = 253_402_300_799_999
 )
 
+// validName reports whether a name is valid UTF-8 of at most MaxNameSize bytes. It may be empty.
+func validName(name string) bool {
+	return len(name) <= MaxNameSize && utf8.ValidString(name)
+}
+
 // UpstreamError reports a field of an upstream that is out of range.
 type UpstreamError struct {
 	// Field is the name of the field in messages.
@@ -38,15 +44,15 @@
 // Check reports *UpstreamError when a field is out of range.
 func (u *Upstream) Check() error {
 	switch {
-	case len(u.ID) > MaxNameSize:
+	case !validName(u.ID):
 		return &UpstreamError{Field: "id"}
-	case u.Service == "" || len(u.Service) > MaxNameSize:
+	case u.Service == "" || !validName(u.Service):
 		return &UpstreamError{Field: "service"}
 	case !u.Address.isUnicast():
 		return &UpstreamError{Field: "address"}
-	case len(u.DataCentre) > MaxNameSize:
+	case !validName(u.DataCentre):
 		return &UpstreamError{Field: "datacentre"}
-	case len(u.Release) > MaxNameSize:
+	case !validName(u.Release):
 		return &UpstreamError{Field: "release"}
 	case u.Slots < 1 || u.Slots > MaxSlots:
 		return &UpstreamError{Field: "slots"}
--- a/registry/route.go
+++ b/registry/route.go
@@ -89,7 +89,7 @@
 }
 
 // Check reports *RoutesError when the version is 0, a route has no targets or a target
-// without a name or weight, a name is longer than MaxNameSize, or a list has more than
+// without a name or weight, a name is longer than MaxNameSize or no UTF-8, or a list has more than
 // MaxElements. It does not check that addresses are unique.
 func (r *Routes) Check() error {
 	if r.Version == 0 {
@@ -99,8 +99,8 @@
 		return &RoutesError{Text: "too many routes or services"}
 	}
 	for name := range r.Services {
-		if len(name) > MaxNameSize {
-			return &RoutesError{Text: "name of a service is too long"}
+		if !validName(name) {
+			return &RoutesError{Text: "name of a service is too long or no UTF-8"}
 		}
 	}
 	for i := range r.List {
@@ -122,13 +122,13 @@
 		if t.Service == "" || t.Weight == 0 {
 			return &RoutesError{Route: r.Name, Text: "service has no name or a weight of 0"}
 		}
-		if len(t.Service) > MaxNameSize {
-			return &RoutesError{Route: r.Name, Text: "name of a service is too long"}
+		if !validName(t.Service) {
+			return &RoutesError{Route: r.Name, Text: "name of a service is too long or no UTF-8"}
 		}
 	}
-	tooLong := func(home string) bool { return len(home) > MaxNameSize }
-	if tooLong(r.Name) || slices.ContainsFunc(r.Homes, tooLong) {
-		return &RoutesError{Route: r.Name, Text: "name of the route or of a home is too long"}
+	invalid := func(home string) bool { return !validName(home) }
+	if invalid(r.Name) || slices.ContainsFunc(r.Homes, invalid) {
+		return &RoutesError{Route: r.Name, Text: "name of the route or of a home is too long or no UTF-8"}
 	}
 	return nil
 }
--- a/registry/unusable.go
+++ b/registry/unusable.go
@@ -1,6 +1,10 @@
 package registry
 
-import "fmt"
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+)
 
 // UnusableError reports a part of an update that is out of range.
 type UnusableError struct {
@@ -19,7 +23,7 @@
 
 // WithoutUnusable returns the update without the parts that are out of range, and an
 // error for each of them. An upstream that is out of range counts as removed, as in an
-// update of a store, and routes as missing.
+// update of a store, a change without a valid key is left out, and routes count as missing.
 func (u Update) WithoutUnusable() (Update, []*UnusableError) {
 	if u.Check() == nil {
 		return u, nil
@@ -34,9 +38,13 @@
 	before := u
 	u.Changes, u.Evacuations, u.Former, u.FormerEvacuations = nil, nil, nil, nil
 	for _, c := range before.Changes {
-		if !usable(c.Key, c.Check()) {
+		err := c.Check()
+		if !usable(c.Key, err) {
 			c.Upstream = nil
 		}
+		if key := (*KeyError)(nil); errors.As(err, &key) {
+			continue
+		}
 		u.Changes = append(u.Changes, c)
 	}
 	for _, c := range before.Evacuations {
--- a/registry/upstream.go
+++ b/registry/upstream.go
@@ -1,6 +1,9 @@
 package registry
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Upstream is one incarnation of an upstream, as published by itself. Check reports
 // fields that are out of range.
@@ -53,14 +56,28 @@
 	Upstream *Upstream `msgpack:"upstream"`
 }
 
-// Check reports *UpstreamError when a field of the upstream is out of range.
+// Check reports *KeyError for an invalid key, and *UpstreamError when a field of the upstream
+// is out of range.
 func (c *Change) Check() error {
+	if c.Key == "" || !validName(c.Key) {
+		return &KeyError{Key: c.Key}
+	}
 	if c.Upstream == nil {
 		return nil
 	}
 	return c.Upstream.Check()
 }
 
+// KeyError reports a change whose key is empty, longer than MaxNameSize or no UTF-8.
+type KeyError struct {
+	Key string
+}
+
+// Error returns the key, shortened to MaxNameSize characters.
+func (e *KeyError) Error() string {
+	return fmt.Sprintf("key %.*q is empty, too long or no UTF-8", MaxNameSize, e.Key)
+}
+
 // Update is the result of one read or watch of the store, or of a request to a peer.
 type Update struct {
 	// Routes is nil when the update contains no routes.
@@ -83,7 +100,7 @@
 	FormerEvacuations []FormerEvacuation `msgpack:"formerevacuations,omitempty"`
 }
 
-// Check reports *RoutesError for invalid routes, *UpstreamError for an upstream that is
+// Check reports *RoutesError for invalid routes, *KeyError for an invalid key, *UpstreamError for an upstream that is
 // out of range, *FormerRecordError for an invalid former record and *EvacuationError for
 // an invalid evacuation.
 func (u *Update) Check() error {
--- a/steer/header.go
+++ b/steer/header.go
@@ -17,6 +17,7 @@
 
 	flagUnknownFlow = 1 // the flow was not in the balancer's table
 	flagRemote      = 2 // the sender also covers all other data centres
+	flagsKnown      = flagUnknownFlow | flagRemote
 )
 
 // Header precedes a packet that a balancer sends to a sidecar, or one sidecar to the
@@ -73,7 +74,7 @@
 // Parse decodes a header from the start of b and returns the remaining bytes. It reuses
 // the slice of visited hosts. It returns a *HeaderError for an invalid header.
 func (h *Header) Parse(b []byte) (rest []byte, err error) {
-	if len(b) < headerSize {
+	if len(b) < headerSize || b[0]&^flagsKnown != 0 || b[1] != 0 {
 		return nil, &HeaderError{Length: len(b)}
 	}
 	n := int(binary.BigEndian.Uint16(b[2:]))
@@ -121,7 +122,8 @@
 	return c
 }
 
-// HeaderError reports a datagram without a valid forwarding header.
+// HeaderError reports a datagram without a valid forwarding header: one that is cut off, or
+// has a flag that no version has.
 type HeaderError struct {
 	// Length is the length of the datagram in bytes.
 	Length int
