Decode the instance list with exact names, and only when it is whole

An instance with names in another case, a field twice or bytes that are no UTF-8 was taken, and a list without "instances", or with null, counted as empty, so that processes forgot all peers.

Cause: encoding/json, for the list and for the instances that peers send. The list must have its index and its instances. The stand-in platform sends an empty list where it sent null. Looked at and left: bundles, whose reader refuses unknown and equal names and names outside ASCII already; the status pages of the system's own processes, which corianderctl prints and which decide nothing.

--- a/configservice/client.go
+++ b/configservice/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -103,8 +102,7 @@
 }
 
 // Instances returns the current instance list. It returns *SizeError,
-// *DecodeError, *InstanceError, *StatusError, *UnreachableError, or an error of
-// encoding/json for a body that is not valid JSON.
+// *DecodeError, *InstanceError, *StatusError or *UnreachableError.
 func (c *Client) Instances(ctx context.Context) (InstanceList, error) {
 	l, _, err := c.fetchInstances(ctx, 0, 0)
 	return l, err
@@ -141,7 +139,7 @@
 	switch a.code {
 	case http.StatusOK:
 		var l InstanceList
-		if err := json.Unmarshal(a.body, &l); err != nil {
+		if err := l.UnmarshalJSON(a.body); err != nil {
 			return InstanceList{}, false, err
 		}
 		return l, true, nil
--- a/configservice/instance.go
+++ b/configservice/instance.go
@@ -1,8 +1,9 @@
 package configservice
 
 import (
-	"encoding/json"
 	"net/netip"
+
+	"github.com/corianderbay/corianderbay/wire"
 )
 
 // Role is the function of an instance: balancer or sidecar.
@@ -71,26 +72,26 @@
 // UnmarshalJSON decodes the list and leaves out each instance that is invalid. It returns
 // *DecodeError, *InstanceError for a duplicate name, or either when all instances are invalid.
 func (l *InstanceList) UnmarshalJSON(b []byte) error {
-	var p struct {
-		Index     uint64            `json:"index"`
-		Instances []json.RawMessage `json:"instances"`
+	var list InstanceList
+	given := make(map[string]bool)
+	err := wire.DecodeFields(b, func(name string, value []byte) error {
+		given[name] = true
+		switch name {
+		case fieldIndex:
+			return wire.DecodeJSON(value, &list.Index)
+		case fieldInstances:
+			return wire.DecodeElements(value, list.appendInstance)
+		}
+		return nil
+	})
+	if err == nil && !(given[fieldIndex] && given[fieldInstances]) {
+		err = &InstanceError{Field: "index or instances"}
 	}
-	if err := json.Unmarshal(b, &p); err != nil {
+	if err != nil {
 		return &DecodeError{What: "instances", Cause: err}
 	}
-	list := InstanceList{Index: p.Index}
-	seen := make(map[string]struct{}, len(p.Instances))
-	for n, raw := range p.Instances {
-		i, err := decodeInstance(raw)
-		if err != nil {
-			list.Rejected = append(list.Rejected, RejectedError{Position: n, Cause: err})
-			continue
-		}
-		if _, ok := seen[i.Name]; ok {
-			return &InstanceError{Name: i.Name, Field: "name"}
-		}
-		seen[i.Name] = struct{}{}
-		list.Instances = append(list.Instances, i)
+	if err := list.checkNames(); err != nil {
+		return err
 	}
 	if len(list.Rejected) > 0 && len(list.Instances) == 0 {
 		return list.Rejected[0].Cause // the list before is better than none
@@ -99,10 +100,39 @@
 	return nil
 }
 
+// The names of the fields of a list.
+const (
+	fieldIndex     = "index"
+	fieldInstances = "instances"
+)
+
+// appendInstance decodes an instance and adds it to the valid or to the rejected ones.
+func (l *InstanceList) appendInstance(raw []byte) {
+	i, err := decodeInstance(raw)
+	if err != nil {
+		position := len(l.Instances) + len(l.Rejected)
+		l.Rejected = append(l.Rejected, RejectedError{Position: position, Cause: err})
+		return
+	}
+	l.Instances = append(l.Instances, i)
+}
+
+// checkNames returns *InstanceError for a name that two instances have.
+func (l *InstanceList) checkNames() error {
+	seen := make(map[string]struct{}, len(l.Instances))
+	for _, i := range l.Instances {
+		if _, ok := seen[i.Name]; ok {
+			return &InstanceError{Name: i.Name, Field: "name"}
+		}
+		seen[i.Name] = struct{}{}
+	}
+	return nil
+}
+
 // decodeInstance decodes and validates an instance. It returns *DecodeError or *InstanceError.
 func decodeInstance(raw []byte) (Instance, error) {
 	var i Instance
-	if err := json.Unmarshal(raw, &i); err != nil {
+	if err := wire.DecodeJSON(raw, &i); err != nil {
 		return Instance{}, &DecodeError{What: "instance", Cause: err}
 	}
 	return i, i.Check()
--- a/configservice/odd_test.go
+++ b/configservice/odd_test.go
@@ -59,6 +59,12 @@
 		"number as name":    instanceWith(t, "name", `9223372036854775808`),
 		"role":              instanceWith(t, "role", `"router"`),
 		"state":             instanceWith(t, "state", nested),
+		"name in capitals":  strings.Replace(instanceWith(t, "x", "1"), `"name"`, `"NAME"`, 1),
+		"role in capitals":  strings.Replace(instanceWith(t, "x", "1"), `"role"`, `"ROLE"`, 1),
+		"name twice":        strings.Replace(instanceWith(t, "x", "1"), `"name"`, `"name":"s2","name"`, 1),
+		"no UTF-8":          instanceWith(t, "x", "1")[:1] + "\"note\":\"\xe9\"," + instanceWith(t, "x", "1")[1:],
+		"half a surrogate":  instanceWith(t, "x", `"\ud83d"`),
+		"null as operator":  instanceWith(t, "operator", "null"),
 	} {
 		t.Run(name, func(t *testing.T) {
 			c := platformWith(t, `{"index":7,"instances":[`+odd+`,`+string(good)+`]}`)
@@ -80,6 +86,12 @@
 		"index":           `{"index":18446744073709551616,"instances":[]}`,
 		"only odd":        `{"index":7,"instances":[null,1]}`,
 		"object":          `{"index":7,"instances":{}}`,
+		"capitals":        `{"index":7,"INSTANCES":[]}`,
+		"no index":        `{"instances":[]}`,
+		"null":            `{"index":7,"instances":null}`,
+		"index of null":   `{"index":null,"instances":[]}`,
+		"twice":           `{"index":7,"instances":[],"instances":[]}`,
+		"second value":    `{"index":7,"instances":[]}{}`,
 		"cut":             `{"index":7,"instances":[`,
 		"bytes":           "\xff\x00",
 	} {
--- a/peer/content.go
+++ b/peer/content.go
@@ -91,7 +91,7 @@
 	instances := make([]configservice.Instance, 0, len(d.sections))
 	for _, name := range slices.Sorted(maps.Keys(d.sections)) {
 		var i configservice.Instance
-		if err := json.Unmarshal(d.sections[name].body, &i); err != nil {
+		if err := wire.DecodeJSON(d.sections[name].body, &i); err != nil {
 			return nil, &ContentError{What: name}
 		}
 		if err := i.Check(); err != nil {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -199,7 +199,11 @@
 		return
 	}
 	w.Header().Set(configservice.IndexHeader, strconv.FormatUint(st.instances.Index, 10))
-	_ = json.NewEncoder(w).Encode(st.instances)
+	list := st.instances
+	if list.Instances == nil {
+		list.Instances = []configservice.Instance{} // an empty list, not null
+	}
+	_ = json.NewEncoder(w).Encode(list)
 }
 
 // waitForChange returns the state for the response: immediately for a read, and
