Compare the readers of peers' messages with an oracle of their own

They also compare with a msgpack parser of the tests: known fields alone, each once, no nil or float where the protocol has none, integers in their shortest form. TestDrawnMessagesOfPeers draws 300 changes of each recorded message, always the same ones.

It found a digest whose own data centre is no UTF-8 and that was accepted as long as its reports name theirs; Digest.Check refuses it now.

--- a/exchange/fuzz_test.go
+++ b/exchange/fuzz_test.go
@@ -2,6 +2,10 @@
 
 import (
 	"bytes"
+	"compress/flate"
+	"io"
+	"math/rand/v2"
+	"slices"
 	"testing"
 
 	"github.com/corianderbay/corianderbay/membership"
@@ -34,6 +38,7 @@
 		if decodeMessage(body, &b, format) != nil {
 			return
 		}
+		checkAccepted(t, "heartbeat", body)
 		raw, err := encodeDatagram(&b, format)
 		must.NoError(t, err)
 		must.NoError(t, decodeMessage(raw[1:], &again, format))
@@ -55,6 +60,7 @@
 		if decodeMessage(body, &d, membership.Format(1+v%2)) != nil {
 			return
 		}
+		checkAccepted(t, "digest", body)
 		for _, format := range []membership.Format{membership.Format1, membership.Format2} {
 			raw, err := encodeDatagram(&d, format)
 			must.NoError(t, err)
@@ -77,6 +83,7 @@
 		if decodeMessage(body, &o, membership.Format2) != nil {
 			return
 		}
+		checkAccepted(t, "offer", body)
 		must.Positive(t, o.Oldest)
 		must.LessEq(t, o.Newest, o.Oldest)
 	})
@@ -146,10 +153,78 @@
 		var q query
 		if v, err := readFrame(bytes.NewReader(raw), membership.Format2, &q); err == nil {
 			must.Between(t, membership.Format1, v, membership.Format2)
+			checkAccepted(t, "query", content(t, raw))
 		}
 		u, err := readUpdate(bytes.NewReader(raw), membership.Format2)
 		if err == nil {
+			checkAccepted(t, "update", content(t, raw))
 			registry.NewDirectory().Apply(0, u)
 		}
 	})
 }
+
+// content returns the content of a frame.
+func content(t *testing.T, frame []byte) []byte {
+	t.Helper()
+	n := int(frame[1])<<16 | int(frame[2])<<8 | int(frame[3])
+	raw, err := io.ReadAll(flate.NewReader(bytes.NewReader(frame[prefixSize:min(len(frame), prefixSize+n)])))
+	must.NoError(t, err)
+	return raw
+}
+
+// TestDrawnMessagesOfPeers changes recorded messages at random. It guards against fields that are
+// taken although no version of a message has them, or has them so.
+func TestDrawnMessagesOfPeers(t *testing.T) {
+	const changes = 300 // of each message
+	for _, path := range []string{recorded1, recorded2} {
+		for name, raw := range recorded(t, path) {
+			message := map[kind]string{kindHeartbeat: "heartbeat", kindHeartbeat2: "heartbeat", kindDigest: "digest", kindDigest2: "digest", kindOffer2: "offer"}[kind(raw[0])]
+			if message == "" {
+				continue
+			}
+			format := kind(raw[0]).format()
+			r := rand.New(rand.NewPCG(62, uint64(len(name))))
+			checkAccepted(t, message, raw[1:])
+			for range changes {
+				body := drawnBody(r, raw[1:])
+				if m := newMessage(message); decodeMessage(body, m, format) == nil {
+					checkAccepted(t, message, body)
+				}
+			}
+		}
+	}
+}
+
+// newMessage returns an empty message.
+func newMessage(name string) message {
+	switch name {
+	case "heartbeat":
+		return new(membership.Heartbeat)
+	case "digest":
+		return new(membership.Digest)
+	}
+	return new(membership.FormatOffer)
+}
+
+// drawnBody returns a body with one or two random changes: another byte, a byte more or less, or
+// a pair of the map once more.
+func drawnBody(r *rand.Rand, body []byte) []byte {
+	b := bytes.Clone(body)
+	for range 1 + r.IntN(2) {
+		at := r.IntN(len(b))
+		switch r.IntN(4) {
+		case 0:
+			b[at] = byte(r.IntN(256))
+		case 1:
+			b = slices.Insert(b, at, byte(r.IntN(256)))
+		case 2:
+			if len(b) > 1 {
+				b = slices.Delete(b, at, at+1)
+			}
+		default:
+			b[0]++
+			b = append(b, 0xa1, "rdiqvnoagslbuxpjy"[r.IntN(17)], []byte{0xc0, 0x00, 0x01, 0xc2, 0xa0, 0x90, 0x80, 0xca}[r.IntN(8)])
+		}
+	}
+	return b
+}
--- a/membership/digest.go
+++ b/membership/digest.go
@@ -82,6 +82,9 @@
 	if d.StoreAge < 0 {
 		return &HeartbeatError{Text: "negative store age"}
 	}
+	if err := checkDataCentre(d.DataCentre); err != nil {
+		return err
+	}
 	if err := d.checkDetails(); err != nil {
 		return err
 	}
--- a/membership/heartbeat.go
+++ b/membership/heartbeat.go
@@ -145,8 +145,8 @@
 	if b.Role != Balancer && b.Role != Sidecar {
 		return &HeartbeatError{Text: "unknown role"}
 	}
-	if len(b.DataCentre) > registry.MaxNameSize || !utf8.ValidString(b.DataCentre) {
-		return &HeartbeatError{Text: "data centre has no valid name"}
+	if err := checkDataCentre(b.DataCentre); err != nil {
+		return err
 	}
 	if b.StoreAge < 0 || b.Load.Flows < 0 || b.Load.Active < 0 || b.Load.Busy < 0 {
 		return &HeartbeatError{Text: "negative store age or load"}
@@ -160,6 +160,14 @@
 	return nil
 }
 
+// checkDataCentre reports *HeartbeatError when the name of a data centre is too long or no UTF-8.
+func checkDataCentre(name string) error {
+	if len(name) > registry.MaxNameSize || !utf8.ValidString(name) {
+		return &HeartbeatError{Text: "data centre has no valid name"}
+	}
+	return nil
+}
+
 // HeartbeatError reports an invalid heartbeat or digest.
 type HeartbeatError struct {
 	Text string
