--- a/steer/cold.go
+++ b/steer/cold.go
@@ -76,8 +76,8 @@
 
 // admitsCold reports whether one more opening may be delivered to the local upstream, and
 // records it if so. A cold upstream gets as many in any second as its service's rate and
-// ColdLimit permit. An upstream that is missing from the list, or of which the sender
-// has a newer list, may be cold.
+// ColdLimit permit. An upstream that is missing from the list, of which the sender has a newer
+// list, or that has ended since its entry arrived, may be cold.
 func (s *Sidecar) admitsCold(now time.Duration, h *Header) bool {
 	f := s.fleet.Load()
 	if f == nil {
@@ -88,6 +88,6 @@
 		return true
 	}
 	m, listed := f.Snapshot.Member(s.service, s.cfg.Self)
-	mayBeCold := !listed || m.Warmup > 0 || m.Status == registry.Removed || h.State.After(f.Snapshot.State())
+	mayBeCold := !listed || m.Warmup > 0 || m.Status == registry.Removed || h.State.After(f.Snapshot.State()) || s.liveness.restartedSince(m.LearnedAt, now)
 	return s.openings.admit(now, s.cfg.Cold.openings(rate), mayBeCold)
 }
--- a/steer/cold_test.go
+++ b/steer/cold_test.go
@@ -79,6 +79,57 @@
 	must.Eq(t, maxColdOpenings, sim.instances[0].openings)
 }
 
+// TestRestartedUpstreamMayBeCold guards against too many openings at an upstream that comes back
+// cold, while the list still has its entry from before: the sidecar has found that no process
+// listened at the upstream's address, so that one that answers has started since.
+func TestRestartedUpstreamMayBeCold(t *testing.T) {
+	sim := newColdSimulation(0, service)
+	u := sim.instances[0]
+	u.sidecar.Connected()
+	for n := range 50 {
+		sim.send(0, opening(flowKey(n)))
+	}
+	must.Eq(t, 50, u.openings)
+	sim.now += 5 * time.Second
+	p := opening(flowKey(100))
+	_, delivered := u.sidecar.FromBalancer(sim.now, &steer.Header{Service: registry.HashService(service), State: registry.State{Revision: sim.revision}}, &p).(steer.Deliver)
+	must.True(t, delivered)
+	_, ended := u.sidecar.ConnectionRefused(sim.now)
+	must.True(t, ended)
+	sim.now += 2 * time.Second
+	u.sidecar.Connected()
+	u.sidecar.FromUpstream(sim.now, reply(p.CallerKey(), steer.SYN|steer.ACK, 1, 0)) // it is back
+	sim.publishFleet()
+	for n := range 50 {
+		sim.send(0, opening(flowKey(200+n)))
+	}
+	must.Eq(t, 50+maxColdOpenings, u.openings)
+	sim.now += time.Second
+	sim.publish(0, sim.entry(0, false)) // the entry of the new start, which is warm by now
+	sim.publishFleet()
+	for n := range 50 {
+		sim.send(0, opening(flowKey(300+n)))
+	}
+	must.Eq(t, 100+maxColdOpenings, u.openings)
+}
+
+// TestRefusedConnectionsDoNotMakeUpstreamCold has an upstream that accepts packets and never
+// connections. It guards against a limit on an upstream that runs all the time.
+func TestRefusedConnectionsDoNotMakeUpstreamCold(t *testing.T) {
+	sim := newColdSimulation(0, service)
+	u := sim.instances[0]
+	p := opening(flowKey(100))
+	u.sidecar.FromBalancer(sim.now, &steer.Header{Service: registry.HashService(service), State: registry.State{Revision: sim.revision}}, &p)
+	sim.now += time.Second
+	u.sidecar.ConnectionRefused(sim.now)
+	u.sidecar.FromUpstream(sim.now, reply(p.CallerKey(), steer.SYN|steer.ACK, 1, 0))
+	sim.publishFleet()
+	for n := range 50 {
+		sim.send(0, opening(flowKey(200+n)))
+	}
+	must.Eq(t, 50, u.openings)
+}
+
 // TestOpeningsBeyondColdRateGoElsewhere has two cold upstreams and one that is not: the
 // cold ones get no more than their limit, and nothing is refused.
 func TestOpeningsBeyondColdRateGoElsewhere(t *testing.T) {
--- a/steer/liveness.go
+++ b/steer/liveness.go
@@ -14,6 +14,7 @@
 	awaitingPacketSince   atomic.Int64 // nanoseconds; when a packet was delivered since which the upstream has sent nothing, 0 if it has
 	awaitingReturnSince   atomic.Int64 // nanoseconds; when a packet of an unknown flow was delivered while the upstream was not listed, 0 if it has sent something since
 	down                  atomic.Bool  // no process listens at the upstream's address
+	endedAt               atomic.Int64 // nanoseconds; when an upstream that accepts connections while it runs last refused one, 0 if it never did
 	hasSent               atomic.Bool  // the upstream has sent a packet since the sidecar started
 	// downUnverified is true when down was concluded although no packet had been
 	// delivered.
@@ -102,6 +103,17 @@
 	return at != 0 && now-time.Duration(at) >= limit
 }
 
+// maxStartDoubt is how long an upstream that has ended may have started again without an entry
+// that says so, for example because the store is down. It is longer than upstreams stay cold.
+const maxStartDoubt = time.Minute
+
+// restartedSince reports whether the upstream has ended after at, so that one that runs has
+// started since, and no longer than maxStartDoubt ago.
+func (u *liveness) restartedSince(at, now time.Duration) bool {
+	ended := time.Duration(u.endedAt.Load())
+	return ended != 0 && ended > at && now-ended < maxStartDoubt
+}
+
 // Silent reports whether the upstream is down or has exceeded its reaction timeout.
 func (s *Sidecar) Silent(now time.Duration) bool {
 	return s.liveness.silent(now)
@@ -154,6 +166,9 @@
 		return nil, false // it may accept packets although it accepts no connections
 	}
 	u.downUnverified.Store(!awaiting)
+	if u.listens.Load() == listensYes {
+		u.endedAt.Store(int64(now))
+	}
 	if u.down.Swap(true) {
 		return nil, false
 	}
