Show by which routes an opening was placed, and how late routes are adopted

packet-passed has the version by which the balancer placed the opening (placed), routes-adopted the time since a peer first reported a newer version (behind), and sidecars count openings of balancers with older and with newer routes (corianderbay_openings_other_routes_total).

--- a/edge/counts.go
+++ b/edge/counts.go
@@ -19,6 +19,10 @@
 	refused   reasonCounts
 	dropped   reasonCounts
 	invalid   atomic.Uint64
+	// olderOpenings and newerOpenings count the openings that balancers with older or newer
+	// routes than this process placed.
+	olderOpenings atomic.Uint64
+	newerOpenings atomic.Uint64
 }
 
 // logReset logs that the upstream reset a flow with packet p.
--- a/edge/metrics.go
+++ b/edge/metrics.go
@@ -64,6 +64,7 @@
 	defWorkAge     = metric.Definition{Name: "corianderbay_upstream_work_age_seconds", Kind: metric.Gauge, Help: "Time since the last request that this mean includes."}
 	defWindow      = metric.Definition{Name: "corianderbay_upstream_window", Kind: metric.Gauge, Help: "Maximum number of concurrent requests while the upstream ramps up; 0 when there is none."}
 	defShed        = metric.Definition{Name: "corianderbay_requests_shed_total", Kind: metric.Counter, Help: "Requests that the full upstream answered at once without processing them."}
+	defOtherRoutes = metric.Definition{Name: "corianderbay_openings_other_routes_total", Kind: metric.Counter, Help: "Openings that balancers placed by other routes than those of this process, by which are the balancer's.", Label: "balancer"}
 	defState       = metric.Definition{Name: "corianderbay_upstream_state", Kind: metric.Gauge, Help: "1 for each state of the upstream that applies: usual, slow or ramp.", Label: "state"}
 )
 
@@ -71,7 +72,7 @@
 func Definitions() (balancer, sidecar []metric.Definition) {
 	common := []metric.Definition{defForwarded, defRefused, defDropped, defInvalid, defHeld, defVersion, defRoutesAge, defRevision, defEra, defDoubtful, defEvacuated, defStoreAge, defPeers, defBuild, defFormats, defPeerFormat, defUnreadPeer, defUnreadable, defQueries, defAnswers, defLossy, defOmitted, defUnusable, defMemory, defStoreCalls}
 	balancer = append(append(balancer, common...), defSearched, defRemembered, defLink, defTraffic, defStandby, defOverloaded, defStanding, defShareUsed, defShareOwed, defNotAdmitted)
-	sidecar = append(append(sidecar, common...), defDelivered, defOffered, defAnswered, defOpen, defActive, defOpening, defAnswer, defWork, defWorkAge, defWindow, defShed, defState)
+	sidecar = append(append(sidecar, common...), defDelivered, defOffered, defAnswered, defOpen, defActive, defOpening, defAnswer, defWork, defWorkAge, defWindow, defShed, defState, defOtherRoutes)
 	return balancer, sidecar
 }
 
@@ -208,6 +209,10 @@
 	p.Histogram(defOpening, s.latency.opening)
 	p.Histogram(defAnswer, s.latency.answer)
 	writePace(&p, s.steering.Pace(s.cfg.Timer.Uptime()))
+	p.Values(defOtherRoutes, []metric.Sample{
+		{Label: "older", Value: float64(s.counts.olderOpenings.Load())},
+		{Label: "newer", Value: float64(s.counts.newerOpenings.Load())},
+	})
 	return p.Bytes()
 }
 
--- a/edge/sidecar.go
+++ b/edge/sidecar.go
@@ -277,7 +277,7 @@
 func (s *Sidecar) passOn(a *steer.Forward, d []byte, b *buffers) {
 	s.cfg.Codec.SetTag(d, 0)
 	b.out = s.forward(a, d, b.out)
-	s.logFlow(event.PacketPassed, &b.packet, zap.Stringer("next", a.Host), zap.Int("visited", len(a.Header.Visited)), zap.Stringer("reason", a.Reason))
+	s.logFlow(event.PacketPassed, &b.packet, zap.Stringer("next", a.Host), zap.Int("visited", len(a.Header.Visited)), zap.Uint64("placed", a.Header.Version), zap.Stringer("reason", a.Reason))
 }
 
 // retryHeld repeats the decision for each held packet.
@@ -329,6 +329,9 @@
 		s.drop(p, steer.ReasonLate)
 		return
 	}
+	if p.Opens() {
+		s.countVersion(header)
+	}
 	a := s.steering.FromBalancer(s.cfg.Timer.Uptime(), header, p)
 	if deliver, ok := a.(steer.Deliver); ok && deliver.Found {
 		s.node.ReportFlows([]steer.Key{p.CallerKey()}, []registry.Host{header.Balancer})
@@ -336,6 +339,18 @@
 	s.execute(a, d, &s.fromPeers)
 }
 
+// countVersion counts an opening that a balancer with other routes placed.
+func (s *Sidecar) countVersion(header *steer.Header) {
+	f := s.steering.Fleet()
+	switch {
+	case f == nil || f.Snapshot.Version() == header.Version:
+	case f.Snapshot.Version() > header.Version:
+		s.counts.olderOpenings.Add(1)
+	default:
+		s.counts.newerOpenings.Add(1)
+	}
+}
+
 // FlowHeld does nothing: sidecars query their own upstreams, not each other.
 func (h *sidecarHandler) FlowHeld(steer.Key, registry.Host) {}
 
--- a/exchange/digest.go
+++ b/exchange/digest.go
@@ -188,6 +188,7 @@
 func (n *Node) applyReport(now time.Duration, d *membership.Digest, i int) membership.Result {
 	r, b := &d.Reports[i], d.Heartbeat(i)
 	age := time.Duration(r.Age) * time.Millisecond
+	n.recordVersion(now, b.Version)
 	result := n.members.MergeReport(now, age, r.Host, b, n.versions())
 	if result.Restarted {
 		n.formats.RecordIncarnation(now, r.Host, b.Incarnation)
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -112,6 +112,7 @@
 	storeNeeded  bool          // peers have newer data that this process could not pull
 	lastRead     time.Duration // when the store last answered this process; negative if never
 	adopted      time.Duration // when the current routes were adopted
+	behindSince  time.Duration // when a peer first reported newer routes than the current ones; 0 while none has
 	rejected     uint64        // the latest version of routes of a peer that are out of range; they are not pulled again
 	stopping     bool
 	sequence     uint32        // of the last heartbeat
@@ -237,6 +238,13 @@
 	return membership.Versions{Version: n.directory.Version(), State: n.directory.State(), FormerHash: n.directory.FormerHash()}
 }
 
+// recordVersion records that a peer has a version of the routes. The caller holds n.mu.
+func (n *Node) recordVersion(now time.Duration, version uint64) {
+	if n.behindSince == 0 && version > n.directory.Version() {
+		n.behindSince = now
+	}
+}
+
 // StoreCalls returns the durations of calls to the store, excluding watches.
 func (n *Node) StoreCalls() *metric.Histogram {
 	return n.storeCalls
--- a/exchange/receive.go
+++ b/exchange/receive.go
@@ -100,6 +100,7 @@
 	if f > membership.Format1 {
 		n.formats.RecordReads(now, from, b.Incarnation, f)
 	}
+	n.recordVersion(now, b.Version)
 	result := n.members.MergeHeartbeat(now, from, b, n.versions())
 	if result.Changed {
 		n.digests.markUrgent(true)
--- a/exchange/view.go
+++ b/exchange/view.go
@@ -224,8 +224,12 @@
 	if first && res.Upstreams || res.Changed() && n.members.IsDelegate(now) {
 		n.TriggerHeartbeat() // announces this process to sidecars, and a delegate's new version to the data centre
 	}
+	var behind time.Duration
 	if res.Routes {
-		n.adopted = now
+		if n.behindSince != 0 {
+			behind = now - n.behindSince
+		}
+		n.adopted, n.behindSince = now, 0
 	}
 	if res.Changed() {
 		n.rebuildSnapshot(now)
@@ -236,6 +240,7 @@
 			zap.Uint32("era", uint32(n.directory.State().Era)),
 			zap.Uint64("revision", n.directory.State().Revision),
 			zap.Bool("routes", res.Routes),
+			zap.Duration("behind", behind),
 			zap.Bool("upstreams", res.Upstreams),
 			zap.Bool("evacuations", res.Evacuations),
 			zap.Int("changes", len(u.Changes)))
