--- a/edge/caller_test.go
+++ b/edge/caller_test.go
@@ -49,7 +49,9 @@
 func (c *caller) run(ctx context.Context) {
 	for sleep(ctx, time.Duration(c.rand.IntN(300))*time.Millisecond) {
 		c.nextPort()
-		to := routeAddresses[c.rand.IntN(len(routeAddresses))]
+		c.w.routesMu.Lock()
+		to := c.w.moving.address(c.rand)
+		c.w.routesMu.Unlock()
 		k := steer.Key{Caller: registry.Endpoint{Host: c.host, Port: c.port}, Address: to}
 		p := steer.Packet{Source: k.Caller, Destination: to, Sequence: c.rand.Uint32()}
 		if !c.open(ctx, &p) {
@@ -76,6 +78,9 @@
 	b := standin.Encode(*p, make([]byte, data))
 	c.w.mu.Lock()
 	to := c.w.pick(p.CallerKey(), c.dataCentre)
+	if p.Opens() {
+		c.w.moving.sent(p, c.w.machines[to[3]])
+	}
 	c.w.mu.Unlock()
 	c.w.net.send(c.host.Port(packetPort), to.Port(packetPort), b)
 }
--- a/edge/network_test.go
+++ b/edge/network_test.go
@@ -44,11 +44,13 @@
 	// connects decides on a connection to a port other than the one of the processes.
 	connects func(to netip.AddrPort) connectResult
 
-	mu        sync.Mutex
-	sockets   map[netip.AddrPort]*socket
-	sent      map[[8]byte]uint64 // datagrams by link
-	cuts      map[*cut]bool
-	impaired  map[registry.Host]impairment
+	mu       sync.Mutex
+	sockets  map[netip.AddrPort]*socket
+	sent     map[[8]byte]uint64 // datagrams by link
+	cuts     map[*cut]bool
+	impaired map[registry.Host]impairment
+	// latePulls has how late connections from and to a host are established.
+	latePulls map[registry.Host]time.Duration
 	delivered int
 }
 
@@ -77,6 +79,7 @@
 	return &network{
 		seed: seed, sockets: make(map[netip.AddrPort]*socket), sent: make(map[[8]byte]uint64),
 		cuts: make(map[*cut]bool), impaired: make(map[registry.Host]impairment),
+		latePulls: make(map[registry.Host]time.Duration),
 	}
 }
 
@@ -363,7 +366,11 @@
 	h.mu.Lock()
 	s, z := h.sockets[to], hostOf(to)
 	lost := h.state.killed() || z != h.host && (h.blocked(h.host, z) || h.blocked(z, h.host))
+	late := h.latePulls[h.host] + h.latePulls[z]
 	h.mu.Unlock()
+	if late > 0 && !sleep(ctx, late) {
+		return nil, ctx.Err()
+	}
 	client, server := net.Pipe()
 	if s == nil && !lost {
 		switch h.connects(to) {
--- a/edge/store_test.go
+++ b/edge/store_test.go
@@ -69,12 +69,12 @@
 	}
 }
 
-// publish writes new routes.
-func (s *store) publish(list []registry.Route) {
+// publish writes new routes as the given version.
+func (s *store) publish(version uint64, list []registry.Route) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.revision++
-	s.routes = registry.Routes{Version: s.routes.Version + 1, List: list, Services: map[string]registry.Service{
+	s.routes = registry.Routes{Version: version, List: list, Services: map[string]registry.Service{
 		serviceA: {Listens: true}, serviceB: {Listens: true},
 	}}
 	s.history.add(registry.Change{Revision: s.revision}, s.routes)
--- a/edge/storetrouble_test.go
+++ b/edge/storetrouble_test.go
@@ -222,7 +222,7 @@
 		s := newStore(1, time.Second)
 		h := registry.Host{10, 0, 1, 1}
 		c := client{store: s, host: h, state: new(processState)}
-		s.publish(nil)
+		s.publish(1, nil)
 		s.write(registry.Upstream{ID: "a"})
 		time.Sleep(time.Second)
 		s.write(registry.Upstream{ID: "b"})
--- a/edge/upstream_test.go
+++ b/edge/upstream_test.go
@@ -187,6 +187,7 @@
 	if !known || o.caller != p.Sequence {
 		o = opening{caller: p.Sequence, own: u.rand.Uint32()}
 		u.openings[k] = o
+		u.w.moving.taken(u.w, p, u)
 		delete(u.flows, k)
 		delete(u.ended, k)
 	}
--- a/edge/world_test.go
+++ b/edge/world_test.go
@@ -59,6 +59,8 @@
 	ports uint16
 	// maxMachines bounds the machines, with those that troubles add, at 255; 0 selects defaultMaxMachines.
 	maxMachines int
+	// moving adds routes that move, which callers then use alone.
+	moving bool
 }
 
 // machine is the host of a balancer, or of a sidecar and its upstream.
@@ -81,9 +83,12 @@
 // run is a running process.
 type run struct {
 	state *processState
-	ready func() bool
-	stop  context.CancelFunc
-	done  chan struct{}
+	// number differs from run to run of all processes.
+	number  uint64
+	started time.Time
+	ready   func() bool
+	stop    context.CancelFunc
+	done    chan struct{}
 }
 
 // world is a deployment with its environment.
@@ -105,9 +110,14 @@
 	// maxMachines is that of the deployment.
 	maxMachines int
 	byHost      map[registry.Host]*caller
+	// moving has the routes that move; nil unless the deployment has any.
+	moving *movingRoutes
 	// heard, if not nil, is called with each datagram between processes.
 	heard atomic.Pointer[func(from registry.Host, d []byte)]
 
+	routesMu sync.Mutex
+	version  uint64 // of the routes; guarded by routesMu
+
 	mu        sync.Mutex
 	machines  []*machine
 	callers   []*caller
@@ -126,6 +136,9 @@
 	}
 	w.ctx, w.stop = context.WithCancel(context.Background())
 	w.net.receive, w.net.observe, w.net.connects = w.receive, w.observe, w.connects
+	if d.moving {
+		w.moving = newMovingRoutes(seed)
+	}
 	w.publishRoutes(3)
 	w.wg.Go(func() { w.store.run(w.ctx) })
 	for dc := range d.balancers {
@@ -206,7 +219,10 @@
 			Name: fmt.Sprint("route", i), Address: a, Targets: targets[i], Idempotent: i > 0, Timeout: 4 * time.Second, Objective: time.Second,
 		})
 	}
-	w.store.publish(list)
+	w.routesMu.Lock()
+	defer w.routesMu.Unlock()
+	w.version++
+	w.store.publish(w.version, w.moving.appendTo(list, w.version))
 }
 
 // startFirst starts the process of a machine together with the whole deployment.
@@ -224,7 +240,7 @@
 	w.mu.Lock()
 	w.starts++
 	state := &processState{lag: m.lag}
-	r := &run{state: state, stop: cancel, done: make(chan struct{})}
+	r := &run{state: state, number: w.starts, started: time.Now(), stop: cancel, done: make(chan struct{})}
 	cfg := edge.Config{
 		DataCentre: m.dataCentre, Exchange: m.host.Port(exchangePort), Incarnation: w.starts, Seeds: w.seeds, MaxFlow: time.Minute,
 		CallerPort: packetPort, Placing: steer.PlaceByTime, Codec: platform.Codec{}, Timer: timer.New(timer.Config{Wrap: state.delayTicks}),
