Let the balancer's routes alone decide on an opening

Cause: up to three processes decided on an opening, each by its own version. A sidecar with newer routes declined what these do not allow and the next one, also a newer or an older one, passed it on by its own routes; a sidecar with older routes did the same the other way round, and copies of an opening followed the first one whatever had changed. Versions grow in each process, and nothing ordered them across the processes that serve one balancer's callers.

Change: a sidecar whose routes are not the balancer's offers an opening only to upstreams of the service that the balancer selected, in its own region. Copies follow the first opening only while the service is still the balancer's. The highest bit of the version in the header keeps sidecars of the build before from judging by their newer routes.

--- a/edge/sidecar.go
+++ b/edge/sidecar.go
@@ -40,6 +40,9 @@
 	Ramp bool
 	// FirstStart is true when no other sidecar has served the upstream before.
 	FirstStart bool
+	// MaxOutdated is how long a balancer may place openings by older routes than those of the
+	// sidecar, which do not allow them. 0 means no limit.
+	MaxOutdated time.Duration
 	// MaxDrain is the maximum time that a stopping sidecar waits for active requests.
 	MaxDrain time.Duration
 }
@@ -78,17 +81,18 @@
 	}
 	s := &Sidecar{process: p, upstream: cfg.Upstream, maxDrain: cfg.MaxDrain, probes: make(chan struct{}, 1), latency: newLatencies()}
 	s.steering = steer.NewSidecar(steer.SidecarConfig{
-		Self:       p.self,
-		DataCentre: cfg.DataCentre,
-		Service:    cfg.Service,
-		MaxFlow:    cfg.MaxFlow,
-		Placing:    cfg.Placing,
-		Cold:       cfg.Cold,
-		Ramp:       cfg.Ramp,
-		FirstStart: cfg.FirstStart,
-		Started:    cfg.Timer.Uptime(),
-		StartedAt:  cfg.Timer.Now().UnixMilli(),
-		Latency:    s.latency,
+		Self:        p.self,
+		DataCentre:  cfg.DataCentre,
+		Service:     cfg.Service,
+		MaxFlow:     cfg.MaxFlow,
+		Placing:     cfg.Placing,
+		Cold:        cfg.Cold,
+		Ramp:        cfg.Ramp,
+		FirstStart:  cfg.FirstStart,
+		MaxOutdated: cfg.MaxOutdated,
+		Started:     cfg.Timer.Uptime(),
+		StartedAt:   cfg.Timer.Now().UnixMilli(),
+		Latency:     s.latency,
 	})
 	s.fleet = s.steering.Fleet
 	nc := cfg.exchangeConfig(membership.Sidecar, s.pauseDetector)
@@ -330,7 +334,7 @@
 		return
 	}
 	if p.Opens() {
-		s.countVersion(header)
+		s.compareVersion(header)
 	}
 	a := s.steering.FromBalancer(s.cfg.Timer.Uptime(), header, p)
 	if deliver, ok := a.(steer.Deliver); ok && deliver.Found {
@@ -339,16 +343,19 @@
 	s.execute(a, d, &s.fromPeers)
 }
 
-// countVersion counts an opening that a balancer with other routes placed.
-func (s *Sidecar) countVersion(header *steer.Header) {
+// compareVersion counts an opening that a balancer with other routes placed, and makes the
+// process that is behind adopt the newer ones.
+func (s *Sidecar) compareVersion(header *steer.Header) {
 	f := s.steering.Fleet()
 	switch {
 	case f == nil || f.Snapshot.Version() == header.Version:
+		return
 	case f.Snapshot.Version() > header.Version:
 		s.counts.olderOpenings.Add(1)
 	default:
 		s.counts.newerOpenings.Add(1)
 	}
+	s.node.ReconcileVersion(header.Balancer, header.Version)
 }
 
 // FlowHeld does nothing: sidecars query their own upstreams, not each other.
--- a/exchange/heartbeat.go
+++ b/exchange/heartbeat.go
@@ -113,6 +113,7 @@
 	n.members.Expire(now)
 	n.formats.Expire(now)
 	n.unreadable.expire(now)
+	n.forgetVersions(now)
 	n.directory.Expire(now)
 }
 
--- a/exchange/node.go
+++ b/exchange/node.go
@@ -113,15 +113,17 @@
 	lastRead     time.Duration // when the store last answered this process; negative if never
 	adopted      time.Duration // when the current routes were adopted
 	behindSince  time.Duration // when a peer first reported newer routes than the current ones; 0 while none has
-	rejected     uint64        // the latest version of routes of a peer that are out of range; they are not pulled again
-	stopping     bool
-	sequence     uint32        // of the last heartbeat
-	heartbeats   int           // heartbeats sent
-	lastWide     time.Duration // when a heartbeat of at least membership.ScopeDataCentre was last sent
-	digests      digests
-	presence     presence
-	isolated     bool // the last result of members.Isolated
-	silent       map[registry.Host]bool
+	// versionSent has when ReconcileVersion last sent a message to a balancer.
+	versionSent map[registry.Host]time.Duration
+	rejected    uint64 // the latest version of routes of a peer that are out of range; they are not pulled again
+	stopping    bool
+	sequence    uint32        // of the last heartbeat
+	heartbeats  int           // heartbeats sent
+	lastWide    time.Duration // when a heartbeat of at least membership.ScopeDataCentre was last sent
+	digests     digests
+	presence    presence
+	isolated    bool // the last result of members.Isolated
+	silent      map[registry.Host]bool
 }
 
 // Open binds the addresses and returns a Node. It returns *udp.ListenError,
@@ -166,11 +168,12 @@
 			Seeds:      cfg.Seeds,
 			Started:    cfg.Timer.Uptime(),
 		}),
-		outage:     outage{last: -settleTime},
-		eraStart:   -settleTime,
-		lastRead:   -maxPullOutage,
-		silent:     make(map[registry.Host]bool),
-		storeCalls: metric.NewHistogram(),
+		outage:      outage{last: -settleTime},
+		eraStart:    -settleTime,
+		lastRead:    -maxPullOutage,
+		silent:      make(map[registry.Host]bool),
+		versionSent: make(map[registry.Host]time.Duration),
+		storeCalls:  metric.NewHistogram(),
 	}
 	n.snapshot = n.directory.Snapshot(0)
 	n.incarnation.Store(uint32(cfg.Incarnation ^ cfg.Incarnation>>32))
--- a/exchange/presence.go
+++ b/exchange/presence.go
@@ -88,11 +88,16 @@
 		n.stale = true // an absence may become certain without a heartbeat
 	}
 	n.mu.Unlock()
+	n.sendQueries(hosts)
+	if added {
+		n.TriggerHeartbeat()
+	}
+}
+
+// sendQueries sends a presence query to each of the hosts.
+func (n *Node) sendQueries(hosts []registry.Host) {
 	n.presence.sent.Add(uint64(len(hosts)))
 	for _, h := range hosts {
 		n.Send([]byte{byte(kindQuery)}, h)
 	}
-	if added {
-		n.TriggerHeartbeat()
-	}
 }
--- a/exchange/view.go
+++ b/exchange/view.go
@@ -70,6 +70,7 @@
 func (n *Node) publish(now time.Duration) {
 	f := &steer.Fleet{
 		Snapshot:         n.snapshot,
+		RoutesSince:      n.adopted,
 		Sidecars:         make(map[registry.Host]steer.SidecarStatus, n.members.PeerCount()),
 		Regions:          n.cfg.Regions,
 		Unlisted:         n.snapshot.Unlisted(n.members.Sidecars(now)),
--- a/steer/action.go
+++ b/steer/action.go
@@ -114,8 +114,8 @@
 	ReasonLeaving
 	// ReasonFull: the upstream is at its limit of flows.
 	ReasonFull
-	// ReasonRoute: the sidecar has newer routes, which do not allow the flow at the
-	// upstream.
+	// ReasonRoute: the routes do not allow the flow at the upstream: those of the balancer, or
+	// ones that the sidecar has had for SidecarConfig.MaxOutdated.
 	ReasonRoute
 	// ReasonCrowded: requests are queued at the upstream, and another one has a shorter
 	// queue or a free slot.
--- a/steer/balancer.go
+++ b/steer/balancer.go
@@ -374,7 +374,8 @@
 	return Header{
 		Balancer:    d.b.cfg.Self,
 		Service:     registry.HashService(service),
-		Version:     d.fleet.Snapshot.Version(),
+		Version:     d.fleet.Snapshot.Version() & maxVersion,
+		Pinned:      true,
 		State:       d.fleet.Snapshot.State(),
 		UnknownFlow: unknown,
 	}
--- a/steer/fleet.go
+++ b/steer/fleet.go
@@ -60,6 +60,8 @@
 type Fleet struct {
 	// Snapshot is never nil.
 	Snapshot *registry.Snapshot
+	// RoutesSince is when the process adopted the routes of Snapshot; 0 before the first.
+	RoutesSince time.Duration
 	// Sidecars has every sidecar that ever sent a heartbeat.
 	Sidecars map[registry.Host]SidecarStatus
 	// Regions holds the region of each data centre by its name. It may be empty when no
--- a/steer/flow.go
+++ b/steer/flow.go
@@ -52,6 +52,9 @@
 	// target and service are where an opening was passed on to; valid in stagePassedOn.
 	target  registry.Host
 	service registry.ServiceHash
+	// version is that of the routes by which the balancer placed an opening that was passed
+	// on; valid in stagePassedOn.
+	version uint64
 	// answerSequence is the sequence number of the upstream's answer to the opening.
 	// The caller confirms the answer with an acknowledgement of this number or the next
 	// one.
--- a/steer/header.go
+++ b/steer/header.go
@@ -18,6 +18,12 @@
 	flagUnknownFlow = 1 // the flow was not in the balancer's table
 	flagRemote      = 2 // the sender also covers all other data centres
 	flagsKnown      = flagUnknownFlow | flagRemote
+
+	// maxVersion is the highest version of the routes that a header can hold.
+	maxVersion = 1<<63 - 1
+	// bitPinned is added to the version. Builds without it take the version for newer than
+	// theirs, so that their routes do not decide on the opening, either.
+	bitPinned = 1 << 63
 )
 
 // Header precedes a packet that a balancer sends to a sidecar, or one sidecar to the
@@ -27,8 +33,11 @@
 	Balancer registry.Host
 	// Service is the service that the packet is for.
 	Service registry.ServiceHash
-	// Version is the version of the routes that the balancer used.
+	// Version is the version of the routes that the balancer used, at most maxVersion.
 	Version uint64
+	// Pinned is true when no other routes than the balancer's decide on an opening. It is
+	// false in headers of builds without it.
+	Pinned bool
 	// State is the newest state of the upstream list that the balancer or a sidecar on
 	// the path used.
 	State registry.State
@@ -63,7 +72,11 @@
 	b = binary.BigEndian.AppendUint16(b, uint16(len(h.Visited)))
 	b = append(b, h.Balancer[:]...)
 	b = binary.BigEndian.AppendUint32(b, uint32(h.Service))
-	b = binary.BigEndian.AppendUint64(b, h.Version)
+	version := h.Version & maxVersion
+	if h.Pinned {
+		version |= bitPinned
+	}
+	b = binary.BigEndian.AppendUint64(b, version)
 	b = h.State.Append(b)
 	for i := range h.Visited {
 		b = append(b, h.Visited[i][:]...)
@@ -86,7 +99,8 @@
 	h.Remote = b[0]&flagRemote != 0
 	copy(h.Balancer[:], b[4:8])
 	h.Service = registry.ServiceHash(binary.BigEndian.Uint32(b[8:]))
-	h.Version = binary.BigEndian.Uint64(b[12:])
+	version := binary.BigEndian.Uint64(b[12:])
+	h.Version, h.Pinned = version&maxVersion, version&bitPinned != 0
 	h.State = registry.ParseState(b[20:])
 	h.Visited = h.Visited[:0]
 	for i := range n {
@@ -108,6 +122,7 @@
 // WithVisited returns a copy of h with one more visited host.
 func (h *Header) WithVisited(host registry.Host) Header {
 	c := *h
+	c.Pinned = true
 	c.Visited = make([]registry.Host, 0, len(h.Visited)+1)
 	c.Visited = append(c.Visited, h.Visited...)
 	c.Visited = append(c.Visited, host)
--- a/steer/header_test.go
+++ b/steer/header_test.go
@@ -1,6 +1,7 @@
 package steer_test
 
 import (
+	"encoding/binary"
 	"errors"
 	"testing"
 
@@ -15,6 +16,7 @@
 		Service:     registry.HashService("fitting"),
 		Version:     1 << 40,
 		State:       registry.State{Era: 3, Revision: 77},
+		Pinned:      true,
 		UnknownFlow: true,
 		Visited:     []registry.Host{{10, 1, 0, 1}, {10, 2, 0, 1}},
 	}
@@ -50,6 +52,22 @@
 	})
 }
 
+// TestBuildsWithoutPinnedTakeVersionForNewer checks what a build before Header.Pinned reads: a
+// version that is newer than any of its own, so that its routes do not decide on the opening.
+func TestBuildsWithoutPinnedTakeVersionForNewer(t *testing.T) {
+	const offVersion = 12
+	h := steer.Header{Version: 7, Pinned: true}
+	raw := h.Append(nil)
+	must.Eq(t, 1<<63+7, binary.BigEndian.Uint64(raw[offVersion:]))
+	h.Pinned = false
+	must.Eq(t, 7, binary.BigEndian.Uint64(h.Append(nil)[offVersion:]))
+	var got steer.Header
+	_, err := got.Parse(raw)
+	must.NoError(t, err)
+	must.Eq(t, 7, got.Version)
+	must.True(t, got.Pinned)
+}
+
 func TestKeyRoundTrip(t *testing.T) {
 	want := flowKey(300)
 	must.Eq(t, want, steer.ParseKey(want.Append(nil)))
--- a/steer/pass.go
+++ b/steer/pass.go
@@ -31,15 +31,14 @@
 	if !listed || s.Active()-self.Slots < crowdedQueueLength {
 		return nil
 	}
-	c := s.chooser(now, f, p)
+	c := s.openingChooser(now, f, h, p)
 	excludeSelf := func(host registry.Host) bool { return host == s.cfg.Self }
 	other := c.choose(f.Snapshot.Pool(s.service), excludeSelf)
 	if other == nil || c.queueLength(other)+crowdedQueueLength > s.Active()-self.Slots {
-		route := f.Snapshot.Route(p.Destination)
-		if route == nil {
+		if c.route == nil {
 			return nil
 		}
-		if other = c.overflow(route, &self, excludeSelf); other == nil {
+		if other = c.overflow(c.route, &self, excludeSelf); other == nil {
 			return nil
 		}
 	}
@@ -55,7 +54,7 @@
 	if !listed || len(h.Visited) >= maxReliefPasses {
 		return nil
 	}
-	c := s.chooser(now, f, p)
+	c := s.openingChooser(now, f, h, p)
 	c.local = true                    // the balancer has chosen the data centre
 	c.hash = rank(c.hash, s.cfg.Self) // so that the sample differs from that of the sender
 	other := c.choose(f.Snapshot.Pool(s.service), func(host registry.Host) bool { return host == s.cfg.Self || h.hasVisited(host) })
@@ -86,17 +85,18 @@
 		return newHold(h, ReasonStarting)
 	}
 	next := h.WithVisited(s.cfg.Self)
-	c := s.chooser(now, f, p)
 	if !p.Opens() {
+		c := s.chooser(now, f, p)
 		return s.search(f, &c, &next, p, reason, false)
 	}
-	if m := s.nextForOpening(f, &c, &next, p); m != nil {
+	c := s.openingChooser(now, f, h, p)
+	if m := c.nextForOpening(&next); m != nil {
 		if reason == ReasonCold && m.Warmup > 0 && len(next.Visited) > maxColdPasses {
 			return Refuse{Reason: ReasonCold}
 		}
 		return &Forward{Host: m.Address.Host, Header: next, Reason: reason}
 	}
-	return Refuse{Reason: f.refusalReason(f.Snapshot.Route(p.Destination))}
+	return Refuse{Reason: f.refusalReason(c.route)}
 }
 
 // search sends a later packet to the next upstream of the data centre that may hold its
@@ -207,26 +207,35 @@
 	return &Hold{Header: c, Reason: reason}
 }
 
-// nextForOpening returns the next upstream to offer a new flow to, or nil. It sets the
-// service in the header when that changes.
-func (s *Sidecar) nextForOpening(f *Fleet, c *chooser, h *Header, p *Packet) *registry.Member {
-	if m := c.chooseOpening(f.Snapshot.Pool(h.Service), h.hasVisited); m != nil {
-		return m
+// nextForOpening returns the next upstream to offer a new flow to, or nil: one of the service
+// in the header, or of another one that the route allows. It sets the service in the header when
+// that changes.
+func (c *chooser) nextForOpening(h *Header) *registry.Member {
+	if c.route == nil {
+		return c.chooseOpening(c.fleet.Snapshot.Pool(h.Service), h.hasVisited)
 	}
-	route := f.Snapshot.Route(p.Destination)
-	if route == nil {
-		return nil
-	}
-	for i := range route.Targets {
-		hash := registry.HashService(route.Targets[i].Service)
-		if m := c.chooseOpening(f.Snapshot.Pool(hash), h.hasVisited); m != nil {
-			h.Service = hash
+	for _, service := range c.servicesFrom(h.Service) {
+		if m := c.chooseOpening(c.fleet.Snapshot.Pool(service), h.hasVisited); m != nil {
+			h.Service = service
 			return m
 		}
 	}
 	return nil
 }
 
+// servicesFrom returns the services of the route, with the given one first if it is one of them.
+func (c *chooser) servicesFrom(first registry.ServiceHash) []registry.ServiceHash {
+	list := make([]registry.ServiceHash, 0, len(c.route.Targets))
+	for i := range c.route.Targets {
+		s := registry.HashService(c.route.Targets[i].Service)
+		list = append(list, s)
+		if s == first {
+			list[0], list[i] = s, list[0]
+		}
+	}
+	return list
+}
+
 // reject ends the processing of a packet that no upstream accepted. An opening is
 // refused with ReasonNoUpstream. A later packet is dropped with the given reason, since
 // the upstream that holds its flow may be temporarily unreachable.
@@ -243,7 +252,7 @@
 func (s *Sidecar) recordPassedOn(now time.Duration, sh *sidecarShard, k Key, p *Packet, a Action) Action {
 	f, forwarded := a.(*Forward)
 	if forwarded && len(sh.flows) < maxShardFlows {
-		sh.put(k, localFlow{stage: stagePassedOn, target: f.Host, service: f.Header.Service, nextSequence: p.Sequence, lastPacket: now})
+		sh.put(k, localFlow{stage: stagePassedOn, target: f.Host, service: f.Header.Service, version: f.Header.Version, nextSequence: p.Sequence, lastPacket: now})
 	}
 	return a
 }
@@ -254,6 +263,12 @@
 	return l.stage == stagePassedOn && !h.hasVisited(l.target)
 }
 
+// repeats reports whether an opening is a copy of the one that was passed on, and the routes by
+// which the balancer placed it still allow the service.
+func (l *localFlow) repeats(h *Header, p *Packet) bool {
+	return l.nextSequence == p.Sequence && (l.version == h.Version || l.service == h.Service)
+}
+
 // followPassedOn sends a packet to where the opening of its flow was passed on to. The
 // sidecar counts as visited, so that two that passed copies of the opening on to each other
 // do not forward the packet without end.
--- a/steer/place.go
+++ b/steer/place.go
@@ -46,6 +46,8 @@
 	// chosen; 0 in a balancer.
 	origin uint64
 	local  bool // whether flows stay in the data centre while it overflows
+	// regionOf is a data centre in whose region the flow stays; empty permits all regions.
+	regionOf string
 }
 
 // candidate is an upstream with its rating for a new flow.
@@ -104,7 +106,15 @@
 
 // accepts reports whether a new flow may be opened at the upstream.
 func (c *chooser) accepts(m *registry.Member) bool {
-	return c.fleet.acceptsNewFlows(c.now, m) && c.fleet.permits(c.route, m.DataCentre)
+	return c.fleet.acceptsNewFlows(c.now, m) && c.permits(m.DataCentre)
+}
+
+// permits reports whether the flow may reach upstreams of a data centre.
+func (c *chooser) permits(dataCentre string) bool {
+	if c.regionOf != "" && !c.fleet.sameRegion(c.regionOf, dataCentre) {
+		return false
+	}
+	return c.fleet.permits(c.route, dataCentre)
 }
 
 // prefersFar reports whether a new flow goes to an upstream of another data centre: the
@@ -256,7 +266,7 @@
 	var bestRank uint64
 	for i := range p.Members {
 		m := &p.Members[i]
-		if exclude(m) || !c.fleet.permits(c.route, m.DataCentre) {
+		if exclude(m) || !c.permits(m.DataCentre) {
 			continue
 		}
 		if r := c.searchRank(m); best == nil || r < bestRank {
@@ -317,7 +327,7 @@
 	for _, p := range c.fleet.Snapshot.Pools() {
 		for i := range p.Members {
 			m := &p.Members[i]
-			if m.DataCentre != dataCentre || exclude(m.Address.Host) || !c.fleet.permits(c.route, m.DataCentre) {
+			if m.DataCentre != dataCentre || exclude(m.Address.Host) || !c.permits(m.DataCentre) {
 				continue
 			}
 			r := ranked{host: m.Address.Host, otherService: p.Hash != service, rank: c.searchRank(m)}
@@ -330,7 +340,7 @@
 	}
 	hosts = sortedHosts(timely)
 	for _, h := range c.fleet.Unlisted {
-		if at := c.fleet.Sidecars[h].DataCentre; (at == dataCentre || at == "") && !exclude(h) && c.fleet.permits(c.route, at) {
+		if at := c.fleet.Sidecars[h].DataCentre; (at == dataCentre || at == "") && !exclude(h) && c.permits(at) {
 			hosts = append(hosts, h)
 		}
 	}
@@ -397,7 +407,7 @@
 	var best *registry.Member
 	for i := range p.Members {
 		m := &p.Members[i]
-		if m.Status != registry.Available || exclude(m.Address.Host) || !c.fleet.permits(c.route, m.DataCentre) {
+		if m.Status != registry.Available || exclude(m.Address.Host) || !c.permits(m.DataCentre) {
 			continue
 		}
 		if best == nil || rank(c.hash, m.Address.Host) < rank(c.hash, best.Address.Host) {
--- a/steer/ramp.go
+++ b/steer/ramp.go
@@ -117,7 +117,7 @@
 	if !s.cfg.Ramp || f == nil || len(h.Visited) > 0 || !s.pacing.full(now, s.Active()) {
 		return nil
 	}
-	c := s.chooser(now, f, p)
+	c := s.openingChooser(now, f, h, p)
 	pool := f.Snapshot.Pool(s.service)
 	if pool == nil {
 		return nil
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -55,6 +55,9 @@
 	// StartedAt is the Unix time in milliseconds of the start of the sidecar. 0 when it is
 	// not known; then a ramp starts with the first list only if the upstream is warming up.
 	StartedAt int64
+	// MaxOutdated is how long a balancer may place openings by routes that are older than
+	// those of the sidecar, and that these do not allow. 0 means no limit.
+	MaxOutdated time.Duration
 	// Latency receives the response times of the upstream. It may be nil.
 	Latency Latency
 }
@@ -88,15 +91,16 @@
 // Sidecar decides on packets for the local upstream and on those that the upstream
 // sends. It is safe for concurrent use.
 type Sidecar struct {
-	cfg      SidecarConfig
-	service  registry.ServiceHash
-	fleet    atomic.Pointer[Fleet] // nil until SetFleet
-	policy   *policy
-	shards   [shardCount]sidecarShard
-	liveness liveness
-	failures failureDetector
-	openings openingWindow
-	pacing   pacing
+	cfg       SidecarConfig
+	service   registry.ServiceHash
+	fleet     atomic.Pointer[Fleet] // nil until SetFleet
+	policy    *policy
+	shards    [shardCount]sidecarShard
+	liveness  liveness
+	failures  failureDetector
+	openings  openingWindow
+	pacing    pacing
+	adoptions adoptions
 
 	flows       atomic.Int64  // live flows
 	active      atomic.Int64  // requests without an answer
@@ -135,6 +139,7 @@
 // SetFleet replaces the fleet that decisions are based on.
 func (s *Sidecar) SetFleet(f *Fleet) {
 	s.policy.setFleet(f)
+	s.adoptions.record(f.Snapshot.Version(), f.RoutesSince)
 	s.fleet.Store(f)
 	s.pacing.setFleet(f, s.service, s.cfg.Self)
 	if s.liveness.downUnverified.Load() && f.Snapshot.Listed(s.cfg.Self) {
@@ -215,16 +220,22 @@
 // handleOpening decides on a request for a new flow. l is nil when the flow is unknown.
 func (s *Sidecar) handleOpening(now time.Duration, sh *sidecarShard, k Key, l *localFlow, h *Header, p *Packet) Action {
 	if l != nil && l.live() && !s.UpstreamDown() && !(l.stage == stageOpening && s.Silent(now)) {
+		if h.Service != s.service && l.openingSequence != p.Sequence {
+			return s.passOn(now, h, p, ReasonOtherService) // of another flow of the port
+		}
 		l.lastPacket, l.acknowledged = now, 0 // it may open another flow of the port
 		s.liveness.awaitReaction(now)
 		return Deliver{Tag: s.recordDelivery(now, k, h)}
 	}
-	if l != nil && l.redirects(h) && l.nextSequence == p.Sequence {
+	if l != nil && l.redirects(h) && l.repeats(h, p) {
 		return s.followPassedOn(now, l, h)
 	}
 	if l != nil {
 		s.remove(sh, k, l)
 	}
+	if s.superseded(now, h, p) {
+		return Refuse{Reason: ReasonRoute}
+	}
 	if reason := s.declineReason(now, h, p); reason != 0 {
 		return s.recordPassedOn(now, sh, k, p, s.passOn(now, h, p, reason))
 	}
@@ -274,11 +285,15 @@
 	if limit := f.Snapshot.Service(s.cfg.Service).MaxFlows; limit > 0 && s.Flows() >= limit {
 		return ReasonFull
 	}
+	if !f.decides(h) {
+		return 0
+	}
 	route := f.Snapshot.Route(p.Destination)
 	if !f.permits(route, s.cfg.DataCentre) {
 		return ReasonHome
 	}
-	if f.Snapshot.Version() > h.Version && (route == nil || !route.Allows(s.cfg.Service)) {
+	// A sidecar of a build before Header.Pinned passes openings on by routes of its own.
+	if len(h.Visited) > 0 && (route == nil || !route.Allows(s.cfg.Service)) {
 		return ReasonRoute
 	}
 	return 0
