Let the soak hold the rule of versions, with up to 195 processes

The oracle of versions judges openings to routes that every version adds, moves and drops, in series beside the changes and faults of the soak. -soak.large plays the processes of the deployment of the record: 59 balancers and 136 sidecars in five data centres.

--- a/soak/actions_test.go
+++ b/soak/actions_test.go
@@ -237,13 +237,19 @@
 // injectFault records that a fault lasts from now for d, and then calls f, which
 // ends the fault. The caller holds the lock.
 func (tb *testbed) injectFault(d time.Duration, f func()) {
-	tb.lastFault = time.Now().Add(d)
+	tb.setLastFault(time.Now().Add(d))
 	tb.schedule(d, func() {
 		f()
-		tb.lastFault = latest(tb.lastFault, time.Now())
+		tb.setLastFault(latest(tb.lastFault, time.Now()))
 	})
 }
 
+// setLastFault sets the end of the latest fault. The caller holds the lock.
+func (tb *testbed) setLastFault(end time.Time) {
+	tb.lastFault = end
+	tb.faultEnd.Store(end.UnixNano())
+}
+
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/soak/process_test.go
+++ b/soak/process_test.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -56,6 +57,14 @@
 	cmd     *exec.Cmd
 	done    chan struct{} // closed when cmd has exited
 	log     *bytes.Buffer // the output of all incarnations
+	// incarnation is the last start.
+	incarnation atomic.Pointer[incarnation]
+}
+
+// incarnation is one start of a process.
+type incarnation struct {
+	number int
+	since  time.Time
 }
 
 func newProcess(h standin.Host, role string, bind netip.AddrPort, env string) *process {
@@ -73,6 +82,11 @@
 	if err := p.cmd.Start(); err != nil {
 		return err
 	}
+	next := &incarnation{since: time.Now()}
+	if last := p.incarnation.Load(); last != nil {
+		next.number = last.number + 1
+	}
+	p.incarnation.Store(next)
 	p.done = make(chan struct{})
 	cmd, done := p.cmd, p.done
 	wait := func() {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -16,6 +16,7 @@
 	duration  = flag.Duration("soak.time", 15*time.Second, "duration of each additional seed")
 	planned   = flag.Bool("soak.planned", false, "run additional seeds with planned changes only, without faults")
 
+	large        = flag.Bool("soak.large", false, "run additional seeds with the processes of largeSize")
 	otherProgram = flag.String("soak.other", "", "program of another build that processes are also started with; empty selects the present code with version 1 of the messages")
 )
 
@@ -24,19 +25,30 @@
 
 // TestSoak runs two seeds for shortDuration, and those that the flags select.
 func TestSoak(t *testing.T) {
-	t.Run("planned", func(t *testing.T) { runSeed(t, 1, true, shortDuration) })
-	t.Run("faults", func(t *testing.T) { runSeed(t, 2, false, shortDuration) })
+	t.Run("planned", func(t *testing.T) { runSeed(t, 1, true, smallSize, shortDuration) })
+	t.Run("faults", func(t *testing.T) { runSeed(t, 2, false, smallSize, shortDuration) })
 	for i := range uint64(*seedCount) {
 		seed := *firstSeed + i
-		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, *planned, *duration) })
+		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, *planned, selectedSize(), *duration) })
 	}
 }
 
+// largeSize is the size of the largest deployment: about as many processes as a host bears.
+var largeSize = size{balancers: 59, fitting: 109, report: 27, dataCentres: 5, callers: 10}
+
+// selectedSize returns the size of the deployments of additional seeds.
+func selectedSize() size {
+	if *large {
+		return largeSize
+	}
+	return smallSize
+}
+
 // runSeed runs one seed and fails for each violation of a guarantee.
-func runSeed(t *testing.T, seed uint64, plannedOnly bool, d time.Duration) {
-	tb := newTestbed(t, seed, plannedOnly)
+func runSeed(t *testing.T, seed uint64, plannedOnly bool, sz size, d time.Duration) {
+	tb := newTestbed(t, seed, plannedOnly, sz)
 	defer tb.close()
-	ready, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	ready, cancel := context.WithTimeout(t.Context(), 90*time.Second)
 	tb.awaitReady(ready)
 	cancel()
 	ctx, cancel := context.WithTimeout(t.Context(), d)
@@ -52,6 +64,7 @@
 		p.kill() // completes its log
 	}
 	tb.checkLogs()
+	tb.checkVersions()
 	if failures := tb.checker.Violations(); len(failures) > 0 {
 		tb.reportFailures(failures)
 	}
--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -65,11 +66,23 @@
 	busy          bool      // a change or fault is in progress
 }
 
+// size is the size of a deployment.
+type size struct {
+	balancers, fitting, report int
+	dataCentres                int
+	callers                    int
+}
+
+// smallSize is the size of the deployments of most seeds.
+var smallSize = size{balancers: 3, fitting: 4, report: 2, dataCentres: 2, callers: 2}
+
 // testbed is a complete deployment on loopback addresses.
 type testbed struct {
 	t           *testing.T
 	seed        uint64
+	size        size
 	plannedOnly bool // no faults are injected
+	versions    *standin.VersionOracle
 	store       *standin.Store
 	storeServer *http.Server
 	checker     *standin.Checker
@@ -86,6 +99,7 @@
 	sites           []*site
 	routesVersion   uint64
 	routesWritten   time.Time // when the newest version was written to the store
+	movingSince     []uint64  // the version that added each of the moving routes
 	changingService string    // the service of the changing route
 	previousService string    // its service in the previous version
 	restoring       bool      // a restore of the store and the rewrite of lost data are in progress
@@ -93,10 +107,11 @@
 	// builds draws the builds of processes. It is not rand, so that the other draws of a
 	// seed do not depend on it.
 	builds        *rand.Rand
-	others        int       // the number of starts with the other build
-	lastFault     time.Time // the end of the latest fault; in the future while it lasts
-	upstreamCount int       // the number of upstreams started
-	actionLog     []string  // the actions with their times
+	others        int          // the number of starts with the other build
+	lastFault     time.Time    // the end of the latest fault; in the future while it lasts
+	faultEnd      atomic.Int64 // the same in Unix nanoseconds, for upstreams, which hold locks of their own
+	upstreamCount int          // the number of upstreams started
+	actionLog     []string     // the actions with their times
 	startedAt     time.Time
 }
 
@@ -108,9 +123,9 @@
 	return netip.AddrFrom4([4]byte{127, byte(100 + (pid+seed)%100), byte(kind<<4) | byte(pid%16), byte(n)})
 }
 
-func newTestbed(t *testing.T, seed uint64, plannedOnly bool) *testbed {
+func newTestbed(t *testing.T, seed uint64, plannedOnly bool, sz size) *testbed {
 	tb := &testbed{
-		t: t, seed: seed, plannedOnly: plannedOnly,
+		t: t, seed: seed, size: sz, plannedOnly: plannedOnly, versions: standin.NewVersionOracle(),
 		rand:    rand.New(rand.NewPCG(seed, 1)),
 		builds:  rand.New(rand.NewPCG(seed, 2)),
 		network: newNetwork(standin.DefaultPorts.Exchange, seed),
@@ -124,11 +139,15 @@
 	storeAddr := netip.MustParseAddrPort(l.Addr().String())
 
 	var balancerHosts []standin.Host
-	for n := range 3 {
+	for n := range sz.balancers {
 		balancerHosts = append(balancerHosts, tb.host(kindBalancer, n+1, ""))
 	}
 	tb.publish(fitting)
-	for n, s := range []string{fitting, fitting, fitting, fitting, report, report} {
+	for n := range sz.fitting + sz.report {
+		s := fitting
+		if n >= sz.fitting {
+			s = report
+		}
 		h := tb.host(kindSidecar, n+1, s)
 		st := &site{host: h, sidecar: tb.process(h, "sidecar", storeAddr, balancerHosts)}
 		tb.sites = append(tb.sites, st)
@@ -143,8 +162,10 @@
 		must.NoError(t, p.start())
 	}
 	tb.router = standin.NewRouter(balancerHosts)
-	for n := range 2 {
-		c, err := standin.NewCaller(standin.CallerConfig{Host: tb.host(kindCaller, n+1, ""), Router: tb.router, Checker: tb.checker})
+	for n := range sz.callers {
+		c, err := standin.NewCaller(standin.CallerConfig{
+			Host: tb.host(kindCaller, n+1, ""), Router: tb.router, Checker: tb.checker, Opening: tb.recordOpening,
+		})
 		must.NoError(t, err)
 		tb.callers = append(tb.callers, c)
 	}
@@ -154,7 +175,7 @@
 func (tb *testbed) host(kind, n int, service string) standin.Host {
 	return standin.Host{
 		Name: fmt.Sprintf("n-%d-%d", kind, n), Address: loopback(tb.seed, kind, n),
-		DataCentre: []string{"a", "b"}[n%2], Service: service,
+		DataCentre: string(rune('a' + n%tb.size.dataCentres)), Service: service,
 		Ports: standin.DefaultPorts,
 	}
 }
@@ -181,16 +202,24 @@
 
 // publish writes the next version of the routes, with service for the changing route.
 func (tb *testbed) publish(service string) {
-	tb.routesVersion += 1 + tb.rand.Uint64N(4)
 	tb.previousService, tb.changingService, tb.routesWritten = tb.changingService, service, time.Now()
+	tb.publishVersion(1 + tb.rand.Uint64N(4))
+}
+
+// publishVersion writes the routes as a version that is later by step.
+func (tb *testbed) publishVersion(step uint64) {
+	tb.routesVersion += step
+	tb.addMovingRoute()
 	tb.republish()
 }
 
 // republish writes the newest version of the routes again, because the store may have lost it.
 func (tb *testbed) republish() {
-	tb.store.PublishRoutes(tb.routesVersion, idleTimeout,
-		standin.Route{Address: steady, Service: fitting},
-		standin.Route{Address: changing, Service: tb.changingService, Idempotent: true})
+	routes := []standin.Route{
+		{Address: steady, Service: fitting},
+		{Address: changing, Service: tb.changingService, Idempotent: true},
+	}
+	tb.store.PublishRoutes(tb.routesVersion, idleTimeout, append(routes, tb.movingRoutes()...)...)
 }
 
 // startUpstream starts a new upstream at a site and registers it. The caller holds
@@ -200,7 +229,7 @@
 	st.upstreamID = fmt.Sprintf("u%d", tb.upstreamCount)
 	u, err := standin.NewUpstream(standin.UpstreamConfig{
 		ID: st.upstreamID, Host: st.host, Service: st.host.Service, Seed: tb.seed<<16 + uint64(tb.upstreamCount),
-		Checker: tb.checker, ServiceTime: 5 * time.Millisecond,
+		Checker: tb.checker, ServiceTime: 5 * time.Millisecond, Opened: tb.openedBy(st, st.upstreamID),
 	})
 	must.NoError(tb.t, err)
 	st.upstream, st.drainedAt, st.openingsValid = u, time.Time{}, false
@@ -247,9 +276,13 @@
 		for j := range 4 {
 			wg.Go(func() { tb.runFlows(ctx, c, fmt.Sprintf("%d.%d", i, j), j%2 == 0) })
 		}
+		for j := range 4 {
+			wg.Go(func() { tb.runOpenings(ctx, c, uint64(i*4+j)) })
+		}
 	}
 	wg.Go(func() { tb.watchDraining(ctx) })
 	wg.Go(func() { tb.runActions(ctx) })
+	wg.Go(func() { tb.runVersions(ctx) })
 	wg.Wait()
 }
 
