Let upstreams of the soak refuse openings while routes move

Moving routes lead to two services first, then to one, then to the other; all upstreams of a service return openings for a time, and streams between processes drop data, so that versions are adopted late.

--- a/soak/actions_test.go
+++ b/soak/actions_test.go
@@ -39,6 +39,8 @@
 		(*testbed).killSidecar,
 		(*testbed).pauseProcess,
 		(*testbed).crashUpstream,
+		(*testbed).refuseOpenings,
+		(*testbed).refuseOpenings,
 		(*testbed).failStore,
 		(*testbed).compactStore,
 		(*testbed).restoreStore,
@@ -49,6 +51,8 @@
 		(*testbed).cutLink,
 		(*testbed).cutLink,
 		(*testbed).isolateProcess,
+		(*testbed).delayPulls,
+		(*testbed).delayPulls,
 		(*testbed).degradeLinks,
 		(*testbed).partition,
 	}
@@ -315,6 +319,27 @@
 	return true
 }
 
+// refuseOpenings makes the upstreams of a service return openings, as when they are full, so that
+// their sidecars pass these on.
+func (tb *testbed) refuseOpenings() bool {
+	service := []string{fitting, report}[tb.rand.IntN(2)]
+	var full []*standin.Upstream
+	for _, st := range tb.sites {
+		if st.host.Service == service && st.upstream != nil {
+			full = append(full, st.upstream)
+			st.upstream.Refuse(true)
+		}
+	}
+	d := tb.randomDuration(200*time.Millisecond, 2*time.Second)
+	tb.logAction("%d upstreams of %s are full for %v", len(full), service, d)
+	tb.injectFault(d, func() {
+		for _, u := range full {
+			u.Refuse(false)
+		}
+	})
+	return true
+}
+
 func (tb *testbed) failStore() bool {
 	faults := []standin.StoreFault{
 		{Status: http.StatusServiceUnavailable},
--- a/soak/network_test.go
+++ b/soak/network_test.go
@@ -193,6 +193,29 @@
 	return true
 }
 
+// delayPulls drops the data of streams to a random share of the processes, so that others pull
+// from them in vain and adopt versions at different times.
+func (tb *testbed) delayPulls() bool {
+	share := tb.rand.Float64()
+	var degraded []*proxy
+	for _, p := range tb.processes() {
+		if streams := tb.network.streamsOf(p.host.Address); tb.rand.Float64() < share && streams.currentMode() == linkNormal {
+			degraded = append(degraded, streams)
+		}
+	}
+	d := tb.randomDuration(500*time.Millisecond, 5*time.Second)
+	tb.logAction("streams to %d processes drop data for %v", len(degraded), d)
+	for _, streams := range degraded {
+		streams.setMode(linkDropAll)
+	}
+	tb.injectFault(d, func() {
+		for _, streams := range degraded {
+			streams.setMode(linkNormal)
+		}
+	})
+	return true
+}
+
 // degradeLinks drops, delays, reorders and duplicates some datagrams from and to a process.
 func (tb *testbed) degradeLinks() bool {
 	all := tb.processes()
--- a/soak/versions_test.go
+++ b/soak/versions_test.go
@@ -14,9 +14,10 @@
 
 // The ages of a moving route, in versions that were published after it was added.
 const (
-	ageMoved   = 2 // it leads to the other service
-	ageDropped = 4
-	ageUnused  = 7 // callers do not use it any more
+	ageOne     = 2 // it leads to one service; before that to both
+	ageOther   = 4 // it leads to the other one
+	ageDropped = 6
+	ageUnused  = 9 // callers do not use it any more
 )
 
 const (
@@ -29,8 +30,8 @@
 	maxSeries    = 4
 )
 
-// Each version adds a moving route, moves another one to the other service and drops a third, so
-// that what an upstream takes shows by which versions it may have been placed.
+// Each version adds a moving route, which leads to both services, takes services from others and
+// drops one, so that what an upstream takes shows by which versions it may have been placed.
 
 // runVersions publishes series of versions that change only moving routes until ctx is done.
 func (tb *testbed) runVersions(ctx context.Context) {
@@ -52,7 +53,7 @@
 	tb.movingSince = append(tb.movingSince, tb.routesVersion)
 	services := make(map[netip.AddrPort][]string)
 	for _, r := range tb.movingRoutes() {
-		services[r.Address] = []string{r.Service}
+		services[r.Address] = r.Services()
 	}
 	tb.versions.Publish(time.Now(), tb.routesVersion, services)
 }
@@ -67,7 +68,10 @@
 			first, other = other, first
 		}
 		r := standin.Route{Address: movingAddress(n), Service: first, Idempotent: true}
-		if count-1-n >= ageMoved {
+		switch age := count - 1 - n; {
+		case age < ageOne:
+			r.Also = other
+		case age >= ageOther:
 			r.Service = other
 		}
 		list = append(list, r)
