--- a/edge/flow_test.go
+++ b/edge/flow_test.go
@@ -64,19 +64,24 @@
 // playSeedsOn is playSeeds with the deployments of a list.
 func playSeedsOn(t *testing.T, list []deployment, disturb func(w *world, d time.Duration)) {
 	for seed := *virtualFirst; seed < *virtualFirst+*virtualSeeds; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(t, seed, list[seed%uint64(len(list))])
-				disturb(w, disturbTime)
-				time.Sleep(stableWindow)
-				w.end()
-				w.report()
-			})
-		})
+		playSeed(t, seed, list, disturb, (*world).report)
 	}
 }
 
+// playSeed plays one seed in a deployment of a list, and reports the violations.
+func playSeed(t *testing.T, seed uint64, list []deployment, disturb func(w *world, d time.Duration), report func(*world)) {
+	t.Run(fmt.Sprint(seed), func(t *testing.T) {
+		t.Parallel()
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, seed, list[seed%uint64(len(list))])
+			disturb(w, disturbTime)
+			time.Sleep(stableWindow)
+			w.end()
+			report(w)
+		})
+	})
+}
+
 // report reports the violations of a run.
 func (w *world) report() {
 	w.t.Helper()
--- a/edge/versions_test.go
+++ b/edge/versions_test.go
@@ -1,14 +1,15 @@
 package edge_test
 
 import (
-	"fmt"
+	"flag"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 )
 
+var virtualLarge = flag.Bool("virtual.large", false, "play TestVersionsDoNotGoBack with 195 processes")
+
 const (
 	// maxStorm is the largest number of versions that follow each other closely.
 	maxStorm = 12
@@ -47,28 +48,35 @@
 	decliners = []trouble{{3, silenceUpstream}, {3, replaceUpstream}, {2, restartSidecar}, {1, rollBalancers}, {1, killProcess}}
 )
 
+// recordDeployment has as many processes as the deployment in which versions went back.
+var recordDeployment = deployment{
+	balancers: []int{20, 20, 19}, upstreamsA: []int{37, 36, 36}, upstreamsB: []int{9, 9, 9}, callers: 24, heartbeat: 1200 * time.Millisecond,
+	flowTime: onlyOpen, moving: true, maxMachines: 240,
+}
+
+// lateVersions is the first seed in which versions went back.
+const lateVersions = 107
+
 // TestVersionsDoNotGoBack guards against openings through one balancer that are handled by an
 // older version of the routes after the effect of a newer one.
 func TestVersionsDoNotGoBack(t *testing.T) {
-	playVersions(t, versionDeployments, (*world).disturbVersions)
-}
-
-// playVersions is playSeedsOn for the rule of versions alone.
-func playVersions(t *testing.T, list []deployment, disturb func(w *world, d time.Duration)) {
+	list, disturb := versionDeployments, (*world).disturbVersions
+	if *virtualLarge {
+		list, disturb = []deployment{recordDeployment}, (*world).disturbVersionsShortly
+	} else {
+		playSeed(t, lateVersions, list, disturb, (*world).reportVersions)
+	}
 	for seed := *virtualFirst; seed < *virtualFirst+*virtualSeeds; seed++ {
-		t.Run(fmt.Sprint(seed), func(t *testing.T) {
-			t.Parallel()
-			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(t, seed, list[seed%uint64(len(list))])
-				disturb(w, disturbTime)
-				time.Sleep(stableWindow)
-				w.end()
-				w.reportVersions()
-			})
-		})
+		playSeed(t, seed, list, disturb, (*world).reportVersions)
 	}
 }
 
+// disturbVersionsShortly is disturbVersions for a quarter of the time, since a second of 195
+// processes takes many of real time.
+func (w *world) disturbVersionsShortly(d time.Duration) {
+	w.disturbVersions(d / 4)
+}
+
 // reportVersions reports the violations of the rule of versions.
 func (w *world) reportVersions() {
 	w.t.Helper()
