--- a/eventlog/describe.go
+++ b/eventlog/describe.go
@@ -15,7 +15,7 @@
 		return fmt.Sprintf("sends the opening of %s to %s, which has %d flows and %d requests as of %s ago; %s",
 			flowName(l), l.Upstream, l.Flows, l.Active, formatSeconds(l.LoadAge), decisionBasis(l))
 	case event.PacketPassed:
-		return fmt.Sprintf("passes a packet of %s on to %s since %s, after %d hosts; %s", flowName(l), l.Next, reasonText(l.Reason), l.Visited, decisionBasis(l))
+		return fmt.Sprintf("passes a packet of %s on to %s since %s, after %d hosts%s; %s", flowName(l), l.Next, reasonText(l.Reason), l.Visited, placedBy(l), decisionBasis(l))
 	case event.FlowRefused:
 		return fmt.Sprintf("resets %s since %s; %s", flowName(l), reasonText(l.Reason), decisionBasis(l))
 	case event.PacketDropped:
@@ -70,6 +70,14 @@
 	return l.Caller + " > " + l.Address
 }
 
+// placedBy returns by which other routes than those of the process the balancer sent a packet.
+func placedBy(l Line) string {
+	if l.Placed == 0 || l.Placed == l.Version {
+		return ""
+	}
+	return fmt.Sprintf(", sent by routes %d", l.Placed)
+}
+
 // decisionBasis describes the state on which the process based its decision.
 func decisionBasis(l Line) string {
 	if l.Version == 0 && l.Revision == 0 {
@@ -126,7 +134,7 @@
 	case "full":
 		return "the upstream has reached its limit of flows"
 	case "route":
-		return "newer routes do not permit it here"
+		return "the routes do not permit it here"
 	case "crowded":
 		return "more requests wait here than there"
 	case "window":
--- a/eventlog/line.go
+++ b/eventlog/line.go
@@ -38,6 +38,7 @@
 	Upstream string `json:"upstream,omitempty"`
 	Next     string `json:"next,omitempty"`
 	Visited  int    `json:"visited,omitempty"` // number of hosts that the packet visited
+	Placed   uint64 `json:"placed,omitempty"`  // version of the routes by which the balancer sent the packet
 	Reason   string `json:"reason,omitempty"`
 
 	// Version identifies the routes, Era and Revision the upstreams, on which the
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -23,10 +23,14 @@
 // shortDuration is the duration of the two default seeds, which run in CI.
 const shortDuration = 6 * time.Second
 
-// TestSoak runs two seeds for shortDuration, and those that the flags select.
+// lateVersions is a seed in which versions of the routes went back.
+const lateVersions = 68003
+
+// TestSoak runs two seeds for shortDuration, lateVersions, and those that the flags select.
 func TestSoak(t *testing.T) {
 	t.Run("planned", func(t *testing.T) { runSeed(t, 1, true, smallSize, shortDuration) })
 	t.Run("faults", func(t *testing.T) { runSeed(t, 2, false, smallSize, shortDuration) })
+	t.Run("versions", func(t *testing.T) { runSeed(t, lateVersions, false, smallSize, 15*time.Second) })
 	for i := range uint64(*seedCount) {
 		seed := *firstSeed + i
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { runSeed(t, seed, *planned, selectedSize(), *duration) })
--- a/steer/sidecar.go
+++ b/steer/sidecar.go
@@ -100,7 +100,7 @@
 	failures  failureDetector
 	openings  openingWindow
 	pacing    pacing
-	adoptions adoptions
+	adoptions adoptions // of versions of the routes by this process
 
 	flows       atomic.Int64  // live flows
 	active      atomic.Int64  // requests without an answer
