--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -38,7 +38,7 @@
 }
 
 // largeSize is the size of the largest deployment: about as many processes as a host bears.
-var largeSize = size{balancers: 59, fitting: 109, report: 27, dataCentres: 5, callers: 10}
+var largeSize = size{balancers: 59, fitting: 109, report: 27, dataCentres: 5, callers: 10, readyTime: 90 * time.Second}
 
 // selectedSize returns the size of the deployments of additional seeds.
 func selectedSize() size {
@@ -52,7 +52,7 @@
 func runSeed(t *testing.T, seed uint64, plannedOnly bool, sz size, d time.Duration) {
 	tb := newTestbed(t, seed, plannedOnly, sz)
 	defer tb.close()
-	ready, cancel := context.WithTimeout(t.Context(), 90*time.Second)
+	ready, cancel := context.WithTimeout(t.Context(), sz.readyTime)
 	tb.awaitReady(ready)
 	cancel()
 	ctx, cancel := context.WithTimeout(t.Context(), d)
--- a/soak/testbed_test.go
+++ b/soak/testbed_test.go
@@ -71,10 +71,11 @@
 	balancers, fitting, report int
 	dataCentres                int
 	callers                    int
+	readyTime                  time.Duration // within which all balancers are ready
 }
 
 // smallSize is the size of the deployments of most seeds.
-var smallSize = size{balancers: 3, fitting: 4, report: 2, dataCentres: 2, callers: 2}
+var smallSize = size{balancers: 3, fitting: 4, report: 2, dataCentres: 2, callers: 2, readyTime: 30 * time.Second}
 
 // testbed is a complete deployment on loopback addresses.
 type testbed struct {
