Show that a store address changed in the settings is not followed

Looked for what SIGHUP and a changed settings file leave as it was in a running process.

Case 12 gives the store a second address, which all settings files tell and 0.6 of the processes get SIGHUP for. The former address ends 10 s later, and the operator moves a route to another service after 10 s more. Clients open flows 16 s after the version was acknowledged, later than config_apply_ms and max_skew_ms together.

--- a/review/testdata/lab3/main.go
+++ b/review/testdata/lab3/main.go
@@ -16,6 +16,7 @@
 
 var scenarios = map[string]scenario{
 	"stale": playStale,
+	"moved": playMoved,
 }
 
 func main() {
