--- a/review/testdata/lab3/backend.go
+++ b/review/testdata/lab3/backend.go
@@ -14,6 +14,9 @@
 	"time"
 )
 
+// window is how far sequence numbers of packets of one flow are apart at most.
+const window = 76800
+
 // flowKey is a flow by the client's and the route's address.
 type flowKey struct{ client, route netip.AddrPort }
 
@@ -45,6 +48,7 @@
 
 	mu       sync.Mutex
 	flows    map[flowKey]*heldFlow
+	past     map[flowKey]*heldFlow // flows that have ended here
 	draining bool
 	seq      int
 	ended    bool
@@ -55,7 +59,7 @@
 func (l *lab) startBackend(id, service, zone string, host netip.Addr) (*backend, error) {
 	b := &backend{
 		lab: l, id: id, service: service, host: host, zone: zone, born: time.Now(),
-		outbound: netip.AddrPortFrom(host, portOutbound), flows: make(map[flowKey]*heldFlow),
+		outbound: netip.AddrPortFrom(host, portOutbound), flows: make(map[flowKey]*heldFlow), past: make(map[flowKey]*heldFlow),
 	}
 	var err error
 	if b.conn, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(host, portApp))); err != nil {
@@ -155,6 +159,7 @@
 			f = &heldFlow{isn: rand.Uint32(), expected: p.seq + 1}
 			f.next = f.isn + 1
 			b.flows[k] = f
+			delete(b.past, k)
 			if b.opening != nil {
 				b.opening(b, k)
 			}
@@ -162,6 +167,10 @@
 		b.send(encode(&packet{src: k.route, dst: k.client, flags: flagSYN | flagACK, seq: f.isn, ack: f.expected}))
 		return
 	}
+	if ended := b.past[k]; f == nil && ended != nil && p.seq-ended.expected+window <= 2*window {
+		b.answerEnded(k, ended, &p)
+		return
+	}
 	if f == nil || !f.opened && p.ack != f.isn+1 {
 		raw[18] |= flagBounced
 		b.send(raw)
@@ -172,7 +181,7 @@
 		b.lab.rec.line("backend %s of %s holds flow %s > %s", b.id, b.service, k.client, k.route)
 	}
 	if p.flags&flagRST != 0 {
-		delete(b.flows, k)
+		b.end(k, f)
 		return
 	}
 	b.acknowledge(f, p.ack)
@@ -190,7 +199,23 @@
 		b.send(encode(&packet{src: k.route, dst: k.client, flags: flagACK, seq: f.next, ack: f.expected}))
 	}
 	if f.finSeen && f.finSent && len(f.unacked) == 0 {
-		delete(b.flows, k)
+		b.end(k, f)
+	}
+}
+
+// end ends a flow.
+func (b *backend) end(k flowKey, f *heldFlow) {
+	delete(b.flows, k)
+	b.past[k] = f
+}
+
+// answerEnded answers a packet of a flow that has ended here: a FIN with an ACK, data with an RST.
+func (b *backend) answerEnded(k flowKey, f *heldFlow, p *packet) {
+	switch {
+	case len(p.data) > 0:
+		b.send(encode(&packet{src: k.route, dst: k.client, flags: flagRST, seq: f.next, ack: f.expected}))
+	case p.flags&flagFIN != 0:
+		b.send(encode(&packet{src: k.route, dst: k.client, flags: flagACK, seq: f.next, ack: f.expected}))
 	}
 }
 
@@ -268,7 +293,7 @@
 			f.tries++
 			f.lastSent = time.Now()
 			if f.tries > 8 {
-				delete(b.flows, k)
+				b.end(k, f)
 				continue
 			}
 			for _, raw := range f.unacked[:min(16, len(f.unacked))] {
--- a/review/testdata/lab3/client.go
+++ b/review/testdata/lab3/client.go
@@ -98,7 +98,7 @@
 	defer f.mu.Unlock()
 	l := f.client.lab
 	if p.flags&flagRST != 0 {
-		inside := !f.open || p.seq-f.expected+76800 <= 2*76800
+		inside := !f.open || p.seq-f.expected+window <= 2*window
 		l.gotReset(f, p, reset, inside)
 		if inside {
 			f.reset = true
--- a/review/testdata/lab3/lab.go
+++ b/review/testdata/lab3/lab.go
@@ -61,6 +61,7 @@
 type lab struct {
 	rec       *record
 	network   byte
+	guard     net.Listener
 	directory string
 	zones     []string
 	store     *standin.Store
@@ -170,15 +171,22 @@
 	return l, nil
 }
 
-// free reports whether the addresses of the network can be bound.
+// free reports whether the addresses of the network can be bound, and keeps one of them, so that
+// no other lab takes the network.
 func (l *lab) free() bool {
+	guard, err := net.Listen("tcp4", netip.AddrPortFrom(l.host(kindStore, 254), portControl).String())
+	if err != nil {
+		return false
+	}
 	for _, kind := range []int{kindFront, kindSide, kindClient, kindStore} {
 		c, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(netip.AddrPortFrom(l.host(kind, 1), portPackets)))
 		if err != nil {
+			guard.Close()
 			return false
 		}
 		c.Close()
 	}
+	l.guard = guard
 	return true
 }
 
