Give the route of the review's cases a loopback address

The cases sent nothing to the former address, which stood in packets and in the configuration alone; the limits of the review ask for loopback addresses everywhere.

--- a/review/testdata/lab3/stale.go
+++ b/review/testdata/lab3/stale.go
@@ -9,7 +9,7 @@
 )
 
 // routeA is the route of the clients, and serviceA and serviceB are services.
-var routeA = netip.MustParseAddrPort("198.18.0.1:8443")
+var routeA = netip.MustParseAddrPort("127.250.0.1:8443")
 
 const (
 	serviceA = "kodi31a"
